--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+BIN := $(CURDIR)/.bin
+LINTER := $(BIN)/golangci-lint
+LINTER_VERSION := v2.12.2
+PURE := ./connection/announcement/... ./request/attempt/... ./process/admission/... ./process/disk/... ./process/group/... \
+	./process/lease/... ./process/planner/... ./process/quorum/... ./process/retry/... ./process/router/... \
+	./process/state/... ./process/straggler/... ./version/...
+
+.PHONY: all build test race lint format
+
+all: build lint test
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+race:
+	go test -race $(PURE)
+
+lint: $(LINTER)
+	go vet ./...
+	$(LINTER) fmt --diff
+	$(LINTER) run ./...
+
+format: $(LINTER)
+	$(LINTER) fmt
+
+$(LINTER):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
--- /dev/null
+++ b/bench/load/doc.go
@@ -0,0 +1,2 @@
+// Package load sends a seeded load to running entry hosts and checks every answer.
+package load
--- /dev/null
+++ b/cmd/savorywing/apply.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"os/user"
+
+	"github.com/spf13/cobra"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/version/settings"
+	"savorywing.example/savorywing/wire"
+)
+
+//go:embed apply.txt
+var applyHelp string
+
+func newApply() *cobra.Command {
+	f := &clientFlags{}
+	var follows int64
+	var changeID, name string
+	cmd := &cobra.Command{
+		Use:     "apply DIR",
+		Short:   "Proposes a folder of settings as the next configuration",
+		Long:    applyHelp,
+		Example: "  savorywing apply /etc/savorywing --follows 41 --change-id audit-morning-7",
+		Args:    usage(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := settings.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return apply(cmd, f, s, follows, changeID, name)
+		},
+	}
+	f.add(cmd)
+	cmd.Flags().Int64Var(&follows, "follows", -1, "number of the configuration that this one follows; -1 asks the daemon first")
+	cmd.Flags().StringVar(&changeID, "change-id", "", "names the change; give the same again after a lost answer")
+	cmd.Flags().StringVar(&name, "operator", operatorName(), "who makes the change")
+	return cmd
+}
+
+func operatorName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func apply(cmd *cobra.Command, f *clientFlags, s *settings.Settings, follows int64, changeID, name string) error {
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
+	if follows < 0 {
+		var now operator.ConfigurationStatus
+		if err := c.Get(operator.PathConfiguration, &now); err != nil {
+			return err
+		}
+		follows = int64(now.Number)
+	}
+	if changeID == "" {
+		changeID = string(savorywing.NewNumber())
+	}
+	text, err := s.Text()
+	if err != nil {
+		return err
+	}
+	order := wire.ChangeConfiguration{Follows: uint64(follows), ChangeID: changeID, Operator: name, Text: string(text)}
+	r, err := c.Command(operator.PathConfiguration, order)
+	if errors.Is(err, operator.ErrNotAccepted) && r.Configuration != nil {
+		return fmt.Errorf("%w: number %d was taken by %s with change %s", err, follows+1, r.Configuration.Operator, r.Configuration.ChangeID)
+	}
+	if err != nil {
+		return fmt.Errorf("%w; the outcome may be unknown: repeat with --follows %d --change-id %s", err, follows, changeID)
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "configuration %d accepted (change %s)\n", r.Configuration.Number, changeID)
+	return nil
+}
--- /dev/null
+++ b/cmd/savorywing/client.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/version/settings"
+)
+
+const defaultOperators = "127.0.0.1:9180"
+
+// clientFlags are the flags of every command that calls a running daemon.
+type clientFlags struct {
+	operators string
+	tokenFile string
+	json      bool
+}
+
+func (f *clientFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.operators, "operators", defaultOperators, "operators' address of any daemon")
+	cmd.Flags().StringVar(&f.tokenFile, "token-file", "operators.token", "file with the operators' token")
+	cmd.Flags().BoolVar(&f.json, "json", false, "print JSON")
+}
+
+func (f *clientFlags) client() (*operator.Client, error) {
+	token, err := settings.LoadToken(f.tokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(f.operators, token), nil
+}
+
+// show reads a view and prints it, as JSON or by text.
+func show[T any](cmd *cobra.Command, f *clientFlags, path string, text func(w io.Writer, v T)) error {
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
+	var v T
+	if err := c.Get(path, &v); err != nil {
+		return err
+	}
+	if f.json {
+		return printJSON(cmd.OutOrStdout(), v)
+	}
+	text(cmd.OutOrStdout(), v)
+	return nil
+}
+
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return fmt.Errorf("printJSON: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/savorywing/serve.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/daemon"
+	"savorywing.example/savorywing/version/settings"
+)
+
+//go:embed serve.txt
+var serveHelp string
+
+func newServe() *cobra.Command {
+	var dir string
+	var stopWithin time.Duration
+	cmd := &cobra.Command{
+		Use:     "serve --settings DIR",
+		Short:   "Runs one daemon of this host",
+		Long:    serveHelp,
+		Example: "  savorywing serve --settings /etc/savorywing",
+		Args:    usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if dir == "" {
+				return usageError{fmt.Errorf("--settings is needed")}
+			}
+			s, err := settings.Load(dir)
+			if err != nil {
+				return err
+			}
+			return runDaemon(cmd.Context(), s, stopWithin, nil)
+		},
+	}
+	cmd.Flags().StringVar(&dir, "settings", "", "folder of YAML files")
+	cmd.Flags().DurationVar(&stopWithin, "stop-within", 10*time.Minute, "longest time for requests in flight to end at a planned stop")
+	return cmd
+}
+
+func newLogger(s *settings.Settings) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(s.Daemon.LogLevel)
+	if err != nil {
+		return zerolog.Nop(), fmt.Errorf("daemon.logLevel: %w", err)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("host", s.Daemon.Host).Logger(), nil
+}
+
+// runDaemon runs a daemon until SIGTERM or SIGINT, and stops it gracefully.
+func runDaemon(ctx context.Context, s *settings.Settings, stopWithin time.Duration, started func() error) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	log, err := newLogger(s)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := daemon.New(s, clock.System{}, log)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		d.Kill()
+		return err
+	}
+	if started != nil {
+		if err := started(); err != nil {
+			d.Kill()
+			return err
+		}
+	}
+	<-ctx.Done()
+	log.Info().Msg("stopping: requests in flight run to their end")
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	if err := d.Stop(stopCtx); err != nil {
+		return err
+	}
+	log.Info().Msg("stopped")
+	return nil
+}
--- /dev/null
+++ b/cmd/savorywing/status.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	_ "embed"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/process/metrics"
+)
+
+//go:embed status.txt
+var statusHelp string
+
+const tablePadding = 2
+
+func newTable(w io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
+}
+
+func newStatus() *cobra.Command {
+	f := &clientFlags{}
+	cmd := &cobra.Command{
+		Use:     "status",
+		Short:   "Shows one daemon's state, alarms and histograms",
+		Long:    statusHelp,
+		Example: "  savorywing status --operators 127.0.0.1:9180",
+		Args:    usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return show(cmd, f, operator.PathStatus, printStatus)
+		},
+	}
+	f.add(cmd)
+	return cmd
+}
+
+func printStatus(w io.Writer, s operator.Status) {
+	fmt.Fprintf(w, "host %s (%s), up %.0f s\n", s.Host, strings.Join(s.Roles, ", "), s.UptimeSeconds)
+	fmt.Fprintf(w, "configuration %d, confirmed: %t; leader %s; %d requests in flight\n", s.Configuration, s.Fresh, s.Leader, s.InFlight)
+	if v := s.Voter; v != nil {
+		fmt.Fprintf(w, "voter %s: %s of term %d, commit %d, log %d, claims %d\n", v.ID, v.Role, v.Term, v.Commit, v.LogLength, v.Claims)
+	}
+	for _, a := range s.Alarms {
+		fmt.Fprintln(w, "ALARM", a)
+	}
+	if len(s.Histograms) > 0 {
+		fmt.Fprintln(w)
+		printHistograms(w, s.Histograms)
+	}
+}
+
+// printHistograms prints a line for each organisation and class, times in milliseconds.
+func printHistograms(w io.Writer, rows []metrics.Row) {
+	t := newTable(w)
+	fmt.Fprintln(t, "organisation\tclass\trequests\tin patience\tfirst p50\tp95\tp99\tbetween p50\tp95\twhole p50\tp95\toutcomes")
+	for _, r := range rows {
+		var outcomes []string
+		for _, name := range []string{"answered", "notRun", "unknown"} {
+			if n := r.Outcomes[name]; n > 0 {
+				outcomes = append(outcomes, fmt.Sprintf("%s %d", name, n))
+			}
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%s\n", r.Organisation, r.Class, r.Requests, r.WithinPatience,
+			r.FirstToken["p50"], r.FirstToken["p95"], r.FirstToken["p99"], r.Between["p50"], r.Between["p95"],
+			r.Whole["p50"], r.Whole["p95"], strings.Join(outcomes, ", "))
+	}
+	_ = t.Flush()
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,64 @@
+// Command standin is a stand-in backend server: a model engine or a plain service, with faults that
+// are switched on over HTTP (POST /faults), its counts at GET /stats, and POST /leaving.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/standin"
+)
+
+func main() {
+	if err := newRoot().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	var cfg standin.Config
+	cmd := &cobra.Command{
+		Use:          "standin",
+		Short:        "Runs one stand-in backend server",
+		Example:      "  standin --host engine-1 --listen 127.0.0.1:7001 --fabric-domain a-1 --entry-hosts 127.0.0.1:8081",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(*cobra.Command, []string) error { return run(cfg) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&cfg.Host, "host", "engine-1", "name of the host")
+	f.StringVar(&cfg.Listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.StringVar(&cfg.DataCentre, "data-centre", "local", "data centre")
+	f.StringVar(&cfg.FabricDomain, "fabric-domain", "", "fabric domain")
+	f.StringVar(&cfg.Kind, "kind", savorywing.KindEngine, "engine or service")
+	f.StringVar(&cfg.Service, "service", "", "name of the plain service")
+	f.Uint64Var(&cfg.Accelerators, "accelerators", 1, "accelerators")
+	f.BoolVar(&cfg.ChecksFencing, "checks-fencing", true, "refuse orders with an old fencing number")
+	f.BoolVar(&cfg.Resumes, "resumes", true, "resume streams")
+	f.IntVar(&cfg.Slots, "slots", 16, "requests in one batch")
+	f.DurationVar(&cfg.FirstToken, "first-token", 50*time.Millisecond, "time to the first token")
+	f.DurationVar(&cfg.TokenTime, "token-time", 20*time.Millisecond, "time between tokens")
+	f.DurationVar(&cfg.LoadTime, "load-time", 500*time.Millisecond, "time to load a model")
+	f.DurationVar(&cfg.AnnounceEvery, "announce-every", 500*time.Millisecond, "pause between announcements")
+	f.StringSliceVar(&cfg.EntryHosts, "entry-hosts", nil, "callers' addresses behind the balancer")
+	return cmd
+}
+
+func run(cfg standin.Config) error {
+	s, err := standin.Start(cfg)
+	if err != nil {
+		return err
+	}
+	fmt.Println(s.Address())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	return s.Stop()
+}
--- /dev/null
+++ b/connection/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator speaks the authenticated HTTP interface for operators.
+package operator
--- /dev/null
+++ b/connection/peer/mesh.go
@@ -0,0 +1,314 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing/process/ring"
+	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
+)
+
+// Protocol is the version of the frames between daemons.
+const Protocol = 1
+
+const (
+	path           = "/savorywing/v1/peer"
+	ringSize       = 4096
+	heartbeatEvery = 500 * time.Millisecond
+	silenceBound   = 2 * time.Second
+	writeTimeout   = 1 * time.Second
+	redialPause    = 250 * time.Millisecond
+	dialTimeout    = 1 * time.Second
+	stopTimeout    = 1 * time.Second
+)
+
+// Errors of calls to other daemons.
+var (
+	ErrNotConnected = errors.New("no connection to the host")
+	ErrBusy         = errors.New("the queue to the host is full")
+	ErrUnknownHost  = errors.New("unknown host")
+)
+
+// Handler takes frames from other daemons.
+type Handler interface {
+	// HandleOneWay takes a frame that wants no reply. It must not block.
+	HandleOneWay(from string, f wire.Frame)
+	// HandleCall returns the reply to a frame.
+	HandleCall(ctx context.Context, from string, f wire.Frame) wire.Frame
+	// HandleConnected is told when a connection to another daemon was opened.
+	HandleConnected(host string)
+}
+
+// Config describes this daemon and the others.
+type Config struct {
+	Host       string
+	Boot       uint64
+	DataCentre string
+	Listen     string
+	// Peers maps the names of the other hosts to their addresses.
+	Peers map[string]string
+	// Token is the secret that all daemons share.
+	Token string
+}
+
+// Mesh holds one dialled connection to every other daemon, and serves theirs.
+type Mesh struct {
+	cfg      Config
+	handler  Handler
+	log      zerolog.Logger
+	pool     *ants.Pool
+	listener net.Listener
+	http     *fasthttp.Server
+	links    map[string]*link
+	ctx      context.Context
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+
+	mu       sync.Mutex
+	accepted map[*websocket.Conn]bool
+}
+
+// NewMesh listens, and dials the others until Stop.
+func NewMesh(cfg Config, handler Handler, pool *ants.Pool, log zerolog.Logger) (*Mesh, error) {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peer.NewMesh: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Mesh{
+		cfg: cfg, handler: handler, log: log, pool: pool, listener: listener, links: map[string]*link{},
+		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{},
+	}
+	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout}
+	for host, address := range cfg.Peers {
+		m.links[host] = newLink(m, host, address)
+	}
+	return m, nil
+}
+
+// Start begins to serve and to dial.
+func (m *Mesh) Start() {
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		_ = m.http.Serve(m.listener)
+	}()
+	for _, l := range m.links {
+		m.done.Add(1)
+		go l.run()
+	}
+}
+
+// Stop closes every connection.
+func (m *Mesh) Stop() {
+	m.stop()
+	m.mu.Lock()
+	for c := range m.accepted {
+		_ = c.Close()
+	}
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = m.http.ShutdownWithContext(ctx)
+	m.done.Wait()
+}
+
+// Hosts returns the names of the other hosts.
+func (m *Mesh) Hosts() []string {
+	hosts := make([]string, 0, len(m.links))
+	for host := range m.links {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// Connected tells whether the connection to a host is open.
+func (m *Mesh) Connected(host string) bool {
+	l := m.links[host]
+	return l != nil && l.connected()
+}
+
+// Send queues a frame that wants no reply.
+func (m *Mesh) Send(host string, f wire.Frame) error {
+	l := m.links[host]
+	if l == nil {
+		return fmt.Errorf("Mesh.Send: %w: %s", ErrUnknownHost, host)
+	}
+	return l.send(f)
+}
+
+// Call sends a frame and waits for its reply.
+func (m *Mesh) Call(ctx context.Context, host string, f wire.Frame) (wire.Frame, error) {
+	l := m.links[host]
+	if l == nil {
+		return wire.Frame{}, fmt.Errorf("Mesh.Call: %w: %s", ErrUnknownHost, host)
+	}
+	return l.call(ctx, f)
+}
+
+func (m *Mesh) proof() string {
+	sum := sha256.Sum256([]byte("peer:" + m.cfg.Token))
+	return hex.EncodeToString(sum[:])
+}
+
+func (m *Mesh) upgrade(ctx *fasthttp.RequestCtx) {
+	proof := ctx.Request.Header.Peek("Authorization")
+	if string(ctx.Path()) != path || subtle.ConstantTimeCompare(proof, []byte(m.proof())) != 1 {
+		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		return
+	}
+	u := websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }}
+	if err := u.Upgrade(ctx, m.serveConn); err != nil {
+		m.log.Warn().Err(err).Msg("peer connection refused")
+	}
+}
+
+// serveConn answers one accepted connection.
+func (m *Mesh) serveConn(c *websocket.Conn) {
+	if !m.track(c) {
+		_ = c.Close()
+		return
+	}
+	defer m.untrack(c)
+	out := ring.New[wire.Frame](ringSize)
+	quit := make(chan struct{})
+	var done sync.WaitGroup
+	done.Add(1)
+	go func() {
+		defer done.Done()
+		writeLoop(c, out, quit)
+	}()
+	from := ""
+	readLoop(c, func(f wire.Frame) bool {
+		if f.Hello != nil {
+			from = f.Hello.Host
+			return f.Hello.Protocol == Protocol
+		}
+		if from != "" {
+			m.accept(from, f, out)
+		}
+		return from != ""
+	})
+	close(quit)
+	_ = c.Close()
+	done.Wait()
+}
+
+func (m *Mesh) track(c *websocket.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx.Err() != nil {
+		return false
+	}
+	m.accepted[c] = true
+	return true
+}
+
+func (m *Mesh) untrack(c *websocket.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.accepted, c)
+}
+
+func (m *Mesh) accept(from string, f wire.Frame, out *ring.Ring[wire.Frame]) {
+	if f.ID == 0 {
+		m.handler.HandleOneWay(from, f)
+		return
+	}
+	err := m.pool.Submit(func() {
+		reply := m.handler.HandleCall(m.ctx, from, f)
+		reply.ID = f.ID
+		reply.Reply = true
+		out.Push(reply)
+	})
+	if err != nil {
+		out.Push(wire.Frame{ID: f.ID, Reply: true, Error: &wire.FrameError{Code: "busy", Reason: err.Error()}})
+	}
+}
+
+// readLoop reads frames until the connection fails, is silent for too long, or take says no.
+func readLoop(c *websocket.Conn, take func(wire.Frame) bool) {
+	c.SetReadLimit(codec.MaxFrame)
+	extend := func() error { return c.SetReadDeadline(time.Now().Add(silenceBound)) }
+	c.SetPongHandler(func(string) error { return extend() })
+	c.SetPingHandler(func(data string) error {
+		if err := extend(); err != nil {
+			return err
+		}
+		return c.WriteControl(websocket.PongMessage, []byte(data), time.Now().Add(writeTimeout))
+	})
+	for {
+		if err := extend(); err != nil {
+			return
+		}
+		_, b, err := c.ReadMessage()
+		if err != nil {
+			return
+		}
+		f, err := codec.DecodeFrame(b)
+		if err != nil || !take(f) {
+			return
+		}
+	}
+}
+
+// writeLoop writes queued frames, and heartbeats between them.
+func writeLoop(c *websocket.Conn, out *ring.Ring[wire.Frame], quit <-chan struct{}) {
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case <-quit:
+			return
+		case f := <-out.Out():
+			err = writeFrame(c, f)
+		case <-ticker.C:
+			err = c.WriteControl(websocket.PingMessage, nil, time.Now().Add(writeTimeout))
+		}
+		if err != nil {
+			_ = c.Close()
+			return
+		}
+	}
+}
+
+func writeFrame(c *websocket.Conn, f wire.Frame) error {
+	b, err := codec.Encode(f)
+	if err != nil {
+		return err
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return c.WriteMessage(websocket.BinaryMessage, b)
+}
+
+func (m *Mesh) dial(address string) (*websocket.Conn, error) {
+	d := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	header := http.Header{"Authorization": []string{m.proof()}}
+	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
+	defer cancel()
+	c, resp, err := d.DialContext(ctx, "ws://"+address+path, header)
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("Mesh.dial: %w", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/engine.go
@@ -0,0 +1,74 @@
+package savorywing
+
+import (
+	"context"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+// BackendControl is what the system asks of a backend server besides requests.
+type BackendControl interface {
+	// Ask returns the backend server's announcement, made after Ask was called.
+	Ask(ctx context.Context, address string) (wire.Announcement, error)
+	// Order tells a backend server what to hold.
+	Order(ctx context.Context, address string, o wire.Order) (wire.OrderReply, error)
+}
+
+// Target is one backend server as an attempt sees it.
+type Target struct {
+	Address string
+	Host    string
+	// Resumes tells that a stream can be resumed at an offset on a new connection.
+	Resumes bool
+}
+
+// Call is one request on its way to a backend server.
+type Call struct {
+	Attempt     Number
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// Key is the caller's Idempotency-Key, passed on as it is.
+	Key string
+	// Offset is the number of frames already delivered; above zero the call resumes a stream.
+	Offset int
+	// Fresh forbids a pooled connection.
+	Fresh bool
+	// FirstByte bounds every silence until the caller of Send sets another gap on the stream.
+	FirstByte time.Duration
+}
+
+// BackendAnswer is the head of a backend server's answer; Stream yields the rest.
+type BackendAnswer struct {
+	Status      int
+	ContentType string
+	// Refused tells that the backend server refused before running the request.
+	Refused bool
+	Stream  Stream
+}
+
+// Stream yields an answer's bytes.
+type Stream interface {
+	Read(p []byte) (int, error)
+	// SetGap bounds the silence between bytes from now on.
+	SetGap(d time.Duration)
+	// Close ends the connection unless the answer was read to its end.
+	Close() error
+}
+
+// Backend sends requests to backend servers.
+type Backend interface {
+	// Send returns once the head of the answer is there. An error is a Refusal with CodeNotRun
+	// only if no byte of the request was given to a connection.
+	Send(ctx context.Context, t Target, c Call) (BackendAnswer, error)
+}
+
+// Kinds of orders to backend servers.
+const (
+	// OrderLoad makes a backend server a member of a group.
+	OrderLoad = "load"
+	// OrderUnload makes it hold nothing.
+	OrderUnload = "unload"
+)
--- /dev/null
+++ b/process/admission/queue.go
@@ -0,0 +1,307 @@
+// Package admission decides which requests wait, run or are refused at one entry host. It is pure.
+package admission
+
+import (
+	"sort"
+	"time"
+)
+
+// Order is a way to choose the next request.
+type Order int
+
+// Orders.
+const (
+	// FirstCome runs requests in the order of their arrival and refuses only what has become impossible.
+	FirstCome Order = iota
+	// Deadline runs the request with the earliest deadline.
+	Deadline
+	// FairDeadline shares capacity among organisations by weight, and runs the earliest deadline of each.
+	FairDeadline
+)
+
+// String returns the order's name.
+func (o Order) String() string {
+	return [...]string{"firstCome", "deadline", "fairDeadline"}[o]
+}
+
+const (
+	// serviceSmoothing is the weight of the newest request in running averages.
+	serviceSmoothing = 0.05
+	minRetryAfter    = 100 * time.Millisecond
+)
+
+// Item is one request that waits.
+type Item struct {
+	ID           string
+	Organisation string
+	// Deadline is when the first token must be there.
+	Deadline time.Time
+	// Arrival orders requests that are otherwise equal.
+	Arrival time.Time
+	index   int
+	order   uint64
+	// cost is the expected time in a slot, in seconds.
+	cost float64
+}
+
+// Verdict is the answer to an offered request.
+type Verdict struct {
+	Refused bool
+	// RetryAfter tells a refused caller when coming back helps.
+	RetryAfter time.Duration
+}
+
+// Queue holds the requests that wait for one model or service at one entry host.
+type Queue struct {
+	order   Order
+	shares  map[string]float64
+	tenants map[string]*tenant
+	waiting int
+	nextID  uint64
+	// virtual is the virtual time of fair sharing; it only grows.
+	virtual float64
+	// slots is the number of requests that this entry host may run at once.
+	slots int
+	// service and first are the running averages of time in a slot and until the first token.
+	service time.Duration
+	first   time.Duration
+}
+
+// tenant is one organisation's waiting requests.
+type tenant struct {
+	items itemHeap
+	// finish is the virtual time at which the organisation has used up its share so far.
+	finish float64
+}
+
+// Option sets an optional part of a Queue.
+type Option func(*Queue)
+
+// WithShares sets the weights of organisations; others weigh 1.
+func WithShares(shares map[string]float64) Option {
+	return func(q *Queue) { q.shares = shares }
+}
+
+// WithTimes sets the first guesses of the time in a slot and of the time to the first token.
+func WithTimes(service, first time.Duration) Option {
+	return func(q *Queue) { q.service, q.first = service, first }
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(order Order, opts ...Option) *Queue {
+	q := &Queue{order: order, tenants: map[string]*tenant{}, service: time.Second, first: 100 * time.Millisecond, slots: 1}
+	for _, opt := range opts {
+		opt(q)
+	}
+	return q
+}
+
+// SetSlots tells how many requests this entry host may run at once.
+func (q *Queue) SetSlots(n int) { q.slots = max(n, 0) }
+
+// SetShares replaces the weights of organisations.
+func (q *Queue) SetShares(shares map[string]float64) { q.shares = shares }
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.waiting }
+
+// Finished learns from a request that ran: its time in the slot and until its first token.
+func (q *Queue) Finished(service, first time.Duration) {
+	q.service = smooth(q.service, service)
+	if first > 0 {
+		q.first = smooth(q.first, first)
+	}
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	return old + time.Duration(serviceSmoothing*float64(sample-old))
+}
+
+func (q *Queue) share(organisation string) float64 {
+	if s, known := q.shares[organisation]; known && s > 0 {
+		return s
+	}
+	return 1
+}
+
+// Offer takes a request in, or refuses it if its deadline can't be met. running is the number of
+// requests that this entry host has in flight.
+func (q *Queue) Offer(now time.Time, running int, item Item) Verdict {
+	wait := q.predict(running, item)
+	if q.order != FirstCome && now.Add(wait+q.first).After(item.Deadline) {
+		return Verdict{Refused: true, RetryAfter: max(minRetryAfter, now.Add(wait+q.first).Sub(item.Deadline))}
+	}
+	if now.Add(q.first).After(item.Deadline) {
+		return Verdict{Refused: true, RetryAfter: max(minRetryAfter, wait)}
+	}
+	q.push(item)
+	return Verdict{}
+}
+
+// predict returns how long a request would wait for a slot.
+func (q *Queue) predict(running int, item Item) time.Duration {
+	if q.slots == 0 {
+		return q.service
+	}
+	ahead := q.ahead(item)
+	free := q.slots - running
+	if ahead < float64(free) {
+		return 0
+	}
+	return time.Duration((ahead - float64(free) + 1) / float64(q.slots) * float64(q.service))
+}
+
+// ahead returns how many waiting requests run before the item, counted in whole requests.
+func (q *Queue) ahead(item Item) float64 {
+	switch q.order {
+	case FirstCome:
+		return float64(q.waiting)
+	case Deadline:
+		n := 0
+		for _, t := range q.tenants {
+			n += t.items.before(item.Deadline)
+		}
+		return float64(n)
+	}
+	return q.fairAhead(item)
+}
+
+// fairAhead counts the organisation's own earlier requests, and for each of them what the others
+// run meanwhile by their shares, bounded by what they have waiting.
+func (q *Queue) fairAhead(item Item) float64 {
+	own := 0
+	if t := q.tenants[item.Organisation]; t != nil {
+		own = t.items.before(item.Deadline)
+	}
+	total := float64(own)
+	turns := float64(own+1) / q.share(item.Organisation)
+	for name, t := range q.tenants {
+		if name == item.Organisation || len(t.items.items) == 0 {
+			continue
+		}
+		total += min(float64(len(t.items.items)), turns*q.share(name))
+	}
+	return total
+}
+
+func (q *Queue) push(item Item) {
+	t := q.tenants[item.Organisation]
+	if t == nil {
+		t = &tenant{}
+		q.tenants[item.Organisation] = t
+	}
+	if len(t.items.items) == 0 {
+		t.finish = max(t.finish, q.virtual)
+	}
+	q.nextID++
+	item.order = q.nextID
+	item.cost = q.service.Seconds()
+	if q.order == FirstCome {
+		t.items.firstCome = true
+	}
+	t.items.push(&item)
+	q.waiting++
+}
+
+// Next removes and returns the request to run now.
+func (q *Queue) Next() (Item, bool) {
+	t, name := q.choose()
+	if t == nil {
+		return Item{}, false
+	}
+	item := t.items.pop()
+	q.waiting--
+	q.virtual = max(q.virtual, t.finish)
+	t.finish += item.cost / q.share(name)
+	q.forget(name, t)
+	return *item, true
+}
+
+// forget drops an idle organisation whose past use no longer counts against it.
+func (q *Queue) forget(name string, t *tenant) {
+	if len(t.items.items) == 0 && t.finish <= q.virtual {
+		delete(q.tenants, name)
+	}
+}
+
+func (q *Queue) choose() (*tenant, string) {
+	var best *tenant
+	bestName := ""
+	for name, t := range q.tenants {
+		if len(t.items.items) == 0 {
+			continue
+		}
+		if best == nil || q.earlier(t, name, best, bestName) {
+			best, bestName = t, name
+		}
+	}
+	return best, bestName
+}
+
+func (q *Queue) earlier(a *tenant, aName string, b *tenant, bName string) bool {
+	if q.order == FairDeadline && a.finish != b.finish {
+		return a.finish < b.finish
+	}
+	x, y := a.items.items[0], b.items.items[0]
+	if q.order == FirstCome {
+		return x.order < y.order
+	}
+	if !x.Deadline.Equal(y.Deadline) {
+		return x.Deadline.Before(y.Deadline)
+	}
+	return aName < bName
+}
+
+// Expire removes and returns every request that can't meet its deadline even if it ran now.
+func (q *Queue) Expire(now time.Time) []Item {
+	var gone []Item
+	for name, t := range q.tenants {
+		for _, item := range t.items.expired(now.Add(q.first)) {
+			q.waiting--
+			gone = append(gone, *item)
+		}
+		q.forget(name, t)
+	}
+	sort.Slice(gone, func(i, j int) bool { return gone[i].order < gone[j].order })
+	return gone
+}
+
+// Remove takes out a request whose caller has gone.
+func (q *Queue) Remove(organisation, id string) bool {
+	t := q.tenants[organisation]
+	if t == nil || !t.items.remove(id) {
+		return false
+	}
+	q.waiting--
+	return true
+}
+
+// Backlog returns how long the waiting requests will take.
+func (q *Queue) Backlog() time.Duration {
+	if q.slots == 0 {
+		return q.service
+	}
+	return time.Duration(float64(q.waiting) / float64(q.slots) * float64(q.service))
+}
+
+// NextExpiry returns when the next waiting request becomes impossible, and false if none waits.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	found := false
+	for _, t := range q.tenants {
+		if len(t.items.items) == 0 {
+			continue
+		}
+		if at := t.items.earliest().Add(-q.first); !found || at.Before(next) {
+			next, found = at, true
+		}
+	}
+	return next, found
+}
+
+// PutBack returns a request that Next gave out and that could not run, and takes back its charge.
+func (q *Queue) PutBack(item Item) {
+	q.push(item)
+	t := q.tenants[item.Organisation]
+	t.finish -= q.service.Seconds() / q.share(item.Organisation)
+}
--- /dev/null
+++ b/process/daemon/operations.go
@@ -0,0 +1,187 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/process/quorum"
+	"savorywing.example/savorywing/version/settings"
+	"savorywing.example/savorywing/wire"
+)
+
+const (
+	millisecond = float64(time.Millisecond)
+	maxNote     = 256
+)
+
+// operations answers operators.
+type operations struct {
+	daemon *Daemon
+}
+
+var _ operator.Operations = (*operations)(nil)
+
+// Status returns this daemon's view.
+func (o *operations) Status() operator.Status {
+	d := o.daemon
+	s := operator.Status{
+		Host: d.settings.Daemon.Host, Roles: d.self().Roles, UptimeSeconds: d.sinceStart().Seconds(),
+		Configuration: d.registry.Numbers().Configuration, Fresh: d.registry.Fresh(), Histograms: d.metrics.Rows(),
+	}
+	if host := d.leader.Load(); host != nil {
+		s.Leader = *host
+	}
+	if d.entry != nil {
+		s.InFlight = d.entry.InFlight()
+	}
+	for _, host := range d.mesh.Hosts() {
+		s.Peers = append(s.Peers, operator.PeerStatus{Host: host, Connected: d.mesh.Connected(host)})
+	}
+	sort.Slice(s.Peers, func(i, j int) bool { return s.Peers[i].Host < s.Peers[j].Host })
+	if d.node != nil {
+		s.Voter = voterStatus(d.node.View(), d.node.HasLease())
+		s.Leader = quorum.HostOf(d.node.View().Leader)
+	}
+	s.Alarms = o.alarms(s)
+	return s
+}
+
+func voterStatus(v quorum.View, lease bool) *operator.VoterStatus {
+	s := &operator.VoterStatus{
+		ID: v.ID, Role: v.Role.String(), Term: v.Term, Commit: v.Commit, LogLength: v.LogLength, Claims: v.Claims,
+		Failed: v.Failed, Syncs: v.Syncs, SyncMillis: float64(v.SyncTime) / millisecond, HasLease: lease, CommitsInLog: v.Configuration,
+	}
+	for _, m := range v.Members.Members {
+		name := m.ID
+		if !m.Voter {
+			name += " (learner)"
+		}
+		s.Members = append(s.Members, name)
+	}
+	return s
+}
+
+// alarms names what an operator should look at.
+func (o *operations) alarms(s operator.Status) []string {
+	var alarms []string
+	if !s.Fresh {
+		alarms = append(alarms, "notFresh: the newest configuration can't be confirmed; nothing new is admitted")
+	}
+	if s.Voter != nil && s.Voter.Failed != "" {
+		alarms = append(alarms, "diskFailed: "+s.Voter.Failed)
+	}
+	for _, p := range s.Peers {
+		if !p.Connected {
+			alarms = append(alarms, "peerLost: "+p.Host)
+		}
+	}
+	for _, g := range o.Groups() {
+		if !g.Lease {
+			alarms = append(alarms, fmt.Sprintf("groupDown: %s is %s and has no serving lease here", g.ID, g.Phase))
+		}
+	}
+	return alarms
+}
+
+// Groups returns the groups as this daemon sees them.
+func (o *operations) Groups() []operator.GroupStatus {
+	var list []operator.GroupStatus
+	for _, g := range o.daemon.registry.Table().Groups {
+		list = append(list, operator.GroupStatus{Group: g, Lease: o.daemon.registry.GroupServing(g.ID)})
+	}
+	return list
+}
+
+// Hosts returns the backend servers as this daemon sees them.
+func (o *operations) Hosts() []operator.HostStatus {
+	owners := map[string]wire.Ownership{}
+	for _, h := range o.daemon.registry.Table().Hosts {
+		owners[h.Host] = h
+	}
+	var list []operator.HostStatus
+	for _, a := range o.daemon.registry.Announcements() {
+		s := operator.HostStatus{Announcement: a, Group: owners[a.Host].Group, Draining: owners[a.Host].Draining, AgeSeconds: -1}
+		if answer, askedAt, known := o.daemon.registry.Answer(a.Host); known {
+			s.Announcement = answer
+			s.AgeSeconds = o.daemon.clock.Now().Sub(askedAt).Seconds()
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// Configuration returns the configuration in force here.
+func (o *operations) Configuration() (operator.ConfigurationStatus, error) {
+	text, err := o.daemon.registry.Settings().Text()
+	if err != nil {
+		return operator.ConfigurationStatus{}, fmt.Errorf("operations.Configuration: %w", err)
+	}
+	return operator.ConfigurationStatus{Number: o.daemon.registry.Numbers().Configuration, Text: string(text)}, nil
+}
+
+// History returns the accepted configuration changes, oldest first, as the asked voter knows them.
+func (o *operations) History() []wire.Configuration {
+	d := o.daemon
+	if d.node != nil {
+		return d.node.View().History
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, proposeTry)
+	defer cancel()
+	reply, err := d.call(ctx, d.leaderHost(0), wire.Frame{AskHistory: true})
+	if err != nil {
+		return nil
+	}
+	return reply.History
+}
+
+// Apply checks a configuration and proposes it.
+func (o *operations) Apply(ctx context.Context, c wire.ChangeConfiguration) (wire.Result, error) {
+	if c.ChangeID == "" || len(c.ChangeID) > maxNote || len(c.Operator) > maxNote {
+		return wire.Result{Reason: "a change needs a changeId of at most 256 bytes"}, nil
+	}
+	if problem := o.problem(c); problem != "" {
+		return wire.Result{Reason: problem}, nil
+	}
+	return o.daemon.proposer.Propose(ctx, wire.Command{Configuration: &c})
+}
+
+// problem names what is wrong with a change's text, or nothing.
+func (o *operations) problem(c wire.ChangeConfiguration) string {
+	s, err := settings.Parse("change "+c.ChangeID, []byte(c.Text))
+	if err != nil {
+		return err.Error()
+	}
+	return o.fixed(s)
+}
+
+// fixed names a change to what a running system can't change.
+func (o *operations) fixed(s *settings.Settings) string {
+	now := o.daemon.settings
+	if s.Timing.Election != now.Timing.Election {
+		return "timing.election can't be changed while the system runs"
+	}
+	for name, h := range now.Hosts {
+		if other, known := s.Hosts[name]; known && other.Peers != h.Peers {
+			return "hosts." + name + ".peers can't be changed while the system runs"
+		}
+	}
+	return ""
+}
+
+// Drain marks a backend server's host as wanted out of service, or back in.
+func (o *operations) Drain(ctx context.Context, dr wire.DrainHost) (wire.Result, error) {
+	for _, a := range o.daemon.registry.Announcements() {
+		if a.Host == dr.Host {
+			return o.daemon.proposer.Propose(ctx, wire.Command{Drain: &dr})
+		}
+	}
+	for _, h := range o.daemon.registry.Table().Hosts {
+		if h.Host == dr.Host {
+			return o.daemon.proposer.Propose(ctx, wire.Command{Drain: &dr})
+		}
+	}
+	return wire.Result{Reason: "no backend server has announced itself as " + dr.Host}, nil
+}
--- /dev/null
+++ b/process/entry/dispatcher.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/admission"
+	"savorywing.example/savorywing/process/registry"
+	"savorywing.example/savorywing/process/ring"
+)
+
+const (
+	dispatchRing  = 8192
+	dispatchBatch = 256
+	expireEvery   = 5 * time.Millisecond
+	// wholeGroupRetry is when coming back helps while no whole group serves.
+	wholeGroupRetry = 2 * time.Second
+)
+
+// event is what the dispatcher's thread takes from its ring.
+type event interface{ isEvent() }
+
+type (
+	// offerEvent asks for a grant.
+	offerEvent struct {
+		request *savorywing.Request
+		exclude map[string]bool
+		done    chan<- decision
+	}
+	// finishedEvent gives a grant back.
+	finishedEvent struct {
+		lane     string
+		id       string
+		service  time.Duration
+		first    time.Duration
+		between  time.Duration
+		observed bool
+	}
+	// goneEvent tells that a waiting request's caller has gone.
+	goneEvent struct{ request *savorywing.Request }
+)
+
+func (offerEvent) isEvent()    {}
+func (finishedEvent) isEvent() {}
+func (goneEvent) isEvent()     {}
+
+// decision is a grant or a refusal.
+type decision struct {
+	grant   grant
+	refusal *savorywing.Refusal
+}
+
+// dispatcher decides for all lanes of one entry host on a thread of its own.
+type dispatcher struct {
+	clock    savorywing.Clock
+	registry *registry.Registry
+	events   *ring.Ring[event]
+	lanes    map[string]*lane
+	seed     uint64
+}
+
+func newDispatcher(clock savorywing.Clock, r *registry.Registry, seed uint64) *dispatcher {
+	return &dispatcher{clock: clock, registry: r, events: ring.New[event](dispatchRing), lanes: map[string]*lane{}, seed: seed}
+}
+
+func (d *dispatcher) run(ctx context.Context) {
+	timer := d.clock.After(expireEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-d.events.Out():
+			for _, e := range d.events.Drain(first, dispatchBatch) {
+				d.handle(e)
+			}
+		case <-timer:
+			timer = d.clock.After(expireEvery)
+			d.tick()
+		}
+	}
+}
+
+func (d *dispatcher) handle(e event) {
+	switch e := e.(type) {
+	case offerEvent:
+		d.offer(e)
+	case finishedEvent:
+		d.finished(e)
+	case goneEvent:
+		d.gone(e.request)
+	}
+}
+
+func (d *dispatcher) lane(r *savorywing.Request) *lane {
+	name := r.Lane()
+	l := d.lanes[name]
+	if l == nil {
+		l = newLane(d.shares(), r.Service != "", d.seed)
+		d.lanes[name] = l
+	}
+	return l
+}
+
+func (d *dispatcher) shares() map[string]float64 {
+	shares := map[string]float64{}
+	for name, o := range d.registry.Settings().Organisations {
+		shares[name] = o.Share
+	}
+	return shares
+}
+
+func (d *dispatcher) candidates(r *savorywing.Request) []registry.Candidate {
+	if r.Service != "" {
+		return d.registry.Services(r.Service)
+	}
+	return d.registry.Models(r.Model)
+}
+
+func (d *dispatcher) entryHosts() int {
+	n := 0
+	for _, h := range d.registry.Settings().Hosts {
+		if h.HasRole(savorywing.RoleEntry) {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+func (d *dispatcher) groupRequests() int { return d.registry.Settings().Limits.GroupRequests }
+
+// offer grants at once, queues, or refuses.
+func (d *dispatcher) offer(e offerEvent) {
+	l := d.lane(e.request)
+	l.queue.SetShares(d.shares())
+	candidates := d.candidates(e.request)
+	l.queue.SetSlots(l.slots(candidates, d.entryHosts(), d.groupRequests()))
+	if len(candidates) == 0 {
+		e.done <- decision{refusal: savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable,
+			"no whole group serves this now", savorywing.WithRetryAfter(wholeGroupRetry))}
+		return
+	}
+	now := d.clock.Now()
+	item := admission.Item{
+		ID: string(e.request.Number), Organisation: e.request.Organisation, Deadline: e.request.FirstTokenBy(), Arrival: e.request.Arrival,
+	}
+	if v := l.queue.Offer(now, l.running, item); v.Refused {
+		e.done <- decision{refusal: tooLate(v.RetryAfter)}
+		return
+	}
+	l.waiting[item.ID] = waiting{offer: e, item: item}
+	d.pump(l)
+}
+
+func tooLate(retryAfter time.Duration) *savorywing.Refusal {
+	return savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable,
+		"the answer would come later than the caller can wait", savorywing.WithRetryAfter(retryAfter))
+}
+
+// pump grants to waiting requests while there is room.
+func (d *dispatcher) pump(l *lane) {
+	hosts, most := d.entryHosts(), d.groupRequests()
+	var blocked []waiting
+	for l.queue.Len() > 0 {
+		item, ok := l.queue.Next()
+		if !ok {
+			break
+		}
+		w := l.waiting[item.ID]
+		candidates := d.candidates(w.offer.request)
+		free := l.room(d.clock.Now(), candidates, hosts, most, w.offer.exclude)
+		if len(free) == 0 {
+			blocked = append(blocked, w)
+			if len(w.offer.exclude) == 0 {
+				break
+			}
+			continue
+		}
+		d.grant(l, w, l.pick(free, w.offer.request.Prefix))
+	}
+	for _, w := range blocked {
+		l.queue.PutBack(w.item)
+	}
+}
+
+func (d *dispatcher) grant(l *lane, w waiting, c registry.Candidate) {
+	now := d.clock.Now()
+	l.begin(now, c.ID)
+	delete(l.waiting, w.item.ID)
+	w.offer.done <- decision{grant: grant{candidate: c, grantedAt: now}}
+}
+
+func (d *dispatcher) finished(e finishedEvent) {
+	l := d.lanes[e.lane]
+	if l == nil {
+		return
+	}
+	l.end(e.id)
+	if e.observed {
+		l.queue.Finished(e.service, e.first)
+	}
+	if e.between > 0 {
+		l.detector.Observe(d.clock.Now(), e.id, e.between)
+	}
+	d.pump(l)
+}
+
+func (d *dispatcher) gone(r *savorywing.Request) {
+	l := d.lanes[r.Lane()]
+	if l == nil {
+		return
+	}
+	id := string(r.Number)
+	if l.queue.Remove(r.Organisation, id) {
+		delete(l.waiting, id)
+	}
+}
+
+// tick refuses what has become impossible and uses new room.
+func (d *dispatcher) tick() {
+	for _, l := range d.lanes {
+		if l.queue.Len() == 0 {
+			continue
+		}
+		retryAfter := l.queue.Backlog()
+		for _, item := range l.queue.Expire(d.clock.Now()) {
+			w := l.waiting[item.ID]
+			delete(l.waiting, item.ID)
+			w.offer.done <- decision{refusal: tooLate(max(retryAfter, expireEvery))}
+		}
+		d.pump(l)
+	}
+}
--- /dev/null
+++ b/process/entry/entry.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/metrics"
+	"savorywing.example/savorywing/process/registry"
+	"savorywing.example/savorywing/process/retry"
+)
+
+const (
+	statusOK          = 200
+	statusConflict    = 409
+	statusUnprocessed = 422
+	statusUnavailable = 503
+	statusTimeout     = 504
+)
+
+const (
+	// gapFactor is the multiple of the expected time between tokens after which a connection counts as silent.
+	gapFactor = 10
+	minGap    = 500 * time.Millisecond
+	staleNote = "this entry host can't confirm the newest configuration"
+)
+
+// Entry serves callers' requests on one entry host.
+type Entry struct {
+	clock      savorywing.Clock
+	registry   *registry.Registry
+	backend    savorywing.Backend
+	log        savorywing.Log
+	logger     zerolog.Logger
+	metrics    *metrics.Metrics
+	pool       *ants.Pool
+	dispatcher *dispatcher
+	owner      string
+
+	mu       sync.Mutex
+	budget   *retry.Budget
+	stopping bool
+	inFlight int
+	idle     chan struct{}
+}
+
+// Option sets an optional part of an Entry.
+type Option func(*Entry)
+
+// WithOwner names the entry host and its boot in claims.
+func WithOwner(owner string) Option {
+	return func(e *Entry) { e.owner = owner }
+}
+
+// New returns an entry; Run starts its dispatcher.
+func New(clock savorywing.Clock, r *registry.Registry, b savorywing.Backend, l savorywing.Log, m *metrics.Metrics, pool *ants.Pool, logger zerolog.Logger, opts ...Option) *Entry {
+	e := &Entry{
+		clock: clock, registry: r, backend: b, log: l, logger: logger, metrics: m, pool: pool,
+		dispatcher: newDispatcher(clock, r, uint64(clock.Now().UnixNano())),
+		budget:     retry.NewBudget(r.Settings().Limits.RetryShare), idle: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// Run dispatches until the context ends.
+func (e *Entry) Run(ctx context.Context) { e.dispatcher.run(ctx) }
+
+// begin counts a request in, or refuses it while the daemon stops or is full.
+func (e *Entry) begin() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopping {
+		return savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable, "this entry host is stopping", savorywing.WithRetryAfter(time.Second))
+	}
+	if e.inFlight >= e.registry.Settings().Limits.Requests {
+		return savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable, "this entry host is full", savorywing.WithRetryAfter(time.Second))
+	}
+	e.inFlight++
+	return nil
+}
+
+// hold counts a claimed request's execution, which may outlast its caller.
+func (e *Entry) hold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight++
+}
+
+func (e *Entry) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight--
+	if e.stopping && e.inFlight == 0 {
+		close(e.idle)
+	}
+}
+
+// InFlight returns the number of requests in flight.
+func (e *Entry) InFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inFlight
+}
+
+// Drain refuses new requests and waits until every request in flight has ended.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.mu.Lock()
+	e.stopping = true
+	idle := e.inFlight == 0
+	e.mu.Unlock()
+	if idle {
+		return nil
+	}
+	select {
+	case <-e.idle:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("Entry.Drain: %w", ctx.Err())
+	}
+}
+
+// Serve runs a request and returns its answer, or a Refusal.
+func (e *Entry) Serve(ctx context.Context, r *savorywing.Request) (savorywing.Answer, error) {
+	if err := e.begin(); err != nil {
+		e.finish(r, nil, err)
+		return savorywing.Answer{}, err
+	}
+	s := newSession(e, r)
+	answer, err := s.serve(ctx)
+	if err != nil {
+		refusal := savorywing.AsRefusal(err)
+		s.finish(refusal)
+		return savorywing.Answer{}, refusal
+	}
+	return answer, nil
+}
+
+// finish counts and logs a request that was refused before it had a session.
+func (e *Entry) finish(r *savorywing.Request, s *session, err error) {
+	sample := metrics.Sample{Outcome: "answered"}
+	line := e.logger.Info()
+	if err != nil && !errors.Is(err, io.EOF) {
+		refusal := savorywing.AsRefusal(err)
+		sample.Outcome = string(refusal.Code())
+		line = line.Str("reason", refusal.Reason()).AnErr("cause", refusal.Unwrap())
+	}
+	attempts, target := 0, ""
+	if s != nil {
+		attempts, target = s.attempts, s.target
+		sample.FirstToken, sample.Between, sample.Whole = s.firstToken, s.between, e.clock.Now().Sub(r.Arrival)
+		sample.WithinPatience = err == nil && s.withinPatience(sample.Whole)
+	}
+	e.metrics.Observe(metrics.Key{Organisation: r.Organisation, Class: r.Class}, sample)
+	line.Str("request", string(r.Number)).Int("attempts", attempts).Str("organisation", r.Organisation).
+		Str("class", r.Class).Str("lane", r.Lane()).Str("target", target).Str("outcome", sample.Outcome).
+		Dur("first", sample.FirstToken).Dur("whole", sample.Whole).Msg("request")
+}
+
+func (e *Entry) succeeded() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.Succeeded()
+}
+
+func (e *Entry) spendRetry() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Spend()
+}
--- /dev/null
+++ b/process/metrics/metrics.go
@@ -0,0 +1,137 @@
+// Package metrics counts outcomes and keeps histograms of answer times for each organisation and class.
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	lowestMicroseconds  = 1
+	highestMicroseconds = int64(10 * time.Minute / time.Microsecond)
+	significantFigures  = 2
+)
+
+// Key names the histograms of one organisation and class.
+type Key struct {
+	Organisation string
+	Class        string
+}
+
+// Sample is what one finished request measured. Zero durations are left out.
+type Sample struct {
+	FirstToken time.Duration
+	Between    []time.Duration
+	Whole      time.Duration
+	Outcome    string
+	// WithinPatience tells whether the answer came within the patience that applied.
+	WithinPatience bool
+}
+
+// Row is one line of the table of histograms; times are in milliseconds.
+type Row struct {
+	Organisation   string             `json:"organisation"`
+	Class          string             `json:"class"`
+	Requests       int64              `json:"requests"`
+	WithinPatience int64              `json:"withinPatience"`
+	Outcomes       map[string]int64   `json:"outcomes"`
+	FirstToken     map[string]float64 `json:"firstToken"`
+	Between        map[string]float64 `json:"between"`
+	Whole          map[string]float64 `json:"whole"`
+}
+
+type histograms struct {
+	first, between, whole *hdrhistogram.Histogram
+	outcomes              map[string]int64
+	requests, within      int64
+}
+
+// Metrics is safe for concurrent use.
+type Metrics struct {
+	mu   sync.Mutex
+	rows map[Key]*histograms
+}
+
+// New returns empty metrics.
+func New() *Metrics {
+	return &Metrics{rows: map[Key]*histograms{}}
+}
+
+// Publish offers the metrics to expvar under a name.
+func (m *Metrics) Publish(name string) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, expvar.Func(func() any { return m.Rows() }))
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicroseconds, highestMicroseconds, significantFigures)
+}
+
+// Observe takes one finished request.
+func (m *Metrics) Observe(k Key, s Sample) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.rows[k]
+	if h == nil {
+		h = &histograms{first: newHistogram(), between: newHistogram(), whole: newHistogram(), outcomes: map[string]int64{}}
+		m.rows[k] = h
+	}
+	h.requests++
+	h.outcomes[s.Outcome]++
+	if s.WithinPatience {
+		h.within++
+	}
+	record(h.first, s.FirstToken)
+	record(h.whole, s.Whole)
+	for _, b := range s.Between {
+		record(h.between, b)
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	if d > 0 {
+		_ = h.RecordValue(min(d.Microseconds(), highestMicroseconds))
+	}
+}
+
+func quantiles(h *hdrhistogram.Histogram) map[string]float64 {
+	if h.TotalCount() == 0 {
+		return nil
+	}
+	q := map[string]float64{}
+	for _, p := range []float64{50, 95, 99} {
+		q[fmt.Sprintf("p%g", p)] = float64(h.ValueAtQuantile(p)) / 1000
+	}
+	q["max"] = float64(h.Max()) / 1000
+	return q
+}
+
+// Rows returns the table, sorted by organisation and class.
+func (m *Metrics) Rows() []Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := make([]Row, 0, len(m.rows))
+	for k, h := range m.rows {
+		outcomes := map[string]int64{}
+		for name, n := range h.outcomes {
+			outcomes[name] = n
+		}
+		rows = append(rows, Row{
+			Organisation: k.Organisation, Class: k.Class, Requests: h.requests, WithinPatience: h.within, Outcomes: outcomes,
+			FirstToken: quantiles(h.first), Between: quantiles(h.between), Whole: quantiles(h.whole),
+		})
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].Organisation != rows[j].Organisation {
+			return rows[i].Organisation < rows[j].Organisation
+		}
+		return rows[i].Class < rows[j].Class
+	})
+	return rows
+}
--- /dev/null
+++ b/process/registry/candidate.go
@@ -0,0 +1,105 @@
+package registry
+
+import (
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/wire"
+)
+
+// Candidate is a group, or the host of a plain service, that may be given work now.
+type Candidate struct {
+	// ID is the group's id, or the host's name for a plain service.
+	ID string
+	// Fence is the group's fencing number; 0 for a plain service.
+	Fence  uint64
+	Target savorywing.Target
+	Load   wire.Load
+	Until  time.Time
+	Local  bool
+	// Prefixes are the cached prompt prefixes that the group has announced.
+	Prefixes []uint64
+}
+
+// Models returns the groups that may be given work for a model now.
+func (r *Registry) Models(model string) []Candidate {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.clock.Now()
+	var found []Candidate
+	for _, g := range r.table.Groups {
+		if g.Model != model {
+			continue
+		}
+		group, until, ok := r.tracker.Group(g.ID, now)
+		if !ok {
+			continue
+		}
+		if c, ok := r.candidate(group.Members[0].Host, until); ok {
+			c.ID, c.Fence = group.ID, group.Fence
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+// Services returns the hosts that may be given work for a plain service now.
+func (r *Registry) Services(service string) []Candidate {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.clock.Now()
+	var found []Candidate
+	for _, a := range r.directory.All() {
+		if a.Kind != savorywing.KindService || a.Service != service {
+			continue
+		}
+		until, ok := r.tracker.Service(a.Host, now)
+		if !ok {
+			continue
+		}
+		if c, ok := r.candidate(a.Host, until); ok {
+			c.ID = a.Host
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+func (r *Registry) candidate(host string, until time.Time) (Candidate, bool) {
+	a, _, known := r.tracker.Announcement(host)
+	if !known || a.Load == nil {
+		return Candidate{}, false
+	}
+	return Candidate{
+		Target:   savorywing.Target{Address: a.Address, Host: host, Resumes: a.Resumes},
+		Load:     *a.Load,
+		Until:    until,
+		Local:    a.DataCentre == r.dataCentre,
+		Prefixes: a.Prefixes,
+	}, true
+}
+
+// MaySend tells, immediately before a byte is sent, whether the configuration is fresh and the
+// candidate's lease still holds.
+func (r *Registry) MaySend(c Candidate) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if !r.fresh() {
+		return false
+	}
+	now := r.clock.Now()
+	if c.Fence == 0 {
+		_, ok := r.tracker.Service(c.ID, now)
+		return ok
+	}
+	g, _, ok := r.tracker.Group(c.ID, now)
+	return ok && g.Fence == c.Fence
+}
+
+// GroupServing tells whether a group may be given work now.
+func (r *Registry) GroupServing(id string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	_, _, ok := r.tracker.Group(id, r.clock.Now())
+	return ok
+}
--- /dev/null
+++ b/process/registry/registry.go
@@ -0,0 +1,189 @@
+// Package registry holds what one daemon knows: the configuration in force, the groups, and the
+// backend servers' own word. It is safe for concurrent use.
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/announcement"
+	"savorywing.example/savorywing/process/lease"
+	"savorywing.example/savorywing/version/patience"
+	"savorywing.example/savorywing/version/settings"
+	"savorywing.example/savorywing/wire"
+)
+
+const directoryKeep = 15 * time.Second
+
+// ErrReverted says that a voter confirmed an older configuration than the one in force.
+var ErrReverted = errors.New("the confirmed configuration is older than the one in force")
+
+// Registry is the knowledge of one daemon.
+type Registry struct {
+	clock      savorywing.Clock
+	dataCentre string
+
+	mu        sync.RWMutex
+	directory *announcement.Directory
+	tracker   *lease.Tracker
+	settings  *settings.Settings
+	schedules map[string]*patience.Schedule
+	// number only grows.
+	number uint64
+	// confirmedAt is read before the voter was asked.
+	confirmedAt time.Time
+	table       wire.Table
+}
+
+// New returns a registry that starts from a daemon's own settings as configuration 0.
+func New(clock savorywing.Clock, s *settings.Settings) (*Registry, error) {
+	r := &Registry{
+		clock: clock, dataCentre: s.Hosts[s.Daemon.Host].DataCentre,
+		directory: announcement.NewDirectory(directoryKeep), tracker: lease.NewTracker(s.Timing.Lease),
+	}
+	if err := r.use(s); err != nil {
+		return nil, fmt.Errorf("registry.New: %w", err)
+	}
+	return r, nil
+}
+
+// use puts checked settings in force; the caller holds the lock or is alone.
+func (r *Registry) use(s *settings.Settings) error {
+	schedules := map[string]*patience.Schedule{}
+	for name, class := range s.Classes {
+		schedule, err := patience.NewSchedule(class)
+		if err != nil {
+			return err
+		}
+		schedules[name] = schedule
+	}
+	r.settings, r.schedules = s, schedules
+	r.tracker.SetDuration(s.Timing.Lease)
+	return nil
+}
+
+// Observe takes an announcement from a backend server or from another entry host.
+func (r *Registry) Observe(a wire.Announcement) announcement.News {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.directory.Observe(r.clock.Now(), a)
+}
+
+// Answered takes a backend server's answer to a question asked at askedAt.
+func (r *Registry) Answered(askedAt time.Time, a wire.Announcement) announcement.News {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Answered(askedAt, a)
+	return r.directory.Observe(r.clock.Now(), a)
+}
+
+// Failed ends the leases that rest on a host whose connection failed.
+func (r *Registry) Failed(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Failed(host)
+}
+
+// Expire forgets silent backend servers.
+func (r *Registry) Expire() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.directory.Expire(r.clock.Now())
+}
+
+// Announcements returns the newest announcement of every backend server.
+func (r *Registry) Announcements() []wire.Announcement {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.directory.All()
+}
+
+// Answer returns a host's newest answer to a question, and when it was asked.
+func (r *Registry) Answer(host string) (wire.Announcement, time.Time, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.tracker.Announcement(host)
+}
+
+// Numbers returns the configuration and table numbers in force.
+func (r *Registry) Numbers() wire.Confirm {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return wire.Confirm{Configuration: r.number, Table: r.table.Number}
+}
+
+// Confirmed takes a voter's confirmation that was asked for at askedAt.
+func (r *Registry) Confirmed(askedAt time.Time, c wire.Confirmed) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Number < r.number {
+		return fmt.Errorf("Registry.Confirmed: %w: %d, in force is %d", ErrReverted, c.Number, r.number)
+	}
+	if c.Number > r.number {
+		if c.Configuration == nil || c.Configuration.Number != c.Number {
+			return fmt.Errorf("Registry.Confirmed: configuration %d was not sent", c.Number)
+		}
+		if err := r.accept(*c.Configuration); err != nil {
+			return fmt.Errorf("Registry.Confirmed: %w", err)
+		}
+	}
+	if c.Table != nil && c.TableNumber >= r.table.Number {
+		r.table = *c.Table
+		r.tracker.SetTable(r.table)
+	}
+	if r.table.Number == c.TableNumber && askedAt.After(r.confirmedAt) {
+		r.confirmedAt = askedAt
+	}
+	return nil
+}
+
+func (r *Registry) accept(c wire.Configuration) error {
+	s, err := settings.Parse(fmt.Sprintf("configuration %d", c.Number), []byte(c.Text))
+	if err != nil {
+		return err
+	}
+	if err := r.use(s); err != nil {
+		return err
+	}
+	r.number = c.Number
+	return nil
+}
+
+// Fresh tells whether the configuration was confirmed within the freshness bound.
+func (r *Registry) Fresh() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.fresh()
+}
+
+func (r *Registry) fresh() bool {
+	return !r.confirmedAt.IsZero() && r.clock.Now().Sub(r.confirmedAt) < r.settings.Timing.Freshness
+}
+
+// Settings returns the settings in force; they must not be changed.
+func (r *Registry) Settings() *settings.Settings {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.settings
+}
+
+// Patience returns the patience of a class for a request that arrives at t.
+func (r *Registry) Patience(class string, t time.Time) (patience.Patience, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	s, known := r.schedules[class]
+	if !known {
+		return patience.Patience{}, false
+	}
+	return s.At(t), true
+}
+
+// Table returns the groups in force.
+func (r *Registry) Table() wire.Table {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.table
+}
--- /dev/null
+++ b/process/state/machine.go
@@ -0,0 +1,221 @@
+package state
+
+import (
+	"fmt"
+	"sort"
+
+	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
+)
+
+const changesKept = 4096
+
+// Reasons for commands that are not accepted.
+const (
+	ReasonConflict   = "another change took this number"
+	ReasonMalformed  = "the command has no part"
+	ReasonNotFree    = "the host is not free at that fencing number"
+	ReasonExists     = "the group exists"
+	ReasonPhase      = "no group with that fencing number is in the phase"
+	ReasonDigest     = "the key was used for another request"
+	ReasonClaimed    = "the key is claimed"
+	ReasonLedgerFull = "the ledger of claims is full"
+	ReasonNoClaim    = "no such claim is running"
+)
+
+// claimKey names a claim.
+type claimKey struct {
+	organisation string
+	key          string
+}
+
+// expiry is a time at which a claim may be forgotten, unless a later attempt has prolonged it.
+type expiry struct {
+	key claimKey
+	at  int64
+}
+
+// Machine is the replicated state.
+type Machine struct {
+	// at only grows; claims expire by it, not by a local clock.
+	at int64
+	// fence only grows; every group gets a number of its own.
+	fence         uint64
+	configuration wire.Configuration
+	changes       map[string]wire.Result
+	// changeOrder lists change ids, oldest first, at most changesKept.
+	changeOrder []string
+	tableNumber uint64
+	groups      map[string]*wire.Group
+	// hosts maps each host to at most one group.
+	hosts  map[string]*wire.Ownership
+	claims map[claimKey]*wire.ClaimRecord
+	// claimOrder lists every time at which a claim may expire, oldest claim first.
+	claimOrder []expiry
+}
+
+// New returns the empty state.
+func New() *Machine {
+	return &Machine{
+		changes: map[string]wire.Result{}, groups: map[string]*wire.Group{},
+		hosts: map[string]*wire.Ownership{}, claims: map[claimKey]*wire.ClaimRecord{},
+	}
+}
+
+// Apply applies one command and returns its result.
+func (m *Machine) Apply(index uint64, c wire.Command) wire.Result {
+	m.at = max(m.at, c.At)
+	r := m.apply(index, c)
+	r.Index = index
+	return r
+}
+
+func (m *Machine) apply(index uint64, c wire.Command) wire.Result {
+	switch {
+	case c.Configuration != nil:
+		return m.change(*c.Configuration)
+	case c.Assign != nil:
+		return m.assign(index, *c.Assign)
+	case c.Activate != nil:
+		return m.activate(index, *c.Activate)
+	case c.Release != nil:
+		return m.release(index, *c.Release)
+	case c.Free != nil:
+		return m.free(index, *c.Free)
+	case c.Drain != nil:
+		return m.drain(index, *c.Drain)
+	case c.Claim != nil:
+		return m.claim(*c.Claim)
+	case c.Settle != nil:
+		return m.settle(*c.Settle)
+	}
+	return refused(ReasonMalformed)
+}
+
+func refused(reason string) wire.Result { return wire.Result{Reason: reason} }
+
+// change accepts a configuration that follows the newest one; a resent change id gets its first answer.
+func (m *Machine) change(c wire.ChangeConfiguration) wire.Result {
+	if first, known := m.changes[c.ChangeID]; known {
+		return first
+	}
+	if c.Follows != m.configuration.Number {
+		winner := m.configuration
+		winner.Text = ""
+		return wire.Result{Reason: ReasonConflict, Configuration: &winner}
+	}
+	m.configuration = wire.Configuration{
+		Number: c.Follows + 1, ChangeID: c.ChangeID, Operator: c.Operator, Text: c.Text, At: m.at,
+	}
+	answer := m.configuration
+	answer.Text = ""
+	r := wire.Result{Accepted: true, Configuration: &answer}
+	m.remember(c.ChangeID, r)
+	return r
+}
+
+func (m *Machine) remember(id string, r wire.Result) {
+	m.changes[id] = r
+	m.changeOrder = append(m.changeOrder, id)
+	if len(m.changeOrder) > changesKept {
+		delete(m.changes, m.changeOrder[0])
+		m.changeOrder = m.changeOrder[1:]
+	}
+}
+
+// Configuration returns the newest accepted configuration.
+func (m *Machine) Configuration() wire.Configuration { return m.configuration }
+
+// History returns the remembered accepted changes without their texts, oldest first.
+func (m *Machine) History() []wire.Configuration {
+	var list []wire.Configuration
+	for _, id := range m.changeOrder {
+		if c := m.changes[id].Configuration; c != nil {
+			list = append(list, *c)
+		}
+	}
+	return list
+}
+
+// TableNumber returns the log index of the newest change to groups or hosts.
+func (m *Machine) TableNumber() uint64 { return m.tableNumber }
+
+// Claims returns the number of claims in the ledger.
+func (m *Machine) Claims() int { return len(m.claims) }
+
+// Table returns a copy of groups and owners, sorted by name.
+func (m *Machine) Table() wire.Table {
+	t := wire.Table{Number: m.tableNumber}
+	for _, g := range m.groups {
+		c := *g
+		c.Members = append([]wire.GroupMember(nil), g.Members...)
+		t.Groups = append(t.Groups, c)
+	}
+	for _, h := range m.hosts {
+		t.Hosts = append(t.Hosts, *h)
+	}
+	sort.Slice(t.Groups, func(i, j int) bool { return t.Groups[i].ID < t.Groups[j].ID })
+	sort.Slice(t.Hosts, func(i, j int) bool { return t.Hosts[i].Host < t.Hosts[j].Host })
+	return t
+}
+
+// Snapshot returns the whole state, encoded.
+func (m *Machine) Snapshot() ([]byte, error) {
+	table := m.Table()
+	c := m.configuration
+	s := wire.State{Table: &table, Configuration: &c, At: m.at, Fence: m.fence}
+	for _, id := range m.changeOrder {
+		r := m.changes[id]
+		s.Changes = append(s.Changes, wire.ChangeRecord{ChangeID: id, Result: &r})
+	}
+	for _, e := range m.claimOrder {
+		if r := m.claims[e.key]; r != nil && r.Expires == e.at {
+			s.Claims = append(s.Claims, *r)
+		}
+	}
+	b, err := codec.Encode(s)
+	if err != nil {
+		return nil, fmt.Errorf("Machine.Snapshot: %w", err)
+	}
+	return b, nil
+}
+
+// Restore returns the state that a snapshot holds.
+func Restore(b []byte) (*Machine, error) {
+	m := New()
+	if len(b) == 0 {
+		return m, nil
+	}
+	var s wire.State
+	if err := codec.Decode(b, &s); err != nil {
+		return nil, fmt.Errorf("state.Restore: %w", err)
+	}
+	m.at, m.fence = s.At, s.Fence
+	if s.Configuration != nil {
+		m.configuration = *s.Configuration
+	}
+	for _, c := range s.Changes {
+		if c.Result != nil {
+			m.remember(c.ChangeID, *c.Result)
+		}
+	}
+	if s.Table != nil {
+		m.restoreTable(*s.Table)
+	}
+	for _, c := range s.Claims {
+		k := claimKey{c.Organisation, c.Key}
+		m.claims[k] = &c
+		m.claimOrder = append(m.claimOrder, expiry{key: k, at: c.Expires})
+	}
+	return m, nil
+}
+
+func (m *Machine) restoreTable(t wire.Table) {
+	m.tableNumber = t.Number
+	for _, g := range t.Groups {
+		m.groups[g.ID] = &g
+	}
+	for _, h := range t.Hosts {
+		m.hosts[h.Host] = &h
+	}
+}
--- /dev/null
+++ b/request/attempt/attempt.go
@@ -0,0 +1,129 @@
+package attempt
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+)
+
+const (
+	maxResumes    = 2
+	minResumeWait = time.Second
+)
+
+// Attempt is one attempt at one backend server.
+type Attempt struct {
+	backend  savorywing.Backend
+	target   savorywing.Target
+	call     savorywing.Call
+	sequence *Sequence
+	answer   savorywing.BackendAnswer
+	frames   *frames
+	gap      time.Duration
+	resumes  int
+}
+
+// Option sets an optional part of an Attempt.
+type Option func(*Attempt)
+
+// WithGap bounds the silence between frames; a longer one ends the connection.
+func WithGap(d time.Duration) Option {
+	return func(a *Attempt) { a.gap = d }
+}
+
+// Open sends the call and returns once the head of the answer is there.
+func Open(ctx context.Context, b savorywing.Backend, t savorywing.Target, call savorywing.Call, opts ...Option) (*Attempt, error) {
+	a := &Attempt{backend: b, target: t, call: call, sequence: NewSequence(string(call.Attempt)), gap: call.FirstByte}
+	for _, opt := range opts {
+		opt(a)
+	}
+	if err := a.open(ctx); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func (a *Attempt) open(ctx context.Context) error {
+	a.call.Offset = a.sequence.Next()
+	answer, err := a.backend.Send(ctx, a.target, a.call)
+	if err != nil {
+		return err
+	}
+	if answer.Status != fasthttp.StatusOK {
+		return refused(answer)
+	}
+	a.answer = answer
+	a.frames = newFrames(answer.Stream)
+	return nil
+}
+
+// refused turns an answer that is no success into a refusal.
+func refused(answer savorywing.BackendAnswer) error {
+	_ = answer.Stream.Close()
+	code := savorywing.CodeUnknown
+	if answer.Refused {
+		code = savorywing.CodeNotRun
+	}
+	return savorywing.NewRefusal(code, answer.Status, fmt.Sprintf("the backend server answered with status %d", answer.Status))
+}
+
+// Resumes returns how often the stream was resumed on a new connection.
+func (a *Attempt) Resumes() int { return a.resumes }
+
+// Next returns the next frame of the answer, and io.EOF at its explicit end.
+func (a *Attempt) Next(ctx context.Context) (Frame, error) {
+	for {
+		f, err := a.read()
+		if err == nil || errors.Is(err, io.EOF) {
+			return f, err
+		}
+		if err := a.resume(ctx, err); err != nil {
+			return Frame{}, err
+		}
+	}
+}
+
+func (a *Attempt) read() (Frame, error) {
+	for {
+		f, err := a.frames.next()
+		if err != nil {
+			return f, err
+		}
+		switch v := a.sequence.Check(f.ID, f.Sequence); v {
+		case Deliver:
+			a.answer.Stream.SetGap(a.gap)
+			return f, nil
+		case Drop:
+			continue
+		default:
+			return f, fmt.Errorf("frame %d of attempt %s: %s", f.Sequence, f.ID, v)
+		}
+	}
+}
+
+func (a *Attempt) resume(ctx context.Context, cause error) error {
+	_ = a.answer.Stream.Close()
+	lost := savorywing.NewRefusal(savorywing.CodeUnknown, fasthttp.StatusBadGateway,
+		"the answer could not be finished", savorywing.WithCause(cause))
+	if !a.target.Resumes || a.resumes >= maxResumes || ctx.Err() != nil {
+		return lost
+	}
+	a.resumes++
+	a.call.Fresh = true
+	a.call.FirstByte = max(a.gap, minResumeWait)
+	if err := a.open(ctx); err != nil {
+		return lost
+	}
+	return nil
+}
+
+// Close ends the connection unless the answer was read to its end.
+func (a *Attempt) Close() error {
+	return a.answer.Stream.Close()
+}
--- /dev/null
+++ b/request/attempt/frame.go
@@ -0,0 +1,127 @@
+package attempt
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const maxFrame = 1 << 20
+
+var (
+	dataPrefix = []byte("data:")
+	doneMark   = []byte("[DONE]")
+)
+
+// ErrTruncated says that a stream ended without its explicit end.
+var ErrTruncated = errors.New("the stream ended without its end mark")
+
+// Frame is one server-sent event of an engine's answer.
+type Frame struct {
+	ID string `json:"id"`
+	// Sequence counts the frames of an answer from 0.
+	Sequence int      `json:"seq"`
+	Choices  []Choice `json:"choices"`
+	Usage    *Usage   `json:"usage,omitempty"`
+
+	raw []byte
+}
+
+// Choice is a part of an answer, for chat and for plain completions.
+type Choice struct {
+	Delta        Delta  `json:"delta"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason"`
+}
+
+// Delta is the new text of a chat completion.
+type Delta struct {
+	Content string `json:"content"`
+}
+
+// Usage is the number of tokens that a request took.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Content returns the frame's new text.
+func (f Frame) Content() string {
+	if len(f.Choices) == 0 {
+		return ""
+	}
+	return f.Choices[0].Delta.Content + f.Choices[0].Text
+}
+
+// FinishReason returns why the answer ends with this frame, or nothing.
+func (f Frame) FinishReason() string {
+	if len(f.Choices) == 0 {
+		return ""
+	}
+	return f.Choices[0].FinishReason
+}
+
+// WithID returns the frame's JSON with the attempt's number replaced.
+func (f Frame) WithID(id string) []byte {
+	return bytes.Replace(f.raw, []byte(f.ID), []byte(id), 1)
+}
+
+// ParseFrame reads the JSON of one event.
+func ParseFrame(data []byte) (Frame, error) {
+	var f Frame
+	if err := json.Unmarshal(data, &f); err != nil {
+		return f, fmt.Errorf("attempt.ParseFrame: %w", err)
+	}
+	if f.ID == "" {
+		return f, errors.New("attempt.ParseFrame: a frame without id")
+	}
+	f.raw = append([]byte(nil), data...)
+	return f, nil
+}
+
+// frames reads server-sent events.
+type frames struct {
+	scanner *bufio.Scanner
+}
+
+func newFrames(r io.Reader) *frames {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxFrame)
+	return &frames{scanner: s}
+}
+
+// next returns the next frame, io.EOF at the end mark, and an error for everything else.
+func (f *frames) next() (Frame, error) {
+	for f.scanner.Scan() {
+		data, found := bytes.CutPrefix(f.scanner.Bytes(), dataPrefix)
+		if !found {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneMark) {
+			return Frame{}, f.end()
+		}
+		return ParseFrame(data)
+	}
+	if err := f.scanner.Err(); err != nil {
+		return Frame{}, err
+	}
+	return Frame{}, ErrTruncated
+}
+
+// end reads the rest behind the end mark, so that the connection can be used again.
+func (f *frames) end() error {
+	for f.scanner.Scan() {
+		if bytes.HasPrefix(f.scanner.Bytes(), dataPrefix) {
+			return errors.New("frames follow the end mark")
+		}
+	}
+	if err := f.scanner.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/request/caller/parse.go
@@ -0,0 +1,152 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/backend"
+	"savorywing.example/savorywing/process/router"
+	"savorywing.example/savorywing/version/settings"
+)
+
+const maxKeyLength = 256
+
+// badRequest is an error that only the caller can mend.
+type badRequest struct {
+	status int
+	param  string
+	reason string
+}
+
+// Error implements error.
+func (b *badRequest) Error() string { return b.reason }
+
+func bad(status int, param, format string, args ...any) *badRequest {
+	return &badRequest{status: status, param: param, reason: fmt.Sprintf(format, args...)}
+}
+
+// modelRequest is what the system itself reads of a body; everything else passes through.
+type modelRequest struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens *int            `json:"max_tokens"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+func (m modelRequest) prefix() uint64 {
+	var b strings.Builder
+	for _, message := range m.Messages {
+		b.WriteString(message.Role)
+		b.Write(message.Content)
+	}
+	b.Write(m.Prompt)
+	return router.Prefix(b.String())
+}
+
+func (m modelRequest) check(chat bool) *badRequest {
+	switch {
+	case m.Model == "":
+		return bad(fasthttp.StatusBadRequest, "model", "the field model is missing")
+	case chat && len(m.Messages) == 0:
+		return bad(fasthttp.StatusBadRequest, "messages", "the field messages is missing or empty")
+	case !chat && len(m.Prompt) == 0:
+		return bad(fasthttp.StatusBadRequest, "prompt", "the field prompt is missing")
+	case m.MaxTokens != nil && *m.MaxTokens < 1:
+		return bad(fasthttp.StatusBadRequest, "max_tokens", "max_tokens must be at least 1")
+	}
+	return nil
+}
+
+// parse turns an HTTP request of a known caller into a request.
+func parse(ctx *fasthttp.RequestCtx, cfg *settings.Settings, key settings.Key, now time.Time) (*savorywing.Request, error) {
+	r := &savorywing.Request{
+		Number: savorywing.NewNumber(), Organisation: key.Organisation, Class: key.Class,
+		Method: string(ctx.Method()), Path: string(ctx.RequestURI()), ContentType: string(ctx.Request.Header.ContentType()),
+		Body: append([]byte(nil), ctx.PostBody()...), Key: string(ctx.Request.Header.Peek(backend.HeaderKey)), Arrival: now,
+	}
+	if len(r.Body) > int(cfg.Limits.Body) {
+		return nil, bad(fasthttp.StatusRequestEntityTooLarge, "", "the body is larger than %d bytes", cfg.Limits.Body)
+	}
+	if len(r.Key) > maxKeyLength {
+		return nil, bad(fasthttp.StatusBadRequest, backend.HeaderKey, "the key is longer than %d bytes", maxKeyLength)
+	}
+	var err error
+	switch string(ctx.Path()) {
+	case "/v1/chat/completions":
+		err = parseModel(r, cfg, true)
+	case "/v1/completions":
+		err = parseModel(r, cfg, false)
+	default:
+		err = parseService(r, cfg, string(ctx.Path()))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func parseModel(r *savorywing.Request, cfg *settings.Settings, chat bool) error {
+	if r.Method != fasthttp.MethodPost {
+		return bad(fasthttp.StatusMethodNotAllowed, "", "use POST")
+	}
+	var m modelRequest
+	if err := json.Unmarshal(r.Body, &m); err != nil {
+		return bad(fasthttp.StatusBadRequest, "", "the body is not valid JSON of this form: %v", err)
+	}
+	if problem := m.check(chat); problem != nil {
+		return problem
+	}
+	if _, known := cfg.Models[m.Model]; !known {
+		return bad(fasthttp.StatusNotFound, "model", "there is no model %q", m.Model)
+	}
+	r.Model, r.Stream, r.Chat, r.Prefix = m.Model, m.Stream, chat, m.prefix()
+	r.Idempotent = r.Key == ""
+	return forceStream(r)
+}
+
+// forceStream asks the engine to stream, so that a broken answer can be resumed, and is told from a whole one.
+func forceStream(r *savorywing.Request) error {
+	if r.Stream {
+		return nil
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return bad(fasthttp.StatusBadRequest, "", "the body is not a JSON object")
+	}
+	fields["stream"] = json.RawMessage("true")
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return fmt.Errorf("caller.forceStream: %w", err)
+	}
+	r.Body = body
+	return nil
+}
+
+func parseService(r *savorywing.Request, cfg *settings.Settings, path string) error {
+	for name, service := range cfg.Services {
+		rest, found := strings.CutPrefix(path, service.Prefix)
+		if !found || (rest != "" && rest[0] != '/') {
+			continue
+		}
+		r.Service = name
+		r.Idempotent = r.Key == "" && service.IsIdempotent(r.Method, path)
+		return nil
+	}
+	return bad(fasthttp.StatusNotFound, "", "there is nothing at %s", path)
+}
+
+func asBadRequest(err error) (*badRequest, bool) {
+	var b *badRequest
+	ok := errors.As(err, &b)
+	return b, ok
+}
--- /dev/null
+++ b/request/caller/server.go
@@ -0,0 +1,260 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/backend"
+	"savorywing.example/savorywing/process/entry"
+	"savorywing.example/savorywing/process/registry"
+	"savorywing.example/savorywing/version/settings"
+	"savorywing.example/savorywing/wire"
+)
+
+const (
+	readTimeout  = 10 * time.Second
+	writeTimeout = 30 * time.Second
+	idleTimeout  = 60 * time.Second
+	maxConns     = 4096
+	maxHeader    = 16 << 10
+	statusClosed = 499
+)
+
+// Announcements takes what backend servers say of themselves.
+type Announcements interface {
+	Announced(a wire.Announcement)
+}
+
+// Server is the listener for callers and for announcements.
+type Server struct {
+	clock    savorywing.Clock
+	registry *registry.Registry
+	entry    *entry.Entry
+	keys     settings.Keys
+	announce Announcements
+	log      zerolog.Logger
+	http     *fasthttp.Server
+	listener net.Listener
+	ready    atomic.Bool
+}
+
+// New returns a server that Start runs.
+func New(clock savorywing.Clock, r *registry.Registry, e *entry.Entry, keys settings.Keys, a Announcements, log zerolog.Logger) *Server {
+	s := &Server{clock: clock, registry: r, entry: e, keys: keys, announce: a, log: log}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, ErrorHandler: s.malformed, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxRequestBodySize: int(r.Settings().Limits.Body), Concurrency: maxConns, ReadBufferSize: maxHeader,
+		Name: "savorywing", NoDefaultDate: true, CloseOnShutdown: true,
+	}
+	return s
+}
+
+// Start listens and serves in the background.
+func (s *Server) Start(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("caller.Server.Start: %w", err)
+	}
+	s.listener = listener
+	s.ready.Store(true)
+	go func() {
+		if err := s.http.Serve(listener); err != nil {
+			s.log.Error().Err(err).Msg("the callers' listener ended")
+		}
+	}()
+	return nil
+}
+
+// SetReady tells the balancer whether to send callers here.
+func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+
+// Stop closes the listener and waits for connections that are still answered.
+func (s *Server) Stop(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("caller.Server.Stop: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); path {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		s.handleReady(ctx)
+	case backend.PathAnnounce:
+		s.handleAnnounce(ctx)
+	case "/v1/models":
+		s.handleModels(ctx)
+	default:
+		s.handleRequest(ctx)
+	}
+}
+
+func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
+	if !s.ready.Load() || !s.registry.Fresh() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (s *Server) handleAnnounce(ctx *fasthttp.RequestCtx) {
+	var a wire.Announcement
+	if err := json.Unmarshal(ctx.PostBody(), &a); err != nil {
+		s.writeError(ctx, bad(fasthttp.StatusBadRequest, "", "the announcement is not valid JSON: %v", err))
+		return
+	}
+	if a.Host == "" || a.Address == "" || (a.Kind != savorywing.KindEngine && a.Kind != savorywing.KindService) {
+		s.writeError(ctx, bad(fasthttp.StatusBadRequest, "", "an announcement names host, address and kind (engine or service)"))
+		return
+	}
+	s.announce.Announced(a)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) handleModels(ctx *fasthttp.RequestCtx) {
+	if _, err := s.authenticate(ctx); err != nil {
+		s.writeError(ctx, err)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for name := range s.registry.Settings().Models {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "savorywing"})
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	writeJSON(ctx, fasthttp.StatusOK, list)
+}
+
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (settings.Key, error) {
+	secret, found := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	key, known := s.keys[secret]
+	if !found || !known {
+		return key, bad(fasthttp.StatusUnauthorized, "", "the bearer key is missing or unknown")
+	}
+	return key, nil
+}
+
+func (s *Server) handleRequest(ctx *fasthttp.RequestCtx) {
+	key, err := s.authenticate(ctx)
+	if err != nil {
+		s.writeError(ctx, err)
+		return
+	}
+	r, err := parse(ctx, s.registry.Settings(), key, s.clock.Now())
+	if err != nil {
+		s.writeError(ctx, err)
+		return
+	}
+	patience, known := s.registry.Patience(r.Class, r.Arrival)
+	if !known {
+		s.writeError(ctx, bad(fasthttp.StatusForbidden, "", "the class %q is not configured any more", r.Class))
+		return
+	}
+	r.Patience = patience
+	ctx.Response.Header.Set(backend.HeaderAttempt, string(r.Number))
+	answer, err := s.entry.Serve(context.Background(), r)
+	if err != nil {
+		s.writeError(ctx, err)
+		return
+	}
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.ContentType)
+	if answer.Events != nil {
+		ctx.SetBodyStream(&eventReader{events: answer.Events}, -1)
+		return
+	}
+	ctx.SetBody(answer.Body)
+}
+
+// eventReader is a streamed answer as the body of an HTTP response; an error aborts the connection.
+type eventReader struct {
+	events  savorywing.EventStream
+	pending []byte
+}
+
+// Read returns what is there of the next event.
+func (r *eventReader) Read(p []byte) (int, error) {
+	if len(r.pending) == 0 {
+		b, err := r.events.Next()
+		if err != nil {
+			return 0, err
+		}
+		r.pending = b
+	}
+	n := copy(p, r.pending)
+	r.pending = r.pending[n:]
+	return n, nil
+}
+
+// Close is called when the answer has ended or the caller has gone.
+func (r *eventReader) Close() error {
+	r.events.Close()
+	return nil
+}
+
+// malformed answers what could not be read as an HTTP request.
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	case errors.Is(err, io.EOF):
+		status = statusClosed
+	}
+	ctx.SetConnectionClose()
+	s.writeError(ctx, bad(status, "", "the request could not be read"))
+}
+
+func (s *Server) writeError(ctx *fasthttp.RequestCtx, err error) {
+	if b, ok := asBadRequest(err); ok {
+		detail := entry.ErrorDetail{Code: string(savorywing.CodeNotRun), Message: b.reason, Type: "invalid_request_error", Param: b.param}
+		writeJSON(ctx, b.status, entry.ErrorBody{Error: detail})
+		return
+	}
+	refusal := savorywing.AsRefusal(err)
+	if d := refusal.RetryAfter(); d > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
+	}
+	detail := entry.ErrorDetail{Code: string(refusal.Code()), Message: refusal.Reason(), Type: "server_error"}
+	writeJSON(ctx, refusal.Status(), entry.ErrorBody{Error: detail})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
+}
--- /dev/null
+++ b/version/settings/secret.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const groupAndOthers = 0o077
+
+// ErrPermissions says that a file of secrets can be read by others than its owner.
+var ErrPermissions = errors.New("only the owner may read this file (mode 0600)")
+
+// Key is what a caller's bearer key stands for.
+type Key struct {
+	Organisation string `yaml:"organisation"`
+	Class        string `yaml:"class"`
+}
+
+// Keys maps bearer keys to organisation and class. It is never logged.
+type Keys map[string]Key
+
+func readSecret(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Mode().Perm()&groupAndOthers != 0 {
+		return nil, fmt.Errorf("%s: %w", path, ErrPermissions)
+	}
+	return os.ReadFile(path)
+}
+
+// LoadKeys reads the callers' keys and checks them against the settings.
+func (s *Settings) LoadKeys() (Keys, error) {
+	text, err := readSecret(s.Daemon.KeysFile)
+	if err != nil {
+		return nil, fmt.Errorf("Settings.LoadKeys: %w", err)
+	}
+	var keys Keys
+	if err := yaml.Unmarshal(text, &keys); err != nil {
+		return nil, fmt.Errorf("Settings.LoadKeys: %s is not a mapping of keys to organisation and class", s.Daemon.KeysFile)
+	}
+	for _, key := range keys {
+		if _, known := s.Organisations[key.Organisation]; !known {
+			return nil, fmt.Errorf("Settings.LoadKeys: %s: unknown organisation %q", s.Daemon.KeysFile, key.Organisation)
+		}
+		if _, known := s.Classes[key.Class]; !known {
+			return nil, fmt.Errorf("Settings.LoadKeys: %s: unknown class %q", s.Daemon.KeysFile, key.Class)
+		}
+	}
+	return keys, nil
+}
+
+// LoadToken reads the operators' token.
+func LoadToken(path string) (string, error) {
+	text, err := readSecret(path)
+	if err != nil {
+		return "", fmt.Errorf("settings.LoadToken: %w", err)
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" {
+		return "", fmt.Errorf("settings.LoadToken: %s is empty", path)
+	}
+	return token, nil
+}
--- /dev/null
+++ b/version/settings/settings.go
@@ -0,0 +1,260 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"savorywing.example/savorywing/version/patience"
+)
+
+// Settings is one merged and checked folder. The daemon part belongs to one process; all the rest
+// is the configuration that travels through the replicated log.
+type Settings struct {
+	Daemon        Daemon                    `yaml:"daemon"`
+	DataCentres   map[string]DataCentre     `yaml:"dataCentres"`
+	Hosts         map[string]Host           `yaml:"hosts"`
+	Organisations map[string]Organisation   `yaml:"organisations"`
+	Classes       map[string]patience.Class `yaml:"classes"`
+	Models        map[string]Model          `yaml:"models"`
+	Services      map[string]Service        `yaml:"services"`
+	FabricDomains map[string]FabricDomain   `yaml:"fabricDomains"`
+	Planning      Planning                  `yaml:"planning"`
+	Timing        Timing                    `yaml:"timing"`
+	Limits        Limits                    `yaml:"limits"`
+
+	tree *tree
+}
+
+// Daemon is the part that only one process reads.
+type Daemon struct {
+	Host string `yaml:"host"`
+	// Callers, Peers and Operators are IP addresses with a port to listen on.
+	Callers   string `yaml:"callers"`
+	Peers     string `yaml:"peers"`
+	Operators string `yaml:"operators"`
+	// KeysFile and OperatorsFile hold secrets; only their owner may read them.
+	KeysFile      string `yaml:"keysFile"`
+	OperatorsFile string `yaml:"operatorsFile"`
+	// DataFolder is needed for the control role.
+	DataFolder string `yaml:"dataFolder"`
+	LogLevel   string `yaml:"logLevel"`
+}
+
+// DataCentre places a data centre in a region.
+type DataCentre struct {
+	Region string `yaml:"region"`
+}
+
+// Host is one host of the system itself.
+type Host struct {
+	DataCentre string   `yaml:"dataCentre"`
+	Peers      string   `yaml:"peers"`
+	Roles      []string `yaml:"roles"`
+}
+
+// HasRole tells whether the host carries a role.
+func (h Host) HasRole(role string) bool {
+	for _, r := range h.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Organisation is a customer.
+type Organisation struct {
+	// Share is the organisation's weight among all that ask at the same time.
+	Share float64 `yaml:"share"`
+}
+
+// Model is a model that the operators want served.
+type Model struct {
+	Version string `yaml:"version"`
+	// Span is the number of hosts of one replica.
+	Span     int `yaml:"span"`
+	Replicas int `yaml:"replicas"`
+	// Accelerators is the least number that a member must have.
+	Accelerators int `yaml:"accelerators"`
+}
+
+// Service is a plain service behind a path prefix.
+type Service struct {
+	Prefix string `yaml:"prefix"`
+	// Idempotent lists "METHOD /path" rules whose calls may be retried; a trailing * matches any rest.
+	Idempotent []string `yaml:"idempotent"`
+}
+
+// FabricDomain is a set of hosts that share a fabric.
+type FabricDomain struct {
+	DataCentre string `yaml:"dataCentre"`
+	// ChecksFencing tells whether the backend servers there refuse old fencing numbers.
+	ChecksFencing bool `yaml:"checksFencing"`
+}
+
+// Planning weighs the decisions about groups.
+type Planning struct {
+	DowntimeWeight float64 `yaml:"downtimeWeight"`
+	StrandedWeight float64 `yaml:"strandedWeight"`
+	// LoadsAtOnce bounds the groups that load from the weight store at the same time.
+	LoadsAtOnce int `yaml:"loadsAtOnce"`
+	// HoldDown is the first time that a host which came back stays unused; it doubles with each flap.
+	HoldDown    time.Duration `yaml:"holdDown"`
+	HoldDownMax time.Duration `yaml:"holdDownMax"`
+	// DomainReturn is how long a wholly dark fabric domain is waited for before its groups are rebuilt.
+	DomainReturn time.Duration `yaml:"domainReturn"`
+}
+
+// Timing holds the bounds that the promises rest on.
+type Timing struct {
+	// Lease is how long the members' own word lets a group serve, from before they were asked.
+	Lease time.Duration `yaml:"lease"`
+	// Ask is the pause between two questions to the same backend server.
+	Ask time.Duration `yaml:"ask"`
+	// Freshness is how long an entry host admits requests on its last confirmed configuration.
+	Freshness time.Duration `yaml:"freshness"`
+	// Confirm is the pause between two confirmations of the configuration.
+	Confirm time.Duration `yaml:"confirm"`
+	// Election is the shortest time without a leader's word after which a voter stands for election.
+	Election time.Duration `yaml:"election"`
+	// LongestOrder bounds the time that an order is on its way to a backend server.
+	LongestOrder time.Duration `yaml:"longestOrder"`
+	// BalancerNotice is how long the balancer needs to see that a daemon isn't ready.
+	BalancerNotice time.Duration `yaml:"balancerNotice"`
+	// ClaimKept is how long a claim of a non-idempotent request is remembered.
+	ClaimKept time.Duration `yaml:"claimKept"`
+}
+
+// Limits bounds what a daemon holds.
+type Limits struct {
+	Body Size `yaml:"body"`
+	// Requests is the number of requests in flight or queued at one entry host.
+	Requests int `yaml:"requests"`
+	// GroupRequests is the number of requests that one group runs at once, over all entry hosts.
+	GroupRequests int `yaml:"groupRequests"`
+	// Claims is the number of remembered claims; a full ledger refuses.
+	Claims int `yaml:"claims"`
+	// AnswerKept is the largest answer that a claim records.
+	AnswerKept Size `yaml:"answerKept"`
+	// RetryShare is the share of successes that may be spent on retries.
+	RetryShare float64 `yaml:"retryShare"`
+}
+
+// Load reads and checks a folder; the error is Problems when the files can be read.
+func Load(dir string) (*Settings, error) {
+	t, err := readFolder(dir)
+	if err != nil {
+		return nil, err
+	}
+	return t.settings(true)
+}
+
+// Parse checks a configuration that travels without a daemon part.
+func Parse(name string, text []byte) (*Settings, error) {
+	t := newTree()
+	t.add(name, text)
+	return t.settings(false)
+}
+
+func (t *tree) settings(withDaemon bool) (*Settings, error) {
+	s := &Settings{tree: t}
+	t.decode(t.root, reflect.ValueOf(s).Elem(), "")
+	s.Defaults()
+	s.validate(withDaemon)
+	if len(t.problems) > 0 {
+		return nil, t.problems.sorted()
+	}
+	return s, nil
+}
+
+// Text returns the configuration part as YAML, the same for the same settings.
+func (s *Settings) Text() ([]byte, error) {
+	shared := *s.tree.root
+	shared.Content = append([]*yaml.Node(nil), s.tree.root.Content...)
+	removeChild(&shared, "daemon")
+	text, err := encodeYAML(&shared)
+	if err != nil {
+		return nil, fmt.Errorf("Settings.Text: %w", err)
+	}
+	return text, nil
+}
+
+// Merged returns all settings as YAML.
+func (s *Settings) Merged() ([]byte, error) {
+	text, err := encodeYAML(s.tree.root)
+	if err != nil {
+		return nil, fmt.Errorf("Settings.Merged: %w", err)
+	}
+	return text, nil
+}
+
+func encodeYAML(n *yaml.Node) ([]byte, error) {
+	var b bytes.Buffer
+	e := yaml.NewEncoder(&b)
+	e.SetIndent(2)
+	if err := e.Encode(n); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// Origins returns a line for each value: field, value, file and line.
+func (s *Settings) Origins() []string {
+	var lines []string
+	s.origins(s.tree.root, "", &lines)
+	sort.Strings(lines)
+	return lines
+}
+
+func (s *Settings) origins(n *yaml.Node, path string, lines *[]string) {
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		field, value := joinPath(path, n.Content[i].Value), n.Content[i+1]
+		if value.Kind == yaml.MappingNode {
+			s.origins(value, field, lines)
+			continue
+		}
+		p := s.tree.position(field)
+		*lines = append(*lines, fmt.Sprintf("%s = %s (%s:%d)", field, flat(value), p.File, p.Line))
+	}
+}
+
+func flat(n *yaml.Node) string {
+	if n.Kind == yaml.ScalarNode {
+		return n.Value
+	}
+	items := make([]string, len(n.Content))
+	for i, item := range n.Content {
+		items[i] = item.Value
+	}
+	return "[" + strings.Join(items, ", ") + "]"
+}
+
+// IsIdempotent tells whether a call may be sent again; what no rule names is not idempotent.
+func (s Service) IsIdempotent(method, path string) bool {
+	for _, rule := range s.Idempotent {
+		m, pattern, _ := strings.Cut(rule, " ")
+		if m != method {
+			continue
+		}
+		if prefix, any := strings.CutSuffix(pattern, "*"); any && strings.HasPrefix(path, prefix) {
+			return true
+		}
+		if pattern == path {
+			return true
+		}
+	}
+	return false
+}
+
+// ParseWhole checks one text that has a daemon part.
+func ParseWhole(name string, text []byte) (*Settings, error) {
+	t := newTree()
+	t.add(name, text)
+	return t.settings(true)
+}
--- /dev/null
+++ b/version/settings/validate.go
@@ -0,0 +1,208 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"savorywing.example/savorywing"
+)
+
+// MaxFreshness is the longest time within which an accepted configuration must be in force.
+const MaxFreshness = 7 * time.Second
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (s *Settings) validate(withDaemon bool) {
+	used := map[netip.AddrPort]string{}
+	s.validateHosts(used)
+	if withDaemon {
+		s.validateDaemon(used)
+	}
+	s.validateDomains()
+	s.validateOrganisations()
+	s.validateModels()
+	s.validateServices()
+	s.validatePlanning()
+	s.validateTiming()
+	s.validateLimits()
+	for _, name := range sortedKeys(s.Classes) {
+		field := "classes." + name
+		for _, problem := range s.Classes[name].Validate() {
+			s.tree.problem(joinPath(field, problem.Field), problem.Reason)
+		}
+	}
+	if len(s.Classes) == 0 {
+		s.tree.problem("classes", "at least one class is needed")
+	}
+}
+
+func (s *Settings) address(field, value string, used map[netip.AddrPort]string) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil {
+		s.tree.problem(field, fmt.Sprintf("%q is not an IP address with a port", value))
+		return
+	}
+	if a.Port() == 0 {
+		s.tree.problem(field, "port 0 can't be told to others")
+		return
+	}
+	if other, taken := used[a]; taken {
+		s.tree.problem(field, fmt.Sprintf("%s is already the address of %s", value, other))
+		return
+	}
+	used[a] = field
+}
+
+func (s *Settings) validateHosts(used map[netip.AddrPort]string) {
+	if len(s.Hosts) == 0 {
+		s.tree.problem("hosts", "at least one host is needed")
+	}
+	voters := 0
+	for _, name := range sortedKeys(s.Hosts) {
+		h, field := s.Hosts[name], "hosts."+name
+		s.address(field+".peers", h.Peers, used)
+		if _, known := s.DataCentres[h.DataCentre]; !known {
+			s.tree.problem(field+".dataCentre", fmt.Sprintf("unknown data centre %q", h.DataCentre))
+		}
+		for _, role := range h.Roles {
+			if role != savorywing.RoleEntry && role != savorywing.RoleControl {
+				s.tree.problem(field+".roles", fmt.Sprintf("unknown role %q; roles are entry and control", role))
+			}
+		}
+		if h.HasRole(savorywing.RoleControl) {
+			voters++
+		}
+	}
+	if voters == 0 && len(s.Hosts) > 0 {
+		s.tree.problem("hosts", "no host has the role control")
+	}
+	for _, name := range sortedKeys(s.DataCentres) {
+		if s.DataCentres[name].Region == "" {
+			s.tree.problem("dataCentres."+name+".region", "a region is needed")
+		}
+	}
+}
+
+func (s *Settings) validateDaemon(used map[netip.AddrPort]string) {
+	d := s.Daemon
+	h, known := s.Hosts[d.Host]
+	if !known {
+		s.tree.problem("daemon.host", fmt.Sprintf("%q is not one of the hosts", d.Host))
+		return
+	}
+	if d.Peers != h.Peers {
+		s.tree.problem("daemon.peers", fmt.Sprintf("%q differs from hosts.%s.peers, which others call", d.Peers, d.Host))
+	}
+	s.address("daemon.operators", d.Operators, used)
+	if h.HasRole(savorywing.RoleEntry) {
+		s.address("daemon.callers", d.Callers, used)
+		if d.KeysFile == "" {
+			s.tree.problem("daemon.keysFile", "needed for the role entry")
+		}
+	}
+	if h.HasRole(savorywing.RoleControl) && d.DataFolder == "" {
+		s.tree.problem("daemon.dataFolder", "needed for the role control")
+	}
+	if d.OperatorsFile == "" {
+		s.tree.problem("daemon.operatorsFile", "a file with the operators' token is needed")
+	}
+}
+
+func (s *Settings) validateDomains() {
+	for _, name := range sortedKeys(s.FabricDomains) {
+		if _, known := s.DataCentres[s.FabricDomains[name].DataCentre]; !known {
+			s.tree.problem("fabricDomains."+name+".dataCentre", fmt.Sprintf("unknown data centre %q", s.FabricDomains[name].DataCentre))
+		}
+	}
+}
+
+func (s *Settings) validateOrganisations() {
+	for _, name := range sortedKeys(s.Organisations) {
+		if s.Organisations[name].Share <= 0 {
+			s.tree.problem("organisations."+name+".share", "must be above 0")
+		}
+	}
+}
+
+func (s *Settings) validateModels() {
+	for _, name := range sortedKeys(s.Models) {
+		m, field := s.Models[name], "models."+name
+		if m.Version == "" {
+			s.tree.problem(field+".version", "a version is needed")
+		}
+		if m.Span < 1 {
+			s.tree.problem(field+".span", "must be at least 1 host")
+		}
+		if m.Replicas < 0 {
+			s.tree.problem(field+".replicas", "must not be negative")
+		}
+	}
+}
+
+func (s *Settings) validateServices() {
+	prefixes := map[string]string{}
+	for _, name := range sortedKeys(s.Services) {
+		v, field := s.Services[name], "services."+name
+		if !strings.HasPrefix(v.Prefix, "/") || v.Prefix == "/" || strings.HasPrefix(v.Prefix, "/v1") {
+			s.tree.problem(field+".prefix", fmt.Sprintf("%q must be a path such as /booking, outside /v1", v.Prefix))
+		}
+		if other, taken := prefixes[v.Prefix]; taken {
+			s.tree.problem(field+".prefix", "is already the prefix of service "+other)
+		}
+		prefixes[v.Prefix] = name
+		for _, rule := range v.Idempotent {
+			if _, path, ok := strings.Cut(rule, " "); !ok || !strings.HasPrefix(path, "/") {
+				s.tree.problem(field+".idempotent", fmt.Sprintf("%q is not of the form METHOD /path", rule))
+			}
+		}
+	}
+}
+
+func (s *Settings) validatePlanning() {
+	p := s.Planning
+	if p.DowntimeWeight < 0 || p.StrandedWeight < 0 {
+		s.tree.problem("planning", "weights must not be negative")
+	}
+	if p.LoadsAtOnce < 1 {
+		s.tree.problem("planning.loadsAtOnce", "must be at least 1")
+	}
+	if p.HoldDownMax < p.HoldDown {
+		s.tree.problem("planning.holdDownMax", "must not be below holdDown")
+	}
+}
+
+func (s *Settings) validateTiming() {
+	t := s.Timing
+	if t.Freshness > MaxFreshness {
+		s.tree.problem("timing.freshness", fmt.Sprintf("must be at most %s, within which a change is in force", MaxFreshness))
+	}
+	if 2*t.Confirm > t.Freshness {
+		s.tree.problem("timing.confirm", "must be at most half of freshness")
+	}
+	if 2*t.Ask > t.Lease {
+		s.tree.problem("timing.ask", "must be at most half of lease")
+	}
+	if 3*t.Election > t.Freshness {
+		s.tree.problem("timing.election", "must be at most a third of freshness, or every election stops admission")
+	}
+}
+
+func (s *Settings) validateLimits() {
+	l := s.Limits
+	if l.Requests < 1 || l.GroupRequests < 1 || l.Claims < 1 {
+		s.tree.problem("limits", "requests, groupRequests and claims must be at least 1")
+	}
+	if l.RetryShare < 0 || l.RetryShare > 1 {
+		s.tree.problem("limits.retryShare", "must be between 0 and 1")
+	}
+}
