--- /dev/null
+++ b/proofs/run.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Switches every mechanism of switched-off.txt off in a copy of the tree, one at a time, and tells
+# whether its check then fails, as it must. An argument selects lines by a part of their names.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy" "$copy.log"' EXIT
+missed=0
+while IFS= read -r line; do
+	case "$line" in '' | '#'*) continue ;; esac
+	name=${line%% @@ *}
+	rest=${line#* @@ }
+	file=${rest%% @@ *}
+	rest=${rest#* @@ }
+	change=${rest%% @@ *}
+	command=${rest#* @@ }
+	case "$name" in *"${1:-}"*) ;; *) continue ;; esac
+	rm -rf "${copy:?}"/*
+	git ls-files -z | xargs -0 cp --parents -t "$copy"
+	perl -0pi -e "$change" "$copy/$file"
+	verdict="fails as it must "
+	if cmp -s "$file" "$copy/$file"; then
+		verdict="NOT SWITCHED OFF "
+	elif ! (cd "$copy" && go vet "./$(dirname "$file")") >"$copy.log" 2>&1; then
+		verdict="DOES NOT BUILD   "
+	elif (cd "$copy" && eval "$command") >"$copy.log" 2>&1; then
+		verdict="STILL PASSES     "
+	fi
+	[ "$verdict" = "fails as it must " ] || missed=$((missed + 1))
+	echo "$verdict $name"
+done <proofs/switched-off.txt
+exit "$missed"
