--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -49,9 +49,11 @@
 	// Broken answers ended with an explicit error or an aborted connection.
 	Broken int
 	// Wrong answers ended cleanly and are not what was asked for.
-	Wrong    int
-	Failed   int
+	Wrong  int
+	Failed int
+	// Examples are the first wrong answers, Refusals the first texts of requests without an answer.
 	Examples []string
+	Refusals []string
 	Took     time.Duration
 }
 
@@ -273,6 +275,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Sent++
+	if o != answered && len(r.report.Refusals) < maxExamples {
+		r.report.Refusals = append(r.report.Refusals, o.String()+" "+detail)
+	}
 	switch o {
 	case answered:
 		r.report.Answered++
--- a/cmd/savorywing/bench_load.go
+++ b/cmd/savorywing/bench_load.go
@@ -29,6 +29,9 @@
 			report := load.Run(cmd.Context(), cfg)
 			printHistograms(cmd.OutOrStdout(), report.Rows)
 			fmt.Fprintln(cmd.OutOrStdout(), report.Summary())
+			for _, text := range report.Refusals {
+				fmt.Fprintln(cmd.OutOrStdout(), " ", text)
+			}
 			if bad := report.Bad(); bad > 0 {
 				return fmt.Errorf("%d wrong, mixed or truncated answers: %s", bad, strings.Join(report.Examples, "; "))
 			}
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -116,6 +116,8 @@
 // Stop closes every connection.
 func (m *Mesh) Stop() {
 	m.stop()
+	// A server that has not begun to serve would not see the shutdown.
+	_ = m.listener.Close()
 	m.mu.Lock()
 	for c := range m.accepted {
 		_ = c.Close()
--- a/examples/local/run.sh
+++ b/examples/local/run.sh
@@ -51,11 +51,13 @@
 	pids+=($!)
 done
 
-echo "waiting for two groups"
-for _ in $(seq 1 150); do
-	serving=$(bin/savorywing groups --operators 127.0.0.1:9185 --token-file "$work/token" 2>/dev/null | grep -c ' true ' || true)
-	[ "$serving" = 2 ] && break
-	sleep 0.2
+echo "waiting until two groups serve at every entry host"
+for i in 1 2 3 4 5; do
+	for _ in $(seq 1 150); do
+		serving=$(bin/savorywing groups --operators "127.0.0.1:918$i" --token-file "$work/token" 2>/dev/null | grep -c ' true ' || true)
+		[ "$serving" = 2 ] && break
+		sleep 0.2
+	done
 done
 bin/savorywing groups --operators 127.0.0.1:9185 --token-file "$work/token"
 if [ -n "${KEEP:-}" ]; then
--- /dev/null
+++ b/process/disk/folder_test.go
@@ -0,0 +1,207 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/wire"
+)
+
+func record(term uint64, first uint64, data ...string) savorywing.Record {
+	r := savorywing.Record{Term: term, Vote: "a/1"}
+	for i, d := range data {
+		r.Entries = append(r.Entries, wire.Entry{Index: first + uint64(i), Term: term, Kind: 1, Data: []byte(d)})
+	}
+	return r
+}
+
+// filled returns a folder with three synced records, closed again.
+func filled(t *testing.T) (string, string) {
+	t.Helper()
+	dir := t.TempDir()
+	f, err := Open(dir, "host")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Load(); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []savorywing.Record{record(1, 1, "one"), record(1, 2, "two"), record(2, 2, "other", "three")} {
+		if err := f.Append(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return dir, f.logPath(f.generation)
+}
+
+func reopen(dir string) (savorywing.Stored, error) {
+	f, err := Open(dir, "host")
+	if err != nil {
+		return savorywing.Stored{}, err
+	}
+	defer func() { _ = f.Close() }()
+	return f.Load()
+}
+
+func TestFolderKeeps(t *testing.T) {
+	Convey("What was appended is loaded again", t, func() {
+		dir, _ := filled(t)
+		s, err := reopen(dir)
+		So(err, ShouldBeNil)
+		So(s.Term, ShouldEqual, 2)
+		So(s.Identity, ShouldStartWith, "host/")
+		So(s.Entries, ShouldHaveLength, 3)
+		So(string(s.Entries[1].Data), ShouldEqual, "other")
+
+		Convey("and the identity stays, but a deleted folder gets another one", func() {
+			again, err := reopen(dir)
+			So(err, ShouldBeNil)
+			So(again.Identity, ShouldEqual, s.Identity)
+			So(os.RemoveAll(dir), ShouldBeNil)
+			fresh, err := reopen(dir)
+			So(err, ShouldBeNil)
+			So(fresh.Identity, ShouldNotEqual, s.Identity)
+			So(fresh.Term, ShouldEqual, 0)
+		})
+	})
+}
+
+// TestFolderDamage damages a folder in many ways. A torn tail loses only what was not synced; all
+// else is refused, for a voter that forgets is worse than one that does not start.
+func TestFolderDamage(t *testing.T) {
+	tests := []struct {
+		name    string
+		harm    func(b []byte) []byte
+		entries int
+		refused bool
+	}{
+		{"whole", func(b []byte) []byte { return b }, 3, false},
+		{"last byte missing", func(b []byte) []byte { return b[:len(b)-1] }, 2, false},
+		{"half a header at the end", func(b []byte) []byte { return append(b, "SWF"...) }, 3, false},
+		{"zeros at the end", func(b []byte) []byte { return append(b, make([]byte, 4096)...) }, 3, false},
+		{"one bit in the middle", func(b []byte) []byte { b[len(b)/2] ^= 1; return b }, 0, true},
+		{"one bit in the first frame", func(b []byte) []byte { b[headerSize+2] ^= 1; return b }, 0, true},
+		{"a hole", func(b []byte) []byte { return append(b[:len(b)/3:len(b)/3], b[len(b)/3+7:]...) }, 0, true},
+		{"empty file", func([]byte) []byte { return nil }, 0, true},
+	}
+	for _, tt := range tests {
+		Convey("A log with "+tt.name, t, func() {
+			dir, path := filled(t)
+			b, err := os.ReadFile(path)
+			So(err, ShouldBeNil)
+			So(os.WriteFile(path, tt.harm(b), fileMode), ShouldBeNil)
+			s, err := reopen(dir)
+			So(errors.Is(err, ErrDamaged), ShouldEqual, tt.refused)
+			if !tt.refused {
+				So(err, ShouldBeNil)
+				So(s.Entries, ShouldHaveLength, tt.entries)
+				again, err := reopen(dir)
+				So(err, ShouldBeNil)
+				So(again.Entries, ShouldHaveLength, tt.entries)
+			}
+		})
+	}
+}
+
+func TestFolderSnapshots(t *testing.T) {
+	Convey("A compacted folder", t, func() {
+		dir, old := filled(t)
+		f, err := Open(dir, "host")
+		So(err, ShouldBeNil)
+		_, err = f.Load()
+		So(err, ShouldBeNil)
+		s := wire.Snapshot{Index: 2, Term: 2, Data: []byte("state"), Membership: &wire.Membership{}}
+		So(f.Compact(s, record(2, 3, "three")), ShouldBeNil)
+		So(f.Append(record(3, 4, "four")), ShouldBeNil)
+		So(f.Close(), ShouldBeNil)
+
+		Convey("holds the snapshot and what follows, and no old files", func() {
+			got, err := reopen(dir)
+			So(err, ShouldBeNil)
+			So(string(got.Snapshot.Data), ShouldEqual, "state")
+			So(got.Entries, ShouldHaveLength, 2)
+			_, err = os.Stat(old)
+			So(os.IsNotExist(err), ShouldBeTrue)
+		})
+		Convey("is refused without its snapshot", func() {
+			So(os.Remove(f.snapshotPath(f.generation)), ShouldBeNil)
+			_, err := reopen(dir)
+			So(errors.Is(err, ErrDamaged), ShouldBeTrue)
+		})
+		Convey("is refused with a damaged snapshot", func() {
+			So(os.WriteFile(f.snapshotPath(f.generation), []byte("SWF1garbage"), fileMode), ShouldBeNil)
+			_, err := reopen(dir)
+			So(errors.Is(err, ErrDamaged), ShouldBeTrue)
+		})
+		Convey("is refused without its log", func() {
+			So(os.Remove(f.logPath(f.generation)), ShouldBeNil)
+			_, err := reopen(dir)
+			So(errors.Is(err, ErrDamaged), ShouldBeTrue)
+		})
+		Convey("ignores a generation that was not finished", func() {
+			So(os.WriteFile(filepath.Join(dir, "log-000000000009.swf.tmp"), []byte("half"), fileMode), ShouldBeNil)
+			got, err := reopen(dir)
+			So(err, ShouldBeNil)
+			So(got.Entries, ShouldHaveLength, 2)
+		})
+	})
+}
+
+func TestFolderFailedWrite(t *testing.T) {
+	Convey("After a failed write nothing is written any more", t, func() {
+		dir, _ := filled(t)
+		f, err := Open(dir, "host")
+		So(err, ShouldBeNil)
+		_, err = f.Load()
+		So(err, ShouldBeNil)
+		So(f.log.Close(), ShouldBeNil)
+		So(f.Append(record(3, 4, "lost")), ShouldNotBeNil)
+		So(f.openLog(), ShouldBeNil)
+		So(f.Append(record(3, 4, "after")), ShouldNotBeNil)
+	})
+}
+
+// FuzzDecodeFrames feeds any bytes to the decoder of log files: it must neither fail badly nor read
+// past what is whole.
+func FuzzDecodeFrames(f *testing.F) {
+	b, err := encodeFrame(frame{Identity: "host/1", Record: record(1, 1, "one")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add(append(b, b[:len(b)/2]...))
+	f.Add([]byte("SWF1"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_, whole, err := DecodeFrames(b)
+		if whole > len(b) || (err != nil && !errors.Is(err, ErrDamaged)) {
+			t.Fatalf("whole %d of %d, error %v", whole, len(b), err)
+		}
+	})
+}
+
+// benchmarkAppend measures one synced record with n commands' worth of data.
+func benchmarkAppend(b *testing.B, n int) {
+	f, err := Open(b.TempDir(), "host")
+	if err != nil {
+		b.Fatal(err)
+	}
+	data := make([]byte, 200*n)
+	b.ResetTimer()
+	for i := range b.N {
+		if err := f.Append(savorywing.Record{Term: 1, Entries: []wire.Entry{{Index: uint64(i) + 1, Term: 1, Data: data}}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkAppend1(b *testing.B)   { benchmarkAppend(b, 1) }
+func BenchmarkAppend16(b *testing.B)  { benchmarkAppend(b, 16) }
+func BenchmarkAppend256(b *testing.B) { benchmarkAppend(b, 256) }
--- /dev/null
+++ b/process/lease/tracker_test.go
@@ -0,0 +1,113 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/wire"
+)
+
+const duration = 2 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func word(host string, boot, sequence uint64, h *wire.Holding) wire.Announcement {
+	return wire.Announcement{Host: host, Boot: boot, Sequence: sequence, Kind: savorywing.KindEngine, Holding: h, Load: &wire.Load{Slots: 8}}
+}
+
+func holding(fence uint64) *wire.Holding {
+	return &wire.Holding{Group: "g", Fence: fence, Model: "m", Version: "1", Ready: true}
+}
+
+func table(phase string) wire.Table {
+	return wire.Table{Number: 1, Groups: []wire.Group{{
+		ID: "g", Model: "m", Version: "1", Fence: 7, Phase: phase,
+		Members: []wire.GroupMember{{Host: "a", Boot: 1}, {Host: "b", Boot: 1}},
+	}}}
+}
+
+// TestGroupLease is the table of failures in which a group that misses a member must get no work.
+func TestGroupLease(t *testing.T) {
+	whole := func(tr *Tracker) {
+		tr.SetTable(table(savorywing.PhaseServing))
+		tr.Answered(start, word("a", 1, 1, holding(7)))
+		tr.Answered(start, word("b", 1, 1, holding(7)))
+	}
+	tests := []struct {
+		name   string
+		change func(tr *Tracker)
+		after  time.Duration
+		want   bool
+	}{
+		{"every member has answered", func(*Tracker) {}, time.Second, true},
+		{"the evidence has run out", func(*Tracker) {}, duration, false},
+		{"one member stayed silent while the other went on", func(tr *Tracker) {
+			tr.Answered(start.Add(time.Second), word("a", 1, 2, holding(7)))
+		}, duration, false},
+		{"both were asked again", func(tr *Tracker) {
+			tr.Answered(start.Add(time.Second), word("a", 1, 2, holding(7)))
+			tr.Answered(start.Add(time.Second), word("b", 1, 2, holding(7)))
+		}, duration + time.Millisecond, true},
+		{"a member's connection failed", func(tr *Tracker) { tr.Failed("b") }, 0, false},
+		{"a member restarted and says that it still holds the group", func(tr *Tracker) {
+			tr.Answered(start, word("b", 2, 1, holding(7)))
+		}, 0, false},
+		{"a member holds nothing", func(tr *Tracker) { tr.Answered(start, word("b", 1, 2, nil)) }, 0, false},
+		{"a member holds an older group of the same name", func(tr *Tracker) {
+			tr.Answered(start, word("b", 1, 2, holding(6)))
+		}, 0, false},
+		{"a member is not ready", func(tr *Tracker) {
+			h := holding(7)
+			h.Ready = false
+			tr.Answered(start, word("b", 1, 2, h))
+		}, 0, false},
+		{"a member is leaving", func(tr *Tracker) {
+			a := word("b", 1, 2, holding(7))
+			a.Leaving = true
+			tr.Answered(start, a)
+		}, 0, false},
+		{"a late answer from before the leaving one arrives", func(tr *Tracker) {
+			a := word("b", 1, 3, holding(7))
+			a.Leaving = true
+			tr.Answered(start, a)
+			tr.Answered(start, word("b", 1, 2, holding(7)))
+		}, 0, false},
+		{"a late answer from before a restart arrives", func(tr *Tracker) {
+			tr.Answered(start, word("b", 2, 1, nil))
+			tr.Answered(start, word("b", 1, 9, holding(7)))
+		}, 0, false},
+		{"the group is loading", func(tr *Tracker) { tr.SetTable(table(savorywing.PhaseLoading)) }, 0, false},
+		{"the group is releasing", func(tr *Tracker) { tr.SetTable(table(savorywing.PhaseReleasing)) }, 0, false},
+		{"the group is gone", func(tr *Tracker) { tr.SetTable(wire.Table{Number: 2}) }, 0, false},
+	}
+	for _, tt := range tests {
+		Convey("When "+tt.name, t, func() {
+			tr := NewTracker(duration)
+			whole(tr)
+			tt.change(tr)
+			_, _, got := tr.Group("g", start.Add(tt.after))
+			So(got, ShouldEqual, tt.want)
+		})
+	}
+}
+
+func TestServiceLease(t *testing.T) {
+	Convey("A plain service", t, func() {
+		tr := NewTracker(duration)
+		a := wire.Announcement{Host: "s", Boot: 1, Sequence: 1, Kind: savorywing.KindService, Load: &wire.Load{}}
+		tr.Answered(start, a)
+		_, ok := tr.Service("s", start.Add(duration-1))
+		So(ok, ShouldBeTrue)
+		_, ok = tr.Service("s", start.Add(duration))
+		So(ok, ShouldBeFalse)
+		a.Sequence, a.Leaving = 2, true
+		tr.Answered(start, a)
+		_, ok = tr.Service("s", start)
+		So(ok, ShouldBeFalse)
+		_, ok = tr.Service("nobody", start)
+		So(ok, ShouldBeFalse)
+	})
+}
--- /dev/null
+++ b/request/attempt/attempt_test.go
@@ -0,0 +1,141 @@
+package attempt_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/backend"
+	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/request/attempt"
+	"savorywing.example/savorywing/standin"
+	"savorywing.example/savorywing/wire"
+)
+
+const gap = 100 * time.Millisecond
+
+// engine starts a stand-in that holds a model.
+func engine(t *testing.T) *standin.Server {
+	t.Helper()
+	s, err := standin.Start(standin.Config{
+		Host: "engine", Listen: "127.0.0.1:0", Kind: savorywing.KindEngine, Slots: 4, Resumes: true, AnnounceEvery: time.Hour,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop() })
+	s.Order(wire.Order{Kind: savorywing.OrderLoad, Group: "g", Fence: 1, Model: "m", Version: "1"})
+	return s
+}
+
+func read(b savorywing.Backend, s *standin.Server, resumes bool) (string, int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	a, err := attempt.Open(ctx, b, savorywing.Target{Address: s.Address(), Host: "engine", Resumes: resumes}, savorywing.Call{
+		Attempt: savorywing.NewNumber(), Method: "POST", Path: "/v1/completions", FirstByte: time.Second,
+		Body: []byte(`{"model":"m","prompt":"p","max_tokens":6}`),
+	}, attempt.WithGap(gap))
+	if err != nil {
+		return "", 0, err
+	}
+	defer func() { _ = a.Close() }()
+	var text strings.Builder
+	for {
+		f, err := a.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return text.String(), a.Resumes(), nil
+		}
+		if err != nil {
+			return text.String(), a.Resumes(), err
+		}
+		text.WriteString(f.Content())
+	}
+}
+
+// TestAnswerIsWholeAndOwn is the contract of an attempt: the whole own answer, or an explicit error.
+func TestAnswerIsWholeAndOwn(t *testing.T) {
+	want := strings.Join(standin.Text("p", 6), "")
+	once := func(f standin.Faults) standin.Faults { f.Times = 1; return f }
+	tests := []struct {
+		name    string
+		faults  standin.Faults
+		resumes bool
+		whole   bool
+		resumed int
+		code    savorywing.Code
+	}{
+		{"a sound engine", standin.Faults{}, true, true, 0, ""},
+		{"every frame twice", standin.Faults{Duplicate: true}, true, true, 0, ""},
+		{"a dropped connection, resumed", once(standin.Faults{DropAfter: 3}), true, true, 1, ""},
+		{"a dropped connection, twice", standin.Faults{DropAfter: 3, Times: 2}, true, true, 2, ""},
+		{"connections that always drop", standin.Faults{DropAfter: 1}, true, false, 2, savorywing.CodeUnknown},
+		{"a silent connection while new ones work", once(standin.Faults{SilentAfter: 2}), true, true, 1, ""},
+		{"a stream that ends without its end mark", once(standin.Faults{TruncateAfter: 4}), true, true, 1, ""},
+		{"a foreign frame", once(standin.Faults{Foreign: 2}), true, true, 1, ""},
+		{"a missing frame", once(standin.Faults{SkipAfter: 2}), true, true, 1, ""},
+		{"a dropped connection that can't be resumed", once(standin.Faults{DropAfter: 3}), false, false, 0, savorywing.CodeUnknown},
+		{"a truncated stream that can't be resumed", once(standin.Faults{TruncateAfter: 4}), false, false, 0, savorywing.CodeUnknown},
+		{"a foreign frame that can't be resumed", once(standin.Faults{Foreign: 2}), false, false, 0, savorywing.CodeUnknown},
+		{"another attempt's answer", standin.Faults{WrongAttempt: true}, true, false, 0, savorywing.CodeUnknown},
+		{"a refusal before running", standin.Faults{RefuseNotRun: true}, true, false, 0, savorywing.CodeNotRun},
+		{"a lost answer", standin.Faults{LoseAnswer: true}, true, false, 0, savorywing.CodeUnknown},
+	}
+	for _, tt := range tests {
+		Convey("With "+tt.name, t, func() {
+			s := engine(t)
+			s.SetFaults(tt.faults)
+			got, resumed, err := read(backend.New(clock.System{}), s, tt.resumes)
+			So(err == nil, ShouldEqual, tt.whole)
+			So(resumed, ShouldEqual, tt.resumed)
+			if tt.whole {
+				So(got, ShouldEqual, want)
+				return
+			}
+			So(want, ShouldStartWith, got)
+			So(savorywing.AsRefusal(err).Code(), ShouldEqual, tt.code)
+			if tt.code == savorywing.CodeNotRun {
+				So(s.Stats().Attempts, ShouldBeEmpty)
+			}
+		})
+	}
+}
+
+// TestNothingSent proves that an unreachable engine is a notRun.
+func TestNothingSent(t *testing.T) {
+	Convey("An address where nobody listens", t, func() {
+		s := engine(t)
+		So(s.Stop(), ShouldBeNil)
+		_, _, err := read(backend.New(clock.System{}), s, true)
+		So(savorywing.AsRefusal(err).Code(), ShouldEqual, savorywing.CodeNotRun)
+	})
+}
+
+// TestSequence drives the order of frames.
+func TestSequence(t *testing.T) {
+	Convey("Every frame of the own attempt is delivered once and in order", t, func() {
+		s := attempt.NewSequence("a")
+		So(s.Check("a", 0), ShouldEqual, attempt.Deliver)
+		So(s.Check("a", 0), ShouldEqual, attempt.Drop)
+		So(s.Check("b", 1), ShouldEqual, attempt.Foreign)
+		So(s.Check("a", 2), ShouldEqual, attempt.Gap)
+		So(s.Check("a", 1), ShouldEqual, attempt.Deliver)
+		So(s.Next(), ShouldEqual, 2)
+	})
+}
+
+// FuzzParseFrame feeds any bytes to the parser of engines' events.
+func FuzzParseFrame(f *testing.F) {
+	f.Add([]byte(`{"id":"a","seq":0,"choices":[{"delta":{"content":"x"}}]}`))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if frame, err := attempt.ParseFrame(b); err == nil {
+			_ = frame.Content()
+			_ = frame.WithID("other")
+		}
+	})
+}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -100,6 +100,8 @@
 // Stop ends the stand-in.
 func (s *Server) Stop() error {
 	s.stop()
+	// A server that has not begun to serve would not see the shutdown.
+	_ = s.listener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err := s.http.ShutdownWithContext(ctx)
--- /dev/null
+++ b/version/settings/settings_test.go
@@ -0,0 +1,175 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// folder writes the parts of a folder and returns its path.
+func folder(t *testing.T, parts map[string]string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, text := range parts {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+const sound = `daemon:
+  host: one
+  callers: 127.0.0.1:8080
+  peers: 127.0.0.1:9080
+  operators: 127.0.0.1:9180
+  keysFile: keys
+  operatorsFile: token
+  dataFolder: data
+dataCentres:
+  centre: {region: here}
+hosts:
+  one: {dataCentre: centre, peers: "127.0.0.1:9080", roles: [entry, control]}
+organisations:
+  college: {share: 2}
+classes:
+  desk:
+    timeZone: UTC
+    windows:
+      always: {from: "00:00", to: "24:00", firstToken: 1s, betweenTokens: 100ms, wholeAnswer: 10s}
+models:
+  ledger: {version: "1", span: 4, replicas: 2}
+`
+
+func TestMergeOrder(t *testing.T) {
+	Convey("A later file changes one value, and the merged result tells who set it", t, func() {
+		dir := folder(t, map[string]string{
+			"10-all.yaml":    sound,
+			"20-change.yaml": "models:\n  ledger: {replicas: 3}\n",
+		})
+		s, err := Load(dir)
+		So(err, ShouldBeNil)
+		So(s.Models["ledger"].Replicas, ShouldEqual, 3)
+		So(s.Models["ledger"].Span, ShouldEqual, 4)
+		So(s.Timing.Freshness, ShouldEqual, 5*time.Second)
+		origins := strings.Join(s.Origins(), "\n")
+		So(origins, ShouldContainSubstring, "models.ledger.replicas = 3 (20-change.yaml:2)")
+		So(origins, ShouldContainSubstring, "models.ledger.span = 4 (10-all.yaml:")
+
+		Convey("and the shared part travels without the daemon's own, and reads the same", func() {
+			text, err := s.Text()
+			So(err, ShouldBeNil)
+			So(string(text), ShouldNotContainSubstring, "keysFile")
+			again, err := Parse("configuration 1", text)
+			So(err, ShouldBeNil)
+			So(again.Models, ShouldResemble, s.Models)
+			So(again.Timing, ShouldResemble, s.Timing)
+		})
+	})
+}
+
+// TestLoadProblems changes one thing in sound settings and expects an error with file, line and field.
+func TestLoadProblems(t *testing.T) {
+	tests := []struct {
+		name string
+		part string
+		want string
+	}{
+		{"unknown field", "models:\n  ledger: {replica: 3}\n", `b.yaml:2: models.ledger.replica: unknown field, did you mean "replicas"?`},
+		{"time without unit", "timing:\n  lease: 2\n", `b.yaml:2: timing.lease: "2" is not a time with a unit, such as 1.5s or 250ms`},
+		{"negative time", "timing:\n  lease: -2s\n", `b.yaml:2: timing.lease: "-2s" is negative`},
+		{"size without unit", "limits:\n  body: 1000\n", `b.yaml:2: limits.body: "1000" is not a size with a unit, such as 64KiB or 1MiB`},
+		{"text for a number", "models:\n  ledger:\n    span: four\n", `b.yaml:3: models.ledger.span: "four" is not a valid whole number`},
+		{"list for a mapping", "models: [ledger]\n", "b.yaml:1: models: a mapping of names is expected here"},
+		{"overlapping addresses", "daemon:\n  operators: 127.0.0.1:8080\n", "daemon.callers: 127.0.0.1:8080 is already the address of daemon.operators"},
+		{"address without port", "daemon: {callers: 127.0.0.1}\n", `"127.0.0.1" is not an IP address with a port`},
+		{"host that is not listed", "daemon: {host: two}\n", `b.yaml:1: daemon.host: "two" is not one of the hosts`},
+		{"hour without patience", "classes:\n  desk:\n    windows:\n      always: {to: \"23:00\"}\n", "classes.desk.windows: no window covers sun 23:00"},
+		{"impossible span", "models:\n  ledger: {span: -1}\n", "models.ledger.span: must be at least 1 host"},
+		{"freshness beyond the promise", "timing:\n  freshness: 8s\n", "b.yaml:2: timing.freshness: must be at most 7s"},
+		{"slow elections", "timing: {election: 3s}\n", "timing.election: must be at most a third of freshness"},
+		{"prefix of the model interface", "services:\n  s: {prefix: /v1/x}\n", `services.s.prefix: "/v1/x" must be a path such as /booking, outside /v1`},
+		{"rule without a path", "services:\n  s: {prefix: /s, idempotent: [GET]}\n", `"GET" is not of the form METHOD /path`},
+		{"set twice", "models: {}\nmodels: {}\n", "set twice in one file, first in line 1"},
+		{"not YAML", "models: {\n", "b.yaml:"},
+		{"no mapping", "- a\n", "a settings file holds a mapping at its top"},
+		{"unknown data centre", "hosts:\n  one: {dataCentre: nowhere}\n", `hosts.one.dataCentre: unknown data centre "nowhere"`},
+		{"unknown role", "hosts:\n  one: {roles: [entry, boss]}\n", `unknown role "boss"`},
+	}
+	for _, tt := range tests {
+		Convey("With "+tt.name, t, func() {
+			_, err := Load(folder(t, map[string]string{"a.yaml": sound, "b.yaml": tt.part}))
+			var problems Problems
+			So(errors.As(err, &problems), ShouldBeTrue)
+			So(err.Error(), ShouldContainSubstring, tt.want)
+		})
+	}
+}
+
+func TestLoadFindsAll(t *testing.T) {
+	Convey("One run finds every error", t, func() {
+		_, err := Load(folder(t, map[string]string{"a.yaml": sound, "b.yaml": "timing: {lease: 2}\nlimits: {body: 3}\nmodel: {}\n"}))
+		var problems Problems
+		So(errors.As(err, &problems), ShouldBeTrue)
+		So(len(problems), ShouldBeGreaterThanOrEqualTo, 3)
+	})
+}
+
+func TestSecrets(t *testing.T) {
+	Convey("A file of keys", t, func() {
+		dir := folder(t, map[string]string{"a.yaml": sound})
+		s, err := Load(dir)
+		So(err, ShouldBeNil)
+		s.Daemon.KeysFile = filepath.Join(dir, "keys")
+		write := func(text string, mode os.FileMode) {
+			_ = os.Remove(s.Daemon.KeysFile)
+			So(os.WriteFile(s.Daemon.KeysFile, []byte(text), mode), ShouldBeNil)
+		}
+		write("secret-1: {organisation: college, class: desk}\n", 0o600)
+		keys, err := s.LoadKeys()
+		So(err, ShouldBeNil)
+		So(keys["secret-1"].Organisation, ShouldEqual, "college")
+		write("secret-1: {organisation: college, class: desk}\n", 0o644)
+		_, err = s.LoadKeys()
+		So(errors.Is(err, ErrPermissions), ShouldBeTrue)
+		write("secret-1: {organisation: nobody, class: desk}\n", 0o600)
+		_, err = s.LoadKeys()
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldNotContainSubstring, "secret-1")
+	})
+}
+
+func TestIdempotentRules(t *testing.T) {
+	tests := []struct {
+		method, path string
+		want         bool
+	}{
+		{"GET", "/booking/slots", true},
+		{"GET", "/booking", false},
+		{"POST", "/booking/search", true},
+		{"POST", "/booking/search/x", false},
+		{"POST", "/booking/slots", false},
+		{"DELETE", "/booking/slots", false},
+	}
+	s := Service{Prefix: "/booking", Idempotent: []string{"GET /booking/*", "POST /booking/search"}}
+	for _, tt := range tests {
+		if got := s.IsIdempotent(tt.method, tt.path); got != tt.want {
+			t.Errorf("%s %s: got %t, want %t", tt.method, tt.path, got, tt.want)
+		}
+	}
+}
+
+// FuzzParse feeds any text to the settings: an error or settings, never a failure.
+func FuzzParse(f *testing.F) {
+	f.Add(sound)
+	f.Add("a: &x [*x]")
+	f.Add("models: {ledger: {span: 1e9}}")
+	f.Fuzz(func(_ *testing.T, text string) {
+		_, _ = Parse("fuzz", []byte(text))
+	})
+}
