--- /dev/null
+++ b/cmd/savorywing/system_test.go
@@ -0,0 +1,371 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/standin"
+)
+
+const (
+	envProgram   = "SAVORYWING_TEST_PROGRAM"
+	envStandin   = "SAVORYWING_TEST_STANDIN"
+	testToken    = "operators-token"
+	testKey      = "caller-key"
+	patienceTest = 40 * time.Second
+	pollTest     = 50 * time.Millisecond
+)
+
+// TestMain lets the test binary be the program or a stand-in, so that tests run real processes.
+func TestMain(m *testing.M) {
+	switch {
+	case os.Getenv(envProgram) != "":
+		main()
+		os.Exit(0)
+	case os.Getenv(envStandin) != "":
+		runStandin(os.Getenv(envStandin))
+	}
+	os.Exit(m.Run())
+}
+
+func runStandin(text string) {
+	var cfg standin.Config
+	if err := json.Unmarshal([]byte(text), &cfg); err != nil {
+		panic(err)
+	}
+	if _, err := standin.Start(cfg); err != nil {
+		panic(err)
+	}
+	select {}
+}
+
+// process is one real process of a test.
+type process struct {
+	t       *testing.T
+	name    string
+	args    []string
+	env     string
+	cmd     *exec.Cmd
+	log     bytes.Buffer
+	mu      sync.Mutex
+	done    chan struct{}
+	address string
+}
+
+// Write collects the process's log.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	executable, err := os.Executable()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.cmd = exec.Command(executable, p.args...)
+	p.cmd.Env = append(os.Environ(), p.env)
+	p.cmd.Stderr, p.cmd.Stdout = p, p
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// wait waits for the end and returns the exit code.
+func (p *process) wait() int {
+	select {
+	case <-p.done:
+	case <-time.After(patienceTest):
+		p.t.Fatalf("%s did not end; its log:\n%s", p.name, p.text())
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// system is a set of daemons and stand-ins.
+type system struct {
+	t         *testing.T
+	dir       string
+	daemons   []*process
+	callers   []string
+	operators []string
+	standins  map[string]*process
+}
+
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	var listeners []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	return addresses
+}
+
+const systemSettings = `
+dataCentres:
+  centre: {region: here}
+fabricDomains:
+  fabric: {dataCentre: centre, checksFencing: true}
+organisations:
+  college: {share: 1}
+classes:
+  desk:
+    timeZone: UTC
+    windows:
+      always: {from: "00:00", to: "24:00", firstToken: 10s, betweenTokens: 1s, wholeAnswer: 30s}
+models:
+  ledger: {version: "1", span: 2, replicas: 1}
+services:
+  booking: {prefix: /booking, idempotent: ["GET /booking/*"]}
+timing: {election: 500ms, freshness: 4s, confirm: 200ms, lease: 1s, ask: 250ms, longestOrder: 500ms, balancerNotice: 300ms}
+planning: {holdDown: 1s, holdDownMax: 2s, domainReturn: 1s}
+`
+
+// newSystem starts daemons, all of them voters.
+func newSystem(t *testing.T, daemons int) *system {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("real processes")
+	}
+	s := &system{t: t, dir: t.TempDir(), standins: map[string]*process{}}
+	s.secret("keys", testKey+": {organisation: college, class: desk}\n")
+	s.secret("token", testToken)
+	ports := freePorts(t, 3*daemons)
+	hosts := "hosts:\n"
+	for i := range daemons {
+		hosts += fmt.Sprintf("  entry-%d: {dataCentre: centre, peers: %q, roles: [entry, control]}\n", i, ports[3*i])
+	}
+	for i := range daemons {
+		local := fmt.Sprintf("daemon:\n  host: entry-%d\n  peers: %q\n  callers: %q\n  operators: %q\n  keysFile: %q\n  operatorsFile: %q\n  dataFolder: %q\n",
+			i, ports[3*i], ports[3*i+1], ports[3*i+2], s.path("keys"), s.path("token"), s.data(i))
+		folder := s.path(fmt.Sprintf("entry-%d", i))
+		if err := os.Mkdir(folder, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		for name, text := range map[string]string{"10-all.yaml": systemSettings, "20-hosts.yaml": hosts, "30-local.yaml": local} {
+			if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p := &process{t: t, name: fmt.Sprintf("entry-%d", i), args: []string{"serve", "--settings", folder}, env: envProgram + "=1"}
+		s.daemons = append(s.daemons, p)
+		s.callers = append(s.callers, ports[3*i+1])
+		s.operators = append(s.operators, ports[3*i+2])
+		p.start()
+	}
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *system) path(name string) string { return filepath.Join(s.dir, name) }
+
+func (s *system) data(i int) string { return s.path(fmt.Sprintf("data-%d", i)) }
+
+func (s *system) secret(name, text string) {
+	if err := os.WriteFile(s.path(name), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) stop() {
+	for _, p := range s.standins {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+	for _, p := range s.daemons {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if s.t.Failed() {
+			s.t.Logf("%s:\n%s", p.name, tail(p.text()))
+		}
+	}
+}
+
+func tail(text string) string {
+	const most = 3000
+	return text[max(0, len(text)-most):]
+}
+
+// standin starts a stand-in process.
+func (s *system) standin(cfg standin.Config) *process {
+	cfg.Listen = freePorts(s.t, 1)[0]
+	cfg.DataCentre, cfg.AnnounceEvery, cfg.EntryHosts, cfg.Resumes = "centre", 200*time.Millisecond, s.callers, true
+	cfg.Slots = max(cfg.Slots, 16)
+	text, err := json.Marshal(cfg)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p := &process{t: s.t, name: cfg.Host, env: envStandin + "=" + string(text), address: cfg.Listen}
+	p.start()
+	s.standins[cfg.Host] = p
+	return p
+}
+
+func (s *system) engine(name string, checksFencing bool) *process {
+	return s.standin(standin.Config{
+		Host: name, Kind: savorywing.KindEngine, FabricDomain: "fabric", Accelerators: 1, ChecksFencing: checksFencing,
+		FirstToken: 10 * time.Millisecond, TokenTime: 5 * time.Millisecond,
+	})
+}
+
+func (s *system) service(name string, takes time.Duration) *process {
+	return s.standin(standin.Config{Host: name, Kind: savorywing.KindService, Service: "booking", FirstToken: takes})
+}
+
+// eventually polls until a condition holds.
+func (s *system) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(patienceTest)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("never: %s", what)
+		}
+		time.Sleep(pollTest)
+	}
+}
+
+func (s *system) operator(i int) *operator.Client {
+	return operator.NewClient(s.operators[i], testToken)
+}
+
+func (s *system) status(i int) operator.Status {
+	var st operator.Status
+	_ = s.operator(i).Get(operator.PathStatus, &st)
+	return st
+}
+
+// leader returns the index of the daemon that leads with a lease, or -1.
+func (s *system) leader() int {
+	for i := range s.daemons {
+		if v := s.status(i).Voter; v != nil && v.HasLease {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *system) waitReady(skip ...int) {
+	s.t.Helper()
+	for i := range s.daemons {
+		if len(skip) > 0 && skip[0] == i {
+			continue
+		}
+		s.eventually(fmt.Sprintf("entry-%d confirms the configuration", i), func() bool { return s.status(i).Fresh })
+	}
+}
+
+// groups returns the groups that a daemon may give work to.
+func (s *system) groups(i int) []operator.GroupStatus {
+	var all, serving []operator.GroupStatus
+	_ = s.operator(i).Get(operator.PathGroups, &all)
+	for _, g := range all {
+		if g.Lease {
+			serving = append(serving, g)
+		}
+	}
+	return serving
+}
+
+func (s *system) waitGroup(i int) operator.GroupStatus {
+	s.t.Helper()
+	s.eventually("a group serves", func() bool { return len(s.groups(i)) > 0 })
+	return s.groups(i)[0]
+}
+
+// answer is a caller's view of one answer.
+type answer struct {
+	status int
+	body   string
+	err    error
+	retry  string
+}
+
+func (a answer) notRun() bool { return strings.Contains(a.body, `"notRun"`) }
+
+// ask sends one request to an entry host.
+func (s *system) ask(i int, method, path, key, body string) answer {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + s.callers[i] + path)
+	req.Header.SetMethod(method)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	req.SetBodyString(body)
+	c := fasthttp.Client{ReadTimeout: patienceTest, RetryIf: func(*fasthttp.Request) bool { return false }}
+	if err := c.Do(req, resp); err != nil {
+		return answer{err: err}
+	}
+	return answer{status: resp.StatusCode(), body: string(resp.Body()), retry: string(resp.Header.Peek("Retry-After"))}
+}
+
+func (s *system) complete(i int) answer {
+	return s.ask(i, "POST", "/v1/completions", "", `{"model":"ledger","prompt":"p","max_tokens":4}`)
+}
+
+// stats returns what a stand-in counted.
+func (s *system) stats(p *process) standin.Stats {
+	var st standin.Stats
+	_, body, err := fasthttp.Get(nil, "http://"+p.address+"/stats")
+	if err == nil {
+		_ = json.Unmarshal(body, &st)
+	}
+	return st
+}
+
+func post(t *testing.T, address, path, body string) {
+	t.Helper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetMethod("POST")
+	req.SetBodyString(body)
+	if err := fasthttp.Do(req, resp); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/process/quorum/cluster_test.go
+++ b/process/quorum/cluster_test.go
@@ -21,8 +21,6 @@
 	frozen bool
 	// applied lists committed commands in order.
 	applied []wire.Entry
-	// offset is how far its clock is from the others'.
-	offset time.Duration
 }
 
 // flight is a message on its way.
@@ -41,9 +39,7 @@
 	cut     map[[2]string]bool
 	// committed maps each index to the entry that some voter saw committed there.
 	committed map[uint64]wire.Entry
-	// confirmed is the highest commit index that a leader with a lease has vouched for.
-	failures []string
-	skip     func(v *voter) bool
+	failures  []string
 }
 
 func newCluster(seed uint64, n int) *cluster {
--- a/process/straggler/detector_test.go
+++ b/process/straggler/detector_test.go
@@ -37,7 +37,7 @@
 		So(d.Ejected(), ShouldResemble, []string{"group-04"})
 		d.Probed(now, "group-04")
 		So(d.Usable(now, "group-04"), ShouldBeFalse)
-		now = drive(d, now, 5, normal)
+		drive(d, now, 5, normal)
 		So(d.Ejected(), ShouldBeEmpty)
 	})
 	Convey("A slow moment of everything ejects nothing", t, func() {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -106,7 +106,7 @@
 	defer cancel()
 	err := s.http.ShutdownWithContext(ctx)
 	s.done.Wait()
-	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("Server.Stop: %w", err)
 	}
 	return nil
