Admission: slots of their own for every entry host, lent where idle

Changed: OwnSlots splits every group's slots into parts that add up exactly, the remainder rotating by group; more than half free slots are lent (Lent). Waiting by shares is predicted by virtual time, and an organisation that used less than its share may run a burst of 6 ahead. Conclusion: owned and lent slots are in the running system; the burst and the lending stay open.

--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -1,12 +1,29 @@
 package admission
 
-// HostLimit returns how many requests one of n entry hosts may have in flight at a group with slots,
-// when the last report shows busy requests from all hosts there. Each host has its even part, and
-// what is reported free is lent out on top, so that a host with more than its part of the callers
-// can use what the others leave.
-func HostLimit(slots, busy, n int) int {
-	n = max(n, 1)
-	part := (slots + n - 1) / n
-	free := max(slots-busy, 0)
-	return part + free/2
+import "hash/fnv"
+
+// lendFactor is how many times its even part of the free slots an entry host may borrow: few hosts
+// need to borrow at the same time.
+const lendFactor = 4
+
+// OwnSlots returns how many of a group's slots belong to one of n entry hosts. The hosts' parts add up
+// to all slots: what does not divide evenly goes to other hosts for each group. index is the host's
+// place among the sorted names of the n hosts.
+func OwnSlots(slots int, group string, index, n int) int {
+	if n <= 1 {
+		return slots
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(group))
+	own := slots / n
+	if (index+int(h.Sum32()%uint32(n)))%n < slots%n {
+		own++
+	}
+	return own
+}
+
+// Lent returns how many slots beyond its own one of n entry hosts may use over all groups together,
+// when the last reports show free of them.
+func Lent(free, n int) int {
+	return max(free, 0) * lendFactor / max(n, 1)
 }
--- a/process/admission/queue.go
+++ b/process/admission/queue.go
@@ -2,6 +2,7 @@
 package admission
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -28,6 +29,9 @@
 	// serviceSmoothing is the weight of the newest request in running averages.
 	serviceSmoothing = 0.05
 	minRetryAfter    = 100 * time.Millisecond
+	// burst is how many requests, for each unit of share, an organisation that has used less than its
+	// share may run ahead of others.
+	burst = 6.0
 )
 
 // Item is one request that waits.
@@ -166,24 +170,32 @@
 	return q.fairAhead(item)
 }
 
-// fairAhead counts the organisation's own earlier requests, and for each of them what the others
-// run meanwhile by their shares, bounded by what they have waiting.
+// fairAhead counts the organisation's own earlier requests, and those of others whose turn by virtual
+// time comes before the item's.
 func (q *Queue) fairAhead(item Item) float64 {
-	own := 0
+	cost := q.service.Seconds()
+	own, start := 0, q.idleStart()
 	if t := q.tenants[item.Organisation]; t != nil {
-		own = t.items.before(item.Deadline)
+		own, start = t.items.before(item.Deadline), t.finish
+		if len(t.items.items) == 0 {
+			start = max(start, q.idleStart())
+		}
 	}
+	turn := start + float64(own)*cost/q.share(item.Organisation)
 	total := float64(own)
-	turns := float64(own+1) / q.share(item.Organisation)
 	for name, t := range q.tenants {
-		if name == item.Organisation || len(t.items.items) == 0 {
+		if name == item.Organisation || len(t.items.items) == 0 || t.finish > turn {
 			continue
 		}
-		total += min(float64(len(t.items.items)), turns*q.share(name))
+		turns := math.Floor((turn-t.finish)*q.share(name)/cost) + 1
+		total += min(float64(len(t.items.items)), turns)
 	}
 	return total
 }
 
+// idleStart is the virtual time at which an organisation that was idle begins to be charged.
+func (q *Queue) idleStart() float64 { return q.virtual - burst*q.service.Seconds() }
+
 func (q *Queue) push(item Item) {
 	t := q.tenants[item.Organisation]
 	if t == nil {
@@ -191,7 +203,7 @@
 		q.tenants[item.Organisation] = t
 	}
 	if len(t.items.items) == 0 {
-		t.finish = max(t.finish, q.virtual)
+		t.finish = max(t.finish, q.idleStart())
 	}
 	q.nextID++
 	item.order = q.nextID
@@ -219,7 +231,7 @@
 
 // forget drops an idle organisation whose past use no longer counts against it.
 func (q *Queue) forget(name string, t *tenant) {
-	if len(t.items.items) == 0 && t.finish <= q.virtual {
+	if len(t.items.items) == 0 && t.finish <= q.idleStart() {
 		delete(q.tenants, name)
 	}
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -164,11 +164,30 @@
 		return err
 	}
 	owner := fmt.Sprintf("%s/%d", d.settings.Daemon.Host, d.boot)
-	d.entry = entry.New(d.clock, d.registry, d.backend, d.proposer, d.metrics, d.pool, d.log, entry.WithOwner(owner))
+	d.entry = entry.New(d.clock, d.registry, d.backend, d.proposer, d.metrics, d.pool, d.log, entry.WithOwner(owner), entry.WithPlace(d.place))
 	d.callers = caller.New(d.clock, d.registry, d.entry, keys, d, d.log)
 	return nil
 }
 
+// place returns this host's place among the sorted names of the entry hosts that are connected, and
+// their number, by which every entry host knows its own slots.
+func (d *Daemon) place() (index, hosts int) {
+	for name, h := range d.settings.Hosts {
+		if !h.HasRole(savorywing.RoleEntry) {
+			continue
+		}
+		self := name == d.settings.Daemon.Host
+		if !self && !d.mesh.Connected(name) {
+			continue
+		}
+		hosts++
+		if name < d.settings.Daemon.Host {
+			index++
+		}
+	}
+	return index, hosts
+}
+
 func (d *Daemon) duty(f func()) {
 	d.done.Add(1)
 	go func() {
--- a/process/entry/dispatcher.go
+++ b/process/entry/dispatcher.go
@@ -58,10 +58,14 @@
 	events   *ring.Ring[event]
 	lanes    map[string]*lane
 	seed     uint64
+	// place tells this host's place among the entry hosts that are up.
+	place func() place
 }
 
 func newDispatcher(clock savorywing.Clock, r *registry.Registry, seed uint64) *dispatcher {
-	return &dispatcher{clock: clock, registry: r, events: ring.New[event](dispatchRing), lanes: map[string]*lane{}, seed: seed}
+	return &dispatcher{clock: clock, registry: r, events: ring.New[event](dispatchRing), lanes: map[string]*lane{}, seed: seed,
+		place: func() place { return place{index: 0, hosts: 1} },
+	}
 }
 
 func (d *dispatcher) run(ctx context.Context) {
@@ -117,16 +121,6 @@
 	return d.registry.Models(r.Model)
 }
 
-func (d *dispatcher) entryHosts() int {
-	n := 0
-	for _, h := range d.registry.Settings().Hosts {
-		if h.HasRole(savorywing.RoleEntry) {
-			n++
-		}
-	}
-	return max(n, 1)
-}
-
 func (d *dispatcher) groupRequests() int { return d.registry.Settings().Limits.GroupRequests }
 
 // offer grants at once, queues, or refuses.
@@ -134,7 +128,7 @@
 	l := d.lane(e.request)
 	l.queue.SetShares(d.shares())
 	candidates := d.candidates(e.request)
-	l.queue.SetSlots(l.slots(candidates, d.entryHosts(), d.groupRequests()))
+	l.queue.SetSlots(l.slots(candidates, d.place(), d.groupRequests()))
 	if len(candidates) == 0 {
 		e.done <- decision{refusal: savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable,
 			"no whole group serves this now", savorywing.WithRetryAfter(wholeGroupRetry))}
@@ -159,7 +153,7 @@
 
 // pump grants to waiting requests while there is room.
 func (d *dispatcher) pump(l *lane) {
-	hosts, most := d.entryHosts(), d.groupRequests()
+	p, most := d.place(), d.groupRequests()
 	var blocked []waiting
 	for l.queue.Len() > 0 {
 		item, ok := l.queue.Next()
@@ -168,7 +162,7 @@
 		}
 		w := l.waiting[item.ID]
 		candidates := d.candidates(w.offer.request)
-		free := l.room(d.clock.Now(), candidates, hosts, most, w.offer.exclude)
+		free := l.room(d.clock.Now(), candidates, p, most, w.offer.exclude)
 		if len(free) == 0 {
 			blocked = append(blocked, w)
 			if len(w.offer.exclude) == 0 {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -59,6 +59,16 @@
 	return func(e *Entry) { e.owner = owner }
 }
 
+// WithPlace tells this host's place among the sorted names of the entry hosts that are up, and their number.
+func WithPlace(f func() (index, hosts int)) Option {
+	return func(e *Entry) {
+		e.dispatcher.place = func() place {
+			index, hosts := f()
+			return place{index: index, hosts: hosts}
+		}
+	}
+}
+
 // New returns an entry; Run starts its dispatcher.
 func New(clock savorywing.Clock, r *registry.Registry, b savorywing.Backend, l savorywing.Log, m *metrics.Metrics, pool *ants.Pool, logger zerolog.Logger, opts ...Option) *Entry {
 	e := &Entry{
--- a/process/entry/lane.go
+++ b/process/entry/lane.go
@@ -49,35 +49,56 @@
 	}
 }
 
-// limit is the number of requests that this host may have in flight at one candidate: its part of the
-// slots, and its part of what the last report shows free.
-func limit(c registry.Candidate, entryHosts, groupRequests int) int {
-	slots := min(int(c.Load.Slots), groupRequests)
-	return max(1, admission.HostLimit(slots, int(c.Load.Running+c.Load.Waiting), entryHosts))
+// place is this host's place among the entry hosts that are up.
+type place struct {
+	index, hosts int
 }
 
-// room lists the candidates that may be given one more request.
-func (l *lane) room(now time.Time, candidates []registry.Candidate, entryHosts, groupRequests int, exclude map[string]bool) []registry.Candidate {
-	var free []registry.Candidate
-	for _, c := range candidates {
-		inFlight := 0
-		if s := l.sent[c.ID]; s != nil {
-			inFlight = s.inFlight
-		}
-		if inFlight < limit(c, entryHosts, groupRequests) && !exclude[c.ID] && l.detector.Usable(now, c.ID) {
-			free = append(free, c)
-		}
+// slotsOf is the number of requests that all entry hosts together may have in flight at a candidate.
+func slotsOf(c registry.Candidate, most int) int { return max(1, min(int(c.Load.Slots), most)) }
+
+// own is the number of a candidate's slots that belong to this host.
+func (p place) own(c registry.Candidate, most int) int {
+	return admission.OwnSlots(slotsOf(c, most), c.ID, p.index, p.hosts)
+}
+
+// free is the number of a candidate's slots that may be lent: those that the last report and what was
+// sent since show free, if they are more than half.
+func (l *lane) free(c registry.Candidate, most int) int {
+	slots := slotsOf(c, most)
+	free := slots - int(c.Load.Running+c.Load.Waiting) - int(l.unreported(c))
+	if 2*free <= slots {
+		return 0
 	}
 	return free
 }
 
 // slots is the number of requests that this host may have in flight over all candidates.
-func (l *lane) slots(candidates []registry.Candidate, entryHosts, groupRequests int) int {
-	n := 0
+func (l *lane) slots(candidates []registry.Candidate, p place, most int) int {
+	own, free := 0, 0
 	for _, c := range candidates {
-		n += limit(c, entryHosts, groupRequests)
+		own += p.own(c, most)
+		free += l.free(c, most)
+	}
+	return max(1, own+admission.Lent(free, p.hosts))
+}
+
+// room lists the candidates that may be given one more request: those with an own slot left, and, while
+// the host may borrow, those with free slots to lend.
+func (l *lane) room(now time.Time, candidates []registry.Candidate, p place, most int, exclude map[string]bool) []registry.Candidate {
+	mayBorrow := l.running < l.slots(candidates, p, most)
+	var found []registry.Candidate
+	for _, c := range candidates {
+		inFlight := 0
+		if s := l.sent[c.ID]; s != nil {
+			inFlight = s.inFlight
+		}
+		fits := inFlight < p.own(c, most) || (mayBorrow && l.free(c, most) > 0)
+		if fits && !exclude[c.ID] && l.detector.Usable(now, c.ID) {
+			found = append(found, c)
+		}
 	}
-	return n
+	return found
 }
 
 // pick chooses among candidates with room.
