Routing: prefix affinity within own and lent slots

Changed: a host sends within its own slots, and borrows where a report at most 1 s old shows more than a quarter free; ages are taken from the own clock (when the load was asked for), not the engine's.

--- a/bench/decide/admission.go
+++ b/bench/decide/admission.go
@@ -226,13 +226,13 @@
 	return admission.OwnSlots(e.slots, e.id, h.index, simHosts)
 }
 
-// free is how many slots of a group the last report and what was sent since show free.
+// free is how many slots of a group may be lent by the last report and what was sent since.
 func (h *entryFake) free(i int) int {
 	e := h.run.engines[i]
 	if e.dark {
 		return 0
 	}
-	return max(0, e.slots-e.report-h.sent[i])
+	return admission.Lendable(e.slots, e.report+h.sent[i])
 }
 
 // slots is what this host may have in flight in all.
@@ -242,9 +242,7 @@
 		if !e.dark {
 			all += e.slots
 			n += h.own(i)
-			if 2*h.free(i) > e.slots {
-				free += h.free(i)
-			}
+			free += h.free(i)
 		}
 	}
 	switch h.run.split {
@@ -261,7 +259,7 @@
 	if h.inFlight[i] < h.own(i) {
 		return true
 	}
-	return h.run.split == SplitLent && 2*h.free(i) > h.run.engines[i].slots && h.running < h.slots()
+	return h.run.split == SplitLent && h.free(i) > 0 && h.running < h.slots()
 }
 
 func (h *entryFake) offer(id string, q *simRequest) {
--- a/bench/decide/decide_test.go
+++ b/bench/decide/decide_test.go
@@ -13,6 +13,7 @@
 		run  func(seed uint64, length time.Duration) *Table
 	}{
 		{"admission", Admission},
+		{"routing", Routing},
 	}
 	const length = 6 * time.Second
 	for _, tt := range tests {
--- a/cmd/savorywing/bench.go
+++ b/cmd/savorywing/bench.go
@@ -19,6 +19,7 @@
 	cmd.AddCommand(
 		newBenchLoad(),
 		newBenchDecision("admission", "Compares orders and splits of slots under overload", 120*time.Second, decide.Admission),
+		newBenchDecision("routing", "Compares ways to choose a group with old load reports", 120*time.Second, decide.Routing),
 	)
 	return cmd
 }
--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -1,11 +1,20 @@
 package admission
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+	"time"
+)
+
+// LendReportAge is the age up to which a load report may lend slots.
+const LendReportAge = time.Second
 
 // lendFactor is how many times its even part of the free slots an entry host may borrow: few hosts
 // need to borrow at the same time.
 const lendFactor = 4
 
+// lendMargin is the inverse of the part of a group's slots that must be free before any is lent.
+const lendMargin = 4
+
 // OwnSlots returns how many of a group's slots belong to one of n entry hosts. The hosts' parts add up
 // to all slots: what does not divide evenly goes to other hosts for each group. index is the host's
 // place among the sorted names of the n hosts.
@@ -27,3 +36,13 @@
 func Lent(free, n int) int {
 	return max(free, 0) * lendFactor / max(n, 1)
 }
+
+// Lendable returns how many slots of a group may be lent, when it is reported busy: those that are
+// free, if they are more than the margin that keeps old reports from filling the group's queue.
+func Lendable(slots, busy int) int {
+	free := slots - busy
+	if free*lendMargin <= slots {
+		return 0
+	}
+	return free
+}
--- a/process/entry/dispatcher.go
+++ b/process/entry/dispatcher.go
@@ -128,13 +128,13 @@
 	l := d.lane(e.request)
 	l.queue.SetShares(d.shares())
 	candidates := d.candidates(e.request)
-	l.queue.SetSlots(l.slots(candidates, d.place(), d.groupRequests()))
+	now := d.clock.Now()
+	l.queue.SetSlots(l.slots(now, candidates, d.place(), d.groupRequests()))
 	if len(candidates) == 0 {
 		e.done <- decision{refusal: savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable,
 			"no whole group serves this now", savorywing.WithRetryAfter(wholeGroupRetry))}
 		return
 	}
-	now := d.clock.Now()
 	item := admission.Item{
 		ID: string(e.request.Number), Organisation: e.request.Organisation, Deadline: e.request.FirstTokenBy(), Arrival: e.request.Arrival,
 	}
--- a/process/entry/lane.go
+++ b/process/entry/lane.go
@@ -62,23 +62,20 @@
 	return admission.OwnSlots(slotsOf(c, most), c.ID, p.index, p.hosts)
 }
 
-// free is the number of a candidate's slots that may be lent: those that the last report and what was
-// sent since show free, if they are more than half.
-func (l *lane) free(c registry.Candidate, most int) int {
-	slots := slotsOf(c, most)
-	free := slots - int(c.Load.Running+c.Load.Waiting) - int(l.unreported(c))
-	if 2*free <= slots {
+// free is the number of a candidate's slots that may be lent by a fresh report and what was sent since.
+func (l *lane) free(now time.Time, c registry.Candidate, most int) int {
+	if now.Sub(c.AskedAt) > admission.LendReportAge {
 		return 0
 	}
-	return free
+	return admission.Lendable(slotsOf(c, most), int(c.Load.Running+c.Load.Waiting)+int(l.unreported(c)))
 }
 
 // slots is the number of requests that this host may have in flight over all candidates.
-func (l *lane) slots(candidates []registry.Candidate, p place, most int) int {
+func (l *lane) slots(now time.Time, candidates []registry.Candidate, p place, most int) int {
 	own, free := 0, 0
 	for _, c := range candidates {
 		own += p.own(c, most)
-		free += l.free(c, most)
+		free += l.free(now, c, most)
 	}
 	return max(1, own+admission.Lent(free, p.hosts))
 }
@@ -86,14 +83,14 @@
 // room lists the candidates that may be given one more request: those with an own slot left, and, while
 // the host may borrow, those with free slots to lend.
 func (l *lane) room(now time.Time, candidates []registry.Candidate, p place, most int, exclude map[string]bool) []registry.Candidate {
-	mayBorrow := l.running < l.slots(candidates, p, most)
+	mayBorrow := l.running < l.slots(now, candidates, p, most)
 	var found []registry.Candidate
 	for _, c := range candidates {
 		inFlight := 0
 		if s := l.sent[c.ID]; s != nil {
 			inFlight = s.inFlight
 		}
-		fits := inFlight < p.own(c, most) || (mayBorrow && l.free(c, most) > 0)
+		fits := inFlight < p.own(c, most) || (mayBorrow && l.free(now, c, most) > 0)
 		if fits && !exclude[c.ID] && l.detector.Usable(now, c.ID) {
 			found = append(found, c)
 		}
@@ -122,14 +119,13 @@
 	return false
 }
 
-// unreported counts what was sent after the candidate's last load report was read.
+// unreported counts what was sent after the candidate's last load report was asked for.
 func (l *lane) unreported(c registry.Candidate) float64 {
 	s := l.sent[c.ID]
 	if s == nil {
 		return 0
 	}
-	read := time.UnixMilli(c.Load.ReadAt)
-	first := sort.Search(len(s.recent), func(i int) bool { return s.recent[i].After(read) })
+	first := sort.Search(len(s.recent), func(i int) bool { return s.recent[i].After(c.AskedAt) })
 	s.recent = s.recent[first:]
 	return float64(len(s.recent))
 }
