--- a/bench/decide/decide_test.go
+++ b/bench/decide/decide_test.go
@@ -14,6 +14,7 @@
 	}{
 		{"admission", Admission},
 		{"routing", Routing},
+		{"retries", Retries},
 	}
 	const length = 6 * time.Second
 	for _, tt := range tests {
--- a/connection/operator/server.go
+++ b/connection/operator/server.go
@@ -49,10 +49,16 @@
 // New returns a server that Start runs.
 func New(token string, ops Operations, log zerolog.Logger) *Server {
 	s := &Server{token: token, ops: ops, log: log}
-	s.http = &fasthttp.Server{Handler: s.handle, ReadTimeout: commandTimeout, MaxRequestBodySize: maxBody, CloseOnShutdown: true}
+	s.http = &fasthttp.Server{Handler: s.handle, ReadTimeout: commandTimeout, MaxRequestBodySize: maxBody, CloseOnShutdown: true, Logger: silent{}}
 	return s
 }
 
+// silent drops what the HTTP library logs: it quotes requests, and with them the operators' token.
+type silent struct{}
+
+// Printf drops a line.
+func (silent) Printf(string, ...any) {}
+
 // Start listens and serves in the background.
 func (s *Server) Start(address string) error {
 	listener, err := net.Listen("tcp", address)
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -93,7 +93,7 @@
 		cfg: cfg, handler: handler, log: log, pool: pool, listener: listener, links: map[string]*link{},
 		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{},
 	}
-	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout}
+	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout, Logger: &m.log}
 	for host, address := range cfg.Peers {
 		m.links[host] = newLink(m, host, address)
 	}
--- a/request/caller/server.go
+++ b/request/caller/server.go
@@ -31,6 +31,8 @@
 	idleTimeout  = 60 * time.Second
 	maxConns     = 4096
 	maxHeader    = 16 << 10
+	// readBeyond is how many times the largest body is still read, so that its sender gets an answer.
+	readBeyond   = 4
 	statusClosed = 499
 )
 
@@ -57,12 +59,19 @@
 	s := &Server{clock: clock, registry: r, entry: e, keys: keys, announce: a, log: log}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.malformed, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
-		MaxRequestBodySize: int(r.Settings().Limits.Body), Concurrency: maxConns, ReadBufferSize: maxHeader,
+		MaxRequestBodySize: readBeyond * int(r.Settings().Limits.Body), Concurrency: maxConns, ReadBufferSize: maxHeader,
 		Name: "savorywing", NoDefaultDate: true, CloseOnShutdown: true,
+		Logger: silent{},
 	}
 	return s
 }
 
+// silent drops what the HTTP library logs: it quotes requests, and with them callers' keys.
+type silent struct{}
+
+// Printf drops a line.
+func (silent) Printf(string, ...any) {}
+
 // Start listens and serves in the background.
 func (s *Server) Start(address string) error {
 	listener, err := net.Listen("tcp", address)
