Requests given up on are answered at once, and never notRun after an attempt that may have run

Cause: found by the new table process/entry TestServe. After a failure at the only host, the retry waited in the queue until the patience ended (9.90 s of 10 s), because the dispatcher looked for candidates without those that had failed the request only when it granted. And if the first attempt's answer was lost and no second one could be sent, the caller was told the second one's notRun. Ruled out: the queue's prediction; it admits rightly, for there are free slots. Changed: an offer without a candidate left is refused at once, waiting ones too as soon as none is left; a session remembers the first refusal after which the request may have run and answers with it.

--- a/process/entry/dispatcher.go
+++ b/process/entry/dispatcher.go
@@ -143,9 +143,8 @@
 	candidates := d.candidates(e.request)
 	now := d.clock.Now()
 	l.queue.SetSlots(l.slots(now, candidates, d.place(), d.groupRequests()))
-	if len(candidates) == 0 {
-		e.done <- decision{refusal: savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable,
-			"no whole group serves this now", savorywing.WithRetryAfter(wholeGroupRetry))}
+	if !anyLeft(candidates, e.exclude) {
+		e.done <- decision{refusal: noneLeft()}
 		return
 	}
 	item := admission.Item{
@@ -159,6 +158,21 @@
 	d.pump(l)
 }
 
+// anyLeft tells whether there is a candidate that has not failed this request.
+func anyLeft(candidates []registry.Candidate, exclude map[string]bool) bool {
+	for _, c := range candidates {
+		if !exclude[c.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+func noneLeft() *savorywing.Refusal {
+	return savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable,
+		"no whole group serves this now", savorywing.WithRetryAfter(wholeGroupRetry))
+}
+
 func tooLate(retryAfter time.Duration) *savorywing.Refusal {
 	return savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable,
 		"the answer would come later than the caller can wait", savorywing.WithRetryAfter(retryAfter))
@@ -175,6 +189,11 @@
 		}
 		w := l.waiting[item.ID]
 		candidates := d.candidates(w.offer.request)
+		if !anyLeft(candidates, w.offer.exclude) {
+			delete(l.waiting, item.ID)
+			w.offer.done <- decision{refusal: noneLeft()}
+			continue
+		}
 		free := l.room(d.clock.Now(), candidates, p, most, w.offer.exclude)
 		if len(free) == 0 {
 			blocked = append(blocked, w)
--- a/process/entry/session.go
+++ b/process/entry/session.go
@@ -17,11 +17,13 @@
 
 // session is one request while it is served.
 type session struct {
-	entry    *Entry
-	request  *savorywing.Request
-	exclude  map[string]bool
-	attempts int
-	target   string
+	entry   *Entry
+	request *savorywing.Request
+	exclude map[string]bool
+	// mayHaveRun is the first refusal after which the request may have run.
+	mayHaveRun *savorywing.Refusal
+	attempts   int
+	target     string
 
 	// mu guards what a claimed request's execution and its caller's patience both touch.
 	mu         sync.Mutex
@@ -70,20 +72,31 @@
 	for {
 		g, err := s.grant(ctx)
 		if err != nil {
-			return savorywing.Answer{}, err
+			return savorywing.Answer{}, s.final(savorywing.AsRefusal(err))
 		}
 		answer, err := s.run(ctx, g)
 		if err == nil {
 			return answer, nil
 		}
-		refusal := savorywing.AsRefusal(err)
-		if !s.mayRetry(ctx, refusal) {
+		refusal := s.final(savorywing.AsRefusal(err))
+		if !s.mayRetry(ctx, savorywing.AsRefusal(err)) {
 			return savorywing.Answer{}, refusal
 		}
 		s.exclude[g.candidate.ID] = true
 	}
 }
 
+// final returns what the caller is told: once an attempt may have run, nothing after it is notRun.
+func (s *session) final(refusal *savorywing.Refusal) *savorywing.Refusal {
+	if s.mayHaveRun != nil {
+		return s.mayHaveRun
+	}
+	if refusal.Code() == savorywing.CodeUnknown {
+		s.mayHaveRun = refusal
+	}
+	return refusal
+}
+
 func (s *session) mayRetry(ctx context.Context, refusal *savorywing.Refusal) bool {
 	if ctx.Err() != nil || s.attempts >= maxAttempts || !retry.Allowed(s.request.Idempotent, refusal.Code()) {
 		return false
