--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -186,8 +186,8 @@
 			So(f.backend.sent, ShouldBeEmpty)
 		})
 		Convey("is refused by a full ledger", func() {
-			f.ask("key-1", false)
-			f.ask("key-2", false)
+			_, _ = f.ask("key-1", false)
+			_, _ = f.ask("key-2", false)
 			_, refusal := f.ask("key-3", false)
 			So(refusal.Code(), ShouldEqual, savorywing.CodeNotRun)
 			So(refusal.Reason(), ShouldEqual, state.ReasonLedgerFull)
@@ -195,7 +195,7 @@
 		})
 		Convey("that could not be sent may be sent again under its key", func() {
 			f.backend.answers["a"] = errNotRun
-			f.ask("key", false)
+			_, _ = f.ask("key", false)
 			delete(f.backend.answers, "a")
 			_, refusal := f.ask("key", false)
 			So(refusal, ShouldBeNil)
--- a/process/lease/tracker_test.go
+++ b/process/lease/tracker_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -111,3 +112,38 @@
 		So(ok, ShouldBeFalse)
 	})
 }
+
+// benchmarkEngines measures one answer of each of n engines in groups of four, and one look at each group.
+func benchmarkEngines(b *testing.B, n int) {
+	tr := NewTracker(duration)
+	table := wire.Table{Number: 1}
+	var words []wire.Announcement
+	for g := range n / 4 {
+		group := wire.Group{ID: fmt.Sprint("group-", g), Model: "m", Version: "1", Fence: 7, Phase: savorywing.PhaseServing}
+		for m := range 4 {
+			host := fmt.Sprintf("engine-%d-%d", g, m)
+			group.Members = append(group.Members, wire.GroupMember{Host: host, Boot: 1})
+			h := holding(7)
+			h.Group = group.ID
+			words = append(words, word(host, 1, 1, h))
+		}
+		table.Groups = append(table.Groups, group)
+	}
+	tr.SetTable(table)
+	for i := range b.N {
+		for j := range words {
+			words[j].Sequence = uint64(i) + 2
+			tr.Answered(start, words[j])
+		}
+		for _, g := range table.Groups {
+			if _, _, ok := tr.Group(g.ID, start); !ok {
+				b.Fatal("no lease")
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/engine")
+}
+
+func BenchmarkEngines100(b *testing.B)  { benchmarkEngines(b, 100) }
+func BenchmarkEngines500(b *testing.B)  { benchmarkEngines(b, 500) }
+func BenchmarkEngines2100(b *testing.B) { benchmarkEngines(b, 2100) }
