A control host that is cut off, silent connections, 300 missed changes, a dark domain: real processes

Cause: docs/PROOFS.md listed these as proved on the pure parts only. What: relays between the daemons of a test fall silent without closing anything.

--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -123,6 +123,8 @@
 	callers   []string
 	operators []string
 	standins  map[string]*process
+	// relays carry the connections from one daemon to another, by both indices.
+	relays map[[2]int]*relay
 }
 
 func freePorts(t *testing.T, n int) []string {
@@ -172,11 +174,8 @@
 	s := &system{t: t, dir: t.TempDir(), standins: map[string]*process{}}
 	s.secret("keys", testKey+": {organisation: college, class: desk}\n")
 	s.secret("token", testToken)
+	s.relays = map[[2]int]*relay{}
 	ports := freePorts(t, 3*daemons)
-	hosts := "hosts:\n"
-	for i := range daemons {
-		hosts += fmt.Sprintf("  entry-%d: {dataCentre: centre, peers: %q, roles: [entry, control]}\n", i, ports[3*i])
-	}
 	for i := range daemons {
 		local := fmt.Sprintf("daemon:\n  host: entry-%d\n  peers: %q\n  callers: %q\n  operators: %q\n  keysFile: %q\n  operatorsFile: %q\n  dataFolder: %q\n",
 			i, ports[3*i], ports[3*i+1], ports[3*i+2], s.path("keys"), s.path("token"), s.data(i))
@@ -184,7 +183,7 @@
 		if err := os.Mkdir(folder, 0o700); err != nil {
 			t.Fatal(err)
 		}
-		for name, text := range map[string]string{"10-all.yaml": systemSettings, "20-hosts.yaml": hosts, "30-local.yaml": local} {
+		for name, text := range map[string]string{"10-all.yaml": systemSettings, "20-hosts.yaml": s.hosts(i, ports), "30-local.yaml": local} {
 			if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
 				t.Fatal(err)
 			}
@@ -199,6 +198,29 @@
 	return s
 }
 
+// hosts returns the hosts as daemon i knows them: the others are behind relays.
+func (s *system) hosts(i int, ports []string) string {
+	text := "hosts:\n"
+	for j := range len(ports) / 3 {
+		address := ports[3*j]
+		if j != i {
+			s.relays[[2]int{i, j}] = newRelay(s.t, address)
+			address = s.relays[[2]int{i, j}].address()
+		}
+		text += fmt.Sprintf("  entry-%d: {dataCentre: centre, peers: %q, roles: [entry, control]}\n", j, address)
+	}
+	return text
+}
+
+// cut silences every connection between daemon i and the others, or lets new ones through again.
+func (s *system) cut(i int, on bool) {
+	for pair, r := range s.relays {
+		if pair[0] == i || pair[1] == i {
+			r.setCut(on)
+		}
+	}
+}
+
 func (s *system) path(name string) string { return filepath.Join(s.dir, name) }
 
 func (s *system) data(i int) string { return s.path(fmt.Sprintf("data-%d", i)) }
--- a/examples/local/run.sh
+++ b/examples/local/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Starts five daemons, eight stand-in engines and two plain services as processes on loopback, sends a
-# load, shows the state and stops everything. DURATION and RATE set the load; KEEP=1 keeps it running.
+# load, shows the state and stops everything. DURATION and RATE set the load; KEEP=1 keeps it running;
+# FAULTS=1 freezes a member of a group 10 s after the load began, for 8 s, and kills an entry host that is a
+# voter after 25 s.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 DURATION=${DURATION:-60s}
@@ -64,6 +66,16 @@
 	echo "state in $work; stop with ctrl-c"
 	wait
 fi
+if [ -n "${FAULTS:-}" ]; then
+	(
+		sleep 10
+		kill -STOP "${pids[6]}"
+		sleep 8
+		kill -CONT "${pids[6]}"
+		sleep 7
+		kill -9 "${pids[2]}"
+	) &
+fi
 bin/savorywing bench load --callers "$entries" --key key-north,key-river --model ledger --service-path /register/tags \
 	--duration "$DURATION" --rate "$RATE"
 echo
