The log's time goes on from the log, not from a leader's wall clock

Changed: commands get the time of the newest command plus what the leader's monotonic clock has run since it leads. Ruled out: bounding the jump; it only makes the loss smaller.

--- a/process/daemon/operations.go
+++ b/process/daemon/operations.go
@@ -147,6 +147,7 @@
 	if problem := o.problem(c); problem != "" {
 		return wire.Result{Reason: problem}, nil
 	}
+	c.At = o.daemon.clock.Now().UnixMilli()
 	return o.daemon.proposer.Propose(ctx, wire.Command{Configuration: &c})
 }
 
--- a/process/disk/memory.go
+++ b/process/disk/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/wire"
@@ -13,10 +14,8 @@
 // Memory is a disk for tests; it keeps what Append and Compact were given.
 type Memory struct {
 	stored savorywing.Stored
-	// Syncs counts the calls that changed the disk.
-	Syncs int
 	// Failing makes every write fail.
-	Failing bool
+	Failing atomic.Bool
 }
 
 var _ savorywing.Disk = (*Memory)(nil)
@@ -35,19 +34,17 @@
 
 // Append keeps a record.
 func (m *Memory) Append(r savorywing.Record) error {
-	if m.Failing {
+	if m.Failing.Load() {
 		return ErrFull
 	}
-	m.Syncs++
 	return replay(&m.stored, r)
 }
 
 // Compact keeps a snapshot and the entries behind it.
 func (m *Memory) Compact(s wire.Snapshot, r savorywing.Record) error {
-	if m.Failing {
+	if m.Failing.Load() {
 		return ErrFull
 	}
-	m.Syncs++
 	m.stored.Snapshot = &s
 	m.stored.Entries = nil
 	return replay(&m.stored, r)
--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -79,6 +79,7 @@
 	// lastTable is the table as last published; it is copied only when it has changed.
 	lastTable    wire.Table
 	leadingSince time.Time
+	logClock     logClock
 	failed       error
 	syncs        uint64
 	syncTime     time.Duration
@@ -87,6 +88,24 @@
 	done         sync.WaitGroup
 }
 
+// logClock gives the times of commands. They go on from the log's own time with the leader's monotonic
+// clock, so that a wall clock which jumps can't make a claim expire early.
+type logClock struct {
+	term uint64
+	base int64
+	from time.Time
+}
+
+func (c *logClock) read(term uint64, newest int64, now time.Time) int64 {
+	if c.term != term || c.from.IsZero() {
+		c.term, c.base, c.from = term, newest, now
+		if newest == 0 {
+			c.base = now.UnixMilli()
+		}
+	}
+	return c.base + now.Sub(c.from).Milliseconds()
+}
+
 type waiter struct {
 	term uint64
 	done []chan<- proposed
@@ -276,7 +295,7 @@
 	var all wire.Commands
 	var done []chan<- proposed
 	for _, e := range events {
-		e.command.At = n.clock.Now().UnixMilli()
+		e.command.At = n.logClock.read(n.core.Term(), n.machine.At(), n.clock.Now())
 		all.Commands = append(all.Commands, e.command)
 		done = append(done, e.done)
 	}
--- a/process/state/machine.go
+++ b/process/state/machine.go
@@ -105,7 +105,7 @@
 		return wire.Result{Reason: ReasonConflict, Configuration: &winner}
 	}
 	m.configuration = wire.Configuration{
-		Number: c.Follows + 1, ChangeID: c.ChangeID, Operator: c.Operator, Text: c.Text, At: m.at,
+		Number: c.Follows + 1, ChangeID: c.ChangeID, Operator: c.Operator, Text: c.Text, At: c.At,
 	}
 	answer := m.configuration
 	answer.Text = ""
@@ -123,6 +123,9 @@
 	}
 }
 
+// At returns the time of the newest command, in milliseconds.
+func (m *Machine) At() int64 { return m.at }
+
 // Configuration returns the newest accepted configuration.
 func (m *Machine) Configuration() wire.Configuration { return m.configuration }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -71,6 +71,9 @@
 
 // ChangeConfiguration asks for a new configuration that follows a stated number.
 type ChangeConfiguration struct {
+	// Unix time at the daemon that took the change, in milliseconds.
+	At int64 `json:"at"`
+
 	// ChangeID corresponds to the JSON schema field "changeId".
 	ChangeID string `json:"changeId"`
 
@@ -164,7 +167,8 @@
 	// Assign corresponds to the JSON schema field "assign".
 	Assign *Assign `json:"assign,omitempty,omitzero"`
 
-	// Unix time at the leader that accepted it, in milliseconds.
+	// Time of the log, in milliseconds; it grows with the leader's monotonic clock,
+	// never with its wall clock.
 	At int64 `json:"at"`
 
 	// Claim corresponds to the JSON schema field "claim".
