Reading pass: code that nothing used, groups that are gone

Cause: reading as a newcomer found a path for callers that leave while they wait, which no caller could reach; exported names that only tests used; and a straggler detector that kept groups that were gone as peers (its test drives a minute without them). Changed: removed, unexported, and the detector forgets a group after a minute without requests. Behaviour else unchanged; process/entry, process/admission, process/straggler and process/disk pass.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -38,7 +38,6 @@
 // Client sends requests to backend servers. It never repeats a request by itself.
 type Client struct {
 	pool *pool
-	dial func(ctx context.Context, address string) (net.Conn, error)
 	// sent and received count bytes; they only grow.
 	sent, received atomic.Uint64
 }
@@ -46,22 +45,8 @@
 // Traffic returns the bytes sent to and received from backend servers.
 func (c *Client) Traffic() (sent, received uint64) { return c.sent.Load(), c.received.Load() }
 
-// Option sets an optional part of a Client.
-type Option func(*Client)
-
-// WithDial replaces the TCP dialer.
-func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
-	return func(c *Client) { c.dial = dial }
-}
-
 // New returns a client.
-func New(clock savorywing.Clock, opts ...Option) *Client {
-	c := &Client{pool: newPool(clock), dial: dialTCP}
-	for _, opt := range opts {
-		opt(c)
-	}
-	return c
-}
+func New(clock savorywing.Clock) *Client { return &Client{pool: newPool(clock)} }
 
 var _ savorywing.Backend = (*Client)(nil)
 
@@ -77,7 +62,7 @@
 			return l, true, nil
 		}
 	}
-	conn, err := c.dial(ctx, address)
+	conn, err := dialTCP(ctx, address)
 	if err != nil {
 		return nil, false, err
 	}
--- a/process/admission/heap.go
+++ b/process/admission/heap.go
@@ -89,27 +89,3 @@
 	}
 	return gone
 }
-
-// earliest returns the earliest deadline of a heap that is not empty.
-func (h *itemHeap) earliest() time.Time {
-	first := h.items[0].Deadline
-	if !h.firstCome {
-		return first
-	}
-	for _, item := range h.items {
-		if item.Deadline.Before(first) {
-			first = item.Deadline
-		}
-	}
-	return first
-}
-
-func (h *itemHeap) remove(id string) bool {
-	for i, item := range h.items {
-		if item.ID == id {
-			heap.Remove(h, i)
-			return true
-		}
-	}
-	return false
-}
--- a/process/admission/queue.go
+++ b/process/admission/queue.go
@@ -278,16 +278,6 @@
 	return gone
 }
 
-// Remove takes out a request whose caller has gone.
-func (q *Queue) Remove(organisation, id string) bool {
-	t := q.tenants[organisation]
-	if t == nil || !t.items.remove(id) {
-		return false
-	}
-	q.waiting--
-	return true
-}
-
 // Backlog returns how long the waiting requests will take.
 func (q *Queue) Backlog() time.Duration {
 	if q.slots == 0 {
@@ -296,21 +286,6 @@
 	return time.Duration(float64(q.waiting) / float64(q.slots) * float64(q.service))
 }
 
-// NextExpiry returns when the next waiting request becomes impossible, and false if none waits.
-func (q *Queue) NextExpiry() (time.Time, bool) {
-	var next time.Time
-	found := false
-	for _, t := range q.tenants {
-		if len(t.items.items) == 0 {
-			continue
-		}
-		if at := t.items.earliest().Add(-q.first); !found || at.Before(next) {
-			next, found = at, true
-		}
-	}
-	return next, found
-}
-
 // PutBack returns a request that Next gave out and that could not run, and takes back its charge.
 func (q *Queue) PutBack(item Item) {
 	q.push(item)
--- a/process/admission/queue_test.go
+++ b/process/admission/queue_test.go
@@ -58,9 +58,7 @@
 		q := NewQueue(FairDeadline, WithTimes(time.Second, 100*time.Millisecond))
 		q.SetSlots(1)
 		So(q.Offer(start, 0, item("x", "a", 2*time.Second)).Refused, ShouldBeFalse)
-		at, ok := q.NextExpiry()
-		So(ok, ShouldBeTrue)
-		So(at, ShouldEqual, start.Add(1900*time.Millisecond))
+		at := start.Add(1900 * time.Millisecond)
 		So(q.Expire(at), ShouldBeEmpty)
 		So(q.Expire(at.Add(1)), ShouldHaveLength, 1)
 		So(q.Len(), ShouldEqual, 0)
@@ -88,18 +86,17 @@
 	})
 }
 
-func TestRemoveAndPutBack(t *testing.T) {
-	Convey("A request that has gone, or could not run", t, func() {
+func TestPutBack(t *testing.T) {
+	Convey("A request that could not run waits on", t, func() {
 		q := NewQueue(FairDeadline)
 		q.SetSlots(10)
 		q.Offer(start, 0, item("x", "a", time.Hour))
-		So(q.Remove("a", "y"), ShouldBeFalse)
-		So(q.Remove("b", "x"), ShouldBeFalse)
 		it, ok := q.Next()
 		So(ok, ShouldBeTrue)
 		q.PutBack(it)
 		So(q.Len(), ShouldEqual, 1)
-		So(q.Remove("a", "x"), ShouldBeTrue)
+		_, ok = q.Next()
+		So(ok, ShouldBeTrue)
 		_, ok = q.Next()
 		So(ok, ShouldBeFalse)
 	})
--- a/process/disk/folder.go
+++ b/process/disk/folder.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return savorywing.Stored{}, err
 	}
-	frames, whole, err := DecodeFrames(b)
+	frames, whole, err := decodeFrames(b)
 	if err != nil {
 		return savorywing.Stored{}, err
 	}
--- a/process/disk/folder_test.go
+++ b/process/disk/folder_test.go
@@ -180,7 +180,7 @@
 	f.Add(append(b, b[:len(b)/2]...))
 	f.Add([]byte("SWF1"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		_, whole, err := DecodeFrames(b)
+		_, whole, err := decodeFrames(b)
 		if whole > len(b) || (err != nil && !errors.Is(err, ErrDamaged)) {
 			t.Fatalf("whole %d of %d, error %v", whole, len(b), err)
 		}
--- a/process/disk/frame.go
+++ b/process/disk/frame.go
@@ -66,9 +66,9 @@
 	return payload, headerSize + int(n), nil
 }
 
-// DecodeFrames returns the whole frames of a log file and the length of the part that they fill.
+// decodeFrames returns the whole frames of a log file and the length of the part that they fill.
 // A torn frame at the end is left out; one with whole frames behind it is ErrDamaged.
-func DecodeFrames(b []byte) ([]frame, int, error) {
+func decodeFrames(b []byte) ([]frame, int, error) {
 	var frames []frame
 	offset := 0
 	for offset < len(b) {
--- a/process/entry/dispatcher.go
+++ b/process/entry/dispatcher.go
@@ -37,13 +37,10 @@
 		between  time.Duration
 		observed bool
 	}
-	// goneEvent tells that a waiting request's caller has gone.
-	goneEvent struct{ request *savorywing.Request }
 )
 
 func (offerEvent) isEvent()    {}
 func (finishedEvent) isEvent() {}
-func (goneEvent) isEvent()     {}
 
 // decision is a grant or a refusal.
 type decision struct {
@@ -104,8 +101,6 @@
 		d.offer(e)
 	case finishedEvent:
 		d.finished(e)
-	case goneEvent:
-		d.gone(e.request)
 	}
 }
 
@@ -231,17 +226,6 @@
 	d.pump(l)
 }
 
-func (d *dispatcher) gone(r *savorywing.Request) {
-	l := d.lanes[r.Lane()]
-	if l == nil {
-		return
-	}
-	id := string(r.Number)
-	if l.queue.Remove(r.Organisation, id) {
-		delete(l.waiting, id)
-	}
-}
-
 // tick refuses what has become impossible and uses new room.
 func (d *dispatcher) tick() {
 	for _, l := range d.lanes {
--- a/process/entry/session.go
+++ b/process/entry/session.go
@@ -70,7 +70,7 @@
 // serve runs attempts until one has its first token, or none may follow.
 func (s *session) serve(ctx context.Context) (savorywing.Answer, error) {
 	for {
-		g, err := s.grant(ctx)
+		g, err := s.grant()
 		if err != nil {
 			return savorywing.Answer{}, s.final(savorywing.AsRefusal(err))
 		}
@@ -107,8 +107,8 @@
 	return s.entry.clock.Now().Before(s.request.FirstTokenBy()) && s.entry.spendRetry()
 }
 
-// grant waits for the dispatcher's decision.
-func (s *session) grant(ctx context.Context) (grant, error) {
+// grant waits for the dispatcher's decision, which comes before the caller's patience ends.
+func (s *session) grant() (grant, error) {
 	if !s.entry.registry.Fresh() {
 		return grant{}, savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable, staleNote, savorywing.WithRetryAfter(time.Second))
 	}
@@ -116,37 +116,11 @@
 	if !s.entry.dispatcher.events.Push(offerEvent{request: s.request, exclude: s.exclude, done: done}) {
 		return grant{}, savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable, "this entry host is full", savorywing.WithRetryAfter(time.Second))
 	}
-	select {
-	case d := <-done:
-		if d.refusal != nil {
-			return grant{}, d.refusal
-		}
-		return d.grant, nil
-	case <-ctx.Done():
-		s.entry.dispatcher.events.Push(goneEvent{request: s.request})
-		s.returnLate(done)
-		return grant{}, savorywing.NewRefusal(savorywing.CodeNotRun, statusUnavailable, "the caller has gone", savorywing.WithCause(ctx.Err()))
-	}
-}
-
-// returnLate gives back a grant that crossed the caller's leaving.
-func (s *session) returnLate(done <-chan decision) {
-	select {
-	case d := <-done:
-		if d.refusal == nil {
-			s.release(d.grant, false)
-		}
-	default:
-		_ = s.entry.pool.Submit(func() {
-			select {
-			case d := <-done:
-				if d.refusal == nil {
-					s.release(d.grant, false)
-				}
-			case <-s.entry.clock.After(time.Second):
-			}
-		})
+	d := <-done
+	if d.refusal != nil {
+		return grant{}, d.refusal
 	}
+	return d.grant, nil
 }
 
 // release gives a grant back; observed tells that the attempt ran to its end.
--- a/process/planner/planner.go
+++ b/process/planner/planner.go
@@ -1,9 +1,6 @@
 package planner
 
-import (
-	"sort"
-	"time"
-)
+import "sort"
 
 const (
 	secondsPerDay = 24 * 60 * 60
@@ -340,6 +337,3 @@
 	wait := (p.in.Limits.ReleaseTime + p.in.Limits.LoadTime).Seconds()
 	return p.in.Limits.StrandedWeight*idle > p.in.Limits.DowntimeWeight*losses*wait
 }
-
-// Idle is how long a plan stays the same if nothing happens.
-const Idle = time.Second
--- a/process/straggler/detector.go
+++ b/process/straggler/detector.go
@@ -19,6 +19,8 @@
 	ejectedShare = 0.2
 	smoothing    = 0.3
 	minGroups    = 3
+	// forgetAfter is how long a group without requests counts as a peer.
+	forgetAfter = time.Minute
 )
 
 type record struct {
@@ -27,6 +29,7 @@
 	slowSince time.Time
 	ejected   bool
 	lastProbe time.Time
+	seen      time.Time
 }
 
 // Detector compares the groups of one model.
@@ -46,10 +49,21 @@
 		r = &record{time: between.Seconds()}
 		d.records[group] = r
 	}
+	r.seen = now
 	r.time += smoothing * (between.Seconds() - r.time)
+	d.forget(now)
 	d.judge(now, r)
 }
 
+// forget drops groups that were not heard of for long, so that they no longer count as peers.
+func (d *Detector) forget(now time.Time) {
+	for name, r := range d.records {
+		if now.Sub(r.seen) > forgetAfter {
+			delete(d.records, name)
+		}
+	}
+}
+
 func (d *Detector) judge(now time.Time, r *record) {
 	median := d.median()
 	switch {
@@ -111,6 +125,3 @@
 	sort.Strings(names)
 	return names
 }
-
-// Forget drops a group that is gone.
-func (d *Detector) Forget(group string) { delete(d.records, group) }
--- a/process/straggler/detector_test.go
+++ b/process/straggler/detector_test.go
@@ -56,6 +56,13 @@
 		})
 		So(len(d.Ejected()), ShouldEqual, 3)
 	})
+	Convey("A group that is gone no longer counts as a peer", t, func() {
+		d := NewDetector()
+		now := drive(d, start, 2, normal)
+		d.Observe(now, "gone", 20*time.Millisecond)
+		drive(d, now, 61, normal)
+		So(d.records, ShouldHaveLength, 15)
+	})
 	Convey("An ejected group gets a probe now and then", t, func() {
 		d := NewDetector()
 		now := drive(d, start, 10, func(g int) time.Duration {
