--- a/bench/decide/admission.go
+++ b/bench/decide/admission.go
@@ -223,7 +223,7 @@
 	case h.run.split == SplitOne:
 		return e.slots
 	}
-	return admission.OwnSlots(e.slots, e.id, h.index, simHosts)
+	return admission.OwnSlots(e.slots, e.id, h.index, simHosts, 0)
 }
 
 // free is how many slots of a group may be lent by the last report and what was sent since.
--- a/bench/decide/routing.go
+++ b/bench/decide/routing.go
@@ -118,7 +118,7 @@
 	var candidates []router.Candidate
 	var groups []int
 	for i, e := range r.engines {
-		if r.owned && r.inFlight[host][i] >= admission.OwnSlots(simSlots, e.id, host, simHosts) && !r.borrows(host, i) {
+		if r.owned && r.inFlight[host][i] >= admission.OwnSlots(simSlots, e.id, host, simHosts, 0) && !r.borrows(host, i) {
 			continue
 		}
 		cached := false
--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -17,15 +17,20 @@
 
 // OwnSlots returns how many of a group's slots belong to one of n entry hosts. The hosts' parts add up
 // to all slots: what does not divide evenly goes to other hosts for each group. index is the host's
-// place among the sorted names of the n hosts.
-func OwnSlots(slots int, group string, index, n int) int {
+// place among the sorted names of the n hosts. Where there are fewer slots than hosts, they go round with
+// turn, which all hosts count alike, so that no host is without a slot for good.
+func OwnSlots(slots int, group string, index, n int, turn int64) int {
 	if n <= 1 {
 		return slots
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(group))
 	own := slots / n
-	if (index+int(h.Sum32()%uint32(n)))%n < slots%n {
+	offset := int(h.Sum32() % uint32(n))
+	if slots < n {
+		offset += int(turn % int64(n))
+	}
+	if (index+offset)%n < slots%n {
 		own++
 	}
 	return own
--- a/process/admission/queue_test.go
+++ b/process/admission/queue_test.go
@@ -107,9 +107,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n, slots := rapid.IntRange(1, 40).Draw(t, "n"), rapid.IntRange(0, 200).Draw(t, "slots")
 		group := rapid.String().Draw(t, "group")
+		turn := rapid.Int64Range(0, 1<<40).Draw(t, "turn")
 		sum := 0
 		for i := range n {
-			sum += OwnSlots(slots, group, i, n)
+			sum += OwnSlots(slots, group, i, n, turn)
 		}
 		if sum != slots {
 			t.Fatalf("%d hosts have %d of %d slots", n, sum, slots)
@@ -117,6 +118,19 @@
 	})
 }
 
+func TestOwnSlotsGoRound(t *testing.T) {
+	Convey("With fewer slots than hosts, every host has its turn", t, func() {
+		const hosts = 12
+		for i := range hosts {
+			turns := 0
+			for turn := range int64(hosts) {
+				turns += OwnSlots(8, "group", i, hosts, turn)
+			}
+			So(turns, ShouldEqual, 8)
+		}
+	})
+}
+
 // BenchmarkOffer measures one request through a queue in which 1,000 wait.
 func BenchmarkOffer(b *testing.B) {
 	q := NewQueue(FairDeadline, WithTimes(time.Millisecond, 0))
--- a/process/entry/dispatcher.go
+++ b/process/entry/dispatcher.go
@@ -108,7 +108,7 @@
 	name := r.Lane()
 	l := d.lanes[name]
 	if l == nil {
-		l = newLane(d.shares(), r.Service != "", d.seed)
+		l = newLane(d.shares(), d.seed)
 		d.lanes[name] = l
 	}
 	return l
--- a/process/entry/lane.go
+++ b/process/entry/lane.go
@@ -31,21 +31,20 @@
 
 // lane is the queue of one model or plain service, with what runs from it.
 type lane struct {
-	queue     *admission.Queue
-	router    *router.Router
-	detector  *straggler.Detector
-	waiting   map[string]waiting
-	sent      map[string]*sent
-	running   int
-	inService bool
+	queue    *admission.Queue
+	router   *router.Router
+	detector *straggler.Detector
+	waiting  map[string]waiting
+	sent     map[string]*sent
+	running  int
 }
 
-func newLane(shares map[string]float64, inService bool, seed uint64) *lane {
+func newLane(shares map[string]float64, seed uint64) *lane {
 	return &lane{
 		queue:    admission.NewQueue(admission.FairDeadline, admission.WithShares(shares)),
 		router:   router.New(router.Affinity, seed),
 		detector: straggler.NewDetector(),
-		waiting:  map[string]waiting{}, sent: map[string]*sent{}, inService: inService,
+		waiting:  map[string]waiting{}, sent: map[string]*sent{},
 	}
 }
 
@@ -58,8 +57,8 @@
 func slotsOf(c registry.Candidate, most int) int { return max(1, min(int(c.Load.Slots), most)) }
 
 // own is the number of a candidate's slots that belong to this host.
-func (p place) own(c registry.Candidate, most int) int {
-	return admission.OwnSlots(slotsOf(c, most), c.ID, p.index, p.hosts)
+func (p place) own(now time.Time, c registry.Candidate, most int) int {
+	return admission.OwnSlots(slotsOf(c, most), c.ID, p.index, p.hosts, now.Unix())
 }
 
 // free is the number of a candidate's slots that may be lent by a fresh report and what was sent since.
@@ -74,7 +73,7 @@
 func (l *lane) slots(now time.Time, candidates []registry.Candidate, p place, most int) int {
 	own, free := 0, 0
 	for _, c := range candidates {
-		own += p.own(c, most)
+		own += p.own(now, c, most)
 		free += l.free(now, c, most)
 	}
 	return max(1, own+admission.Lent(free, p.hosts))
@@ -90,7 +89,7 @@
 		if s := l.sent[c.ID]; s != nil {
 			inFlight = s.inFlight
 		}
-		fits := inFlight < p.own(c, most) || (mayBorrow && l.free(now, c, most) > 0)
+		fits := inFlight < p.own(now, c, most) || (mayBorrow && l.free(now, c, most) > 0)
 		if fits && !exclude[c.ID] && l.detector.Usable(now, c.ID) {
 			found = append(found, c)
 		}
