Process tests: relays only where they are needed, no race with the log

Changed: newRelayedSystem for the two tests that cut; the test counts numbers itself; the session waits for the line. No check or bound is changed.

--- a/cmd/savorywing/cut_test.go
+++ b/cmd/savorywing/cut_test.go
@@ -14,7 +14,7 @@
 // TestControlHostCutOff cuts the leader off without closing a connection: it stops by its own clock,
 // another one leads, its entry host admits nothing, the others go on; healed, it follows.
 func TestControlHostCutOff(t *testing.T) {
-	s := newSystem(t, 3)
+	s := newRelayedSystem(t, 3)
 	s.service("booking-1", time.Millisecond)
 	s.waitReady()
 	for i := range s.daemons {
@@ -60,9 +60,9 @@
 
 // TestSilentConnections silences every open connection between daemons for good, while new ones work.
 func TestSilentConnections(t *testing.T) {
-	s := newSystem(t, 3)
+	s := newRelayedSystem(t, 3)
 	s.waitReady()
-	before := s.apply("before")
+	before := s.apply(0, "before")
 	for _, r := range s.relays {
 		r.silenceOld()
 	}
@@ -98,11 +98,11 @@
 	return hosts
 }
 
-// apply makes one change through daemon 0, whose addresses of the others are in the change, and
-// returns its number.
-func (s *system) apply(id string) uint64 {
+// apply makes the change that follows number through daemon 0, whose addresses of the others are in the
+// change, and returns its number.
+func (s *system) apply(number uint64, id string) uint64 {
 	s.t.Helper()
-	r, err := s.operator(0).Command(operator.PathConfiguration, s.change(s.status(0).Configuration, id))
+	r, err := s.operator(0).Command(operator.PathConfiguration, s.change(number, id))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -114,7 +114,7 @@
 func TestAwayForHundredsOfChanges(t *testing.T) {
 	s := newSystem(t, 3)
 	s.waitReady()
-	number := s.apply("first")
+	number := s.apply(0, "first")
 	s.eventually("in force at daemon 2", func() bool { return s.status(2).Configuration == number })
 	s.daemons[2].kill()
 	const changes = 300
@@ -136,7 +136,7 @@
 	})
 	var slowest time.Duration
 	for n := range 10 {
-		number = s.apply(fmt.Sprint("timed-", n))
+		number = s.apply(number, fmt.Sprint("timed-", n))
 		began := time.Now()
 		for i := range s.daemons {
 			s.eventually("in force everywhere", func() bool { return s.status(i).Configuration == number })
--- a/cmd/savorywing/session_test.go
+++ b/cmd/savorywing/session_test.go
@@ -96,6 +96,7 @@
 	s.waitReady()
 	s.waitGroup(0)
 	s.eventually("the service is known", func() bool { return s.ask(0, "GET", "/booking/warm", "", "").status == 200 })
+	s.eventually("its log line is there", func() bool { return strings.Contains(s.daemons[0].text(), `"outcome":"answered"`) })
 	skip := len(s.daemons[0].text())
 	var b strings.Builder
 	say := func(method, path, key, body string) {
--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -167,6 +167,17 @@
 
 // newSystem starts daemons, all of them voters.
 func newSystem(t *testing.T, daemons int) *system {
+	t.Helper()
+	return startSystem(t, daemons, false)
+}
+
+// newRelayedSystem starts daemons that reach one another through relays, which can fall silent.
+func newRelayedSystem(t *testing.T, daemons int) *system {
+	t.Helper()
+	return startSystem(t, daemons, true)
+}
+
+func startSystem(t *testing.T, daemons int, relayed bool) *system {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("real processes")
@@ -183,7 +194,7 @@
 		if err := os.Mkdir(folder, 0o700); err != nil {
 			t.Fatal(err)
 		}
-		for name, text := range map[string]string{"10-all.yaml": systemSettings, "20-hosts.yaml": s.hosts(i, ports), "30-local.yaml": local} {
+		for name, text := range map[string]string{"10-all.yaml": systemSettings, "20-hosts.yaml": s.hosts(i, ports, relayed), "30-local.yaml": local} {
 			if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
 				t.Fatal(err)
 			}
@@ -198,12 +209,12 @@
 	return s
 }
 
-// hosts returns the hosts as daemon i knows them: the others are behind relays.
-func (s *system) hosts(i int, ports []string) string {
+// hosts returns the hosts as daemon i knows them; relayed puts the others behind relays.
+func (s *system) hosts(i int, ports []string, relayed bool) string {
 	text := "hosts:\n"
 	for j := range len(ports) / 3 {
 		address := ports[3*j]
-		if j != i {
+		if relayed && j != i {
 			s.relays[[2]int{i, j}] = newRelay(s.t, address)
 			address = s.relays[[2]int{i, j}].address()
 		}
