Slopes of a change and of a token's event

Cause: docs/CAPACITY.md lacked the time from acceptance to the last daemon, and what a token allocates.

--- a/examples/local/slopes.sh
+++ b/examples/local/slopes.sh
@@ -2,7 +2,8 @@
 # Measures what control costs a daemon: starts DAEMONS daemons (five of them voters at most) and ENGINES
 # stand-in engines in groups of four, waits until they serve, and samples processor time, memory and
 # bytes over SECONDS of idleness. With TOKENS=1 it then sends long streams through one daemon and
-# measures its processor time for each token.
+# measures its processor time for each token. With APPLY=1 it makes five changes and measures the time from
+# the acceptance of each until the last daemon has it in force.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 DAEMONS=${DAEMONS:-3}
@@ -50,7 +51,7 @@
 		--announce-every 1s --entry-hosts "$entries" >/dev/null &
 	pids+=($!)
 done
-cli() { bin/savorywing "$1" --operators "127.0.0.1:$((22000 + $2))" --token-file "$work/token" "${@:3}"; }
+cli() { bin/savorywing "$1" "${@:3}" --operators "127.0.0.1:$((22000 + $2))" --token-file "$work/token"; }
 for i in $(seq 1 "$DAEMONS"); do
 	for _ in $(seq 1 300); do
 		[ "$(cli groups "$i" 2>/dev/null | grep -c ' true ')" = $((ENGINES / 4)) ] && break
@@ -69,6 +70,18 @@
 	read -r p1 q1 m1 <<<"$(bytes "$who")"
 	echo "daemons $DAEMONS engines $ENGINES d$who: core $(python3 -c "print(round(($t1-$t0)/$SECONDS_IDLE,2))")% rss $(($(rss "$pid") / 1024)) MB, peers $(((p1 - p0) / SECONDS_IDLE)) B/s in $(((m1 - m0) / SECONDS_IDLE)) messages, questions $(((q1 - q0) / SECONDS_IDLE)) B/s"
 done
+if [ -n "${APPLY:-}" ]; then
+	mkdir "$work/change" && cp "$work/d1"/*.yaml "$work/change/"
+	for n in 1 2 3 4 5; do
+		echo "limits: {claims: $((1000 + n))}" >"$work/change/30.yaml"
+		bin/savorywing apply "$work/change" --follows $((n - 1)) --operators 127.0.0.1:22001 --token-file "$work/token" >/dev/null
+		began=$(date +%s%N)
+		for i in $(seq 1 "$DAEMONS"); do
+			until cli config "$i" get 2>/dev/null | grep -q "^# configuration $n\$"; do :; done
+		done
+		echo "daemons $DAEMONS: in force on the last one $((($(date +%s%N) - began) / 1000000)) ms after acceptance"
+	done
+fi
 if [ -n "${TOKENS:-}" ]; then
 	for n in 2 4 8; do
 		pid=${pids[0]}
--- a/request/attempt/attempt_test.go
+++ b/request/attempt/attempt_test.go
@@ -139,3 +139,19 @@
 		}
 	})
 }
+
+// BenchmarkFrame measures what one token costs between the engine's connection and the caller's: reading
+// its event, checking it, and renaming it.
+func BenchmarkFrame(b *testing.B) {
+	data := []byte(`{"id":"0123456789abcdef0123456789abcdef","object":"chat.completion.chunk","created":1700000000,"model":"ledger","seq":7,"choices":[{"index":0,"delta":{"content":"4f9f2cab-7 "},"finish_reason":null}]}`)
+	b.ReportAllocs()
+	for range b.N {
+		f, err := attempt.ParseFrame(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if len(f.WithID("fedcba9876543210fedcba9876543210")) == 0 {
+			b.Fatal("empty")
+		}
+	}
+}
