Reading pass: polls and reports, the standard terms; one job a file

Cause: reading as a newcomer: Ask, question and Word stood for what the field calls poll, report and announcement; node.go held the view and the log's clock beside the node; the daemon took its clock twice. Changed: renamed (timing.ask is timing.poll now; nothing has been released), split, removed. Behaviour is the same: process, connection, version and request packages pass, linter clean.

--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -161,7 +161,7 @@
   ledger: {version: "1", span: 2, replicas: 1}
 services:
   booking: {prefix: /booking, idempotent: ["GET /booking/*"]}
-timing: {election: 500ms, freshness: 4s, confirm: 200ms, lease: 1s, ask: 250ms, longestOrder: 500ms, balancerNotice: 300ms}
+timing: {election: 500ms, freshness: 4s, confirm: 200ms, lease: 1s, poll: 250ms, longestOrder: 500ms, balancerNotice: 300ms}
 planning: {holdDown: 1s, holdDownMax: 2s, domainReturn: 1s}
 `
 
--- a/connection/backend/control.go
+++ b/connection/backend/control.go
@@ -33,12 +33,12 @@
 	return &Control{client: client, timeout: timeout}
 }
 
-// Ask returns the backend server's own word, made after the call began.
-func (c *Control) Ask(ctx context.Context, address string) (wire.Announcement, error) {
+// Poll returns the backend server's own announcement, made after the call began.
+func (c *Control) Poll(ctx context.Context, address string) (wire.Announcement, error) {
 	var a wire.Announcement
 	call := savorywing.Call{Method: fasthttp.MethodGet, Path: PathAnnouncement}
 	if err := c.call(ctx, address, call, &a); err != nil {
-		return a, fmt.Errorf("Control.Ask: %w", err)
+		return a, fmt.Errorf("Control.Poll: %w", err)
 	}
 	return a, nil
 }
--- a/connection/backend/doc.go
+++ b/connection/backend/doc.go
@@ -1,2 +1,2 @@
-// Package backend speaks HTTP/1.1 to backend servers: requests, questions and orders.
+// Package backend speaks HTTP/1.1 to backend servers: requests, polls and orders.
 package backend
--- a/connection/operator/types.go
+++ b/connection/operator/types.go
@@ -26,9 +26,9 @@
 
 // ControlCost is what control has cost this daemon since its start, in bytes.
 type ControlCost struct {
-	Peers             peer.TrafficCount `json:"peers"`
-	QuestionsSent     uint64            `json:"questionsSent"`
-	QuestionsReceived uint64            `json:"questionsReceived"`
+	Peers         peer.TrafficCount `json:"peers"`
+	PollsSent     uint64            `json:"pollsSent"`
+	PollsReceived uint64            `json:"pollsReceived"`
 }
 
 // VoterStatus is the state of a control host's part of the replicated log.
@@ -67,7 +67,7 @@
 
 	Group    string `json:"group"`
 	Draining bool   `json:"draining"`
-	// AgeSeconds is the age of its last own word; -1 if it never answered.
+	// AgeSeconds is the age of its last polled announcement; -1 if it never answered.
 	AgeSeconds float64 `json:"ageSeconds"`
 }
 
--- a/engine.go
+++ b/engine.go
@@ -9,8 +9,8 @@
 
 // BackendControl is what the system asks of a backend server besides requests.
 type BackendControl interface {
-	// Ask returns the backend server's announcement, made after Ask was called.
-	Ask(ctx context.Context, address string) (wire.Announcement, error)
+	// Poll returns the backend server's announcement, made after Poll was called.
+	Poll(ctx context.Context, address string) (wire.Announcement, error)
 	// Order tells a backend server what to hold.
 	Order(ctx context.Context, address string, o wire.Order) (wire.OrderReply, error)
 }
--- a/examples/local/slopes.sh
+++ b/examples/local/slopes.sh
@@ -60,7 +60,7 @@
 done
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 rss() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
-bytes() { cli status "$1" --json | python3 -c 'import json,sys; c=json.load(sys.stdin)["control"]; print(c["peers"]["sent"]+c["peers"]["received"], c["questionsSent"]+c["questionsReceived"], c["peers"]["messages"])'; }
+bytes() { cli status "$1" --json | python3 -c 'import json,sys; c=json.load(sys.stdin)["control"]; print(c["peers"]["sent"]+c["peers"]["received"], c["pollsSent"]+c["pollsReceived"], c["peers"]["messages"])'; }
 for who in 1 "$DAEMONS"; do
 	pid=${pids[$((who - 1))]}
 	t0=$(ticks "$pid")
@@ -68,7 +68,7 @@
 	sleep "$SECONDS_IDLE"
 	t1=$(ticks "$pid")
 	read -r p1 q1 m1 <<<"$(bytes "$who")"
-	echo "daemons $DAEMONS engines $ENGINES d$who: core $(python3 -c "print(round(($t1-$t0)/$SECONDS_IDLE,2))")% rss $(($(rss "$pid") / 1024)) MB, peers $(((p1 - p0) / SECONDS_IDLE)) B/s in $(((m1 - m0) / SECONDS_IDLE)) messages, questions $(((q1 - q0) / SECONDS_IDLE)) B/s"
+	echo "daemons $DAEMONS engines $ENGINES d$who: core $(python3 -c "print(round(($t1-$t0)/$SECONDS_IDLE,2))")% rss $(($(rss "$pid") / 1024)) MB, peers $(((p1 - p0) / SECONDS_IDLE)) B/s in $(((m1 - m0) / SECONDS_IDLE)) messages, polls $(((q1 - q0) / SECONDS_IDLE)) B/s"
 done
 if [ -n "${APPLY:-}" ]; then
 	mkdir "$work/change" && cp "$work/d1"/*.yaml "$work/change/"
--- a/process/daemon/confirm.go
+++ b/process/daemon/confirm.go
@@ -31,14 +31,14 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.registry.Settings().Timing.Election)
 	defer cancel()
 	ask := d.registry.Numbers()
-	askedAt := d.clock.Now()
+	requestedAt := d.clock.Now()
 	c, err := d.askConfirm(ctx, d.leaderHost(turn), ask)
 	if err != nil {
 		return err
 	}
-	err = d.registry.Confirmed(askedAt, c)
+	err = d.registry.Confirmed(requestedAt, c)
 	if err == nil && c.Number > ask.Configuration {
-		d.log.Info().Uint64("configuration", c.Number).Dur("took", d.clock.Now().Sub(askedAt)).Msg("configuration in force")
+		d.log.Info().Uint64("configuration", c.Number).Dur("took", d.clock.Now().Sub(requestedAt)).Msg("configuration in force")
 	}
 	return err
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -47,13 +47,13 @@
 	mesh     *peer.Mesh
 	node     *quorum.Node
 	backend  *backend.Client
-	// questions carries questions and orders only, so that their cost can be told apart.
-	questions *backend.Client
-	control   savorywing.BackendControl
-	proposer  *proposer
-	entry     *entry.Entry
-	callers   *caller.Server
-	operator  *operator.Server
+	// polls carries polls and orders only, so that their cost can be told apart.
+	polls    *backend.Client
+	control  savorywing.BackendControl
+	proposer *proposer
+	entry    *entry.Entry
+	callers  *caller.Server
+	operator *operator.Server
 
 	// announced joins the announcement handlers with the duty that forwards them.
 	announced *ring.Ring[wire.Announcement]
@@ -67,24 +67,13 @@
 	done   sync.WaitGroup
 }
 
-// Option sets an optional part of a Daemon.
-type Option func(*Daemon)
-
-// WithClock replaces the machine's clock.
-func WithClock(c savorywing.Clock) Option {
-	return func(d *Daemon) { d.clock = c }
-}
-
 // New prepares a daemon; Start runs it.
-func New(s *settings.Settings, clock savorywing.Clock, log zerolog.Logger, opts ...Option) (*Daemon, error) {
+func New(s *settings.Settings, clock savorywing.Clock, log zerolog.Logger) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, clock: clock, log: log, boot: uint64(clock.Now().UnixNano()), metrics: metrics.New(),
 		announced: ring.New[wire.Announcement](announceRing), ctx: ctx, cancel: cancel,
 	}
-	for _, opt := range opts {
-		opt(d)
-	}
 	if err := d.assemble(); err != nil {
 		cancel()
 		return nil, fmt.Errorf("daemon.New: %w", err)
@@ -104,8 +93,8 @@
 		return err
 	}
 	d.backend = backend.New(d.clock)
-	d.questions = backend.New(d.clock)
-	d.control = backend.NewControl(d.questions, d.settings.Timing.Ask)
+	d.polls = backend.New(d.clock)
+	d.control = backend.NewControl(d.polls, d.settings.Timing.Poll)
 	token, err := settings.LoadToken(d.settings.Daemon.OperatorsFile)
 	if err != nil {
 		return err
@@ -207,7 +196,7 @@
 	d.mesh.Start()
 	d.duty(d.forwardAnnouncements)
 	d.duty(d.confirm)
-	d.duty(d.ask)
+	d.duty(d.poll)
 	if d.node != nil {
 		d.node.Start()
 		d.duty(d.introduce)
--- a/process/daemon/groups.go
+++ b/process/daemon/groups.go
@@ -34,11 +34,11 @@
 func (d *Daemon) groupInput(view quorum.View) group.Input {
 	in := group.Input{Now: d.clock.Now(), LeadingSince: view.LeadingSince, Settings: d.registry.Settings(), Table: view.Table}
 	for _, a := range d.registry.Announcements() {
-		w := group.Word{Announcement: a}
-		if answer, askedAt, known := d.registry.Answer(a.Host); known {
-			w = group.Word{Announcement: answer, AskedAt: askedAt}
+		w := group.Report{Announcement: a}
+		if answer, requestedAt, known := d.registry.Answer(a.Host); known {
+			w = group.Report{Announcement: answer, RequestedAt: requestedAt}
 		}
-		in.Words = append(in.Words, w)
+		in.Reports = append(in.Reports, w)
 	}
 	return in
 }
--- a/process/daemon/operations.go
+++ b/process/daemon/operations.go
@@ -32,7 +32,7 @@
 		Configuration: d.registry.Numbers().Configuration, Fresh: d.registry.Fresh(), Histograms: d.metrics.Rows(),
 	}
 	s.Control.Peers = d.mesh.Traffic()
-	s.Control.QuestionsSent, s.Control.QuestionsReceived = d.questions.Traffic()
+	s.Control.PollsSent, s.Control.PollsReceived = d.polls.Traffic()
 	if host := d.leader.Load(); host != nil {
 		s.Leader = *host
 	}
@@ -106,9 +106,9 @@
 	var list []operator.HostStatus
 	for _, a := range o.daemon.registry.Announcements() {
 		s := operator.HostStatus{Announcement: a, Group: owners[a.Host].Group, Draining: owners[a.Host].Draining, AgeSeconds: -1}
-		if answer, askedAt, known := o.daemon.registry.Answer(a.Host); known {
+		if answer, requestedAt, known := o.daemon.registry.Answer(a.Host); known {
 			s.Announcement = answer
-			s.AgeSeconds = o.daemon.clock.Now().Sub(askedAt).Seconds()
+			s.AgeSeconds = o.daemon.clock.Now().Sub(requestedAt).Seconds()
 		}
 		list = append(list, s)
 	}
--- a/process/daemon/ask.go
+++ b/process/daemon/poll.go
@@ -9,13 +9,13 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// asking tracks the backend servers that are being asked, so that a silent one is asked once at a time.
-type asking struct {
+// polling tracks the backend servers that are being polled, so that a silent one is polled once at a time.
+type polling struct {
 	mu   sync.Mutex
 	busy map[string]bool
 }
 
-func (a *asking) begin(host string) bool {
+func (a *polling) begin(host string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.busy[host] {
@@ -25,45 +25,45 @@
 	return true
 }
 
-func (a *asking) end(host string) {
+func (a *polling) end(host string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.busy, host)
 }
 
-// ask is the duty that asks every backend server for its own word, which serving leases rest on.
-func (d *Daemon) ask() {
-	busy := &asking{busy: map[string]bool{}}
+// poll is the duty that polls every backend server for its own announcement, which serving leases rest on.
+func (d *Daemon) poll() {
+	busy := &polling{busy: map[string]bool{}}
 	for {
 		all := d.registry.Announcements()
-		pause := d.registry.Settings().Timing.Ask
+		pause := d.registry.Settings().Timing.Poll
 		for i, a := range all {
-			d.askOne(busy, a)
-			// The questions are spread over the pause.
-			if i%askBurst == askBurst-1 && !d.wait(pause/time.Duration(len(all)/askBurst+1)) {
+			d.pollOne(busy, a)
+			// The polls are spread over the pause.
+			if i%pollBurst == pollBurst-1 && !d.wait(pause/time.Duration(len(all)/pollBurst+1)) {
 				return
 			}
 		}
 		d.registry.Expire()
-		if !d.wait(pause / time.Duration(len(all)/askBurst+1)) {
+		if !d.wait(pause / time.Duration(len(all)/pollBurst+1)) {
 			return
 		}
 	}
 }
 
-const askBurst = 8
+const pollBurst = 8
 
-func (d *Daemon) askOne(busy *asking, a wire.Announcement) {
+func (d *Daemon) pollOne(busy *polling, a wire.Announcement) {
 	if !busy.begin(a.Host) {
 		return
 	}
 	err := d.pool.Submit(func() {
 		defer busy.end(a.Host)
-		askedAt := d.clock.Now()
-		answer, err := d.control.Ask(d.ctx, a.Address)
+		requestedAt := d.clock.Now()
+		answer, err := d.control.Poll(d.ctx, a.Address)
 		switch {
 		case err == nil && answer.Host == a.Host:
-			d.registry.Answered(askedAt, answer)
+			d.registry.Answered(requestedAt, answer)
 		case refusedConnection(err):
 			d.registry.Failed(a.Host)
 		}
--- a/process/entry/lane.go
+++ b/process/entry/lane.go
@@ -63,7 +63,7 @@
 
 // free is the number of a candidate's slots that may be lent by a fresh report and what was sent since.
 func (l *lane) free(now time.Time, c registry.Candidate, most int) int {
-	if now.Sub(c.AskedAt) > admission.LendReportAge {
+	if now.Sub(c.RequestedAt) > admission.LendReportAge {
 		return 0
 	}
 	return admission.Lendable(slotsOf(c, most), int(c.Load.Running+c.Load.Waiting)+int(l.unreported(c)))
@@ -118,13 +118,13 @@
 	return false
 }
 
-// unreported counts what was sent after the candidate's last load report was asked for.
+// unreported counts what was sent after the candidate's last load report was requested.
 func (l *lane) unreported(c registry.Candidate) float64 {
 	s := l.sent[c.ID]
 	if s == nil {
 		return 0
 	}
-	first := sort.Search(len(s.recent), func(i int) bool { return s.recent[i].After(c.AskedAt) })
+	first := sort.Search(len(s.recent), func(i int) bool { return s.recent[i].After(c.RequestedAt) })
 	s.recent = s.recent[first:]
 	return float64(len(s.recent))
 }
--- a/process/group/controller.go
+++ b/process/group/controller.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// aliveBound is how long a host counts as alive after its last answer was asked for.
+	// aliveBound is how long a host counts as alive after its last answer was requested.
 	aliveBound = 3 * time.Second
 	// flapMemory is how long a host must stay up until its flaps are forgotten.
 	flapMemory = time.Hour
@@ -23,11 +23,11 @@
 	failuresPerHostDay = 39.0 / 2100
 )
 
-// Word is what a host said of itself.
-type Word struct {
+// Report is what a host announced of itself.
+type Report struct {
 	Announcement wire.Announcement
-	// AskedAt is when it was asked, before the question was sent; zero if it never answered.
-	AskedAt time.Time
+	// RequestedAt is when it was polled, before the poll was sent; zero if it never answered.
+	RequestedAt time.Time
 }
 
 // Input is what one step is made from.
@@ -37,7 +37,7 @@
 	LeadingSince time.Time
 	Settings     *settings.Settings
 	Table        wire.Table
-	Words        []Word
+	Reports      []Report
 }
 
 // Order is an order to one backend server.
@@ -91,20 +91,20 @@
 
 // Step returns what to do now.
 func (c *Controller) Step(in Input) Output {
-	words := map[string]Word{}
-	for _, w := range in.Words {
-		words[w.Announcement.Host] = w
+	reports := map[string]Report{}
+	for _, w := range in.Reports {
+		reports[w.Announcement.Host] = w
 	}
-	c.observe(in, words)
+	c.observe(in, reports)
 	if in.Now.Sub(in.LeadingSince) < in.Settings.Timing.LongestOrder+settleTime {
 		return Output{}
 	}
 	var out Output
 	for _, g := range in.Table.Groups {
-		c.stepGroup(in, g, words, &out)
+		c.stepGroup(in, g, reports, &out)
 	}
 	unloadOrphans(in, &out)
-	c.plan(in, words, &out)
+	c.plan(in, reports, &out)
 	return out
 }
 
@@ -114,9 +114,9 @@
 	for _, h := range in.Table.Hosts {
 		owned[h.Host] = h.Group != ""
 	}
-	for _, w := range in.Words {
+	for _, w := range in.Reports {
 		h := w.Announcement.Holding
-		if h == nil || owned[w.Announcement.Host] || in.Now.Sub(w.AskedAt) >= aliveBound {
+		if h == nil || owned[w.Announcement.Host] || in.Now.Sub(w.RequestedAt) >= aliveBound {
 			continue
 		}
 		g := wire.Group{ID: h.Group, Fence: h.Fence, Model: h.Model, Version: h.Version}
@@ -125,14 +125,14 @@
 }
 
 // observe updates what is remembered of hosts and groups.
-func (c *Controller) observe(in Input, words map[string]Word) {
-	for host, w := range words {
+func (c *Controller) observe(in Input, reports map[string]Report) {
+	for host, w := range reports {
 		c.observeHost(in.Now, host, w)
 	}
 	seen := map[uint64]bool{}
 	for _, g := range in.Table.Groups {
 		seen[g.Fence] = true
-		c.observeGroup(in.Now, g, words)
+		c.observeGroup(in.Now, g, reports)
 	}
 	for fence := range c.conditions {
 		if !seen[fence] {
@@ -140,14 +140,14 @@
 		}
 	}
 	for host, l := range c.lives {
-		if _, known := words[host]; !known && l.alive {
+		if _, known := reports[host]; !known && l.alive {
 			l.alive, l.since = false, in.Now
 		}
 	}
 }
 
-func (c *Controller) observeHost(now time.Time, host string, w Word) {
-	alive := now.Sub(w.AskedAt) < aliveBound
+func (c *Controller) observeHost(now time.Time, host string, w Report) {
+	alive := now.Sub(w.RequestedAt) < aliveBound
 	l := c.lives[host]
 	if l == nil {
 		c.lives[host] = &life{alive: alive, since: now, boot: w.Announcement.Boot}
@@ -168,7 +168,7 @@
 	}
 }
 
-func (c *Controller) observeGroup(now time.Time, g wire.Group, words map[string]Word) {
+func (c *Controller) observeGroup(now time.Time, g wire.Group, reports map[string]Report) {
 	s := c.conditions[g.Fence]
 	if s == nil {
 		s = &condition{since: now}
@@ -177,17 +177,17 @@
 	if g.Phase == savorywing.PhaseReleasing && s.releasedAt.IsZero() {
 		s.releasedAt = now
 	}
-	if h := c.health(now, g, words); h != s.health {
+	if h := c.health(now, g, reports); h != s.health {
 		s.health, s.since = h, now
 	}
 }
 
-// health judges a group by its members' own words.
-func (c *Controller) health(now time.Time, g wire.Group, words map[string]Word) planner.Health {
+// health judges a group by its members' own reports.
+func (c *Controller) health(now time.Time, g wire.Group, reports map[string]Report) planner.Health {
 	health := planner.Whole
 	for _, m := range g.Members {
-		w, known := words[m.Host]
-		alive := known && now.Sub(w.AskedAt) < aliveBound
+		w, known := reports[m.Host]
+		alive := known && now.Sub(w.RequestedAt) < aliveBound
 		switch {
 		case !alive:
 			health = max(health, planner.Silent)
@@ -202,25 +202,25 @@
 	return a.Holding != nil && a.Holding.Group == g.ID && a.Holding.Fence == g.Fence
 }
 
-func (c *Controller) stepGroup(in Input, g wire.Group, words map[string]Word, out *Output) {
+func (c *Controller) stepGroup(in Input, g wire.Group, reports map[string]Report, out *Output) {
 	switch g.Phase {
 	case savorywing.PhaseLoading:
-		c.load(in, g, words, out)
+		c.load(in, g, reports, out)
 	case savorywing.PhaseReleasing:
-		c.release(in, g, words, out)
+		c.release(in, g, reports, out)
 	}
 }
 
 // load orders members that do not hold the group yet, and activates it once all are ready.
-func (c *Controller) load(in Input, g wire.Group, words map[string]Word, out *Output) {
+func (c *Controller) load(in Input, g wire.Group, reports map[string]Report, out *Output) {
 	hosts := make([]string, len(g.Members))
 	for i, m := range g.Members {
 		hosts[i] = m.Host
 	}
 	ready := &wire.GroupStep{Group: g.ID, Fence: g.Fence}
 	for _, m := range g.Members {
-		w := words[m.Host]
-		if in.Now.Sub(w.AskedAt) >= aliveBound {
+		w := reports[m.Host]
+		if in.Now.Sub(w.RequestedAt) >= aliveBound {
 			continue
 		}
 		if !holds(w.Announcement, g) {
@@ -241,21 +241,21 @@
 	o.Reasons = append(o.Reasons, reason)
 }
 
-func order(kind string, g wire.Group, w Word, hosts []string) Order {
+func order(kind string, g wire.Group, w Report, hosts []string) Order {
 	return Order{Host: w.Announcement.Host, Address: w.Announcement.Address, Order: wire.Order{
 		Kind: kind, Group: g.ID, Fence: g.Fence, Model: g.Model, Version: g.Version, Members: hosts,
 	}}
 }
 
-// release frees members that were asked after every lease and order had run out, and hold nothing.
-func (c *Controller) release(in Input, g wire.Group, words map[string]Word, out *Output) {
+// release frees members that were polled after every lease and order had run out, and hold nothing.
+func (c *Controller) release(in Input, g wire.Group, reports map[string]Report, out *Output) {
 	over := c.conditions[g.Fence].releasedAt.Add(ReleaseWait(in.Settings.Timing))
 	if in.Now.Before(over) {
 		return
 	}
 	for _, m := range g.Members {
-		w, known := words[m.Host]
-		if !known || !w.AskedAt.After(over) {
+		w, known := reports[m.Host]
+		if !known || !w.RequestedAt.After(over) {
 			continue
 		}
 		if w.Announcement.Holding == nil {
@@ -270,8 +270,8 @@
 }
 
 // plan asks the planner and turns its decisions into commands.
-func (c *Controller) plan(in Input, words map[string]Word, out *Output) {
-	p := c.planInput(in, words)
+func (c *Controller) plan(in Input, reports map[string]Report, out *Output) {
+	p := c.planInput(in, reports)
 	fences := map[string]uint64{}
 	for _, h := range in.Table.Hosts {
 		fences[h.Host] = h.Fence
@@ -312,7 +312,7 @@
 	}
 }
 
-func (c *Controller) planInput(in Input, words map[string]Word) *planner.Input {
+func (c *Controller) planInput(in Input, reports map[string]Report) *planner.Input {
 	cfg := in.Settings
 	p := &planner.Input{Now: in.Now, Limits: planner.Limits{
 		DowntimeWeight: cfg.Planning.DowntimeWeight, StrandedWeight: cfg.Planning.StrandedWeight,
@@ -328,14 +328,14 @@
 	for _, h := range in.Table.Hosts {
 		owners[h.Host] = h
 	}
-	for host, w := range words {
+	for host, w := range reports {
 		if w.Announcement.Kind == savorywing.KindEngine {
 			p.Hosts = append(p.Hosts, c.planHost(host, w, owners[host]))
 		}
 	}
 	for host, o := range owners {
-		if _, known := words[host]; !known {
-			p.Hosts = append(p.Hosts, c.planHost(host, Word{}, o))
+		if _, known := reports[host]; !known {
+			p.Hosts = append(p.Hosts, c.planHost(host, Report{}, o))
 		}
 	}
 	sort.Slice(p.Hosts, func(i, j int) bool { return p.Hosts[i].Name < p.Hosts[j].Name })
@@ -345,7 +345,7 @@
 	return p
 }
 
-func (c *Controller) planHost(host string, w Word, o wire.Ownership) planner.Host {
+func (c *Controller) planHost(host string, w Report, o wire.Ownership) planner.Host {
 	h := planner.Host{
 		Name: host, Domain: w.Announcement.FabricDomain, Accelerators: int(w.Announcement.Accelerators),
 		Group: o.Group, Fence: o.Fence, Draining: o.Draining, Leaving: w.Announcement.Leaving,
--- a/process/group/controller_test.go
+++ b/process/group/controller_test.go
@@ -27,7 +27,7 @@
 	now        time.Time
 	machine    *state.Machine
 	index      uint64
-	words      map[string]*Word
+	reports    map[string]*Report
 	controller *Controller
 	settings   *settings.Settings
 	// ignore makes hosts take orders with any fencing number, deaf ones take none.
@@ -41,11 +41,11 @@
 		panic(err)
 	}
 	f := &fleetFake{
-		now: time.Unix(1000, 0), machine: state.New(), words: map[string]*Word{}, settings: s,
+		now: time.Unix(1000, 0), machine: state.New(), reports: map[string]*Report{}, settings: s,
 		controller: NewController(planner.BestFit), deaf: map[string]bool{},
 	}
 	for _, h := range hosts {
-		f.words[h] = &Word{AskedAt: f.now, Announcement: wire.Announcement{
+		f.reports[h] = &Report{RequestedAt: f.now, Announcement: wire.Announcement{
 			Host: h, Boot: 1, Kind: savorywing.KindEngine, FabricDomain: "fabric", Accelerators: 1, Address: h,
 		}}
 	}
@@ -56,9 +56,9 @@
 func (f *fleetFake) run(seconds int, silent ...string) {
 	for range seconds {
 		f.now = f.now.Add(time.Second)
-		for host, w := range f.words {
+		for host, w := range f.reports {
 			if !contains(silent, host) {
-				w.AskedAt = f.now
+				w.RequestedAt = f.now
 			}
 		}
 		f.step(silent)
@@ -76,8 +76,8 @@
 
 func (f *fleetFake) step(silent []string) {
 	in := Input{Now: f.now, LeadingSince: time.Unix(1000, 0), Settings: f.settings, Table: f.machine.Table()}
-	for _, w := range f.words {
-		in.Words = append(in.Words, *w)
+	for _, w := range f.reports {
+		in.Reports = append(in.Reports, *w)
 	}
 	f.last = f.controller.Step(in)
 	for _, c := range f.last.Commands {
@@ -88,9 +88,9 @@
 		if contains(silent, o.Host) || f.deaf[o.Host] {
 			continue
 		}
-		f.words[o.Host].Announcement.Holding = nil
+		f.reports[o.Host].Announcement.Holding = nil
 		if o.Order.Kind == savorywing.OrderLoad {
-			f.words[o.Host].Announcement.Holding = &wire.Holding{
+			f.reports[o.Host].Announcement.Holding = &wire.Holding{
 				Group: o.Order.Group, Fence: o.Order.Fence, Model: o.Order.Model, Version: o.Order.Version, Ready: true,
 			}
 		}
@@ -98,7 +98,7 @@
 }
 
 func (f *fleetFake) restart(host string) {
-	w := f.words[host]
+	w := f.reports[host]
 	w.Announcement.Boot++
 	w.Announcement.Holding = nil
 }
@@ -193,7 +193,7 @@
 	})
 	Convey("A host that holds something nobody gave it is told to unload before it is used", t, func() {
 		f := newFleet("a", "b")
-		f.words["a"].Announcement.Holding = &wire.Holding{Group: "old", Fence: 99, Ready: true}
+		f.reports["a"].Announcement.Holding = &wire.Holding{Group: "old", Fence: 99, Ready: true}
 		f.run(12)
 		So(f.serving(), ShouldHaveLength, 2)
 	})
--- a/process/lease/tracker.go
+++ b/process/lease/tracker.go
@@ -1,5 +1,5 @@
 // Package lease decides whether a group or a plain service may be given work, on nothing but the
-// fresh word of every member. It is pure.
+// fresh announcements of every member. It is pure.
 package lease
 
 import (
@@ -10,21 +10,21 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// evidence is a backend server's own word.
+// evidence is a backend server's own announcement.
 type evidence struct {
-	// askedAt is read on the monotonic clock before the question was sent.
-	askedAt      time.Time
+	// requestedAt is read on the monotonic clock before the poll was sent.
+	requestedAt  time.Time
 	announcement wire.Announcement
 }
 
-// Tracker holds the evidence of every backend server that was asked.
+// Tracker holds the evidence of every backend server that was polled.
 type Tracker struct {
 	duration time.Duration
 	groups   map[string]wire.Group
 	evidence map[string]evidence
 }
 
-// NewTracker returns a tracker whose leases last duration from before their evidence was asked for.
+// NewTracker returns a tracker whose leases last duration from before their evidence was requested.
 func NewTracker(duration time.Duration) *Tracker {
 	return &Tracker{duration: duration, groups: map[string]wire.Group{}, evidence: map[string]evidence{}}
 }
@@ -40,13 +40,13 @@
 	}
 }
 
-// Answered takes a backend server's answer to a question that was asked at askedAt.
-func (t *Tracker) Answered(askedAt time.Time, a wire.Announcement) {
+// Answered takes a backend server's answer to a poll that was sent at requestedAt.
+func (t *Tracker) Answered(requestedAt time.Time, a wire.Announcement) {
 	old, known := t.evidence[a.Host]
 	if known && !announcement.Newer(a, old.announcement) {
 		return
 	}
-	t.evidence[a.Host] = evidence{askedAt: askedAt, announcement: a}
+	t.evidence[a.Host] = evidence{requestedAt: requestedAt, announcement: a}
 }
 
 // Failed ends every lease that rests on a host whose connection failed.
@@ -63,16 +63,16 @@
 	return *e.announcement.Load, true
 }
 
-// Announcement returns a host's newest answer and when it was asked for.
+// Announcement returns a host's newest answer and when it was requested.
 func (t *Tracker) Announcement(host string) (wire.Announcement, time.Time, bool) {
 	e, known := t.evidence[host]
-	return e.announcement, e.askedAt, known
+	return e.announcement, e.requestedAt, known
 }
 
-// fresh returns the host's word if it still counts at now.
+// fresh returns the host's announcement if it still counts at now.
 func (t *Tracker) fresh(host string, now time.Time) (wire.Announcement, time.Time, bool) {
 	e, known := t.evidence[host]
-	until := e.askedAt.Add(t.duration)
+	until := e.requestedAt.Add(t.duration)
 	if !known || !now.Before(until) || e.announcement.Leaving {
 		return wire.Announcement{}, time.Time{}, false
 	}
--- a/process/planner/input.go
+++ b/process/planner/input.go
@@ -57,7 +57,7 @@
 const (
 	// Whole groups have every member.
 	Whole Health = iota
-	// Silent groups miss the word of a member, who may return as it was.
+	// Silent groups miss the announcements of a member, who may return as it was.
 	Silent
 	// Dead groups have a member that can't be the same any more.
 	Dead
--- a/process/quorum/core.go
+++ b/process/quorum/core.go
@@ -73,7 +73,7 @@
 
 	role   Role
 	leader string
-	// heard is when the current leader's last word came; votes are refused for the election time after it.
+	// heard is when the current leader's last heartbeat came; votes are refused for the election time after it.
 	heard time.Time
 	// silentUntil is the end of the time after a start in which no vote is given, for a promise
 	// made to a leader before the start is forgotten.
--- a/process/quorum/election.go
+++ b/process/quorum/election.go
@@ -59,7 +59,7 @@
 	c.roundSent = map[uint64]time.Time{}
 	c.handingOver, c.transfer = false, false
 	for _, m := range c.members.Members {
-		// A majority has just voted, so the leader may assume its word until the first round is due.
+		// A majority has just voted, so the leader may assume its acknowledgement until the first round is due.
 		c.progress[m.ID] = &progress{next: c.log.last() + 1, acked: now.Add(-c.election / 2)}
 	}
 	c.firstOfTerm = c.log.last() + 1
--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -38,29 +38,6 @@
 	SendRaft(messages []wire.RaftMessage)
 }
 
-// View is what others may read of a node without asking its thread.
-type View struct {
-	ID            string
-	Role          Role
-	Term          uint64
-	Leader        string
-	Commit        uint64
-	LogLength     int
-	Members       wire.Membership
-	Table         wire.Table
-	Configuration uint64
-	// History lists the accepted configuration changes without their texts, oldest first.
-	History []wire.Configuration
-	Claims  int
-	// LeaseUntil is when the leader's lease runs out unless it is renewed; zero without a lease.
-	LeaseUntil time.Time
-	// LeadingSince is when the node last became leader.
-	LeadingSince time.Time
-	Failed       string
-	Syncs        uint64
-	SyncTime     time.Duration
-}
-
 // Node runs a Core with a disk, a clock and a transport on a thread of its own.
 type Node struct {
 	core      *Core
@@ -88,24 +65,6 @@
 	done         sync.WaitGroup
 }
 
-// logClock gives the times of commands. They go on from the log's own time with the leader's monotonic
-// clock, so that a wall clock which jumps can't make a claim expire early.
-type logClock struct {
-	term uint64
-	base int64
-	from time.Time
-}
-
-func (c *logClock) read(term uint64, newest int64, now time.Time) int64 {
-	if c.term != term || c.from.IsZero() {
-		c.term, c.base, c.from = term, newest, now
-		if newest == 0 {
-			c.base = now.UnixMilli()
-		}
-	}
-	return c.base + now.Sub(c.from).Milliseconds()
-}
-
 type waiter struct {
 	term uint64
 	done []chan<- proposed
@@ -470,32 +429,3 @@
 	r := savorywing.Record{Term: n.core.Term(), Vote: n.core.vote, Entries: n.core.Entries()}
 	n.fail(n.disk.Compact(s, r))
 }
-
-func (n *Node) publish() {
-	now := n.clock.Now()
-	leading := n.core.Role() == Leader
-	if !leading {
-		n.leadingSince = time.Time{}
-	} else if n.leadingSince.IsZero() {
-		n.leadingSince = now
-	}
-	if n.lastTable.Number != n.machine.TableNumber() || n.view.Load() == nil {
-		n.lastTable = n.machine.Table()
-	}
-	var history []wire.Configuration
-	if old := n.view.Load(); old != nil && old.Configuration == n.machine.Configuration().Number {
-		history = old.History
-	} else {
-		history = n.machine.History()
-	}
-	v := &View{History: history,
-		ID: n.core.ID(), Role: n.core.Role(), Term: n.core.Term(), Leader: n.core.LeaderID(), Commit: n.core.Commit(),
-		LogLength: n.core.Length(), Members: n.core.Members(), Table: n.lastTable,
-		Configuration: n.machine.Configuration().Number, Claims: n.machine.Claims(),
-		LeaseUntil: n.core.LeaseUntil(now), LeadingSince: n.leadingSince, Syncs: n.syncs, SyncTime: n.syncTime,
-	}
-	if n.failed != nil {
-		v.Failed = n.failed.Error()
-	}
-	n.view.Store(v)
-}
--- a/process/registry/candidate.go
+++ b/process/registry/candidate.go
@@ -15,10 +15,10 @@
 	Fence  uint64
 	Target savorywing.Target
 	Load   wire.Load
-	// AskedAt is when the load was asked for, by this host's clock.
-	AskedAt time.Time
-	Until   time.Time
-	Local   bool
+	// RequestedAt is when the load was requested, by this host's clock.
+	RequestedAt time.Time
+	Until       time.Time
+	Local       bool
 	// Prefixes are the cached prompt prefixes that the group has announced.
 	Prefixes []uint64
 }
@@ -68,17 +68,17 @@
 }
 
 func (r *Registry) candidate(host string, until time.Time) (Candidate, bool) {
-	a, askedAt, known := r.tracker.Announcement(host)
+	a, requestedAt, known := r.tracker.Announcement(host)
 	if !known || a.Load == nil {
 		return Candidate{}, false
 	}
 	return Candidate{
-		Target:   savorywing.Target{Address: a.Address, Host: host, Resumes: a.Resumes},
-		Load:     *a.Load,
-		AskedAt:  askedAt,
-		Until:    until,
-		Local:    a.DataCentre == r.dataCentre,
-		Prefixes: a.Prefixes,
+		Target:      savorywing.Target{Address: a.Address, Host: host, Resumes: a.Resumes},
+		Load:        *a.Load,
+		RequestedAt: requestedAt,
+		Until:       until,
+		Local:       a.DataCentre == r.dataCentre,
+		Prefixes:    a.Prefixes,
 	}, true
 }
 
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -1,5 +1,5 @@
 // Package registry holds what one daemon knows: the configuration in force, the groups, and the
-// backend servers' own word. It is safe for concurrent use.
+// backend servers' own announcements. It is safe for concurrent use.
 package registry
 
 import (
@@ -80,11 +80,11 @@
 	return seen
 }
 
-// Answered takes a backend server's answer to a question asked at askedAt.
-func (r *Registry) Answered(askedAt time.Time, a wire.Announcement) announcement.News {
+// Answered takes a backend server's answer to a poll sent at requestedAt.
+func (r *Registry) Answered(requestedAt time.Time, a wire.Announcement) announcement.News {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracker.Answered(askedAt, a)
+	r.tracker.Answered(requestedAt, a)
 	return r.directory.Observe(r.clock.Now(), a)
 }
 
@@ -109,7 +109,7 @@
 	return r.directory.All()
 }
 
-// Answer returns a host's newest answer to a question, and when it was asked.
+// Answer returns a host's newest answer to a poll, and when it was requested.
 func (r *Registry) Answer(host string) (wire.Announcement, time.Time, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -123,8 +123,8 @@
 	return wire.Confirm{Configuration: r.number, Table: r.table.Number}
 }
 
-// Confirmed takes a voter's confirmation that was asked for at askedAt.
-func (r *Registry) Confirmed(askedAt time.Time, c wire.Confirmed) error {
+// Confirmed takes a voter's confirmation that was requested at requestedAt.
+func (r *Registry) Confirmed(requestedAt time.Time, c wire.Confirmed) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c.Number < r.number {
@@ -142,8 +142,8 @@
 		r.table = *c.Table
 		r.tracker.SetTable(r.table)
 	}
-	if r.table.Number == c.TableNumber && askedAt.After(r.confirmedAt) {
-		r.confirmedAt = askedAt
+	if r.table.Number == c.TableNumber && requestedAt.After(r.confirmedAt) {
+		r.confirmedAt = requestedAt
 	}
 	return nil
 }
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -32,7 +32,7 @@
 	IgnoreFencing bool `json:"ignoreFencing"`
 	// LoseOrderAnswer carries an order out and closes the connection.
 	LoseOrderAnswer bool `json:"loseOrderAnswer"`
-	// Mute stops announcements and answers to questions.
+	// Mute stops announcements and answers to polls.
 	Mute bool `json:"mute"`
 	// Times bounds how many requests the faults of a stream hit; 0 means all.
 	Times int `json:"times"`
--- a/standin/handle.go
+++ b/standin/handle.go
@@ -54,7 +54,7 @@
 	case "/stats":
 		s.reply(ctx, s.Stats())
 	case backend.PathAnnouncement:
-		s.handleAsk(ctx)
+		s.handlePoll(ctx)
 	case backend.PathOrder:
 		s.handleOrder(ctx)
 	default:
@@ -85,7 +85,7 @@
 	ctx.SetBody(text)
 }
 
-func (s *Server) handleAsk(ctx *fasthttp.RequestCtx) {
+func (s *Server) handlePoll(ctx *fasthttp.RequestCtx) {
 	if s.muted() {
 		dropConnection(ctx)
 		return
--- a/version/settings/defaults.go
+++ b/version/settings/defaults.go
@@ -5,7 +5,7 @@
 // Defaults of values that the files leave out.
 const (
 	defaultLease          = 2 * time.Second
-	defaultAsk            = 500 * time.Millisecond
+	defaultPoll           = 500 * time.Millisecond
 	defaultFreshness      = 5 * time.Second
 	defaultConfirm        = 500 * time.Millisecond
 	defaultElection       = 1 * time.Second
@@ -54,7 +54,7 @@
 
 func (t *Timing) defaults() {
 	orDefault(&t.Lease, defaultLease)
-	orDefault(&t.Ask, defaultAsk)
+	orDefault(&t.Poll, defaultPoll)
 	orDefault(&t.Freshness, defaultFreshness)
 	orDefault(&t.Confirm, defaultConfirm)
 	orDefault(&t.Election, defaultElection)
--- a/version/settings/settings.go
+++ b/version/settings/settings.go
@@ -113,15 +113,15 @@
 
 // Timing holds the bounds that the promises rest on.
 type Timing struct {
-	// Lease is how long the members' own word lets a group serve, from before they were asked.
+	// Lease is how long the members' own announcements lets a group serve, from before they were polled.
 	Lease time.Duration `yaml:"lease"`
-	// Ask is the pause between two questions to the same backend server.
-	Ask time.Duration `yaml:"ask"`
+	// Poll is the pause between two polls of the same backend server.
+	Poll time.Duration `yaml:"poll"`
 	// Freshness is how long an entry host admits requests on its last confirmed configuration.
 	Freshness time.Duration `yaml:"freshness"`
 	// Confirm is the pause between two confirmations of the configuration.
 	Confirm time.Duration `yaml:"confirm"`
-	// Election is the shortest time without a leader's word after which a voter stands for election.
+	// Election is the shortest time without a leader's heartbeat after which a voter stands for election.
 	Election time.Duration `yaml:"election"`
 	// LongestOrder bounds the time that an order is on its way to a backend server.
 	LongestOrder time.Duration `yaml:"longestOrder"`
--- a/version/settings/validate.go
+++ b/version/settings/validate.go
@@ -189,8 +189,8 @@
 	if 2*t.Confirm > t.Freshness {
 		s.tree.problem("timing.confirm", "must be at most half of freshness")
 	}
-	if 2*t.Ask > t.Lease {
-		s.tree.problem("timing.ask", "must be at most half of lease")
+	if 2*t.Poll > t.Lease {
+		s.tree.problem("timing.poll", "must be at most half of lease")
 	}
 	if 3*t.Election > t.Freshness {
 		s.tree.problem("timing.election", "must be at most a third of freshness, or every election stops admission")
--- a/wire/types.go
+++ b/wire/types.go
@@ -3,7 +3,7 @@
 package wire
 
 // Announcement is what a backend server says of itself, pushed to any entry host
-// or returned when asked.
+// or returned when polled.
 type Announcement struct {
 	// Accelerators corresponds to the JSON schema field "accelerators".
 	Accelerators uint64 `json:"accelerators"`
