--- a/cmd/savorywing/failure_test.go
+++ b/cmd/savorywing/failure_test.go
@@ -17,8 +17,8 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// TestAtMostOnce sends every key through two entry hosts at once, kills an entry host in mid-flight
-// and then the claims' leader, and sends every key again: no key ever runs twice.
+// TestAtMostOnce sends every key through three entry hosts at once, kills an entry host in mid-flight, then
+// the claims' leader, then every control host, and sends every key again after each: none runs twice.
 func TestAtMostOnce(t *testing.T) {
 	s := newSystem(t, 3)
 	services := []*process{s.service("booking-1", 150*time.Millisecond), s.service("booking-2", 150*time.Millisecond)}
@@ -62,6 +62,14 @@
 	}
 	send(0, 1, 2)
 	s.waitReady()
+	for _, p := range s.daemons {
+		p.kill()
+	}
+	for _, p := range s.daemons {
+		p.start()
+	}
+	s.waitReady()
+	s.eventually("the services are known again", func() bool { return s.ask(0, "GET", "/booking/slots", "", "").status == 200 })
 	send(0, 1, 2)
 	answered := 0
 	for k := range keys {
@@ -399,9 +407,25 @@
 	s.waitReady()
 }
 
-// TestLeaving proves that a service that is leaving gets nothing new, at every entry host.
-func TestLeaving(t *testing.T) {
+// TestAnnouncementSpreads lets a service announce itself to one entry host only: the others route to it.
+func TestAnnouncementSpreads(t *testing.T) {
 	s := newSystem(t, 3)
+	s.waitReady()
+	all := s.callers
+	s.callers = all[:1]
+	began := time.Now()
+	s.service("booking-1", time.Millisecond)
+	s.callers = all
+	for i := range s.daemons {
+		s.eventually("the service is used", func() bool { return s.ask(i, "GET", "/booking/x", "", "").status == 200 })
+	}
+	t.Logf("every entry host routes to it %s after its process was started", time.Since(began).Round(time.Millisecond))
+}
+
+// TestLeaving proves that a service that is leaving gets nothing new, at every entry host, also at one
+// that is cut off from the others.
+func TestLeaving(t *testing.T) {
+	s := newRelayedSystem(t, 3)
 	one, two := s.service("booking-1", time.Millisecond), s.service("booking-2", time.Millisecond)
 	s.waitReady()
 	used := func(p *process) bool {
@@ -414,6 +438,7 @@
 		return s.stats(p).Requests > before
 	}
 	s.eventually("both services are used", func() bool { return used(one) && used(two) })
+	s.cut(2, true)
 	post(t, one.address, "/leaving", "true")
 	s.eventually("the leaving service gets nothing new", func() bool { return !used(one) })
 	if !used(two) {
