The check of a planned stop is longer than the listener's own wait

Cause: proofs/run.sh, second run: with the drain switched off TestPlannedStop still passed. Its answers took 1 to 2 s, and the listener alone waits up to 5 s for its connections; the first run's failure was luck. Changed: answers of 1,600 tokens (8 s and more); the check is stricter. Seen: passes in 24 s; fails as it must with the drain switched off.

--- a/cmd/savorywing/failure_test.go
+++ b/cmd/savorywing/failure_test.go
@@ -379,14 +379,16 @@
 	for i := range s.daemons {
 		s.waitGroup(i)
 	}
-	want := strings.TrimSpace(strings.Join(standin.Text("p", 200), ""))
+	// These answers take longer than the listener alone waits for its connections.
+	const tokens = 1600
+	want := strings.TrimSpace(strings.Join(standin.Text("p", tokens), ""))
 	var bad atomic.Int64
 	var done sync.WaitGroup
 	for range 12 {
 		done.Add(1)
 		go func() {
 			defer done.Done()
-			a := s.ask(0, "POST", "/v1/completions", "", `{"model":"ledger","prompt":"p","max_tokens":200}`)
+			a := s.ask(0, "POST", "/v1/completions", "", fmt.Sprintf(`{"model":"ledger","prompt":"p","max_tokens":%d}`, tokens))
 			if a.status != 200 || !strings.Contains(a.body, want) {
 				bad.Add(1)
 				t.Logf("status %d %v %s", a.status, a.err, tail(a.body))
