--- a/process/disk/folder.go
+++ b/process/disk/folder.go
@@ -288,6 +288,9 @@
 	return nil
 }
 
+// Dir returns the data folder.
+func (f *Folder) Dir() string { return f.dir }
+
 // Torn returns the number of bytes that Load cut off.
 func (f *Folder) Torn() int { return f.torn }
 
--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -57,12 +57,14 @@
 	lastTable    wire.Table
 	leadingSince time.Time
 	logClock     logClock
-	failed       error
-	syncs        uint64
-	syncTime     time.Duration
-	ctx          context.Context
-	cancel       context.CancelFunc
-	done         sync.WaitGroup
+	// compactAt bounds the log: it is never longer than this and one batch.
+	compactAt int
+	failed    error
+	syncs     uint64
+	syncTime  time.Duration
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
 }
 
 type waiter struct {
@@ -80,6 +82,11 @@
 	return func(n *Node) { n.seed = seed }
 }
 
+// WithCompaction sets the number of entries at which the log is replaced by a snapshot.
+func WithCompaction(entries int) Option {
+	return func(n *Node) { n.compactAt = entries }
+}
+
 // NewNode loads the disk and returns a node that Start runs.
 func NewNode(d savorywing.Disk, clock savorywing.Clock, t Transport, election time.Duration, log zerolog.Logger, opts ...Option) (*Node, error) {
 	stored, err := d.Load()
@@ -89,7 +96,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		disk: d, clock: clock, transport: t, election: election, log: log, events: ring.New[event](ringSize),
-		waiting: map[uint64]waiter{}, ctx: ctx, cancel: cancel, seed: uint64(clock.Now().UnixNano()),
+		waiting: map[uint64]waiter{}, ctx: ctx, cancel: cancel, seed: uint64(clock.Now().UnixNano()), compactAt: compactEntries,
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -417,7 +424,7 @@
 
 // compact replaces the applied log by a snapshot once it has grown.
 func (n *Node) compact() {
-	if n.core.Length() < compactEntries {
+	if n.core.Length() < n.compactAt {
 		return
 	}
 	data, err := n.machine.Snapshot()
--- a/process/quorum/node_test.go
+++ b/process/quorum/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/disk"
+	"savorywing.example/savorywing/process/state"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -57,3 +59,50 @@
 		So(savorywing.AsRefusal(err).Code(), ShouldEqual, savorywing.CodeUnknown)
 	})
 }
+
+// TestNodeCompacts proves that the log stays bounded, and that a voter which starts from the snapshot and
+// the entries behind it has the same state.
+func TestNodeCompacts(t *testing.T) {
+	Convey("A voter that compacts its log", t, func() {
+		const most, claims = 50, 400
+		folder, err := disk.Open(t.TempDir(), "host")
+		So(err, ShouldBeNil)
+		start := func(d savorywing.Disk) *Node {
+			n, err := NewNode(d, clock.System{}, &local{}, 20*time.Millisecond, zerolog.Nop(), WithSeed(1), WithCompaction(most))
+			So(err, ShouldBeNil)
+			return n
+		}
+		node := start(folder)
+		So(node.form(wire.Membership{Members: []wire.Member{{ID: node.View().ID, Voter: true}}}), ShouldBeNil)
+		node.Start()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		for !node.HasLease() && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		longest := 0
+		for i := range claims {
+			r, err := node.Propose(ctx, claimCommand(fmt.Sprint(i)))
+			So(err, ShouldBeNil)
+			So(r.Accepted, ShouldBeTrue)
+			longest = max(longest, node.View().LogLength)
+		}
+		So(longest, ShouldBeLessThanOrEqualTo, most)
+		commit := node.View().Commit
+		node.Stop()
+
+		again, err := disk.Open(folder.Dir(), "host")
+		So(err, ShouldBeNil)
+		restarted := start(again)
+		restarted.Start()
+		defer restarted.Stop()
+		for !restarted.HasLease() && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		So(restarted.View().Commit, ShouldBeGreaterThanOrEqualTo, commit)
+		So(restarted.View().Claims, ShouldEqual, claims)
+		r, err := restarted.Propose(ctx, claimCommand("0"))
+		So(err, ShouldBeNil)
+		So(r.Claim.State, ShouldEqual, state.ClaimRunning)
+	})
+}
