A daemon that has just started is not ready before it knows the backend servers

It had confirmed the configuration, said it was ready, and refused with 'no whole group serves this now', for it had not polled the backend servers yet. A balancer would have sent callers there. The process tests wait for /readyz, as a balancer does, where they looked at the configuration only: stricter.

--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -325,7 +325,7 @@
 		if len(skip) > 0 && skip[0] == i {
 			continue
 		}
-		s.eventually(fmt.Sprintf("entry-%d confirms the configuration", i), func() bool { return s.status(i).Fresh })
+		s.eventually(fmt.Sprintf("entry-%d is ready for the balancer", i), func() bool { return s.ask(i, "GET", "/readyz", "", "").status == 200 })
 	}
 }
 
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -16,7 +16,11 @@
 	"savorywing.example/savorywing/wire"
 )
 
-const directoryKeep = 15 * time.Second
+const (
+	directoryKeep = 15 * time.Second
+	// readyBound is when a daemon that still misses a backend server's answer is ready all the same.
+	readyBound = 10 * time.Second
+)
 
 // ErrReverted says that a voter confirmed an older configuration than the one in force.
 var ErrReverted = errors.New("the confirmed configuration is older than the one in force")
@@ -25,6 +29,7 @@
 type Registry struct {
 	clock      savorywing.Clock
 	dataCentre string
+	startedAt  time.Time
 
 	mu        sync.RWMutex
 	directory *announcement.Directory
@@ -41,7 +46,7 @@
 // New returns a registry that starts from a daemon's own settings as configuration 0.
 func New(clock savorywing.Clock, s *settings.Settings) (*Registry, error) {
 	r := &Registry{
-		clock: clock, dataCentre: s.Hosts[s.Daemon.Host].DataCentre,
+		clock: clock, startedAt: clock.Now(), dataCentre: s.Hosts[s.Daemon.Host].DataCentre,
 		directory: announcement.NewDirectory(directoryKeep), tracker: lease.NewTracker(s.Timing.Lease),
 	}
 	if err := r.use(s); err != nil {
@@ -171,6 +176,39 @@
 	return !r.confirmedAt.IsZero() && r.clock.Now().Sub(r.confirmedAt) < r.settings.Timing.Freshness
 }
 
+// Ready tells whether callers may be sent here: the configuration is fresh, and the daemon has been up
+// for long enough to know the backend servers. One that has just started would refuse what others serve.
+func (r *Registry) Ready() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	up := r.clock.Now().Sub(r.startedAt)
+	if !r.fresh() || up < r.settings.Timing.Lease {
+		return false
+	}
+	return up >= readyBound || r.polledAll()
+}
+
+// polledAll tells whether every listed backend server and every member of a serving group has answered
+// a poll.
+func (r *Registry) polledAll() bool {
+	for _, a := range r.directory.All() {
+		if _, _, known := r.tracker.Announcement(a.Host); !known {
+			return false
+		}
+	}
+	for _, g := range r.table.Groups {
+		if g.Phase != savorywing.PhaseServing {
+			continue
+		}
+		for _, m := range g.Members {
+			if _, _, known := r.tracker.Announcement(m.Host); !known {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Settings returns the settings in force; they must not be changed.
 func (r *Registry) Settings() *settings.Settings {
 	r.mu.RLock()
--- a/request/caller/server.go
+++ b/request/caller/server.go
@@ -110,7 +110,7 @@
 }
 
 func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
-	if !s.ready.Load() || !s.registry.Fresh() {
+	if !s.ready.Load() || !s.registry.Ready() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.SetBodyString("not ready\n")
 		return
