--- a/cmd/savorywing/session_test.go
+++ b/cmd/savorywing/session_test.go
@@ -107,6 +107,7 @@
 	say("POST", "/v1/chat/completions", "", `{"model":"ledger","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`)
 	say("POST", "/v1/chat/completions", "", `{"model":"ledger","max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`)
 	say("POST", "/v1/completions", "", `{"model":"ledger","max_tokens":2,"prompt":"hello"}`)
+	say("POST", "/v1/completions", "", `{"model":"ledger","stream":true,"max_tokens":2,"prompt":"hello"}`)
 	say("POST", "/booking/confirm", "booking-7", "slot 7")
 	say("POST", "/booking/confirm", "booking-7", "slot 7")
 	say("POST", "/booking/confirm", "booking-7", "slot 8")
