Second reading: put back what was taken, gather once, one set-up

Cause: reading the whole change again. - PutBack charged back by the present service time what Next had charged by an earlier one, and gave the request a new place; the dispatcher put back its own copy, without either. The request is put back as Next gave it out now; TestPutBack checks the charge after the service time has changed. - Each offer gathered the organisations' weights anew, and each look for a plain service sorted the whole directory; weights are gathered with a new configuration, and only what was found is sorted. - The dispatcher held each waiting request twice; two process tests held the same set-up.

--- a/cmd/savorywing/failure_test.go
+++ b/cmd/savorywing/failure_test.go
@@ -107,13 +107,7 @@
 
 // TestLeaderLost kills, freezes and thaws leaders under load: serving goes on.
 func TestLeaderLost(t *testing.T) {
-	s := newSystem(t, 3)
-	s.engine("engine-1", true)
-	s.engine("engine-2", true)
-	s.waitReady()
-	for i := range s.daemons {
-		s.waitGroup(i)
-	}
+	s := newServingSystem(t)
 	for _, harm := range []string{"kill", "freeze"} {
 		s.eventually("there is a leader", func() bool { return s.leader() >= 0 })
 		leader := s.leader()
@@ -372,13 +366,7 @@
 
 // TestPlannedStop stops an entry host under load: every request it took is answered whole.
 func TestPlannedStop(t *testing.T) {
-	s := newSystem(t, 3)
-	s.engine("engine-1", true)
-	s.engine("engine-2", true)
-	s.waitReady()
-	for i := range s.daemons {
-		s.waitGroup(i)
-	}
+	s := newServingSystem(t)
 	// These answers take longer than the listener alone waits for its connections.
 	const tokens = 1600
 	want := strings.TrimSpace(strings.Join(standin.Text("p", tokens), ""))
--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -171,6 +171,19 @@
 	return startSystem(t, daemons, false)
 }
 
+// newServingSystem starts three daemons and a group of two engines that serves at each of them.
+func newServingSystem(t *testing.T) *system {
+	t.Helper()
+	s := newSystem(t, 3)
+	s.engine("engine-1", true)
+	s.engine("engine-2", true)
+	s.waitReady()
+	for i := range s.daemons {
+		s.waitGroup(i)
+	}
+	return s
+}
+
 // newRelayedSystem starts daemons that reach one another through relays, which can fall silent.
 func newRelayedSystem(t *testing.T, daemons int) *system {
 	t.Helper()
--- a/connection/announcement/directory.go
+++ b/connection/announcement/directory.go
@@ -78,12 +78,17 @@
 	return e.announcement, e.seen, known
 }
 
+// Each calls f with every announcement, in no order.
+func (d *Directory) Each(f func(a wire.Announcement)) {
+	for _, e := range d.entries {
+		f(e.announcement)
+	}
+}
+
 // All returns every announcement, sorted by host.
 func (d *Directory) All() []wire.Announcement {
 	all := make([]wire.Announcement, 0, len(d.entries))
-	for _, e := range d.entries {
-		all = append(all, e.announcement)
-	}
+	d.Each(func(a wire.Announcement) { all = append(all, a) })
 	sort.Slice(all, func(i, j int) bool { return all[i].Host < all[j].Host })
 	return all
 }
--- a/process/admission/queue.go
+++ b/process/admission/queue.go
@@ -142,6 +142,8 @@
 	if now.Add(q.first).After(item.Deadline) {
 		return Verdict{Refused: true, RetryAfter: max(minRetryAfter, wait)}
 	}
+	q.nextID++
+	item.order, item.cost = q.nextID, q.service.Seconds()
 	q.push(item)
 	return Verdict{}
 }
@@ -209,9 +211,6 @@
 	if len(t.items.items) == 0 {
 		t.finish = max(t.finish, q.idleStart())
 	}
-	q.nextID++
-	item.order = q.nextID
-	item.cost = q.service.Seconds()
 	if q.order == FirstCome {
 		t.items.firstCome = true
 	}
@@ -305,9 +304,8 @@
 	return time.Duration(float64(q.waiting) / float64(q.slots) * float64(q.service))
 }
 
-// PutBack returns a request that Next gave out and that could not run, and takes back its charge.
+// PutBack returns a request as Next gave it out, because it could not run, and takes back its charge.
 func (q *Queue) PutBack(item Item) {
 	q.push(item)
-	t := q.tenants[item.Organisation]
-	t.finish -= q.service.Seconds() / q.share(item.Organisation)
+	q.tenants[item.Organisation].finish -= item.cost / q.share(item.Organisation)
 }
--- a/process/admission/queue_test.go
+++ b/process/admission/queue_test.go
@@ -124,7 +124,10 @@
 		q.Offer(start, 0, item("x", "a", time.Hour))
 		it, ok := q.Next(0)
 		So(ok, ShouldBeTrue)
+		charged := q.tenants["a"].finish
+		q.Finished(time.Minute, 0)
 		q.PutBack(it)
+		So(q.tenants["a"].finish, ShouldEqual, charged-it.cost)
 		So(q.Len(), ShouldEqual, 1)
 		_, ok = q.Next(0)
 		So(ok, ShouldBeTrue)
--- a/process/entry/dispatcher.go
+++ b/process/entry/dispatcher.go
@@ -8,6 +8,7 @@
 	"savorywing.example/savorywing/process/admission"
 	"savorywing.example/savorywing/process/registry"
 	"savorywing.example/savorywing/process/ring"
+	"savorywing.example/savorywing/version/settings"
 )
 
 const (
@@ -55,6 +56,9 @@
 	events   *ring.Ring[event]
 	lanes    map[string]*lane
 	seed     uint64
+	// sharesNow are the weights of organisations in sharesFrom.
+	sharesFrom *settings.Settings
+	sharesNow  map[string]float64
 	// place tells this host's place among the entry hosts that are up.
 	place func() place
 }
@@ -114,12 +118,17 @@
 	return l
 }
 
+// shares returns the weights of organisations; they are gathered anew only with a new configuration.
 func (d *dispatcher) shares() map[string]float64 {
-	shares := map[string]float64{}
-	for name, o := range d.registry.Settings().Organisations {
-		shares[name] = o.Share
+	s := d.registry.Settings()
+	if s == d.sharesFrom {
+		return d.sharesNow
 	}
-	return shares
+	d.sharesFrom, d.sharesNow = s, make(map[string]float64, len(s.Organisations))
+	for name, o := range s.Organisations {
+		d.sharesNow[name] = o.Share
+	}
+	return d.sharesNow
 }
 
 func (d *dispatcher) candidates(r *savorywing.Request) []registry.Candidate {
@@ -149,7 +158,7 @@
 		e.done <- decision{refusal: tooLate(v.RetryAfter)}
 		return
 	}
-	l.waiting[item.ID] = waiting{offer: e, item: item}
+	l.waiting[item.ID] = e
 	d.pump(l)
 }
 
@@ -176,39 +185,39 @@
 // pump grants to waiting requests while there is room.
 func (d *dispatcher) pump(l *lane) {
 	p, most := d.place(), d.groupRequests()
-	var blocked []waiting
+	var blocked []admission.Item
 	for l.queue.Len() > 0 {
 		item, ok := l.queue.Next(l.running)
 		if !ok {
 			break
 		}
 		w := l.waiting[item.ID]
-		candidates := d.candidates(w.offer.request)
-		if !anyLeft(candidates, w.offer.exclude) {
+		candidates := d.candidates(w.request)
+		if !anyLeft(candidates, w.exclude) {
 			delete(l.waiting, item.ID)
-			w.offer.done <- decision{refusal: noneLeft()}
+			w.done <- decision{refusal: noneLeft()}
 			continue
 		}
-		free := l.room(d.clock.Now(), candidates, p, most, w.offer.exclude)
+		free := l.room(d.clock.Now(), candidates, p, most, w.exclude)
 		if len(free) == 0 {
-			blocked = append(blocked, w)
-			if len(w.offer.exclude) == 0 {
+			blocked = append(blocked, item)
+			if len(w.exclude) == 0 {
 				break
 			}
 			continue
 		}
-		d.grant(l, w, l.pick(free, w.offer.request.Prefix))
+		d.grant(l, w, l.pick(free, w.request.Prefix))
 	}
-	for _, w := range blocked {
-		l.queue.PutBack(w.item)
+	for _, item := range blocked {
+		l.queue.PutBack(item)
 	}
 }
 
-func (d *dispatcher) grant(l *lane, w waiting, c registry.Candidate) {
+func (d *dispatcher) grant(l *lane, w offerEvent, c registry.Candidate) {
 	now := d.clock.Now()
 	l.begin(now, c.ID)
-	delete(l.waiting, w.item.ID)
-	w.offer.done <- decision{grant: grant{candidate: c, grantedAt: now}}
+	delete(l.waiting, string(w.request.Number))
+	w.done <- decision{grant: grant{candidate: c, grantedAt: now}}
 }
 
 func (d *dispatcher) finished(e finishedEvent) {
@@ -236,7 +245,7 @@
 		for _, item := range l.queue.Expire(d.clock.Now()) {
 			w := l.waiting[item.ID]
 			delete(l.waiting, item.ID)
-			w.offer.done <- decision{refusal: tooLate(max(retryAfter, expireEvery))}
+			w.done <- decision{refusal: tooLate(max(retryAfter, expireEvery))}
 		}
 		d.pump(l)
 	}
--- a/process/entry/lane.go
+++ b/process/entry/lane.go
@@ -16,12 +16,6 @@
 	grantedAt time.Time
 }
 
-// waiting is one request in a lane's queue.
-type waiting struct {
-	offer offerEvent
-	item  admission.Item
-}
-
 // sent counts a candidate's requests of this host.
 type sent struct {
 	inFlight int
@@ -34,9 +28,10 @@
 	queue    *admission.Queue
 	router   *router.Router
 	detector *straggler.Detector
-	waiting  map[string]waiting
-	sent     map[string]*sent
-	running  int
+	// waiting holds the offers in the queue by their requests' numbers.
+	waiting map[string]offerEvent
+	sent    map[string]*sent
+	running int
 }
 
 func newLane(shares map[string]float64, seed uint64) *lane {
@@ -44,7 +39,7 @@
 		queue:    admission.NewQueue(admission.FairDeadline, admission.WithShares(shares)),
 		router:   router.New(router.Affinity, seed),
 		detector: straggler.NewDetector(),
-		waiting:  map[string]waiting{}, sent: map[string]*sent{},
+		waiting:  map[string]offerEvent{}, sent: map[string]*sent{},
 	}
 }
 
--- a/process/registry/candidate.go
+++ b/process/registry/candidate.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"sort"
 	"time"
 
 	"savorywing.example/savorywing"
@@ -51,19 +52,20 @@
 	defer r.mu.RUnlock()
 	now := r.clock.Now()
 	var found []Candidate
-	for _, a := range r.directory.All() {
+	r.directory.Each(func(a wire.Announcement) {
 		if a.Kind != savorywing.KindService || a.Service != service {
-			continue
+			return
 		}
 		until, ok := r.tracker.Service(a.Host, now)
 		if !ok {
-			continue
+			return
 		}
 		if c, ok := r.candidate(a.Host, until); ok {
 			c.ID = a.Host
 			found = append(found, c)
 		}
-	}
+	})
+	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
 	return found
 }
 
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -191,10 +191,13 @@
 // polledAll tells whether every listed backend server and every member of a serving group has answered
 // a poll.
 func (r *Registry) polledAll() bool {
-	for _, a := range r.directory.All() {
-		if _, _, known := r.tracker.Announcement(a.Host); !known {
-			return false
-		}
+	polled := true
+	r.directory.Each(func(a wire.Announcement) {
+		_, _, known := r.tracker.Announcement(a.Host)
+		polled = polled && known
+	})
+	if !polled {
+		return false
 	}
 	for _, g := range r.table.Groups {
 		if g.Phase != savorywing.PhaseServing {
