Documents by highest version in the log; connections between daemons carry frames both ways

The users' platform lists no hosts: daemons dial others as they learn of them (Mesh.Ensure, Forget) and answer over the connection that a host has opened (Push). The log keeps one more thing, the document with the highest version; a lower or equal one is accepted and changes nothing, and a barrier reads it through a majority.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -17,6 +17,8 @@
 	mesh    *Mesh
 	host    string
 	address string
+	ctx     context.Context
+	stop    context.CancelFunc
 
 	mu sync.Mutex
 	// out is nil while there is no connection.
@@ -27,7 +29,8 @@
 }
 
 func newLink(m *Mesh, host, address string) *link {
-	return &link{mesh: m, host: host, address: address, waiting: map[uint64]chan wire.Frame{}}
+	ctx, stop := context.WithCancel(m.ctx)
+	return &link{mesh: m, host: host, address: address, ctx: ctx, stop: stop, waiting: map[uint64]chan wire.Frame{}}
 }
 
 func (l *link) connected() bool {
@@ -38,13 +41,13 @@
 
 func (l *link) run() {
 	defer l.mesh.done.Done()
-	for l.mesh.ctx.Err() == nil {
+	for l.ctx.Err() == nil {
 		c, err := l.mesh.dial(l.address)
 		if err == nil {
 			l.serve(c)
 		}
 		select {
-		case <-l.mesh.ctx.Done():
+		case <-l.ctx.Done():
 		case <-time.After(redialPause):
 		}
 	}
@@ -67,11 +70,12 @@
 		defer done.Done()
 		l.mesh.writeLoop(c, out, quit)
 	}()
-	stop := context.AfterFunc(l.mesh.ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(l.ctx, func() { _ = c.Close() })
 	l.mesh.handler.HandleConnected(l.host)
 	l.mesh.readLoop(c, l.take)
 	stop()
 	l.close()
+	l.mesh.handler.HandleLost(l.host)
 	close(quit)
 	_ = c.Close()
 	done.Wait()
@@ -94,7 +98,12 @@
 	}
 }
 
+// take pairs a reply with its call; any other frame goes to the handler.
 func (l *link) take(f wire.Frame) bool {
+	if !f.Reply {
+		l.mesh.handler.HandleOneWay(l.host, f)
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if ch, ok := l.waiting[f.ID]; ok {
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -51,6 +51,8 @@
 	HandleCall(ctx context.Context, from string, f wire.Frame) wire.Frame
 	// HandleConnected is told when a connection to another daemon was opened.
 	HandleConnected(host string)
+	// HandleLost is told when a dialled connection that had been open has ended.
+	HandleLost(host string)
 }
 
 // Config describes this daemon and the others.
@@ -58,7 +60,8 @@
 	Host       string
 	Boot       uint64
 	DataCentre string
-	Listen     string
+	// Listen is the address to accept at; empty for a daemon that only dials.
+	Listen string
 	// Peers maps the names of the other hosts to their addresses.
 	Peers map[string]string
 	// Token is the secret that all daemons share.
@@ -73,26 +76,32 @@
 	pool     *ants.Pool
 	listener net.Listener
 	http     *fasthttp.Server
-	links    map[string]*link
 	traffic  Traffic
 	ctx      context.Context
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 
 	mu       sync.Mutex
+	started  bool
+	links    map[string]*link
 	accepted map[*websocket.Conn]bool
+	// inbound holds the queue of the newest accepted connection of each host.
+	inbound map[string]*ring.Ring[wire.Frame]
 }
 
 // NewMesh listens, and dials the others until Stop.
 func NewMesh(cfg Config, handler Handler, pool *ants.Pool, log zerolog.Logger) (*Mesh, error) {
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("peer.NewMesh: %w", err)
+	var listener net.Listener
+	if cfg.Listen != "" {
+		var err error
+		if listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return nil, fmt.Errorf("peer.NewMesh: %w", err)
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
 		cfg: cfg, handler: handler, log: log, pool: pool, listener: listener, links: map[string]*link{},
-		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{},
+		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]*ring.Ring[wire.Frame]{},
 	}
 	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout, Logger: &m.log}
 	for host, address := range cfg.Peers {
@@ -103,22 +112,85 @@
 
 // Start begins to serve and to dial.
 func (m *Mesh) Start() {
-	m.done.Add(1)
-	go func() {
-		defer m.done.Done()
-		_ = m.http.Serve(m.listener)
-	}()
+	if m.listener != nil {
+		m.done.Add(1)
+		go func() {
+			defer m.done.Done()
+			_ = m.http.Serve(m.listener)
+		}()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.started = true
 	for _, l := range m.links {
 		m.done.Add(1)
 		go l.run()
 	}
 }
 
+// Ensure dials a host from now on, unless it is dialled already.
+func (m *Mesh) Ensure(host, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[host] != nil || host == m.cfg.Host || m.ctx.Err() != nil {
+		return
+	}
+	l := newLink(m, host, address)
+	m.links[host] = l
+	if m.started {
+		m.done.Add(1)
+		go l.run()
+	}
+}
+
+// Forget ends the dialled connection to a host and dials it no more.
+func (m *Mesh) Forget(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.links[host]; l != nil {
+		l.stop()
+		delete(m.links, host)
+	}
+}
+
+// Push queues a frame on the newest connection that a host has opened to this one.
+func (m *Mesh) Push(host string, f wire.Frame) error {
+	m.mu.Lock()
+	out := m.inbound[host]
+	m.mu.Unlock()
+	if out == nil {
+		return fmt.Errorf("Mesh.Push: %w: %s", ErrNotConnected, host)
+	}
+	if !out.Push(f) {
+		return fmt.Errorf("Mesh.Push: %w: %s", ErrBusy, host)
+	}
+	return nil
+}
+
+// Inbound returns the names of the hosts that have a connection open to this one.
+func (m *Mesh) Inbound() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	hosts := make([]string, 0, len(m.inbound))
+	for host := range m.inbound {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+func (m *Mesh) link(host string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[host]
+}
+
 // Stop closes every connection.
 func (m *Mesh) Stop() {
 	m.stop()
 	// A server that has not begun to serve would not see the shutdown.
-	_ = m.listener.Close()
+	if m.listener != nil {
+		_ = m.listener.Close()
+	}
 	m.mu.Lock()
 	for c := range m.accepted {
 		_ = c.Close()
@@ -132,6 +204,8 @@
 
 // Hosts returns the names of the other hosts.
 func (m *Mesh) Hosts() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	hosts := make([]string, 0, len(m.links))
 	for host := range m.links {
 		hosts = append(hosts, host)
@@ -144,13 +218,13 @@
 
 // Connected tells whether the connection to a host is open.
 func (m *Mesh) Connected(host string) bool {
-	l := m.links[host]
+	l := m.link(host)
 	return l != nil && l.connected()
 }
 
 // Send queues a frame that wants no reply.
 func (m *Mesh) Send(host string, f wire.Frame) error {
-	l := m.links[host]
+	l := m.link(host)
 	if l == nil {
 		return fmt.Errorf("Mesh.Send: %w: %s", ErrUnknownHost, host)
 	}
@@ -159,7 +233,7 @@
 
 // Call sends a frame and waits for its reply.
 func (m *Mesh) Call(ctx context.Context, host string, f wire.Frame) (wire.Frame, error) {
-	l := m.links[host]
+	l := m.link(host)
 	if l == nil {
 		return wire.Frame{}, fmt.Errorf("Mesh.Call: %w: %s", ErrUnknownHost, host)
 	}
@@ -202,6 +276,7 @@
 	m.readLoop(c, func(f wire.Frame) bool {
 		if f.Hello != nil {
 			from = f.Hello.Host
+			m.setInbound(from, out)
 			return f.Hello.Protocol == Protocol
 		}
 		if from != "" {
@@ -209,11 +284,26 @@
 		}
 		return from != ""
 	})
+	m.dropInbound(from, out)
 	close(quit)
 	_ = c.Close()
 	done.Wait()
 }
 
+func (m *Mesh) setInbound(host string, out *ring.Ring[wire.Frame]) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inbound[host] = out
+}
+
+func (m *Mesh) dropInbound(host string, out *ring.Ring[wire.Frame]) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.inbound[host] == out {
+		delete(m.inbound, host)
+	}
+}
+
 func (m *Mesh) track(c *websocket.Conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/process/daemon/frames.go
+++ b/process/daemon/frames.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// HandleLost does nothing: what a lost daemon told runs out by itself.
+func (f *frames) HandleLost(string) {}
+
 // HandleConnected greets a daemon with everything known about backend servers.
 func (f *frames) HandleConnected(host string) {
 	all := f.daemon.registry.Announcements()
--- a/process/disk/folder.go
+++ b/process/disk/folder.go
@@ -23,26 +23,40 @@
 	generation int
 	log        *os.File
 	identity   string
-	torn       int
+	// incarnation is the second half of the identity that an empty folder gets.
+	incarnation string
+	torn        int
 	// failed is set by the first write that did not succeed; nothing is written after it.
 	failed error
 }
 
 var _ savorywing.Disk = (*Folder)(nil)
 
+// FolderOption sets an optional part of a Folder.
+type FolderOption func(*Folder)
+
+// WithIncarnation names the identity that an empty folder gets. It is for a first start only, where all
+// voters must know each other's identities without talking; any later empty folder needs a random one.
+func WithIncarnation(name string) FolderOption {
+	return func(f *Folder) { f.incarnation = name }
+}
+
 // Open opens a data folder. An empty folder gets a new identity for host.
-func Open(dir, host string) (*Folder, error) {
+func Open(dir, host string, opts ...FolderOption) (*Folder, error) {
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return nil, fmt.Errorf("disk.Open: %w", err)
 	}
-	f := &Folder{dir: dir}
+	f := &Folder{dir: dir, incarnation: string(savorywing.NewNumber())}
+	for _, opt := range opts {
+		opt(f)
+	}
 	generation, err := f.newest()
 	if err != nil {
 		return nil, fmt.Errorf("disk.Open: %w", err)
 	}
 	f.generation = generation
 	if generation == 0 {
-		f.identity = host + "/" + string(savorywing.NewNumber())
+		f.identity = host + "/" + f.incarnation
 		if err := f.begin(frame{Identity: f.identity}); err != nil {
 			return nil, fmt.Errorf("disk.Open: %w", err)
 		}
--- a/process/quorum/view.go
+++ b/process/quorum/view.go
@@ -20,6 +20,8 @@
 	// History lists the accepted configuration changes without their texts, oldest first.
 	History []wire.Configuration
 	Claims  int
+	// Published is the newest accepted document; nil before the first.
+	Published *wire.Publish
 	// LeaseUntil is when the leader's lease runs out unless it is renewed; zero without a lease.
 	LeaseUntil time.Time
 	// LeadingSince is when the node last became leader.
@@ -47,7 +49,11 @@
 	} else {
 		history = n.machine.History()
 	}
-	v := &View{History: history,
+	published := n.machine.Published()
+	if old := n.view.Load(); old != nil && old.Published != nil && published != nil && old.Published.Version == published.Version {
+		published = old.Published
+	}
+	v := &View{History: history, Published: published,
 		ID: n.core.ID(), Role: n.core.Role(), Term: n.core.Term(), Leader: n.core.LeaderID(), Commit: n.core.Commit(),
 		LogLength: n.core.Length(), Members: n.core.Members(), Table: n.lastTable,
 		Configuration: n.machine.Configuration().Number, Claims: n.machine.Claims(),
--- a/process/state/machine.go
+++ b/process/state/machine.go
@@ -42,7 +42,9 @@
 	// fence only grows; every group gets a number of its own.
 	fence         uint64
 	configuration wire.Configuration
-	changes       map[string]wire.Result
+	// published is the document with the highest version ever accepted.
+	published wire.Publish
+	changes   map[string]wire.Result
 	// changeOrder lists change ids, oldest first, at most changesKept.
 	changeOrder []string
 	tableNumber uint64
@@ -88,6 +90,10 @@
 		return m.claim(*c.Claim)
 	case c.Settle != nil:
 		return m.settle(*c.Settle)
+	case c.Publish != nil:
+		return m.publish(*c.Publish)
+	case c.Barrier:
+		return wire.Result{Accepted: true, Published: m.Published()}
 	}
 	return refused(ReasonMalformed)
 }
@@ -123,6 +129,24 @@
 	}
 }
 
+// publish keeps a document if its version is higher than any before. A lower or equal version is
+// accepted too and changes nothing, so that a resend gets the same answer.
+func (m *Machine) publish(p wire.Publish) wire.Result {
+	if p.Version > m.published.Version {
+		m.published = p
+	}
+	return wire.Result{Accepted: true}
+}
+
+// Published returns the document with the highest version, or nil before the first.
+func (m *Machine) Published() *wire.Publish {
+	if m.published.Version == 0 {
+		return nil
+	}
+	p := m.published
+	return &p
+}
+
 // At returns the time of the newest command, in milliseconds.
 func (m *Machine) At() int64 { return m.at }
 
@@ -166,7 +190,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	table := m.Table()
 	c := m.configuration
-	s := wire.State{Table: &table, Configuration: &c, At: m.at, Fence: m.fence}
+	s := wire.State{Table: &table, Configuration: &c, At: m.at, Fence: m.fence, Published: m.Published()}
 	for _, id := range m.changeOrder {
 		r := m.changes[id]
 		s.Changes = append(s.Changes, wire.ChangeRecord{ChangeID: id, Result: &r})
@@ -197,6 +221,9 @@
 	if s.Configuration != nil {
 		m.configuration = *s.Configuration
 	}
+	if s.Published != nil {
+		m.published = *s.Published
+	}
 	for _, c := range s.Changes {
 		if c.Result != nil {
 			m.remember(c.ChangeID, *c.Result)
--- a/wire/types.go
+++ b/wire/types.go
@@ -171,6 +171,9 @@
 	// never with its wall clock.
 	At int64 `json:"at"`
 
+	// Changes nothing; its result holds the newest document.
+	Barrier bool `json:"barrier"`
+
 	// Claim corresponds to the JSON schema field "claim".
 	Claim *Claim `json:"claim,omitempty,omitzero"`
 
@@ -183,6 +186,9 @@
 	// Free corresponds to the JSON schema field "free".
 	Free *FreeHost `json:"free,omitempty,omitzero"`
 
+	// Publish corresponds to the JSON schema field "publish".
+	Publish *Publish `json:"publish,omitempty,omitzero"`
+
 	// Release corresponds to the JSON schema field "release".
 	Release *GroupStep `json:"release,omitempty,omitzero"`
 
@@ -251,6 +257,54 @@
 	Operator string `json:"operator"`
 }
 
+// Endpoint is where requests for a service or a model can be sent.
+type Endpoint struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Born corresponds to the JSON schema field "born".
+	Born int64 `json:"born"`
+
+	// ColdMs corresponds to the JSON schema field "coldMs".
+	ColdMs int64 `json:"coldMs"`
+
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+
+	// Epoch corresponds to the JSON schema field "epoch".
+	Epoch uint64 `json:"epoch"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group string `json:"group"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Backend servers of the group, head first.
+	Members []string `json:"members"`
+
+	// Empty for a plain service.
+	Model string `json:"model"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots"`
+}
+
+// EndpointLoad counts requests in flight at an endpoint.
+type EndpointLoad struct {
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// InFlight corresponds to the JSON schema field "inFlight".
+	InFlight int `json:"inFlight"`
+
+	// Requests are in flight there and none has made progress lately.
+	Stalled bool `json:"stalled"`
+}
+
 // Entry is one record of the replicated log.
 type Entry struct {
 	// Data corresponds to the JSON schema field "data".
@@ -266,6 +320,46 @@
 	Term uint64 `json:"term"`
 }
 
+// FleetUpdate brings an entry host up to a revision of the leader's fleet.
+type FleetUpdate struct {
+	// Peer addresses of the control hosts.
+	Controls []string `json:"controls"`
+
+	// Document corresponds to the JSON schema field "document".
+	Document []byte `json:"document"`
+
+	// The usage's sentAt, only while the leader holds its lease; 0 in unsolicited
+	// updates.
+	Echo int64 `json:"echo"`
+
+	// Endpoints corresponds to the JSON schema field "endpoints".
+	Endpoints []Endpoint `json:"endpoints"`
+
+	// Number of entry hosts that have lately told their usage.
+	Entries int `json:"entries"`
+
+	// The endpoints replace all known ones.
+	Full bool `json:"full"`
+
+	// Address of the leader as far as it is known.
+	Leader string `json:"leader"`
+
+	// Requests in flight summed over all entry hosts.
+	Loads []EndpointLoad `json:"loads"`
+
+	// Removed corresponds to the JSON schema field "removed".
+	Removed []string `json:"removed"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision uint64 `json:"revision"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term uint64 `json:"term"`
+
+	// Newest accepted document.
+	Version uint64 `json:"version"`
+}
+
 // Formation is the first membership of a new cluster.
 type Formation struct {
 	// Membership corresponds to the JSON schema field "membership".
@@ -289,6 +383,9 @@
 	// Error corresponds to the JSON schema field "error".
 	Error *FrameError `json:"error,omitempty,omitzero"`
 
+	// Fleet corresponds to the JSON schema field "fleet".
+	Fleet *FleetUpdate `json:"fleet,omitempty,omitzero"`
+
 	// Formation corresponds to the JSON schema field "formation".
 	Formation *Formation `json:"formation,omitempty,omitzero"`
 
@@ -304,6 +401,9 @@
 	// Introduction corresponds to the JSON schema field "introduction".
 	Introduction *Introduction `json:"introduction,omitempty,omitzero"`
 
+	// Presence corresponds to the JSON schema field "presence".
+	Presence *Presence `json:"presence,omitempty,omitzero"`
+
 	// Propose corresponds to the JSON schema field "propose".
 	Propose *Propose `json:"propose,omitempty,omitzero"`
 
@@ -313,8 +413,14 @@
 	// Reply corresponds to the JSON schema field "reply".
 	Reply bool `json:"reply"`
 
+	// Reports corresponds to the JSON schema field "reports".
+	Reports []Report `json:"reports"`
+
 	// Result corresponds to the JSON schema field "result".
 	Result *Result `json:"result,omitempty,omitzero"`
+
+	// Usage corresponds to the JSON schema field "usage".
+	Usage *Usage `json:"usage,omitempty,omitzero"`
 }
 
 // FrameError is a refusal of one frame.
@@ -374,6 +480,21 @@
 	LastFence uint64 `json:"lastFence"`
 }
 
+// GroupPlace is a backend server's place in a group as it reports it.
+type GroupPlace struct {
+	// Orders the groups of all leaders; a join with a lower epoch is refused.
+	Epoch uint64 `json:"epoch"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// 0 is the head, which takes the requests.
+	Rank int `json:"rank"`
+
+	// joining, ready, open, closing or broken.
+	State string `json:"state"`
+}
+
 // GroupStep moves a group, named with its fencing number, to its next phase.
 type GroupStep struct {
 	// Fence corresponds to the JSON schema field "fence".
@@ -462,6 +583,19 @@
 	Members []Member `json:"members"`
 }
 
+// ModelDemand is the work that callers have asked of a model since the start of
+// the process.
+type ModelDemand struct {
+	// Model corresponds to the JSON schema field "model".
+	Model string `json:"model"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests uint64 `json:"requests"`
+
+	// Estimated slot time, in milliseconds.
+	WorkMs uint64 `json:"workMs"`
+}
+
 // Order tells a backend server what to hold.
 type Order struct {
 	// Accelerators corresponds to the JSON schema field "accelerators".
@@ -513,12 +647,33 @@
 	Host string `json:"host"`
 }
 
+// Presence is what a control host tells the others of itself.
+type Presence struct {
+	// Where backend servers and operators reach it.
+	ControlAddress string `json:"controlAddress"`
+
+	// Identity of its disk.
+	ID string `json:"id"`
+
+	// Peer addresses of the control hosts that it knows.
+	Peers []string `json:"peers"`
+}
+
 // Propose hands a command to the leader.
 type Propose struct {
 	// Command corresponds to the JSON schema field "command".
 	Command *Command `json:"command,omitempty,omitzero"`
 }
 
+// Publish proposes a whole document under a version; the highest version wins.
+type Publish struct {
+	// Document corresponds to the JSON schema field "document".
+	Document []byte `json:"document"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version"`
+}
+
 // RaftMessage is one message of the replicated log.
 type RaftMessage struct {
 	// Commit corresponds to the JSON schema field "commit".
@@ -561,6 +716,54 @@
 	Transfer bool `json:"transfer"`
 }
 
+// Report is what a backend server says of itself.
+type Report struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// Start of the process, in milliseconds since 1970; 0 if it was not told.
+	Born int64 `json:"born"`
+
+	// How much longer it is slow after its start, in milliseconds.
+	ColdMs int64 `json:"coldMs"`
+
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+
+	// Fabric domain.
+	Domain string `json:"domain"`
+
+	// It runs models and can join groups.
+	Engine bool `json:"engine"`
+
+	// It has withdrawn itself.
+	Gone bool `json:"gone"`
+
+	// Group corresponds to the JSON schema field "group".
+	Group *GroupPlace `json:"group,omitempty,omitzero"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// It takes no new work and will end.
+	Leaving bool `json:"leaving"`
+
+	// Version of the backend server's software.
+	Release string `json:"release"`
+
+	// Grows with each report of one boot.
+	Sequence uint64 `json:"sequence"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots"`
+
+	// Models whose weights lie on the host.
+	Staged []string `json:"staged"`
+}
+
 // Result is what applying a Command gave.
 type Result struct {
 	// Accepted corresponds to the JSON schema field "accepted".
@@ -578,6 +781,9 @@
 	// Index corresponds to the JSON schema field "index".
 	Index uint64 `json:"index"`
 
+	// Published corresponds to the JSON schema field "published".
+	Published *Publish `json:"published,omitempty,omitzero"`
+
 	// Reason corresponds to the JSON schema field "reason".
 	Reason string `json:"reason"`
 }
@@ -641,6 +847,9 @@
 	// The highest fencing number given so far.
 	Fence uint64 `json:"fence"`
 
+	// Published corresponds to the JSON schema field "published".
+	Published *Publish `json:"published,omitempty,omitzero"`
+
 	// Table corresponds to the JSON schema field "table".
 	Table *Table `json:"table,omitempty,omitzero"`
 }
@@ -656,3 +865,24 @@
 	// Number corresponds to the JSON schema field "number".
 	Number uint64 `json:"number"`
 }
+
+// Usage is what an entry host tells the leader of itself.
+type Usage struct {
+	// Demand corresponds to the JSON schema field "demand".
+	Demand []ModelDemand `json:"demand"`
+
+	// Loads corresponds to the JSON schema field "loads".
+	Loads []EndpointLoad `json:"loads"`
+
+	// Newest fleet revision seen.
+	Revision uint64 `json:"revision"`
+
+	// The entry host's clock; the leader returns it.
+	SentAt int64 `json:"sentAt"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term uint64 `json:"term"`
+
+	// Version of the document in force here.
+	Version uint64 `json:"version"`
+}
