The users' platform: entry and control hosts found through seeds, groups formed from reports, requests passed on

Built in the product: version/catalogue (documents), process/fleet (reports), process/former (groups), process/placement (where a request goes), connection/ingress (callers' connections, which notice a caller that leaves), connection/engine (the client of backend servers), process/controller and process/gateway (the two roles). platform/ translates names and formats.

--- a/process/clock/clock.go
+++ b/process/clock/clock.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"savorywing.example/savorywing"
 )
 
@@ -69,3 +71,25 @@
 	}
 	m.timers = rest
 }
+
+// Boottime counts the time since the machine was started, suspended time included. It never jumps with
+// the time of day, so that leases and freshness measured by it can't outlive a suspension.
+type Boottime struct{}
+
+var _ savorywing.Clock = Boottime{}
+
+// Now returns the time since the machine's start as a time since 1970.
+func (Boottime) Now() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // the clock exists on every Linux since 2.6.39
+	}
+	return time.Unix(t.Sec, t.Nsec)
+}
+
+// After returns a channel that receives the time once d has passed; suspended time may not count.
+func (b Boottime) After(d time.Duration) <-chan time.Time {
+	ch := make(chan time.Time, 1)
+	time.AfterFunc(d, func() { ch <- b.Now() })
+	return ch
+}
--- a/process/clock/clock_test.go
+++ b/process/clock/clock_test.go
@@ -16,8 +16,9 @@
 		clock savorywing.Clock
 		pass  func()
 	}{
-		"system": {System{}, func() {}},
-		"manual": {manual, func() { manual.Advance(time.Millisecond) }},
+		"system":   {System{}, func() {}},
+		"boottime": {Boottime{}, func() {}},
+		"manual":   {manual, func() { manual.Advance(time.Millisecond) }},
 	}
 	for name, c := range clocks {
 		Convey("The clock "+name, t, func() {
--- /dev/null
+++ b/process/controller/controller.go
@@ -0,0 +1,237 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/controlapi"
+	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/disk"
+	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/process/former"
+	"savorywing.example/savorywing/process/quorum"
+	"savorywing.example/savorywing/process/ring"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/version/instance"
+	"savorywing.example/savorywing/wire"
+)
+
+const (
+	eventRing = 8192
+	batchSize = 512
+	poolSize  = 512
+	// election is how long a leader may be silent; a sync of a slow disk is shorter.
+	election = 800 * time.Millisecond
+	// stepEvery is how often the leader looks at groups without a report.
+	stepEvery = 100 * time.Millisecond
+	// firstIncarnation is the identity of the disks of a first start.
+	firstIncarnation = "first"
+)
+
+// Dialects is what a controller needs of the platform it runs on.
+type Dialects interface {
+	savorywing.Dialect
+	savorywing.ControlDialect
+}
+
+// Controller is one control host.
+type Controller struct {
+	settings *instance.Settings
+	clock    savorywing.Clock
+	log      zerolog.Logger
+	dialect  Dialects
+	pool     *ants.Pool
+	mesh     *peer.Mesh
+	node     *quorum.Node
+	api      *controlapi.Server
+	engines  *engine.Client
+	events   *ring.Ring[event]
+	// document is the newest accepted document that this host has decoded.
+	document atomic.Pointer[decoded]
+	// leaderControl is where the leader takes reports; empty while it is not known.
+	leaderControl atomic.Pointer[string]
+
+	// The rest belongs to the thread of run.
+	table    *fleet.Table
+	former   *former.Former
+	entries  map[string]*entryState
+	presence map[string]present
+	forward  []wire.Report
+	flushAt  time.Time
+	// endpoints is what entry hosts were told last, with the revision at which each part changed.
+	endpoints endpointLog
+	leading   bool
+	term      uint64
+	// requested tells that an entry host has told of a request since this process was started.
+	requested bool
+	// removed holds hosts that were taken out of the membership, until they are heard of again.
+	lastLeader string
+	nextStep   time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// decoded is a document with its catalogue.
+type decoded struct {
+	version   uint64
+	packed    []byte
+	catalogue *catalogue.Catalogue
+}
+
+// present is what another control host told last.
+type present struct {
+	presence wire.Presence
+	heard    time.Time
+}
+
+// New assembles a control host that Start runs.
+func New(s *instance.Settings, dialect Dialects, log zerolog.Logger) (*Controller, error) {
+	c := &Controller{
+		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, events: ring.New[event](eventRing),
+		table: fleet.NewTable(), entries: map[string]*entryState{}, presence: map[string]present{},
+		former: former.New(former.Config{Stall: instance.Milliseconds(s.StallMs) + stallMargin}),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.engines = engine.New(c.clock, dialect)
+	if err := c.assemble(); err != nil {
+		c.cancel()
+		return nil, fmt.Errorf("controller.New: %w", err)
+	}
+	return c, nil
+}
+
+// stallMargin is for reports that are late and clocks that differ.
+const stallMargin = 1 * time.Second
+
+func (c *Controller) assemble() error {
+	var err error
+	if c.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true), ants.WithDisablePurge(true)); err != nil {
+		return err
+	}
+	self := c.settings.PeerAddress()
+	c.mesh, err = peer.NewMesh(peer.Config{
+		Host: self, Boot: uint64(time.Now().UnixNano()), DataCentre: c.settings.DataCentre, Listen: self, Token: c.settings.Token,
+	}, &frames{controller: c}, c.pool, c.log)
+	if err != nil {
+		return err
+	}
+	var opts []disk.FolderOption
+	if c.settings.FirstStart {
+		opts = append(opts, disk.WithIncarnation(firstIncarnation))
+	}
+	folder, err := disk.Open(c.settings.DataDir, self, opts...)
+	if err != nil {
+		return err
+	}
+	if c.node, err = quorum.NewNode(folder, c.clock, c, election, c.log); err != nil {
+		return err
+	}
+	if n := folder.Torn(); n > 0 {
+		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("")
+	}
+	c.api = controlapi.New(c.dialect, c, c.log)
+	return nil
+}
+
+// Start runs the control host's duties.
+func (c *Controller) Start() error {
+	c.node.Start()
+	if err := c.bootstrap(); err != nil {
+		return fmt.Errorf("Controller.Start: %w", err)
+	}
+	for _, address := range c.settings.SeedPeers() {
+		c.mesh.Ensure(address, address)
+	}
+	c.ensureMembers()
+	c.mesh.Start()
+	c.done.Add(1)
+	go func() {
+		defer c.done.Done()
+		c.run()
+	}()
+	if err := c.api.Start(c.settings.ControlAddress); err != nil {
+		return fmt.Errorf("Controller.Start: %w", err)
+	}
+	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).Msg("")
+	return nil
+}
+
+// bootstrap forms the cluster of the seeds. At a first start every seed knows the identities of all of them,
+// so each takes the same first membership without asking; any other host waits to be taken in.
+func (c *Controller) bootstrap() error {
+	view := c.node.View()
+	if !c.settings.FirstStart || len(view.Members.Members) > 0 || view.ID != c.settings.PeerAddress()+"/"+firstIncarnation {
+		return nil
+	}
+	var m wire.Membership
+	seed := false
+	for _, address := range c.settings.SeedPeers() {
+		m.Members = append(m.Members, wire.Member{ID: address + "/" + firstIncarnation, Voter: true})
+		seed = seed || address == c.settings.PeerAddress()
+	}
+	if !seed {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+	defer cancel()
+	if err := c.node.Form(ctx, m); err != nil {
+		return err
+	}
+	c.log.Info().Str("event", "clusterFormed").Int("voters", len(m.Members)).Msg("")
+	return nil
+}
+
+// Stop hands leadership over and ends the control host.
+func (c *Controller) Stop() {
+	c.log.Info().Str("event", "stopping").Msg("")
+	ctx, cancel := context.WithTimeout(c.ctx, handOverTime)
+	defer cancel()
+	for c.node.View().Role == quorum.Leader && ctx.Err() == nil {
+		if c.node.HandOver(ctx) {
+			c.log.Info().Str("event", "leadershipHandedOver").Msg("")
+		}
+		time.Sleep(handOverPause)
+	}
+	c.api.Stop()
+	c.cancel()
+	c.mesh.Stop()
+	c.node.Stop()
+	c.done.Wait()
+	c.pool.Release()
+	c.log.Info().Str("event", "stopped").Msg("")
+}
+
+const (
+	handOverTime  = 1500 * time.Millisecond
+	handOverPause = 30 * time.Millisecond
+)
+
+// SendRaft implements quorum.Transport.
+func (c *Controller) SendRaft(messages []wire.RaftMessage) {
+	byHost := map[string][]wire.RaftMessage{}
+	for _, m := range messages {
+		host := quorum.HostOf(m.To)
+		byHost[host] = append(byHost[host], m)
+	}
+	for host, list := range byHost {
+		// A message that can't be sent is one that the network lost; the log repeats it.
+		_ = c.mesh.Send(host, wire.Frame{Raft: list})
+	}
+}
+
+func (c *Controller) ensureMembers() {
+	for _, m := range c.node.View().Members.Members {
+		c.mesh.Ensure(quorum.HostOf(m.ID), quorum.HostOf(m.ID))
+	}
+}
--- /dev/null
+++ b/process/fleet/endpoints.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+// Whole is a group that may be served: every member once said that it was ready under this name and epoch.
+type Whole struct {
+	Model   string
+	Members []string
+}
+
+// Endpoints returns where requests can be sent, sorted by id. groups maps the names of groups to what
+// is known of them; a head whose group isn't there gets no requests. A server from which nothing was
+// heard for silentAfter is marked, for it may still serve.
+func (t *Table) Endpoints(now time.Time, silentAfter time.Duration, groups map[string]Whole) []wire.Endpoint {
+	var list []wire.Endpoint
+	for _, s := range t.servers {
+		r := s.report
+		if s.dead || r.Leaving || r.Gone {
+			continue
+		}
+		e := wire.Endpoint{
+			ID: r.ID, Born: r.Born, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Slots: r.Slots,
+			ColdMs: r.ColdMs, Silent: now.Sub(s.heard) > silentAfter,
+		}
+		if r.Engine {
+			if r.Group == nil || r.Group.Rank != 0 || r.Group.State != StateOpen {
+				continue
+			}
+			g, known := groups[r.Group.Name]
+			if !known {
+				continue
+			}
+			e.Model, e.Members, e.Group, e.Epoch = g.Model, g.Members, r.Group.Name, r.Group.Epoch
+		}
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/process/former/advance.go
@@ -0,0 +1,190 @@
+package former
+
+import (
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/fleet"
+)
+
+// advance takes a group's next step.
+func (f *Former) advance(now time.Time, in Input, g *group) []savorywing.FleetOrder {
+	if !f.hasTrace(in, g) {
+		delete(f.groups, g.name)
+		return nil
+	}
+	head := member(in, g, 0)
+	place := placeOf(head, g)
+	if place != nil && place.State == fleet.StateOpen {
+		g.opened = true
+	}
+	if !g.ending && f.mustEnd(now, in, g) {
+		g.ending = true
+	}
+	if g.ending {
+		return f.end(now, in, g)
+	}
+	if place != nil && place.State == fleet.StateReady && f.allReady(in, g) {
+		g.opened = true
+		return f.give(savorywing.ActionOpen, head, g)
+	}
+	return nil
+}
+
+// hasTrace tells whether any server is in the group, or may still be told to be.
+func (f *Former) hasTrace(in Input, g *group) bool {
+	for rank := range g.members {
+		if isMember(member(in, g, rank), g) {
+			return true
+		}
+	}
+	for _, p := range f.orders {
+		if p.order.Group == g.name && p.order.Action == savorywing.ActionJoin {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Former) size(in Input, g *group) int {
+	if m := findModel(in.Catalogue, g.model); m != nil {
+		return m.Size
+	}
+	return 0
+}
+
+// allReady tells whether every member of the whole group has reported ready under its name and epoch.
+func (f *Former) allReady(in Input, g *group) bool {
+	if len(g.members) != f.size(in, g) {
+		return false
+	}
+	for rank, id := range g.members {
+		if id == "" || !g.ready[id] || !isMember(member(in, g, rank), g) {
+			return false
+		}
+	}
+	return true
+}
+
+// mustEnd tells whether a group has lost a member, or will.
+func (f *Former) mustEnd(now time.Time, in Input, g *group) bool {
+	size := f.size(in, g)
+	if size == 0 || len(g.members) > size {
+		return true
+	}
+	head := member(in, g, 0)
+	if p := placeOf(head, g); p != nil && p.State == fleet.StateBroken {
+		return true
+	}
+	for rank := range size {
+		if f.memberEnds(now, in, g, rank) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Former) memberEnds(now time.Time, in Input, g *group, rank int) bool {
+	s := member(in, g, rank)
+	if s == nil {
+		// A new leader may not have heard of every member yet.
+		return now.Sub(g.formed) > f.cfg.LongSilence/2
+	}
+	if s.Dead() || s.Report().Leaving || s.Report().Gone {
+		return true
+	}
+	silent := now.Sub(s.Heard())
+	if silent > f.cfg.LongSilence {
+		return true
+	}
+	if silent > f.cfg.Silence {
+		moves, inFlight := in.Progress[g.members[0]]
+		return !inFlight || !moves
+	}
+	if isMember(s, g) {
+		return false
+	}
+	// Its join may not have been reported yet.
+	p := f.orders[s.Report().ID]
+	joining := p != nil && p.order.Action == savorywing.ActionJoin && p.order.Group == g.name
+	return !joining
+}
+
+// end takes the next step towards a group whose members are free.
+func (f *Former) end(now time.Time, in Input, g *group) []savorywing.FleetOrder {
+	if !g.opened {
+		// It can't be serving, so its members are free at once.
+		g.headOut = true
+		return nil
+	}
+	head := member(in, g, 0)
+	place := placeOf(head, g)
+	if !g.own && place == nil && head != nil && !head.Dead() && !g.ready[head.Report().ID] && now.Sub(f.since) < f.cfg.Stall {
+		// The newest report of a head that joined under an earlier leader may be older than its join.
+		return nil
+	}
+	switch {
+	case head != nil && !f.isLost(now, head) && place == nil:
+		g.headOut = true
+		return nil
+	case head != nil && head.Dead():
+		g.headOut = true
+		return nil
+	case place != nil && place.State == fleet.StateBroken:
+		g.headOut = true
+		return nil
+	case head != nil && place != nil && !f.isLost(now, head):
+		return f.endHead(now, in, g, head, place.State)
+	}
+	return f.sever(now, in, g)
+}
+
+// endHead empties the group through its head: in order while all members are there, at once if one is lost.
+func (f *Former) endHead(now time.Time, in Input, g *group, head *fleet.Server, state string) []savorywing.FleetOrder {
+	whole := true
+	for rank := range g.members {
+		s := member(in, g, rank)
+		if f.isLost(now, s) || !isMember(s, g) {
+			whole = false
+		}
+	}
+	if whole && (state == fleet.StateOpen || state == fleet.StateClosing) {
+		if state == fleet.StateClosing {
+			return nil
+		}
+		return f.give(savorywing.ActionClose, head, g)
+	}
+	return f.give(savorywing.ActionLeave, head, g)
+}
+
+// sever frees the members of a group whose head can't be reached: once a member has left, the head
+// breaks after the stall time, whether it lives or not.
+func (f *Former) sever(now time.Time, in Input, g *group) []savorywing.FleetOrder {
+	var candidate *fleet.Server
+	for rank := 1; rank < len(g.members); rank++ {
+		s := member(in, g, rank)
+		if s == nil || f.isLost(now, s) {
+			continue
+		}
+		if !isMember(s, g) {
+			// It reported another state after it had been ready here, so it has left.
+			if g.ready[s.Report().ID] && g.severed.IsZero() {
+				g.severed = now
+			}
+			continue
+		}
+		if candidate == nil {
+			candidate = s
+		}
+	}
+	if !g.severed.IsZero() {
+		if now.Sub(g.severed) > f.cfg.Stall {
+			g.headOut = true
+		}
+		return nil
+	}
+	if candidate == nil {
+		return nil
+	}
+	return f.give(savorywing.ActionLeave, candidate, g)
+}
--- /dev/null
+++ b/process/former/former.go
@@ -0,0 +1,390 @@
+package former
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/wire"
+)
+
+// Config holds the times that the former waits for.
+type Config struct {
+	// Silence is how long a server may send no report before it counts as lost, if nothing shows that it works.
+	Silence time.Duration
+	// LongSilence is how long a silent member is kept in a group that still makes progress.
+	LongSilence time.Duration
+	// Stall is how long a head goes on after it has lost a member, with a margin.
+	Stall time.Duration
+	// Resend is how long an order may go unanswered, or its effect unreported, before it is sent again.
+	Resend time.Duration
+	// LoadWindow is the span over which loads are counted.
+	LoadWindow time.Duration
+}
+
+// Defaults fills in what is not set.
+func (c *Config) Defaults() {
+	defaults := []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&c.Silence, 2600 * time.Millisecond}, // two reports missed at the usual 1.2 s, and a little
+		{&c.LongSilence, 15 * time.Second},
+		{&c.Stall, 6 * time.Second},          // the platform's 5 s and a margin
+		{&c.Resend, 1500 * time.Millisecond}, // an answer takes a second at most where there is one
+		{&c.LoadWindow, 5500 * time.Millisecond},
+	}
+	for _, d := range defaults {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+}
+
+// Input is what a step decides on.
+type Input struct {
+	Table     *fleet.Table
+	Catalogue *catalogue.Catalogue
+	// Term is the leader's term; it orders groups of different leaders and fences orders.
+	Term uint64
+	// Demand is the work asked of each model lately, in slots.
+	Demand map[string]float64
+	// Progress holds the heads at which requests are in flight: whether any entry host sees them move.
+	Progress map[string]bool
+	// FirstStart tells that no request has come yet since the whole system was started for the first time.
+	FirstStart bool
+}
+
+// Former holds what a leader remembers between steps.
+type Former struct {
+	cfg Config
+	// counter numbers the groups of one term; it only grows within it.
+	counter uint64
+	term    uint64
+	since   time.Time
+	// groups holds every group that reports or own orders speak of, by name.
+	groups map[string]*group
+	// orders holds the newest order to each server until a report or an answer settles it.
+	orders map[string]*pending
+	loads  loadWindow
+	// lastModel is the model of each server's newest group; joining it again needs no load.
+	lastModel map[string]string
+}
+
+// pending is an order whose effect has not been reported yet.
+type pending struct {
+	order   savorywing.FleetOrder
+	sent    time.Time
+	settled bool
+}
+
+// group is one group of one epoch.
+type group struct {
+	name  string
+	epoch uint64
+	model string
+	// members lists ids, head first; unknown ones are empty.
+	members []string
+	// ready holds the members that once reported ready under this name and epoch; it only grows.
+	ready map[string]bool
+	// opened tells that an order to open it may have been given.
+	opened bool
+	// own tells that this leader formed it, so that it knows all orders that were given.
+	own     bool
+	formed  time.Time
+	ending  bool
+	headOut bool
+	// severed is when a member is known to have left while the head could not be reached.
+	severed time.Time
+}
+
+// New returns a former without memory.
+func New(cfg Config) *Former {
+	cfg.Defaults()
+	return &Former{cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}}
+}
+
+// nameSeparator stands between the epoch and the model in a group's name, so that every leader can
+// read a group's model from reports.
+const nameSeparator = "."
+
+// termShift leaves room for the groups that one leader forms, below the term that orders leaders.
+const termShift = 24
+
+func (f *Former) nextName(model string) (string, uint64) {
+	f.counter++
+	epoch := f.term<<termShift + f.counter
+	return fmt.Sprintf("g%d%s%s", epoch, nameSeparator, model), epoch
+}
+
+func modelOf(name string) string {
+	_, model, _ := strings.Cut(name, nameSeparator)
+	return model
+}
+
+// Step returns the orders to send now.
+func (f *Former) Step(now time.Time, in Input) []savorywing.FleetOrder {
+	if in.Term != f.term || f.since.IsZero() {
+		f.takeOver(now, in)
+	}
+	f.observe(now, in)
+	var orders []savorywing.FleetOrder
+	for _, g := range f.sorted() {
+		orders = append(orders, f.advance(now, in, g)...)
+	}
+	orders = append(orders, f.resend(now, in)...)
+	orders = append(orders, f.plan(now, in)...)
+	for i := range orders {
+		orders[i].Fence = f.term
+		f.remember(now, orders[i])
+	}
+	return orders
+}
+
+// takeOver starts a term: orders of earlier leaders are unknown, and so are the loads that they began.
+func (f *Former) takeOver(now time.Time, in Input) {
+	f.term, f.counter, f.since = in.Term, 0, now
+	f.groups, f.orders = map[string]*group{}, map[string]*pending{}
+	f.loads = loadWindow{}
+	if !in.FirstStart {
+		f.loads.assumeFull(now)
+	}
+}
+
+func (f *Former) sorted() []*group {
+	list := make([]*group, 0, len(f.groups))
+	for _, g := range f.groups {
+		list = append(list, g)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].epoch < list[j].epoch })
+	return list
+}
+
+func (f *Former) remember(now time.Time, o savorywing.FleetOrder) {
+	f.orders[o.Server] = &pending{order: o, sent: now}
+}
+
+// Outcome takes the answer to an order.
+func (f *Former) Outcome(now time.Time, o savorywing.FleetOrder, outcome savorywing.OrderOutcome) {
+	p := f.orders[o.Server]
+	if p == nil || p.order.Action != o.Action || p.order.Epoch != o.Epoch || p.order.Model != o.Model {
+		return
+	}
+	switch outcome {
+	case savorywing.OrderUnfit, savorywing.OrderFenced, savorywing.OrderForeign:
+		// It was not and will not be carried out in this form; the next step decides anew.
+		delete(f.orders, o.Server)
+		if g := f.groups[o.Group]; g != nil && o.Action == savorywing.ActionJoin {
+			g.ending = true
+		}
+	case savorywing.OrderBegun, savorywing.OrderHolds:
+		p.settled = true
+	case savorywing.OrderUnknown:
+	}
+}
+
+// Groups returns the groups that may be served: complete, and every member was once ready.
+func (f *Former) Groups() map[string]fleet.Whole {
+	out := map[string]fleet.Whole{}
+	for _, g := range f.groups {
+		out[g.name] = fleet.Whole{Model: g.model, Members: g.members}
+	}
+	return out
+}
+
+// isLost tells whether a server can't be counted on.
+func (f *Former) isLost(now time.Time, s *fleet.Server) bool {
+	return s == nil || s.Dead() || s.Report().Gone || now.Sub(s.Heard()) > f.cfg.Silence
+}
+
+func isMember(s *fleet.Server, g *group) bool {
+	if s == nil || s.Dead() {
+		return false
+	}
+	p := s.Place()
+	return p != nil && p.Name == g.name && p.Epoch == g.epoch
+}
+
+// observe takes over what reports say of groups.
+func (f *Former) observe(now time.Time, in Input) {
+	for _, s := range in.Table.Servers() {
+		p := s.Place()
+		if p == nil || s.Dead() {
+			continue
+		}
+		g := f.groups[p.Name]
+		if g == nil {
+			g = &group{name: p.Name, epoch: p.Epoch, model: modelOf(p.Name), ready: map[string]bool{}, opened: true, formed: now}
+			f.groups[p.Name] = g
+		}
+		for len(g.members) <= p.Rank {
+			g.members = append(g.members, "")
+		}
+		id := s.Report().ID
+		g.members[p.Rank] = id
+		f.lastModel[id] = g.model
+		if p.State != fleet.StateJoining && p.State != fleet.StateBroken {
+			g.ready[id] = true
+		}
+	}
+	f.settle(in)
+}
+
+// settle drops orders whose effect has been reported.
+func (f *Former) settle(in Input) {
+	for id, p := range f.orders {
+		s := in.Table.Server(id)
+		if s == nil || s.Dead() {
+			delete(f.orders, id)
+			continue
+		}
+		if isDone(s, p.order) {
+			delete(f.orders, id)
+		}
+	}
+}
+
+func isDone(s *fleet.Server, o savorywing.FleetOrder) bool {
+	place := s.Place()
+	in := place != nil && place.Name == o.Group && place.Epoch == o.Epoch
+	switch o.Action {
+	case savorywing.ActionJoin:
+		return in
+	case savorywing.ActionOpen:
+		return !in || place.State == fleet.StateOpen || place.State == fleet.StateBroken
+	case savorywing.ActionClose:
+		return !in || place.State == fleet.StateReady || place.State == fleet.StateBroken
+	case savorywing.ActionLeave:
+		return !in
+	case savorywing.ActionStage:
+		return isStaged(s, o.Model)
+	}
+	return false
+}
+
+func isStaged(s *fleet.Server, model string) bool {
+	for _, m := range s.Report().Staged {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// resend repeats orders that got no answer, or whose effect is not reported in time. A repeated order is
+// the same to the letter, so that carrying both out changes nothing.
+func (f *Former) resend(now time.Time, in Input) []savorywing.FleetOrder {
+	var out []savorywing.FleetOrder
+	ids := make([]string, 0, len(f.orders))
+	for id := range f.orders {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		p := f.orders[id]
+		s := in.Table.Server(id)
+		wait := f.cfg.Resend
+		if p.settled {
+			wait = 2 * f.cfg.Resend
+			if p.order.Action == savorywing.ActionStage {
+				wait = f.loadTime(in, p.order.Model) + 2*f.cfg.Resend
+			}
+		}
+		if now.Sub(p.sent) < wait {
+			continue
+		}
+		g := f.groups[p.order.Group]
+		stale := p.order.Group != "" && (g == nil || (g.ending && p.order.Action != savorywing.ActionLeave))
+		if f.isLost(now, s) || stale || p.order.Action == savorywing.ActionStage {
+			delete(f.orders, id)
+			continue
+		}
+		out = append(out, p.order)
+	}
+	return out
+}
+
+func (f *Former) loadTime(in Input, model string) time.Duration {
+	if m := findModel(in.Catalogue, model); m != nil {
+		return m.Load
+	}
+	return 0
+}
+
+func findModel(c *catalogue.Catalogue, name string) *catalogue.Model {
+	for _, s := range c.Services() {
+		if s.Engine == nil {
+			continue
+		}
+		for i := range s.Engine.Models {
+			if s.Engine.Models[i].Name == name {
+				return &s.Engine.Models[i]
+			}
+		}
+	}
+	return nil
+}
+
+func order(action savorywing.OrderAction, s *fleet.Server, g *group) savorywing.FleetOrder {
+	r := s.Report()
+	o := savorywing.FleetOrder{Action: action, Server: r.ID, Address: r.Address, Group: g.name, Epoch: g.epoch}
+	if action == savorywing.ActionJoin {
+		o.Model, o.Members = g.model, g.members
+	}
+	return o
+}
+
+// give returns an order unless the same one is under way.
+func (f *Former) give(action savorywing.OrderAction, s *fleet.Server, g *group) []savorywing.FleetOrder {
+	o := order(action, s, g)
+	if p := f.orders[o.Server]; p != nil && p.order.Action == action && p.order.Epoch == g.epoch {
+		return nil
+	}
+	return []savorywing.FleetOrder{o}
+}
+
+// load windows.
+
+// loadWindow counts loads over a sliding window.
+type loadWindow struct {
+	began []time.Time
+	// barred is the time until which an earlier leader's loads may still count.
+	barred time.Time
+}
+
+func (l *loadWindow) assumeFull(now time.Time) { l.barred = now }
+
+func (l *loadWindow) room(now time.Time, window time.Duration, limit int) int {
+	if !l.barred.IsZero() && now.Sub(l.barred) < window {
+		return 0
+	}
+	var kept []time.Time
+	for _, t := range l.began {
+		if now.Sub(t) < window {
+			kept = append(kept, t)
+		}
+	}
+	l.began = kept
+	return limit - len(kept)
+}
+
+func (l *loadWindow) add(now time.Time) { l.began = append(l.began, now) }
+
+// member returns a member's server, or nil.
+func member(in Input, g *group, rank int) *fleet.Server {
+	if rank >= len(g.members) || g.members[rank] == "" {
+		return nil
+	}
+	return in.Table.Server(g.members[rank])
+}
+
+func placeOf(s *fleet.Server, g *group) *wire.GroupPlace {
+	if !isMember(s, g) {
+		return nil
+	}
+	return s.Place()
+}
--- /dev/null
+++ b/process/gateway/serve.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/ingress"
+	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/version/instance"
+)
+
+// returnSoon is when a caller is asked to come back to a host that lacks the leader's word.
+const returnSoon = 300 * time.Millisecond
+
+// job is one caller's request on its way.
+type job struct {
+	gateway *Gateway
+	x       *ingress.Exchange
+	caller  savorywing.CallerHead
+	route   *catalogue.Route
+	service *catalogue.Service
+	// organisation is empty for public routes.
+	organisation string
+	urgency      int
+	// deadline ends the caller's patience or the route's timeout, whichever is first.
+	deadline time.Time
+	reading  time.Duration
+	tried    []string
+	sends    int
+	// delivered is the id of the last event sent to the caller; negative before the first.
+	delivered int64
+	// lost tells that an attempt may have run without its answer coming back.
+	lost bool
+	// shed tells that a backend server has refused for lack of room.
+	shed bool
+}
+
+// Serve implements ingress.Handler.
+func (g *Gateway) Serve(ctx context.Context, x *ingress.Exchange) {
+	if g.dialect.IsReadyCheck(&x.Request.Header) {
+		g.answerReady(x)
+		return
+	}
+	j := &job{gateway: g, x: x, caller: g.dialect.ReadCaller(&x.Request.Header), delivered: -1}
+	if !j.admit() {
+		return
+	}
+	j.run(ctx)
+}
+
+func (g *Gateway) answerReady(x *ingress.Exchange) {
+	if g.isReady() {
+		x.Refuse(ingress.Refusal{Status: fasthttp.StatusOK, Reason: "ready"})
+		return
+	}
+	x.Refuse(ingress.Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: "not ready"})
+}
+
+// refuse answers a request that has not run and never will.
+func (j *job) refuse(status int, reason string, retryAfter time.Duration) {
+	g := j.gateway
+	g.counters.refused(reason)
+	e := g.log.Info().Str("event", "refused").Str("request", j.caller.Number).Int("status", status).Str("reason", reason).
+		Dur("after", g.clock.Now().Sub(j.x.Arrival())).Dur("retryAfter", retryAfter).Int("sends", j.sends).
+		Dur("viewAge", g.view.age())
+	if j.route != nil {
+		e = e.Str("route", j.route.Name).Str("model", j.caller.Model)
+	}
+	e.Msg("")
+	j.x.Refuse(ingress.Refusal{Status: status, Reason: reason, RetryAfter: retryAfter, Decorate: func(h *fasthttp.ResponseHeader) {
+		g.dialect.WriteRefusal(h, j.caller.Number)
+	}})
+}
+
+// admit finds the request's route and organisation, and refuses it if that can't be done.
+func (j *job) admit() bool {
+	g := j.gateway
+	c := g.catalog.Load()
+	age := g.view.age()
+	if c == nil {
+		j.refuse(fasthttp.StatusServiceUnavailable, "noDocument", returnSoon)
+		return false
+	}
+	// A refusal for good is only true while the document is known to be the newest.
+	unsure := age > instance.Milliseconds(g.settings.ConfigMs)
+	uri := x(j).URI()
+	j.route = c.Route(string(x(j).Header.Host()), string(uri.PathOriginal()))
+	if j.route == nil {
+		j.refuseForGood(unsure, fasthttp.StatusNotFound, "noRoute")
+		return false
+	}
+	if c.Keyed() && !j.route.Public {
+		if age > instance.Milliseconds(g.settings.RevokeMs) {
+			j.refuse(fasthttp.StatusServiceUnavailable, "keysUnconfirmed", returnSoon)
+			return false
+		}
+		o := c.Organisation(j.caller.Key)
+		if o == nil {
+			j.refuseForGood(unsure, fasthttp.StatusUnauthorized, "unknownKey")
+			return false
+		}
+		j.organisation = o.Name
+		j.urgency = urgency(o, j.route)
+	} else {
+		j.urgency = urgency(nil, j.route)
+	}
+	j.service = c.Service(j.route.Pick(rand.Float64()))
+	patience := j.route.Timeout
+	if j.caller.Patience > 0 {
+		patience = min(patience, j.caller.Patience)
+	}
+	j.deadline = j.x.Arrival().Add(patience)
+	if e := j.service.Engine; e != nil && e.ReadRate > 0 {
+		j.reading = time.Duration(float64(j.caller.PromptTokens)/e.ReadRate*float64(time.Second)) + e.Step
+	}
+	return true
+}
+
+func x(j *job) *fasthttp.Request { return &j.x.Request }
+
+func (j *job) refuseForGood(unsure bool, status int, reason string) {
+	if unsure {
+		j.refuse(fasthttp.StatusServiceUnavailable, reason+"Unconfirmed", returnSoon)
+		return
+	}
+	j.refuse(status, reason, 0)
+}
+
+const (
+	// urgencySteps is the number of urgencies that backend servers tell apart.
+	urgencySteps = 10
+	// routeSteps is how many of them lie within one rank of organisations.
+	routeSteps = 3
+	// middleRank stands for organisations without a rank.
+	middleRank = 1
+)
+
+// urgency ranks a request by its organisation first and its route second; 0 is the most urgent.
+func urgency(o *catalogue.Organisation, r *catalogue.Route) int {
+	rank := middleRank
+	if o != nil && o.Ranked {
+		rank = o.Priority
+	}
+	return min(urgencySteps-1, max(0, rank)*routeSteps+min(max(0, r.Priority), routeSteps-1))
+}
+
+func (j *job) want(now time.Time) placement.Want {
+	w := placement.Want{
+		Service: j.service.Name, Reading: j.reading, Objective: j.route.Objective,
+		Elapsed: now.Sub(j.x.Arrival()), Left: j.deadline.Sub(now), Tried: j.tried, Again: j.sends > 0,
+	}
+	if j.service.Engine != nil {
+		w.Model = j.caller.Model
+	}
+	return w
+}
+
+// workMs estimates how long the request keeps a slot of a group at pace 1.
+func (j *job) workMs() uint64 {
+	e := j.service.Engine
+	answer := j.caller.AnswerTokens
+	if j.caller.ExpectedAnswer > 0 {
+		answer = j.caller.ExpectedAnswer
+	}
+	step := e.Step + e.PerRequest*time.Duration(e.Slots)
+	return uint64((j.reading + step*time.Duration(answer)).Milliseconds())
+}
+
+func (g *Gateway) countDemand(j *job) {
+	if j.service.Engine == nil || j.caller.Model == "" {
+		return
+	}
+	d := g.demand[j.caller.Model]
+	if d == nil {
+		d = &demand{}
+		g.demand[j.caller.Model] = d
+	}
+	d.requests++
+	d.workMs += j.workMs()
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -289,6 +289,9 @@
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
+	// No report has come lately; it may still serve.
+	Silent bool `json:"silent"`
+
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots"`
 }
