Groups at a first start wait for the domain to be known, and are shared out by hosts

Cause: the first two or three servers seen of a domain all went to groups of two (28 groups of the small model and 1 of the large one), and the document's shares were compared with slots at the model's pace instead of hosts.

--- a/process/former/former.go
+++ b/process/former/former.go
@@ -73,6 +73,9 @@
 	loads  loadWindow
 	// lastModel is the model of each server's newest group; joining it again needs no load.
 	lastModel map[string]string
+	// found holds every server that was ever seen, and lastFound when the newest was.
+	found     map[string]bool
+	lastFound time.Time
 }
 
 // pending is an order whose effect has not been reported yet.
@@ -105,7 +108,7 @@
 // New returns a former without memory.
 func New(cfg Config) *Former {
 	cfg.Defaults()
-	return &Former{cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}}
+	return &Former{cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}, found: map[string]bool{}}
 }
 
 // nameSeparator stands between the epoch and the model in a group's name, so that every leader can
@@ -212,6 +215,9 @@
 // observe takes over what reports say of groups.
 func (f *Former) observe(now time.Time, in Input) {
 	for _, s := range in.Table.Servers() {
+		if id := s.Report().ID; !f.found[id] {
+			f.found[id], f.lastFound = true, now
+		}
 		p := s.Place()
 		if p == nil || s.Dead() {
 			continue
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -53,17 +53,36 @@
 	return n
 }
 
-// capacity returns the slots of each model in groups that serve or will, at the model's pace.
+// capacity returns what each model has in groups that serve or will: hosts while the work is known from the
+// document only, and slots at the model's pace once it is measured.
 func (f *Former) capacity(in Input, e *catalogue.Engine) map[string]float64 {
 	out := map[string]float64{}
 	for _, g := range f.groups {
 		if m := findModel(in.Catalogue, g.model); m != nil && !g.ending {
-			out[g.model] += slotsOf(e, m)
+			out[g.model] += unit(in, e, m)
 		}
 	}
 	return out
 }
 
+// unit is what one group adds to its model's capacity.
+func unit(in Input, e *catalogue.Engine, m *catalogue.Model) float64 {
+	if !in.isMeasured() {
+		return float64(m.Size)
+	}
+	return slotsOf(e, m)
+}
+
+// isMeasured tells whether callers' work is known.
+func (in Input) isMeasured() bool {
+	for _, v := range in.Demand {
+		if v > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func slotsOf(e *catalogue.Engine, m *catalogue.Model) float64 {
 	return float64(e.Slots) / max(m.Pace, minPace)
 }
@@ -149,13 +168,13 @@
 }
 
 func (p *planning) demand(m *catalogue.Model) float64 {
+	if !p.in.isMeasured() {
+		return max(m.Share, minShare)
+	}
 	total := 0.0
 	for _, v := range p.in.Demand {
 		total += v
 	}
-	if total <= 0 {
-		return max(m.Share, minShare)
-	}
 	// The share at the start stays visible, so that a model without work lately keeps a group.
 	return p.in.Demand[m.Name] + minShare*total
 }
@@ -170,16 +189,28 @@
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
 		chosen := p.choose(d, m)
-		if chosen == nil {
+		if chosen == nil && !p.gathering() {
 			continue
 		}
 		if best == nil || p.need(m) > p.need(best) {
 			best, members = m, chosen
 		}
 	}
+	if members == nil {
+		return nil, nil
+	}
 	return best, members
 }
 
+// gathering tells whether servers are still being found after a first start. Until they all are, a domain
+// waits for the model that is needed most, since its first servers alone would all go to small groups.
+func (p *planning) gathering() bool {
+	return p.in.FirstStart && p.now.Sub(p.former.lastFound) < gatherTime
+}
+
+// gatherTime is longer than the pause between the first reports of two servers.
+const gatherTime = 700 * time.Millisecond
+
 // choose returns the members of a group of a model that can be formed now without waiting for weights;
 // at a first start, when loads are cheap, all free servers count.
 func (p *planning) choose(d *domain, m *catalogue.Model) []*fleet.Server {
@@ -202,7 +233,7 @@
 		g.members = append(g.members, s.Report().ID)
 	}
 	p.former.groups[name] = g
-	p.capacity[m.Name] += slotsOf(p.engine, m)
+	p.capacity[m.Name] += unit(p.in, p.engine, m)
 	for _, s := range members {
 		p.orders = append(p.orders, order(savorywing.ActionJoin, s, g))
 		d.remove(s)
