Loads go where one brings back the most work; hosts with the same weights share domains and stand by

Before, all hosts were in groups at the start, survivors kept the wrong weights, and the first loads began at 12 s.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -73,9 +73,12 @@
 	term      uint64
 	// requested tells that an entry host has told of a request since this process was started.
 	requested bool
-	// removed holds hosts that were taken out of the membership, until they are heard of again.
-	lastLeader string
-	nextStep   time.Time
+	// measuredSince is when this leader was first told of callers' work.
+	measuredSince time.Time
+	// lastLeader is the leader's identity as last seen.
+	lastLeader  string
+	nextStep    time.Time
+	nextSummary time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -111,8 +114,8 @@
 	return c, nil
 }
 
-// stallMargin is for reports that are late and clocks that differ.
-const stallMargin = 1 * time.Second
+// stallMargin is for clocks of different speed; the time counts from a report that came after the event.
+const stallMargin = 400 * time.Millisecond
 
 func (c *Controller) assemble() error {
 	var err error
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/former"
 	"savorywing.example/savorywing/process/quorum"
@@ -98,14 +100,31 @@
 		return
 	}
 	c.nextStep = now.Add(stepEvery)
-	orders := c.former.Step(now, former.Input{
+	in := former.Input{
 		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(now),
 		FirstStart: c.settings.FirstStart && !c.requested,
-	})
-	for _, o := range orders {
+	}
+	for _, o := range c.former.Step(now, in) {
 		c.send(o)
 	}
 	c.pushChanges(now)
+	if !now.Before(c.nextSummary) {
+		c.nextSummary = now.Add(summaryEvery)
+		c.logSummary(now, in)
+	}
+}
+
+// summaryEvery is how often the leader logs what groups there are.
+const summaryEvery = 1 * time.Second
+
+func (c *Controller) logSummary(now time.Time, in former.Input) {
+	s := c.former.Summary(now, in)
+	e := c.log.Info().Str("event", "fleet").Int("free", s.Free).Int("loading", s.Loading).Int("lost", s.Lost).Int("entries", len(c.entries))
+	for model, m := range s.Models {
+		e = e.Dict(model, zerolog.Dict().Int("open", m.Open).Int("forming", m.Forming).Int("ending", m.Ending).
+			Float64("need", m.Need).Float64("demand", in.Demand[model]))
+	}
+	e.Msg("")
 }
 
 // send gives an order on a thread of the pool; its outcome comes back as an event.
@@ -180,6 +199,9 @@
 		c.entries[host] = e
 		c.log.Info().Str("event", "entryHostFound").Str("entry", host).Msg("")
 	}
+	if len(u.Demand) > 0 && c.measuredSince.IsZero() {
+		c.measuredSince = now
+	}
 	e.learnDemand(now, u)
 	e.usage, e.heard = u, now
 	e.told = u.Revision
@@ -220,8 +242,12 @@
 	}
 }
 
+// demand returns the work asked of each model, once it has been measured for long enough.
 func (c *Controller) demand(now time.Time) map[string]float64 {
 	out := map[string]float64{}
+	if c.measuredSince.IsZero() || now.Sub(c.measuredSince) < demandSmoothing {
+		return out
+	}
 	for _, e := range c.entries {
 		if now.Sub(e.heard) > demandSmoothing {
 			continue
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -133,7 +133,7 @@
 		c.leading, c.term = leading, view.Term
 		if leading {
 			c.endpoints = endpointLog{}
-			c.entries = map[string]*entryState{}
+			c.entries, c.measuredSince = map[string]*entryState{}, time.Time{}
 		}
 	}
 	if view.Leader != c.lastLeader {
--- a/process/former/advance.go
+++ b/process/former/advance.go
@@ -97,9 +97,12 @@
 	if silent > f.cfg.LongSilence {
 		return true
 	}
-	if silent > f.cfg.Silence {
-		moves, inFlight := in.Progress[g.members[0]]
-		return !inFlight || !moves
+	moves, inFlight := in.Progress[g.members[0]]
+	if silent > f.cfg.Silence && (!inFlight || !moves) {
+		return true
+	}
+	if silent > f.cfg.Doubt && inFlight && !moves {
+		return true
 	}
 	if isMember(s, g) {
 		return false
--- a/process/former/former.go
+++ b/process/former/former.go
@@ -16,6 +16,8 @@
 type Config struct {
 	// Silence is how long a server may send no report before it counts as lost, if nothing shows that it works.
 	Silence time.Duration
+	// Doubt is how long a server may send no report if its group has stopped moving as well.
+	Doubt time.Duration
 	// LongSilence is how long a silent member is kept in a group that still makes progress.
 	LongSilence time.Duration
 	// Stall is how long a head goes on after it has lost a member, with a margin.
@@ -33,8 +35,9 @@
 		value time.Duration
 	}{
 		{&c.Silence, 2600 * time.Millisecond}, // two reports missed at the usual 1.2 s, and a little
+		{&c.Doubt, 1400 * time.Millisecond},   // a report missed by a little
 		{&c.LongSilence, 15 * time.Second},
-		{&c.Stall, 6 * time.Second},          // the platform's 5 s and a margin
+		{&c.Stall, 5500 * time.Millisecond},  // the usual 5 s and a margin
 		{&c.Resend, 1500 * time.Millisecond}, // an answer takes a second at most where there is one
 		{&c.LoadWindow, 5500 * time.Millisecond},
 	}
@@ -73,6 +76,8 @@
 	loads  loadWindow
 	// lastModel is the model of each server's newest group; joining it again needs no load.
 	lastModel map[string]string
+	// barred holds servers that have refused an order, until when they are left alone.
+	barred map[string]time.Time
 	// found holds every server that was ever seen, and lastFound when the newest was.
 	found     map[string]bool
 	lastFound time.Time
@@ -108,7 +113,7 @@
 // New returns a former without memory.
 func New(cfg Config) *Former {
 	cfg.Defaults()
-	return &Former{cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}, found: map[string]bool{}}
+	return &Former{cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}, found: map[string]bool{}, barred: map[string]time.Time{}}
 }
 
 // nameSeparator stands between the epoch and the model in a group's name, so that every leader can
@@ -154,7 +159,10 @@
 	f.groups, f.orders = map[string]*group{}, map[string]*pending{}
 	f.loads = loadWindow{}
 	if !in.FirstStart {
-		f.loads.assumeFull(now)
+		// An earlier leader may have begun as many loads as run at once, and no more within the window.
+		for range f.loadsAtOnce(in) {
+			f.loads.add(now)
+		}
 	}
 }
 
@@ -179,8 +187,10 @@
 	}
 	switch outcome {
 	case savorywing.OrderUnfit, savorywing.OrderFenced, savorywing.OrderForeign:
-		// It was not and will not be carried out in this form; the next step decides anew.
+		// It was not and will not be carried out in this form. The server is left alone until its next report
+		// has had time to come.
 		delete(f.orders, o.Server)
+		f.barred[o.Server] = now.Add(f.cfg.Resend)
 		if g := f.groups[o.Group]; g != nil && o.Action == savorywing.ActionJoin {
 			g.ending = true
 		}
@@ -353,21 +363,22 @@
 	return []savorywing.FleetOrder{o}
 }
 
-// load windows.
+func (f *Former) loadsAtOnce(in Input) int {
+	n := 0
+	for _, s := range in.Catalogue.Services() {
+		if s.Engine != nil {
+			n += s.Engine.LoadsAtOnce
+		}
+	}
+	return n
+}
 
 // loadWindow counts loads over a sliding window.
 type loadWindow struct {
 	began []time.Time
-	// barred is the time until which an earlier leader's loads may still count.
-	barred time.Time
 }
 
-func (l *loadWindow) assumeFull(now time.Time) { l.barred = now }
-
 func (l *loadWindow) room(now time.Time, window time.Duration, limit int) int {
-	if !l.barred.IsZero() && now.Sub(l.barred) < window {
-		return 0
-	}
 	var kept []time.Time
 	for _, t := range l.began {
 		if now.Sub(t) < window {
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -36,9 +36,11 @@
 		p.room = f.loads.room(now, f.cfg.LoadWindow, int(service.Engine.LoadsPerSecond*f.cfg.LoadWindow.Seconds()))
 		p.room = min(p.room, service.Engine.LoadsAtOnce-f.loadsUnderWay())
 	}
-	for _, d := range f.domains(now, in, service.Name) {
+	domains := f.domains(now, in, service.Name)
+	for _, d := range domains {
 		p.fill(d)
 	}
+	p.stage(domains)
 	return p.orders
 }
 
@@ -83,6 +85,9 @@
 	return false
 }
 
+// headroom is how many times the spread of the work is planned for above its mean.
+const headroom = 2
+
 func slotsOf(e *catalogue.Engine, m *catalogue.Model) float64 {
 	return float64(e.Slots) / max(m.Pace, minPace)
 }
@@ -121,7 +126,7 @@
 // isFree tells whether a server may join a group.
 func (f *Former) isFree(now time.Time, in Input, s *fleet.Server) bool {
 	r := s.Report()
-	if f.isLost(now, s) || r.Leaving || f.orders[r.ID] != nil {
+	if f.isLost(now, s) || r.Leaving || f.orders[r.ID] != nil || now.Before(f.barred[r.ID]) {
 		return false
 	}
 	for _, g := range f.groups {
@@ -154,12 +159,11 @@
 func (p *planning) fill(d *domain) {
 	for {
 		m, members := p.next(d)
-		if m == nil {
+		if members == nil {
 			break
 		}
 		p.form(d, m, members)
 	}
-	p.stage(d)
 }
 
 // need is how short a model is: demand against capacity.
@@ -176,7 +180,8 @@
 		total += v
 	}
 	// The share at the start stays visible, so that a model without work lately keeps a group.
-	return p.in.Demand[m.Name] + minShare*total
+	mean := p.in.Demand[m.Name] + minShare*total
+	return mean + headroom*math.Sqrt(mean)
 }
 
 // minShare is the part of all work that every model is planned for at least.
@@ -184,22 +189,64 @@
 
 // next returns the model that the domain's free servers serve best, and who joins.
 func (p *planning) next(d *domain) (*catalogue.Model, []*fleet.Server) {
+	if p.in.FirstStart {
+		return p.first(d)
+	}
 	var best *catalogue.Model
 	var members []*fleet.Server
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
-		chosen := p.choose(d, m)
-		if chosen == nil && !p.gathering() {
-			continue
-		}
-		if best == nil || p.need(m) > p.need(best) {
+		if chosen := p.choose(d, m); chosen != nil && (best == nil || p.need(m) > p.need(best)) {
 			best, members = m, chosen
 		}
 	}
-	if members == nil {
+	return best, members
+}
+
+// first shares whole domains out among the models at a first start, since hosts with the same weights can
+// replace each other. What a domain's own model leaves over goes to others once all servers are found.
+func (p *planning) first(d *domain) (*catalogue.Model, []*fleet.Server) {
+	own := p.settled(d)
+	if own == nil {
+		own = p.leastSettled()
+	}
+	if own == nil {
 		return nil, nil
 	}
-	return best, members
+	if members := p.choose(d, own); members != nil || p.gathering() {
+		return own, members
+	}
+	for i := range p.engine.Models {
+		if m := &p.engine.Models[i]; m != own {
+			if members := p.choose(d, m); members != nil {
+				return m, members
+			}
+		}
+	}
+	return nil, nil
+}
+
+// leastSettled returns the model with the fewest domains for its share of the work.
+func (p *planning) leastSettled() *catalogue.Model {
+	domains := map[string]map[string]bool{}
+	for _, g := range p.former.groups {
+		if s := member(p.in, g, 0); s != nil {
+			if domains[g.model] == nil {
+				domains[g.model] = map[string]bool{}
+			}
+			domains[g.model][s.Report().Domain] = true
+		}
+	}
+	var best *catalogue.Model
+	bestNeed := 0.0
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		need := max(m.Share, minShare) / float64(1+len(domains[m.Name]))
+		if best == nil || need > bestNeed {
+			best, bestNeed = m, need
+		}
+	}
+	return best
 }
 
 // gathering tells whether servers are still being found after a first start. Until they all are, a domain
@@ -208,12 +255,15 @@
 	return p.in.FirstStart && p.now.Sub(p.former.lastFound) < gatherTime
 }
 
-// gatherTime is longer than the pause between the first reports of two servers.
-const gatherTime = 700 * time.Millisecond
+// gatherTime is longer than the time between two reports of a server, so that the last ones are in.
+const gatherTime = 1500 * time.Millisecond
 
 // choose returns the members of a group of a model that can be formed now without waiting for weights;
 // at a first start, when loads are cheap, all free servers count.
 func (p *planning) choose(d *domain, m *catalogue.Model) []*fleet.Server {
+	if p.in.FirstStart && len(d.free)-m.Size < p.spares(d, m) {
+		return nil
+	}
 	var fit []*fleet.Server
 	for _, s := range d.free {
 		if p.in.FirstStart || isStaged(s, m.Name) || p.former.lastModel[s.Report().ID] == m.Name {
@@ -223,9 +273,42 @@
 	if len(fit) < m.Size || m.Size == 0 {
 		return nil
 	}
+	// Who was heard of last is the least likely to be lost already.
+	sort.SliceStable(fit, func(i, j int) bool { return fit[i].Heard().After(fit[j].Heard()) })
 	return fit[:m.Size]
 }
 
+// settled returns the model of a domain's first group, which the domain's other groups follow: hosts with
+// the same weights replace each other.
+func (p *planning) settled(d *domain) *catalogue.Model {
+	for _, g := range p.former.sorted() {
+		if s := member(p.in, g, 0); s != nil && s.Report().Domain == d.name && !g.ending {
+			return findModel(p.in.Catalogue, g.model)
+		}
+	}
+	return nil
+}
+
+// pairSize is the largest group whose survivors find a partner among those of other groups, so that no
+// host needs to stand by for them.
+const pairSize = 2
+
+// spares returns how many hosts of a domain are to stand by once a further group of a model is formed: one
+// for every two large groups.
+func (p *planning) spares(d *domain, next *catalogue.Model) int {
+	large := 0
+	if next.Size > pairSize {
+		large++
+	}
+	for _, g := range p.former.groups {
+		m := findModel(p.in.Catalogue, g.model)
+		if s := member(p.in, g, 0); s != nil && s.Report().Domain == d.name && !g.ending && m != nil && m.Size > pairSize {
+			large++
+		}
+	}
+	return (large + 1) / 2
+}
+
 func (p *planning) form(d *domain, m *catalogue.Model, members []*fleet.Server) {
 	name, epoch := p.former.nextName(m.Name)
 	g := &group{name: name, epoch: epoch, model: m.Name, ready: map[string]bool{}, own: true, formed: p.now}
@@ -248,83 +331,3 @@
 		}
 	}
 }
-
-// stage loads weights onto servers that no group can use now.
-func (p *planning) stage(d *domain) {
-	for _, s := range append([]*fleet.Server(nil), d.free...) {
-		if p.room <= 0 {
-			return
-		}
-		m := p.stageFor(d)
-		if m == nil {
-			return
-		}
-		if isStaged(s, m.Name) {
-			continue
-		}
-		if p.settledElsewhere(d, s, m) {
-			continue
-		}
-		r := s.Report()
-		p.orders = append(p.orders, savorywing.FleetOrder{Action: savorywing.ActionStage, Server: r.ID, Address: r.Address, Model: m.Name})
-		p.former.loads.add(p.now)
-		p.room--
-	}
-}
-
-// settledElsewhere keeps a server's staged weights while they are as close to a group of their own.
-func (p *planning) settledElsewhere(d *domain, s *fleet.Server, m *catalogue.Model) bool {
-	for i := range p.engine.Models {
-		other := &p.engine.Models[i]
-		if other.Name == m.Name || !isStaged(s, other.Name) {
-			continue
-		}
-		if other.Size-p.stagedFor(d, other) <= m.Size-p.stagedFor(d, m) {
-			return true
-		}
-	}
-	return false
-}
-
-// stagedFor counts free servers of a domain that hold a model's weights or are loading them.
-func (p *planning) stagedFor(d *domain, m *catalogue.Model) int {
-	n := 0
-	for _, s := range p.in.Table.Servers() {
-		r := s.Report()
-		if r.Domain != d.name || r.Service != d.service {
-			continue
-		}
-		if o := p.former.orders[r.ID]; o != nil && o.order.Action == savorywing.ActionStage && o.order.Model == m.Name {
-			n++
-		}
-	}
-	for _, s := range d.free {
-		if isStaged(s, m.Name) {
-			n++
-		}
-	}
-	for _, o := range p.orders {
-		if s := p.in.Table.Server(o.Server); o.Action == savorywing.ActionStage && o.Model == m.Name && s.Report().Domain == d.name {
-			n++
-		}
-	}
-	return n
-}
-
-// stageFor returns the model to stage next in a domain: the one with the fewest servers missing, the
-// shorter one on a tie.
-func (p *planning) stageFor(d *domain) *catalogue.Model {
-	var best *catalogue.Model
-	bestMissing := 0
-	for i := range p.engine.Models {
-		m := &p.engine.Models[i]
-		missing := m.Size - p.stagedFor(d, m)
-		if missing <= 0 {
-			continue
-		}
-		if best == nil || missing < bestMissing || (missing == bestMissing && p.need(m) > p.need(best)) {
-			best, bestMissing = m, missing
-		}
-	}
-	return best
-}
--- /dev/null
+++ b/process/former/stage.go
@@ -0,0 +1,150 @@
+package former
+
+import (
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/version/catalogue"
+)
+
+// Loads from the weight store are the scarcest resource of a day on which hosts keep being lost: a few at a
+// time, many seconds each. They go where one brings back the most work soonest.
+
+// A host that stands by is worth this much of one that a group waits for: on a day of losses a large group
+// needs it before the next load would be done, while survivors of small groups find each other.
+const (
+	spareWeight      = 0.8
+	smallSpareWeight = 0.2
+)
+
+// reluctance is how many times the worth of the weights on a host must be gained to replace them, so that
+// small changes of demand don't move hosts to and fro.
+const reluctance = 1.5
+
+// load is one way to use a load.
+type load struct {
+	server *fleet.Server
+	model  *catalogue.Model
+	value  float64
+}
+
+// stage begins the loads that are worth the most.
+func (p *planning) stage(domains []*domain) {
+	for p.room > 0 {
+		var best load
+		for _, d := range domains {
+			for i := range p.engine.Models {
+				if own := p.settled(d); p.in.FirstStart && own != nil && own.Name != p.engine.Models[i].Name {
+					continue
+				}
+				if l := p.consider(d, &p.engine.Models[i]); l.server != nil && l.value > best.value {
+					best = l
+				}
+			}
+		}
+		if best.server == nil {
+			return
+		}
+		r := best.server.Report()
+		p.orders = append(p.orders, savorywing.FleetOrder{
+			Action: savorywing.ActionStage, Server: r.ID, Address: r.Address, Model: best.model.Name,
+		})
+		p.former.loads.add(p.now)
+		p.room--
+		for _, d := range domains {
+			if d.name == r.Domain {
+				d.remove(best.server)
+			}
+		}
+	}
+}
+
+// consider returns the load that brings a domain closer to its next group of a model, or to one that stands by.
+func (p *planning) consider(d *domain, m *catalogue.Model) load {
+	held := p.staged(d, m) + p.loading(d, m)
+	value := p.value(d, m, held)
+	if value <= 0 {
+		return load{}
+	}
+	var best load
+	for _, s := range d.free {
+		if isStaged(s, m.Name) {
+			continue
+		}
+		gain := value
+		for i := range p.engine.Models {
+			other := &p.engine.Models[i]
+			if other.Name != m.Name && isStaged(s, other.Name) {
+				// What the host holds now is lost with the load.
+				gain -= reluctance * p.value(d, other, p.staged(d, other)+p.loading(d, other)-1)
+			}
+		}
+		if best.server == nil || gain > best.value {
+			best = load{server: s, model: m, value: gain}
+		}
+	}
+	return best
+}
+
+// value is the work that one more host with a model's weights brings back, for each second of loading.
+func (p *planning) value(d *domain, m *catalogue.Model, held int) float64 {
+	seconds := max(1, m.Load.Seconds())
+	group := p.need(m) * slotsOf(p.engine, m) / seconds
+	missing := m.Size - held
+	if missing > 0 && p.reachable(d, m) >= m.Size {
+		return group / float64(missing)
+	}
+	if held < p.wantedSpares(d, m) {
+		if m.Size > pairSize {
+			return spareWeight * group
+		}
+		return smallSpareWeight * group
+	}
+	return 0
+}
+
+// wantedSpares returns how many hosts of a domain should stand by for a model.
+func (p *planning) wantedSpares(d *domain, m *catalogue.Model) int {
+	groups := 0
+	for _, g := range p.former.groups {
+		if s := member(p.in, g, 0); !g.ending && g.model == m.Name && s != nil && s.Report().Domain == d.name {
+			groups++
+		}
+	}
+	if m.Size <= pairSize {
+		return min(1, groups)
+	}
+	return groups
+}
+
+// reachable counts the hosts of a domain that could form a group of a model: free ones and those loading it.
+func (p *planning) reachable(d *domain, m *catalogue.Model) int { return len(d.free) + p.loading(d, m) }
+
+func (p *planning) staged(d *domain, m *catalogue.Model) int {
+	n := 0
+	for _, s := range d.free {
+		if isStaged(s, m.Name) {
+			n++
+		}
+	}
+	return n
+}
+
+// loading counts the hosts of a domain that are loading a model's weights.
+func (p *planning) loading(d *domain, m *catalogue.Model) int {
+	n := 0
+	for _, o := range p.former.orders {
+		if o.order.Action == savorywing.ActionStage && o.order.Model == m.Name {
+			if s := p.in.Table.Server(o.order.Server); s != nil && s.Report().Domain == d.name {
+				n++
+			}
+		}
+	}
+	for _, o := range p.orders {
+		if o.Action == savorywing.ActionStage && o.Model == m.Name {
+			if s := p.in.Table.Server(o.Server); s != nil && s.Report().Domain == d.name {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -160,7 +160,8 @@
 	return w
 }
 
-// workMs estimates how long the request keeps a slot of a group at pace 1.
+// workMs estimates how long the request keeps a slot of a group at pace 1. While a prompt is read, the
+// requests in all slots wait.
 func (j *job) workMs() uint64 {
 	e := j.service.Engine
 	answer := j.caller.AnswerTokens
@@ -168,7 +169,7 @@
 		answer = j.caller.ExpectedAnswer
 	}
 	step := e.Step + e.PerRequest*time.Duration(e.Slots)
-	return uint64((j.reading + step*time.Duration(answer)).Milliseconds())
+	return uint64((j.reading*time.Duration(e.Slots) + step*time.Duration(answer)).Milliseconds())
 }
 
 func (g *Gateway) countDemand(j *job) {
