Quicker elections and dials after a power loss

Cause: after all hosts lost power, entry hosts waited a second for dials to hosts that were not up yet, and the election time was 800 ms; refused callers were asked to come back before anybody could serve them.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -41,15 +41,18 @@
 
 func (l *link) run() {
 	defer l.mesh.done.Done()
+	pause := redialPause
 	for l.ctx.Err() == nil {
 		c, err := l.mesh.dial(l.address)
 		if err == nil {
 			l.serve(c)
+			pause = redialPause
 		}
 		select {
 		case <-l.ctx.Done():
-		case <-time.After(redialPause):
+		case <-time.After(pause):
 		}
+		pause = min(2*pause, longestRedial)
 	}
 }
 
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -31,9 +31,12 @@
 	heartbeatEvery = 1 * time.Second
 	silenceBound   = 2500 * time.Millisecond
 	writeTimeout   = 1 * time.Second
-	redialPause    = 250 * time.Millisecond
-	dialTimeout    = 1 * time.Second
-	stopTimeout    = 1 * time.Second
+	// redialPause doubles with each failure up to longestRedial.
+	redialPause   = 50 * time.Millisecond
+	longestRedial = 400 * time.Millisecond
+	// dialTimeout is below the second after which a lost first packet is sent again.
+	dialTimeout = 400 * time.Millisecond
+	stopTimeout = 1 * time.Second
 )
 
 // Errors of calls to other daemons.
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -30,7 +30,7 @@
 	batchSize = 512
 	poolSize  = 512
 	// election is how long a leader may be silent; a sync of a slow disk is shorter.
-	election = 800 * time.Millisecond
+	election = 500 * time.Millisecond
 	// stepEvery is how often the leader looks at groups without a report.
 	stepEvery = 100 * time.Millisecond
 	// firstIncarnation is the identity of the disks of a first start.
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -14,8 +14,11 @@
 	"savorywing.example/savorywing/version/instance"
 )
 
-// returnSoon is when a caller is asked to come back to a host that lacks the leader's word.
-const returnSoon = 300 * time.Millisecond
+// returnSoon is when a caller is asked to come back to a host that lacks the leader's word: an election and
+// a connection take about as long. It is spread, so that callers don't come back together.
+const returnSoon = 1 * time.Second
+
+func soon() time.Duration { return returnSoon + rand.N(returnSoon) }
 
 // job is one caller's request on its way.
 type job struct {
@@ -83,7 +86,7 @@
 	c := g.catalog.Load()
 	age := g.view.age()
 	if c == nil {
-		j.refuse(fasthttp.StatusServiceUnavailable, "noDocument", returnSoon)
+		j.refuse(fasthttp.StatusServiceUnavailable, "noDocument", soon())
 		return false
 	}
 	// A refusal for good is only true while the document is known to be the newest.
@@ -96,7 +99,7 @@
 	}
 	if c.Keyed() && !j.route.Public {
 		if age > instance.Milliseconds(g.settings.RevokeMs) {
-			j.refuse(fasthttp.StatusServiceUnavailable, "keysUnconfirmed", returnSoon)
+			j.refuse(fasthttp.StatusServiceUnavailable, "keysUnconfirmed", soon())
 			return false
 		}
 		o := c.Organisation(j.caller.Key)
@@ -125,7 +128,7 @@
 
 func (j *job) refuseForGood(unsure bool, status int, reason string) {
 	if unsure {
-		j.refuse(fasthttp.StatusServiceUnavailable, reason+"Unconfirmed", returnSoon)
+		j.refuse(fasthttp.StatusServiceUnavailable, reason+"Unconfirmed", soon())
 		return
 	}
 	j.refuse(status, reason, 0)
