--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -271,15 +271,18 @@
 		for _, l := range e.usage.Loads {
 			t := total[l.ID]
 			if t == nil {
-				t = &wire.EndpointLoad{ID: l.ID, Stalled: true}
+				t = &wire.EndpointLoad{ID: l.ID}
 				total[l.ID] = t
 			}
 			t.InFlight += l.InFlight
-			t.Stalled = t.Stalled && l.Stalled
+			t.Stalled = t.Stalled || l.Stalled
+			t.Moved = t.Moved || l.Moved
 		}
 	}
 	list := make([]wire.EndpointLoad, 0, len(total))
 	for _, t := range total {
+		// One host whose requests wait for a slot may see nothing where another sees progress.
+		t.Stalled = t.Stalled && !t.Moved
 		list = append(list, *t)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/process/former/advance.go
+++ b/process/former/advance.go
@@ -97,11 +97,16 @@
 	if silent > f.cfg.LongSilence {
 		return true
 	}
+	if !g.opened && silent > f.cfg.Doubt {
+		// Nothing is lost with a group that was never opened.
+		return true
+	}
 	moves, inFlight := in.Progress[g.members[0]]
 	if silent > f.cfg.Silence && (!inFlight || !moves) {
 		return true
 	}
 	if silent > f.cfg.Doubt && inFlight && !moves {
+		g.broken = true
 		return true
 	}
 	if isMember(s, g) {
@@ -136,7 +141,7 @@
 	case place != nil && place.State == fleet.StateBroken:
 		g.headOut = true
 		return nil
-	case head != nil && place != nil && !f.isLost(now, head):
+	case head != nil && place != nil && !f.isLost(now, head) && !(g.broken && f.isDoubtful(now, head)):
 		return f.endHead(now, in, g, head, place.State)
 	}
 	return f.sever(now, in, g)
@@ -144,14 +149,7 @@
 
 // endHead empties the group through its head: in order while all members are there, at once if one is lost.
 func (f *Former) endHead(now time.Time, in Input, g *group, head *fleet.Server, state string) []savorywing.FleetOrder {
-	whole := true
-	for rank := range g.members {
-		s := member(in, g, rank)
-		if f.isLost(now, s) || !isMember(s, g) {
-			whole = false
-		}
-	}
-	if whole && (state == fleet.StateOpen || state == fleet.StateClosing) {
+	if !g.broken && f.isWhole(now, in, g) && (state == fleet.StateOpen || state == fleet.StateClosing) {
 		if state == fleet.StateClosing {
 			return nil
 		}
@@ -160,6 +158,16 @@
 	return f.give(savorywing.ActionLeave, head, g)
 }
 
+func (f *Former) isWhole(now time.Time, in Input, g *group) bool {
+	for rank := range g.members {
+		s := member(in, g, rank)
+		if f.isLost(now, s) || !isMember(s, g) {
+			return false
+		}
+	}
+	return true
+}
+
 // sever frees the members of a group whose head can't be reached: once a member has left, the head
 // breaks after the stall time, whether it lives or not.
 func (f *Former) sever(now time.Time, in Input, g *group) []savorywing.FleetOrder {
@@ -176,7 +184,7 @@
 			}
 			continue
 		}
-		if candidate == nil {
+		if candidate == nil || s.Heard().After(candidate.Heard()) {
 			candidate = s
 		}
 	}
--- a/process/former/former.go
+++ b/process/former/former.go
@@ -78,6 +78,8 @@
 	lastModel map[string]string
 	// barred holds servers that have refused an order, until when they are left alone.
 	barred map[string]time.Time
+	// unanswered is when each server last left an order without an answer.
+	unanswered map[string]time.Time
 	// found holds every server that was ever seen, and lastFound when the newest was.
 	found     map[string]bool
 	lastFound time.Time
@@ -102,9 +104,11 @@
 	// opened tells that an order to open it may have been given.
 	opened bool
 	// own tells that this leader formed it, so that it knows all orders that were given.
-	own     bool
-	formed  time.Time
-	ending  bool
+	own    bool
+	formed time.Time
+	ending bool
+	// broken tells that it ends because a member is lost, so that what it has in hand can't be finished.
+	broken  bool
 	headOut bool
 	// severed is when a member is known to have left while the head could not be reached.
 	severed time.Time
@@ -113,9 +117,18 @@
 // New returns a former without memory.
 func New(cfg Config) *Former {
 	cfg.Defaults()
-	return &Former{cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}, found: map[string]bool{}, barred: map[string]time.Time{}}
+	return &Former{
+		cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}, found: map[string]bool{}, barred: map[string]time.Time{},
+		unanswered: map[string]time.Time{},
+	}
 }
 
+// standbyPrefix marks groups of one host that only keep a model at hand: they are never opened, so that their
+// member is free, and its next join of that model takes a fraction of the time.
+const standbyPrefix = "standby"
+
+func isStandby(name string) bool { return strings.HasPrefix(name, standbyPrefix) }
+
 // nameSeparator stands between the epoch and the model in a group's name, so that every leader can
 // read a group's model from reports.
 const nameSeparator = "."
@@ -197,9 +210,25 @@
 	case savorywing.OrderBegun, savorywing.OrderHolds:
 		p.settled = true
 	case savorywing.OrderUnknown:
+		f.doubt(now, o)
+	}
+}
+
+// doubt notes that a server has left an order unanswered: a group that it was to join is given up, and a
+// head that does not answer is treated as one that can't be reached.
+func (f *Former) doubt(now time.Time, o savorywing.FleetOrder) {
+	f.unanswered[o.Server] = now
+	g := f.groups[o.Group]
+	if g != nil && o.Action == savorywing.ActionJoin && !g.opened {
+		g.ending = true
 	}
 }
 
+// isDoubtful tells whether a server has missed a report or left an order unanswered since the last one.
+func (f *Former) isDoubtful(now time.Time, s *fleet.Server) bool {
+	return f.isLost(now, s) || now.Sub(s.Heard()) > f.cfg.Doubt || f.unanswered[s.Report().ID].After(s.Heard())
+}
+
 // Groups returns the groups that may be served: complete, and every member was once ready.
 func (f *Former) Groups() map[string]fleet.Whole {
 	out := map[string]fleet.Whole{}
@@ -232,6 +261,10 @@
 		if p == nil || s.Dead() {
 			continue
 		}
+		if isStandby(p.Name) {
+			f.lastModel[s.Report().ID] = modelOf(p.Name)
+			continue
+		}
 		g := f.groups[p.Name]
 		if g == nil {
 			g = &group{name: p.Name, epoch: p.Epoch, model: modelOf(p.Name), ready: map[string]bool{}, opened: true, formed: now}
@@ -314,7 +347,7 @@
 			continue
 		}
 		g := f.groups[p.order.Group]
-		stale := p.order.Group != "" && (g == nil || (g.ending && p.order.Action != savorywing.ActionLeave))
+		stale := p.order.Group != "" && !isStandby(p.order.Group) && (g == nil || (g.ending && p.order.Action != savorywing.ActionLeave))
 		if f.isLost(now, s) || stale || p.order.Action == savorywing.ActionStage {
 			delete(f.orders, id)
 			continue
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -41,6 +41,9 @@
 		p.fill(d)
 	}
 	p.stage(domains)
+	for _, d := range domains {
+		p.standBy(d)
+	}
 	return p.orders
 }
 
@@ -266,6 +269,9 @@
 	}
 	var fit []*fleet.Server
 	for _, s := range d.free {
+		if p.former.isDoubtful(p.now, s) {
+			continue
+		}
 		if p.in.FirstStart || isStaged(s, m.Name) || p.former.lastModel[s.Report().ID] == m.Name {
 			fit = append(fit, s)
 		}
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -1,6 +1,8 @@
 package former
 
 import (
+	"fmt"
+
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/catalogue"
@@ -29,11 +31,14 @@
 
 // stage begins the loads that are worth the most.
 func (p *planning) stage(domains []*domain) {
+	if p.gathering() {
+		return
+	}
 	for p.room > 0 {
 		var best load
 		for _, d := range domains {
 			for i := range p.engine.Models {
-				if own := p.settled(d); p.in.FirstStart && own != nil && own.Name != p.engine.Models[i].Name {
+				if own := p.settled(d); p.in.FirstStart && (own == nil || own.Name != p.engine.Models[i].Name) {
 					continue
 				}
 				if l := p.consider(d, &p.engine.Models[i]); l.server != nil && l.value > best.value {
@@ -60,8 +65,7 @@
 
 // consider returns the load that brings a domain closer to its next group of a model, or to one that stands by.
 func (p *planning) consider(d *domain, m *catalogue.Model) load {
-	held := p.staged(d, m) + p.loading(d, m)
-	value := p.value(d, m, held)
+	value := p.value(d, m, p.held(d, m))
 	if value <= 0 {
 		return load{}
 	}
@@ -75,7 +79,7 @@
 			other := &p.engine.Models[i]
 			if other.Name != m.Name && isStaged(s, other.Name) {
 				// What the host holds now is lost with the load.
-				gain -= reluctance * p.value(d, other, p.staged(d, other)+p.loading(d, other)-1)
+				gain -= reluctance * p.value(d, other, p.held(d, other)-1)
 			}
 		}
 		if best.server == nil || gain > best.value {
@@ -116,8 +120,32 @@
 	return groups
 }
 
-// reachable counts the hosts of a domain that could form a group of a model: free ones and those loading it.
-func (p *planning) reachable(d *domain, m *catalogue.Model) int { return len(d.free) + p.loading(d, m) }
+// held counts the hosts of a domain that have a model's weights for its next group, or will soon.
+func (p *planning) held(d *domain, m *catalogue.Model) int {
+	return p.staged(d, m) + p.loading(d, m) + p.returning(d, m)
+}
+
+// reachable counts the hosts of a domain that could form a group of a model.
+func (p *planning) reachable(d *domain, m *catalogue.Model) int {
+	return len(d.free) + p.loading(d, m) + p.returning(d, m)
+}
+
+// returning counts the members of groups that end which will be free soon.
+func (p *planning) returning(d *domain, m *catalogue.Model) int {
+	n := 0
+	for _, g := range p.former.groups {
+		if !g.ending || g.headOut || g.model != m.Name {
+			continue
+		}
+		for rank := range g.members {
+			s := member(p.in, g, rank)
+			if isMember(s, g) && s.Report().Domain == d.name && !s.Report().Leaving && !p.former.isDoubtful(p.now, s) {
+				n++
+			}
+		}
+	}
+	return n
+}
 
 func (p *planning) staged(d *domain, m *catalogue.Model) int {
 	n := 0
@@ -148,3 +176,20 @@
 	}
 	return n
 }
+
+// standBy makes free hosts that hold a model's weights join a group of their own, once, so that a real join
+// later is quick.
+func (p *planning) standBy(d *domain) {
+	for _, s := range d.free {
+		r := s.Report()
+		if len(r.Staged) == 0 || r.Group != nil || p.former.lastModel[r.ID] == r.Staged[0] {
+			continue
+		}
+		model := r.Staged[0]
+		_, epoch := p.former.nextName(model)
+		name := fmt.Sprintf("%s%d%s%s", standbyPrefix, epoch, nameSeparator, model)
+		p.orders = append(p.orders, savorywing.FleetOrder{
+			Action: savorywing.ActionJoin, Server: r.ID, Address: r.Address, Group: name, Epoch: epoch, Model: model, Members: []string{r.ID},
+		})
+	}
+}
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -19,6 +19,8 @@
 	reported int
 	// progress is when an answer last moved, or a request was sent while none was in flight.
 	progress time.Time
+	// moved tells that an answer has moved since the last usage.
+	moved bool
 
 	// failures is a moving share of failed requests; samples counts up to sampleCap.
 	failures float64
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -104,8 +104,9 @@
 	for _, e := range l.all {
 		e.reported = e.own
 		if e.own > 0 {
-			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.own, Stalled: e.isStalled(now, l.cfg.StallAfter)})
+			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.own, Stalled: e.isStalled(now, l.cfg.StallAfter), Moved: e.moved})
 		}
+		e.moved = false
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
@@ -146,7 +147,7 @@
 	if e == nil {
 		return
 	}
-	e.progress = now
+	e.progress, e.moved = now, true
 	if gap > 0 {
 		move(&e.gap, gap)
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -304,6 +304,9 @@
 	// InFlight corresponds to the JSON schema field "inFlight".
 	InFlight int `json:"inFlight"`
 
+	// An answer from there has made progress since the last usage.
+	Moved bool `json:"moved"`
+
 	// Requests are in flight there and none has made progress lately.
 	Stalled bool `json:"stalled"`
 }
