Placement predicts the first event from an engine's passes and the prompts that wait for them

Cause: what makes a first event late on a loaded group is the prompts queued for reading, not the slots alone.

--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -275,6 +275,7 @@
 				total[l.ID] = t
 			}
 			t.InFlight += l.InFlight
+			t.WaitingTokens += l.WaitingTokens
 			t.Stalled = t.Stalled || l.Stalled
 			t.Moved = t.Moved || l.Moved
 		}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -23,8 +23,8 @@
 	// keptIdle is the same for what may be repeated; the server's own word is shorter.
 	keptIdle = 60 * time.Second
 	// stallCheck is when an engine that shows nothing is looked at first, and stallAgain how often later.
-	stallCheck = 450 * time.Millisecond
-	stallAgain = 200 * time.Millisecond
+	stallCheck = 320 * time.Millisecond
+	stallAgain = 80 * time.Millisecond
 	// plainSwitch is the number of objectives after which a plain server's silence sends a repeatable
 	// request elsewhere.
 	plainSwitch = 2.5
@@ -60,8 +60,8 @@
 	unreached := 0
 	for {
 		now := g.clock.Now()
-		d, ok := j.place(now)
-		if !ok {
+		d, ticket := j.place(now)
+		if ticket == nil {
 			j.giveUp(now, d)
 			return
 		}
@@ -70,9 +70,9 @@
 			g.log.Info().Str("event", "resent").Str("request", j.caller.Number).Str("server", d.ID).Int("sends", j.sends).
 				Int64("delivered", j.delivered).Bool("mayHaveRun", j.lost).Msg("")
 		}
-		end, result := j.attempt(ctx, d)
+		end, result := j.attempt(ctx, d, ticket)
 		g.mu.Lock()
-		g.ledger.Finished(g.clock.Now(), d.ID, result, g.clock.Now().Sub(now))
+		g.ledger.Finished(g.clock.Now(), ticket, result)
 		g.mu.Unlock()
 		switch end {
 		case endAnswered:
@@ -105,8 +105,8 @@
 	}
 }
 
-// place picks where the request goes next; false if it must be given up, with the reason if there is one.
-func (j *job) place(now time.Time) (placement.Decision, bool) {
+// place picks where the request goes next; without a ticket it must be given up, for the reason if there is one.
+func (j *job) place(now time.Time) (placement.Decision, *placement.Ticket) {
 	g := j.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -117,18 +117,18 @@
 		budget.First(now)
 	}
 	if j.deadline.Sub(now) < shortestTry || j.sends >= j.route.MaxAttempts {
-		return placement.Decision{}, false
+		return placement.Decision{}, nil
 	}
-	d := g.ledger.Pick(now, j.want(now))
+	w := j.want(now)
+	d := g.ledger.Pick(now, w)
 	if d.Reason != placement.ReasonNone {
-		return d, false
+		return d, nil
 	}
 	if j.sends > 0 && !budget.Spend(now, g.retrySlack()) {
 		g.counters.refused("retryBudget")
-		return placement.Decision{}, false
+		return placement.Decision{}, nil
 	}
-	g.ledger.Started(now, d.ID)
-	return d, true
+	return d, g.ledger.Start(now, d, w)
 }
 
 // budgetPart is the part of the shared retry budget that all entry hosts together plan to use.
@@ -176,7 +176,7 @@
 }
 
 // attempt sends the request to one server and passes its answer on.
-func (j *job) attempt(ctx context.Context, d placement.Decision) (ending, placement.Result) {
+func (j *job) attempt(ctx context.Context, d placement.Decision, ticket *placement.Ticket) (ending, placement.Result) {
 	g := j.gateway
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -191,7 +191,7 @@
 	case a.Head.NotRun:
 		return j.notRun(a, d)
 	case j.route.Kind == catalogue.Streaming && a.Header.StatusCode() == fasthttp.StatusOK && a.Head.Signed:
-		return j.relayEvents(ctx, a, d, w)
+		return j.relayEvents(ctx, a, d, ticket, w)
 	}
 	return j.relayWhole(ctx, a, d)
 }
@@ -323,5 +323,6 @@
 		return
 	}
 	g.log.Info().Str("event", "served").Str("request", j.caller.Number).Str("route", j.route.Name).Str("server", d.ID).
-		Int("status", status).Int("sends", j.sends+1).Int("load", d.Load).Int("slots", d.Slots).Dur("after", now.Sub(j.x.Arrival())).Msg("")
+		Int("status", status).Int("sends", j.sends+1).
+		Dur("first", j.first).Dur("longestGap", j.longestGap).Dur("predicted", d.Predicted).Int("load", d.Load).Int("slots", d.Slots).Dur("predicted", d.Predicted).Dur("after", now.Sub(j.x.Arrival())).Msg("")
 }
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -28,7 +28,7 @@
 
 // relayEvents passes a stream on as it comes, whole events only, so that another server can go on behind
 // the last one.
-func (j *job) relayEvents(ctx context.Context, a *engine.Answer, d placement.Decision, w *watch) (ending, placement.Result) {
+func (j *job) relayEvents(ctx context.Context, a *engine.Answer, d placement.Decision, ticket *placement.Ticket, w *watch) (ending, placement.Result) {
 	g := j.gateway
 	var pending []byte
 	buf := make([]byte, streamBuffer)
@@ -38,7 +38,8 @@
 		if n > 0 {
 			now := g.clock.Now()
 			w.moved(now)
-			g.noteProgress(d.ID, now, last)
+			j.note(now, last)
+			g.noteProgress(ticket, now, last)
 			last = now
 			pending = append(pending, buf[:n]...)
 		}
@@ -66,6 +67,15 @@
 	}
 }
 
+// note keeps the times that decide whether a stream is on time.
+func (j *job) note(now, last time.Time) {
+	if j.first == 0 {
+		j.first = now.Sub(j.x.Arrival())
+	} else if !last.IsZero() {
+		j.longestGap = max(j.longestGap, now.Sub(last))
+	}
+}
+
 // splitEvents returns the whole events and the beginning of the next one.
 func splitEvents(p []byte) (whole, rest []byte) {
 	end := bytes.LastIndex(p, eventEnd)
@@ -113,12 +123,12 @@
 	return j.x.Write(events)
 }
 
-func (g *Gateway) noteProgress(id string, now, last time.Time) {
+func (g *Gateway) noteProgress(t *placement.Ticket, now, last time.Time) {
 	gap := time.Duration(0)
 	if !last.IsZero() {
 		gap = now.Sub(last)
 	}
 	g.mu.Lock()
-	g.ledger.Progress(now, id, gap)
+	g.ledger.Progress(now, t, gap)
 	g.mu.Unlock()
 }
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -37,6 +37,8 @@
 	sends    int
 	// delivered is the id of the last event sent to the caller; negative before the first.
 	delivered int64
+	// first is the time to the first event, and longestGap the longest pause between two; 0 without events.
+	first, longestGap time.Duration
 	// lost tells that an attempt may have run without its answer coming back.
 	lost bool
 	// shed tells that a backend server has refused for lack of room.
@@ -154,11 +156,17 @@
 
 func (j *job) want(now time.Time) placement.Want {
 	w := placement.Want{
-		Service: j.service.Name, Reading: j.reading, Objective: j.route.Objective,
+		Service: j.service.Name, PromptTokens: j.caller.PromptTokens, Objective: j.route.Objective,
 		Elapsed: now.Sub(j.x.Arrival()), Left: j.deadline.Sub(now), Tried: j.tried, Again: j.sends > 0,
 	}
-	if j.service.Engine != nil {
+	if e := j.service.Engine; e != nil {
 		w.Model = j.caller.Model
+		w.Engine = &placement.Engine{Chunk: e.Chunk, ReadRate: e.ReadRate, Stride: e.Stride, Step: e.Step, PerRequest: e.PerRequest, Pace: 1}
+		for i := range e.Models {
+			if e.Models[i].Name == w.Model {
+				w.Engine.Pace = e.Models[i].Pace
+			}
+		}
 	}
 	return w
 }
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -15,7 +15,7 @@
 
 const (
 	// usageEvery is how often the leader is told of this host's requests, and answers with all hosts'.
-	usageEvery = 200 * time.Millisecond
+	usageEvery = 120 * time.Millisecond
 	// quietEvery is the same while nothing is in flight here.
 	quietEvery = 400 * time.Millisecond
 	// leaderPatience is how long the leader may leave usages unanswered before others are asked.
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -13,6 +13,10 @@
 	own int
 	// others counts those of other hosts as of the leader's last word.
 	others int
+	// waiting and othersWaiting are prompt tokens of requests that have not shown an event yet.
+	waiting, othersWaiting int
+	// reportedWaiting is the own part that the leader's total contains.
+	reportedWaiting int
 	// othersStalled is the leader's word that nobody sees progress there.
 	othersStalled bool
 	// reported is the own count that the leader's total contains.
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -19,14 +19,19 @@
 }
 
 const (
-	// defaultStall is several passes of a full batch.
-	defaultStall = 400 * time.Millisecond
+	// defaultStall is longer than the longest passes of a full batch.
+	defaultStall = 300 * time.Millisecond
 	// defaultHold stands for the time that a request keeps its slot until some were seen.
 	defaultHold = 1500 * time.Millisecond
 	// localBonus is how many requests a server nearby may have more than one far away.
 	localBonus = 0.5
-	// objectivePart is the part of the objective that waiting for a slot may take.
-	objectivePart = 0.8
+	// objectivePart is the part of the objective that the predicted time to the first event may take.
+	objectivePart = 0.9
+	// largePart is the part of the objective by which a request that is slow by its size may be slower yet.
+	largePart = 0.4
+	// latePart is the part of the objective that a request may wait whose objective has passed: it takes what
+	// those that can be in time leave over.
+	latePart = 0.5
 	// slowFactor marks a server whose events take that many times as long as those of its peers.
 	slowFactor = 2.0
 	// shortestReturn is the least time after which a refused caller is asked to come back.
@@ -41,6 +46,8 @@
 	// lanes lists endpoints by service and model, sorted by id.
 	lanes   map[lane][]*endpoint
 	entries int
+	// fixed is the part of the time to the first event that the model of a pass does not explain.
+	fixed map[lane]time.Duration
 }
 
 type lane struct{ service, model string }
@@ -50,7 +57,10 @@
 	if cfg.StallAfter == 0 {
 		cfg.StallAfter = defaultStall
 	}
-	return &Ledger{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), all: map[string]*endpoint{}, lanes: map[lane][]*endpoint{}}
+	return &Ledger{
+		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), all: map[string]*endpoint{}, lanes: map[lane][]*endpoint{},
+		fixed: map[lane]time.Duration{},
+	}
 }
 
 // Update takes over which endpoints there are.
@@ -74,7 +84,7 @@
 		if old == nil || old.Born != e.Born || old.Epoch != e.Epoch {
 			next := &endpoint{Endpoint: e}
 			if old != nil {
-				next.own = old.own
+				next.own, next.waiting = old.own, old.waiting
 			}
 			l.all[e.ID] = next
 			continue
@@ -102,9 +112,9 @@
 func (l *Ledger) Usage(now time.Time) []wire.EndpointLoad {
 	var out []wire.EndpointLoad
 	for _, e := range l.all {
-		e.reported = e.own
+		e.reported, e.reportedWaiting = e.own, e.waiting
 		if e.own > 0 {
-			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.own, Stalled: e.isStalled(now, l.cfg.StallAfter), Moved: e.moved})
+			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.own, WaitingTokens: e.waiting, Stalled: e.isStalled(now, l.cfg.StallAfter), Moved: e.moved})
 		}
 		e.moved = false
 	}
@@ -116,11 +126,12 @@
 func (l *Ledger) SetLoads(loads []wire.EndpointLoad, entries int) {
 	l.entries = max(1, entries)
 	for _, e := range l.all {
-		e.others, e.othersStalled = 0, false
+		e.others, e.othersWaiting, e.othersStalled = 0, 0, false
 	}
 	for _, t := range loads {
 		if e := l.all[t.ID]; e != nil {
 			e.others = max(0, t.InFlight-e.reported)
+			e.othersWaiting = max(0, t.WaitingTokens-e.reportedWaiting)
 			e.othersStalled = t.Stalled
 		}
 	}
@@ -129,21 +140,35 @@
 // Entries returns the number of entry hosts that share the endpoints.
 func (l *Ledger) Entries() int { return max(1, l.entries) }
 
-// Started counts a request that is sent to an endpoint.
-func (l *Ledger) Started(now time.Time, id string) {
-	e := l.all[id]
+// Ticket stands for one request at an endpoint.
+type Ticket struct {
+	ID     string
+	tokens int
+	sent   time.Time
+	// expected is the predicted time to the first event, without what was learnt of the lane.
+	expected time.Duration
+	lane     lane
+	shown    bool
+}
+
+// Start counts a request that is sent to the endpoint of a decision.
+func (l *Ledger) Start(now time.Time, d Decision, w Want) *Ticket {
+	t := &Ticket{ID: d.ID, tokens: w.PromptTokens, sent: now, expected: d.expected, lane: lane{w.Service, w.Model}}
+	e := l.all[d.ID]
 	if e == nil {
-		return
+		return t
 	}
 	if e.own == 0 {
 		e.progress = now
 	}
 	e.own++
+	e.waiting += t.tokens
+	return t
 }
 
 // Progress notes that an answer moved; gap is the time since its last event, or 0 at the first.
-func (l *Ledger) Progress(now time.Time, id string, gap time.Duration) {
-	e := l.all[id]
+func (l *Ledger) Progress(now time.Time, t *Ticket, gap time.Duration) {
+	e := l.all[t.ID]
 	if e == nil {
 		return
 	}
@@ -151,8 +176,32 @@
 	if gap > 0 {
 		move(&e.gap, gap)
 	}
+	if !t.shown {
+		t.shown = true
+		e.waiting = max(0, e.waiting-t.tokens)
+		l.learnFirst(t, now.Sub(t.sent))
+	}
 }
 
+// learnFirst moves the lane's fixed time to the first event towards what was measured.
+func (l *Ledger) learnFirst(t *Ticket, took time.Duration) {
+	if t.expected <= 0 {
+		return
+	}
+	fixed := min(longestFixed, max(0, took-t.expected))
+	if old, known := l.fixed[t.lane]; known {
+		fixed = old + time.Duration(fixedPart*float64(fixed-old))
+	}
+	l.fixed[t.lane] = fixed
+}
+
+const (
+	// fixedPart is the weight of a new sample in the fixed time to the first event.
+	fixedPart = 0.05
+	// longestFixed bounds a sample, which may come from a server that stalled.
+	longestFixed = 400 * time.Millisecond
+)
+
 // Result is how a request ended at an endpoint.
 type Result int
 
@@ -173,16 +222,19 @@
 )
 
 // Finished counts a request out and learns from it.
-func (l *Ledger) Finished(now time.Time, id string, r Result, held time.Duration) {
-	e := l.all[id]
+func (l *Ledger) Finished(now time.Time, t *Ticket, r Result) {
+	e := l.all[t.ID]
 	if e == nil {
 		return
 	}
 	e.own = max(0, e.own-1)
+	if !t.shown {
+		e.waiting = max(0, e.waiting-t.tokens)
+	}
 	switch r {
 	case Served:
 		e.learnOutcome(now, false)
-		move(&e.hold, held)
+		move(&e.hold, now.Sub(t.sent))
 	case Failed:
 		e.learnOutcome(now, true)
 	case Unreachable, Misplaced:
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -8,8 +8,10 @@
 type Want struct {
 	Service string
 	Model   string
-	// Reading is how long an idle engine takes to read the prompt.
-	Reading time.Duration
+	// PromptTokens are the tokens to read before the first event.
+	PromptTokens int
+	// Engine describes how engines work; nil for plain services.
+	Engine *Engine
 	// Objective is the time in which the answer or the first event earns its full value; Elapsed is what
 	// is gone of it.
 	Objective, Elapsed time.Duration
@@ -21,6 +23,40 @@
 	Again bool
 }
 
+// Engine describes how a group works: in passes, each of which reads a chunk of prompts and writes a few
+// tokens of every request that is being answered.
+type Engine struct {
+	Chunk    int
+	ReadRate float64
+	Stride   int
+	// Step and PerRequest are the times of one written token: fixed, and for each request.
+	Step, PerRequest time.Duration
+	// Pace multiplies all times.
+	Pace float64
+}
+
+// pass returns the time of a pass that reads tokens and writes for n requests.
+func (e *Engine) pass(tokens float64, n int) time.Duration {
+	read := tokens / max(1, e.ReadRate) * float64(time.Second)
+	write := float64(e.Stride) * float64(e.Step+time.Duration(n)*e.PerRequest)
+	return time.Duration(max(minPace, e.Pace) * (read + write))
+}
+
+// minPace keeps a model without a stated pace from counting as infinitely fast.
+const minPace = 0.05
+
+// first predicts the time to the first event behind waiting tokens, beside n requests that are being written.
+func (e *Engine) first(waiting, prompt, n int) time.Duration {
+	chunk := float64(max(1, e.Chunk))
+	left := float64(waiting + prompt)
+	total := e.pass(0, n) / 2 // the pass under way
+	for left > chunk {
+		total += e.pass(chunk, n)
+		left -= chunk
+	}
+	return total + e.pass(left, n)
+}
+
 // Reason says why a request is refused.
 type Reason string
 
@@ -42,6 +78,10 @@
 	// Load and Slots are what the decision was made on: requests in flight and places of the endpoint,
 	// or of all of them for a refusal.
 	Load, Slots int
+	// Predicted is the time to the first event that the decision was made on.
+	Predicted time.Duration
+	// expected is the same without what was learnt of the lane.
+	expected time.Duration
 }
 
 // Pick decides on one request.
@@ -50,16 +90,50 @@
 	if len(usable) == 0 {
 		return l.refuseEmpty(known)
 	}
-	best := l.choose(usable)
-	if wait := l.waitAt(best); !l.fits(wait, w) {
-		best = l.leastLoaded(usable)
-		if wait = l.waitAt(best); !l.fits(wait, w) {
-			return l.refuseFull(usable, wait, w)
+	best := l.choose(usable, w)
+	if !l.fits(best, w) {
+		best = l.best(usable, w)
+		if !l.fits(best, w) {
+			return l.refuseFull(usable, best)
 		}
 	}
-	return Decision{ID: best.ID, Address: best.Address, Load: best.load(), Slots: best.slots()}
+	return Decision{
+		ID: best.ID, Address: best.Address, Load: best.load(), Slots: best.slots(), Predicted: best.predicted, expected: best.expected,
+	}
 }
 
+// offer is what an endpoint promises to a request.
+type offer struct {
+	*endpoint
+	// predicted is the time to the first event; expected the part of it that the engine's passes explain.
+	predicted, expected time.Duration
+	score               float64
+}
+
+// weigh predicts what an endpoint promises. Engines are compared by the time to the first event, plain
+// servers by their relative load.
+func (l *Ledger) weigh(e *endpoint, peers []*endpoint, w Want) offer {
+	o := offer{endpoint: e, score: l.score(e, peers)}
+	wait := l.waitAt(e)
+	if w.Engine == nil {
+		o.predicted = wait
+		return o
+	}
+	slow := 1.0
+	if s := slowness(e, peers); s > slowFactor {
+		slow = s
+	}
+	n := min(e.load(), e.slots())
+	o.expected = time.Duration(slow * float64(w.Engine.first(e.waiting+e.othersWaiting, w.PromptTokens, n)))
+	o.predicted = o.expected + wait + l.fixed[lane{w.Service, w.Model}]
+	// Among equals the emptier one leaves more room for what comes next.
+	o.score = o.predicted.Seconds() + loadWeight*o.score
+	return o
+}
+
+// loadWeight is how many seconds of the first event a full load is worth.
+const loadWeight = 0.1
+
 // usable returns the endpoints that may be chosen: healthy ones, or, if there are none, any that is known.
 func (l *Ledger) usable(now time.Time, w Want) (usable []*endpoint, known int) {
 	list := l.lanes[lane{w.Service, w.Model}]
@@ -102,24 +176,22 @@
 // until the next word of the leader.
 const choices = 3
 
-func (l *Ledger) choose(list []*endpoint) *endpoint {
-	var best *endpoint
-	bestScore := 0.0
+func (l *Ledger) choose(list []*endpoint, w Want) offer {
+	var best offer
 	for range min(choices, len(list)) {
 		e := list[l.random.IntN(len(list))]
-		if score := l.score(e, list); best == nil || score < bestScore {
-			best, bestScore = e, score
+		if o := l.weigh(e, list, w); best.endpoint == nil || o.score < best.score {
+			best = o
 		}
 	}
 	return best
 }
 
-func (l *Ledger) leastLoaded(list []*endpoint) *endpoint {
-	var best *endpoint
-	bestScore := 0.0
+func (l *Ledger) best(list []*endpoint, w Want) offer {
+	var best offer
 	for _, e := range list {
-		if score := l.score(e, list); best == nil || score < bestScore {
-			best, bestScore = e, score
+		if o := l.weigh(e, list, w); best.endpoint == nil || o.score < best.score {
+			best = o
 		}
 	}
 	return best
@@ -168,18 +240,22 @@
 	return hold * time.Duration(ahead) / time.Duration(e.slots())
 }
 
-// fits tells whether a wait leaves the answer its value. A request that was begun elsewhere has waited
-// enough to be worth a place as long as it can be of use at all.
-func (l *Ledger) fits(wait time.Duration, w Want) bool {
+// fits tells whether an endpoint's promise leaves the answer its value. A request that was begun elsewhere has
+// waited enough to be worth a place as long as it can be of use at all.
+func (l *Ledger) fits(o offer, w Want) bool {
 	if w.Again {
-		return wait+w.Reading < w.Left
+		return o.predicted < w.Left
+	}
+	objective := float64(w.Objective)
+	idle := time.Duration(0)
+	if w.Engine != nil {
+		idle = w.Engine.first(0, w.PromptTokens, 1) + l.fixed[lane{w.Service, w.Model}]
 	}
-	limit := time.Duration(objectivePart * float64(w.Objective))
-	if w.Elapsed+w.Reading > limit {
-		// Full value is out of reach; what remains is worth a wait of the same length.
-		return wait < limit && wait+w.Reading < w.Left
+	if w.Elapsed+idle > time.Duration(objective) && w.Elapsed > time.Duration(latePart*objective) {
+		return o.predicted <= idle+time.Duration(latePart*objective) && o.predicted < w.Left
 	}
-	return w.Elapsed+wait+w.Reading <= limit
+	limit := max(time.Duration(objectivePart*objective)-w.Elapsed, idle+time.Duration(largePart*objective))
+	return o.predicted <= limit && o.predicted < w.Left
 }
 
 func (l *Ledger) refuseEmpty(known int) Decision {
@@ -192,8 +268,8 @@
 
 // refuseFull says when slots have come free: the time in which the queue in front of the caller is served,
 // spread, so that callers don't come back together.
-func (l *Ledger) refuseFull(list []*endpoint, wait time.Duration, w Want) Decision {
-	d := Decision{Reason: ReasonFull, RetryAfter: l.spread(max(shortestReturn, wait))}
+func (l *Ledger) refuseFull(list []*endpoint, o offer) Decision {
+	d := Decision{Reason: ReasonFull, RetryAfter: l.spread(max(shortestReturn, o.predicted)), Predicted: o.predicted}
 	for _, e := range list {
 		d.Load += e.load()
 		d.Slots += e.slots()
--- a/wire/types.go
+++ b/wire/types.go
@@ -309,6 +309,9 @@
 
 	// Requests are in flight there and none has made progress lately.
 	Stalled bool `json:"stalled"`
+
+	// Prompt tokens of requests in flight that have not shown an event yet.
+	WaitingTokens int `json:"waitingTokens"`
 }
 
 // Entry is one record of the replicated log.
