--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -124,7 +124,11 @@
 		e = e.Dict(model, zerolog.Dict().Int("open", m.Open).Int("forming", m.Forming).Int("ending", m.Ending).
 			Float64("need", m.Need).Float64("demand", in.Demand[model]))
 	}
-	e.Msg("")
+	domains := zerolog.Dict()
+	for domain, text := range s.Domains {
+		domains = domains.Str(domain, text)
+	}
+	e.Dict("domains", domains).Msg("")
 }
 
 // send gives an order on a thread of the pool; its outcome comes back as an event.
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -89,15 +89,18 @@
 	return best
 }
 
-// value is the work that one more host with a model's weights brings back, for each second of loading.
+// value is the work that one more host with a model's weights brings back, for each second of loading, where
+// held hosts have them already. Whole groups among these will form by themselves.
 func (p *planning) value(d *domain, m *catalogue.Model, held int) float64 {
-	seconds := max(1, m.Load.Seconds())
-	group := p.need(m) * slotsOf(p.engine, m) / seconds
-	missing := m.Size - held
-	if missing > 0 && p.reachable(d, m) >= m.Size {
-		return group / float64(missing)
+	if held < 0 || m.Size == 0 {
+		return 0
 	}
-	if held < p.wantedSpares(d, m) {
+	group := shortage(p.need(m)) * slotsOf(p.engine, m) / max(1, m.Load.Seconds())
+	formed, rest := held/m.Size, held%m.Size
+	if p.reachable(d, m) >= (formed+1)*m.Size {
+		return group / float64(m.Size-rest)
+	}
+	if rest < p.wantedSpares(d, m)+formed {
 		if m.Size > pairSize {
 			return spareWeight * group
 		}
@@ -106,6 +109,19 @@
 	return 0
 }
 
+// Below easyNeed more capacity serves hardly anyone, above hardNeed every slot is filled at once.
+const (
+	easyNeed = 0.7
+	hardNeed = 1.3
+	// idleWorth keeps hosts from standing empty where no model is short.
+	idleWorth = 0.05
+)
+
+// shortage is the part of a further group that callers would fill.
+func shortage(need float64) float64 {
+	return min(1, max(idleWorth, (need-easyNeed)/(hardNeed-easyNeed)))
+}
+
 // wantedSpares returns how many hosts of a domain should stand by for a model.
 func (p *planning) wantedSpares(d *domain, m *catalogue.Model) int {
 	groups := 0
--- a/process/former/summary.go
+++ b/process/former/summary.go
@@ -1,6 +1,9 @@
 package former
 
 import (
+	"fmt"
+	"sort"
+	"strings"
 	"time"
 
 	"savorywing.example/savorywing"
@@ -19,11 +22,13 @@
 	Models map[string]ModelSummary
 	// Free servers can join a group now, Loading ones are staging weights, Lost ones are silent or leaving.
 	Free, Loading, Lost int
+	// Domains tells of each fabric domain how many of its servers are in groups, free and loading, by model.
+	Domains map[string]string
 }
 
 // Summary counts groups by model and servers by what they do.
 func (f *Former) Summary(now time.Time, in Input) Summary {
-	s := Summary{Models: map[string]ModelSummary{}}
+	s := Summary{Models: map[string]ModelSummary{}, Domains: f.domainSummary(now, in)}
 	for _, g := range f.groups {
 		m := s.Models[g.model]
 		place := placeOf(member(in, g, 0), g)
@@ -63,3 +68,45 @@
 	}
 	return s
 }
+
+// domainSummary counts the servers of each fabric domain by what they do and the model that they hold.
+func (f *Former) domainSummary(now time.Time, in Input) map[string]string {
+	counts := map[string]map[string]int{}
+	for _, s := range in.Table.Servers() {
+		r := s.Report()
+		if !r.Engine || s.Dead() || f.isLost(now, s) {
+			continue
+		}
+		model := "empty"
+		if len(r.Staged) > 0 {
+			model = r.Staged[0]
+		}
+		state := "grouped "
+		switch o := f.orders[r.ID]; {
+		case o != nil && o.order.Action == savorywing.ActionStage:
+			state, model = "loading ", o.order.Model
+		case r.Leaving:
+			state = "leaving "
+		case f.isFree(now, in, s):
+			state = "free "
+		}
+		if counts[r.Domain] == nil {
+			counts[r.Domain] = map[string]int{}
+		}
+		counts[r.Domain][state+model]++
+	}
+	out := map[string]string{}
+	for domain, c := range counts {
+		keys := make([]string, 0, len(c))
+		for k := range c {
+			keys = append(keys, k)
+		}
+		sort.Strings(keys)
+		parts := make([]string, 0, len(keys))
+		for _, k := range keys {
+			parts = append(parts, fmt.Sprintf("%d %s", c[k], k))
+		}
+		out[domain] = strings.Join(parts, ", ")
+	}
+	return out
+}
