--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -71,7 +71,7 @@
 	}
 	var best load
 	for _, s := range d.free {
-		if isStaged(s, m.Name) {
+		if isStaged(s, m.Name) || p.mustKeep(s) {
 			continue
 		}
 		gain := value
@@ -136,6 +136,12 @@
 	return groups
 }
 
+// mustKeep tells whether a host keeps the weights it has because the work is not known: a new leader would
+// only undo what the last one did.
+func (p *planning) mustKeep(s *fleet.Server) bool {
+	return !p.in.FirstStart && !p.in.isMeasured() && len(s.Report().Staged) > 0
+}
+
 // held counts the hosts of a domain that have a model's weights for its next group, or will soon.
 func (p *planning) held(d *domain, m *catalogue.Model) int {
 	return p.staged(d, m) + p.loading(d, m) + p.returning(d, m)
