--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -106,7 +106,8 @@
 		cfg: cfg, handler: handler, log: log, pool: pool, listener: listener, links: map[string]*link{},
 		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]*ring.Ring[wire.Frame]{},
 	}
-	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout, Logger: &m.log}
+	// Kept hijacked connections are closed by serveConn; otherwise closing one would do nothing while it is read.
+	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout, Logger: &m.log, KeepHijackedConns: true}
 	for host, address := range cfg.Peers {
 		m.links[host] = newLink(m, host, address)
 	}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -206,15 +206,23 @@
 		}
 		time.Sleep(handOverPause)
 	}
+	c.Kill()
+	c.log.Info().Str("event", "stopped").Msg("")
+}
+
+// Kill ends the control host without handing leadership over.
+func (c *Controller) Kill() {
 	c.api.Stop()
 	c.cancel()
 	c.mesh.Stop()
 	c.node.Stop()
 	c.done.Wait()
 	c.pool.Release()
-	c.log.Info().Str("event", "stopped").Msg("")
 }
 
+// Members returns the members of the log as this host knows them.
+func (c *Controller) Members() []wire.Member { return c.node.View().Members.Members }
+
 const (
 	handOverTime  = 1500 * time.Millisecond
 	handOverPause = 30 * time.Millisecond
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -135,10 +135,15 @@
 		time.Sleep(stopPoll)
 	}
 	left := g.server.Busy()
+	g.Kill()
+	g.log.Info().Str("event", "stopped").Int("cutOff", left).Msg("")
+}
+
+// Kill ends the entry host at once.
+func (g *Gateway) Kill() {
 	g.cancel()
 	g.server.Close()
 	g.mesh.Stop()
 	g.done.Wait()
 	g.pool.Release()
-	g.log.Info().Str("event", "stopped").Int("cutOff", left).Msg("")
 }
