--- /dev/null
+++ b/connection/engine/client_test.go
@@ -0,0 +1,200 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/version/catalogue"
+)
+
+// echoDialect reads only the number and the idle time.
+type echoDialect struct{}
+
+func (echoDialect) ReadCaller(*fasthttp.RequestHeader) savorywing.CallerHead {
+	return savorywing.CallerHead{}
+}
+func (echoDialect) WriteEngine(*fasthttp.RequestHeader, savorywing.EngineHead) {}
+func (echoDialect) WriteAnswer(*fasthttp.ResponseHeader)                       {}
+func (echoDialect) WriteRefusal(*fasthttp.ResponseHeader, string)              {}
+func (echoDialect) ReadDocument([]byte) (*catalogue.Catalogue, error)          { return nil, nil }
+func (echoDialect) IsReadyCheck(*fasthttp.RequestHeader) bool                  { return false }
+func (echoDialect) ReadAnswer(h *fasthttp.ResponseHeader) savorywing.AnswerHead {
+	return savorywing.AnswerHead{Number: string(h.Peek("Number"))}
+}
+
+// serveScript answers the n-th request of each connection with the n-th text; "RESET" resets instead and
+// "CLOSE" behind a text closes in order.
+func serveScript(t *testing.T, texts ...string) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				for _, text := range texts {
+					var req fasthttp.Request
+					if req.Read(r) != nil {
+						break
+					}
+					requests.Add(1)
+					body, reset := strings.CutSuffix(text, "RESET")
+					body, shut := strings.CutSuffix(body, "CLOSE")
+					if _, err := io.WriteString(c, body); err != nil || shut {
+						break
+					}
+					if reset {
+						_ = c.(*net.TCPConn).SetLinger(0)
+						break
+					}
+				}
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String(), &requests
+}
+
+func call(address string, maxIdle time.Duration) Call {
+	h := &fasthttp.RequestHeader{}
+	h.SetMethod(fasthttp.MethodPost)
+	h.SetHost("x")
+	h.SetContentLength(2)
+	return Call{Address: address, Header: h, Body: []byte("hi"), Number: "n1", MaxIdle: maxIdle, HeadBy: clock.Boottime{}.Now().Add(time.Second)}
+}
+
+const (
+	whole   = "HTTP/1.1 200 OK\r\nNumber: n1\r\nContent-Length: 5\r\n\r\nhello"
+	foreign = "HTTP/1.1 200 OK\r\nNumber: n0\r\nContent-Length: 3\r\n\r\nold"
+	chunked = "HTTP/1.1 200 OK\r\nNumber: n1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	toEnd   = "HTTP/1.1 200 OK\r\nNumber: n1\r\n\r\nhello"
+)
+
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name, text string
+		want       string
+		err        error
+		// asked tells that the request was given to a connection.
+		asked bool
+	}{
+		{"length", whole, "hello", nil, true},
+		{"chunked", chunked, "hello", nil, true},
+		{"to the end of the connection", toEnd + "CLOSE", "hello", nil, true},
+		{"an earlier answer comes first", foreign + whole, "hello", nil, true},
+		{"short of its length", whole[:len(whole)-2] + "CLOSE", "", ErrCut, true},
+		{"broken off between chunks", strings.TrimSuffix(chunked, "0\r\n\r\n") + "CLOSE", "", ErrCut, true},
+		{"reset, without a length", toEnd + "RESET", "", ErrCut, true},
+		{"foreign only", strings.ReplaceAll(whole, "n1", "n9") + "CLOSE", "", nil, true},
+		{"no answer in the protocol", "garbage\r\n\r\n" + "CLOSE", "", nil, true},
+		{"without a number", strings.Replace(whole, "Number: n1\r\n", "", 1), "", ErrForeign, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, requests := serveScript(t, tt.text)
+			c := New(clock.Boottime{}, echoDialect{})
+			a, err := c.Do(context.Background(), call(address, time.Minute))
+			var body []byte
+			if err == nil {
+				defer a.Close()
+				body, err = io.ReadAll(a)
+			}
+			if tt.want != "" && (err != nil || string(body) != tt.want || !a.Whole()) {
+				t.Errorf("%q, %v", body, err)
+			}
+			if tt.want == "" && err == nil {
+				t.Errorf("%q passes as whole", body)
+			}
+			if tt.err != nil && !errors.Is(err, tt.err) {
+				t.Errorf("%v, want %v", err, tt.err)
+			}
+			if errors.Is(err, ErrNotSent) || requests.Load() != 1 {
+				t.Errorf("%d requests reached the server: %v", requests.Load(), err)
+			}
+		})
+	}
+}
+
+// TestReuse shows which kept connections carry a further request.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		name    string
+		first   string
+		pause   time.Duration
+		maxIdle time.Duration
+		opened  uint64
+	}{
+		{"kept", whole, 0, time.Minute, 1},
+		{"after chunks", chunked, 0, time.Minute, 1},
+		{"idle for too long", whole, 30 * time.Millisecond, 10 * time.Millisecond, 2},
+		{"a new one is demanded", whole, 0, 0, 2},
+		{"the server says close", strings.Replace(whole, "Number", "Connection: close\r\nNumber", 1), 0, time.Minute, 2},
+		{"the server has closed", whole + "CLOSE", 30 * time.Millisecond, time.Minute, 2},
+		{"bytes that nobody asked for", whole + "more", 30 * time.Millisecond, time.Minute, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, _ := serveScript(t, tt.first, whole)
+			c := New(clock.Boottime{}, echoDialect{})
+			for i := range 2 {
+				a, err := c.Do(context.Background(), call(address, tt.maxIdle))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadAll(a); err != nil {
+					t.Fatal(err)
+				}
+				a.Close()
+				if i == 0 {
+					time.Sleep(tt.pause)
+				}
+			}
+			if got := c.Opened(); got != tt.opened {
+				t.Errorf("%d connections opened, want %d", got, tt.opened)
+			}
+		})
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	if _, err := New(clock.Boottime{}, echoDialect{}).Do(context.Background(), call(address, 0)); !errors.Is(err, ErrNotSent) {
+		t.Errorf("a refused connection: %v", err)
+	}
+}
+
+// TestCallerLeaves shows that ending the context ends the connection while the answer is awaited.
+func TestCallerLeaves(t *testing.T) {
+	address, _ := serveScript(t, "")
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	began := time.Now()
+	_, err := New(clock.Boottime{}, echoDialect{}).Do(ctx, call(address, 0))
+	if err == nil || errors.Is(err, ErrNotSent) || time.Since(began) > 500*time.Millisecond {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
--- /dev/null
+++ b/process/fleet/table_test.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+func report(id string, born int64, sequence uint64, address string) wire.Report {
+	return wire.Report{ID: id, Born: born, Sequence: sequence, Address: address, Service: "s"}
+}
+
+// TestApply plays reports in an order in which a network may deliver them.
+func TestApply(t *testing.T) {
+	leaving := report("a", 1, 4, "x:1")
+	leaving.Leaving = true
+	tests := []struct {
+		name    string
+		report  wire.Report
+		changed bool
+		err     error
+	}{
+		{"first", report("a", 1, 2, "x:1"), true, nil},
+		{"next says the same", report("a", 1, 3, "x:1"), false, nil},
+		{"resent", report("a", 1, 3, "x:1"), false, ErrStale},
+		{"overtaken", report("a", 1, 1, "x:1"), false, ErrStale},
+		{"leaving", leaving, true, nil},
+		{"leaving is not taken back", report("a", 1, 5, "x:1"), false, nil},
+		{"another server at its address", report("b", 9, 1, "x:1"), true, nil},
+		{"late word of the dead one", report("a", 1, 6, "x:1"), false, ErrStale},
+		{"it starts again elsewhere", report("a", 10, 1, "x:2"), true, nil},
+		{"late word of an earlier start", report("a", 1, 7, "x:1"), false, ErrStale},
+		{"an earlier start at a taken address", report("c", 3, 1, "x:1"), false, ErrStale},
+	}
+	table := NewTable()
+	for i, tt := range tests {
+		changed, err := table.Apply(time.Unix(int64(i), 0), tt.report)
+		if changed != tt.changed || !errors.Is(err, tt.err) {
+			t.Errorf("%s: changed %v, %v; want %v, %v", tt.name, changed, err, tt.changed, tt.err)
+		}
+		if tt.name == "leaving is not taken back" && !table.Server("a").Report().Leaving {
+			t.Error("a server that was leaving is not any more")
+		}
+	}
+	if got := table.Server("a").Reborn(); got != time.Unix(8, 0) {
+		t.Errorf("reborn at %v", got)
+	}
+	if !table.Withdraw(time.Unix(20, 0), "b") || table.Withdraw(time.Unix(21, 0), "b") {
+		t.Error("a withdrawal counts once")
+	}
+	if _, err := table.Apply(time.Unix(22, 0), report("b", 9, 9, "x:1")); !errors.Is(err, ErrGone) {
+		t.Errorf("a report that was overtaken by the withdrawal: %v", err)
+	}
+}
+
+func TestEndpoints(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := NewTable()
+	add := func(r wire.Report, at time.Time) {
+		if _, err := table.Apply(at, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	engine := func(id, state string, rank int) wire.Report {
+		r := report(id, 1, 1, id+":1")
+		r.Engine = true
+		r.Group = &wire.GroupPlace{Name: "g", Epoch: 7, Rank: rank, State: state}
+		return r
+	}
+	leaving := report("leaving", 1, 1, "l:1")
+	leaving.Leaving = true
+	add(report("plain", 1, 1, "p:1"), now)
+	add(report("silent", 1, 1, "q:1"), now.Add(-9*time.Second))
+	add(leaving, now)
+	add(engine("head", StateOpen, 0), now)
+	add(engine("member", StateReady, 1), now)
+	add(engine("ready", StateReady, 0), now)
+	add(engine("broken", StateBroken, 0), now)
+	got := map[string]wire.Endpoint{}
+	for _, e := range table.Endpoints(now, 3*time.Second, map[string]Whole{"g": {Model: "m", Members: []string{"head", "member"}}}) {
+		got[e.ID] = e
+	}
+	if len(got) != 3 || got["head"].Model != "m" || got["head"].Epoch != 7 || !got["silent"].Silent || got["plain"].Silent {
+		t.Errorf("endpoints: %+v", got)
+	}
+	if n := len(table.Endpoints(now, 3*time.Second, nil)); n != 2 {
+		t.Errorf("%d endpoints while no group is known to be whole, want the plain ones", n)
+	}
+}
--- /dev/null
+++ b/process/placement/ledger_test.go
@@ -0,0 +1,259 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+var passes = &Engine{Chunk: 2048, ReadRate: 45900, Stride: 5, Step: 7800 * time.Microsecond, PerRequest: 95 * time.Microsecond, Pace: 1}
+
+func groups(n int) []wire.Endpoint {
+	var list []wire.Endpoint
+	for i := range n {
+		list = append(list, wire.Endpoint{ID: fmt.Sprintf("g%d", i), Born: 1, Service: "llm", Model: "m", Slots: 17})
+	}
+	return list
+}
+
+func talk() Want {
+	return Want{Service: "llm", Model: "m", PromptTokens: 700, Engine: passes, Objective: 400 * time.Millisecond, Left: 6 * time.Second}
+}
+
+func newLedger(n int) *Ledger {
+	l := New(Config{Seed: 1})
+	l.Update(true, groups(n), nil)
+	return l
+}
+
+func TestPick(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fill := func(l *Ledger, id string, n int) {
+		for range n {
+			l.Start(now, Decision{ID: id}, Want{})
+		}
+	}
+	tests := []struct {
+		name   string
+		set    func(l *Ledger)
+		change func(w *Want)
+		want   Reason
+		never  string
+	}{
+		{"idle", func(*Ledger) {}, nil, ReasonNone, ""},
+		{"other model", func(*Ledger) {}, func(w *Want) { w.Model = "n" }, ReasonNoEndpoint, ""},
+		{"one is full", func(l *Ledger) { fill(l, "g0", 30) }, nil, ReasonNone, "g0"},
+		{"all are full", func(l *Ledger) { fill(l, "g0", 40); fill(l, "g1", 40) }, nil, ReasonFull, ""},
+		{"full, but begun elsewhere", func(l *Ledger) { fill(l, "g0", 40); fill(l, "g1", 40) }, func(w *Want) { w.Again = true }, ReasonNone, ""},
+		{"tried", func(*Ledger) {}, func(w *Want) { w.Tried = []string{"g0"} }, ReasonNone, "g0"},
+		{"all tried", func(*Ledger) {}, func(w *Want) { w.Tried = []string{"g0", "g1"} }, ReasonFull, ""},
+		{"others' prompts wait", func(l *Ledger) {
+			l.SetLoads([]wire.EndpointLoad{{ID: "g0", InFlight: 5, WaitingTokens: 30000}}, 9)
+		}, nil, ReasonNone, "g0"},
+		{"stalled for others", func(l *Ledger) {
+			l.SetLoads([]wire.EndpointLoad{{ID: "g0", InFlight: 5, Stalled: true}}, 9)
+		}, nil, ReasonNone, "g0"},
+		{"unreachable", func(l *Ledger) {
+			l.Finished(now, l.Start(now, Decision{ID: "g0"}, Want{}), Unreachable)
+		}, nil, ReasonNone, "g0"},
+		{"a prompt that is slow by its size", func(*Ledger) {}, func(w *Want) { w.PromptTokens = 9000 }, ReasonNone, ""},
+		{"late already, room left", func(*Ledger) {}, func(w *Want) { w.Elapsed = time.Second }, ReasonNone, ""},
+		{"late already, little room", func(l *Ledger) {
+			l.SetLoads([]wire.EndpointLoad{{ID: "g0", InFlight: 10, WaitingTokens: 6000}, {ID: "g1", InFlight: 10, WaitingTokens: 6000}}, 9)
+		}, func(w *Want) { w.Elapsed = time.Second }, ReasonFull, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newLedger(2)
+			tt.set(l)
+			for range 20 {
+				w := talk()
+				if tt.change != nil {
+					tt.change(&w)
+				}
+				d := l.Pick(now, w)
+				if d.Reason != tt.want || (tt.never != "" && d.ID == tt.never) {
+					t.Fatalf("%+v, want reason %q and not %q", d, tt.want, tt.never)
+				}
+				if d.Reason != ReasonNone && d.RetryAfter < shortestReturn {
+					t.Fatalf("a refusal without a time to come back: %+v", d)
+				}
+			}
+		})
+	}
+}
+
+// TestStall shows that a group with requests in flight that shows nothing gets no more, until it moves.
+func TestStall(t *testing.T) {
+	l := newLedger(2)
+	now := time.Unix(1000, 0)
+	ticket := l.Start(now, Decision{ID: "g0"}, talk())
+	now = now.Add(defaultStall + time.Millisecond)
+	for range 20 {
+		if d := l.Pick(now, talk()); d.ID == "g0" {
+			t.Fatal("a stalled group was chosen")
+		}
+	}
+	if u := l.Usage(now); len(u) != 1 || !u[0].Stalled || u[0].Moved || u[0].WaitingTokens != 700 {
+		t.Errorf("usage %+v", u)
+	}
+	l.Progress(now, ticket, 0)
+	if l.IsStalled(now, "g0") {
+		t.Error("stalled although it moved")
+	}
+	if u := l.Usage(now); len(u) != 1 || u[0].Stalled || !u[0].Moved || u[0].WaitingTokens != 0 {
+		t.Errorf("usage %+v", u)
+	}
+}
+
+// TestEjection shows that a server that fails most requests is kept out for longer each time, and that
+// at most half of them are.
+func TestEjection(t *testing.T) {
+	l := newLedger(4)
+	now := time.Unix(1000, 0)
+	fail := func(id string) {
+		for range 3 {
+			l.Finished(now, l.Start(now, Decision{ID: id}, Want{}), Failed)
+		}
+	}
+	chosen := func() map[string]bool {
+		got := map[string]bool{}
+		for range 200 {
+			got[l.Pick(now, talk()).ID] = true
+		}
+		return got
+	}
+	fail("g0")
+	if chosen()["g0"] {
+		t.Error("a failing server was chosen")
+	}
+	now = now.Add(firstEject + time.Millisecond)
+	if !chosen()["g0"] {
+		t.Error("it is not tried again")
+	}
+	fail("g0")
+	now = now.Add(firstEject + time.Millisecond)
+	if chosen()["g0"] {
+		t.Error("the second time out is not longer")
+	}
+	fail("g1")
+	fail("g2")
+	fail("g3")
+	if got := chosen(); len(got) == 0 || got[""] {
+		t.Errorf("all are out, and nothing is chosen: %v", got)
+	}
+}
+
+// TestOthersLoad shows that the leader's sums don't count this host's own requests twice.
+func TestOthersLoad(t *testing.T) {
+	l := newLedger(1)
+	now := time.Unix(1000, 0)
+	for range 3 {
+		l.Start(now, Decision{ID: "g0"}, talk())
+	}
+	l.Usage(now)
+	l.Start(now, Decision{ID: "g0"}, talk())
+	l.SetLoads([]wire.EndpointLoad{{ID: "g0", InFlight: 8, WaitingTokens: 2100 + 500}}, 5)
+	if e := l.all["g0"]; e.load() != 4+5 || e.waiting+e.othersWaiting != 4*700+500 {
+		t.Errorf("load %d, waiting %d", e.load(), e.waiting+e.othersWaiting)
+	}
+}
+
+// hotGroup replays requests that outnumber the slots, at many entry hosts that learn of each other late: the
+// load of the worst seconds of a day. It returns how many first events were in time and late, and how many
+// requests were refused.
+func hotGroup(pick func(l *Ledger, now time.Time, w Want) Decision) (inTime, late, refused int) {
+	const hosts, slots, seconds = 12, 17, 20
+	type request struct {
+		host           int
+		ticket         *Ticket
+		shown, end     time.Time
+		arrival        time.Time
+		begun, counted bool
+	}
+	now := time.Unix(1000, 0)
+	start := now
+	var ledgers []*Ledger
+	for i := range hosts {
+		l := New(Config{Seed: uint64(i)})
+		l.Update(true, groups(4), nil)
+		ledgers = append(ledgers, l)
+	}
+	var flight []*request
+	arrivals := 0.0
+	for now.Sub(start) < seconds*time.Second {
+		now = now.Add(5 * time.Millisecond)
+		// 50 a second for 4 groups that can serve about 40.
+		for arrivals += 0.25; arrivals >= 1; arrivals-- {
+			host := len(flight) * 7 % hosts
+			d := pick(ledgers[host], now, talk())
+			if d.Reason != ReasonNone {
+				refused++
+				flight = append(flight, &request{})
+				continue
+			}
+			flight = append(flight, &request{host: host, ticket: ledgers[host].Start(now, d, talk()), arrival: now})
+		}
+		busy := map[string]int{}
+		for _, r := range flight {
+			if r.ticket != nil && r.begun && r.end.After(now) {
+				busy[r.ticket.ID]++
+			}
+		}
+		for _, r := range flight {
+			switch {
+			case r.ticket == nil || r.counted && !r.end.IsZero() && r.end.Before(now.Add(-time.Second)):
+			case !r.begun && busy[r.ticket.ID] < slots:
+				r.begun = true
+				busy[r.ticket.ID]++
+				r.shown, r.end = now.Add(150*time.Millisecond), now.Add(1700*time.Millisecond)
+			case r.begun && !r.counted && now.After(r.shown):
+				r.counted = true
+				ledgers[r.host].Progress(now, r.ticket, 0)
+				if now.Sub(r.arrival) <= 400*time.Millisecond {
+					inTime++
+				} else {
+					late++
+				}
+			case r.counted && r.ticket != nil && now.After(r.end):
+				ledgers[r.host].Finished(now, r.ticket, Served)
+				r.ticket = nil
+			}
+		}
+		if now.Sub(start)%(200*time.Millisecond) == 0 {
+			total := map[string]*wire.EndpointLoad{}
+			for _, l := range ledgers {
+				for _, u := range l.Usage(now) {
+					if total[u.ID] == nil {
+						total[u.ID] = &wire.EndpointLoad{ID: u.ID}
+					}
+					total[u.ID].InFlight += u.InFlight
+					total[u.ID].WaitingTokens += u.WaitingTokens
+				}
+			}
+			var sums []wire.EndpointLoad
+			for _, u := range total {
+				sums = append(sums, *u)
+			}
+			for _, l := range ledgers {
+				l.SetLoads(sums, hosts)
+			}
+		}
+	}
+	return inTime, late, refused
+}
+
+// TestWorstLoad compares placement with sending every request to a group at random, as long as any answer
+// could still come: more callers are in time, and fewer slots are spent on answers that come late.
+func TestWorstLoad(t *testing.T) {
+	inTime, late, refused := hotGroup(func(l *Ledger, now time.Time, w Want) Decision { return l.Pick(now, w) })
+	randomInTime, randomLate, _ := hotGroup(func(l *Ledger, now time.Time, _ Want) Decision {
+		return Decision{ID: fmt.Sprintf("g%d", l.random.IntN(4))}
+	})
+	t.Logf("placement: %d in time, %d late, %d refused; at random: %d in time, %d late", inTime, late, refused, randomInTime, randomLate)
+	if inTime < randomInTime*3/2 || late > inTime/5 {
+		t.Errorf("placement: %d in time, %d late; at random: %d, %d", inTime, late, randomInTime, randomLate)
+	}
+}
--- /dev/null
+++ b/version/catalogue/catalogue_test.go
@@ -0,0 +1,97 @@
+package catalogue
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func parts() Parts {
+	return Parts{
+		Version: 3,
+		Routes: []Route{
+			{Name: "all", Host: "Shop.example", Prefix: "/", Timeout: time.Second, Shares: []Share{{"web", 1}}},
+			{Name: "talk", Host: "shop.example", Prefix: "/talk/", Kind: Streaming, Timeout: time.Second, Shares: []Share{{"web", 0}, {"llm", 3}}},
+			{Name: "deep", Host: "shop.example", Prefix: "/talk/deep/", Kind: Streaming, Resumable: true, Timeout: time.Second, Shares: []Share{{"web", 1}, {"llm", 3}}},
+		},
+		Services:      []Service{{Name: "web"}, {Name: "llm"}},
+		Organisations: []Organisation{{Name: "one", Keys: []string{"a", "b"}}, {Name: "two", Keys: []string{"c"}}},
+	}
+}
+
+func TestRoute(t *testing.T) {
+	c, err := New(parts())
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		host, path, want string
+	}{
+		{"shop.example", "/talk/x", "talk"},
+		{"SHOP.example", "/talk/deep/x", "deep"},
+		{"shop.example:8080", "/talk/deeper/x", "talk"},
+		{"shop.example", "/talk", "all"},
+		{"shop.example", "", ""},
+		{"other.example", "/talk/x", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := c.Route(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s: route %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+func TestNewRefuses(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Parts)
+		want   error
+	}{
+		{"unknown service", func(p *Parts) { p.Routes[0].Shares = []Share{{"nobody", 1}} }, ErrUnknownService},
+		{"same place", func(p *Parts) { p.Routes[1].Prefix = "/" }, ErrSamePlace},
+		{"no weight", func(p *Parts) { p.Routes[1].Shares = []Share{{"web", 0}, {"llm", 0}} }, ErrNoWeight},
+		{"negative weight", func(p *Parts) { p.Routes[1].Shares = []Share{{"web", 2}, {"llm", -1}} }, ErrNoWeight},
+		{"no service", func(p *Parts) { p.Routes[1].Shares = nil }, ErrNoWeight},
+		{"no timeout", func(p *Parts) { p.Routes[1].Timeout = 0 }, ErrNoTimeout},
+		{"shared key", func(p *Parts) { p.Organisations[1].Keys = []string{"b"} }, ErrSharedKey},
+		{"prefix without slash", func(p *Parts) { p.Routes[1].Prefix = "/talk" }, ErrPrefix},
+	}
+	for _, tt := range tests {
+		p := parts()
+		tt.change(&p)
+		if _, err := New(p); !errors.Is(err, tt.want) {
+			t.Errorf("%s: %v, want %v", tt.name, err, tt.want)
+		}
+	}
+}
+
+func TestPick(t *testing.T) {
+	r := parts().Routes[2]
+	tests := []struct {
+		u    float64
+		want string
+	}{{0, "web"}, {0.24, "web"}, {0.25, "llm"}, {0.999, "llm"}}
+	for _, tt := range tests {
+		if got := r.Pick(tt.u); got != tt.want {
+			t.Errorf("%v: %s, want %s", tt.u, got, tt.want)
+		}
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := []struct {
+		kind      Kind
+		resumable bool
+		want      bool
+	}{{Idempotent, false, true}, {NonIdempotent, false, false}, {NonIdempotent, true, false}, {Streaming, false, false}, {Streaming, true, true}}
+	for _, tt := range tests {
+		r := Route{Kind: tt.kind, Resumable: tt.resumable}
+		if got := r.Repeatable(); got != tt.want {
+			t.Errorf("kind %d, resumable %v: %v", tt.kind, tt.resumable, got)
+		}
+	}
+}
--- /dev/null
+++ b/version/instance/settings_test.go
@@ -0,0 +1,55 @@
+package instance
+
+import (
+	"strings"
+	"testing"
+)
+
+const example = `role: entry
+name: entry-1
+ip: 10.0.0.1
+dataCentre: a
+callerAddress: 10.0.0.1:8080
+readyAddress: 10.0.0.1:8081
+peerPorts: [7340,7355]
+seeds: [10.0.0.7:8229,10.0.0.8:8229]
+firstStart: true
+token: secret
+lostDisks: 2
+memoryMB: 206
+limits:
+  revokeMs: 4000
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(example))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.SeedPeers(); len(got) != 2 || got[0] != "10.0.0.7:7340" {
+		t.Errorf("seeds: %v", got)
+	}
+	if s.Voters() != 5 || s.RevokeMs != 4000 || s.DrainMs != 2000 || s.PeerAddress() != "10.0.0.1:7340" {
+		t.Errorf("settings: %+v", s)
+	}
+}
+
+func TestParseRefuses(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"unknown field", "token: secret", "tokn: secret", "line 10"},
+		{"wrong type", "memoryMB: 206", "memoryMB: much", "line 12"},
+		{"no IP number", "ip: 10.0.0.1", "ip: somewhere", "line 3: ip"},
+		{"unknown role", "role: entry", "role: both", "line 1: role"},
+		{"no seeds", "seeds: [10.0.0.7:8229,10.0.0.8:8229]", "seeds: []", "seeds"},
+		{"no token", "token: secret", "token: ''", "line 10: token"},
+		{"entry host without callers", "callerAddress: 10.0.0.1:8080", "", "callerAddress"},
+		{"control host without a disk", "role: entry", "role: control\ncontrolAddress: 10.0.0.1:8229", "dataDir"},
+		{"address without a port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1", "10.0.0.1"},
+	}
+	for _, tt := range tests {
+		_, err := Parse([]byte(strings.Replace(example, tt.old, tt.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: %v, want it to name %q", tt.name, err, tt.want)
+		}
+	}
+}
