--- a/cmd/savorywing/check.go
+++ b/cmd/savorywing/check.go
@@ -3,9 +3,11 @@
 import (
 	_ "embed"
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
+	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/version/settings"
 )
 
@@ -15,12 +17,15 @@
 func newCheck() *cobra.Command {
 	var origins bool
 	cmd := &cobra.Command{
-		Use:     "check DIR",
-		Short:   "Checks a folder of settings and shows the merged result",
+		Use:     "check DIR|FILE",
+		Short:   "Checks a folder of settings and shows the merged result, or the settings file of one daemon",
 		Long:    checkHelp,
 		Example: "  savorywing check examples/sarthi --origins",
 		Args:    usage(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if info, err := os.Stat(args[0]); err == nil && !info.IsDir() {
+				return checkInstance(cmd, args[0])
+			}
 			s, err := settings.Load(args[0])
 			if err != nil {
 				return err
@@ -42,3 +47,13 @@
 	cmd.Flags().BoolVar(&origins, "origins", false, "show which file and line set each value")
 	return cmd
 }
+
+// checkInstance checks the settings file of a daemon that is found through seeds.
+func checkInstance(cmd *cobra.Command, file string) error {
+	s, err := instance.Load(file)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: a daemon with the role %s at %s, seeds %v, %d voters\n", file, s.Role, s.PeerAddress(), s.Seeds, s.Voters())
+	return err
+}
--- a/cmd/savorywing/run.go
+++ b/cmd/savorywing/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	_ "embed"
 	"fmt"
 	"os"
@@ -54,7 +55,7 @@
 			if err != nil {
 				return err
 			}
-			return runInstance(s)
+			return runInstance(file, s)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "YAML file with the daemon's settings")
@@ -65,9 +66,10 @@
 type duty interface {
 	Start() error
 	Stop()
+	Reload(s *instance.Settings)
 }
 
-func runInstance(s *instance.Settings) error {
+func runInstance(file string, s *instance.Settings) error {
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryMB) * megabyte))
 	level, err := zerolog.ParseLevel(s.LogLevel)
@@ -80,8 +82,9 @@
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("host", s.Name).Logger()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
-	signal.Ignore(syscall.SIGHUP)
 	var d duty
 	switch s.Role {
 	case savorywing.RoleEntry:
@@ -95,7 +98,67 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	<-signals
+	r := reloader{file: file, duty: d, log: log, text: readOrNil(file)}
+	r.until(signals, hangups)
 	d.Stop()
 	return nil
 }
+
+// reloadEvery is how often the settings file is looked at without a signal.
+const reloadEvery = 2 * time.Second
+
+// reloader takes over changed settings. A file that is wrong leaves the old settings in force.
+type reloader struct {
+	file string
+	duty duty
+	log  zerolog.Logger
+	// text is the file as last read, and modified its time then.
+	text     []byte
+	modified time.Time
+}
+
+func readOrNil(file string) []byte {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil // the next look reads it again
+	}
+	return b
+}
+
+// until reloads on every hang-up signal and change of the file, until a signal to stop comes.
+func (r *reloader) until(stop, hangups <-chan os.Signal) {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-hangups:
+			r.reload(true)
+		case <-ticker.C:
+			info, err := os.Stat(r.file)
+			if err == nil && !info.ModTime().Equal(r.modified) {
+				r.modified = info.ModTime()
+				r.reload(false)
+			}
+		}
+	}
+}
+
+func (r *reloader) reload(asked bool) {
+	b, err := os.ReadFile(r.file)
+	if err == nil && bytes.Equal(b, r.text) && !asked {
+		return
+	}
+	var s *instance.Settings
+	if err == nil {
+		s, err = instance.Parse(b)
+	}
+	if err != nil {
+		r.log.Error().Str("event", "settingsRefused").Str("file", r.file).Err(err).Msg("")
+		return
+	}
+	r.text = b
+	r.duty.Reload(s)
+	r.log.Info().Str("event", "settingsReloaded").Str("file", r.file).Bool("signal", asked).Strs("seeds", s.Seeds).Msg("")
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -20,6 +20,7 @@
 	"savorywing.example/savorywing/process/former"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/ring"
+	"savorywing.example/savorywing/process/telemetry"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
@@ -45,16 +46,17 @@
 
 // Controller is one control host.
 type Controller struct {
-	settings *instance.Settings
-	clock    savorywing.Clock
-	log      zerolog.Logger
-	dialect  Dialects
-	pool     *ants.Pool
-	mesh     *peer.Mesh
-	node     *quorum.Node
-	api      *controlapi.Server
-	engines  *engine.Client
-	events   *ring.Ring[event]
+	settings  *instance.Settings
+	clock     savorywing.Clock
+	log       zerolog.Logger
+	dialect   Dialects
+	pool      *ants.Pool
+	mesh      *peer.Mesh
+	node      *quorum.Node
+	api       *controlapi.Server
+	engines   *engine.Client
+	events    *ring.Ring[event]
+	telemetry *telemetry.Telemetry
 	// document is the newest accepted document that this host has decoded.
 	document atomic.Pointer[decoded]
 	// leaderControl is where the leader takes reports; empty while it is not known.
@@ -144,6 +146,14 @@
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("")
 	}
 	c.api = controlapi.New(c.dialect, c, c.log)
+	c.telemetry = telemetry.New(c.log)
+	c.telemetry.Gauge("leading", func() float64 {
+		if c.node.HasLease() {
+			return 1
+		}
+		return 0
+	})
+	c.telemetry.Gauge("log_commit_index", func() float64 { return float64(c.node.View().Commit) })
 	return nil
 }
 
@@ -163,6 +173,11 @@
 		defer c.done.Done()
 		c.run()
 	}()
+	if s := c.settings; s.MetricsPort > 0 {
+		if err := c.telemetry.Start(s.MetricsAddress()); err != nil {
+			c.log.Warn().Str("event", "metricsUnavailable").Err(err).Msg("")
+		}
+	}
 	if err := c.api.Start(c.settings.ControlAddress); err != nil {
 		return fmt.Errorf("Controller.Start: %w", err)
 	}
@@ -195,6 +210,13 @@
 	return nil
 }
 
+// Reload takes over what may change while the daemon runs: seeds. The rest waits for a restart.
+func (c *Controller) Reload(s *instance.Settings) {
+	for _, address := range s.SeedPeers() {
+		c.mesh.Ensure(address, address)
+	}
+}
+
 // Stop hands leadership over and ends the control host.
 func (c *Controller) Stop() {
 	c.log.Info().Str("event", "stopping").Msg("")
@@ -213,6 +235,7 @@
 // Kill ends the control host without handing leadership over.
 func (c *Controller) Kill() {
 	c.api.Stop()
+	c.telemetry.Stop()
 	c.cancel()
 	c.mesh.Stop()
 	c.node.Stop()
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -67,6 +67,7 @@
 	case outcomeEvent:
 		c.log.Info().Str("event", "orderAnswered").Str("action", e.order.Action.String()).Str("server", e.order.Server).
 			Str("group", e.order.Group).Str("outcome", e.outcome.String()).Msg("")
+		c.telemetry.Count("orders", "outcome", e.order.Action.String()+"/"+e.outcome.String())
 		c.former.Outcome(c.clock.Now(), e.order, e.outcome)
 		c.nextStep = time.Time{}
 	}
@@ -85,6 +86,7 @@
 	}
 	changed, err := c.table.Apply(now, r)
 	if err != nil {
+		c.telemetry.Count("reports_ignored", "reason", err.Error())
 		c.log.Debug().Str("event", "reportIgnored").Str("server", r.ID).Int64("born", r.Born).Uint64("sequence", r.Sequence).Err(err).Msg("")
 		return
 	}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -66,8 +66,8 @@
 			return
 		}
 		if j.sends > 0 {
-			g.counters.result("resent")
-			g.log.Info().Str("event", "resent").Str("request", j.caller.Number).Str("server", d.ID).Int("sends", j.sends).
+			g.telemetry.Count("requests", "result", "resent")
+			g.trouble("resent").Str("request", j.caller.Number).Str("server", d.ID).Int("sends", j.sends).
 				Int64("delivered", j.delivered).Bool("mayHaveRun", j.lost).Msg("")
 		}
 		end, result := j.attempt(ctx, d, ticket)
@@ -78,8 +78,8 @@
 		case endAnswered:
 			return
 		case endGone:
-			g.counters.result("callerGone")
-			g.log.Info().Str("event", "callerGone").Str("request", j.caller.Number).Str("server", d.ID).Dur("after", g.clock.Now().Sub(j.x.Arrival())).Msg("")
+			g.telemetry.Count("requests", "result", "callerGone")
+			g.trouble("callerGone").Str("request", j.caller.Number).Str("server", d.ID).Dur("after", g.clock.Now().Sub(j.x.Arrival())).Msg("")
 			return
 		case endUnsent:
 			unreached++
@@ -125,7 +125,7 @@
 		return d, nil
 	}
 	if j.sends > 0 && !budget.Spend(now, g.retrySlack()) {
-		g.counters.refused("retryBudget")
+		g.telemetry.Count("refused", "reason", "retryBudget")
 		return placement.Decision{}, nil
 	}
 	return d, g.ledger.Start(now, d, w)
@@ -137,8 +137,8 @@
 func (g *Gateway) budget(service string) *retry.Window {
 	b := g.budgets[service]
 	if b == nil {
-		span := time.Duration(g.settings.RetryWindowSeconds * float64(time.Second))
-		b = retry.NewWindow(span, budgetPart*g.settings.RetryShare)
+		span := time.Duration(g.settings().RetryWindowSeconds * float64(time.Second))
+		b = retry.NewWindow(span, budgetPart*g.settings().RetryShare)
 		g.budgets[service] = b
 	}
 	return b
@@ -146,7 +146,7 @@
 
 // retrySlack is this host's part of the retries that are allowed beside the share.
 func (g *Gateway) retrySlack() float64 {
-	return budgetPart * g.settings.RetrySlack / float64(g.ledger.Entries())
+	return budgetPart * g.settings().RetrySlack / float64(g.ledger.Entries())
 }
 
 // giveUp gives the final answer to a request that can't be served: a promise that it has not run only where
@@ -154,8 +154,8 @@
 func (j *job) giveUp(now time.Time, d placement.Decision) {
 	g := j.gateway
 	if j.x.Began() {
-		g.counters.result("brokenOff")
-		g.log.Warn().Str("event", "brokenOff").Str("request", j.caller.Number).Str("route", j.route.Name).Int64("delivered", j.delivered).
+		g.telemetry.Count("requests", "result", "brokenOff")
+		g.trouble("brokenOff").Str("request", j.caller.Number).Str("route", j.route.Name).Int64("delivered", j.delivered).
 			Int("sends", j.sends).Dur("after", now.Sub(j.x.Arrival())).Msg("")
 		j.x.Abort()
 		return
@@ -222,8 +222,8 @@
 	if ctx.Err() != nil && !stalled {
 		return endGone, placement.Left
 	}
-	g.counters.result("attemptFailed")
-	g.log.Info().Str("event", "attemptFailed").Str("request", j.caller.Number).Str("server", d.ID).Bool("stalled", stalled).
+	g.telemetry.Count("requests", "result", "attemptFailed")
+	g.trouble("attemptFailed").Str("request", j.caller.Number).Str("server", d.ID).Bool("stalled", stalled).
 		Int("load", d.Load).Int("slots", d.Slots).Dur("after", g.clock.Now().Sub(j.x.Arrival())).Err(err).Msg("")
 	if errors.Is(err, engine.ErrNotSent) && !stalled {
 		g.engines.Drop(d.Address)
@@ -236,8 +236,8 @@
 func (j *job) notRun(a *engine.Answer, d placement.Decision) (ending, placement.Result) {
 	_, err := io.Copy(io.Discard, io.LimitReader(a, maxHeld))
 	g := j.gateway
-	g.counters.result("notRun")
-	g.log.Info().Str("event", "notRun").Str("request", j.caller.Number).Str("server", d.ID).Int("status", a.Header.StatusCode()).
+	g.telemetry.Count("requests", "result", "notRun")
+	g.trouble("notRun").Str("request", j.caller.Number).Str("server", d.ID).Int("status", a.Header.StatusCode()).
 		Str("culprit", a.Head.Culprit).Int("load", d.Load).Int("slots", d.Slots).AnErr("body", err).Msg("")
 	if a.Header.StatusCode() == fasthttp.StatusMisdirectedRequest || (a.Head.Culprit != "" && a.Head.Culprit != d.ID) {
 		return endNotRun, placement.Misplaced
@@ -318,8 +318,13 @@
 func (j *job) served(d placement.Decision, status int) {
 	g := j.gateway
 	now := g.clock.Now()
-	g.counters.result("served")
-	if !g.sampler.allow(now) {
+	g.telemetry.Count("requests", "result", "served")
+	if j.first > 0 {
+		g.telemetry.Observe("first_event", "route", j.route.Name, j.first)
+	}
+	g.telemetry.Observe("answer", "route", j.route.Name, now.Sub(j.x.Arrival()))
+	g.telemetry.Observe("answer", "organisation", j.organisation, now.Sub(j.x.Arrival()))
+	if !g.healthy.allow(now) {
 		return
 	}
 	g.log.Info().Str("event", "served").Str("request", j.caller.Number).Str("route", j.route.Name).Str("server", d.ID).
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/retry"
+	"savorywing.example/savorywing/process/telemetry"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
 )
@@ -33,7 +34,8 @@
 
 // Gateway is one entry host.
 type Gateway struct {
-	settings *instance.Settings
+	// current is replaced as a whole on reload.
+	current  atomic.Pointer[instance.Settings]
 	clock    savorywing.Clock
 	log      zerolog.Logger
 	dialect  savorywing.Dialect
@@ -51,11 +53,12 @@
 	budgets map[string]*retry.Window
 	demand  map[string]*demand
 
-	counters counters
-	sampler  sampler
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	telemetry *telemetry.Telemetry
+	// healthy and troubled bound the log lines of requests that were served, and of all others.
+	healthy, troubled sampler
+	ctx               context.Context
+	cancel            context.CancelFunc
+	done              sync.WaitGroup
 }
 
 // demand is the work asked of a model since the start; it only grows.
@@ -64,9 +67,15 @@
 // New assembles an entry host that Start runs.
 func New(s *instance.Settings, dialect savorywing.Dialect, log zerolog.Logger) (*Gateway, error) {
 	g := &Gateway{
-		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, budgets: map[string]*retry.Window{}, demand: map[string]*demand{},
+		clock: clock.Boottime{}, log: log, dialect: dialect, budgets: map[string]*retry.Window{}, demand: map[string]*demand{},
 		ledger: placement.New(placement.Config{DataCentre: s.DataCentre, Seed: uint64(time.Now().UnixNano())}),
 	}
+	g.current.Store(s)
+	g.healthy, g.troubled = sampler{limit: healthyLines}, sampler{limit: troubledLines}
+	g.telemetry = telemetry.New(log)
+	g.telemetry.Gauge("busy", func() float64 { return float64(g.server.Busy()) })
+	g.telemetry.Gauge("engine_connections_opened", func() float64 { return float64(g.engines.Opened()) })
+	g.telemetry.Gauge("document_age_seconds", func() float64 { return g.view.age().Seconds() })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.engines = engine.New(g.clock, dialect)
 	g.view = newView(g)
@@ -84,6 +93,16 @@
 	return g, nil
 }
 
+func (g *Gateway) settings() *instance.Settings { return g.current.Load() }
+
+// Reload takes over what may change while the daemon runs: seeds and limits. The rest waits for a restart.
+func (g *Gateway) Reload(s *instance.Settings) {
+	g.current.Store(s)
+	for _, address := range s.SeedPeers() {
+		g.mesh.Ensure(address, address)
+	}
+}
+
 func (g *Gateway) limits() ingress.Limits {
 	c := g.catalog.Load()
 	if c == nil {
@@ -95,7 +114,7 @@
 
 // Start opens the listeners and begins to follow the leader.
 func (g *Gateway) Start() error {
-	for _, address := range g.settings.SeedPeers() {
+	for _, address := range g.settings().SeedPeers() {
 		g.mesh.Ensure(address, address)
 	}
 	g.mesh.Start()
@@ -104,12 +123,18 @@
 		defer g.done.Done()
 		g.view.run(g.ctx)
 	}()
-	for _, address := range []string{g.settings.CallerAddress, g.settings.ReadyAddress} {
+	if s := g.settings(); s.MetricsPort > 0 {
+		// Serving callers goes before being measured.
+		if err := g.telemetry.Start(s.MetricsAddress()); err != nil {
+			g.log.Warn().Str("event", "metricsUnavailable").Err(err).Msg("")
+		}
+	}
+	for _, address := range []string{g.settings().CallerAddress, g.settings().ReadyAddress} {
 		if err := g.server.Start(address); err != nil {
 			return fmt.Errorf("Gateway.Start: %w", err)
 		}
 	}
-	g.log.Info().Str("event", "started").Str("callers", g.settings.CallerAddress).Msg("")
+	g.log.Info().Str("event", "started").Str("callers", g.settings().CallerAddress).Msg("")
 	return nil
 }
 
@@ -131,7 +156,7 @@
 	g.server.Drain()
 	time.Sleep(listenTime)
 	g.server.CloseIdle()
-	for g.server.Busy() > 0 && g.clock.Now().Sub(began) < g.settings.Grace()-stopMargin {
+	for g.server.Busy() > 0 && g.clock.Now().Sub(began) < g.settings().Grace()-stopMargin {
 		time.Sleep(stopPoll)
 	}
 	left := g.server.Busy()
@@ -143,6 +168,7 @@
 func (g *Gateway) Kill() {
 	g.cancel()
 	g.server.Close()
+	g.telemetry.Stop()
 	g.mesh.Stop()
 	g.done.Wait()
 	g.pool.Release()
--- a/process/gateway/sampler.go
+++ b/process/gateway/sampler.go
@@ -8,9 +8,13 @@
 // healthyLines bounds the log lines of requests that were served without trouble, in lines a second.
 const healthyLines = 4
 
+// troubledLines bounds the log lines of all other requests, in lines a second.
+const troubledLines = 200
+
 // sampler lets a bounded number of lines through each second.
 type sampler struct {
 	mu     sync.Mutex
+	limit  int
 	second int64
 	n      int
 }
@@ -22,5 +26,5 @@
 		s.second, s.n = now.Unix(), 0
 	}
 	s.n++
-	return s.n <= healthyLines
+	return s.n <= s.limit
 }
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
@@ -66,11 +67,20 @@
 	x.Refuse(ingress.Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: "not ready"})
 }
 
+// trouble begins a log line about a request that did not go smoothly, unless there are too many of them.
+func (g *Gateway) trouble(event string) *zerolog.Event {
+	if !g.troubled.allow(g.clock.Now()) {
+		g.telemetry.Count("log_lines_omitted", "event", event)
+		return nil
+	}
+	return g.log.Info().Str("event", event)
+}
+
 // refuse answers a request that has not run and never will.
 func (j *job) refuse(status int, reason string, retryAfter time.Duration) {
 	g := j.gateway
-	g.counters.refused(reason)
-	e := g.log.Info().Str("event", "refused").Str("request", j.caller.Number).Int("status", status).Str("reason", reason).
+	g.telemetry.Count("refused", "reason", reason)
+	e := g.trouble("refused").Str("request", j.caller.Number).Int("status", status).Str("reason", reason).
 		Dur("after", g.clock.Now().Sub(j.x.Arrival())).Dur("retryAfter", retryAfter).Int("sends", j.sends).
 		Dur("viewAge", g.view.age())
 	if j.route != nil {
@@ -92,7 +102,7 @@
 		return false
 	}
 	// A refusal for good is only true while the document is known to be the newest.
-	unsure := age > instance.Milliseconds(g.settings.ConfigMs)
+	unsure := age > instance.Milliseconds(g.settings().ConfigMs)
 	uri := x(j).URI()
 	j.route = c.Route(string(x(j).Header.Host()), string(uri.PathOriginal()))
 	if j.route == nil {
@@ -100,7 +110,7 @@
 		return false
 	}
 	if c.Keyed() && !j.route.Public {
-		if age > instance.Milliseconds(g.settings.RevokeMs) {
+		if age > instance.Milliseconds(g.settings().RevokeMs) {
 			j.refuse(fasthttp.StatusServiceUnavailable, "keysUnconfirmed", soon())
 			return false
 		}
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -261,7 +261,7 @@
 	if g.stopping.Load() || g.catalog.Load() == nil {
 		return false
 	}
-	bound := time.Duration(readyPart * float64(instance.Milliseconds(g.settings.RevokeMs)))
+	bound := time.Duration(readyPart * float64(instance.Milliseconds(g.settings().RevokeMs)))
 	if g.view.age() > bound {
 		return false
 	}
--- /dev/null
+++ b/process/telemetry/telemetry.go
@@ -0,0 +1,169 @@
+// Package telemetry counts what a daemon decides and keeps latency histograms, and serves both on a metrics
+// address: in the Prometheus text format and as expvar.
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+)
+
+const (
+	// maxHistograms bounds the memory of histograms, about 20 KB each; what comes later shares one.
+	maxHistograms       = 48
+	overflow            = "others"
+	lowestMicroseconds  = 1
+	highestMicroseconds = int64(time.Minute / time.Microsecond)
+	significantFigures  = 2
+)
+
+var quantiles = []float64{50, 90, 99}
+
+// Telemetry is safe for concurrent use.
+type Telemetry struct {
+	set  *metrics.Set
+	log  zerolog.Logger
+	http *fasthttp.Server
+
+	mu         sync.Mutex
+	histograms map[key]*hdrhistogram.Histogram
+}
+
+type key struct{ name, label, value string }
+
+// New returns empty telemetry.
+func New(log zerolog.Logger) *Telemetry {
+	return &Telemetry{set: metrics.NewSet(), log: log, histograms: map[key]*hdrhistogram.Histogram{}}
+}
+
+// Count adds one to a counter with one label. Label values must come from a bounded set.
+func (t *Telemetry) Count(name, label, value string) {
+	t.set.GetOrCreateCounter(fmt.Sprintf("savorywing_%s{%s=%q}", name, label, value)).Inc()
+}
+
+// Gauge reports a value whenever it is asked for.
+func (t *Telemetry) Gauge(name string, read func() float64) {
+	t.set.GetOrCreateGauge("savorywing_"+name, read)
+}
+
+// Observe adds a time to the histogram of a label's value.
+func (t *Telemetry) Observe(name, label, value string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := key{name, label, value}
+	h := t.histograms[k]
+	if h == nil && len(t.histograms) >= maxHistograms {
+		k.value = overflow
+		h = t.histograms[k]
+	}
+	if h == nil {
+		h = hdrhistogram.New(lowestMicroseconds, highestMicroseconds, significantFigures)
+		t.histograms[k] = h
+	}
+	// A value is cut to the range first, so that recording can't fail.
+	_ = h.RecordValue(min(highestMicroseconds, max(lowestMicroseconds, d.Microseconds())))
+}
+
+// row is one histogram as expvar shows it; times are in milliseconds.
+type row struct {
+	Name      string             `json:"name"`
+	Label     string             `json:"label"`
+	Value     string             `json:"value"`
+	Count     int64              `json:"count"`
+	Quantiles map[string]float64 `json:"quantiles"`
+}
+
+func (t *Telemetry) rows() []row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []row
+	for k, h := range t.histograms {
+		r := row{Name: k.name, Label: k.label, Value: k.value, Count: h.TotalCount(), Quantiles: map[string]float64{}}
+		for _, q := range quantiles {
+			r.Quantiles[fmt.Sprintf("p%g", q)] = float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+		}
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		return a.Name+a.Label+a.Value < b.Name+b.Label+b.Value
+	})
+	return list
+}
+
+// String implements expvar.Var with the histograms.
+func (t *Telemetry) String() string {
+	b, err := json.Marshal(t.rows())
+	if err != nil {
+		return `"` + err.Error() + `"`
+	}
+	return string(b)
+}
+
+// Text returns everything in the Prometheus text format.
+func (t *Telemetry) Text() []byte {
+	var out bytes.Buffer
+	t.set.WritePrometheus(&out)
+	for _, r := range t.rows() {
+		for _, q := range quantiles {
+			fmt.Fprintf(&out, "savorywing_%s_ms{%s=%q,quantile=\"%g\"} %g\n", r.Name, r.Label, r.Value, q/100, r.Quantiles[fmt.Sprintf("p%g", q)])
+		}
+		fmt.Fprintf(&out, "savorywing_%s_ms_count{%s=%q} %d\n", r.Name, r.Label, r.Value, r.Count)
+	}
+	metrics.WriteProcessMetrics(&out)
+	return out.Bytes()
+}
+
+// expvarName is under which the histograms are published once for each process.
+const expvarName = "savorywing"
+
+var publish sync.Once
+
+// Start serves /metrics and /debug/vars at an address.
+func (t *Telemetry) Start(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("Telemetry.Start: %w", err)
+	}
+	publish.Do(func() { expvar.Publish(expvarName, t) })
+	t.http = &fasthttp.Server{Handler: t.handle, NoDefaultServerHeader: true, Logger: &t.log}
+	go func() {
+		if err := t.http.Serve(listener); err != nil {
+			t.log.Warn().Str("event", "metricsStopped").Err(err).Msg("")
+		}
+	}()
+	return nil
+}
+
+func (t *Telemetry) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/metrics":
+		ctx.SetContentType("text/plain; charset=utf-8")
+		ctx.SetBody(t.Text())
+	case "/debug/vars":
+		expvarhandler.ExpvarHandler(ctx)
+	default:
+		ctx.Error("no such page", fasthttp.StatusNotFound)
+	}
+}
+
+// Stop closes the metrics address.
+func (t *Telemetry) Stop() {
+	if t.http == nil {
+		return
+	}
+	if err := t.http.Shutdown(); err != nil {
+		t.log.Warn().Str("event", "metricsStopped").Err(err).Msg("")
+	}
+}
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -213,6 +213,9 @@
 // PeerOf returns the peer address of another host; ports are the same on all hosts.
 func (s *Settings) PeerOf(ip string) string { return net.JoinHostPort(ip, fmt.Sprint(s.PeerPorts[0])) }
 
+// MetricsAddress returns where counters and histograms are served.
+func (s *Settings) MetricsAddress() string { return net.JoinHostPort(s.IP, fmt.Sprint(s.MetricsPort)) }
+
 // SeedPeers returns the peer addresses of the seeds.
 func (s *Settings) SeedPeers() []string {
 	var out []string
