--- a/dialect.go
+++ b/dialect.go
@@ -48,7 +48,8 @@
 	NotRun bool
 	// Signed tells that the answer was made by running the request.
 	Signed bool
-	// Culprit is the id of the backend server that a group's head blames; empty if it blames none.
+	// Culprit is the address of the backend server at fault: the one asked, or a member of its group; empty if
+	// none is named.
 	Culprit string
 	// Idle is how long the connection may stay idle; 0 if it was not told.
 	Idle time.Duration
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -239,7 +239,7 @@
 	g.telemetry.Count("requests", "result", "notRun")
 	g.trouble("notRun").Str("request", j.caller.Number).Str("server", d.ID).Int("status", a.Header.StatusCode()).
 		Str("culprit", a.Head.Culprit).Int("load", d.Load).Int("slots", d.Slots).AnErr("body", err).Msg("")
-	if a.Header.StatusCode() == fasthttp.StatusMisdirectedRequest || (a.Head.Culprit != "" && a.Head.Culprit != d.ID) {
+	if a.Header.StatusCode() == fasthttp.StatusMisdirectedRequest || (a.Head.Culprit != "" && a.Head.Culprit != d.Address) {
 		return endNotRun, placement.Misplaced
 	}
 	return endNotRun, placement.Shed
