A host that has just started, or found a new leader, holds requests for what it is about to learn; bursts count for all hosts

Cause: after a loss of power everywhere, callers whose one retry was spent met hosts that lacked the document or most groups for a second and were refused. A request now waits up to a fifth of its patience, 1.5 s at most, while more is expected.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -62,7 +62,12 @@
 		now := g.clock.Now()
 		d, ticket := j.place(now)
 		if ticket == nil {
-			j.giveUp(now, d)
+			if d.Reason != placement.ReasonNone && j.hold(ctx) {
+				continue
+			}
+			if ctx.Err() == nil {
+				j.giveUp(now, d)
+			}
 			return
 		}
 		if j.sends > 0 {
@@ -111,8 +116,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	budget := g.budget(j.service.Name)
-	first := j.sends == 0 && len(j.tried) == 0
-	if first {
+	if !j.counted {
+		j.counted = true
 		g.countDemand(j)
 		budget.First(now)
 	}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -33,9 +33,13 @@
 	urgency      int
 	// deadline ends the caller's patience or the route's timeout, whichever is first.
 	deadline time.Time
-	reading  time.Duration
-	tried    []string
-	sends    int
+	// holdUntil is until when the request may wait for the host to learn what there is.
+	holdUntil time.Time
+	reading   time.Duration
+	tried     []string
+	sends     int
+	// counted tells that the request was counted as work asked for.
+	counted bool
 	// delivered is the id of the last event sent to the caller; negative before the first.
 	delivered int64
 	// first is the time to the first event, and longestGap the longest pause between two; 0 without events.
@@ -53,12 +57,57 @@
 		return
 	}
 	j := &job{gateway: g, x: x, caller: g.dialect.ReadCaller(&x.Request.Header), delivered: -1}
-	if !j.admit() {
+	j.holdUntil = x.Arrival().Add(longestHold)
+	if j.caller.Patience > 0 {
+		j.holdUntil = x.Arrival().Add(min(longestHold, time.Duration(holdPart*float64(j.caller.Patience))))
+	}
+	for g.lacksWord(j) && j.hold(ctx) {
+		continue
+	}
+	if ctx.Err() != nil || !j.admit() {
 		return
 	}
 	j.run(ctx)
 }
 
+const (
+	// longestHold bounds how long a request waits for what a host that has just started, or has just found a
+	// new leader, does not know yet; a leader is there within about a second.
+	longestHold = 1500 * time.Millisecond
+	// holdPart of the caller's patience is the most that it waits so.
+	holdPart = 0.2
+)
+
+// hold waits for the next change of the view, as long as the request may wait for one and one is likely. It
+// tells whether it is worth looking again.
+func (j *job) hold(ctx context.Context) bool {
+	v := j.gateway.view
+	now := j.gateway.clock.Now()
+	left := j.holdUntil.Sub(now)
+	if left <= 0 || !v.isSettling(now) {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-v.changes():
+		return true
+	}
+}
+
+// lacksWord tells whether the host lacks the leader's word that a request needs.
+func (g *Gateway) lacksWord(j *job) bool {
+	c := g.catalog.Load()
+	if c == nil {
+		return true
+	}
+	return c.Keyed() && j.caller.Key != "" && g.view.age() > instance.Milliseconds(g.settings().RevokeMs)
+}
+
 func (g *Gateway) answerReady(x *ingress.Exchange) {
 	if g.isReady() {
 		x.Refuse(ingress.Refusal{Status: fasthttp.StatusOK, Reason: "ready"})
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -40,9 +40,44 @@
 	confirmed time.Time
 	answered  time.Time
 	tried     int
+	started   time.Time
+	// renewed is when a leader last sent its whole fleet: at the start, and after each change of the leader.
+	renewed time.Time
+	// changed is closed, and replaced, whenever something was taken over.
+	changed chan struct{}
 }
 
-func newView(g *Gateway) *view { return &view{gateway: g, wake: make(chan struct{}, 1)} }
+func newView(g *Gateway) *view {
+	return &view{gateway: g, wake: make(chan struct{}, 1), changed: make(chan struct{}), started: g.clock.Now()}
+}
+
+// settleTime is how long after a start, or after a leader's first word, more is expected to come: every backend
+// server reports within it.
+const settleTime = 2 * time.Second
+
+// isSettling tells whether what is missing now is likely to come soon.
+func (v *view) isSettling(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.revision == 0 || v.version == 0 {
+		return now.Sub(v.started) < 2*settleTime
+	}
+	return now.Sub(v.renewed) < settleTime
+}
+
+// changes returns a channel that is closed with the next change.
+func (v *view) changes() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *view) notify() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
 
 // run tells the leader of this host's usage.
 func (v *view) run(ctx context.Context) {
@@ -185,6 +220,9 @@
 		return
 	}
 	changed := u.Full || u.Revision > v.revision
+	if u.Full && u.Term != v.term {
+		v.renewed = g.clock.Now()
+	}
 	v.term, v.revision = u.Term, u.Revision
 	v.mu.Unlock()
 	g.mu.Lock()
@@ -201,6 +239,9 @@
 	}
 	v.takeDocument(u)
 	v.confirm(u)
+	if changed || u.Echo != 0 {
+		v.notify()
+	}
 }
 
 func (v *view) takeDocument(u wire.FleetUpdate) {
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -19,6 +19,8 @@
 	reportedWaiting int
 	// othersStalled is the leader's word that nobody sees progress there.
 	othersStalled bool
+	// entries is the number of entry hosts that share it, at least 1.
+	entries int
 	// reported is the own count that the leader's total contains.
 	reported int
 	// progress is when an answer last moved, or a request was sent while none was in flight.
@@ -49,7 +51,25 @@
 	longestEject = 16 * time.Second
 )
 
-func (e *endpoint) load() int { return e.own + e.others }
+func (e *endpoint) load() int { return e.own + e.others + e.unseen() }
+
+// usualGrowth is how many more requests than last reported are nothing unusual at one entry host.
+const usualGrowth = 1
+
+// unseen estimates what other hosts have sent since the leader's last word: where this host sends unusually
+// many, as after a loss of power, callers press on all of them.
+func (e *endpoint) unseen() int {
+	return max(0, e.own-e.reported-usualGrowth) * (e.entries - 1) / 2
+}
+
+// waitingTokens estimates the prompt tokens that wait, with those that other hosts have just sent.
+func (e *endpoint) waitingTokens() int {
+	tokens := e.waiting + e.othersWaiting
+	if e.own > 0 {
+		tokens += e.unseen() * e.waiting / e.own
+	}
+	return tokens
+}
 
 func (e *endpoint) slots() int { return max(1, e.Slots) }
 
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -82,7 +82,7 @@
 	for _, e := range changed {
 		old := l.all[e.ID]
 		if old == nil || old.Born != e.Born || old.Epoch != e.Epoch {
-			next := &endpoint{Endpoint: e}
+			next := &endpoint{Endpoint: e, entries: l.Entries()}
 			if old != nil {
 				next.own, next.waiting = old.own, old.waiting
 			}
@@ -126,7 +126,7 @@
 func (l *Ledger) SetLoads(loads []wire.EndpointLoad, entries int) {
 	l.entries = max(1, entries)
 	for _, e := range l.all {
-		e.others, e.othersWaiting, e.othersStalled = 0, 0, false
+		e.others, e.othersWaiting, e.othersStalled, e.entries = 0, 0, false, l.entries
 	}
 	for _, t := range loads {
 		if e := l.all[t.ID]; e != nil {
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -124,7 +124,7 @@
 		slow = s
 	}
 	n := min(e.load(), e.slots())
-	o.expected = time.Duration(slow * float64(w.Engine.first(e.waiting+e.othersWaiting, w.PromptTokens, n)))
+	o.expected = time.Duration(slow * float64(w.Engine.first(e.waitingTokens(), w.PromptTokens, n)))
 	o.predicted = o.expected + wait + l.fixed[lane{w.Service, w.Model}]
 	// Among equals the emptier one leaves more room for what comes next.
 	o.score = o.predicted.Seconds() + loadWeight*o.score
