A group whose requests wait for their turn is not stalled; hosts that a domain is yet to get back count

With 93 entry hosts each sees one request or two at a group, and a first event that is due after 300 ms looked like a stall. Now requests that have shown nothing are given their predicted time too, and what other hosts see moving moves. With it, survivors of a large group are no longer reloaded for the small model because one host is missing in the domain.

--- a/process/former/former.go
+++ b/process/former/former.go
@@ -89,6 +89,8 @@
 	barred map[string]time.Time
 	// unanswered is when each server last left an order without an answer.
 	unanswered map[string]time.Time
+	// largest is the most hosts that each domain was seen with.
+	largest map[string]int
 	// found holds every server that was ever seen, and lastFound when the newest was.
 	found     map[string]bool
 	lastFound time.Time
@@ -130,7 +132,7 @@
 	cfg.Defaults()
 	return &Former{
 		cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}, found: map[string]bool{}, barred: map[string]time.Time{},
-		unanswered: map[string]time.Time{},
+		unanswered: map[string]time.Time{}, largest: map[string]int{},
 	}
 }
 
@@ -279,6 +281,13 @@
 
 // observe takes over what reports say of groups.
 func (f *Former) observe(now time.Time, in Input) {
+	present := map[string]int{}
+	for _, s := range in.Table.Servers() {
+		if r := s.Report(); r.Engine && !r.Leaving && !f.isLost(now, s) {
+			present[r.Domain]++
+			f.largest[r.Domain] = max(f.largest[r.Domain], present[r.Domain])
+		}
+	}
 	for _, s := range in.Table.Servers() {
 		if id := s.Report().ID; !f.found[id] {
 			f.found[id], f.lastFound = true, now
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/fleet"
@@ -97,8 +98,11 @@
 	}
 	group := shortage(p.need(m)) * slotsOf(p.engine, m) / max(1, m.Load.Seconds())
 	formed, rest := held/m.Size, held%m.Size
-	if p.reachable(d, m) >= (formed+1)*m.Size {
-		return group / float64(m.Size-rest)
+	absent := max(0, (formed+1)*m.Size-p.reachable(d, m))
+	// What hosts that are yet to come would complete is worth less, the more of them it takes.
+	worth := group / float64(m.Size-rest) * math.Pow(arrivalChance, float64(absent))
+	if absent == 0 || p.populated(d)+absent <= p.former.largest[d.name] {
+		return worth
 	}
 	if rest < p.wantedSpares(d, m)+formed {
 		if m.Size > pairSize {
@@ -122,6 +126,20 @@
 	return min(1, max(idleWorth, (need-easyNeed)/(hardNeed-easyNeed)))
 }
 
+// arrivalChance is the worth of a host that the domain once had and is yet to get back, against one that is there.
+const arrivalChance = 0.6
+
+// populated counts the hosts of a domain that report.
+func (p *planning) populated(d *domain) int {
+	n := 0
+	for _, s := range p.in.Table.Servers() {
+		if r := s.Report(); r.Engine && r.Domain == d.name && !r.Leaving && !p.former.isLost(p.now, s) {
+			n++
+		}
+	}
+	return n
+}
+
 // wantedSpares returns how many hosts of a domain should stand by for a model.
 func (p *planning) wantedSpares(d *domain, m *catalogue.Model) int {
 	groups := 0
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -23,7 +23,7 @@
 	// keptIdle is the same for what may be repeated; the server's own word is shorter.
 	keptIdle = 60 * time.Second
 	// stallCheck is when an engine that shows nothing is looked at first, and stallAgain how often later.
-	stallCheck = 320 * time.Millisecond
+	stallCheck = 450 * time.Millisecond
 	stallAgain = 80 * time.Millisecond
 	// plainSwitch is the number of objectives after which a plain server's silence sends a repeatable
 	// request elsewhere.
@@ -185,7 +185,7 @@
 	g := j.gateway
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := j.watch(d.ID, cancel)
+	w := j.watch(d, cancel)
 	defer w.stop()
 	a, err := g.engines.Do(ctx, j.call(d))
 	if err != nil {
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -230,7 +230,7 @@
 		g.ledger.Update(u.Full, u.Endpoints, u.Removed)
 	}
 	if u.Echo != 0 {
-		g.ledger.SetLoads(u.Loads, u.Entries)
+		g.ledger.SetLoads(g.clock.Now(), u.Loads, u.Entries)
 	}
 	g.mu.Unlock()
 	if changed {
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -24,8 +24,8 @@
 }
 
 // watch starts the timer of an attempt; it does nothing where the request can't be repeated.
-func (j *job) watch(server string, cancel context.CancelCauseFunc) *watch {
-	w := &watch{job: j, server: server, cancel: cancel, after: stallCheck}
+func (j *job) watch(d placement.Decision, cancel context.CancelCauseFunc) *watch {
+	w := &watch{job: j, server: d.ID, cancel: cancel, after: stallCheck}
 	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxAttempts {
 		return w
 	}
@@ -39,6 +39,9 @@
 
 func (w *watch) moved(now time.Time) { w.last.Store(now.UnixNano()) }
 
+// isPlain tells whether the server is no engine, so that its silence alone counts.
+func (w *watch) isPlain() bool { return w.job.service.Engine == nil }
+
 func (w *watch) stop() {
 	if w.timer != nil {
 		w.timer.Stop()
@@ -63,7 +66,7 @@
 // isStuck tells whether waiting on is pointless: of an engine, only if none of its requests moves, since a
 // single one may wait for a slot.
 func (w *watch) isStuck(now time.Time) bool {
-	if w.job.service.Engine == nil {
+	if w.isPlain() {
 		return true
 	}
 	g := w.job.gateway
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -27,6 +27,13 @@
 	progress time.Time
 	// moved tells that an answer has moved since the last usage.
 	moved bool
+	// shown counts this host's requests in flight that have shown an event, and expected is the longest
+	// predicted time to the first event of those that have not.
+	shown    int
+	expected time.Duration
+	// othersMoved is the leader's word at othersAt that answers from there move.
+	othersMoved bool
+	othersAt    time.Time
 
 	// failures is a moving share of failed requests; samples counts up to sampleCap.
 	failures float64
@@ -73,9 +80,20 @@
 
 func (e *endpoint) slots() int { return max(1, e.Slots) }
 
-// isStalled tells whether requests are in flight and none has moved for a while.
+// isStalled tells whether requests are in flight and none has moved for a while. Requests that have not
+// shown an event yet may be waiting for their turn, so these alone are given the predicted time as well. What
+// other hosts have seen moving moves.
 func (e *endpoint) isStalled(now time.Time, after time.Duration) bool {
-	return e.own > 0 && now.Sub(e.progress) > after
+	if e.own == 0 {
+		return false
+	}
+	if e.shown == 0 {
+		after += e.expected
+	}
+	if e.othersMoved && now.Sub(e.othersAt) < after {
+		return false
+	}
+	return now.Sub(e.progress) > after
 }
 
 func move(mean *time.Duration, sample time.Duration) {
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -19,8 +19,8 @@
 }
 
 const (
-	// defaultStall is longer than the longest passes of a full batch.
-	defaultStall = 300 * time.Millisecond
+	// defaultStall is longer than the longest pauses that full groups of the slowest model show.
+	defaultStall = 450 * time.Millisecond
 	// defaultHold stands for the time that a request keeps its slot until some were seen.
 	defaultHold = 1500 * time.Millisecond
 	// localBonus is how many requests a server nearby may have more than one far away.
@@ -84,7 +84,7 @@
 		if old == nil || old.Born != e.Born || old.Epoch != e.Epoch {
 			next := &endpoint{Endpoint: e, entries: l.Entries()}
 			if old != nil {
-				next.own, next.waiting = old.own, old.waiting
+				next.own, next.waiting, next.shown = old.own, old.waiting, old.shown
 			}
 			l.all[e.ID] = next
 			continue
@@ -123,16 +123,17 @@
 }
 
 // SetLoads takes over the sums of all entry hosts, which contain what Usage last returned.
-func (l *Ledger) SetLoads(loads []wire.EndpointLoad, entries int) {
+func (l *Ledger) SetLoads(now time.Time, loads []wire.EndpointLoad, entries int) {
 	l.entries = max(1, entries)
 	for _, e := range l.all {
 		e.others, e.othersWaiting, e.othersStalled, e.entries = 0, 0, false, l.entries
+		e.othersMoved, e.othersAt = false, now
 	}
 	for _, t := range loads {
 		if e := l.all[t.ID]; e != nil {
 			e.others = max(0, t.InFlight-e.reported)
 			e.othersWaiting = max(0, t.WaitingTokens-e.reportedWaiting)
-			e.othersStalled = t.Stalled
+			e.othersStalled, e.othersMoved = t.Stalled, t.Moved
 		}
 	}
 }
@@ -159,10 +160,11 @@
 		return t
 	}
 	if e.own == 0 {
-		e.progress = now
+		e.progress, e.expected = now, 0
 	}
 	e.own++
 	e.waiting += t.tokens
+	e.expected = max(e.expected, d.Predicted)
 	return t
 }
 
@@ -178,6 +180,7 @@
 	}
 	if !t.shown {
 		t.shown = true
+		e.shown++
 		e.waiting = max(0, e.waiting-t.tokens)
 		l.learnFirst(t, now.Sub(t.sent))
 	}
@@ -228,7 +231,9 @@
 		return
 	}
 	e.own = max(0, e.own-1)
-	if !t.shown {
+	if t.shown {
+		e.shown = max(0, e.shown-1)
+	} else {
 		e.waiting = max(0, e.waiting-t.tokens)
 	}
 	switch r {
