--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -188,8 +188,8 @@
 	return up >= readyBound || r.polledAll()
 }
 
-// polledAll tells whether every listed backend server and every member of a serving group has answered
-// a poll.
+// polledAll tells whether a group serves, where there are models, and every listed backend server and every
+// member of a serving group has answered a poll.
 func (r *Registry) polledAll() bool {
 	polled := true
 	r.directory.Each(func(a wire.Announcement) {
@@ -199,17 +199,19 @@
 	if !polled {
 		return false
 	}
+	serves := len(r.settings.Models) == 0
 	for _, g := range r.table.Groups {
 		if g.Phase != savorywing.PhaseServing {
 			continue
 		}
+		serves = true
 		for _, m := range g.Members {
 			if _, _, known := r.tracker.Announcement(m.Host); !known {
 				return false
 			}
 		}
 	}
-	return true
+	return serves
 }
 
 // Settings returns the settings in force; they must not be changed.
