--- /dev/null
+++ b/bench/soak/process.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const settingsMode = 0o600
+
+// process is one daemon that the soak starts, harms and ends, by its own id only.
+type process struct {
+	name, binary, dir, settings string
+	control                     bool
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	frozen bool
+}
+
+func (p *process) start(first bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	file := filepath.Join(p.dir, "settings.yaml")
+	if err := os.MkdirAll(p.dir, 0o700); err != nil {
+		return fmt.Errorf("process.start: %w", err)
+	}
+	text := fmt.Sprintf("firstStart: %v\n%s", first, p.settings)
+	if err := os.WriteFile(file, []byte(text), settingsMode); err != nil {
+		return fmt.Errorf("process.start: %w", err)
+	}
+	out, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, settingsMode)
+	if err != nil {
+		return fmt.Errorf("process.start: %w", err)
+	}
+	cmd := exec.Command(p.binary, "run", "--settings", file) // #nosec G204 -- the binary under test
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("process.start: %w", err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited, p.frozen = cmd, exited, false
+	go func() {
+		_ = cmd.Wait() // how it ended is in its log
+		_ = out.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A process that has ended already needs no signal.
+	_ = p.cmd.Process.Signal(s)
+	p.frozen = s == syscall.SIGSTOP
+}
+
+// end sends a signal and waits until the process is gone.
+func (p *process) end(s syscall.Signal, within time.Duration) bool {
+	p.signal(s)
+	select {
+	case <-p.exited:
+		return true
+	case <-time.After(within):
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+		return false
+	}
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// wipe removes the disk of a process that is down.
+func (p *process) wipe() error {
+	if err := os.RemoveAll(filepath.Join(p.dir, "data")); err != nil {
+		return fmt.Errorf("process.wipe: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/soak/soak.go
@@ -0,0 +1,287 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/standin/fleet"
+	"savorywing.example/savorywing/version/catalogue"
+)
+
+// Config describes one run.
+type Config struct {
+	Binary string
+	Dir    string
+	Seed   uint64
+	// Length is how long faults are injected; recovery and the last checks come after it.
+	Length  time.Duration
+	Control int
+	Entry   int
+	Engines int
+	Callers int
+	// Subnet is the second half of 127.S.*.*, so that runs beside each other don't meet.
+	Subnet    int
+	Emulation savorywing.Emulation
+}
+
+// Result is what a run has seen.
+type Result struct {
+	Violations []string
+	Served     int64
+	Refused    int64
+	Failed     int64
+	Faults     []string
+}
+
+const (
+	peerPort    = 17340
+	controlPort = 17341
+	callerPort  = 17342
+	readyPort   = 17343
+	stall       = 1500 * time.Millisecond
+	reportEvery = 300 * time.Millisecond
+	revokeMs    = 3000
+	grace       = 6 * time.Second
+	// recovery is how long everything may take to serve again after the last fault.
+	recovery = 30 * time.Second
+	// faultPause is the mean time between two faults; they overlap.
+	faultPause  = 900 * time.Millisecond
+	longestHarm = 4 * time.Second
+	servePause  = 100 * time.Millisecond
+)
+
+// run is one soak under way.
+type run struct {
+	cfg       Config
+	random    *rand.Rand
+	processes []*process
+	relays    []*relay
+	fleet     *fleet.Fleet
+	start     time.Time
+	harm      sync.WaitGroup
+	stop      chan struct{}
+
+	mu         sync.Mutex
+	violations []string
+	faults     []string
+	servers    []*fleet.Server
+	// controlsDown counts control processes that are down, frozen or without their disk.
+	controlsDown                 int
+	acked                        atomic.Uint64
+	number                       atomic.Uint64
+	nextServer                   int
+	served, refused, failedCalls atomic.Int64
+}
+
+// Run plays one seed.
+func Run(cfg Config) (Result, error) {
+	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now()}
+	defer r.close()
+	if err := r.assemble(); err != nil {
+		return Result{}, fmt.Errorf("soak.Run: %w", err)
+	}
+	if !r.servesAll(recovery) {
+		r.violate("nothing is served %v after the first start", recovery)
+		return r.result(), nil
+	}
+	var work sync.WaitGroup
+	for i := range cfg.Callers {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			r.call(i)
+		}()
+	}
+	work.Add(1)
+	go func() {
+		defer work.Done()
+		r.operate()
+	}()
+	r.trouble()
+	r.harm.Wait()
+	ok := r.servesAll(recovery)
+	close(r.stop)
+	work.Wait()
+	if !ok {
+		r.violate("not everything is served %v after the last fault", recovery)
+	}
+	r.checkRead("at the end")
+	return r.result(), nil
+}
+
+func (r *run) result() Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Result{
+		Violations: append(r.fleet.Violations(), r.violations...), Faults: r.faults,
+		Served: r.served.Load(), Refused: r.refused.Load(), Failed: r.failedCalls.Load(),
+	}
+}
+
+func (r *run) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, fmt.Sprintf("%.1f s: ", time.Since(r.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (r *run) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, fmt.Sprintf("%.1f s: ", time.Since(r.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (r *run) ip(block, i int) string { return fmt.Sprintf("127.%d.%d.%d", r.cfg.Subnet, block, 10+i) }
+
+func (r *run) controlAddress(i int) string {
+	return net.JoinHostPort(r.ip(0, i), fmt.Sprint(controlPort))
+}
+
+func (r *run) entryAddress(i int) string { return net.JoinHostPort(r.ip(1, i), fmt.Sprint(callerPort)) }
+
+func (r *run) assemble() error {
+	var seeds []string
+	for i := range min(3, r.cfg.Control) {
+		seeds = append(seeds, r.controlAddress(i))
+	}
+	shared := fmt.Sprintf("dataCentre: a\npeerPorts: [%d]\nseeds: [%s]\ntoken: soak\nlostDisks: %d\nmemoryMB: 256\n"+
+		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, graceSeconds: %g}\n",
+		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportEvery.Milliseconds(), stall.Milliseconds(), revokeMs, grace.Seconds())
+	for i := range r.cfg.Control {
+		dir := filepath.Join(r.cfg.Dir, fmt.Sprintf("control-%d", i))
+		r.processes = append(r.processes, &process{name: fmt.Sprintf("control-%d", i), binary: r.cfg.Binary, dir: dir, control: true,
+			settings: fmt.Sprintf("role: control\nname: control-%d\nip: %s\ncontrolAddress: %s\ndataDir: %s\n%s",
+				i, r.ip(0, i), r.controlAddress(i), filepath.Join(dir, "data"), shared)})
+	}
+	for i := range r.cfg.Entry {
+		r.processes = append(r.processes, &process{name: fmt.Sprintf("entry-%d", i), binary: r.cfg.Binary, dir: filepath.Join(r.cfg.Dir, fmt.Sprintf("entry-%d", i)),
+			settings: fmt.Sprintf("role: entry\nname: entry-%d\nip: %s\ncallerAddress: %s\nreadyAddress: %s:%d\n%s",
+				i, r.ip(1, i), r.entryAddress(i), r.ip(1, i), readyPort, shared)})
+	}
+	for _, p := range r.processes {
+		if err := p.start(true); err != nil {
+			return err
+		}
+	}
+	return r.assembleFleet()
+}
+
+func (r *run) assembleFleet() error {
+	parts := document(1)
+	var control []string
+	for i := range r.cfg.Control {
+		control = append(control, r.controlAddress(i))
+	}
+	r.fleet = fleet.New(fleet.Config{
+		Dialect: r.cfg.Emulation, Control: control, ReportEvery: reportEvery, EngineService: engineService,
+		Engine: *parts.Services[0].Engine, Stall: stall, PlainTime: 5 * time.Millisecond,
+	})
+	for i := range r.cfg.Engines {
+		if err := r.addServer(engineService, fmt.Sprintf("d%d", i/10)); err != nil {
+			return err
+		}
+	}
+	for range 3 {
+		if err := r.addServer(plainService, ""); err != nil {
+			return err
+		}
+	}
+	if !r.publish(parts, recovery) {
+		return fmt.Errorf("no control host took the first document within %v", recovery)
+	}
+	return nil
+}
+
+// addServer starts an emulated server behind a relay of its own; it reports the relay's address.
+func (r *run) addServer(service, domain string) error {
+	r.mu.Lock()
+	n := r.nextServer
+	r.nextServer++
+	r.mu.Unlock()
+	ip := fmt.Sprintf("127.%d.%d.%d", r.cfg.Subnet, 2+n/200, 10+n%200)
+	relayed := net.JoinHostPort(ip, "18000")
+	s, err := r.fleet.Add(fleet.Place{ID: fmt.Sprintf("s-%03d", n), Service: service, Address: ip + ":0", Advertised: relayed,
+		DataCentre: "a", Domain: domain, Slots: 8, Engine: service == engineService})
+	if err != nil {
+		return err
+	}
+	rel, err := newRelay(relayed, s.Address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.servers = append(r.servers, s)
+	r.relays = append(r.relays, rel)
+	return nil
+}
+
+func (r *run) close() {
+	for _, p := range r.processes {
+		if p.cmd != nil && p.running() {
+			p.end(syscall.SIGKILL, time.Second)
+		}
+	}
+	if r.fleet != nil {
+		r.fleet.Close()
+	}
+	for _, rel := range r.relays {
+		rel.close()
+	}
+}
+
+// servesAll tells whether every entry host serves both models and the plain service within a time.
+func (r *run) servesAll(within time.Duration) bool {
+	deadline := time.Now().Add(within)
+	for i := range r.cfg.Entry {
+		for _, want := range []request{{path: "/talk/x", model: largeModel}, {path: "/talk/x", model: smallModel}, {path: "/book/x"}} {
+			for !r.ask(i, want).ok {
+				if time.Now().After(deadline) {
+					return false
+				}
+				time.Sleep(servePause)
+			}
+		}
+	}
+	return true
+}
+
+const (
+	engineService = "engines"
+	plainService  = "bookings"
+	largeModel    = "large"
+	smallModel    = "small"
+	host          = "soak.example"
+	key           = "soak-key"
+)
+
+func document(version uint64) catalogue.Parts {
+	engine := catalogue.Engine{
+		Slots: 8, Tokens: 1 << 20, Stride: 5, Step: 3 * time.Millisecond, ReadRate: 50000, Chunk: 2048,
+		LoadsPerSecond: 20, LoadsAtOnce: 10, Keep: 1, OpenTime: 50 * time.Millisecond,
+		Models: []catalogue.Model{
+			{Name: largeModel, Size: 4, Share: 0.5, Pace: 1, Load: time.Second, Warm: 100 * time.Millisecond},
+			{Name: smallModel, Size: 2, Share: 0.5, Pace: 0.6, Load: 700 * time.Millisecond, Warm: 80 * time.Millisecond},
+		},
+	}
+	share := func(service string) []catalogue.Share { return []catalogue.Share{{Service: service, Weight: 1}} }
+	return catalogue.Parts{
+		Version: version,
+		Routes: []catalogue.Route{
+			{Name: "talk", Host: host, Prefix: "/talk/", Kind: catalogue.Streaming, Resumable: true, Timeout: 6 * time.Second,
+				Objective: 500 * time.Millisecond, Gap: 300 * time.Millisecond, Shares: share(engineService), MaxAttempts: 2},
+			{Name: "book", Host: host, Prefix: "/book/", Kind: catalogue.NonIdempotent, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond,
+				Shares: share(plainService), MaxAttempts: 2},
+		},
+		Services:      []catalogue.Service{{Name: engineService, HealthPath: "/h", Engine: &engine}, {Name: plainService, HealthPath: "/h"}},
+		Organisations: []catalogue.Organisation{{Name: "one", Keys: []string{key}}},
+		Limits:        catalogue.Limits{Header: 16 << 10, Body: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second},
+	}
+}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -33,7 +33,9 @@
 // Place is where an emulated server stands.
 type Place struct {
 	ID, Service, Address, DataCentre, Domain string
-	Slots                                    int
+	// Advertised is the address that it reports, if that is not its own.
+	Advertised string
+	Slots      int
 	// Engine tells a model engine from a plain service.
 	Engine bool
 }
@@ -90,6 +92,9 @@
 		return nil, fmt.Errorf("Fleet.Add: %w", err)
 	}
 	p.Address = listener.Addr().String()
+	if p.Advertised == "" {
+		p.Advertised = p.Address
+	}
 	s := &Server{fleet: f, Place: p, id: p.ID, listener: listener, wake: make(chan struct{}, 1), born: time.Now().UnixMilli()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: silent{}, StreamRequestBody: false}
@@ -188,7 +193,7 @@
 	f.mu.Lock()
 	s.sequence++
 	r := wire.Report{
-		ID: s.id, Born: s.born, Sequence: s.sequence, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
+		ID: s.id, Born: s.born, Sequence: s.sequence, Service: s.Service, Address: s.Advertised, DataCentre: s.DataCentre,
 		Release: "v1", Slots: s.Slots, Leaving: s.leaving, Engine: s.Engine, Domain: s.Domain,
 	}
 	if s.staged != "" {
