--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/former"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
@@ -35,21 +36,25 @@
 	current  map[string]wire.Endpoint
 	changed  map[string]uint64
 	removed  map[string]uint64
-	// tableRevision and at tell what it was made from.
-	tableRevision uint64
-	at            time.Time
+	// handles are the short names of all endpoints of the term; they are never given twice.
+	handles map[string]uint64
 }
 
 // refresh takes new endpoints over and tells whether any has changed.
 func (l *endpointLog) refresh(list []wire.Endpoint) bool {
 	if l.current == nil {
 		l.current, l.changed, l.removed = map[string]wire.Endpoint{}, map[string]uint64{}, map[string]uint64{}
+		l.handles = map[string]uint64{}
 	}
 	next := l.revision + 1
 	seen := map[string]bool{}
 	dirty := false
 	for _, e := range list {
 		seen[e.ID] = true
+		if l.handles[e.ID] == 0 {
+			l.handles[e.ID] = uint64(len(l.handles) + 1)
+		}
+		e.Handle = l.handles[e.ID]
 		if old, known := l.current[e.ID]; known && sameEndpoint(old, e) {
 			continue
 		}
@@ -76,6 +81,19 @@
 		a.Epoch == b.Epoch && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Silent == b.Silent && (a.ColdMs > 0) == (b.ColdMs > 0)
 }
 
+// handled returns loads by the handles of the endpoints that are still there.
+func (l *endpointLog) handled(list []wire.EndpointLoad) []fleet.Load {
+	out := make([]fleet.Load, 0, len(list))
+	for _, e := range list {
+		if _, known := l.current[e.ID]; known {
+			out = append(out, fleet.Load{
+				Handle: l.handles[e.ID], InFlight: e.InFlight, WaitingTokens: e.WaitingTokens, Stalled: e.Stalled, Moved: e.Moved,
+			})
+		}
+	}
+	return out
+}
+
 // since returns what has changed behind a revision.
 func (l *endpointLog) since(revision uint64) (endpoints []wire.Endpoint, removed []string) {
 	for id, at := range l.changed {
@@ -178,7 +196,8 @@
 		}
 	}
 	if echo != 0 {
-		u.Loads, u.Entries = c.loads(c.clock.Now())
+		list, entries := c.loads(c.clock.Now())
+		u.Loads, u.Entries = fleet.PackLoads(c.endpoints.handled(list)), entries
 	}
 	if err := c.mesh.Push(host, wire.Frame{Fleet: u}); err != nil {
 		c.log.Debug().Str("event", "updateLost").Str("entry", host).Err(err).Msg("")
--- a/process/fleet/endpoints.go
+++ b/process/fleet/endpoints.go
@@ -9,8 +9,7 @@
 
 // Whole is a group that may be served: every member once said that it was ready under this name and epoch.
 type Whole struct {
-	Model   string
-	Members []string
+	Model string
 }
 
 // Endpoints returns where requests can be sent, sorted by id. groups maps the names of groups to what
@@ -35,7 +34,7 @@
 			if !known {
 				continue
 			}
-			e.Model, e.Members, e.Group, e.Epoch = g.Model, g.Members, r.Group.Name, r.Group.Epoch
+			e.Model, e.Group, e.Epoch = g.Model, r.Group.Name, r.Group.Epoch
 		}
 		list = append(list, e)
 	}
--- /dev/null
+++ b/process/fleet/loads.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Load is what all entry hosts together have in flight at one endpoint.
+type Load struct {
+	Handle        uint64
+	InFlight      int
+	WaitingTokens int
+	// Stalled tells that requests are in flight and none moves; Moved that one has moved lately.
+	Stalled, Moved bool
+}
+
+// ErrLoads says that packed loads can't be read.
+var ErrLoads = errors.New("the packed loads are damaged")
+
+const (
+	// tokenUnit is the precision of waiting tokens, in tokens.
+	tokenUnit   = 16
+	stalledFlag = 1
+	movedFlag   = 2
+	flagBits    = 2
+)
+
+// PackLoads encodes loads in a few bytes each: they go to every entry host several times a second.
+func PackLoads(list []Load) []byte {
+	var b []byte
+	for _, l := range list {
+		flags := uint64(0)
+		if l.Stalled {
+			flags |= stalledFlag
+		}
+		if l.Moved {
+			flags |= movedFlag
+		}
+		b = binary.AppendUvarint(b, l.Handle)
+		b = binary.AppendUvarint(b, uint64(max(0, l.InFlight))<<flagBits|flags)
+		b = binary.AppendUvarint(b, uint64(max(0, l.WaitingTokens)/tokenUnit))
+	}
+	return b
+}
+
+// UnpackLoads decodes what PackLoads has encoded.
+func UnpackLoads(b []byte) ([]Load, error) {
+	var list []Load
+	for len(b) > 0 {
+		var v [3]uint64
+		for i := range v {
+			n := 0
+			if v[i], n = binary.Uvarint(b); n <= 0 {
+				return nil, fmt.Errorf("fleet.UnpackLoads: %w", ErrLoads)
+			}
+			b = b[n:]
+		}
+		list = append(list, Load{
+			Handle: v[0], InFlight: int(v[1] >> flagBits), WaitingTokens: int(v[2]) * tokenUnit,
+			Stalled: v[1]&stalledFlag != 0, Moved: v[1]&movedFlag != 0,
+		})
+	}
+	return list, nil
+}
--- a/process/former/former.go
+++ b/process/former/former.go
@@ -250,7 +250,7 @@
 func (f *Former) Groups() map[string]fleet.Whole {
 	out := map[string]fleet.Whole{}
 	for _, g := range f.groups {
-		out[g.name] = fleet.Whole{Model: g.model, Members: g.members}
+		out[g.name] = fleet.Whole{Model: g.model}
 	}
 	return out
 }
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -7,16 +7,20 @@
 	"io"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
 )
 
 const (
-	// usageEvery is how often the leader is told of this host's requests, and answers with all hosts'.
-	usageEvery = 120 * time.Millisecond
-	// quietEvery is the same while nothing is in flight here.
+	// usageEvery is how often the leader is told of this host's requests, and answers with all hosts'. It is
+	// longer by usagePart for each entry host, so that the leader's work grows slower than their number.
+	usageEvery = 100 * time.Millisecond
+	usagePart  = 2 * time.Millisecond
+	// quietEvery is the least time while nothing is in flight here.
 	quietEvery = 400 * time.Millisecond
 	// leaderPatience is how long the leader may leave usages unanswered before others are asked.
 	leaderPatience = 700 * time.Millisecond
@@ -29,6 +33,8 @@
 type view struct {
 	gateway *Gateway
 	wake    chan struct{}
+	// entries is the number of entry hosts that the leader hears.
+	entries atomic.Int64
 
 	mu       sync.Mutex
 	leader   string
@@ -91,11 +97,11 @@
 		case <-v.wake:
 		}
 		busy := v.tell()
-		if busy {
-			timer.Reset(usageEvery)
-		} else {
-			timer.Reset(quietEvery)
+		pause := usageEvery + time.Duration(v.entries.Load())*usagePart
+		if !busy {
+			pause = max(pause, quietEvery)
 		}
+		timer.Reset(pause)
 	}
 }
 
@@ -230,7 +236,7 @@
 		g.ledger.Update(u.Full, u.Endpoints, u.Removed)
 	}
 	if u.Echo != 0 {
-		g.ledger.SetLoads(g.clock.Now(), u.Loads, u.Entries)
+		v.takeLoads(u)
 	}
 	g.mu.Unlock()
 	if changed {
@@ -244,6 +250,18 @@
 	}
 }
 
+// takeLoads takes the sums of all entry hosts over; the gateway's mutex is held.
+func (v *view) takeLoads(u wire.FleetUpdate) {
+	g := v.gateway
+	loads, err := fleet.UnpackLoads(u.Loads)
+	if err != nil {
+		g.log.Warn().Str("event", "loadsUnreadable").Uint64("term", u.Term).Err(err).Msg("")
+		return
+	}
+	g.ledger.SetLoads(g.clock.Now(), loads, u.Entries)
+	v.entries.Store(int64(u.Entries))
+}
+
 func (v *view) takeDocument(u wire.FleetUpdate) {
 	g := v.gateway
 	v.mu.Lock()
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -44,8 +45,10 @@
 	random *rand.Rand
 	all    map[string]*endpoint
 	// lanes lists endpoints by service and model, sorted by id.
-	lanes   map[lane][]*endpoint
-	entries int
+	lanes map[lane][]*endpoint
+	// byHandle holds endpoints by the leader's short names.
+	byHandle map[uint64]*endpoint
+	entries  int
 	// fixed is the part of the time to the first event that the model of a pass does not explain.
 	fixed map[lane]time.Duration
 }
@@ -95,8 +98,9 @@
 }
 
 func (l *Ledger) index() {
-	l.lanes = map[lane][]*endpoint{}
+	l.lanes, l.byHandle = map[lane][]*endpoint{}, map[uint64]*endpoint{}
 	for _, e := range l.all {
+		l.byHandle[e.Handle] = e
 		k := lane{e.Service, e.Model}
 		l.lanes[k] = append(l.lanes[k], e)
 	}
@@ -123,14 +127,14 @@
 }
 
 // SetLoads takes over the sums of all entry hosts, which contain what Usage last returned.
-func (l *Ledger) SetLoads(now time.Time, loads []wire.EndpointLoad, entries int) {
+func (l *Ledger) SetLoads(now time.Time, loads []fleet.Load, entries int) {
 	l.entries = max(1, entries)
 	for _, e := range l.all {
 		e.others, e.othersWaiting, e.othersStalled, e.entries = 0, 0, false, l.entries
 		e.othersMoved, e.othersAt = false, now
 	}
 	for _, t := range loads {
-		if e := l.all[t.ID]; e != nil {
+		if e := l.byHandle[t.Handle]; e != nil {
 			e.others = max(0, t.InFlight-e.reported)
 			e.othersWaiting = max(0, t.WaitingTokens-e.reportedWaiting)
 			e.othersStalled, e.othersMoved = t.Stalled, t.Moved
--- a/process/placement/ledger_test.go
+++ b/process/placement/ledger_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -13,7 +14,7 @@
 func groups(n int) []wire.Endpoint {
 	var list []wire.Endpoint
 	for i := range n {
-		list = append(list, wire.Endpoint{ID: fmt.Sprintf("g%d", i), Born: 1, Service: "llm", Model: "m", Slots: 17})
+		list = append(list, wire.Endpoint{ID: fmt.Sprintf("g%d", i), Born: 1, Handle: uint64(i + 1), Service: "llm", Model: "m", Slots: 17})
 	}
 	return list
 }
@@ -50,10 +51,10 @@
 		{"tried", func(*Ledger) {}, func(w *Want) { w.Tried = []string{"g0"} }, ReasonNone, "g0"},
 		{"all tried", func(*Ledger) {}, func(w *Want) { w.Tried = []string{"g0", "g1"} }, ReasonFull, ""},
 		{"others' prompts wait", func(l *Ledger) {
-			l.SetLoads(now, []wire.EndpointLoad{{ID: "g0", InFlight: 5, WaitingTokens: 30000}}, 9)
+			l.SetLoads(now, []fleet.Load{{Handle: 1, InFlight: 5, WaitingTokens: 30000}}, 9)
 		}, nil, ReasonNone, "g0"},
 		{"stalled for others", func(l *Ledger) {
-			l.SetLoads(now, []wire.EndpointLoad{{ID: "g0", InFlight: 5, Stalled: true}}, 9)
+			l.SetLoads(now, []fleet.Load{{Handle: 1, InFlight: 5, Stalled: true}}, 9)
 		}, nil, ReasonNone, "g0"},
 		{"unreachable", func(l *Ledger) {
 			l.Finished(now, l.Start(now, Decision{ID: "g0"}, Want{}), Unreachable)
@@ -61,7 +62,7 @@
 		{"a prompt that is slow by its size", func(*Ledger) {}, func(w *Want) { w.PromptTokens = 9000 }, ReasonNone, ""},
 		{"late already, room left", func(*Ledger) {}, func(w *Want) { w.Elapsed = time.Second }, ReasonNone, ""},
 		{"late already, little room", func(l *Ledger) {
-			l.SetLoads(now, []wire.EndpointLoad{{ID: "g0", InFlight: 10, WaitingTokens: 6000}, {ID: "g1", InFlight: 10, WaitingTokens: 6000}}, 9)
+			l.SetLoads(now, []fleet.Load{{Handle: 1, InFlight: 10, WaitingTokens: 6000}, {Handle: 2, InFlight: 10, WaitingTokens: 6000}}, 9)
 		}, func(w *Want) { w.Elapsed = time.Second }, ReasonFull, ""},
 	}
 	for _, tt := range tests {
@@ -94,7 +95,7 @@
 	if l.IsStalled(now, "g0") {
 		t.Error("stalled before its first event was due")
 	}
-	l.SetLoads(now, []wire.EndpointLoad{{ID: "g0", InFlight: 5, Moved: true}}, 9)
+	l.SetLoads(now, []fleet.Load{{Handle: 1, InFlight: 5, Moved: true}}, 9)
 	now = now.Add(200 * time.Millisecond)
 	if l.IsStalled(now, "g0") {
 		t.Error("stalled although other hosts see it move")
@@ -164,7 +165,7 @@
 	}
 	l.Usage(now)
 	l.Start(now, Decision{ID: "g0"}, talk())
-	l.SetLoads(now, []wire.EndpointLoad{{ID: "g0", InFlight: 8, WaitingTokens: 2100 + 500}}, 5)
+	l.SetLoads(now, []fleet.Load{{Handle: 1, InFlight: 8, WaitingTokens: 2100 + 500}}, 5)
 	if e := l.all["g0"]; e.load() != 4+5 || e.waiting+e.othersWaiting != 4*700+500 {
 		t.Errorf("load %d, waiting %d", e.load(), e.waiting+e.othersWaiting)
 	}
@@ -232,17 +233,17 @@
 			}
 		}
 		if now.Sub(start)%(200*time.Millisecond) == 0 {
-			total := map[string]*wire.EndpointLoad{}
+			total := map[string]*fleet.Load{}
 			for _, l := range ledgers {
 				for _, u := range l.Usage(now) {
 					if total[u.ID] == nil {
-						total[u.ID] = &wire.EndpointLoad{ID: u.ID}
+						total[u.ID] = &fleet.Load{Handle: ledgers[0].all[u.ID].Handle}
 					}
 					total[u.ID].InFlight += u.InFlight
 					total[u.ID].WaitingTokens += u.WaitingTokens
 				}
 			}
-			var sums []wire.EndpointLoad
+			var sums []fleet.Load
 			for _, u := range total {
 				sums = append(sums, *u)
 			}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -128,9 +128,16 @@
 	o.predicted = o.expected + wait + l.fixed[lane{w.Service, w.Model}]
 	// Among equals the emptier one leaves more room for what comes next.
 	o.score = o.predicted.Seconds() + loadWeight*o.score
+	if e.DataCentre != l.cfg.DataCentre {
+		o.score += farPenalty.Seconds()
+	}
 	return o
 }
 
+// farPenalty is how much sooner a first event from another data centre must be: its bytes have a price, and a
+// loss of the way between the two breaks the stream.
+const farPenalty = 15 * time.Millisecond
+
 // loadWeight is how many seconds of the first event a full load is worth.
 const loadWeight = 0.1
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -277,12 +277,12 @@
 	// Group corresponds to the JSON schema field "group".
 	Group string `json:"group"`
 
+	// Short name of the endpoint within a term, for packed loads.
+	Handle uint64 `json:"handle"`
+
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id"`
 
-	// Backend servers of the group, head first.
-	Members []string `json:"members"`
-
 	// Empty for a plain service.
 	Model string `json:"model"`
 
@@ -353,8 +353,8 @@
 	// Address of the leader as far as it is known.
 	Leader string `json:"leader"`
 
-	// Requests in flight summed over all entry hosts.
-	Loads []EndpointLoad `json:"loads"`
+	// Requests in flight summed over all entry hosts, by handle; see fleet.PackLoads.
+	Loads []byte `json:"loads"`
 
 	// Removed corresponds to the JSON schema field "removed".
 	Removed []string `json:"removed"`
