Stalls are judged by each model's own pauses

Cause: 450 ms suit the large model, whose pauses reach 277 ms; the small one pauses 73 ms at most (p95), and 9% of its requests had to be sent again after a stall.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -22,8 +22,7 @@
 	freshIdle = 500 * time.Millisecond
 	// keptIdle is the same for what may be repeated; the server's own word is shorter.
 	keptIdle = 60 * time.Second
-	// stallCheck is when an engine that shows nothing is looked at first, and stallAgain how often later.
-	stallCheck = 450 * time.Millisecond
+	// stallAgain is how often an engine that shows nothing is looked at again.
 	stallAgain = 80 * time.Millisecond
 	// plainSwitch is the number of objectives after which a plain server's silence sends a repeatable
 	// request elsewhere.
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -25,7 +25,7 @@
 
 // watch starts the timer of an attempt; it does nothing where the request can't be repeated.
 func (j *job) watch(d placement.Decision, cancel context.CancelCauseFunc) *watch {
-	w := &watch{job: j, server: d.ID, cancel: cancel, after: stallCheck}
+	w := &watch{job: j, server: d.ID, cancel: cancel, after: d.StallAfter}
 	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxAttempts {
 		return w
 	}
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -51,6 +51,8 @@
 	entries  int
 	// fixed is the part of the time to the first event that the model of a pass does not explain.
 	fixed map[lane]time.Duration
+	// gaps is the moving mean time between two events of each lane.
+	gaps map[lane]time.Duration
 }
 
 type lane struct{ service, model string }
@@ -62,7 +64,7 @@
 	}
 	return &Ledger{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), all: map[string]*endpoint{}, lanes: map[lane][]*endpoint{},
-		fixed: map[lane]time.Duration{},
+		fixed: map[lane]time.Duration{}, gaps: map[lane]time.Duration{},
 	}
 }
 
@@ -112,13 +114,30 @@
 // Len returns the number of endpoints.
 func (l *Ledger) Len() int { return len(l.all) }
 
+// stallAfter returns how long an endpoint with requests in flight may show nothing: a few of its model's usual
+// pauses, which differ by model.
+func (l *Ledger) stallAfter(e *endpoint) time.Duration {
+	gap := l.gaps[lane{e.Service, e.Model}]
+	if gap == 0 {
+		return l.cfg.StallAfter
+	}
+	return min(l.cfg.StallAfter, max(shortestStall, stallGaps*gap))
+}
+
+const (
+	// stallGaps is several times the longest pauses seen beside the mean one in a full batch.
+	stallGaps = 6
+	// shortestStall is above what a busy entry host and a lost packet add.
+	shortestStall = 220 * time.Millisecond
+)
+
 // Usage returns what is in flight here, for the leader, and remembers it.
 func (l *Ledger) Usage(now time.Time) []wire.EndpointLoad {
 	var out []wire.EndpointLoad
 	for _, e := range l.all {
 		e.reported, e.reportedWaiting = e.own, e.waiting
 		if e.own > 0 {
-			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.own, WaitingTokens: e.waiting, Stalled: e.isStalled(now, l.cfg.StallAfter), Moved: e.moved})
+			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.own, WaitingTokens: e.waiting, Stalled: e.isStalled(now, l.stallAfter(e)), Moved: e.moved})
 		}
 		e.moved = false
 	}
@@ -181,6 +200,9 @@
 	e.progress, e.moved = now, true
 	if gap > 0 {
 		move(&e.gap, gap)
+		mean := l.gaps[t.lane]
+		move(&mean, gap)
+		l.gaps[t.lane] = mean
 	}
 	if !t.shown {
 		t.shown = true
@@ -255,5 +277,5 @@
 // IsStalled tells whether no request of an endpoint moves, as far as this host sees.
 func (l *Ledger) IsStalled(now time.Time, id string) bool {
 	e := l.all[id]
-	return e == nil || e.isStalled(now, l.cfg.StallAfter)
+	return e == nil || e.isStalled(now, l.stallAfter(e))
 }
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -80,6 +80,8 @@
 	Load, Slots int
 	// Predicted is the time to the first event that the decision was made on.
 	Predicted time.Duration
+	// StallAfter is how long the endpoint may show nothing.
+	StallAfter time.Duration
 	// expected is the same without what was learnt of the lane.
 	expected time.Duration
 }
@@ -99,6 +101,7 @@
 	}
 	return Decision{
 		ID: best.ID, Address: best.Address, Load: best.load(), Slots: best.slots(), Predicted: best.predicted, expected: best.expected,
+		StallAfter: l.stallAfter(best.endpoint),
 	}
 }
 
@@ -149,7 +152,7 @@
 		if isTried(w, e.ID) {
 			continue
 		}
-		stalled := e.isStalled(now, l.cfg.StallAfter) || (e.othersStalled && e.load() > 0)
+		stalled := e.isStalled(now, l.stallAfter(e)) || (e.othersStalled && e.load() > 0)
 		if now.Before(e.ejected) || stalled || e.Silent {
 			doubtful = append(doubtful, e)
 			continue
@@ -159,7 +162,7 @@
 	// At most half of a lane is kept out on doubt alone.
 	if len(usable)*2 < len(list) {
 		for _, e := range doubtful {
-			if !e.isStalled(now, l.cfg.StallAfter) && !now.Before(e.ejected) {
+			if !e.isStalled(now, l.stallAfter(e)) && !now.Before(e.ejected) {
 				usable = append(usable, e)
 			}
 		}
