Times after which members are missed follow the pace of reports

They were written for a report every 1.2 s, as on the four sites at hand; a deployment with another pace would have lost its groups.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -105,7 +105,7 @@
 	c := &Controller{
 		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, events: ring.New[event](eventRing),
 		table: fleet.NewTable(), entries: map[string]*entryState{}, presence: map[string]present{},
-		former: former.New(former.Config{Stall: instance.Milliseconds(s.StallMs) + stallMargin}),
+		former: former.New(formerConfig(s)),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.engines = engine.New(c.clock, dialect)
@@ -116,6 +116,35 @@
 	return c, nil
 }
 
+const (
+	// Two reports missed, or one where the group has stopped moving as well, and a little for the way.
+	silenceMargin = 200 * time.Millisecond
+	doubtMargin   = 100 * time.Millisecond
+	// leastSilence and leastDoubt are above the pauses of a busy machine, however often reports come.
+	leastSilence = 1500 * time.Millisecond
+	leastDoubt   = 800 * time.Millisecond
+	// lateReport is how late a report may come.
+	lateReport = 3 * time.Second
+	// takeOverMargin is for the way of the last report.
+	takeOverMargin = 300 * time.Millisecond
+	// silentReports is the number of reports after which a server is marked for the entry hosts.
+	silentReports = 2.5
+)
+
+// formerConfig derives the times that groups wait for from the settings.
+func formerConfig(s *instance.Settings) former.Config {
+	report := instance.Milliseconds(s.ReportEveryMs)
+	return former.Config{
+		Silence: max(leastSilence, 2*report+silenceMargin), Doubt: max(leastDoubt, report+doubtMargin),
+		Stall: instance.Milliseconds(s.StallMs) + stallMargin, TakeOver: lateReport + report + takeOverMargin,
+	}
+}
+
+// silentAfter returns how long a server may send no report before the entry hosts are told.
+func (c *Controller) silentAfter() time.Duration {
+	return max(leastSilence, time.Duration(silentReports*float64(instance.Milliseconds(c.settings.ReportEveryMs))))
+}
+
 // stallMargin is for clocks of different speed; the time counts from a report that came after the event.
 const stallMargin = 400 * time.Millisecond
 
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -23,12 +23,8 @@
 	demand map[string]float64
 }
 
-const (
-	// demandSmoothing is the time constant of the demand that groups are planned for.
-	demandSmoothing = 4 * time.Second
-	// silentServerAfter marks a backend server of which no report has come lately.
-	silentServerAfter = 3 * time.Second
-)
+// demandSmoothing is the time constant of the demand that groups are planned for.
+const demandSmoothing = 4 * time.Second
 
 // endpointLog holds the endpoints with the revision at which each was changed or removed.
 type endpointLog struct {
@@ -167,7 +163,7 @@
 
 // pushChanges tells every entry host what has changed since it was told last.
 func (c *Controller) pushChanges(now time.Time) {
-	list := c.table.Endpoints(now, silentServerAfter, c.former.Groups())
+	list := c.table.Endpoints(now, c.silentAfter(), c.former.Groups())
 	if !c.endpoints.refresh(list) {
 		return
 	}
