--- a/process/former/former.go
+++ b/process/former/former.go
@@ -76,6 +76,8 @@
 	counter uint64
 	term    uint64
 	since   time.Time
+	// untouched tells that no server had been given an order when this leader began.
+	untouched bool
 	// settledAt is when everything that earlier leaders ordered and that was carried out has been reported.
 	settledAt time.Time
 	// groups holds every group that reports or own orders speak of, by name.
@@ -165,6 +167,7 @@
 	if in.Term != f.term || f.since.IsZero() {
 		f.takeOver(now, in)
 	}
+	in.FirstStart = in.FirstStart && f.untouched
 	f.observe(now, in)
 	var orders []savorywing.FleetOrder
 	for _, g := range f.sorted() {
@@ -181,6 +184,11 @@
 
 // takeOver starts a term: orders of earlier leaders are unknown, and so are the loads that they began.
 func (f *Former) takeOver(now time.Time, in Input) {
+	f.untouched = true
+	for _, s := range in.Table.Servers() {
+		f.untouched = f.untouched && s.Place() == nil && len(s.Report().Staged) == 0
+	}
+	in.FirstStart = in.FirstStart && f.untouched
 	f.settledAt = now
 	if !in.FirstStart {
 		f.settledAt = now.Add(f.cfg.TakeOver)
--- a/process/former/former_test.go
+++ b/process/former/former_test.go
@@ -390,6 +390,27 @@
 	}
 }
 
+// TestNewLeaderBeforeWork shows that a leader that follows another one is no first start, even if it has not
+// heard of any request: it forms no group before its predecessor's orders have been reported.
+func TestNewLeaderBeforeWork(t *testing.T) {
+	s := newSim(t, 3)
+	s.run(9*time.Second, nil)
+	s.term++
+	s.former = New(Config{})
+	for range 4 {
+		s.add("d0")
+	}
+	began := s.now
+	for s.now.Sub(began) < 4*time.Second {
+		s.step()
+		for id, p := range s.former.orders {
+			if a := p.order.Action; a == savorywing.ActionJoin || a == savorywing.ActionStage {
+				t.Fatalf("%v after it took over, %s is told to %s", s.now.Sub(began), id, a)
+			}
+		}
+	}
+}
+
 // TestMemberLost replays the usual day of losses: two members every three seconds, empty hosts in their place.
 func TestMemberLost(t *testing.T) {
 	s := newSim(t, 2)
