--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -46,9 +46,6 @@
 // Began tells whether an answer was begun.
 func (x *Exchange) Began() bool { return x.began }
 
-// Remote returns the caller's address.
-func (x *Exchange) Remote() string { return x.conn.conn.RemoteAddr().String() }
-
 // Refuse sends a whole answer that the system makes itself.
 func (x *Exchange) Refuse(r Refusal) {
 	var h fasthttp.ResponseHeader
--- a/process/controller/desk.go
+++ b/process/controller/desk.go
@@ -1,17 +1,15 @@
 package controller
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"savorywing.example/savorywing/connection/controlapi"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 const (
@@ -93,7 +91,7 @@
 		c.log.Info().Str("event", "documentRefused").Int("bytes", len(document)).Err(err).Msg("")
 		return fmt.Errorf("Controller.Publish: %w: %w", controlapi.ErrInvalid, err)
 	}
-	packed, err := pack(document)
+	packed, err := codec.Pack(document)
 	if err != nil {
 		return fmt.Errorf("Controller.Publish: %w", err)
 	}
@@ -118,7 +116,7 @@
 	if r.Published == nil {
 		return nil, fmt.Errorf("Controller.Read: %w: there is no document yet", controlapi.ErrUnsure)
 	}
-	return unpack(r.Published.Document)
+	return codec.Unpack(r.Published.Document)
 }
 
 // propose hands a command to the leader, wherever it is, until it answers. Commands of this host may be
@@ -162,26 +160,3 @@
 	}
 	return *reply.Result, nil
 }
-
-func pack(b []byte) ([]byte, error) {
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(b); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
-}
-
-func unpack(b []byte) ([]byte, error) {
-	out, err := io.ReadAll(flate.NewReader(bytes.NewReader(b)))
-	if err != nil {
-		return nil, fmt.Errorf("unpacking the document: %w", err)
-	}
-	return out, nil
-}
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -5,6 +5,7 @@
 
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 const (
@@ -183,7 +184,7 @@
 	if old := c.document.Load(); old != nil && old.version >= p.Version {
 		return
 	}
-	b, err := unpack(p.Document)
+	b, err := codec.Unpack(p.Document)
 	if err != nil {
 		c.log.Error().Str("event", "documentUnreadable").Uint64("version", p.Version).Err(err).Msg("")
 		return
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -290,12 +290,21 @@
 // settled returns the model of a domain's first group, which the domain's other groups follow: hosts with
 // the same weights replace each other.
 func (p *planning) settled(d *domain) *catalogue.Model {
+	if groups := p.groupsIn(d); len(groups) > 0 {
+		return findModel(p.in.Catalogue, groups[0].model)
+	}
+	return nil
+}
+
+// groupsIn returns the groups of a domain that don't end, oldest first.
+func (p *planning) groupsIn(d *domain) []*group {
+	var list []*group
 	for _, g := range p.former.sorted() {
 		if s := member(p.in, g, 0); s != nil && s.Report().Domain == d.name && !g.ending {
-			return findModel(p.in.Catalogue, g.model)
+			list = append(list, g)
 		}
 	}
-	return nil
+	return list
 }
 
 // pairSize is the largest group whose survivors find a partner among those of other groups, so that no
@@ -309,9 +318,8 @@
 	if next.Size > pairSize {
 		large++
 	}
-	for _, g := range p.former.groups {
-		m := findModel(p.in.Catalogue, g.model)
-		if s := member(p.in, g, 0); s != nil && s.Report().Domain == d.name && !g.ending && m != nil && m.Size > pairSize {
+	for _, g := range p.groupsIn(d) {
+		if m := findModel(p.in.Catalogue, g.model); m != nil && m.Size > pairSize {
 			large++
 		}
 	}
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -143,8 +143,8 @@
 // wantedSpares returns how many hosts of a domain should stand by for a model.
 func (p *planning) wantedSpares(d *domain, m *catalogue.Model) int {
 	groups := 0
-	for _, g := range p.former.groups {
-		if s := member(p.in, g, 0); !g.ending && g.model == m.Name && s != nil && s.Report().Domain == d.name {
+	for _, g := range p.groupsIn(d) {
+		if g.model == m.Name {
 			groups++
 		}
 	}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -92,7 +92,6 @@
 				return
 			}
 		case endNotRun:
-			j.shed = true
 			j.sends++
 		case endFailed:
 			j.lost = true
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -46,8 +46,6 @@
 	first, longestGap time.Duration
 	// lost tells that an attempt may have run without its answer coming back.
 	lost bool
-	// shed tells that a backend server has refused for lack of room.
-	shed bool
 }
 
 // Serve implements ingress.Handler.
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"io"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -13,6 +10,7 @@
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 const (
@@ -273,7 +271,7 @@
 		}
 		return
 	}
-	b, err := io.ReadAll(flate.NewReader(bytes.NewReader(u.Document)))
+	b, err := codec.Unpack(u.Document)
 	if err != nil {
 		g.log.Error().Str("event", "documentUnreadable").Uint64("version", u.Version).Err(err).Msg("")
 		return
--- /dev/null
+++ b/wire/codec/pack.go
@@ -0,0 +1,33 @@
+package codec
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// Pack compresses a document.
+func Pack(b []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("codec.Pack: %w", err)
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, fmt.Errorf("codec.Pack: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("codec.Pack: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack returns what Pack has compressed.
+func Unpack(b []byte) ([]byte, error) {
+	out, err := io.ReadAll(flate.NewReader(bytes.NewReader(b)))
+	if err != nil {
+		return nil, fmt.Errorf("codec.Unpack: %w", err)
+	}
+	return out, nil
+}
