A server reborn under its id holds no model of its earlier life

Cause: the former kept the model of a server's newest group by id alone. A server that starts again knows no last group, so its next join of that model is a load, while the former took it for one of 0.2 s and left it out of the ceiling on loads. Found by reading; TestRebornHoldsNothing failed (i-0 joins g16777217.large, which its new life has never loaded) and passes now that the life (born) belongs to what is remembered. Ruled out: dropping the entry when a later life is first seen, since a report may be applied between two steps.

--- a/process/former/former.go
+++ b/process/former/former.go
@@ -85,8 +85,8 @@
 	// orders holds the newest order to each server until a report or an answer settles it.
 	orders map[string]*pending
 	loads  loadWindow
-	// lastModel is the model of each server's newest group; joining it again needs no load.
-	lastModel map[string]string
+	// lastModel is the model of each server's newest group, by id; joining it again needs no load.
+	lastModel map[string]joined
 	// barred holds servers that have refused an order, until when they are left alone.
 	barred map[string]time.Time
 	// unanswered is when each server last left an order without an answer.
@@ -98,6 +98,12 @@
 	lastFound time.Time
 }
 
+// joined is a model that one life of a server has had in its newest group.
+type joined struct {
+	born  int64
+	model string
+}
+
 // pending is an order whose effect has not been reported yet.
 type pending struct {
 	order   savorywing.FleetOrder
@@ -133,7 +139,7 @@
 func New(cfg Config) *Former {
 	cfg.Defaults()
 	return &Former{
-		cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]string{}, found: map[string]bool{}, barred: map[string]time.Time{},
+		cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]joined{}, found: map[string]bool{}, barred: map[string]time.Time{},
 		unanswered: map[string]time.Time{}, largest: map[string]int{},
 	}
 }
@@ -268,7 +274,7 @@
 			continue
 		}
 		if isStandby(p.Name) {
-			f.lastModel[s.Report().ID] = modelOf(p.Name)
+			f.noteModel(s, modelOf(p.Name))
 			continue
 		}
 		g := f.groups[p.Name]
@@ -281,7 +287,7 @@
 		}
 		id := s.Report().ID
 		g.members[p.Rank] = id
-		f.lastModel[id] = g.model
+		f.noteModel(s, g.model)
 		if p.State != fleet.StateJoining && p.State != fleet.StateBroken {
 			g.ready[id] = true
 		}
@@ -289,6 +295,17 @@
 	f.settle(in)
 }
 
+func (f *Former) noteModel(s *fleet.Server, model string) {
+	r := s.Report()
+	f.lastModel[r.ID] = joined{born: r.Born, model: model}
+}
+
+// holds tells whether a server has a model in its memory still, from a group of this life.
+func (f *Former) holds(s *fleet.Server, model string) bool {
+	r := s.Report()
+	return f.lastModel[r.ID] == joined{born: r.Born, model: model}
+}
+
 // loadWindow counts loads over a sliding window.
 type loadWindow struct {
 	began []time.Time
--- a/process/former/former_test.go
+++ b/process/former/former_test.go
@@ -476,3 +476,40 @@
 		s.former = New(Config{})
 	}
 }
+
+// TestRebornHoldsNothing shows that a server which starts again under its id is not taken to hold the model of
+// its earlier life: joining that model would be a load that nobody has counted.
+func TestRebornHoldsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := fleet.NewTable()
+	in := Input{Table: table, Catalogue: simCatalogue(t), Term: 1, Demand: map[string]float64{"large": 30, "small": 1}}
+	f := New(Config{})
+	report := func(born int64, sequence uint64, staged string, place *wire.GroupPlace) {
+		for rank := range 4 {
+			r := wire.Report{
+				ID: fmt.Sprintf("i-%d", rank), Born: born, Sequence: sequence, Service: "engines", Address: fmt.Sprintf("a-%d", rank),
+				Engine: true, Domain: "d", Slots: 17, Staged: []string{staged},
+			}
+			if place != nil {
+				p := *place
+				p.Rank = rank
+				r.Group = &p
+			}
+			if _, err := table.Apply(now, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	report(1, 1, "large", &wire.GroupPlace{Name: "g7.large", Epoch: 7, State: fleet.StateReady})
+	f.Step(now, in)
+	report(2, 1, "small", nil)
+	for range 400 {
+		now = now.Add(100 * time.Millisecond)
+		report(2, uint64(now.UnixMilli()), "small", nil)
+		for _, o := range f.Step(now, in) {
+			if o.Action == savorywing.ActionJoin && o.Model == "large" {
+				t.Fatalf("%s joins %s, which its new life has never loaded", o.Server, o.Group)
+			}
+		}
+	}
+}
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -275,7 +275,7 @@
 		if p.former.isDoubtful(p.now, s) {
 			continue
 		}
-		if p.in.FirstStart || isStaged(s, m.Name) || p.former.lastModel[s.Report().ID] == m.Name {
+		if p.in.FirstStart || isStaged(s, m.Name) || p.former.holds(s, m.Name) {
 			fit = append(fit, s)
 		}
 	}
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -222,7 +222,7 @@
 func (p *planning) standBy(d *domain) {
 	for _, s := range d.free {
 		r := s.Report()
-		if len(r.Staged) == 0 || r.Group != nil || p.former.lastModel[r.ID] == r.Staged[0] {
+		if len(r.Staged) == 0 || r.Group != nil || p.former.holds(s, r.Staged[0]) {
 			continue
 		}
 		model := r.Staged[0]
