Loads go where work is short: a new leader's demand, domains keep their model, followers know groups

Three reasons. A new leader's demand grew from nothing, so that after its first four seconds both needs looked low; hosts that stood idle, and even hosts with the large model's weights, were given to the model that is quicker to form; and a new leader waited 7.5 s for members that were buried under a later server at their address, so that five groups' survivors stood still. Ruled out: fewer loads (27 at once are allowed, 0 to 3 ran in the first 14 s). The leader also sums the entry hosts' loads at most every 20 ms instead of for each of 370 answers a second, and lists endpoints again for a report only if the table has changed.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -71,8 +71,14 @@
 	flushAt  time.Time
 	// endpoints is what entry hosts were told last, with the revision at which each part changed.
 	endpoints endpointLog
-	leading   bool
-	term      uint64
+	// pushed is the table's revision that the endpoints were made of last.
+	pushed uint64
+	// summed is what all entry hosts had in flight at summedAt, and summedEntries how many were heard then.
+	summed        []wire.EndpointLoad
+	summedEntries int
+	summedAt      time.Time
+	leading       bool
+	term          uint64
 	// requested tells that an entry host has told of a request since this process was started.
 	requested bool
 	// measuredSince is when this leader was first told of callers' work.
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -21,6 +21,8 @@
 	told uint64
 	// demand is the work asked of each model, in slots, smoothed.
 	demand map[string]float64
+	// measured is how long it has been asked for in all.
+	measured time.Duration
 }
 
 // demandSmoothing is the time constant of the demand that groups are planned for.
@@ -128,6 +130,16 @@
 	}
 }
 
+// keepUp lets a follower learn of groups what reports say, so that it can lead at once.
+func (c *Controller) keepUp(now time.Time) {
+	document := c.document.Load()
+	if document == nil || now.Before(c.nextStep) {
+		return
+	}
+	c.nextStep = now.Add(stepEvery)
+	c.former.Follow(now, former.Input{Table: c.table, Catalogue: document.catalogue, Term: c.term})
+}
+
 // summaryEvery is how often the leader logs what groups there are.
 const summaryEvery = 1 * time.Second
 
@@ -163,6 +175,7 @@
 
 // pushChanges tells every entry host what has changed since it was told last.
 func (c *Controller) pushChanges(now time.Time) {
+	c.pushed = c.table.Revision()
 	list := c.table.Endpoints(now, c.silentAfter(), c.former.Groups())
 	if !c.endpoints.refresh(list) {
 		return
@@ -251,12 +264,15 @@
 	if e.heard.IsZero() || span <= 0 || span > demandSmoothing {
 		return
 	}
+	// Until there is a full time constant of usages, each counts as much as any other: a mean that began at
+	// nothing would make a new leader plan for less work than there is.
+	e.measured += span
+	part := float64(span) / float64(min(e.measured, demandSmoothing))
 	for _, d := range u.Demand {
 		if d.WorkMs < before[d.Model] {
 			continue
 		}
 		rate := float64(d.WorkMs-before[d.Model]) / float64(span.Milliseconds()+1)
-		part := float64(span) / float64(demandSmoothing)
 		e.demand[d.Model] += (rate - e.demand[d.Model]) * part
 	}
 }
@@ -278,8 +294,20 @@
 	return out
 }
 
-// loads sums what entry hosts have in flight, and counts the entry hosts.
+// loadsKept is how long the sum of what entry hosts have in flight is used again. It is well below the time
+// between two usages of one host, so that a sum over n hosts isn't made anew for each answer to one of them.
+const loadsKept = 20 * time.Millisecond
+
+// loads returns what entry hosts have in flight, and counts the entry hosts.
 func (c *Controller) loads(now time.Time) ([]wire.EndpointLoad, int) {
+	if c.summedAt.IsZero() || now.Sub(c.summedAt) >= loadsKept {
+		c.summed, c.summedEntries = c.sumLoads(now)
+		c.summedAt = now
+	}
+	return c.summed, c.summedEntries
+}
+
+func (c *Controller) sumLoads(now time.Time) ([]wire.EndpointLoad, int) {
 	total := map[string]*wire.EndpointLoad{}
 	entries := 0
 	for _, e := range c.entries {
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -43,6 +43,8 @@
 		}
 		if c.leading {
 			c.lead(now)
+		} else {
+			c.keepUp(now)
 		}
 		c.flushReports(now)
 	}
@@ -55,7 +57,7 @@
 			c.takeOver(r, e.direct)
 		}
 		// The entry hosts are told before the report is acknowledged.
-		if c.leading && e.done != nil {
+		if c.leading && e.done != nil && c.table.Revision() != c.pushed {
 			c.pushChanges(c.clock.Now())
 		}
 		if e.done != nil {
@@ -136,7 +138,7 @@
 		c.leading, c.term = leading, view.Term
 		if leading {
 			c.endpoints = endpointLog{}
-			c.entries, c.measuredSince = map[string]*entryState{}, time.Time{}
+			c.entries, c.measuredSince, c.summedAt = map[string]*entryState{}, time.Time{}, time.Time{}
 		}
 	}
 	if view.Leader != c.lastLeader {
--- a/process/former/former.go
+++ b/process/former/former.go
@@ -188,6 +188,18 @@
 	return orders
 }
 
+// Follow notes what reports say while another host leads, so that this one knows the members of each group
+// when it takes over, those included that are lost by then.
+func (f *Former) Follow(now time.Time, in Input) {
+	f.orders = map[string]*pending{}
+	f.observe(now, in)
+	for _, g := range f.sorted() {
+		if !f.hasTrace(in, g) {
+			delete(f.groups, g.name)
+		}
+	}
+}
+
 // takeOver starts a term: orders of earlier leaders are unknown, and so are the loads that they began.
 func (f *Former) takeOver(now time.Time, in Input) {
 	f.untouched = true
@@ -200,7 +212,11 @@
 		f.settledAt = now.Add(f.cfg.TakeOver)
 	}
 	f.term, f.counter, f.since = in.Term, 0, now
-	f.groups, f.orders = map[string]*group{}, map[string]*pending{}
+	f.orders = map[string]*pending{}
+	for _, g := range f.groups {
+		// What reports told of it while this host followed stays true; which orders were given is not known.
+		*g = group{name: g.name, epoch: g.epoch, model: g.model, members: g.members, ready: g.ready, opened: true, formed: now}
+	}
 	f.loads = loadWindow{}
 	if !in.FirstStart {
 		// An earlier leader may have begun as many loads as run at once, and no more within the window.
--- a/process/former/former_test.go
+++ b/process/former/former_test.go
@@ -37,6 +37,8 @@
 // simServer is an engine as the platform describes it.
 type simServer struct {
 	id, domain string
+	// address is where it listens; that of a lost server may be used again.
+	address    string
 	born       int64
 	sequence   uint64
 	fence, top uint64
@@ -67,14 +69,16 @@
 	servers map[string]*simServer
 	table   *fleet.Table
 	former  *Former
-	term    uint64
-	later   []simEvent
-	ready   map[string]bool
-	loads   []time.Time
-	started time.Time
-	served  bool
-	seed    uint64
-	next    int
+	// follower has heard the same reports, and leads after some elections.
+	follower *Former
+	term     uint64
+	later    []simEvent
+	ready    map[string]bool
+	loads    []time.Time
+	started  time.Time
+	served   bool
+	seed     uint64
+	next     int
 }
 
 type simEvent struct {
@@ -84,7 +88,7 @@
 
 func newSim(t *testing.T, seed uint64) *sim {
 	s := &sim{t: t, r: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), cat: simCatalogue(t), servers: map[string]*simServer{},
-		table: fleet.NewTable(), former: New(Config{}), term: 1, ready: map[string]bool{}, seed: seed}
+		table: fleet.NewTable(), former: New(Config{}), follower: New(Config{}), term: 1, ready: map[string]bool{}, seed: seed}
 	s.started = s.now
 	for d := range 3 {
 		for range 10 {
@@ -97,7 +101,7 @@
 func (s *sim) add(domain string) {
 	s.next++
 	id := fmt.Sprintf("i-%03d", s.next)
-	s.servers[id] = &simServer{id: id, domain: domain, born: s.now.UnixMilli(), nextReport: s.now.Add(s.jitter(simReport))}
+	s.servers[id] = &simServer{id: id, domain: domain, address: id, born: s.now.UnixMilli(), nextReport: s.now.Add(s.jitter(simReport))}
 }
 
 func (s *sim) jitter(d time.Duration) time.Duration { return time.Duration(s.r.Int64N(int64(d))) }
@@ -138,6 +142,16 @@
 	for _, o := range s.former.Step(s.now, in) {
 		s.deliver(o)
 	}
+	s.follower.Follow(s.now, in)
+}
+
+// elect lets another leader take over: one that has followed, or one that has just been started.
+func (s *sim) elect() {
+	s.term++
+	s.former, s.follower = s.follower, s.former
+	if s.r.Float64() < 0.5 {
+		s.former = New(Config{})
+	}
 }
 
 // progress tells what entry hosts would see: a head that lacks a member stands still.
@@ -202,7 +216,7 @@
 
 func (s *sim) report(v *simServer) {
 	v.sequence++
-	r := wire.Report{ID: v.id, Born: v.born, Sequence: v.sequence, Service: "engines", Address: v.id, Engine: true, Domain: v.domain, Slots: 17}
+	r := wire.Report{ID: v.id, Born: v.born, Sequence: v.sequence, Service: "engines", Address: v.address, Engine: true, Domain: v.domain, Slots: 17}
 	if v.staged != "" {
 		r.Staged = []string{v.staged}
 	}
@@ -470,10 +484,9 @@
 		s.after(s.jitter(12*time.Second), func() { v.cut = false })
 	case x < 0.75:
 		// It starts again under its old id, and knows nothing.
-		*v = simServer{id: v.id, domain: v.domain, born: s.now.UnixMilli(), nextReport: s.now.Add(s.jitter(simReport)), staged: v.staged}
+		*v = simServer{id: v.id, domain: v.domain, address: v.address, born: s.now.UnixMilli(), nextReport: s.now.Add(s.jitter(simReport)), staged: v.staged}
 	case x < 0.85:
-		s.term++
-		s.former = New(Config{})
+		s.elect()
 	}
 }
 
@@ -513,3 +526,49 @@
 		}
 	}
 }
+
+// TestFollowerTakesOver shows that a leader which has followed knows a group's lost member, and frees the others
+// as soon as it may, where one that was just started waits for a member that it has never heard of.
+func TestFollowerTakesOver(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		followed bool
+		within   time.Duration
+	}{
+		// The wait of a new leader, and the time in which a lost order is sent again.
+		{"followed", true, 4500*time.Millisecond + 1500*time.Millisecond},
+		// And half of the silence after which a member is given up.
+		{"just started", false, 4500*time.Millisecond + 2*1500*time.Millisecond + 7500*time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 2)
+			s.run(9*time.Second, nil)
+			s.served = true
+			var victim *simServer
+			for _, c := range s.sorted() {
+				if c.model == "large" && c.rank == 1 && len(c.members) == 4 {
+					victim = c
+				}
+			}
+			group := victim.group
+			victim.dead = true
+			s.add(victim.domain)
+			s.servers[fmt.Sprintf("i-%03d", s.next)].address = victim.address
+			s.run(200*time.Millisecond, nil)
+			s.term++
+			s.former, s.follower = s.follower, New(Config{})
+			if !tt.followed {
+				s.former = New(Config{})
+			}
+			began := s.now
+			for s.now.Sub(began) < tt.within {
+				s.step()
+			}
+			for _, v := range s.sorted() {
+				if !v.dead && v.group == group && !s.former.isFree(s.now, s.table.Server(v.id)) {
+					t.Errorf("%s is still held by the group of a lost member, %v after the change of leaders", v.id, tt.within)
+				}
+			}
+		})
+	}
+}
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -66,8 +66,8 @@
 
 // consider returns the load that brings a domain closer to its next group of a model, or to one that stands by.
 func (p *planning) consider(d *domain, m *catalogue.Model) load {
-	value := p.value(d, m, p.held(d, m))
-	if value <= 0 {
+	value, idle := p.value(d, m, p.held(d, m), shortage(p.need(m))), p.idleValue(d, m)
+	if value <= 0 && idle <= 0 {
 		return load{}
 	}
 	var best load
@@ -76,27 +76,40 @@
 			continue
 		}
 		gain := value
+		if len(s.Report().Staged) == 0 {
+			gain = max(value, idle)
+		}
 		for i := range p.engine.Models {
 			other := &p.engine.Models[i]
 			if other.Name != m.Name && isStaged(s, other.Name) {
 				// What the host holds now is lost with the load.
-				gain -= reluctance * p.value(d, other, p.held(d, other)-1)
+				gain -= reluctance * p.value(d, other, p.held(d, other)-1, shortage(p.need(other)))
 			}
 		}
-		if best.server == nil || gain > best.value {
+		if gain > 0 && (best.server == nil || gain > best.value) {
 			best = load{server: s, model: m, value: gain}
 		}
 	}
 	return best
 }
 
+// idleValue is what an empty host is worth to a model that is not short. A domain's own model goes first, since
+// hosts with the same weights replace each other.
+func (p *planning) idleValue(d *domain, m *catalogue.Model) float64 {
+	if own := p.settled(d); own != nil && own != m && p.value(d, own, p.held(d, own), idleWorth) > 0 {
+		return 0
+	}
+	return p.value(d, m, p.held(d, m), idleWorth)
+}
+
 // value is the work that one more host with a model's weights brings back, for each second of loading, where
-// held hosts have them already. Whole groups among these will form by themselves.
-func (p *planning) value(d *domain, m *catalogue.Model, held int) float64 {
+// held hosts have them already and callers fill a part of a further group. Whole groups among these will form by
+// themselves.
+func (p *planning) value(d *domain, m *catalogue.Model, held int, filled float64) float64 {
 	if held < 0 || m.Size == 0 {
 		return 0
 	}
-	group := shortage(p.need(m)) * slotsOf(p.engine, m) / max(1, m.Load.Seconds())
+	group := filled * slotsOf(p.engine, m) / max(1, m.Load.Seconds())
 	formed, rest := held/m.Size, held%m.Size
 	absent := max(0, (formed+1)*m.Size-p.reachable(d, m))
 	// What hosts that are yet to come would complete is worth less, the more of them it takes.
@@ -115,15 +128,17 @@
 
 // Below easyNeed more capacity serves hardly anyone, above hardNeed every slot is filled at once.
 const (
-	easyNeed = 0.7
+	easyNeed = 0.5
 	hardNeed = 1.3
-	// idleWorth keeps hosts from standing empty where no model is short.
-	idleWorth = 0.05
+	// idleWorth keeps empty hosts from standing empty where no model is short. It is no reason to replace weights.
+	idleWorth = 0.01
 )
 
-// shortage is the part of a further group that callers would fill.
+// shortage is the part of a further group that callers would fill. It grows faster than the need: work comes
+// unevenly, so that the last tenth of a model's slots is where callers begin to wait.
 func shortage(need float64) float64 {
-	return min(1, max(idleWorth, (need-easyNeed)/(hardNeed-easyNeed)))
+	over := max(0, need-easyNeed) / (hardNeed - easyNeed)
+	return min(1, over*over)
 }
 
 // arrivalChance is the worth of a host that the domain once had and is yet to get back, against one that is there.
