Placement in a full lane: groups drawn by their room, each host sends its share

The learned part of the first event took in what others had waited, and raised the limit with the prediction, so that nothing was refused. Now a group is drawn with a chance that grows with its room until the next word; while a lane is over 0.8 full, a host sends at the rate at which slots come free, over the number of hosts; who can't be in time any more takes no slot of a full lane; the fixed part follows the quick answers; hosts speak twice as often (0.24 s at 141 hosts). A pass reads a chunk in each of its steps, not one in all, so prompts that meet in one pass stop everyone's answer. The pass is predicted so now, and no prompt is sent where the pass would take over 0.75 of the longest pause.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -213,7 +213,7 @@
 
 func (j *job) want(now time.Time) placement.Want {
 	w := placement.Want{
-		Service: j.service.Name, PromptTokens: j.caller.PromptTokens, Objective: j.route.Objective,
+		Service: j.service.Name, PromptTokens: j.caller.PromptTokens, Objective: j.route.Objective, Gap: j.route.Gap,
 		Elapsed: now.Sub(j.x.Arrival()), Left: j.deadline.Sub(now), Tried: j.tried, Again: j.sends > 0,
 	}
 	if e := j.service.Engine; e != nil {
--- a/process/gateway/view.go
+++ b/process/gateway/view.go
@@ -17,7 +17,7 @@
 	// usageEvery is how often the leader is told of this host's requests, and answers with all hosts'. It is
 	// longer by usagePart for each entry host, so that the leader's work grows slower than their number.
 	usageEvery = 100 * time.Millisecond
-	usagePart  = 2 * time.Millisecond
+	usagePart  = 1 * time.Millisecond
 	// quietEvery is the least time while nothing is in flight here.
 	quietEvery = 400 * time.Millisecond
 	// leaderPatience is how long the leader may leave usages unanswered before others are asked.
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -53,6 +53,13 @@
 	fixed map[lane]time.Duration
 	// gaps is the moving mean time between two events of each lane.
 	gaps map[lane]time.Duration
+	// holds is the moving mean time that a request keeps its slot in each lane.
+	holds map[lane]time.Duration
+	// shares holds the requests that this host may still send to each full lane.
+	shares map[lane]*share
+	// period is the moving mean time between two words of the leader, and told when the last one came.
+	period time.Duration
+	told   time.Time
 }
 
 type lane struct{ service, model string }
@@ -64,7 +71,7 @@
 	}
 	return &Ledger{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), all: map[string]*endpoint{}, lanes: map[lane][]*endpoint{},
-		fixed: map[lane]time.Duration{}, gaps: map[lane]time.Duration{},
+		fixed: map[lane]time.Duration{}, gaps: map[lane]time.Duration{}, holds: map[lane]time.Duration{}, shares: map[lane]*share{},
 	}
 }
 
@@ -148,6 +155,10 @@
 // SetLoads takes over the sums of all entry hosts, which contain what Usage last returned.
 func (l *Ledger) SetLoads(now time.Time, loads []fleet.Load, entries int) {
 	l.entries = max(1, entries)
+	if !l.told.IsZero() {
+		move(&l.period, min(now.Sub(l.told), longestPeriod))
+	}
+	l.told = now
 	for _, e := range l.all {
 		e.others, e.othersWaiting, e.othersStalled, e.entries = 0, 0, false, l.entries
 		e.othersMoved, e.othersAt = false, now
@@ -178,6 +189,9 @@
 // Start counts a request that is sent to the endpoint of a decision.
 func (l *Ledger) Start(now time.Time, d Decision, w Want) *Ticket {
 	t := &Ticket{ID: d.ID, tokens: w.PromptTokens, sent: now, expected: d.expected, lane: lane{w.Service, w.Model}}
+	if s := l.shares[t.lane]; s != nil {
+		s.left--
+	}
 	e := l.all[d.ID]
 	if e == nil {
 		return t
@@ -219,14 +233,21 @@
 	}
 	fixed := min(longestFixed, max(0, took-t.expected))
 	if old, known := l.fixed[t.lane]; known {
-		fixed = old + time.Duration(fixedPart*float64(fixed-old))
+		part := fixedRise
+		if fixed < old {
+			part = fixedFall
+		}
+		fixed = old + time.Duration(part*float64(fixed-old))
 	}
 	l.fixed[t.lane] = fixed
 }
 
 const (
-	// fixedPart is the weight of a new sample in the fixed time to the first event.
-	fixedPart = 0.05
+	// fixedRise and fixedFall are the weights of a new sample above and below the fixed time to the first event.
+	// They differ so that the quick answers are followed: what others waited for a slot is not fixed, and counts
+	// as waiting.
+	fixedRise = 0.01
+	fixedFall = 0.1
 	// longestFixed bounds a sample, which may come from a server that stalled.
 	longestFixed = 400 * time.Millisecond
 )
@@ -266,6 +287,9 @@
 	case Served:
 		e.learnOutcome(now, false)
 		move(&e.hold, now.Sub(t.sent))
+		hold := l.holds[t.lane]
+		move(&hold, now.Sub(t.sent))
+		l.holds[t.lane] = hold
 	case Failed:
 		e.learnOutcome(now, true)
 	case Unreachable, Misplaced:
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -15,6 +15,8 @@
 	// Objective is the time in which the answer or the first event earns its full value; Elapsed is what
 	// is gone of it.
 	Objective, Elapsed time.Duration
+	// Gap is the longest pause between two events of a stream that is on time; 0 for other answers.
+	Gap time.Duration
 	// Left is the time in which any answer is of use.
 	Left time.Duration
 	// Tried lists endpoints that are not to be chosen again.
@@ -23,9 +25,10 @@
 	Again bool
 }
 
-// Engine describes how a group works: in passes, each of which reads a chunk of prompts and writes a few
-// tokens of every request that is being answered.
+// Engine describes how a group works: in passes of a few steps, each of which reads a chunk of prompts and writes
+// a token of every request that is being answered.
 type Engine struct {
+	// Chunk is the most prompt tokens that a step reads.
 	Chunk    int
 	ReadRate float64
 	Stride   int
@@ -47,16 +50,21 @@
 
 // first predicts the time to the first event behind waiting tokens, beside n requests that are being written.
 func (e *Engine) first(waiting, prompt, n int) time.Duration {
-	chunk := float64(max(1, e.Chunk))
+	most := float64(max(1, e.Chunk) * max(1, e.Stride))
 	left := float64(waiting + prompt)
 	total := e.pass(0, n) / 2 // the pass under way
-	for left > chunk {
-		total += e.pass(chunk, n)
-		left -= chunk
+	for left > most {
+		total += e.pass(most, n)
+		left -= most
 	}
 	return total + e.pass(left, n)
 }
 
+// pause predicts the longest pass, in which nobody else's answer moves, until waiting tokens and a prompt are read.
+func (e *Engine) pause(waiting, prompt, n int) time.Duration {
+	return e.pass(min(float64(waiting+prompt), float64(max(1, e.Chunk)*max(1, e.Stride))), n)
+}
+
 // Reason says why a request is refused.
 type Reason string
 
@@ -92,6 +100,9 @@
 	if len(usable) == 0 {
 		return l.refuseEmpty(known)
 	}
+	if w.Engine != nil && !w.Again && !l.isDue(now, usable, w) {
+		return l.refuseFull(usable, l.best(usable, w))
+	}
 	best := l.choose(usable, w)
 	if !l.fits(best, w) {
 		best = l.best(usable, w)
@@ -141,6 +152,10 @@
 // loss of the way between the two breaks the stream.
 const farPenalty = 15 * time.Millisecond
 
+// gapPart is the part of the longest pause that a pass may take: prompts that other hosts send meanwhile are read
+// in it as well.
+const gapPart = 0.75
+
 // loadWeight is how many seconds of the first event a full load is worth.
 const loadWeight = 0.1
 
@@ -186,8 +201,19 @@
 // until the next word of the leader.
 const choices = 3
 
+// engineChoices is the same for groups that are drawn by their room.
+const engineChoices = 1
+
 func (l *Ledger) choose(list []*endpoint, w Want) offer {
 	var best offer
+	if w.Engine != nil {
+		for range engineChoices {
+			if o := l.weigh(l.draw(list, w), list, w); best.endpoint == nil || o.score < best.score {
+				best = o
+			}
+		}
+		return best
+	}
 	for range min(choices, len(list)) {
 		e := list[l.random.IntN(len(list))]
 		if o := l.weigh(e, list, w); best.endpoint == nil || o.score < best.score {
@@ -256,6 +282,12 @@
 	if w.Again {
 		return o.predicted < w.Left
 	}
+	if w.Engine != nil && w.Gap > 0 && o.waitingTokens() > 0 {
+		// Read in one pass, prompts that come together would make every answer of the group pause for too long.
+		if w.Engine.pause(o.waitingTokens(), w.PromptTokens, min(o.load(), o.slots())) > time.Duration(gapPart*float64(w.Gap)) {
+			return false
+		}
+	}
 	objective := float64(w.Objective)
 	idle := time.Duration(0)
 	if w.Engine != nil {
