--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -12,10 +12,9 @@
 
 // domain is the free servers of one fabric domain and service.
 type domain struct {
-	service    string
-	name       string
-	dataCentre string
-	free       []*fleet.Server
+	service string
+	name    string
+	free    []*fleet.Server
 }
 
 // plan forms groups of free servers, and stages weights on those that stay free.
@@ -113,7 +112,7 @@
 		}
 		d := byName[r.Domain]
 		if d == nil {
-			d = &domain{service: service, name: r.Domain, dataCentre: r.DataCentre}
+			d = &domain{service: service, name: r.Domain}
 			byName[r.Domain] = d
 		}
 		d.free = append(d.free, s)
@@ -216,7 +215,7 @@
 func (p *planning) first(d *domain) (*catalogue.Model, []*fleet.Server) {
 	own := p.settled(d)
 	if own == nil {
-		own = p.leastSettled(d)
+		own = p.leastSettled()
 	}
 	if own == nil {
 		return nil, nil
@@ -234,31 +233,22 @@
 	return nil, nil
 }
 
-// leastSettled returns the model with the fewest domains for its share of the work, those in a domain's own data
-// centre counted twice, so that each data centre can serve every model by itself.
-func (p *planning) leastSettled(d *domain) *catalogue.Model {
-	domains := map[string]map[string]float64{}
+// leastSettled returns the model with the fewest domains for its share of the work.
+func (p *planning) leastSettled() *catalogue.Model {
+	domains := map[string]map[string]bool{}
 	for _, g := range p.former.groups {
 		if s := member(p.in, g, 0); s != nil {
-			r := s.Report()
 			if domains[g.model] == nil {
-				domains[g.model] = map[string]float64{}
-			}
-			domains[g.model][r.Domain] = 1
-			if r.DataCentre == d.dataCentre {
-				domains[g.model][r.Domain] = 2
+				domains[g.model] = map[string]bool{}
 			}
+			domains[g.model][s.Report().Domain] = true
 		}
 	}
 	var best *catalogue.Model
 	bestNeed := 0.0
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
-		settled := 1.0
-		for _, v := range domains[m.Name] {
-			settled += v
-		}
-		need := max(m.Share, minShare) / settled
+		need := max(m.Share, minShare) / float64(1+len(domains[m.Name]))
 		if best == nil || need > bestNeed {
 			best, bestNeed = m, need
 		}
--- a/process/former/rebalance.go
+++ b/process/former/rebalance.go
@@ -1,6 +1,7 @@
 package former
 
 import (
+	"math"
 	"sort"
 
 	"savorywing.example/savorywing"
@@ -16,6 +17,14 @@
 // isn't exchanged back with the next small change of demand.
 const evenness = 1.2
 
+const (
+	// shortNeed is the need from which groups of another model give way to one: losses make it grow while the
+	// weights are loaded.
+	shortNeed = 0.7
+	// keptLoads is the part of the loads at once that is kept for hosts which replace lost ones.
+	keptLoads = 0.5
+)
+
 // exchange is a set of groups of one domain that can give way to groups of another model.
 type exchange struct {
 	model  *catalogue.Model
@@ -33,10 +42,11 @@
 	if p.in.FirstStart || !p.in.isMeasured() {
 		return
 	}
+	p.room -= int(math.Ceil(keptLoads * float64(p.engine.LoadsAtOnce)))
 	used := map[string]bool{}
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
-		for {
+		for p.need(m) >= shortNeed {
 			x := p.bestExchange(service, m, used)
 			if x == nil {
 				break
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -116,7 +116,11 @@
 	budget := g.budget(j.service.Name)
 	if !j.counted {
 		j.counted = true
-		g.countDemand(j)
+		j.waited = g.patience.Waited(j.route.Name, j.caller.Patience)
+		if j.waited == 0 {
+			// The work of those who come back has been counted where they first asked.
+			g.countDemand(j)
+		}
 		budget.First(now)
 	}
 	if j.deadline.Sub(now) < shortestTry || j.sends >= j.route.MaxAttempts {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -52,6 +52,8 @@
 	ledger  *placement.Ledger
 	budgets map[string]*retry.Window
 	demand  map[string]*demand
+	// patience knows callers that come back.
+	patience *placement.Patience
 
 	telemetry *telemetry.Telemetry
 	// healthy and troubled bound the log lines of requests that were served, and of all others.
@@ -67,7 +69,7 @@
 // New assembles an entry host that Start runs.
 func New(s *instance.Settings, dialect savorywing.Dialect, log zerolog.Logger) (*Gateway, error) {
 	g := &Gateway{
-		clock: clock.Boottime{}, log: log, dialect: dialect, budgets: map[string]*retry.Window{}, demand: map[string]*demand{},
+		clock: clock.Boottime{}, log: log, dialect: dialect, budgets: map[string]*retry.Window{}, demand: map[string]*demand{}, patience: placement.NewPatience(),
 		ledger: placement.New(placement.Config{DataCentre: s.DataCentre, Seed: uint64(time.Now().UnixNano())}),
 	}
 	g.current.Store(s)
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -36,8 +36,10 @@
 	// holdUntil is until when the request may wait for the host to learn what there is.
 	holdUntil time.Time
 	reading   time.Duration
-	tried     []string
-	sends     int
+	// waited is how long the caller has waited before this request, as far as it is known.
+	waited time.Duration
+	tried  []string
+	sends  int
 	// counted tells that the request was counted as work asked for.
 	counted bool
 	// delivered is the id of the last event sent to the caller; negative before the first.
@@ -214,7 +216,7 @@
 func (j *job) want(now time.Time) placement.Want {
 	w := placement.Want{
 		Service: j.service.Name, PromptTokens: j.caller.PromptTokens, Objective: j.route.Objective, Gap: j.route.Gap,
-		Elapsed: now.Sub(j.x.Arrival()), Left: j.deadline.Sub(now), Tried: j.tried, Again: j.sends > 0,
+		Elapsed: now.Sub(j.x.Arrival()) + j.waited, Left: j.deadline.Sub(now), Tried: j.tried, Again: j.sends > 0,
 	}
 	if e := j.service.Engine; e != nil {
 		w.Model = j.caller.Model
--- a/process/placement/overload_test.go
+++ b/process/placement/overload_test.go
@@ -44,7 +44,7 @@
 // crowdScore counts first events by when they came, and callers that were turned away for good.
 type crowdScore struct {
 	asked, inTime, late, lost int
-	lateBack, queue, load, n int
+	lateBack, queue, load, n  int
 }
 
 const (
