Late callers get what is left of a host's share, and long passes only move a request elsewhere

And right after a loss of power, when every caller is late, full lanes refused all of them (114 late answers in two seconds instead of 187): one that can't be in time any more now gets a slot when three quarters of its host's share are left unused.

--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -104,7 +104,7 @@
 		return l.refuseFull(usable, l.best(usable, w))
 	}
 	best := l.choose(usable, w)
-	if !l.fits(best, w) {
+	if !l.fits(best, w) || pauses(best, w) {
 		best = l.best(usable, w)
 		if !l.fits(best, w) {
 			return l.refuseFull(usable, best)
@@ -276,18 +276,21 @@
 	return hold * time.Duration(ahead) / time.Duration(e.slots())
 }
 
+// pauses tells whether prompts that come together would be read in so long a pass that every answer of the group
+// pauses for too long.
+func pauses(o offer, w Want) bool {
+	if w.Engine == nil || w.Gap == 0 || o.waitingTokens() == 0 {
+		return false
+	}
+	return w.Engine.pause(o.waitingTokens(), w.PromptTokens, min(o.load(), o.slots())) > time.Duration(gapPart*float64(w.Gap))
+}
+
 // fits tells whether an endpoint's promise leaves the answer its value. A request that was begun elsewhere has
 // waited enough to be worth a place as long as it can be of use at all.
 func (l *Ledger) fits(o offer, w Want) bool {
 	if w.Again {
 		return o.predicted < w.Left
 	}
-	if w.Engine != nil && w.Gap > 0 && o.waitingTokens() > 0 {
-		// Read in one pass, prompts that come together would make every answer of the group pause for too long.
-		if w.Engine.pause(o.waitingTokens(), w.PromptTokens, min(o.load(), o.slots())) > time.Duration(gapPart*float64(w.Gap)) {
-			return false
-		}
-	}
 	objective := float64(w.Objective)
 	idle := time.Duration(0)
 	if w.Engine != nil {
--- a/process/placement/share.go
+++ b/process/placement/share.go
@@ -19,6 +19,9 @@
 	// targetPart is the part of its slots that a group is filled to: a group that is always full makes those wait
 	// whom chance sends there together.
 	targetPart = 0.95
+	// pastShare is what must be left for a request that can't be in time any more: it takes what those that can
+	// leave over.
+	pastShare = 0.75 * shareBurst
 	// shareBurst is how many requests a host may send at once after it has sent none for a while.
 	shareBurst = 4.0
 	// freePeriods is the number of periods over which the free slots of a full lane are given out.
@@ -95,7 +98,10 @@
 	}
 	s.left = min(most, s.left+perSecond*now.Sub(s.at).Seconds())
 	s.at = now
-	return s.left >= 1 && !l.isPast(w)
+	if l.isPast(w) {
+		return s.left >= pastShare
+	}
+	return s.left >= 1
 }
 
 // isPast tells whether a request that has come back can't meet its objective any more, wherever it goes.
