An exchange keeps its hosts together, and weights are replaced only for a model that is needed clearly more

Hosts of an exchange come free at different times; the first two went straight back to the small model (its weights are still in memory, 0.2 s), so that the exchange began again and again; and at second 9 four hosts that stood by for the large model (need 0.82) were loaded with the small one's weights (0.8), since a pair of hosts gives more slots than a spare. Now a host that holds the weights of a model that is needed 1.2 times as much doesn't go back, and weights are replaced only under the same condition. TestExchange replays it (closing takes up to 3 s there): hosts joined up to 4 groups before, at most 2 now.

--- a/process/former/former_test.go
+++ b/process/former/former_test.go
@@ -17,6 +17,8 @@
 	simStep   = 20 * time.Millisecond
 	simReport = 1200 * time.Millisecond
 	simStall  = 5 * time.Second
+	// simAnswer is the longest answer that a closing group still finishes.
+	simAnswer = 3 * time.Second
 )
 
 func simCatalogue(t *testing.T) *catalogue.Catalogue {
@@ -53,6 +55,7 @@
 	dead, cut  bool
 	readyAt    time.Time
 	openAt     time.Time
+	closedAt   time.Time
 	stagedAt   time.Time
 	staging    string
 	stalledAt  time.Time
@@ -79,6 +82,10 @@
 	served   bool
 	seed     uint64
 	next     int
+	// demand is the work of each model, in slots.
+	demand map[string]float64
+	// joined is told of each join, if it is set.
+	joined func(v *simServer)
 }
 
 type simEvent struct {
@@ -88,7 +95,7 @@
 
 func newSim(t *testing.T, seed uint64) *sim {
 	s := &sim{t: t, r: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), cat: simCatalogue(t), servers: map[string]*simServer{},
-		table: fleet.NewTable(), former: New(Config{}), follower: New(Config{}), term: 1, ready: map[string]bool{}, seed: seed}
+		table: fleet.NewTable(), former: New(Config{}), follower: New(Config{}), term: 1, ready: map[string]bool{}, seed: seed, demand: map[string]float64{"large": 30, "small": 50}}
 	s.started = s.now
 	for d := range 3 {
 		for range 10 {
@@ -137,7 +144,7 @@
 	}
 	in := Input{Table: s.table, Catalogue: s.cat, Term: s.term, Demand: map[string]float64{}, Progress: s.progress(), FirstStart: !s.served}
 	if s.served {
-		in.Demand = map[string]float64{"large": 30, "small": 50}
+		in.Demand = s.demand
 	}
 	for _, o := range s.former.Step(s.now, in) {
 		s.deliver(o)
@@ -188,6 +195,12 @@
 			s.checkOpen(v)
 		}
 	}
+	if !v.closedAt.IsZero() && !s.now.Before(v.closedAt) {
+		v.closedAt = time.Time{}
+		if v.state == fleet.StateClosing {
+			v.state, v.changed = fleet.StateReady, true
+		}
+	}
 	s.finishLoads(v)
 	s.stall(v)
 	if v.changed || !s.now.Before(v.nextReport) {
@@ -274,13 +287,13 @@
 		if !in || v.state != fleet.StateOpen {
 			return savorywing.OrderUnfit
 		}
-		v.state, v.changed = fleet.StateReady, true
+		v.state, v.changed, v.closedAt = fleet.StateClosing, true, s.now.Add(s.jitter(simAnswer))
 	case savorywing.ActionLeave:
 		if !in {
 			return savorywing.OrderUnfit
 		}
 		v.group, v.epoch, v.members, v.state, v.changed = "", 0, nil, "", true
-		v.readyAt, v.openAt, v.stalledAt = time.Time{}, time.Time{}, time.Time{}
+		v.readyAt, v.openAt, v.closedAt, v.stalledAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	case savorywing.ActionStage:
 		s.stageLoad(v, o.Model)
 	}
@@ -304,6 +317,9 @@
 		return savorywing.OrderHolds
 	}
 	s.checkJoin(v, o.Group)
+	if s.joined != nil {
+		s.joined(v)
+	}
 	m := findModel(s.cat, o.Model)
 	wait := m.Load
 	switch {
@@ -318,7 +334,7 @@
 		wait /= 10
 	}
 	v.top, v.group, v.epoch, v.model, v.members, v.state = o.Epoch, o.Group, o.Epoch, o.Model, o.Members, fleet.StateJoining
-	v.readyAt, v.openAt, v.stalledAt, v.changed = s.now.Add(wait), time.Time{}, time.Time{}, true
+	v.readyAt, v.openAt, v.closedAt, v.stalledAt, v.changed = s.now.Add(wait), time.Time{}, time.Time{}, time.Time{}, true
 	for i, id := range o.Members {
 		if id == v.id {
 			v.rank = i
@@ -572,3 +588,37 @@
 		})
 	}
 }
+
+// TestExchange replays a change of what callers ask for: one model is short for good, the other has room. Groups of
+// the latter load the weights while they serve, and give way without being formed again in between.
+func TestExchange(t *testing.T) {
+	for _, tt := range []struct {
+		name                string
+		demand              map[string]float64
+		wantLarge, wantMost int
+	}{
+		// Three large groups have 51 slots at pace 1, so that 70 need five; twelve small ones have 340.
+		{"the large model is short", map[string]float64{"large": 70, "small": 60}, 4, 3},
+		{"both have room", map[string]float64{"large": 15, "small": 60}, 2, 1},
+		{"both are short", map[string]float64{"large": 90, "small": 600}, 1, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 4)
+			s.run(9*time.Second, nil)
+			s.served, s.demand = true, tt.demand
+			before := s.open()
+			joins := map[string]int{}
+			s.joined = func(v *simServer) { joins[v.id]++ }
+			s.run(60*time.Second, nil)
+			got := s.open()
+			if got["large"] < tt.wantLarge {
+				t.Errorf("%v open before, %v after", before, got)
+			}
+			for id, n := range joins {
+				if n > tt.wantMost {
+					t.Errorf("%s has joined %d groups", id, n)
+				}
+			}
+		})
+	}
+}
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -276,7 +276,7 @@
 		if p.former.isDoubtful(p.now, s) {
 			continue
 		}
-		if p.in.FirstStart || isStaged(s, m.Name) || p.former.holds(s, m.Name) {
+		if p.in.FirstStart || isStaged(s, m.Name) || (p.former.holds(s, m.Name) && !p.isPromised(s, m)) {
 			fit = append(fit, s)
 		}
 	}
@@ -288,6 +288,18 @@
 	return fit[:m.Size]
 }
 
+// isPromised tells whether a server has loaded another model's weights because that one is needed more than m. It
+// waits for the other hosts of that exchange, even if it could go back to m at once.
+func (p *planning) isPromised(s *fleet.Server, m *catalogue.Model) bool {
+	for i := range p.engine.Models {
+		other := &p.engine.Models[i]
+		if other.Name != m.Name && isStaged(s, other.Name) && p.need(other) >= evenness*p.need(m) {
+			return true
+		}
+	}
+	return false
+}
+
 // settled returns the model of a domain's first group, which the domain's other groups follow: hosts with
 // the same weights replace each other.
 func (p *planning) settled(d *domain) *catalogue.Model {
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -82,6 +82,10 @@
 		for i := range p.engine.Models {
 			other := &p.engine.Models[i]
 			if other.Name != m.Name && isStaged(s, other.Name) {
+				if p.need(m) < evenness*p.need(other) {
+					gain = 0
+					break
+				}
 				// What the host holds now is lost with the load.
 				gain -= reluctance * p.value(d, other, p.held(d, other)-1, shortage(p.need(other)))
 			}
