Weights are replaced only for a model that is needed half as much again

Replacing weights now takes a need of 0.7 or more that is half as high again (1.2 times before); once replaced, they are kept together while their model is the one that is needed more.

--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -293,7 +293,7 @@
 func (p *planning) isPromised(s *fleet.Server, m *catalogue.Model) bool {
 	for i := range p.engine.Models {
 		other := &p.engine.Models[i]
-		if other.Name != m.Name && isStaged(s, other.Name) && p.need(other) >= evenness*p.need(m) {
+		if other.Name != m.Name && isStaged(s, other.Name) && p.need(other) > p.need(m) {
 			return true
 		}
 	}
--- a/process/former/rebalance.go
+++ b/process/former/rebalance.go
@@ -15,7 +15,7 @@
 
 // evenness is how many times as needed a model must be as one that gives way to it, so that what was exchanged
 // isn't exchanged back with the next small change of demand.
-const evenness = 1.2
+const evenness = 1.5
 
 const (
 	// shortNeed is the need from which groups of another model give way to one: losses make it grow while the
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -82,7 +82,7 @@
 		for i := range p.engine.Models {
 			other := &p.engine.Models[i]
 			if other.Name != m.Name && isStaged(s, other.Name) {
-				if p.need(m) < evenness*p.need(other) {
+				if p.need(m) < max(shortNeed, evenness*p.need(other)) {
 					gain = 0
 					break
 				}
