One exchange is prepared ahead while nothing is lost, and hosts of an exchange are promised to its model

A group goes on serving while its hosts load other weights, so the weights of the model that is needed most are now loaded onto hosts of one exchange from a need of 0.5 on, with half of the loads kept; whether the groups give way is decided as before. As such hosts are no longer a sign of an exchange under way, the hosts of one are noted when its groups end, for 12 s.

--- a/process/former/former.go
+++ b/process/former/former.go
@@ -87,6 +87,8 @@
 	loads  loadWindow
 	// lastModel is the model of each server's newest group, by id; joining it again needs no load.
 	lastModel map[string]joined
+	// promised holds servers whose groups give way to another model.
+	promised map[string]promise
 	// barred holds servers that have refused an order, until when they are left alone.
 	barred map[string]time.Time
 	// unanswered is when each server last left an order without an answer.
@@ -104,6 +106,12 @@
 	model string
 }
 
+// promise keeps a server for a model until its group can be formed, or for too long.
+type promise struct {
+	model string
+	until time.Time
+}
+
 // pending is an order whose effect has not been reported yet.
 type pending struct {
 	order   savorywing.FleetOrder
@@ -140,6 +148,7 @@
 	cfg.Defaults()
 	return &Former{
 		cfg: cfg, groups: map[string]*group{}, orders: map[string]*pending{}, lastModel: map[string]joined{}, found: map[string]bool{}, barred: map[string]time.Time{},
+		promised:   map[string]promise{},
 		unanswered: map[string]time.Time{}, largest: map[string]int{},
 	}
 }
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -288,16 +288,11 @@
 	return fit[:m.Size]
 }
 
-// isPromised tells whether a server has loaded another model's weights because that one is needed more than m. It
-// waits for the other hosts of that exchange, even if it could go back to m at once.
+// isPromised tells whether a server's group has given way to another model than m. The server waits for the other
+// hosts of that exchange, even if it could go back to m at once.
 func (p *planning) isPromised(s *fleet.Server, m *catalogue.Model) bool {
-	for i := range p.engine.Models {
-		other := &p.engine.Models[i]
-		if other.Name != m.Name && isStaged(s, other.Name) && p.need(other) > p.need(m) {
-			return true
-		}
-	}
-	return false
+	promise := p.former.promised[s.Report().ID]
+	return promise.model != m.Name && p.now.Before(promise.until)
 }
 
 // settled returns the model of a domain's first group, which the domain's other groups follow: hosts with
--- a/process/former/rebalance.go
+++ b/process/former/rebalance.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/fleet"
@@ -23,6 +24,12 @@
 	shortNeed = 0.7
 	// keptLoads is the part of the loads at once that is kept for hosts which replace lost ones.
 	keptLoads = 0.5
+	// aheadNeed is the need from which one exchange is prepared before it is worth anything: while nothing is lost,
+	// loads cost next to nothing, and later they take longer than the shortage that they would have ended.
+	aheadNeed = 0.5
+	// promiseTime is how long hosts wait for the others of their exchange: the longest answer of a group that closes,
+	// and a join.
+	promiseTime = 12 * time.Second
 )
 
 // exchange is a set of groups of one domain that can give way to groups of another model.
@@ -54,11 +61,49 @@
 			p.carryOut(x, used)
 		}
 	}
+	p.prepareAhead(service, used)
+}
+
+// prepareAhead loads the weights of the model that is needed most onto hosts of groups of another one, enough for one
+// exchange.
+func (p *planning) prepareAhead(service string, used map[string]bool) {
+	var m *catalogue.Model
+	for i := range p.engine.Models {
+		if next := &p.engine.Models[i]; m == nil || p.need(next) > p.need(m) {
+			m = next
+		}
+	}
+	if m == nil || p.need(m) < aheadNeed {
+		return
+	}
+	var best *exchange
+	for _, x := range p.exchanges(service, m, used) {
+		if best == nil || x.prepared > best.prepared {
+			best = x
+		}
+	}
+	if best != nil {
+		p.load(best)
+	}
 }
 
 // bestExchange returns the exchange towards a model that is prepared the furthest, or else gains the most; nil if
 // none is worth its loads. used holds the ids of servers that earlier exchanges take.
 func (p *planning) bestExchange(service string, m *catalogue.Model, used map[string]bool) *exchange {
+	var best *exchange
+	for _, x := range p.exchanges(service, m, used) {
+		if x.gain <= 0 {
+			continue
+		}
+		if best == nil || x.prepared > best.prepared || (x.prepared == best.prepared && x.gain > best.gain) {
+			best = x
+		}
+	}
+	return best
+}
+
+// exchanges returns the smallest exchange towards a model in each domain that has one.
+func (p *planning) exchanges(service string, m *catalogue.Model, used map[string]bool) []*exchange {
 	byDomain := map[string][]*group{}
 	for _, g := range p.former.sorted() {
 		head := member(p.in, g, 0)
@@ -68,17 +113,13 @@
 			}
 		}
 	}
-	var best *exchange
+	var list []*exchange
 	for _, name := range sortedNames(byDomain) {
-		x := p.exchangeIn(name, byDomain[name], m, used)
-		if x == nil || x.gain <= 0 {
-			continue
-		}
-		if best == nil || x.prepared > best.prepared || (x.prepared == best.prepared && x.gain > best.gain) {
-			best = x
+		if x := p.exchangeIn(name, byDomain[name], m, used); x != nil {
+			list = append(list, x)
 		}
 	}
-	return best
+	return list
 }
 
 func sortedNames(byDomain map[string][]*group) []string {
@@ -168,11 +209,26 @@
 			held++
 		}
 	}
+	p.load(x)
+	for _, g := range x.groups {
+		if held >= x.wanted {
+			g.ending = true
+			for _, id := range g.members {
+				p.former.promised[id] = promise{model: x.model.Name, until: p.now.Add(promiseTime)}
+			}
+		}
+		p.capacity[g.model] -= unit(p.in, p.engine, findModel(p.in.Catalogue, g.model))
+	}
+	p.capacity[x.model.Name] += float64(x.wanted/x.model.Size) * unit(p.in, p.engine, x.model)
+}
+
+// load begins the loads that an exchange lacks.
+func (p *planning) load(x *exchange) {
 	lacking := x.wanted - x.prepared
 	for _, s := range x.hosts {
 		r := s.Report()
 		if lacking <= 0 || p.room <= 0 {
-			break
+			return
 		}
 		if isStaged(s, x.model.Name) || p.former.orders[r.ID] != nil || p.former.isDoubtful(p.now, s) {
 			continue
@@ -182,11 +238,4 @@
 		p.room--
 		lacking--
 	}
-	for _, g := range x.groups {
-		if held >= x.wanted {
-			g.ending = true
-		}
-		p.capacity[g.model] -= unit(p.in, p.engine, findModel(p.in.Catalogue, g.model))
-	}
-	p.capacity[x.model.Name] += float64(x.wanted/x.model.Size) * unit(p.in, p.engine, x.model)
 }
