--- a/cmd/savorywing/bench.go
+++ b/cmd/savorywing/bench.go
@@ -21,6 +21,7 @@
 		newBenchDecision("admission", "Compares orders and splits of slots under overload", 120*time.Second, decide.Admission),
 		newBenchDecision("routing", "Compares ways to choose a group with old load reports", 120*time.Second, decide.Routing),
 		newBenchDecision("planning", "Compares ways to plan groups under losses", 0, decide.Planning),
+		newBenchDecision("placement", "Compares ways to place requests while hosts hear of each other late", 14*time.Second, decide.Placement),
 		newBenchDecision("retries", "Compares rules for retries while a fabric domain goes dark", 120*time.Second, decide.Retries),
 	)
 	return cmd
