A stream that began before a stop no longer keeps its connection open for a late request

Idle connections had been closed and the listener too (2.6 s after the signal), but a stream that had begun before the signal has told its caller nothing of an end, and its connection waited for the next request afterwards. Once idle connections are closed, each other one is now closed after its request, and so is one that was accepted in that very moment. TestDrainEndsStreams failed (/second is served after idle connections were closed) and passes. Ruled out: a slow process (the signal was noted after 51 ms).

--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -57,6 +57,7 @@
 	// busy counts requests that are read but not answered.
 	busy     atomic.Int64
 	draining atomic.Bool
+	closing  atomic.Bool
 	done     sync.WaitGroup
 }
 
@@ -98,6 +99,10 @@
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
+		if s.closing.Load() {
+			// It was accepted while CloseIdle went through the others.
+			_ = nc.Close()
+		}
 		s.done.Add(1)
 		go func() {
 			defer s.done.Done()
@@ -118,8 +123,10 @@
 // Drain makes every answer from now on the last of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the listeners and every connection without a request.
+// CloseIdle closes the listeners and every connection without a request, and from now on each other one after its
+// request: an answer that began before Drain has not told its caller that it is the last.
 func (s *Server) CloseIdle() {
+	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.listeners {
@@ -174,7 +181,7 @@
 		if !ok {
 			return
 		}
-		if c.close {
+		if c.close || c.server.closing.Load() {
 			c.linger(watched)
 			return
 		}
