The soak harms a process once at a time

Now every process, not only a control host, is reserved until its repair is done. TestReserve failed (the same one again: true, want false) and passes.

--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -16,6 +16,8 @@
 type process struct {
 	name, binary, dir, settings string
 	control                     bool
+	// harmed tells that a fault on it is not repaired yet; the run's mutex guards it.
+	harmed bool
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -61,3 +61,36 @@
 		t.Logf("seed %d: %d faults, %d served, %d refused, %d failed", seed, len(r.Faults), r.Served, r.Refused, r.Failed)
 	}
 }
+
+// TestReserve shows that a process which is being stopped, or is about to start again, isn't harmed a second time: two
+// repairs would start two processes, of which the end of the run knows one.
+func TestReserve(t *testing.T) {
+	r := &run{cfg: Config{Control: 5}}
+	entry := &process{name: "entry-0"}
+	controls := []*process{{name: "control-0", control: true}, {name: "control-1", control: true}, {name: "control-2", control: true}}
+	for _, tt := range []struct {
+		name    string
+		p       *process
+		release bool
+		want    bool
+	}{
+		{"an entry host", entry, false, true},
+		{"the same one again", entry, false, false},
+		{"a control host", controls[0], false, true},
+		{"the same one again", controls[0], false, false},
+		{"another one", controls[1], false, true},
+		{"more than may be lost", controls[2], false, false},
+		{"after one is back", controls[2], true, true},
+	} {
+		if tt.release {
+			r.release(controls[0])
+		}
+		if got := r.reserve(tt.p); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+	r.release(entry)
+	if !r.reserve(entry) {
+		t.Error("an entry host that is back isn't harmed again")
+	}
+}
--- a/bench/soak/trouble.go
+++ b/bench/soak/trouble.go
@@ -125,27 +125,27 @@
 	r.release(p)
 }
 
-// reserve tells whether a process may be harmed now.
+// reserve tells whether a process may be harmed now: one at a time, and few enough control hosts at once.
 func (r *run) reserve(p *process) bool {
-	if !p.control {
-		return true
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.controlsDown >= (r.cfg.Control-1)/2 {
+	if p.harmed || (p.control && r.controlsDown >= (r.cfg.Control-1)/2) {
 		return false
 	}
-	r.controlsDown++
+	p.harmed = true
+	if p.control {
+		r.controlsDown++
+	}
 	return true
 }
 
 func (r *run) release(p *process) {
-	if !p.control {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.controlsDown--
+	p.harmed = false
+	if p.control {
+		r.controlsDown--
+	}
 }
 
 // harmServer kills an engine, whose place an empty one takes, or makes a server misbehave.
