--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	if c.node, err = quorum.NewNode(folder, c.clock, c, election, c.log); err != nil {
+	if c.node, err = quorum.NewNode(folder, c.clock, quorum.ToHosts(c.mesh.Send), election, c.log); err != nil {
 		return err
 	}
 	if n := folder.Torn(); n > 0 {
@@ -286,19 +286,6 @@
 	handOverPause = 30 * time.Millisecond
 )
 
-// SendRaft implements quorum.Transport.
-func (c *Controller) SendRaft(messages []wire.RaftMessage) {
-	byHost := map[string][]wire.RaftMessage{}
-	for _, m := range messages {
-		host := quorum.HostOf(m.To)
-		byHost[host] = append(byHost[host], m)
-	}
-	for host, list := range byHost {
-		// A message that can't be sent is one that the network lost; the log repeats it.
-		_ = c.mesh.Send(host, wire.Frame{Raft: list})
-	}
-}
-
 func (c *Controller) ensureMembers() {
 	for _, m := range c.node.View().Members.Members {
 		c.mesh.Ensure(quorum.HostOf(m.ID), quorum.HostOf(m.ID))
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	node, err := quorum.NewNode(folder, d.clock, &transport{daemon: d}, d.settings.Timing.Election, d.log)
+	node, err := quorum.NewNode(folder, d.clock, quorum.ToHosts(d.mesh.Send), d.settings.Timing.Election, d.log)
 	if err != nil {
 		return err
 	}
--- a/process/daemon/frames.go
+++ b/process/daemon/frames.go
@@ -93,20 +93,3 @@
 	}
 	return refuse(code, err.Error(), leader)
 }
-
-// transport carries the log's messages over the mesh.
-type transport struct {
-	daemon *Daemon
-}
-
-// SendRaft sends messages to the hosts of their members; what can't be sent is lost.
-func (t *transport) SendRaft(messages []wire.RaftMessage) {
-	byHost := map[string][]wire.RaftMessage{}
-	for _, m := range messages {
-		host := quorum.HostOf(m.To)
-		byHost[host] = append(byHost[host], m)
-	}
-	for host, list := range byHost {
-		_ = t.daemon.mesh.Send(host, wire.Frame{Raft: list})
-	}
-}
--- a/process/former/orders.go
+++ b/process/former/orders.go
@@ -132,10 +132,8 @@
 		if s.Engine == nil {
 			continue
 		}
-		for i := range s.Engine.Models {
-			if s.Engine.Models[i].Name == name {
-				return &s.Engine.Models[i]
-			}
+		if m := s.Engine.Model(name); m != nil {
+			return m
 		}
 	}
 	return nil
--- a/process/former/plan.go
+++ b/process/former/plan.go
@@ -33,7 +33,9 @@
 }
 
 func (f *Former) planService(now time.Time, in Input, service *catalogue.Service) []savorywing.FleetOrder {
-	p := &planning{former: f, now: now, in: in, engine: service.Engine, capacity: f.capacity(in, service.Engine)}
+	p := &planning{
+		former: f, now: now, in: in, engine: service.Engine, capacity: f.capacity(in, service.Engine), servers: in.Table.Servers(),
+	}
 	p.room = math.MaxInt
 	if !in.FirstStart {
 		p.room = f.loads.room(now, f.cfg.LoadWindow, int(service.Engine.LoadsPerSecond*f.cfg.LoadWindow.Seconds()))
@@ -157,6 +159,8 @@
 	in       Input
 	engine   *catalogue.Engine
 	capacity map[string]float64
+	// servers lists the table's servers, sorted by id: it does not change within a pass.
+	servers []*fleet.Server
 	// room is the number of loads that may begin now.
 	room   int
 	orders []savorywing.FleetOrder
--- a/process/former/rebalance.go
+++ b/process/former/rebalance.go
@@ -133,7 +133,7 @@
 // exchangeIn returns the smallest exchange in one domain, or nil if its hosts are too few.
 func (p *planning) exchangeIn(domain string, groups []*group, m *catalogue.Model, used map[string]bool) *exchange {
 	x := &exchange{model: m}
-	for _, s := range p.in.Table.Servers() {
+	for _, s := range p.servers {
 		if r := s.Report(); r.Domain == domain && r.Engine && isStaged(s, m.Name) && !used[r.ID] && p.former.isFree(p.now, s) {
 			x.hosts = append(x.hosts, s)
 			x.prepared++
@@ -232,9 +232,7 @@
 		if isStaged(s, x.model.Name) || p.former.orders[r.ID] != nil || p.former.isDoubtful(p.now, s) {
 			continue
 		}
-		p.orders = append(p.orders, savorywing.FleetOrder{Action: savorywing.ActionStage, Server: r.ID, Address: r.Address, Model: x.model.Name})
-		p.former.loads.add(p.now)
-		p.room--
+		p.beginLoad(s, x.model)
 		lacking--
 	}
 }
--- a/process/former/stage.go
+++ b/process/former/stage.go
@@ -50,20 +50,23 @@
 		if best.server == nil {
 			return
 		}
-		r := best.server.Report()
-		p.orders = append(p.orders, savorywing.FleetOrder{
-			Action: savorywing.ActionStage, Server: r.ID, Address: r.Address, Model: best.model.Name,
-		})
-		p.former.loads.add(p.now)
-		p.room--
+		p.beginLoad(best.server, best.model)
 		for _, d := range domains {
-			if d.name == r.Domain {
+			if d.name == best.server.Report().Domain {
 				d.remove(best.server)
 			}
 		}
 	}
 }
 
+// beginLoad orders a server to load a model's weights, and counts the load.
+func (p *planning) beginLoad(s *fleet.Server, m *catalogue.Model) {
+	r := s.Report()
+	p.orders = append(p.orders, savorywing.FleetOrder{Action: savorywing.ActionStage, Server: r.ID, Address: r.Address, Model: m.Name})
+	p.former.loads.add(p.now)
+	p.room--
+}
+
 // consider returns the load that brings a domain closer to its next group of a model, or to one that stands by.
 func (p *planning) consider(d *domain, m *catalogue.Model) load {
 	value, idle := p.value(d, m, p.held(d, m), shortage(p.need(m))), p.idleValue(d, m)
@@ -151,7 +154,7 @@
 // populated counts the hosts of a domain that report.
 func (p *planning) populated(d *domain) int {
 	n := 0
-	for _, s := range p.in.Table.Servers() {
+	for _, s := range p.servers {
 		if r := s.Report(); r.Engine && r.Domain == d.name && !r.Leaving && !p.former.isLost(p.now, s) {
 			n++
 		}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -221,10 +221,8 @@
 	if e := j.service.Engine; e != nil {
 		w.Model = j.caller.Model
 		w.Engine = &placement.Engine{Chunk: e.Chunk, ReadRate: e.ReadRate, Stride: e.Stride, Step: e.Step, PerRequest: e.PerRequest, Pace: 1}
-		for i := range e.Models {
-			if e.Models[i].Name == w.Model {
-				w.Engine.Pace = e.Models[i].Pace
-			}
+		if m := e.Model(w.Model); m != nil {
+			w.Engine.Pace = m.Pace
 		}
 	}
 	return w
--- a/process/placement/ledger.go
+++ b/process/placement/ledger.go
@@ -188,7 +188,7 @@
 
 // Start counts a request that is sent to the endpoint of a decision.
 func (l *Ledger) Start(now time.Time, d Decision, w Want) *Ticket {
-	t := &Ticket{ID: d.ID, tokens: w.PromptTokens, sent: now, expected: d.expected, lane: lane{w.Service, w.Model}}
+	t := &Ticket{ID: d.ID, tokens: w.PromptTokens, sent: now, expected: d.expected, lane: w.lane()}
 	if s := l.shares[t.lane]; s != nil {
 		s.left--
 	}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -25,6 +25,8 @@
 	Again bool
 }
 
+func (w Want) lane() lane { return lane{w.Service, w.Model} }
+
 // Engine describes how a group works: in passes of a few steps, each of which reads a chunk of prompts and writes
 // a token of every request that is being answered.
 type Engine struct {
@@ -50,7 +52,7 @@
 
 // first predicts the time to the first event behind waiting tokens, beside n requests that are being written.
 func (e *Engine) first(waiting, prompt, n int) time.Duration {
-	most := float64(max(1, e.Chunk) * max(1, e.Stride))
+	most := e.mostRead()
 	left := float64(waiting + prompt)
 	total := e.pass(0, n) / 2 // the pass under way
 	for left > most {
@@ -62,9 +64,12 @@
 
 // pause predicts the longest pass, in which nobody else's answer moves, until waiting tokens and a prompt are read.
 func (e *Engine) pause(waiting, prompt, n int) time.Duration {
-	return e.pass(min(float64(waiting+prompt), float64(max(1, e.Chunk)*max(1, e.Stride))), n)
+	return e.pass(min(float64(waiting+prompt), e.mostRead()), n)
 }
 
+// mostRead returns the most prompt tokens that a pass reads.
+func (e *Engine) mostRead() float64 { return float64(max(1, e.Chunk) * max(1, e.Stride)) }
+
 // Reason says why a request is refused.
 type Reason string
 
@@ -127,19 +132,19 @@
 // weigh predicts what an endpoint promises. Engines are compared by the time to the first event, plain
 // servers by their relative load.
 func (l *Ledger) weigh(e *endpoint, peers []*endpoint, w Want) offer {
-	o := offer{endpoint: e, score: l.score(e, peers)}
+	slow := 1.0
+	if s := slowness(e, peers); s > slowFactor {
+		slow = s
+	}
+	o := offer{endpoint: e, score: l.score(e, slow)}
 	wait := l.waitAt(e)
 	if w.Engine == nil {
 		o.predicted = wait
 		return o
 	}
-	slow := 1.0
-	if s := slowness(e, peers); s > slowFactor {
-		slow = s
-	}
 	n := min(e.load(), e.slots())
 	o.expected = time.Duration(slow * float64(w.Engine.first(e.waitingTokens(), w.PromptTokens, n)))
-	o.predicted = o.expected + wait + l.fixed[lane{w.Service, w.Model}]
+	o.predicted = o.expected + wait + l.fixed[w.lane()]
 	// Among equals the emptier one leaves more room for what comes next.
 	o.score = o.predicted.Seconds() + loadWeight*o.score
 	if e.DataCentre != l.cfg.DataCentre {
@@ -161,7 +166,7 @@
 
 // usable returns the endpoints that may be chosen: healthy ones, or, if there are none, any that is known.
 func (l *Ledger) usable(now time.Time, w Want) (usable []*endpoint, known int) {
-	list := l.lanes[lane{w.Service, w.Model}]
+	list := l.lanes[w.lane()]
 	var doubtful []*endpoint
 	for _, e := range list {
 		if isTried(w, e.ID) {
@@ -225,16 +230,13 @@
 	return best
 }
 
-// score is the relative load; a server that is slow beside its peers counts as more loaded.
-func (l *Ledger) score(e *endpoint, peers []*endpoint) float64 {
+// score is the relative load; a server that is slow times as slow as its peers counts as more loaded.
+func (l *Ledger) score(e *endpoint, slow float64) float64 {
 	load := float64(e.load()) + 1
 	if e.DataCentre == l.cfg.DataCentre {
 		load -= localBonus
 	}
-	score := load / float64(e.slots())
-	if slow := slowness(e, peers); slow > slowFactor {
-		score *= slow
-	}
+	score := load / float64(e.slots()) * slow
 	if e.ColdMs > 0 {
 		score *= slowFactor
 	}
@@ -286,7 +288,7 @@
 	objective := float64(w.Objective)
 	idle := time.Duration(0)
 	if w.Engine != nil {
-		idle = w.Engine.first(0, w.PromptTokens, 1) + l.fixed[lane{w.Service, w.Model}]
+		idle = l.idleFirst(w)
 	}
 	if w.Elapsed+idle > time.Duration(objective) && w.Elapsed > time.Duration(latePart*objective) {
 		return o.predicted <= idle+time.Duration(latePart*objective) && o.predicted < w.Left
@@ -295,6 +297,11 @@
 	return o.predicted <= limit && o.predicted < w.Left
 }
 
+// idleFirst predicts the time to the first event at a group that does nothing else.
+func (l *Ledger) idleFirst(w Want) time.Duration {
+	return w.Engine.first(0, w.PromptTokens, 1) + l.fixed[w.lane()]
+}
+
 func (l *Ledger) refuseEmpty(known int) Decision {
 	d := Decision{Reason: ReasonNoEndpoint, RetryAfter: l.spread(2 * shortestReturn)}
 	if known > 0 {
--- a/process/placement/share.go
+++ b/process/placement/share.go
@@ -52,7 +52,7 @@
 
 // holdOf returns how long a request of this lane keeps its slot.
 func (l *Ledger) holdOf(w Want) time.Duration {
-	if hold := l.holds[lane{w.Service, w.Model}]; hold > 0 {
+	if hold := l.holds[w.lane()]; hold > 0 {
 		return hold
 	}
 	return defaultHold
@@ -83,7 +83,7 @@
 		slots += e.slots()
 		comesFree += float64(min(e.load(), e.slots())) / hold.Seconds()
 	}
-	k := lane{w.Service, w.Model}
+	k := w.lane()
 	if float64(load) < fullPart*float64(slots) {
 		delete(l.shares, k)
 		return true
@@ -107,6 +107,5 @@
 
 // isPast tells whether a request that has come back can't meet its objective any more, wherever it goes.
 func (l *Ledger) isPast(w Want) bool {
-	idle := w.Engine.first(0, w.PromptTokens, 1) + l.fixed[lane{w.Service, w.Model}]
-	return w.Elapsed > 0 && w.Elapsed+idle > w.Objective
+	return w.Elapsed > 0 && w.Elapsed+l.idleFirst(w) > w.Objective
 }
--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -38,6 +38,22 @@
 	SendRaft(messages []wire.RaftMessage)
 }
 
+// ToHosts carries messages by a function that sends a frame to a host: one frame for each host.
+type ToHosts func(host string, f wire.Frame) error
+
+// SendRaft implements Transport.
+func (send ToHosts) SendRaft(messages []wire.RaftMessage) {
+	byHost := map[string][]wire.RaftMessage{}
+	for _, m := range messages {
+		host := HostOf(m.To)
+		byHost[host] = append(byHost[host], m)
+	}
+	for host, list := range byHost {
+		// A message that can't be sent is one that the network lost; the log repeats it.
+		_ = send(host, wire.Frame{Raft: list})
+	}
+}
+
 // Node runs a Core with a disk, a clock and a transport on a thread of its own.
 type Node struct {
 	core      *Core
--- a/version/catalogue/catalogue.go
+++ b/version/catalogue/catalogue.go
@@ -107,6 +107,16 @@
 	OpenTime time.Duration
 }
 
+// Model returns a model by name, or nil.
+func (e *Engine) Model(name string) *Model {
+	for i := range e.Models {
+		if e.Models[i].Name == name {
+			return &e.Models[i]
+		}
+	}
+	return nil
+}
+
 // Service is a set of backend servers that run the same program.
 type Service struct {
 	Name       string
