Servers' own notices: a server that states it is leaving or closed gets no further requests

A server says in any response that it is leaving, and a rejection may state for how long the server wants no request from this host. Neither was read.

Change: the response's metadata states both; the balancer keeps them by incarnation, apart from the leader's updates, and excludes the server from every choice, retries included. An attempt that was chosen before is checked again once its connection is open. A leaving server is reported to the leader with the next usage report, which is sent at once, and removed for all hosts; the answers to orders count as well. When all servers of a pool are closed, callers are rejected with the time until the first one opens. An invalid time is bounded and logged.

The emulated fleet states both and counts requests that arrive all the same.

Tests of one machine use loopback addresses of their own for each process.

--- /dev/null
+++ b/cmd/savorywing/fleet_notice_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	standin "savorywing.example/savorywing/standin/fleet"
+)
+
+// callUntil sends requests through every entry host until stop is closed.
+func (f *fleetEnv) callUntil(stop <-chan struct{}, callers int, path, model string) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for n := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				f.send(n%len(f.entries), path, model, fleetKey, nil)
+			}
+		}()
+	}
+	return &wg
+}
+
+// TestFleetServerLeaving makes the head of a group, and a plain server, state in their responses that they are leaving.
+// No entry host may send them further requests: neither the one that saw it, nor the others, nor one that restarts.
+func TestFleetServerLeaving(t *testing.T) {
+	for _, tt := range []struct {
+		name, path, model string
+		servers           func(f *fleetEnv) []*standin.Server
+	}{
+		{"engine", "/talk/x", smallModel, func(f *fleetEnv) []*standin.Server { return f.headsOf(smallModel) }},
+		{"plain server", "/book/look/x", "", func(f *fleetEnv) []*standin.Server { return f.fleet.PlainServers() }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleetEnv(t, 3, 2, 20)
+			f.waitServing()
+			leaving := tt.servers(f)[0]
+			stop := make(chan struct{})
+			callers := f.callUntil(stop, 6, tt.path, tt.model)
+			leaving.SetFaults(standin.Faults{StateLeaving: true})
+			time.Sleep(1500 * time.Millisecond)
+			f.restartEntry(1)
+			time.Sleep(1500 * time.Millisecond)
+			close(stop)
+			callers.Wait()
+			if got := leaving.Unwanted(); got > 0 {
+				t.Errorf("%s got %d requests after it had stated that it is leaving", leaving.ID, got)
+			}
+			f.waitServing()
+		})
+	}
+}
+
+// TestFleetServerClosed makes a server reject requests and state a time for which it is closed. It may get no further
+// request in that time. When all servers of a pool are closed, callers are rejected at once and told when to return.
+func TestFleetServerClosed(t *testing.T) {
+	const closedFor = 20 * time.Second
+	f := newFleetEnv(t, 3, 1, 20)
+	f.waitServing()
+	stop := make(chan struct{})
+	callers := f.callUntil(stop, 6, "/talk/x", smallModel)
+	plainCallers := f.callUntil(stop, 4, "/book/look/x", "")
+	closed := []*standin.Server{f.headsOf(smallModel)[0], f.fleet.PlainServers()[0]}
+	for _, s := range closed {
+		s.SetFaults(standin.Faults{RejectFor: closedFor})
+	}
+	time.Sleep(2 * time.Second)
+	for _, s := range closed {
+		if got := s.Unwanted(); got > 2 {
+			t.Errorf("%s got %d requests while it was closed, want 2 at most", s.ID, got)
+		}
+	}
+	close(stop)
+	callers.Wait()
+	plainCallers.Wait()
+	f.fleet.PlainServers()[0].SetFaults(standin.Faults{RejectFor: closedFor})
+	f.fleet.PlainServers()[1].SetFaults(standin.Faults{RejectFor: closedFor})
+	f.send(0, "/book/look/x", "", fleetKey, nil)
+	f.send(0, "/book/look/x", "", fleetKey, nil)
+	sentAt := time.Now()
+	r := f.send(0, "/book/look/x", "", fleetKey, nil)
+	seconds, err := strconv.ParseFloat(r.retryAfter, 64)
+	if r.status != fasthttp.StatusServiceUnavailable || err != nil || seconds < (closedFor-5*time.Second).Seconds() {
+		t.Errorf("status %d, Retry-After %q, want 503 and nearly %v: %s", r.status, r.retryAfter, closedFor, r.body)
+	}
+	if took := time.Since(sentAt); took > time.Second {
+		t.Errorf("rejected after %v, want at once", took)
+	}
+}
+
+// headsOf returns the heads of the open groups of a model.
+func (f *fleetEnv) headsOf(model string) []*standin.Server {
+	var out []*standin.Server
+	for _, s := range f.fleet.OpenHeads() {
+		if s.Model() == model {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// restartEntry kills an entry host and starts it again.
+func (f *fleetEnv) restartEntry(i int) {
+	f.t.Helper()
+	f.entries[i].Kill()
+	f.entries[i] = f.startEntry(f.entryIP(i))
+}
--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -82,6 +83,10 @@
 	n int
 }
 
+// processOctet returns the second octet of this process's loopback addresses. It differs between test binaries that run at
+// the same time, so that one doesn't connect to the other's daemons.
+func processOctet() int { return 1 + os.Getpid()%250 }
+
 // newFleetEnv starts control hosts, entry hosts and backend servers and publishes the first document.
 func newFleetEnv(t *testing.T, controls, entries, engines int, opts ...func(f *fleetEnv)) *fleetEnv {
 	t.Helper()
@@ -94,21 +99,13 @@
 		opt(f)
 	}
 	for i := range controls {
-		f.seeds = append(f.seeds, fmt.Sprintf("127.0.%d.%d:%d", subnet, 10+i, f.port+1))
+		f.seeds = append(f.seeds, fmt.Sprintf("127.%d.%d.%d:%d", processOctet(), subnet, 10+i, f.port+1))
 	}
 	for i := range controls {
-		f.controls = append(f.controls, f.startControl(fmt.Sprintf("127.0.%d.%d", subnet, 10+i), t.TempDir(), true))
+		f.controls = append(f.controls, f.startControl(fmt.Sprintf("127.%d.%d.%d", processOctet(), subnet, 10+i), t.TempDir(), true))
 	}
 	for i := range entries {
-		s := f.settings(savorywing.RoleEntry, fmt.Sprintf("127.0.%d.%d", subnet, 100+i), true)
-		g, err := gateway.New(s, f.dialect, f.log(s.Name))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := g.Start(); err != nil {
-			t.Fatal(err)
-		}
-		f.entries = append(f.entries, g)
+		f.entries = append(f.entries, f.startEntry(fmt.Sprintf("127.%d.%d.%d", processOctet(), subnet, 100+i)))
 	}
 	doc := fleetDocument(1)
 	f.fleet = standin.New(standin.Config{
@@ -117,11 +114,11 @@
 	})
 	for i := range engines {
 		f.addServer(standin.ServerConfig{ID: fmt.Sprintf("engine-%d", i), Service: fleetEngineService, Engine: true, Slots: 8,
-			Address: fmt.Sprintf("127.0.%d.%d:0", subnet, 150+i), DataCentre: "a", FabricDomain: fmt.Sprintf("d%d", i/10)})
+			Address: fmt.Sprintf("127.%d.%d.%d:0", processOctet(), subnet, 150+i), DataCentre: "a", FabricDomain: fmt.Sprintf("d%d", i/10)})
 	}
 	for i := range 2 {
 		f.addServer(standin.ServerConfig{ID: fmt.Sprintf("plain-%d", i), Service: fleetPlainService, Slots: 6,
-			Address: fmt.Sprintf("127.0.%d.%d:0", subnet, 140+i), DataCentre: "a"})
+			Address: fmt.Sprintf("127.%d.%d.%d:0", processOctet(), subnet, 140+i), DataCentre: "a"})
 	}
 	t.Cleanup(f.close)
 	f.publish(doc)
@@ -158,6 +155,24 @@
 	return s
 }
 
+func (f *fleetEnv) startEntry(ip string) *gateway.Gateway {
+	s := f.settings(savorywing.RoleEntry, ip, true)
+	g, err := gateway.New(s, f.dialect, f.log(s.Name))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := g.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	return g
+}
+
+// entryIP returns the IP of an entry host.
+func (f *fleetEnv) entryIP(i int) string {
+	host, _, _ := net.SplitHostPort(strings.Replace(f.seeds[0], ".10:", fmt.Sprintf(".%d:", 100+i), 1))
+	return host
+}
+
 func (f *fleetEnv) startControl(ip, dir string, first bool) *controller.Controller {
 	s := f.settings(savorywing.RoleControl, ip, first)
 	s.DataDir = dir
@@ -238,10 +253,11 @@
 
 // fleetResponse is what a caller received for one request.
 type fleetResponse struct {
-	requestID string
-	status    int
-	body      string
-	err       error
+	retryAfter string
+	requestID  string
+	status     int
+	body       string
+	err        error
 }
 
 // send sends one request to an entry host. Closing disconnect, if it is not nil, closes the caller's connection.
@@ -250,9 +266,7 @@
 	f.lastCall++
 	r := fleetResponse{requestID: fmt.Sprintf("call-%d", f.lastCall)}
 	f.mu.Unlock()
-	ip := strings.Replace(f.seeds[0], ".10:", fmt.Sprintf(".%d:", 100+entry), 1)
-	host, _, _ := net.SplitHostPort(ip)
-	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", host, f.port+2), time.Second)
+	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", f.entryIP(entry), f.port+2), time.Second)
 	if err != nil {
 		r.err = err
 		return r
@@ -277,7 +291,7 @@
 	}
 	var resp fasthttp.Response
 	r.err = resp.Read(bufio.NewReader(c))
-	r.status, r.body = resp.StatusCode(), string(resp.Body())
+	r.status, r.body, r.retryAfter = resp.StatusCode(), string(resp.Body()), string(resp.Header.Peek(fasthttp.HeaderRetryAfter))
 	return r
 }
 
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -35,6 +35,8 @@
 var (
 	// ErrNotSent means that no byte of the request was handed to a connection.
 	ErrNotSent = errors.New("no byte of the request was sent")
+	// ErrWithheld means that Call.Confirm held the request back. The error also wraps ErrNotSent.
+	ErrWithheld = errors.New("the request was held back")
 	// ErrWrongAttempt means that the response carries another attempt ID, or none.
 	ErrWrongAttempt = errors.New("the response carries the wrong attempt ID")
 	// ErrTruncated means that the response ended before its body was complete, as Response.Read defines it.
@@ -67,6 +69,9 @@
 	AttemptID string
 	// MaxIdle is the longest time that a pooled connection may have been idle; 0 requires a new one.
 	MaxIdle time.Duration
+	// Confirm, unless it is nil, is called once a connection is open and reports whether the request is still to be
+	// sent: what is known of the server may have changed while it was dialled.
+	Confirm func() bool
 	// HeaderDeadline is when the header of the response must have been received; zero for no deadline.
 	HeaderDeadline time.Time
 }
@@ -78,6 +83,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("Client.Do: %w: %w", ErrNotSent, err)
 	}
+	if call.Confirm != nil && !call.Confirm() {
+		_ = l.conn.Close()
+		return nil, fmt.Errorf("Client.Do: %w: %w", ErrNotSent, ErrWithheld)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	r, err := c.exchange(l, call)
 	if err != nil {
--- a/dialect.go
+++ b/dialect.go
@@ -55,8 +55,18 @@
 	FaultyServer string
 	// IdleTimeout is how long the connection may stay idle; 0 if not stated.
 	IdleTimeout time.Duration
+	// Leaving reports whether the backend server says that it is about to stop and wants no new requests.
+	Leaving bool
+	// ClosedFor is how long the backend server, having rejected this request, wants no further ones from this host; 0
+	// if not stated. It is at most MaxClosedFor.
+	ClosedFor time.Duration
+	// InvalidClosedFor is the stated value of ClosedFor if it can't be read, is negative or exceeds MaxClosedFor.
+	InvalidClosedFor string
 }
 
+// MaxClosedFor bounds how long a backend server can close itself for a host with one response.
+const MaxClosedFor = 5 * time.Minute
+
 // Dialect translates between the types of this package and the protocol of callers and backend servers.
 type Dialect interface {
 	// ReadCallerMetadata decodes the header of a caller's request.
--- a/emulator.go
+++ b/emulator.go
@@ -1,6 +1,8 @@
 package savorywing
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing/version/catalogue"
@@ -18,6 +20,9 @@
 	SignResponse(h *fasthttp.ResponseHeader, attemptID, signature string)
 	// MarkNotRun marks a response as proof that a request has not run; faultyServer may be empty.
 	MarkNotRun(h *fasthttp.ResponseHeader, attemptID, faultyServer string)
+	// WriteServerNotice adds to a response that the server is leaving, or for how long it is closed for the host that it
+	// responds to; 0 for neither.
+	WriteServerNotice(h *fasthttp.ResponseHeader, leaving bool, closedFor time.Duration)
 	// IsOrder reports whether a request to a backend server is an order.
 	IsOrder(h *fasthttp.RequestHeader) bool
 	// ReadOrder decodes an order.
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -162,12 +162,21 @@
 func (c *Controller) submitOrder(o savorywing.FleetOrder) {
 	c.log.Info().Str("event", "orderSent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
 		Str("model", o.Model).Strs("members", o.Members).Uint64("fence", o.FencingToken).Msg("sending an order")
+	born := int64(0)
+	if s := c.table.Server(o.Server); s != nil {
+		born = s.Report().Born
+	}
 	err := c.pool.Submit(func() {
 		// The lease is checked again, since the task may have waited while this host was suspended.
 		if !c.node.HasLease() {
 			return
 		}
-		c.push(outcomeEvent{order: o, outcome: c.sendOrder(o)})
+		outcome, leaving := c.sendOrder(o)
+		e := outcomeEvent{order: o, outcome: outcome}
+		if leaving {
+			e.leaving = []wire.ServerIncarnation{{ID: o.Server, Born: born}}
+		}
+		c.push(e)
 	})
 	if err != nil {
 		c.log.Warn().Str("event", "orderDropped").Str("server", o.Server).Err(err).Msg("dropped an order")
@@ -243,6 +252,7 @@
 	if u.Term != c.term || u.Revision > c.endpoints.revision {
 		e.sentRevision = 0
 	}
+	c.applyLeaving(u.Leaving)
 	for _, d := range u.Demand {
 		c.hasSeenRequests = c.hasSeenRequests || d.Requests > 0
 	}
@@ -257,6 +267,22 @@
 	}
 }
 
+// applyLeaving records servers whose responses say that they are leaving. The entry hosts are told before anything else is
+// handled, as with a report.
+func (c *Controller) applyLeaving(list []wire.ServerIncarnation) {
+	changed := false
+	for _, s := range list {
+		if c.table.MarkLeaving(s.ID, s.Born) {
+			changed = true
+			c.log.Info().Str("event", "serverLeaving").Str("server", s.ID).Int64("born", s.Born).Msg("a backend server's response says that it is leaving")
+		}
+	}
+	if changed {
+		c.nextStep = time.Time{}
+		c.pushChanges(c.clock.Now())
+	}
+}
+
 // updateDemand adds the demand for each model between two usage reports to the moving average.
 func (e *entryHostState) updateDemand(now time.Time, u wire.Usage) {
 	previous := map[string]uint64{}
--- a/process/controller/frames.go
+++ b/process/controller/frames.go
@@ -29,6 +29,8 @@
 	outcomeEvent struct {
 		order   savorywing.FleetOrder
 		outcome savorywing.OrderOutcome
+		// leaving names the server's incarnation if the response says that it is leaving.
+		leaving []wire.ServerIncarnation
 	}
 )
 
--- a/process/controller/orders.go
+++ b/process/controller/orders.go
@@ -19,8 +19,9 @@
 	maxConnectionIdle = 3 * time.Second
 )
 
-// sendOrder sends an order and returns its outcome, which is OutcomeUnknown if there was no response.
-func (c *Controller) sendOrder(o savorywing.FleetOrder) savorywing.OrderOutcome {
+// sendOrder sends an order and returns its outcome, which is OutcomeUnknown if there was no response, and whether the
+// server has stated that it is leaving.
+func (c *Controller) sendOrder(o savorywing.FleetOrder) (outcome savorywing.OrderOutcome, leaving bool) {
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 	defer cancel()
 	h := &fasthttp.RequestHeader{}
@@ -31,19 +32,20 @@
 	})
 	if err != nil {
 		c.log.Warn().Str("event", "orderUnanswered").Str("server", o.Server).Str("action", o.Action.String()).Err(err).Msg("no response to an order")
-		return savorywing.OutcomeUnknown
+		return savorywing.OutcomeUnknown, false
 	}
 	defer response.Close()
 	reply, err := io.ReadAll(io.LimitReader(response, maxReplyBytes))
 	if err != nil && !errors.Is(err, engine.ErrTruncated) {
 		c.log.Warn().Str("event", "orderReplyCut").Str("server", o.Server).Err(err).Msg("the response to an order is incomplete")
 	}
-	outcome := c.dialect.ReadOrderReply(response.Header.StatusCode())
+	outcome = c.dialect.ReadOrderReply(response.Header.StatusCode())
 	if outcome == savorywing.OutcomeConflict || outcome == savorywing.OutcomeUnknown {
 		c.log.Warn().Str("event", "orderRefused").Str("server", o.Server).Str("action", o.Action.String()).
 			Int("status", response.Header.StatusCode()).Bytes("reply", reply).Msg("an order was not accepted")
 	}
-	return outcome
+	// At another server's address, the statement is not about the server that the order was for.
+	return outcome, response.Metadata.Leaving && outcome != savorywing.OutcomeWrongServer
 }
 
 // maxReplyBytes bounds how much of the response to an order is read.
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -72,6 +72,7 @@
 			Str("group", e.order.Group).Str("outcome", e.outcome.String()).Msg("outcome of an order")
 		c.telemetry.Count("orders", "outcome", e.order.Action.String()+"/"+e.outcome.String())
 		c.reconciler.RecordOutcome(c.clock.Now(), e.order, e.outcome)
+		c.applyLeaving(e.leaving)
 		c.nextStep = time.Time{}
 	}
 }
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -152,6 +152,18 @@
 	return true
 }
 
+// MarkLeaving records that one incarnation of a server is leaving, as it has stated in a response, and reports whether
+// that was unknown.
+func (t *Table) MarkLeaving(id string, born int64) bool {
+	s := t.servers[id]
+	if s == nil || s.dead || s.report.Born != born || s.report.Leaving {
+		return false
+	}
+	s.report.Leaving = true
+	t.revision++
+	return true
+}
+
 // Expire removes servers that have sent no report for longer than keep.
 func (t *Table) Expire(now time.Time, keep time.Duration) {
 	for id, s := range t.servers {
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -89,3 +89,29 @@
 		t.Errorf("%d endpoints while no group is known to be complete, want the 2 without an engine", n)
 	}
 }
+
+// TestMarkLeaving checks that a statement in a response holds for the incarnation that made it, whatever it reports.
+func TestMarkLeaving(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	apply := func(born int64, sequence uint64) {
+		if _, err := table.Apply(now, wire.Report{ID: "i", Born: born, Sequence: sequence, Address: "a"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	apply(1, 1)
+	if table.MarkLeaving("i", 2) || table.MarkLeaving("j", 1) {
+		t.Error("marked another incarnation or an unknown server")
+	}
+	if !table.MarkLeaving("i", 1) || table.MarkLeaving("i", 1) {
+		t.Error("the first mark must be new and the second must not")
+	}
+	apply(1, 2)
+	if !table.Server("i").Report().Leaving {
+		t.Error("a later report of the same incarnation makes it stay")
+	}
+	apply(2, 1)
+	if table.Server("i").Report().Leaving {
+		t.Error("the next incarnation counts as leaving")
+	}
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -196,6 +196,7 @@
 		return r.sendFailed(ctx, d, err)
 	}
 	defer response.Close()
+	r.recordNotice(d, response.Metadata)
 	switch {
 	case response.Metadata.NotRun:
 		return outcomeNotRun, r.handleNotRun(response, d)
@@ -205,6 +206,38 @@
 	return r.relayBuffered(ctx, response, d)
 }
 
+// recordNotice applies what a response states about its server. The leader is told with the next usage report, which
+// is sent at once.
+func (r *callerRequest) recordNotice(d placement.Decision, m savorywing.ResponseMetadata) {
+	if m.InvalidClosedFor != "" {
+		r.gateway.logProblem("closedForInvalid").Str("request", r.caller.AttemptID).Str("server", d.ID).Str("value", m.InvalidClosedFor).
+			Dur("used", m.ClosedFor).Msg("a backend server states an invalid time for which it is closed")
+	}
+	if !m.Leaving && m.ClosedFor == 0 {
+		return
+	}
+	g := r.gateway
+	g.mu.Lock()
+	isNew := g.balancer.RecordNotice(g.clock.Now(), d.ID, placement.Notice{Leaving: m.Leaving, ClosedFor: m.ClosedFor})
+	g.mu.Unlock()
+	if !isNew {
+		return
+	}
+	g.telemetry.Count("server_notices", "kind", map[bool]string{true: "leaving", false: "closed"}[m.Leaving])
+	g.logProblem("serverNotice").Str("request", r.caller.AttemptID).Str("server", d.ID).Bool("leaving", m.Leaving).Dur("closedFor", m.ClosedFor).
+		Msg("a backend server wants no more requests from this host")
+	if m.Leaving {
+		g.subscription.wakeUp()
+	}
+}
+
+// mayStillSend reports whether the server of a decision still accepts requests from this host.
+func (g *Gateway) mayStillSend(d placement.Decision) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Accepts(g.clock.Now(), d.ID)
+}
+
 func (r *callerRequest) engineCall(d placement.Decision) engine.Call {
 	g := r.gateway
 	now := g.clock.Now()
@@ -222,7 +255,8 @@
 	if !r.route.Retryable() {
 		idle = maxIdleNotRetryable
 	}
-	return engine.Call{Address: d.Address, Header: h, Body: body, AttemptID: r.caller.AttemptID, MaxIdle: idle, HeaderDeadline: r.deadline}
+	return engine.Call{Address: d.Address, Header: h, Body: body, AttemptID: r.caller.AttemptID, MaxIdle: idle, HeaderDeadline: r.deadline,
+		Confirm: func() bool { return g.mayStillSend(d) }}
 }
 
 func (r *callerRequest) sendFailed(ctx context.Context, d placement.Decision, err error) (outcome, placement.Result) {
@@ -234,6 +268,9 @@
 	g.telemetry.Count("requests", "result", "attemptFailed")
 	g.logProblem("attemptFailed").Str("request", r.caller.AttemptID).Str("server", d.ID).Bool("stalled", stalled).
 		Int("load", d.Load).Int("slots", d.Slots).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Err(err).Msg("an attempt failed")
+	if errors.Is(err, engine.ErrWithheld) {
+		return outcomeUnsent, placement.Shed
+	}
 	if errors.Is(err, engine.ErrNotSent) && !stalled {
 		g.engines.CloseIdle(d.Address)
 		return outcomeUnsent, placement.Unreachable
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -123,7 +123,7 @@
 	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version}
 	s.mu.Unlock()
 	g.mu.Lock()
-	u.Loads = g.balancer.Usage(now)
+	u.Loads, u.Leaving = g.balancer.Usage(now), g.balancer.Leaving()
 	for model, d := range g.demand {
 		u.Demand = append(u.Demand, wire.ModelDemand{Model: model, Requests: d.requests, WorkMs: d.workMs})
 	}
@@ -133,7 +133,7 @@
 		s.forgetLeader(host)
 		return true
 	}
-	return len(u.Loads) > 0 || s.isIncomplete()
+	return len(u.Loads) > 0 || len(u.Leaving) > 0 || s.isIncomplete()
 }
 
 func (s *fleetSubscription) isIncomplete() bool {
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -58,6 +58,8 @@
 	occupancies map[endpointKey]time.Duration
 	// budgets holds the send budget of this host for each full pool.
 	budgets map[endpointKey]*sendBudget
+	// notices holds what servers have stated about themselves, by ID.
+	notices map[string]serverNotice
 	// interval is the moving average of the time between two updates of the leader, and updatedAt when the last one
 	// arrived.
 	interval  time.Duration
@@ -75,6 +77,7 @@
 	return &Balancer{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
 		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, budgets: map[endpointKey]*sendBudget{},
+		notices: map[string]serverNotice{},
 	}
 }
 
@@ -166,6 +169,7 @@
 		updateMean(&b.interval, min(now.Sub(b.updatedAt), maxInterval))
 	}
 	b.updatedAt = now
+	b.expireNotices(now)
 	for _, e := range b.byID {
 		e.remoteInFlight, e.remoteWaiting, e.remoteStalled, e.entryHosts = 0, 0, false, b.entryHosts
 		e.remoteProgressed, e.remoteUpdatedAt = false, now
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -108,7 +108,7 @@
 func (b *Balancer) Pick(now time.Time, req Request) Decision {
 	usable, poolSize := b.usable(now, req)
 	if len(usable) == 0 {
-		return b.rejectEmpty(poolSize)
+		return b.rejectEmpty(now, req, poolSize)
 	}
 	if req.Engine != nil && !req.Retry && !b.hasBudget(now, usable, req) {
 		return b.rejectFull(usable, b.best(usable, req))
@@ -176,7 +176,7 @@
 	list := b.pools[req.key()]
 	var suspect []*endpoint
 	for _, e := range list {
-		if isExcluded(req, e.ID) {
+		if isExcluded(req, e.ID) || !b.accepts(now, e) {
 			continue
 		}
 		stalled := e.isStalled(now, b.stallTimeout(e)) || (e.remoteStalled && e.load() > 0)
@@ -309,12 +309,16 @@
 	return req.Engine.firstEventTime(0, req.PromptTokens, 1) + b.overhead[req.key()]
 }
 
-// rejectEmpty rejects a request for which no endpoint is usable, in a pool of poolSize endpoints.
-func (b *Balancer) rejectEmpty(poolSize int) Decision {
+// rejectEmpty rejects a request for which no endpoint is usable, in a pool of poolSize endpoints. If endpoints of the
+// pool have closed themselves, the caller is asked to retry when the first of them opens again.
+func (b *Balancer) rejectEmpty(now time.Time, req Request, poolSize int) Decision {
 	d := Decision{Reason: ReasonNoEndpoint, RetryAfter: b.jitter(2 * minRetryAfter)}
 	if poolSize > 0 {
 		d.Reason = ReasonFull
 	}
+	if closedFor := b.earliestOpening(now, req); closedFor > 0 {
+		d.RetryAfter = closedFor + b.jitter(minRetryAfter)
+	}
 	return d
 }
 
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -35,6 +35,9 @@
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	if s.isClosed(ctx, attemptID) {
+		return
+	}
 	if s.Engine {
 		s.serveStream(ctx, attemptID, metadata)
 		return
@@ -42,6 +45,32 @@
 	s.servePlain(ctx, attemptID)
 }
 
+// isClosed adds the notices that faults make the server state, counts the requests that arrive although it has stated
+// that it is leaving or closed, and rejects the request if the server is closed.
+func (s *Server) isClosed(ctx *fasthttp.RequestCtx, attemptID string) bool {
+	f := s.fleet
+	now := time.Now()
+	f.mu.Lock()
+	faults := s.faults
+	if !s.noticeSince.IsZero() && now.Sub(s.noticeSince) > noticeGrace {
+		s.unwanted++
+	}
+	if s.noticeSince.IsZero() && (faults.StateLeaving || faults.RejectFor > 0) {
+		s.noticeSince = now
+	}
+	f.mu.Unlock()
+	s.dialect().WriteServerNotice(&ctx.Response.Header, faults.StateLeaving, faults.RejectFor)
+	if faults.RejectFor <= 0 {
+		return false
+	}
+	s.dialect().MarkNotRun(&ctx.Response.Header, attemptID, "")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	return true
+}
+
+// noticeGrace is how long after a server's first notice requests may still arrive.
+const noticeGrace = 500 * time.Millisecond
+
 // attemptIDHeader returns the name of the header that carries the ID of the caller's attempt. It finds the name by
 // writing such a header.
 func attemptIDHeader(d savorywing.EmulatorDialect) string {
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -51,6 +51,10 @@
 	Unresponsive bool
 	// TruncateAfter closes the connection of a stream after this number of events of the response; 0 means never.
 	TruncateAfter int
+	// StateLeaving makes the server state in all its responses that it is leaving, without a report that says so.
+	StateLeaving bool
+	// RejectFor makes the server reject each request and state that it is closed for this time.
+	RejectFor time.Duration
 	// LoseResponse runs plain requests and closes the connection without a response.
 	LoseResponse bool
 }
@@ -84,6 +88,18 @@
 	model        string
 	members      []string
 	state        string
+	// noticeSince is when the server first stated that it is leaving or closed, since its faults were last set.
+	noticeSince time.Time
+	// unwanted counts the requests that arrived later than noticeGrace after that.
+	unwanted int
+}
+
+// Unwanted returns how many requests arrived although the server had stated that it is leaving or closed, not counting
+// those in the first half second.
+func (s *Server) Unwanted() int {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.unwanted
 }
 
 // Add starts a server and its reports.
@@ -137,6 +153,7 @@
 func (s *Server) SetFaults(faults Faults) {
 	s.fleet.mu.Lock()
 	s.faults = faults
+	s.noticeSince, s.unwanted = time.Time{}, 0
 	group, epoch, unresponsive := s.group, s.epoch, faults.Unresponsive
 	s.fleet.mu.Unlock()
 	if unresponsive {
@@ -144,6 +161,13 @@
 	}
 }
 
+// Model returns the model of the server's newest group.
+func (s *Server) Model() string {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.model
+}
+
 // ReportLeaving makes the server report that it is leaving.
 func (s *Server) ReportLeaving() {
 	s.fleet.mu.Lock()
--- a/wire/types.go
+++ b/wire/types.go
@@ -168,8 +168,8 @@
 	// Assign corresponds to the JSON schema field "assign".
 	Assign *Assign `json:"assign,omitempty,omitzero"`
 
-	// Time of the log, in milliseconds. It advances with the leader's monotonic clock,
-	// never with its wall clock.
+	// Time of the log, in milliseconds. It advances with the leader's monotonic
+	// clock, never with its wall clock.
 	At int64 `json:"at"`
 
 	// The command changes nothing and its result contains the newest document.
@@ -800,6 +800,15 @@
 	Reason string `json:"reason"`
 }
 
+// ServerIncarnation is one run of a backend server's process.
+type ServerIncarnation struct {
+	// Start time of the process, in milliseconds since 1970; 0 if not stated.
+	Born int64 `json:"born"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+}
+
 // Settle records how a claimed attempt ended.
 type Settle struct {
 	// Answer corresponds to the JSON schema field "answer".
@@ -883,6 +892,10 @@
 	// Demand corresponds to the JSON schema field "demand".
 	Demand []ModelDemand `json:"demand"`
 
+	// Servers in the endpoint list whose responses to this host say that they are
+	// leaving.
+	Leaving []ServerIncarnation `json:"leaving,omitempty,omitzero"`
+
 	// Loads corresponds to the JSON schema field "loads".
 	Loads []EndpointLoad `json:"loads"`
 
