formation: each model keeps an open group where there are fewer domains than models

Cause of TestFleetCallerDisconnects (KNOWN-RED.txt), traced with a log of its four streams and the control hosts' lines: all four are answered 503 noEndpoint, since no group of the large model is open at that moment. The fleet of that test has one domain, which the first start gives to one model as a whole. The test's own probes of the small model become demand, and with no capacity at all for it the swap takes both groups of the large model, the last one too. Ruled out: the loopback ports (reproduced on addresses of its own), the path (no attempt is made), the emulated fleet.

Change: with fewer domains than models a domain serves several from the first start on, and a swap leaves every model an open group.

TestOneDomain and TestSwapKeepsLastGroup fail without it (no small group 9 s after the start; no group at all 33 s after the start).

--- a/cmd/savorywing/fleet_test.go
+++ b/cmd/savorywing/fleet_test.go
@@ -137,7 +137,8 @@
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
-			f.send(0, "/talk/x", largeModel, fleetKey, disconnect)
+			r := f.send(0, "/talk/x", largeModel, fleetKey, disconnect)
+			t.Logf("stream %s ended: status %d, error %v, %d bytes: %.60s", r.requestID, r.status, r.err, len(r.body), r.body)
 		}()
 	}
 	f.eventually("streams in flight", func() bool { return f.fleet.InFlight() == 4 })
--- a/process/formation/plan.go
+++ b/process/formation/plan.go
@@ -43,6 +43,7 @@
 		p.loadBudget = min(p.loadBudget, service.Engine.MaxConcurrentLoads-rc.loadsInProgress())
 	}
 	domains := rc.domains(now, in, service.Name)
+	p.domains = domains
 	for _, d := range domains {
 		p.formGroups(d)
 	}
@@ -163,6 +164,8 @@
 	capacity   map[string]float64
 	// servers lists the table's servers, sorted by id. It doesn't change within a pass.
 	servers []*fleet.Server
+	// domains lists the domains with free servers.
+	domains []*domain
 	// loadBudget is the number of loads that may begin now.
 	loadBudget int
 	orders     []savorywing.FleetOrder
@@ -224,6 +227,12 @@
 	model := p.firstModel(d)
 	if model == nil {
 		model = p.leastAssignedModel()
+	} else if unassigned := p.unassignedModel(); unassigned != nil && !p.hasUnassignedDomain() {
+		// There are fewer domains than models, as far as is known, so that this domain has to serve several.
+		if p.stillDiscovering() {
+			return nil, nil
+		}
+		model = unassigned
 	}
 	if model == nil {
 		return nil, nil
@@ -264,6 +273,32 @@
 	return best
 }
 
+// unassignedModel returns a model without a group, or nil.
+func (p *planning) unassignedModel() *catalogue.Model {
+	assigned := map[string]bool{}
+	for _, g := range p.reconciler.groups {
+		if !g.ending {
+			assigned[g.model] = true
+		}
+	}
+	for i := range p.engine.Models {
+		if m := &p.engine.Models[i]; !assigned[m.Name] {
+			return m
+		}
+	}
+	return nil
+}
+
+// hasUnassignedDomain reports whether a domain has free servers and no group.
+func (p *planning) hasUnassignedDomain() bool {
+	for _, d := range p.domains {
+		if len(d.free) > 0 && len(p.groupsIn(d)) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // stillDiscovering reports whether, at a first start, the newest server was first seen less than discoveryWait ago.
 // Meanwhile a domain's free servers are kept for its model, since the first few would all go to small groups of other
 // models.
--- a/process/formation/rebalance.go
+++ b/process/formation/rebalance.go
@@ -105,24 +105,40 @@
 
 // swaps returns the smallest swap in favour of a model in each domain that has one.
 func (p *planning) swaps(service string, m *catalogue.Model, used map[string]bool) []*swap {
-	byDomain := map[string][]*group{}
+	byDomain, open := map[string][]*group{}, map[string]int{}
 	for _, g := range p.reconciler.sortedGroups() {
 		head := member(p.in, g, 0)
 		if membership := membershipOf(head, g); !g.ending && !used[g.members[0]] && g.model != m.Name && membership != nil && membership.State == fleet.StateOpen {
 			if r := head.Report(); r.Service == service {
 				byDomain[r.Domain] = append(byDomain[r.Domain], g)
+				open[g.model]++
 			}
 		}
 	}
 	var list []*swap
 	for _, name := range sortedNames(byDomain) {
-		if x := p.swapInDomain(name, byDomain[name], m, used); x != nil {
+		if x := p.swapInDomain(name, byDomain[name], m, used); x != nil && leavesOpen(x, open) {
 			list = append(list, x)
 		}
 	}
 	return list
 }
 
+// leavesOpen reports whether every model still has an open group after a swap. open counts the open groups of each
+// model. Without one, the model's callers are rejected until the next group is formed.
+func leavesOpen(x *swap, open map[string]int) bool {
+	taken := map[string]int{}
+	for _, g := range x.groups {
+		taken[g.model]++
+	}
+	for model, n := range taken {
+		if n >= open[model] {
+			return false
+		}
+	}
+	return true
+}
+
 func sortedNames(byDomain map[string][]*group) []string {
 	names := make([]string, 0, len(byDomain))
 	for name := range byDomain {
--- a/process/formation/reconciler_test.go
+++ b/process/formation/reconciler_test.go
@@ -84,6 +84,10 @@
 	lastServer int
 	// demand is the demand for each model, in slots.
 	demand map[string]float64
+	// stepInterval is the time between two steps if it is longer than simStep; lastStep is how long the last one took.
+	stepInterval, lastStep time.Duration
+	// onOrders is called for each order, if it is set.
+	onOrders func(text string)
 	// onJoin is called for each join, if it is set.
 	onJoin func(v *simServer, model string)
 }
@@ -97,12 +101,24 @@
 	s := &sim{t: t, r: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), catalogue: simCatalogue(t), servers: map[string]*simServer{},
 		table: fleet.NewTable(), reconciler: New(Config{}), follower: New(Config{}), term: 1, ready: map[string]bool{}, seed: seed, demand: map[string]float64{"large": 30, "small": 50}}
 	s.started = s.now
-	for d := range 3 {
+	s.addDomains(3)
+	return s
+}
+
+// newSmallSim returns a simulation with fewer domains than models.
+func newSmallSim(t *testing.T, seed uint64) *sim {
+	s := newSim(t, seed)
+	s.servers, s.lastServer = map[string]*simServer{}, 0
+	s.addDomains(1)
+	return s
+}
+
+func (s *sim) addDomains(n int) {
+	for d := range n {
 		for range 10 {
 			s.add(fmt.Sprintf("d%d", d))
 		}
 	}
-	return s
 }
 
 func (s *sim) add(domain string) {
@@ -126,8 +142,9 @@
 	return list
 }
 
-func (s *sim) step() {
-	s.now = s.now.Add(simStep)
+// step advances the time, and returns the number of orders that the leader sends.
+func (s *sim) step() int {
+	s.now = s.now.Add(max(simStep, s.stepInterval))
 	due := s.events
 	s.events = nil
 	for _, e := range due {
@@ -146,10 +163,17 @@
 	if s.served {
 		in.Demand = s.demand
 	}
-	for _, o := range s.reconciler.Step(s.now, in) {
+	start := time.Now()
+	orders := s.reconciler.Step(s.now, in)
+	s.lastStep = time.Since(start)
+	for _, o := range orders {
+		if s.onOrders != nil {
+			s.onOrders(fmt.Sprintln(s.now.Sub(s.started), o))
+		}
 		s.deliver(o)
 	}
 	s.follower.ObserveAsFollower(s.now, in)
+	return len(orders)
 }
 
 // elect changes the leader, either to the follower or to a reconciler that was just created.
@@ -638,3 +662,44 @@
 		})
 	}
 }
+
+// TestOneDomain checks that a single domain serves both models from the first start on, and that a swap in favour of
+// one model never takes the last open group of the other.
+func TestOneDomain(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		demand map[string]float64
+	}{
+		{"small model underprovisioned", map[string]float64{"large": 0.4, "small": 90}},
+		{"large model underprovisioned", map[string]float64{"large": 90, "small": 0.4}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSmallSim(t, 5)
+			s.run(9*time.Second, nil)
+			if got := s.openGroups(); got["large"] == 0 || got["small"] == 0 {
+				t.Fatalf("open groups 9 s after the first start: %v", got)
+			}
+			s.served, s.demand = true, tt.demand
+			s.run(60*time.Second, func() {
+				if got := s.openGroups(); got["large"] == 0 || got["small"] == 0 {
+					t.Fatalf("open groups %v after the start: %v", s.now.Sub(s.started), got)
+				}
+			})
+		})
+	}
+}
+
+// TestSwapKeepsLastGroup checks that the last open group of a model isn't replaced, even if another model has none.
+func TestSwapKeepsLastGroup(t *testing.T) {
+	s := newSmallSim(t, 6)
+	s.run(9*time.Second, nil)
+	s.served, s.demand = true, map[string]float64{"large": 0.4, "small": 90}
+	for _, v := range s.sorted() {
+		v.dead = v.model != "large" || v.group == "" || len(v.members) != 4
+	}
+	s.run(60*time.Second, func() {
+		if got := s.openGroups(); got["large"] == 0 {
+			t.Fatalf("open groups %v after the start: %v", s.now.Sub(s.started), got)
+		}
+	})
+}
