controller: bounded queues by urgency, sums kept by difference, one encoding of an update for all hosts

Cause: the leader recomputed all endpoints, and pushed them to every entry host, after each report of a changed server; it took a planning step after each batch of events; it summed all hosts' loads 50 times a second; and each reply scanned the revisions of all endpoints. In the large deployment its one queue overflowed in the first seconds and it lost its lease.

Change: reports that a server leaves, outcomes and presence have a queue of their own that is handled first; an ordinary report, or an entry host's usage, is replaced by the next one of its server or host while it waits. Steps are at least 25 ms apart. Changed endpoints are kept in a bounded log; only those after which requests would go astray are pushed, encoded once for all hosts that lack the same ones, and the others ride on the next reply. What is dropped is counted and logged every half second; a step longer than a fifth of the election timeout is logged.

Tests: TestTotals and TestEndpointLog compare with sums and lists computed anew, TestMailbox.

--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -29,7 +29,11 @@
 func (c *Controller) HandleReport(ctx context.Context, r wire.Report) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if err := c.submitReport(ctx, r, r.Leaving); err != nil {
+	if !isUrgent(r) {
+		if !c.reports.Put(r.ID, reportEvent{report: r, direct: true}) {
+			return "", fmt.Errorf("Controller.HandleReport: too many reports are waiting: %w", controlapi.ErrNoQuorum)
+		}
+	} else if err := c.submitUrgentReport(ctx, r); err != nil {
 		return "", err
 	}
 	if address := c.leaderControl.Load(); address != nil && *address != c.settings.ControlAddress {
@@ -42,12 +46,13 @@
 func (c *Controller) HandleWithdrawal(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return c.submitReport(ctx, wire.Report{ID: id, Gone: true}, true)
+	return c.submitUrgentReport(ctx, wire.Report{ID: id, Gone: true})
 }
 
-func (c *Controller) submitReport(ctx context.Context, r wire.Report, leaving bool) error {
+// submitUrgentReport returns once this host and the leader have applied a report.
+func (c *Controller) submitUrgentReport(ctx context.Context, r wire.Report) error {
 	done := make(chan struct{})
-	if !c.push(reportsEvent{reports: []wire.Report{r}, direct: !leaving, done: done}) {
+	if !c.push(reportsEvent{reports: []wire.Report{r}, done: done}) {
 		return fmt.Errorf("Controller.takeReport: %w", controlapi.ErrNoQuorum)
 	}
 	select {
@@ -55,9 +60,6 @@
 	case <-ctx.Done():
 		return fmt.Errorf("Controller.takeReport: %w", ctx.Err())
 	}
-	if !leaving {
-		return nil
-	}
 	return c.forwardToLeader(ctx, r)
 }
 
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -27,14 +27,24 @@
 )
 
 const (
-	eventQueueSize = 8192
-	maxEventBatch  = 512
-	workerPoolSize = 512
+	// urgentQueueSize bounds the events that are handled first: orders' outcomes, presence, and reports for which a
+	// server that leaves is waiting.
+	urgentQueueSize = 8192
+	// maxWaitingReports and maxWaitingUsage bound the servers and the entry hosts whose newest report is waiting.
+	maxWaitingReports = 8192
+	maxWaitingUsage   = 2048
+	// maxEventBatch bounds the events of each kind that are handled before the others have their turn.
+	maxEventBatch  = 256
+	workerPoolSize = 1024
 	// electionTimeout is how long a leader may be silent before an election starts. It is longer than a sync of a slow
 	// disk.
 	electionTimeout = 500 * time.Millisecond
-	// stepInterval is how often the leader reconciles groups while no report changes anything.
-	stepInterval = 100 * time.Millisecond
+	// stepInterval is how often the leader reconciles groups while no report changes anything. After a change, it does so
+	// at once, but not before minStepInterval has passed, so that a burst of reports is planned for as a whole.
+	stepInterval    = 100 * time.Millisecond
+	minStepInterval = 25 * time.Millisecond
+	// slowStep is the duration of a step that is logged: a fraction of the election timeout.
+	slowStep = electionTimeout / 5
 	// firstIncarnation is the incarnation of each disk at the first start of a fleet.
 	firstIncarnation = "first"
 )
@@ -47,16 +57,19 @@
 
 // Controller is one control host.
 type Controller struct {
-	settings  *instance.Settings
-	clock     savorywing.Clock
-	log       zerolog.Logger
-	dialect   Dialect
-	pool      *ants.Pool
-	mesh      *peer.Mesh
-	node      *quorum.Node
-	api       *controlapi.Server
-	engines   *engine.Client
-	events    *queue.Queue[event]
+	settings *instance.Settings
+	clock    savorywing.Clock
+	log      zerolog.Logger
+	dialect  Dialect
+	pool     *ants.Pool
+	mesh     *peer.Mesh
+	node     *quorum.Node
+	api      *controlapi.Server
+	engines  *engine.Client
+	urgent   *queue.Queue[event]
+	// reports holds the newest waiting report of each server, usage that of each entry host.
+	reports   *queue.Mailbox[string, reportEvent]
+	usage     *queue.Mailbox[string, wire.Usage]
 	telemetry *telemetry.Telemetry
 	// document is the newest accepted document that this host has decoded.
 	document atomic.Pointer[decodedDocument]
@@ -72,22 +85,28 @@
 	flushAt        time.Time
 	// endpoints holds the endpoints last sent to entry hosts, with the revision at which each one was changed or removed.
 	endpoints endpointLog
-	// pushedRevision is the revision of the table from which the endpoints were last computed.
-	pushedRevision uint64
-	// loadSum is what all entry hosts had in flight at loadSumAt; loadSumEntries is how many of them it includes.
-	loadSum        []wire.EndpointLoad
-	loadSumEntries int
-	loadSumAt      time.Time
-	leading        bool
-	term           uint64
+	// nextPush is when the next changes of endpoints may be pushed to the entry hosts.
+	nextPush time.Time
+	// totals sums what the entry hosts have in flight. packedLoads is its encoding at packedAt, for all replies.
+	totals      *fleet.Totals
+	packedLoads []byte
+	packedAt    time.Time
+	// waiting holds the channels of callers that wait until the entry hosts have been notified.
+	waiting []chan<- struct{}
+	leading bool
+	term    uint64
 	// hasSeenRequests reports whether an entry host has reported a request since this process started.
 	hasSeenRequests bool
 	// demandSince is when this leader first received a report of demand.
 	demandSince time.Time
 	// lastLeader is the ID of the last known leader.
-	lastLeader  string
-	nextStep    time.Time
+	lastLeader string
+	// lastStep is when the last step was taken; changed is set if something that it depends on has changed since.
+	lastStep    time.Time
+	changed     bool
 	nextSummary time.Time
+	// loggedDropped is how many dropped events have been logged.
+	loggedDropped uint64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -110,8 +129,9 @@
 // New returns a control host, which Start runs.
 func New(s *instance.Settings, dialect Dialect, log zerolog.Logger) (*Controller, error) {
 	c := &Controller{
-		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, events: queue.New[event](eventQueueSize),
-		table: fleet.NewTable(), entryHosts: map[string]*entryHostState{}, presence: map[string]peerPresence{},
+		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, urgent: queue.New[event](urgentQueueSize),
+		reports: queue.NewMailbox[string, reportEvent](maxWaitingReports), usage: queue.NewMailbox[string, wire.Usage](maxWaitingUsage),
+		table: fleet.NewTable(), totals: fleet.NewTotals(), endpoints: newEndpointLog(), entryHosts: map[string]*entryHostState{}, presence: map[string]peerPresence{},
 		reconciler: formation.New(reconcilerConfig(s)),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -193,6 +213,9 @@
 		}
 		return 0
 	})
+	c.telemetry.Gauge("reports_replaced", func() float64 { replaced, _ := c.reports.Counts(); return float64(replaced) })
+	c.telemetry.Gauge("usage_replaced", func() float64 { replaced, _ := c.usage.Counts(); return float64(replaced) })
+	c.telemetry.Gauge("events_dropped", func() float64 { return float64(c.dropped()) })
 	c.telemetry.Gauge("log_commit_index", func() float64 { return float64(c.node.Status().CommitIndex) })
 	return nil
 }
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -1,12 +1,12 @@
 package controller
 
 import (
-	"sort"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/quorum"
@@ -28,96 +28,11 @@
 // demandTimeConstant is the time constant of the moving average of the demand that groups are planned for.
 const demandTimeConstant = 4 * time.Second
 
-// endpointLog holds the endpoints with the revision at which each was last changed or removed.
-type endpointLog struct {
-	revision uint64
-	current  map[string]wire.Endpoint
-	changed  map[string]uint64
-	removed  map[string]uint64
-	// handles maps the IDs of all endpoints seen in this leader's term to their handles; a handle is not reused.
-	handles map[string]uint64
-}
-
-// refresh replaces the endpoints and reports whether any was added, changed or removed.
-func (l *endpointLog) refresh(list []wire.Endpoint) bool {
-	if l.current == nil {
-		l.current, l.changed, l.removed = map[string]wire.Endpoint{}, map[string]uint64{}, map[string]uint64{}
-		l.handles = map[string]uint64{}
-	}
-	next := l.revision + 1
-	seen := map[string]bool{}
-	dirty := false
-	for _, e := range list {
-		seen[e.ID] = true
-		if l.handles[e.ID] == 0 {
-			l.handles[e.ID] = uint64(len(l.handles) + 1)
-		}
-		e.Handle = l.handles[e.ID]
-		if old, known := l.current[e.ID]; known && sameEndpoint(old, e) {
-			continue
-		}
-		l.current[e.ID], l.changed[e.ID] = e, next
-		delete(l.removed, e.ID)
-		dirty = true
-	}
-	for id := range l.current {
-		if !seen[id] {
-			delete(l.current, id)
-			delete(l.changed, id)
-			l.removed[id] = next
-			dirty = true
-		}
-	}
-	if dirty {
-		l.revision = next
-	}
-	return dirty
-}
-
-func sameEndpoint(a, b wire.Endpoint) bool {
-	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && a.Model == b.Model && a.Group == b.Group &&
-		a.Epoch == b.Epoch && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Silent == b.Silent && (a.ColdMs > 0) == (b.ColdMs > 0)
-}
-
-// loadsByHandle returns the loads of the endpoints that still exist, with their handles in place of their IDs.
-func (l *endpointLog) loadsByHandle(list []wire.EndpointLoad) []fleet.Load {
-	out := make([]fleet.Load, 0, len(list))
-	for _, e := range list {
-		if _, known := l.current[e.ID]; known {
-			out = append(out, fleet.Load{
-				Handle: l.handles[e.ID], InFlight: e.InFlight, WaitingTokens: e.WaitingTokens, Stalled: e.Stalled, Progressed: e.Moved,
-			})
-		}
-	}
-	return out
-}
-
-// since returns the endpoints that were changed or removed after a revision, sorted by ID.
-func (l *endpointLog) since(revision uint64) (endpoints []wire.Endpoint, removed []string) {
-	for id, at := range l.changed {
-		if at > revision {
-			endpoints = append(endpoints, l.current[id])
-		}
-	}
-	for id, at := range l.removed {
-		if at > revision {
-			removed = append(removed, id)
-		}
-	}
-	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].ID < endpoints[j].ID })
-	sort.Strings(removed)
-	return endpoints, removed
-}
-
-// runLeader performs the leader's periodic work: it reconciles groups, sends orders and updates the entry hosts.
-func (c *Controller) runLeader(now time.Time) {
-	document := c.document.Load()
-	if document == nil || now.Before(c.nextStep) {
-		return
-	}
-	c.nextStep = now.Add(stepInterval)
+// runLeader reconciles groups, sends orders and updates the entry hosts.
+func (c *Controller) runLeader(now time.Time, document *decodedDocument) {
+	c.totals.Expire(now, entryTimeout)
 	in := formation.Input{
-		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(now),
+		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(),
 		FirstStart: c.settings.FirstStart && !c.hasSeenRequests,
 	}
 	for _, o := range c.reconciler.Step(now, in) {
@@ -132,12 +47,7 @@
 
 // observeAsFollower lets a follower derive the groups from reports, so that it knows every group's members
 // when it takes over.
-func (c *Controller) observeAsFollower(now time.Time) {
-	document := c.document.Load()
-	if document == nil || now.Before(c.nextStep) {
-		return
-	}
-	c.nextStep = now.Add(stepInterval)
+func (c *Controller) observeAsFollower(now time.Time, document *decodedDocument) {
 	c.reconciler.ObserveAsFollower(now, formation.Input{Table: c.table, Catalogue: document.catalogue, Term: c.term})
 }
 
@@ -183,49 +93,74 @@
 	}
 }
 
-// pushChanges sends each entry host the changes since its last update.
+// minPushInterval is the minimum time between two pushes of changed endpoints, other than those that a server waits for.
+const minPushInterval = 50 * time.Millisecond
+
+// pushChanges computes the endpoints, and sends the entry hosts what has changed if that is urgent. Any other change is
+// part of the reply to a host's next usage report.
 func (c *Controller) pushChanges(now time.Time) {
-	c.pushedRevision = c.table.Revision()
-	list := c.table.Endpoints(now, c.silentAfter(), c.reconciler.Groups())
-	if !c.endpoints.refresh(list) {
+	if now.Before(c.nextPush) {
+		c.changed = true
 		return
 	}
+	changed, urgent := c.endpoints.refresh(c.table.Endpoints(now, c.silentAfter(), c.reconciler.ModelOf))
+	if !changed || !urgent {
+		return
+	}
+	c.nextPush = now.Add(minPushInterval)
+	// Hosts that lack the same changes are sent the same bytes.
+	encoded := map[uint64]peer.EncodedFrame{}
 	for host, e := range c.entryHosts {
-		if now.Sub(e.lastReportAt) < entryTimeout {
-			c.sendUpdate(host, e, 0)
+		if now.Sub(e.lastReportAt) >= entryTimeout {
+			continue
+		}
+		frame := encoded[e.sentRevision]
+		if frame == nil {
+			var err error
+			if frame, err = peer.Encode(wire.Frame{Fleet: c.changesSince(e.sentRevision)}); err != nil {
+				c.log.Error().Str("event", "updateLost").Err(err).Msg("an update can't be encoded")
+				return
+			}
+			encoded[e.sentRevision] = frame
 		}
+		c.recordSent(host, e, c.mesh.PushEncoded(host, frame))
 	}
 }
 
-// sendUpdate sends an entry host the changes since its last update. echo is the sending time of the usage report
-// that this update responds to, or 0.
-func (c *Controller) sendUpdate(host string, e *entryHostState, echo int64) {
-	u := &wire.FleetUpdate{Term: c.term, Revision: c.endpoints.revision, Echo: echo, Leader: c.settings.PeerAddress()}
-	if e.sentRevision == 0 {
-		u.Full = true
-		u.Controls = c.controlHosts()
-	}
-	u.Endpoints, u.Removed = c.endpoints.since(e.sentRevision)
+// changesSince returns an update with the changes of the endpoints after a revision, or all endpoints if it is 0 or too
+// old.
+func (c *Controller) changesSince(revision uint64) *wire.FleetUpdate {
+	u := &wire.FleetUpdate{Term: c.term, Revision: c.endpoints.revision, Leader: c.settings.PeerAddress()}
+	u.Endpoints, u.Removed, u.Full = c.endpoints.since(revision)
 	if u.Full {
-		u.Removed = nil
+		u.Controls = c.controlHosts()
 	}
 	if d := c.document.Load(); d != nil {
 		u.Version = d.version
-		if echo != 0 && e.usage.Version < d.version {
-			u.Document = d.packed
-		}
-	}
-	if echo != 0 {
-		list, entryHosts := c.loads(c.clock.Now())
-		u.Loads, u.Entries = fleet.PackLoads(c.endpoints.loadsByHandle(list)), entryHosts
 	}
-	if err := c.mesh.Push(host, wire.Frame{Fleet: u}); err != nil {
+	return u
+}
+
+// recordSent records that an entry host was sent the current endpoints, unless sending failed.
+func (c *Controller) recordSent(host string, e *entryHostState, err error) {
+	if err != nil {
 		c.log.Debug().Str("event", "updateLost").Str("entry", host).Err(err).Msg("an update could not be sent")
 		return
 	}
 	e.sentRevision = c.endpoints.revision
 }
 
+// reply answers an entry host's usage report with the changes that it lacks, the newest document and the loads.
+func (c *Controller) reply(host string, e *entryHostState) {
+	u := c.changesSince(e.sentRevision)
+	u.Echo = e.usage.SentAt
+	if d := c.document.Load(); d != nil && e.usage.Version < d.version {
+		u.Document = d.packed
+	}
+	u.Loads, u.Entries = c.loads(c.clock.Now()), c.totals.Hosts()
+	c.recordSent(host, e, c.mesh.Push(host, wire.Frame{Fleet: u}))
+}
+
 // handleUsage applies an entry host's usage report. While this host holds the lease, it responds with an update, which
 // confirms the newest state.
 func (c *Controller) handleUsage(host string, u wire.Usage) {
@@ -248,6 +183,7 @@
 	}
 	e.updateDemand(now, u)
 	e.usage, e.lastReportAt = u, now
+	c.totals.Set(now, host, u.Loads)
 	e.sentRevision = u.Revision
 	if u.Term != c.term || u.Revision > c.endpoints.revision {
 		e.sentRevision = 0
@@ -263,7 +199,7 @@
 	}
 	// The lease is checked after everything that the update contains has been read.
 	if c.node.HasLease() {
-		c.sendUpdate(host, e, u.SentAt)
+		c.reply(host, e)
 	}
 }
 
@@ -278,7 +214,8 @@
 		}
 	}
 	if changed {
-		c.nextStep = time.Time{}
+		c.changed = true
+		c.nextPush = time.Time{}
 		c.pushChanges(c.clock.Now())
 	}
 }
@@ -323,56 +260,24 @@
 	return out
 }
 
-// maxLoadSumAge is how long the sum of the entry hosts' loads is reused. It is well below the interval between two
-// usage reports of one host. Without reuse, the sum over n hosts would be computed anew for each response to one of them.
-const maxLoadSumAge = 20 * time.Millisecond
-
-// loads returns the sum of what the entry hosts have in flight, and the number of entry hosts in it.
-func (c *Controller) loads(now time.Time) ([]wire.EndpointLoad, int) {
-	if c.loadSumAt.IsZero() || now.Sub(c.loadSumAt) >= maxLoadSumAge {
-		c.loadSum, c.loadSumEntries = c.sumLoads(now)
-		c.loadSumAt = now
-	}
-	return c.loadSum, c.loadSumEntries
-}
+// maxLoadAge is how long the encoded loads are reused. It is well below the interval between two usage reports of one
+// host.
+const maxLoadAge = 20 * time.Millisecond
 
-func (c *Controller) sumLoads(now time.Time) ([]wire.EndpointLoad, int) {
-	total := map[string]*wire.EndpointLoad{}
-	entryHosts := 0
-	for _, e := range c.entryHosts {
-		if now.Sub(e.lastReportAt) > entryTimeout {
-			continue
-		}
-		entryHosts++
-		for _, l := range e.usage.Loads {
-			sum := total[l.ID]
-			if sum == nil {
-				sum = &wire.EndpointLoad{ID: l.ID}
-				total[l.ID] = sum
-			}
-			sum.InFlight += l.InFlight
-			sum.WaitingTokens += l.WaitingTokens
-			sum.Stalled = sum.Stalled || l.Stalled
-			sum.Moved = sum.Moved || l.Moved
-		}
-	}
-	list := make([]wire.EndpointLoad, 0, len(total))
-	for _, sum := range total {
-		// A host whose requests all wait for a slot may see no progress where another host does.
-		sum.Stalled = sum.Stalled && !sum.Moved
-		list = append(list, *sum)
+// loads returns the encoded sum of what the entry hosts have in flight.
+func (c *Controller) loads(now time.Time) []byte {
+	if c.packedAt.IsZero() || now.Sub(c.packedAt) >= maxLoadAge {
+		c.packedLoads, c.packedAt = fleet.PackLoads(c.endpoints.loadsByHandle(c.totals)), now
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list, entryHosts
+	return c.packedLoads
 }
 
 // progress reports for each endpoint with requests in flight whether at least one of these requests makes progress.
-func (c *Controller) progress(now time.Time) map[string]bool {
+func (c *Controller) progress() map[string]bool {
 	out := map[string]bool{}
-	list, _ := c.loads(now)
-	for _, l := range list {
+	for id, l := range c.totals.Loads {
 		if l.InFlight > 0 {
-			out[l.ID] = !l.Stalled
+			out[id] = !l.Stalled
 		}
 	}
 	return out
--- a/process/controller/frames.go
+++ b/process/controller/frames.go
@@ -11,16 +11,11 @@
 type event interface{ isEvent() }
 
 type (
-	// reportsEvent carries reports; done, if not nil, is closed once they have been applied.
+	// reportsEvent carries reports; done, if not nil, is closed once they have been applied, and, on the leader, the entry
+	// hosts have been notified.
 	reportsEvent struct {
 		reports []wire.Report
-		// direct reports whether a backend server sent the reports to this host.
-		direct bool
-		done   chan<- struct{}
-	}
-	usageEvent struct {
-		from  string
-		usage wire.Usage
+		done    chan<- struct{}
 	}
 	presenceEvent struct {
 		from     string
@@ -34,8 +29,14 @@
 	}
 )
 
+// reportEvent is one report that nobody waits for.
+type reportEvent struct {
+	report wire.Report
+	// direct reports whether the backend server sent the report to this host.
+	direct bool
+}
+
 func (reportsEvent) isEvent()  {}
-func (usageEvent) isEvent()    {}
 func (presenceEvent) isEvent() {}
 func (outcomeEvent) isEvent()  {}
 
@@ -50,23 +51,32 @@
 	if len(frame.Raft) > 0 {
 		c.node.Step(frame.Raft)
 	}
-	if len(frame.Reports) > 0 {
-		c.push(reportsEvent{reports: frame.Reports})
+	for _, r := range frame.Reports {
+		if isUrgent(r) {
+			c.push(reportsEvent{reports: []wire.Report{r}})
+			continue
+		}
+		c.reports.Put(r.ID, reportEvent{report: r})
 	}
 	if frame.Usage != nil {
-		c.push(usageEvent{from: from, usage: *frame.Usage})
+		c.usage.Put(from, *frame.Usage)
 	}
 	if frame.Presence != nil {
 		c.push(presenceEvent{from: from, presence: *frame.Presence})
 	}
 }
 
-func (c *Controller) push(e event) bool {
-	if c.events.Push(e) {
-		return true
-	}
-	c.log.Warn().Str("event", "ringFull").Uint64("refused", c.events.Rejected()).Msg("the event queue is full; dropped an event")
-	return false
+// isUrgent reports whether a report says that its server stops. Such a report must not be replaced by another one, and
+// doesn't wait behind those of other servers.
+func isUrgent(r wire.Report) bool { return r.Leaving || r.Gone }
+
+func (c *Controller) push(e event) bool { return c.urgent.Push(e) }
+
+// dropped returns how many events found no room in a queue.
+func (c *Controller) dropped() uint64 {
+	_, reports := c.reports.Counts()
+	_, usage := c.usage.Counts()
+	return c.urgent.Rejected() + reports + usage
 }
 
 // HandleCall answers proposals to the log, and reports whose sender waits until they have been applied.
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
@@ -19,7 +21,8 @@
 	replaceVoterAfter = 2 * time.Second
 )
 
-// run is the controller's event loop; it owns the state that needs no lock.
+// run is the controller's event loop; it owns the state that needs no lock. Urgent events come first, then a bounded
+// number of the others, so that none waits behind a burst of another kind.
 func (c *Controller) run() {
 	timer := time.NewTimer(stepInterval)
 	defer timer.Stop()
@@ -28,25 +31,81 @@
 		select {
 		case <-c.ctx.Done():
 			return
-		case first := <-c.events.Out():
-			for _, e := range c.events.Drain(first, maxEventBatch) {
-				c.handle(e)
-			}
+		case first := <-c.urgent.Out():
+			c.handleUrgent(first)
+		case <-c.reports.Ready():
+		case <-c.usage.Ready():
 		case <-timer.C:
-			timer.Reset(stepInterval)
 		}
+		select {
+		case first := <-c.urgent.Out():
+			c.handleUrgent(first)
+		default:
+		}
+		c.handleReports()
+		c.handleWaitingUsage()
 		now := c.clock.Now()
 		c.updateLeadership(now)
+		c.notifyWaiting(now)
 		if !now.Before(nextPresence) {
 			nextPresence = now.Add(presenceInterval)
 			c.sendPresence(now)
+			c.logDropped()
 		}
-		if c.leading {
-			c.runLeader(now)
-		} else {
-			c.observeAsFollower(now)
-		}
+		c.step(now)
 		c.flushReports(now)
+		timer.Reset(c.untilNextStep(c.clock.Now()))
+	}
+}
+
+// step takes the next step if it is due: as leader it reconciles groups, otherwise it observes them.
+func (c *Controller) step(now time.Time) {
+	document := c.document.Load()
+	if document == nil || c.untilNextStep(now) > 0 {
+		return
+	}
+	c.lastStep, c.changed = now, false
+	if !c.leading {
+		c.observeAsFollower(now, document)
+		return
+	}
+	c.runLeader(now, document)
+	took := c.clock.Now().Sub(now)
+	c.telemetry.Observe("step", "role", "leader", took)
+	if took > slowStep {
+		c.log.Warn().Str("event", "slowStep").Dur("took", took).Dur("electionTimeout", electionTimeout).Msg("a planning step took so long that leadership may be lost")
+	}
+}
+
+// untilNextStep returns the time until the next step is due.
+func (c *Controller) untilNextStep(now time.Time) time.Duration {
+	interval := stepInterval
+	if c.changed {
+		interval = minStepInterval
+	}
+	return max(0, c.lastStep.Add(interval).Sub(now))
+}
+
+// handleUrgent handles an urgent event and those that wait behind it.
+func (c *Controller) handleUrgent(first event) {
+	for _, e := range c.urgent.Drain(first, maxEventBatch) {
+		c.handle(e)
+	}
+}
+
+// handleReports applies waiting reports.
+func (c *Controller) handleReports() {
+	_, events := c.reports.Take(maxEventBatch)
+	for _, e := range events {
+		c.applyReport(e.report, e.direct)
+	}
+}
+
+// handleWaitingUsage answers waiting usage reports.
+func (c *Controller) handleWaitingUsage() {
+	hosts, reports := c.usage.Take(maxEventBatch)
+	for i, host := range hosts {
+		c.handleUsage(host, reports[i])
 	}
 }
 
@@ -54,17 +113,11 @@
 	switch e := e.(type) {
 	case reportsEvent:
 		for _, r := range e.reports {
-			c.applyReport(r, e.direct)
-		}
-		// The entry hosts are notified before the report is acknowledged.
-		if c.leading && e.done != nil && c.table.Revision() != c.pushedRevision {
-			c.pushChanges(c.clock.Now())
+			c.applyReport(r, false)
 		}
 		if e.done != nil {
-			close(e.done)
+			c.waiting = append(c.waiting, e.done)
 		}
-	case usageEvent:
-		c.handleUsage(e.from, e.usage)
 	case presenceEvent:
 		c.handlePresence(e.from, e.presence)
 	case outcomeEvent:
@@ -73,8 +126,33 @@
 		c.telemetry.Count("orders", "outcome", e.order.Action.String()+"/"+e.outcome.String())
 		c.reconciler.RecordOutcome(c.clock.Now(), e.order, e.outcome)
 		c.applyLeaving(e.leaving)
-		c.nextStep = time.Time{}
+		c.changed = true
+	}
+}
+
+// notifyWaiting tells the entry hosts of changed endpoints and then the callers that wait for it.
+func (c *Controller) notifyWaiting(now time.Time) {
+	if len(c.waiting) == 0 {
+		return
 	}
+	if c.leading {
+		c.nextPush = time.Time{}
+		c.pushChanges(now)
+	}
+	for _, done := range c.waiting {
+		close(done)
+	}
+	c.waiting = nil
+}
+
+// logDropped logs that events have been dropped since it was last called.
+func (c *Controller) logDropped() {
+	dropped := c.dropped()
+	if dropped == c.loggedDropped {
+		return
+	}
+	c.log.Warn().Str("event", "eventsDropped").Uint64("dropped", dropped-c.loggedDropped).Msg("queues were full; dropped events")
+	c.loggedDropped = dropped
 }
 
 // applyReport applies one report and forwards it if it came directly from the backend server.
@@ -83,7 +161,7 @@
 	if r.Gone && r.Service == "" {
 		if c.table.Withdraw(now, r.ID) {
 			c.log.Info().Str("event", "serverWithdrawn").Str("server", r.ID).Msg("a backend server deregistered")
-			c.nextStep = time.Time{}
+			c.changed = true
 			c.pendingReports, c.flushAt = append(c.pendingReports, r), now
 		}
 		return
@@ -96,7 +174,7 @@
 	}
 	if changed {
 		c.logServer(r)
-		c.nextStep = time.Time{}
+		c.changed = true
 	}
 	if !direct {
 		return
@@ -123,9 +201,16 @@
 	if len(c.pendingReports) == 0 || now.Before(c.flushAt) {
 		return
 	}
+	encoded, err := peer.Encode(wire.Frame{Reports: c.pendingReports})
+	if err != nil {
+		c.log.Error().Str("event", "reportsUnsent").Err(err).Msg("reports can't be encoded")
+	}
 	for _, host := range c.mesh.Hosts() {
+		if err != nil {
+			break
+		}
 		// An unreachable control host is sent the next report.
-		_ = c.mesh.Send(host, wire.Frame{Reports: c.pendingReports})
+		_ = c.mesh.SendEncoded(host, encoded)
 	}
 	c.pendingReports, c.flushAt = nil, time.Time{}
 }
@@ -138,8 +223,8 @@
 		c.log.Info().Str("event", "leadership").Bool("leading", leading).Uint64("term", status.Term).Str("leader", status.Leader).Msg("leadership changed")
 		c.leading, c.term = leading, status.Term
 		if leading {
-			c.endpoints = endpointLog{}
-			c.entryHosts, c.demandSince, c.loadSumAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
+			c.endpoints, c.totals = newEndpointLog(), fleet.NewTotals()
+			c.entryHosts, c.demandSince, c.packedAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
 		}
 	}
 	if status.Leader != c.lastLeader {
@@ -199,5 +284,5 @@
 	}
 	c.document.Store(&decodedDocument{version: p.Version, packed: p.Document, catalogue: catalogue})
 	c.log.Info().Str("event", "documentInForce").Uint64("version", p.Version).Msg("a new document is in force")
-	c.nextStep = time.Time{}
+	c.changed = true
 }
--- a/process/formation/reconciler.go
+++ b/process/formation/reconciler.go
@@ -263,14 +263,14 @@
 	rc.orders[o.Server] = &pendingOrder{order: o, sentAt: now}
 }
 
-// Groups returns all known groups by name, also incomplete ones. Only a group whose head reports open is known to be
-// complete: each of its members has been ready once.
-func (rc *Reconciler) Groups() map[string]fleet.GroupInfo {
-	out := map[string]fleet.GroupInfo{}
-	for _, g := range rc.groups {
-		out[g.name] = fleet.GroupInfo{Model: g.model}
+// ModelOf returns the model of a known group, which may be incomplete. Only a group whose head reports open is known to
+// be complete: each of its members has been ready once.
+func (rc *Reconciler) ModelOf(name string) (model string, known bool) {
+	g := rc.groups[name]
+	if g == nil {
+		return "", false
 	}
-	return out
+	return g.model, true
 }
 
 // isLost reports whether a server is unavailable: unknown, dead, withdrawn, or without a report within
