gateway: nothing is handled by a document that isn't confirmed as the newest; an unsent attempt is proof

An attempt that the stall watch cancelled while it still dialled counted as one that may have run, so its caller got a 502 although no byte had been sent.

Change: beyond the propagation bound every request is rejected with 503 and a time to retry; a rejection of an unknown route or key is thereby always one by a confirmed document. An attempt of which nothing was sent never counts as run.

--- a/cmd/savorywing/fleet_test.go
+++ b/cmd/savorywing/fleet_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"savorywing.example/savorywing"
 	standin "savorywing.example/savorywing/standin/fleet"
 	"savorywing.example/savorywing/version/catalogue"
 )
@@ -259,3 +261,37 @@
 	f.entries[0].Stop()
 	callers.Wait()
 }
+
+// TestFleetDocumentUnconfirmed kills every control host at a random moment. An entry host can't know then whether a newer
+// document is in force, so it may go on serving by the one it has only until the propagation bound has passed.
+func TestFleetDocumentUnconfirmed(t *testing.T) {
+	f := newFleetEnv(t, 3, 1, 10)
+	f.waitServing()
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	time.Sleep(time.Duration(rand.New(rand.NewPCG(seed, seed)).IntN(500)) * time.Millisecond)
+	for _, c := range f.controls {
+		c.Kill()
+		f.stopped[c] = true
+	}
+	lost := time.Now()
+	bound := time.Duration(f.settings(savorywing.RoleEntry, f.entryIP(0), true).ConfigPropagationMs) * time.Millisecond
+	served := 0
+	for time.Since(lost) < bound+2*time.Second {
+		sentAt := time.Now()
+		r := f.send(0, "/book/x", "", fleetKey, nil)
+		if r.status != fasthttp.StatusOK {
+			continue
+		}
+		served++
+		if late := sentAt.Sub(lost) - bound; late > 0 {
+			t.Fatalf("%s was served by an unconfirmed document %v after the bound", r.requestID, late)
+		}
+	}
+	if served == 0 {
+		t.Error("nothing was served within the bound")
+	}
+	if r := f.send(0, "/nothing/x", "", fleetKey, nil); r.status != fasthttp.StatusServiceUnavailable {
+		t.Errorf("status %d for a route that a newer document may have, want 503", r.status)
+	}
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -271,7 +271,8 @@
 	if errors.Is(err, engine.ErrWithheld) {
 		return outcomeUnsent, placement.Shed
 	}
-	if errors.Is(err, engine.ErrNotSent) && !stalled {
+	if errors.Is(err, engine.ErrNotSent) {
+		// This is proof that the request hasn't run, also if the attempt was cancelled while it dialled.
 		g.engines.CloseIdle(d.Address)
 		return outcomeUnsent, placement.Unreachable
 	}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -63,7 +63,7 @@
 	if r.caller.Timeout > 0 {
 		r.waitUntil = x.Arrival().Add(min(maxUpdateWait, time.Duration(updateWaitFraction*float64(r.caller.Timeout))))
 	}
-	for g.lacksUpdate(r) && r.waitForChange(ctx) {
+	for g.lacksUpdate() && r.waitForChange(ctx) {
 		continue
 	}
 	if ctx.Err() != nil || !r.admit() {
@@ -101,13 +101,10 @@
 	}
 }
 
-// lacksUpdate reports whether the host lacks an update of the leader that the request needs.
-func (g *Gateway) lacksUpdate(r *callerRequest) bool {
+// lacksUpdate reports whether the host lacks an update of the leader without which it handles no request.
+func (g *Gateway) lacksUpdate() bool {
 	c := g.catalogue.Load()
-	if c == nil {
-		return true
-	}
-	return c.RequiresKey() && r.caller.APIKey != "" && g.subscription.confirmationAge() > instance.Milliseconds(g.settings().KeyRevocationMs)
+	return c == nil || g.unconfirmed(c, g.subscription.confirmationAge()) != ""
 }
 
 func (g *Gateway) writeReadiness(x *ingress.Exchange) {
@@ -144,6 +141,19 @@
 	}})
 }
 
+// unconfirmed returns the reason for which requests can't be handled by a document that was last confirmed as the newest
+// an age ago, or an empty string. A newer one may have changed any route or key since.
+func (g *Gateway) unconfirmed(c *catalogue.Catalogue, age time.Duration) string {
+	s := g.settings()
+	switch {
+	case c.RequiresKey() && age > instance.Milliseconds(s.KeyRevocationMs):
+		return "keysUnconfirmed"
+	case age > instance.Milliseconds(s.ConfigPropagationMs):
+		return "documentUnconfirmed"
+	}
+	return ""
+}
+
 // admit finds the request's route and organisation, and rejects the request if there is none.
 func (r *callerRequest) admit() bool {
 	g := r.gateway
@@ -153,22 +163,20 @@
 		r.refuse(fasthttp.StatusServiceUnavailable, "noDocument", jitteredRetryAfter())
 		return false
 	}
-	// A permanent rejection is only correct while the document is confirmed as the newest.
-	unconfirmed := age > instance.Milliseconds(g.settings().ConfigPropagationMs)
+	if reason := g.unconfirmed(c, age); reason != "" {
+		r.refuse(fasthttp.StatusServiceUnavailable, reason, jitteredRetryAfter())
+		return false
+	}
 	uri := httpRequest(r).URI()
 	r.route = c.Route(string(httpRequest(r).Header.Host()), string(uri.PathOriginal()))
 	if r.route == nil {
-		r.refusePermanently(unconfirmed, fasthttp.StatusNotFound, "noRoute")
+		r.refuse(fasthttp.StatusNotFound, "noRoute", 0)
 		return false
 	}
 	if c.RequiresKey() && !r.route.Public {
-		if age > instance.Milliseconds(g.settings().KeyRevocationMs) {
-			r.refuse(fasthttp.StatusServiceUnavailable, "keysUnconfirmed", jitteredRetryAfter())
-			return false
-		}
 		o := c.Organisation(r.caller.APIKey)
 		if o == nil {
-			r.refusePermanently(unconfirmed, fasthttp.StatusUnauthorized, "unknownKey")
+			r.refuse(fasthttp.StatusUnauthorized, "unknownKey", 0)
 			return false
 		}
 		r.organisation = o.Name
@@ -190,14 +198,6 @@
 
 func httpRequest(r *callerRequest) *fasthttp.Request { return &r.exchange.Request }
 
-func (r *callerRequest) refusePermanently(unconfirmed bool, status int, reason string) {
-	if unconfirmed {
-		r.refuse(fasthttp.StatusServiceUnavailable, reason+"Unconfirmed", jitteredRetryAfter())
-		return
-	}
-	r.refuse(status, reason, 0)
-}
-
 const (
 	// priorityLevels is the number of priorities that backend servers distinguish.
 	priorityLevels = 10
