placement: the fastest peer is found once a choice, not once an endpoint

Cause: comparing all endpoints of a pool looked for the fastest of them anew for each: the square of the pool. Measured by BenchmarkPick, before and after: 30 endpoints 4.8 and 3.9 us, 140: 47 and 15 us, 500: 368 and 59 us.

--- a/process/placement/balancer_test.go
+++ b/process/placement/balancer_test.go
@@ -294,3 +294,21 @@
 		t.Errorf("placement: %d in time, %d late; at random: %d, %d", placed.inTime, placed.late, random.inTime, random.late)
 	}
 }
+
+// BenchmarkPick measures a placement that compares all endpoints of a pool, as when the one that was drawn is full.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{30, 140, 500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			balancer, now := newBalancer(n), time.Unix(1000, 0)
+			for id, e := range balancer.byID {
+				e.gap = time.Duration(20+len(id)) * time.Millisecond
+			}
+			req := chatRequest()
+			req.Objective, req.Retry = time.Millisecond, true
+			req.Remaining = time.Microsecond
+			for b.Loop() {
+				balancer.Pick(now, req)
+			}
+		})
+	}
+}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -137,9 +137,10 @@
 
 // evaluate scores an endpoint for a request. Engines are compared by the predicted time to the first event, plain
 // servers by their relative load.
-func (b *Balancer) evaluate(e *endpoint, peers []*endpoint, req Request) scoredEndpoint {
+// fastest is the shortest mean time between events at any of its peers.
+func (b *Balancer) evaluate(e *endpoint, fastest time.Duration, req Request) scoredEndpoint {
 	slow := 1.0
-	if s := slowness(e, peers); s > slowFactor {
+	if s := slowness(e, fastest); s > slowFactor {
 		slow = s
 	}
 	s := scoredEndpoint{endpoint: e, score: b.score(e, slow)}
@@ -214,13 +215,14 @@
 const choices = 3
 
 func (b *Balancer) choose(list []*endpoint, req Request) scoredEndpoint {
+	fastest := fastestGap(list)
 	if req.Engine != nil {
-		return b.evaluate(b.draw(list, req), list, req)
+		return b.evaluate(b.draw(list, req), fastest, req)
 	}
 	var best scoredEndpoint
 	for range min(choices, len(list)) {
 		e := list[b.random.IntN(len(list))]
-		if s := b.evaluate(e, list, req); best.endpoint == nil || s.score < best.score {
+		if s := b.evaluate(e, fastest, req); best.endpoint == nil || s.score < best.score {
 			best = s
 		}
 	}
@@ -228,9 +230,10 @@
 }
 
 func (b *Balancer) best(list []*endpoint, req Request) scoredEndpoint {
+	fastest := fastestGap(list)
 	var best scoredEndpoint
 	for _, e := range list {
-		if s := b.evaluate(e, list, req); best.endpoint == nil || s.score < best.score {
+		if s := b.evaluate(e, fastest, req); best.endpoint == nil || s.score < best.score {
 			best = s
 		}
 	}
@@ -250,18 +253,23 @@
 	return score
 }
 
+// fastestGap returns the shortest mean time between events at any of the endpoints, or 0 if none is known.
+func fastestGap(list []*endpoint) time.Duration {
+	fastest := time.Duration(0)
+	for _, e := range list {
+		if e.gap > 0 && (fastest == 0 || e.gap < fastest) {
+			fastest = e.gap
+		}
+	}
+	return fastest
+}
+
 // slowness returns the endpoint's mean time between events, divided by that of the fastest peer.
-func slowness(e *endpoint, peers []*endpoint) float64 {
-	if e.gap == 0 {
+func slowness(e *endpoint, fastest time.Duration) float64 {
+	if e.gap == 0 || fastest == 0 {
 		return 1
 	}
-	fastest := e.gap
-	for _, p := range peers {
-		if p.gap > 0 && p.gap < fastest {
-			fastest = p.gap
-		}
-	}
-	return float64(e.gap) / float64(fastest)
+	return float64(e.gap) / float64(min(fastest, e.gap))
 }
 
 // waitAt predicts how long a request waits for a slot of the endpoint.
