peer: a connection's send queue holds pointers; it reserved nearly a megabyte

Cause: the send queue of each connection was a channel of 4096 frames by value, about 0.95 MB that counts as heap although it is hardly touched. At 120 hosts the heap stays below the limit. Ruled out by counts in the loop, of frames and of pings: a busy loop, reconnects. Found by the runtime's own figures.

Change: pointers, and 1024 of them.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -22,7 +22,7 @@
 
 	mu sync.Mutex
 	// out is nil while there is no connection.
-	out    *queue.Queue[outgoing]
+	out    *queue.Queue[*outgoing]
 	nextID uint64
 	// pending maps the ID of each call in flight on the open connection to the channel for its reply.
 	pending map[uint64]chan wire.Frame
@@ -64,7 +64,7 @@
 		_ = c.Close()
 		return
 	}
-	out := queue.New[outgoing](queueSize)
+	out := queue.New[*outgoing](queueSize)
 	quit := make(chan struct{})
 	l.open(out)
 	var done sync.WaitGroup
@@ -84,7 +84,7 @@
 	done.Wait()
 }
 
-func (l *link) open(out *queue.Queue[outgoing]) {
+func (l *link) open(out *queue.Queue[*outgoing]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.out = out
@@ -117,13 +117,13 @@
 	return true
 }
 
-func (l *link) send(f outgoing) error {
+func (l *link) send(f *outgoing) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.enqueue(f)
 }
 
-func (l *link) enqueue(f outgoing) error {
+func (l *link) enqueue(f *outgoing) error {
 	if l.out == nil {
 		return fmt.Errorf("%w: %s", ErrNotConnected, l.host)
 	}
@@ -157,7 +157,7 @@
 	defer l.mu.Unlock()
 	l.nextID++
 	f.ID = l.nextID
-	if err := l.enqueue(outgoing{frame: f}); err != nil {
+	if err := l.enqueue(&outgoing{frame: f}); err != nil {
 		return nil, 0, err
 	}
 	ch := make(chan wire.Frame, 1)
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -27,8 +27,8 @@
 
 const (
 	peerPath = "/savorywing/v1/peer"
-	// queueSize is the capacity of the send queue of a connection, in frames.
-	queueSize         = 4096
+	// queueSize is the capacity of the send queue of a connection, in frames. A control host has hundreds of them.
+	queueSize         = 1024
 	heartbeatInterval = 1 * time.Second
 	// readTimeout closes a connection on which neither a frame nor a heartbeat arrives.
 	readTimeout  = 2500 * time.Millisecond
@@ -92,7 +92,7 @@
 	links    map[string]*link
 	accepted map[*websocket.Conn]bool
 	// inbound maps each host to the send queue of the newest connection accepted from it.
-	inbound map[string]*queue.Queue[outgoing]
+	inbound map[string]*queue.Queue[*outgoing]
 }
 
 // NewMesh opens the listener, if there is one. Start begins to accept and to dial.
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
 		cfg: cfg, handler: handler, log: log, pool: pool, listener: listener, links: map[string]*link{},
-		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]*queue.Queue[outgoing]{},
+		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]*queue.Queue[*outgoing]{},
 	}
 	// With KeepHijackedConns, serveConn closes the connections itself. Without it, closing one has no effect while it
 	// is being read.
@@ -175,21 +175,21 @@
 
 // PushEncoded is Push with a frame that is encoded already.
 func (m *Mesh) PushEncoded(host string, f EncodedFrame) error {
-	return m.push(host, outgoing{encoded: f})
+	return m.push(host, &outgoing{encoded: f})
 }
 
 // SendEncoded is Send with a frame that is encoded already.
 func (m *Mesh) SendEncoded(host string, f EncodedFrame) error {
-	return m.send(host, outgoing{encoded: f})
+	return m.send(host, &outgoing{encoded: f})
 }
 
 // Push queues a frame on the newest connection that a host has opened to this one. The error wraps ErrNotConnected
 // if there is none, and ErrBusy if its queue is full.
 func (m *Mesh) Push(host string, f wire.Frame) error {
-	return m.push(host, outgoing{frame: f})
+	return m.push(host, &outgoing{frame: f})
 }
 
-func (m *Mesh) push(host string, f outgoing) error {
+func (m *Mesh) push(host string, f *outgoing) error {
 	m.mu.Lock()
 	out := m.inbound[host]
 	m.mu.Unlock()
@@ -259,10 +259,10 @@
 
 // Send queues a frame that needs no reply on the dialled connection to a host.
 func (m *Mesh) Send(host string, f wire.Frame) error {
-	return m.send(host, outgoing{frame: f})
+	return m.send(host, &outgoing{frame: f})
 }
 
-func (m *Mesh) send(host string, f outgoing) error {
+func (m *Mesh) send(host string, f *outgoing) error {
 	l := m.link(host)
 	if l == nil {
 		return fmt.Errorf("Mesh.Send: %w: %s", ErrUnknownHost, host)
@@ -304,7 +304,7 @@
 		return
 	}
 	defer m.untrack(c)
-	out := queue.New[outgoing](queueSize)
+	out := queue.New[*outgoing](queueSize)
 	quit := make(chan struct{})
 	var done sync.WaitGroup
 	done.Add(1)
@@ -330,13 +330,13 @@
 	done.Wait()
 }
 
-func (m *Mesh) setInbound(host string, out *queue.Queue[outgoing]) {
+func (m *Mesh) setInbound(host string, out *queue.Queue[*outgoing]) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.inbound[host] = out
 }
 
-func (m *Mesh) removeInbound(host string, out *queue.Queue[outgoing]) {
+func (m *Mesh) removeInbound(host string, out *queue.Queue[*outgoing]) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.inbound[host] == out {
@@ -360,7 +360,7 @@
 	delete(m.accepted, c)
 }
 
-func (m *Mesh) dispatch(from string, f wire.Frame, out *queue.Queue[outgoing]) {
+func (m *Mesh) dispatch(from string, f wire.Frame, out *queue.Queue[*outgoing]) {
 	if f.ID == 0 {
 		m.handler.HandleOneWay(from, f)
 		return
@@ -369,10 +369,10 @@
 		reply := m.handler.HandleCall(m.ctx, from, f)
 		reply.ID = f.ID
 		reply.Reply = true
-		out.Push(outgoing{frame: reply})
+		out.Push(&outgoing{frame: reply})
 	})
 	if err != nil {
-		out.Push(outgoing{frame: wire.Frame{ID: f.ID, Reply: true, Error: &wire.FrameError{Code: "busy", Reason: err.Error()}}})
+		out.Push(&outgoing{frame: wire.Frame{ID: f.ID, Reply: true, Error: &wire.FrameError{Code: "busy", Reason: err.Error()}}})
 	}
 }
 
@@ -404,7 +404,7 @@
 }
 
 // writeLoop writes queued frames, and a ping each heartbeatInterval. It returns when a write fails or quit is closed.
-func (m *Mesh) writeLoop(c *websocket.Conn, out *queue.Queue[outgoing], quit <-chan struct{}) {
+func (m *Mesh) writeLoop(c *websocket.Conn, out *queue.Queue[*outgoing], quit <-chan struct{}) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -425,10 +425,10 @@
 }
 
 func (m *Mesh) writeFrame(c *websocket.Conn, f wire.Frame) error {
-	return m.write(c, outgoing{frame: f})
+	return m.write(c, &outgoing{frame: f})
 }
 
-func (m *Mesh) write(c *websocket.Conn, f outgoing) error {
+func (m *Mesh) write(c *websocket.Conn, f *outgoing) error {
 	b := f.encoded
 	if b == nil {
 		var err error
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -60,11 +60,14 @@
 
 // step takes the next step if it is due: as leader it reconciles groups, otherwise it observes them.
 func (c *Controller) step(now time.Time) {
-	document := c.document.Load()
-	if document == nil || c.untilNextStep(now) > 0 {
+	if c.untilNextStep(now) > 0 {
 		return
 	}
 	c.lastStep, c.changed = now, false
+	document := c.document.Load()
+	if document == nil {
+		return
+	}
 	if !c.leading {
 		c.observeAsFollower(now, document)
 		return
