--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -17,7 +17,7 @@
 	// usageInterval is the time between two reports of this host's requests to the leader, which answers each with
 	// the load of all entry hosts. The interval grows by usageIntervalPerHost with each entry host, so that the
 	// leader's work grows more slowly than their number.
-	usageInterval        = 100 * time.Millisecond
+	usageInterval        = 40 * time.Millisecond
 	usageIntervalPerHost = 1 * time.Millisecond
 	// idleUsageInterval is the minimum interval while nothing is in flight here.
 	idleUsageInterval = 400 * time.Millisecond
