controller: a new leader computes the endpoints before it answers any entry host

Cause: an entry host reports as soon as it hears of a new leader, and was answered by a list of endpoints that the leader's first step, up to 0.1 s later, had yet to fill: a full update without endpoints. The host forgot all of them and rejected everything as noEndpoint until its next report.

Change: the endpoints are computed when leadership begins.

TestFleetLeaderLost fails 3 of 3 times without the change and passes 3 of 3 with it.

--- a/cmd/savorywing/fleet_test.go
+++ b/cmd/savorywing/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/controller"
 	standin "savorywing.example/savorywing/standin/fleet"
 	"savorywing.example/savorywing/version/catalogue"
 )
@@ -295,3 +296,50 @@
 		t.Errorf("status %d for a route that a newer document may have, want 503", r.status)
 	}
 }
+
+// TestFleetLeaderLost kills the leader of the control hosts while callers send requests. The next leader knows the
+// endpoints from the reports that it has received as a follower, so no entry host may forget any of them.
+func TestFleetLeaderLost(t *testing.T) {
+	f := newFleetEnv(t, 3, 3, 20)
+	f.waitServing()
+	// Soon after its start, an entry host lets requests wait for state that it lacks.
+	time.Sleep(4 * time.Second)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for n := range 6 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(2 * time.Millisecond):
+				}
+				if r := f.send(n%3, "/book/look/x", "", fleetKey, nil); strings.Contains(r.body, "noEndpoint") {
+					t.Errorf("%s: status %d, %s", r.requestID, r.status, r.body)
+				}
+			}
+		}()
+	}
+	leader := f.leader()
+	leader.Kill()
+	f.stopped[leader] = true
+	time.Sleep(3 * time.Second)
+	close(stop)
+	callers.Wait()
+}
+
+// leader returns the control host that leads.
+func (f *fleetEnv) leader() *controller.Controller {
+	var leader *controller.Controller
+	f.eventually("a leader", func() bool {
+		for _, c := range f.controls {
+			if !f.stopped[c] && c.IsLeader() {
+				leader = c
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -309,6 +309,9 @@
 // Members returns the members of the replicated log as known to this host.
 func (c *Controller) Members() []wire.Member { return c.node.Status().Members.Members }
 
+// IsLeader reports whether this host leads the control hosts.
+func (c *Controller) IsLeader() bool { return c.node.HasLease() }
+
 const (
 	transferTimeout       = 1500 * time.Millisecond
 	transferRetryInterval = 30 * time.Millisecond
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -228,6 +228,9 @@
 		if leading {
 			c.endpoints, c.totals = newEndpointLog(), fleet.NewTotals()
 			c.entryHosts, c.demandSince, c.packedAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
+			// Entry hosts report as soon as they know of the new leader, and are sent all endpoints.
+			c.nextPush = time.Time{}
+			c.pushChanges(now)
 		}
 	}
 	if status.Leader != c.lastLeader {
