--- a/process/formation/advance.go
+++ b/process/formation/advance.go
@@ -22,7 +22,7 @@
 		g.ending = true
 	}
 	if g.ending {
-		return rc.endGroup(now, in, g)
+		return rc.endGroup(now, g)
 	}
 	if g.formedHere && membership != nil && membership.State == fleet.StateReady && rc.allReady(in, g) {
 		g.opened, g.openSentAt = true, now
@@ -125,7 +125,7 @@
 }
 
 // endGroup returns the orders for the next step towards releasing a group's members.
-func (rc *Reconciler) endGroup(now time.Time, in Input, g *group) []savorywing.FleetOrder {
+func (rc *Reconciler) endGroup(now time.Time, g *group) []savorywing.FleetOrder {
 	if !g.opened {
 		// It can't be serving, so its members are free at once.
 		g.headReleased = true
@@ -133,7 +133,7 @@
 	}
 	head := rc.member(g, 0)
 	membership := membershipOf(head, g)
-	if rc.isHeadReleased(now, in, g) {
+	if rc.isHeadReleased(now, g) {
 		g.headReleased = true
 		return nil
 	}
@@ -141,13 +141,13 @@
 		return nil
 	}
 	if head != nil && membership != nil && !rc.isLost(now, head) && (!g.broken || !rc.isSuspect(now, head)) {
-		return rc.releaseHead(now, in, g, head, membership.State)
+		return rc.releaseHead(now, g, head, membership.State)
 	}
-	return rc.detachMember(now, in, g)
+	return rc.detachMember(now, g)
 }
 
 // isHeadReleased reports whether a group's head is known to serve the group no longer.
-func (rc *Reconciler) isHeadReleased(now time.Time, in Input, g *group) bool {
+func (rc *Reconciler) isHeadReleased(now time.Time, g *group) bool {
 	head := rc.member(g, 0)
 	if head == nil {
 		return false
@@ -164,8 +164,8 @@
 
 // releaseHead ends the group through its head. It closes the group first while all members are present; if a member
 // is lost, the head leaves at once.
-func (rc *Reconciler) releaseHead(now time.Time, in Input, g *group, head *fleet.Server, state string) []savorywing.FleetOrder {
-	if !g.broken && rc.isComplete(now, in, g) && (state == fleet.StateOpen || state == fleet.StateClosing) {
+func (rc *Reconciler) releaseHead(now time.Time, g *group, head *fleet.Server, state string) []savorywing.FleetOrder {
+	if !g.broken && rc.isComplete(now, g) && (state == fleet.StateOpen || state == fleet.StateClosing) {
 		if state == fleet.StateClosing {
 			return nil
 		}
@@ -174,7 +174,7 @@
 	return rc.orderOnce(savorywing.ActionLeave, head, g)
 }
 
-func (rc *Reconciler) isComplete(now time.Time, in Input, g *group) bool {
+func (rc *Reconciler) isComplete(now time.Time, g *group) bool {
 	for rank := range g.members {
 		s := rc.member(g, rank)
 		if rc.isLost(now, s) || !isMember(s, g) {
@@ -185,7 +185,7 @@
 }
 
 // latestOpenTime returns the latest time at which the head of a group may execute an order to open it.
-func (rc *Reconciler) latestOpenTime(in Input, g *group) time.Time {
+func (rc *Reconciler) latestOpenTime(g *group) time.Time {
 	if p := membershipOf(rc.member(g, 0), g); p != nil && p.State != fleet.StateJoining && p.State != fleet.StateReady {
 		return time.Time{} // a report shows that it has been opened
 	}
@@ -197,7 +197,7 @@
 
 // detachMember frees the members of a group whose head is unreachable. Once a member has left, the head breaks the
 // group after the stall timeout, whether or not it is still running.
-func (rc *Reconciler) detachMember(now time.Time, in Input, g *group) []savorywing.FleetOrder {
+func (rc *Reconciler) detachMember(now time.Time, g *group) []savorywing.FleetOrder {
 	var candidate *fleet.Server
 	for rank := 1; rank < len(g.members); rank++ {
 		s := rc.member(g, rank)
@@ -216,7 +216,7 @@
 		}
 	}
 	if !g.detachedAt.IsZero() {
-		if now.Sub(g.detachedAt) > rc.cfg.StallTimeout && now.After(rc.latestOpenTime(in, g).Add(rc.cfg.StallTimeout)) {
+		if now.Sub(g.detachedAt) > rc.cfg.StallTimeout && now.After(rc.latestOpenTime(g).Add(rc.cfg.StallTimeout)) {
 			g.headReleased = true
 		}
 		return nil
--- a/process/formation/plan.go
+++ b/process/formation/plan.go
@@ -44,7 +44,7 @@
 		p.loadBudget = rc.loads.remaining(now, rc.cfg.LoadWindow, int(service.Engine.LoadsPerSecond*rc.cfg.LoadWindow.Seconds()))
 		p.loadBudget = min(p.loadBudget, service.Engine.MaxConcurrentLoads-rc.loadsInProgress())
 	}
-	domains := rc.domains(now, in, service.Name)
+	domains := rc.domains(now, service.Name)
 	p.domains = domains
 	for _, d := range domains {
 		p.formGroups(d)
@@ -110,7 +110,7 @@
 const minTimeFactor = 0.05
 
 // domains returns the free servers by domain, the domain with the most free servers first.
-func (rc *Reconciler) domains(now time.Time, in Input, service string) []*domain {
+func (rc *Reconciler) domains(now time.Time, service string) []*domain {
 	var list []*domain
 	for _, entry := range rc.index.domains {
 		var d *domain
