--- a/cmd/savorywing/fleet_notice_test.go
+++ b/cmd/savorywing/fleet_notice_test.go
@@ -11,8 +11,9 @@
 	standin "savorywing.example/savorywing/standin/fleet"
 )
 
-// callUntil sends requests through every entry host until stop is closed.
-func (f *fleetEnv) callUntil(stop <-chan struct{}, callers int, path, model string) *sync.WaitGroup {
+// callUntil sends requests through every entry host until stop is closed. check is called with each response, unless it
+// is nil.
+func (f *fleetEnv) callUntil(stop <-chan struct{}, callers int, path, model string, check func(r fleetResponse)) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	for n := range callers {
 		wg.Add(1)
@@ -24,7 +25,9 @@
 					return
 				default:
 				}
-				f.send(n%len(f.entries), path, model, fleetKey, nil)
+				if r := f.send(n%len(f.entries), path, model, fleetKey, nil); check != nil {
+					check(r)
+				}
 			}
 		}()
 	}
@@ -46,7 +49,7 @@
 			f.waitServing()
 			leaving := tt.servers(f)[0]
 			stop := make(chan struct{})
-			callers := f.callUntil(stop, 6, tt.path, tt.model)
+			callers := f.callUntil(stop, 6, tt.path, tt.model, nil)
 			leaving.SetFaults(standin.Faults{StateLeaving: true})
 			time.Sleep(1500 * time.Millisecond)
 			f.restartEntry(1)
@@ -68,8 +71,8 @@
 	f := newFleetEnv(t, 3, 1, 20)
 	f.waitServing()
 	stop := make(chan struct{})
-	callers := f.callUntil(stop, 6, "/talk/x", smallModel)
-	plainCallers := f.callUntil(stop, 4, "/book/look/x", "")
+	callers := f.callUntil(stop, 6, "/talk/x", smallModel, nil)
+	plainCallers := f.callUntil(stop, 4, "/book/look/x", "", nil)
 	closed := []*standin.Server{f.headsOf(smallModel)[0], f.fleet.PlainServers()[0]}
 	for _, s := range closed {
 		s.SetFaults(standin.Faults{RejectFor: closedFor})
--- a/cmd/savorywing/fleet_test.go
+++ b/cmd/savorywing/fleet_test.go
@@ -305,23 +305,11 @@
 	// Soon after its start, an entry host lets requests wait for state that it lacks.
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for n := range 6 {
-		callers.Add(1)
-		go func() {
-			defer callers.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(2 * time.Millisecond):
-				}
-				if r := f.send(n%3, "/book/look/x", "", fleetKey, nil); strings.Contains(r.body, "noEndpoint") {
-					t.Errorf("%s: status %d, %s", r.requestID, r.status, r.body)
-				}
-			}
-		}()
-	}
+	callers := f.callUntil(stop, 6, "/book/look/x", "", func(r fleetResponse) {
+		if strings.Contains(r.body, "noEndpoint") {
+			t.Errorf("%s: status %d, %s", r.requestID, r.status, r.body)
+		}
+	})
 	leader := f.leader()
 	leader.Kill()
 	f.stopped[leader] = true
