--- a/process/fleet/endpoints.go
+++ b/process/fleet/endpoints.go
@@ -10,9 +10,8 @@
 // reported ready under its name and epoch.
 type ModelOf func(group string) (model string, known bool)
 
-// Endpoints returns where requests can be sent, sorted by id. A head whose group modelOf doesn't
-// know gets no requests. A server without a report for longer than silentAfter is marked silent but
-// kept, since it may still serve.
+// Endpoints returns where requests can be sent, sorted by id. A head whose group modelOf doesn't know gets no requests.
+// A server without a report for longer than silentAfter is marked silent but kept, since it may still serve.
 func (t *Table) Endpoints(now time.Time, silentAfter time.Duration, modelOf ModelOf) []wire.Endpoint {
 	var list []wire.Endpoint
 	for _, s := range t.Servers() {
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -136,8 +136,7 @@
 }
 
 // evaluate scores an endpoint for a request. Engines are compared by the predicted time to the first event, plain
-// servers by their relative load.
-// fastest is the shortest mean time between events at any of its peers.
+// servers by their relative load. fastest is the shortest mean time between events at any of its peers.
 func (b *Balancer) evaluate(e *endpoint, fastest time.Duration, req Request) scoredEndpoint {
 	slow := 1.0
 	if s := slowness(e, fastest); s > slowFactor {
