TestFleetServerClosed closes both plain servers, whichever order they are listed in

Cause: the emulated fleet lists its plain servers from a map. The test asked for the first and the second of two separate lists, which could be the same server; the other then answered 200 where the test demands a rejection. It failed twice in about a dozen runs ("status 200, want 503: done by plain-0"), beside other runs of the same tests; load is not the cause.

Change: one list, every server in it is closed.

--- a/cmd/savorywing/fleet_notice_test.go
+++ b/cmd/savorywing/fleet_notice_test.go
@@ -73,7 +73,9 @@
 	stop := make(chan struct{})
 	callers := f.callUntil(stop, 6, "/talk/x", smallModel, nil)
 	plainCallers := f.callUntil(stop, 4, "/book/look/x", "", nil)
-	closed := []*standin.Server{f.headsOf(smallModel)[0], f.fleet.PlainServers()[0]}
+	// The order of the list differs from call to call.
+	plain := f.fleet.PlainServers()
+	closed := []*standin.Server{f.headsOf(smallModel)[0], plain[0]}
 	for _, s := range closed {
 		s.SetFaults(standin.Faults{RejectFor: closedFor})
 	}
@@ -86,8 +88,9 @@
 	close(stop)
 	callers.Wait()
 	plainCallers.Wait()
-	f.fleet.PlainServers()[0].SetFaults(standin.Faults{RejectFor: closedFor})
-	f.fleet.PlainServers()[1].SetFaults(standin.Faults{RejectFor: closedFor})
+	for _, s := range plain {
+		s.SetFaults(standin.Faults{RejectFor: closedFor})
+	}
 	f.send(0, "/book/look/x", "", fleetKey, nil)
 	f.send(0, "/book/look/x", "", fleetKey, nil)
 	sentAt := time.Now()
