Second reading: one way to push at once, no unused list of servers, no send loop after a failed encoding

Cause: three places reset the time of the next push and pushed; the index kept a list of servers that nothing read; after a failed encoding the loop over the hosts ended at its first round.

Change: pushNow serves the three; the list is gone; the failure returns. No behaviour changes.

Measured: TestOrdersUnchanged, the controller's and the index's tests pass; the proof of the new leader's first answers still fails as required with the mechanism switched off; linter clean.

--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -127,6 +127,12 @@
 	}
 }
 
+// pushNow is pushChanges without regard to the time of the last push.
+func (c *Controller) pushNow(now time.Time) {
+	c.nextPush = time.Time{}
+	c.pushChanges(now)
+}
+
 // changesSince returns an update with the changes of the endpoints after a revision, or all endpoints if it is 0 or too
 // old.
 func (c *Controller) changesSince(revision uint64) *wire.FleetUpdate {
@@ -215,8 +221,7 @@
 	}
 	if changed {
 		c.changed = true
-		c.nextPush = time.Time{}
-		c.pushChanges(c.clock.Now())
+		c.pushNow(c.clock.Now())
 	}
 }
 
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -139,8 +139,7 @@
 		return
 	}
 	if c.leading {
-		c.nextPush = time.Time{}
-		c.pushChanges(now)
+		c.pushNow(now)
 	}
 	for _, done := range c.waiting {
 		close(done)
@@ -205,17 +204,15 @@
 		return
 	}
 	encoded, err := peer.Encode(wire.Frame{Reports: c.pendingReports})
+	c.pendingReports, c.flushAt = nil, time.Time{}
 	if err != nil {
 		c.log.Error().Str("event", "reportsUnsent").Err(err).Msg("reports can't be encoded")
+		return
 	}
 	for _, host := range c.mesh.Hosts() {
-		if err != nil {
-			break
-		}
 		// An unreachable control host is sent the next report.
 		_ = c.mesh.SendEncoded(host, encoded)
 	}
-	c.pendingReports, c.flushAt = nil, time.Time{}
 }
 
 // updateLeadership applies changes of the leader, the term and the lease.
@@ -229,8 +226,7 @@
 			c.endpoints, c.totals = newEndpointLog(), fleet.NewTotals()
 			c.entryHosts, c.demandSince, c.packedAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
 			// Entry hosts report as soon as they know of the new leader, and are sent all endpoints.
-			c.nextPush = time.Time{}
-			c.pushChanges(now)
+			c.pushNow(now)
 		}
 	}
 	if status.Leader != c.lastLeader {
--- a/process/formation/index.go
+++ b/process/formation/index.go
@@ -15,9 +15,7 @@
 type index struct {
 	// generation is the table's generation that the index was built from.
 	generation uint64
-	// servers lists all servers, sorted by id; byID finds them.
-	servers []*serverEntry
-	byID    map[string]*serverEntry
+	byID       map[string]*serverEntry
 	// domains holds the engines and the groups of each fabric domain.
 	domains map[string]*domainEntry
 	// groups lists all groups, the oldest first.
@@ -47,12 +45,11 @@
 	rc.indexStale = false
 	servers := table.Servers()
 	x := &index{
-		generation: table.Generation(), servers: make([]*serverEntry, 0, len(servers)), byID: make(map[string]*serverEntry, len(servers)),
+		generation: table.Generation(), byID: make(map[string]*serverEntry, len(servers)),
 		domains: map[string]*domainEntry{}, groups: make([]*group, 0, len(rc.groups)),
 	}
 	for _, s := range servers {
 		e := &serverEntry{Server: s}
-		x.servers = append(x.servers, e)
 		x.byID[s.Report().ID] = e
 		if r := s.Report(); r.Engine {
 			d := x.domain(r.Domain)
