gateway: lines about served requests state how the response was framed

Whether the engine's last chunk or the end of its connection was taken for the end can't be told from the log.

Change: the line 'served' has 'framing' (length, chunked, untilClose). The engine client keeps the framing in a field of its own; before, 'until close' also stood for a chunked response with trailers, whose connection isn't reused, and a late response with trailers left them on the connection.

No behaviour towards callers changes.

--- a/connection/engine/response.go
+++ b/connection/engine/response.go
@@ -28,36 +28,52 @@
 	// bodyWritten receives the outcome of writing a long body; nil if the body was written before the header was read.
 	bodyWritten <-chan error
 	body        io.Reader
-	length      int
-	bytesRead   int
+	framing     Framing
+	// length is the stated length of the body; negative if none is stated.
+	length    int
+	bytesRead int
 	// complete reports whether the body was read to its end, as Read defines it.
 	complete bool
-	closed   bool
+	// hasRemainder reports whether bytes of the response may follow its last chunk.
+	hasRemainder bool
+	closed       bool
 }
 
-// Values that fasthttp returns as the content length: of chunked bodies, and of bodies that end when the connection
-// is closed. endChunks also sets lengthUntilClose where the connection must not be reused.
+// Framing is how a response states the end of its body.
+type Framing string
+
+// Framings of responses.
 const (
-	lengthChunked    = -1
-	lengthUntilClose = -2
+	// FramingLength is a stated length, which is 0 for responses that have no body.
+	FramingLength Framing = "length"
+	// FramingChunked is chunked transfer encoding, whose last chunk ends the body.
+	FramingChunked Framing = "chunked"
+	// FramingUntilClose is the end of the connection. Nothing distinguishes it from the end of a server that has
+	// failed, unless the connection is reset.
+	FramingUntilClose Framing = "untilClose"
 )
 
+// contentLengthChunked is what fasthttp returns as the content length of chunked bodies.
+const contentLengthChunked = -1
+
 func (r *Response) initBody(noBody bool) {
 	status := r.Header.StatusCode()
-	r.length = r.Header.ContentLength()
+	r.framing, r.length = FramingLength, r.Header.ContentLength()
 	switch {
 	case noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || r.length == 0:
 		r.length, r.complete = 0, true
-	case r.length == lengthChunked:
-		r.body = httputil.NewChunkedReader(r.link.reader)
+	case r.length == contentLengthChunked:
+		r.framing, r.body = FramingChunked, httputil.NewChunkedReader(r.link.reader)
 	case r.length > 0:
 		r.body = io.LimitReader(r.link.reader, int64(r.length))
 	default:
-		r.length = lengthUntilClose
-		r.body = r.link.reader
+		r.framing, r.body = FramingUntilClose, r.link.reader
 	}
 }
 
+// Framing returns how the end of the body is stated.
+func (r *Response) Framing() Framing { return r.framing }
+
 // Length returns the stated length of the body in bytes, or a negative number if none is stated.
 func (r *Response) Length() int { return r.length }
 
@@ -95,24 +111,23 @@
 	return n, err
 }
 
-// endChunks reads the empty line after the last chunk, so that the connection can be reused.
+// endChunks reads the empty line after the last chunk, so that the connection can be reused. It isn't reused after
+// trailers or an error.
 func (r *Response) endChunks() {
-	if r.length != lengthChunked {
+	if r.framing != FramingChunked {
 		return
 	}
 	line, err := r.link.reader.ReadSlice('\n')
-	if err != nil || len(line) > len("\r\n") {
-		r.length = lengthUntilClose // trailers or an error: the connection is not reused
-	}
+	r.hasRemainder = err != nil || len(line) > len("\r\n")
 }
 
 // discard reads another request's response to its end and reports whether the connection can be used further.
 func (r *Response) discard() bool {
-	if r.length == lengthUntilClose || r.length > maxDiscardBytes {
+	if r.framing == FramingUntilClose || r.length > maxDiscardBytes {
 		return false
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(r, maxDiscardBytes))
-	return err == nil && n < maxDiscardBytes && r.complete
+	return err == nil && n < maxDiscardBytes && r.complete && !r.hasRemainder
 }
 
 // Close returns the connection to the pool if the response was read to its end, and closes it otherwise.
@@ -122,7 +137,7 @@
 	}
 	r.closed = true
 	alive := r.stop == nil || r.stop()
-	if !alive || !r.complete || r.length == lengthUntilClose || r.Header.ConnectionClose() || !r.isWritten() {
+	if !alive || !r.complete || r.hasRemainder || r.framing == FramingUntilClose || r.Header.ConnectionClose() || !r.isWritten() {
 		_ = r.link.conn.Close()
 		return
 	}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -319,7 +319,7 @@
 	if err := r.exchange.Start(&response.Header, len(body), body); err != nil {
 		return outcomeCallerGone, placement.CallerGone
 	}
-	r.recordServed(d, status)
+	r.recordServed(d, response)
 	if failed {
 		return outcomeDone, placement.Failed
 	}
@@ -363,7 +363,7 @@
 }
 
 // recordServed counts and logs a request that got a server's response.
-func (r *callerRequest) recordServed(d placement.Decision, status int) {
+func (r *callerRequest) recordServed(d placement.Decision, response *engine.Response) {
 	g := r.gateway
 	now := g.clock.Now()
 	g.telemetry.Count("requests", "result", "served")
@@ -376,6 +376,6 @@
 		return
 	}
 	g.log.Info().Str("event", "served").Str("request", r.caller.AttemptID).Str("route", r.route.Name).Str("server", d.ID).
-		Int("status", status).Int("sends", r.sends+1).
+		Int("status", response.Header.StatusCode()).Str("framing", string(response.Framing())).Int("sends", r.sends+1).
 		Dur("first", r.firstEvent).Dur("longestGap", r.longestGap).Dur("predicted", d.Predicted).Int("load", d.Load).Int("slots", d.Slots).Dur("after", now.Sub(r.exchange.Arrival())).Msg("served a request")
 }
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -60,7 +60,7 @@
 		}
 		pending = append(pending[:0], rest...)
 		if errors.Is(err, io.EOF) {
-			r.recordServed(d, response.Header.StatusCode())
+			r.recordServed(d, response)
 			return outcomeDone, placement.Served
 		}
 		if err != nil {
