--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -113,32 +114,76 @@
 		return
 	}
 	f.checkRun(s, attemptID)
-	truncateAfter := s.faults.TruncateAfter
+	faults := s.faults
 	epoch, model := s.epoch, f.model(s.model)
 	f.mu.Unlock()
 	s.inFlight.Add(1)
 	s.dialect().SignResponse(&ctx.Response.Header, attemptID, signaturePrefix+s.id)
 	ctx.SetContentType("text/event-stream")
 	pause := time.Duration(model.TimeFactor * float64(tokensPerEvent*f.cfg.Engine.StepTime))
-	conn := ctx.Conn()
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+	write := func(w *bufio.Writer) (complete bool) {
 		defer s.inFlight.Add(-1)
-		for id := metadata.LastEventID + 1; id < eventsPerStream; id++ {
-			time.Sleep(pause)
-			if !s.waitWhileStalled(epoch) || (truncateAfter > 0 && int(id) >= truncateAfter) {
-				_ = conn.Close()
-				return
-			}
-			if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", id, id); err != nil {
-				return
-			}
-			if err := w.Flush(); err != nil {
-				return
+		return s.writeEvents(w, metadata.LastEventID+1, pause, epoch, faults)
+	}
+	if faults.Framing == UntilClose {
+		header := streamHeader(&ctx.Response.Header)
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) {
+			w := bufio.NewWriter(c)
+			if _, err := w.Write(header); err == nil {
+				write(w)
 			}
+		})
+		return
+	}
+	conn := ctx.Conn()
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		if !write(w) && faults.Framing != ChunkedToTheEnd {
+			_ = conn.Close()
 		}
 	})
 }
 
+// streamHeader returns the header of a stream that ends with its connection.
+func streamHeader(h *fasthttp.ResponseHeader) []byte {
+	b := []byte("HTTP/1.1 200 OK\r\n")
+	for k, v := range h.All() {
+		if string(k) != fasthttp.HeaderContentLength && string(k) != fasthttp.HeaderTransferEncoding {
+			b = fmt.Appendf(b, "%s: %s\r\n", k, v)
+		}
+	}
+	return append(b, "\r\n"...)
+}
+
+// writeEvents writes the events of a stream and reports whether it wrote all of them.
+func (s *Server) writeEvents(w *bufio.Writer, first int64, pause time.Duration, epoch uint64, faults Faults) bool {
+	for id := first; id < eventsPerStream; id++ {
+		time.Sleep(pause)
+		if !s.waitWhileStalled(epoch) {
+			return false
+		}
+		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id)
+		if faults.TruncateAfter > 0 && int(id) >= faults.TruncateAfter {
+			if faults.PartialEvent {
+				_, _ = w.WriteString(event[:len(event)-partialEventCut])
+				_ = w.Flush()
+			}
+			return false
+		}
+		if _, err := w.WriteString(event); err != nil {
+			return false
+		}
+		if err := w.Flush(); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// partialEventCut is the number of bytes that an event lacks in which a stream breaks off: the id and the field name of
+// its data are complete.
+const partialEventCut = 4
+
 // eventsPerStream is the number of events in a complete stream.
 const eventsPerStream = 12
 
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -51,6 +51,10 @@
 	Unresponsive bool
 	// TruncateAfter closes the connection of a stream after this number of events of the response; 0 means never.
 	TruncateAfter int
+	// Framing is how streams state their end.
+	Framing Framing
+	// PartialEvent makes a stream that TruncateAfter ends break off inside an event.
+	PartialEvent bool
 	// StateLeaving makes the server state in all its responses that it is leaving, without a report that says so.
 	StateLeaving bool
 	// RejectFor makes the server reject each request and state that it is closed for this time.
@@ -59,6 +63,20 @@
 	LoseResponse bool
 }
 
+// Framing is how a stream states its end.
+type Framing int
+
+// Framings of streams.
+const (
+	// Chunked streams end with a last chunk, and those that are truncated without one.
+	Chunked Framing = iota
+	// UntilClose streams have no length and no chunks and end with their connection, which is always closed without a
+	// reset.
+	UntilClose
+	// ChunkedToTheEnd streams end with a last chunk, also when they are truncated.
+	ChunkedToTheEnd
+)
+
 // Server is one emulated backend server. The fields from startTime on are guarded by the fleet's mutex.
 type Server struct {
 	fleet *Fleet
