gateway: a stream that ends inside an event has been broken off, however it is framed

Cause: relayEvents took the end of input for the end of the stream and delivered what was left as its last event. A response without length and chunks ends with its connection, which a crash closes as well; only a reset or a missing last chunk was noticed.

Change: scanEvents finds the complete events; what follows the last of them is never delivered, and if the input ends there the attempt has failed, whatever the framing. The stream then continues at another engine, or its connection to the caller is reset. A stream that ends with its connection before any event has failed too: nothing states that it has none. Event lines may end with CRLF, which the old search for two LF would have held back to the end.

Why this works: an event is delivered only once the empty line after it has arrived, so no framing can make a cut one look complete.

--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -19,15 +19,17 @@
 	maxEventBytes = 1 << 20
 )
 
-// errEventOrder means that a stream's event ids don't continue after the last event delivered, or that an unfinished
-// event is larger than maxEventBytes.
-var errEventOrder = errors.New("events don't continue after the last one delivered")
-
+// Errors of streams, after which another server can continue.
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	// errEventOrder means that a stream's event ids don't continue after the last event delivered, or that an unfinished
+	// event is larger than maxEventBytes.
+	errEventOrder = errors.New("events don't continue after the last one delivered")
+	// errNoEventEnd means that a stream ended inside an event, or before its first one without stating its end.
+	errNoEventEnd = errors.New("the stream ended inside an event")
 )
 
+var idField = []byte("id:")
+
 // relayEvents relays a stream in complete events as they arrive, so that another server can continue after the
 // last one delivered.
 func (r *callerRequest) relayEvents(ctx context.Context, response *engine.Response, d placement.Decision, reservation *placement.Reservation, w *stallWatch) (outcome, placement.Result) {
@@ -35,6 +37,7 @@
 	var pending []byte
 	buf := make([]byte, streamBufferBytes)
 	last := time.Time{}
+	hasEvents := false
 	for {
 		n, err := response.Read(buf)
 		if n > 0 {
@@ -45,21 +48,24 @@
 			last = now
 			pending = append(pending, buf[:n]...)
 		}
-		complete, rest := splitEvents(pending)
-		if errors.Is(err, io.EOF) {
-			complete, rest = pending, nil
+		end, lastID, orderErr := scanEvents(pending, r.lastEventID)
+		if orderErr == nil && len(pending)-end > maxEventBytes {
+			orderErr = errEventOrder
 		}
-		if len(rest) > maxEventBytes {
-			return r.sendFailed(ctx, d, errEventOrder)
+		if orderErr != nil {
+			return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayEvents: %w", orderErr))
 		}
-		if orderErr := r.checkSequence(complete); orderErr != nil {
-			return r.sendFailed(ctx, d, orderErr)
+		hasEvents = hasEvents || end > 0
+		ended := errors.Is(err, io.EOF)
+		if ended && !isStreamEnd(pending[end:], hasEvents, response.Framing()) {
+			ended, err = false, fmt.Errorf("%w after %d bytes of it, framing %s", errNoEventEnd, len(pending)-end, response.Framing())
 		}
-		if werr := r.deliver(response, complete, errors.Is(err, io.EOF)); werr != nil {
+		if werr := r.deliver(response, pending[:end], ended); werr != nil {
 			return outcomeCallerGone, placement.CallerGone
 		}
-		pending = append(pending[:0], rest...)
-		if errors.Is(err, io.EOF) {
+		r.lastEventID = lastID
+		pending = append(pending[:0], pending[end:]...)
+		if ended {
 			r.recordServed(d, response)
 			return outcomeDone, placement.Served
 		}
@@ -79,34 +85,44 @@
 	}
 }
 
-// splitEvents splits p into complete events and the beginning of the next one.
-func splitEvents(p []byte) (complete, rest []byte) {
-	end := bytes.LastIndex(p, eventEnd)
-	if end < 0 {
-		return nil, p
-	}
-	return p[:end+len(eventEnd)], p[end+len(eventEnd):]
-}
-
-// checkSequence checks that events continue after the last one delivered, and records the id of the last of them.
-func (r *callerRequest) checkSequence(events []byte) error {
-	lastID := r.lastEventID
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
-		value, found := bytes.CutPrefix(line, idField)
-		if !found {
-			continue
+// scanEvents returns the length of the complete events at the beginning of p, and the id of the last of them, or lastID
+// if none has an id. An empty line ends an event; lines end with LF or CRLF. The first id must follow lastID, unless that
+// is negative, and each further one its predecessor.
+func scanEvents(p []byte, lastID int64) (end int, newLastID int64, err error) {
+	newLastID = lastID
+	var idValue []byte
+	for pos := 0; ; {
+		length := bytes.IndexByte(p[pos:], '\n')
+		if length < 0 {
+			return end, newLastID, nil
 		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil {
-			return fmt.Errorf("callerRequest.checkSequence: %w", err)
+		line := bytes.TrimSuffix(p[pos:pos+length], []byte("\r"))
+		pos += length + 1
+		if value, found := bytes.CutPrefix(line, idField); found {
+			idValue = value
+		}
+		if len(line) > 0 {
+			continue
 		}
-		if lastID >= 0 && id != lastID+1 {
-			return fmt.Errorf("callerRequest.checkSequence: got event %d after event %d: %w", id, lastID, errEventOrder)
+		if idValue != nil {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(idValue)), 10, 64)
+			if err != nil {
+				return end, newLastID, fmt.Errorf("scanEvents: %w", err)
+			}
+			if newLastID >= 0 && id != newLastID+1 {
+				return end, newLastID, fmt.Errorf("scanEvents: got event %d after event %d: %w", id, newLastID, errEventOrder)
+			}
+			newLastID, idValue = id, nil
 		}
-		lastID = id
+		end = pos
 	}
-	r.lastEventID = lastID
-	return nil
+}
+
+// isStreamEnd reports whether a stream whose input has ended may be complete. rest is what follows its last complete
+// event. A stream that ends with its connection can't state that it has no events, as a server does that resumes after
+// the last one.
+func isStreamEnd(rest []byte, hasEvents bool, framing engine.Framing) bool {
+	return len(rest) == 0 && (hasEvents || framing != engine.FramingUntilClose)
 }
 
 func (r *callerRequest) deliver(response *engine.Response, events []byte, end bool) error {
--- /dev/null
+++ b/process/gateway/events_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"errors"
+	"testing"
+
+	"savorywing.example/savorywing/connection/engine"
+)
+
+func TestScanEvents(t *testing.T) {
+	tests := []struct {
+		name, text string
+		lastID     int64
+		wantEnd    int
+		wantID     int64
+		err        error
+	}{
+		{"nothing", "", -1, 0, -1, nil},
+		{"inside the first event", "id: 0\ndata: x\n", -1, 0, -1, nil},
+		{"inside an id", "id: 0\ndata: x\n\nid: 1", -1, 15, 0, nil},
+		{"two events", "id: 0\ndata: x\n\nid: 1\ndata: y\n\n", -1, 30, 1, nil},
+		{"lines that end with CRLF", "id: 0\r\ndata: x\r\n\r\nid: 1\r\n", -1, 18, 0, nil},
+		{"an event without an id", "data: x\n\n", 3, 9, 3, nil},
+		{"further empty lines", "id: 4\n\n\n", 3, 8, 4, nil},
+		{"a missing event", "id: 5\ndata: x\n\n", 3, 0, 3, errEventOrder},
+		{"an event again", "id: 3\ndata: x\n\n", 3, 0, 3, errEventOrder},
+		{"a missing event after others", "id: 4\n\nid: 6\n\n", 3, 7, 4, errEventOrder},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			end, id, err := scanEvents([]byte(tt.text), tt.lastID)
+			if end != tt.wantEnd || id != tt.wantID || !errors.Is(err, tt.err) {
+				t.Errorf("end %d, id %d, error %v; want %d, %d, %v", end, id, err, tt.wantEnd, tt.wantID, tt.err)
+			}
+		})
+	}
+	if _, _, err := scanEvents([]byte("id: x\n\n"), 3); err == nil {
+		t.Error("no error for an id that is no number")
+	}
+}
+
+func TestIsStreamEnd(t *testing.T) {
+	tests := []struct {
+		name, rest string
+		hasEvents  bool
+		framing    engine.Framing
+		want       bool
+	}{
+		{"after an event, chunked", "", true, engine.FramingChunked, true},
+		{"after an event, until close", "", true, engine.FramingUntilClose, true},
+		{"inside an event, chunked", "id: 4", true, engine.FramingChunked, false},
+		{"inside an event, with a length", "id: 4", true, engine.FramingLength, false},
+		{"inside an event, until close", "id: 4\ndata: x\n", true, engine.FramingUntilClose, false},
+		{"no events, chunked", "", false, engine.FramingChunked, true},
+		{"no events, until close", "", false, engine.FramingUntilClose, false},
+	}
+	for _, tt := range tests {
+		if got := isStreamEnd([]byte(tt.rest), tt.hasEvents, tt.framing); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
