gateway: bytes that are no answer are recognised early, and nothing of them is passed on

Cause: relayBuffered handed a large body to relayLarge before it looked at the signature; relayEvents passed on whatever ended with an empty line, and counted any byte as progress, so that the stall timer never fired. The body of a rejection was read without a limit of time.

Change: whether a response may be passed on at all is decided by its header, before its body is read. Events without an id are held back until one with an id follows or the stream ends; 256 KiB without one end the attempt, and only complete events with an id count as progress. A body that nobody needs is read for 100 ms and 64 KiB at most, to keep the connection. Large responses are logged as served like others.

Why this works: the gateway passes on only what has a signature and, in streams, continues the numbered events, so endless bytes are held back until a bound that is reached in milliseconds at full speed; the connection is then closed and another server is asked.

--- a/cmd/savorywing/fleet_truncated_test.go
+++ b/cmd/savorywing/fleet_truncated_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -51,3 +53,57 @@
 		})
 	}
 }
+
+// TestFleetEndlessResponses guards against responses that never end: they must be recognised long before the caller's
+// deadline, their connection must be closed, and nothing of them may reach the caller. The request is served by another
+// server.
+func TestFleetEndlessResponses(t *testing.T) {
+	const longest = 1500 * time.Millisecond
+	f := newFleetEnv(t, 3, 1, 20)
+	f.waitServing()
+	for _, tt := range []struct {
+		name    string
+		endless standin.Endless
+		stream  bool
+	}{
+		{"noise for a stream", standin.EndlessNoise, true},
+		{"noise for a plain call", standin.EndlessNoise, false},
+		{"header of a stream", standin.EndlessHeader, true},
+		{"header of a plain call", standin.EndlessHeader, false},
+		{"informational responses", standin.EndlessInformational, false},
+		{"unsigned body of a plain call", standin.EndlessUnsignedBody, false},
+		{"unsigned body for a stream", standin.EndlessUnsignedBody, true},
+		{"rejection of a stream", standin.EndlessRejection, true},
+		{"rejection of a plain call", standin.EndlessRejection, false},
+		{"one event", standin.EndlessEvent, true},
+		{"lines that are no events", standin.EndlessEvents, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			server, path, model := f.fleet.PlainServers()[0], "/book/look/x", ""
+			if tt.stream {
+				server, path, model = f.headsOf(smallModel)[0], "/talk/x", smallModel
+			}
+			server.SetFaults(standin.Faults{Endless: tt.endless})
+			defer server.SetFaults(standin.Faults{})
+			// A server whose responses fail gets no requests for a while.
+			for n := 0; n < 6 || (n < 200 && server.LongestEndless() == 0); n++ {
+				if n >= 6 {
+					time.Sleep(20 * time.Millisecond)
+				}
+				r := f.send(0, path, model, fleetKey, nil)
+				if r.err != nil || r.status != fasthttp.StatusOK {
+					t.Errorf("%s: status %d, error %v", r.requestID, r.status, r.err)
+				}
+				if strings.Contains(r.body, "abcde") {
+					t.Errorf("%s: bytes of the endless response reached the caller", r.requestID)
+				}
+				if tt.stream && r.status == fasthttp.StatusOK && checkCompleteStream(r.body) != nil {
+					t.Errorf("%s: the stream is not complete: %q", r.requestID, r.body)
+				}
+			}
+			if got := server.LongestEndless(); got == 0 || got > longest {
+				t.Errorf("an endless response was read for %v, want at most %v, and one at least", got, longest)
+			}
+		})
+	}
+}
--- a/connection/engine/response.go
+++ b/connection/engine/response.go
@@ -130,6 +130,27 @@
 	return err == nil && n < maxDiscardBytes && r.complete && !r.hasRemainder
 }
 
+const (
+	// maxDrainBytes and drainTimeout bound how much of a body that nobody needs is read to keep the connection.
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 100 * time.Millisecond
+)
+
+// Drain reads what is left of a body that nobody needs, so that the connection can be reused. Close closes the connection
+// if the body doesn't end soon.
+func (r *Response) Drain() error {
+	if r.framing == FramingUntilClose && !r.complete {
+		return nil
+	}
+	if err := r.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
+		return fmt.Errorf("Response.Drain: %w", err)
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(r, maxDrainBytes)); err != nil {
+		return fmt.Errorf("Response.Drain: %w", err)
+	}
+	return nil
+}
+
 // Close returns the connection to the pool if the response was read to its end, and closes it otherwise.
 func (r *Response) Close() {
 	if r.closed {
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -281,7 +281,7 @@
 
 // handleNotRun handles a server's proof that it has not run the request.
 func (r *callerRequest) handleNotRun(response *engine.Response, d placement.Decision) placement.Result {
-	_, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedResponse))
+	err := response.Drain()
 	g := r.gateway
 	g.telemetry.Count("requests", "result", "notRun")
 	g.logProblem("notRun").Str("request", r.caller.AttemptID).Str("server", d.ID).Int("status", response.Header.StatusCode()).
@@ -296,24 +296,20 @@
 // over if the body reaches maxBufferedResponse.
 func (r *callerRequest) relayBuffered(ctx context.Context, response *engine.Response, d placement.Decision) (outcome, placement.Result) {
 	g := r.gateway
+	status, signed := response.Header.StatusCode(), response.Metadata.Signed
+	failed := status >= fasthttp.StatusInternalServerError || !signed
+	// An unsigned success can't be trusted to come from running the request.
+	untrusted := status < fasthttp.StatusMultipleChoices && !signed
+	if untrusted || r.exchange.Started() || (failed && r.mayRetry()) {
+		err := response.Drain()
+		return r.sendFailed(ctx, d, errors.Join(fmt.Errorf("callerRequest.relayBuffered: status %d, signed %t, event %d delivered", status, signed, r.lastEventID), err))
+	}
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
-	if err == nil && len(body) == maxBufferedResponse {
-		return r.relayLarge(ctx, response, body)
+	if err == nil && len(body) == maxBufferedResponse && signed {
+		return r.relayLarge(ctx, response, d, body)
 	}
 	if err != nil || !response.Complete() {
-		return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayBuffered: status %d: %w", response.Header.StatusCode(), errors.Join(engine.ErrTruncated, err)))
-	}
-	status := response.Header.StatusCode()
-	failed := status >= fasthttp.StatusInternalServerError || !response.Metadata.Signed
-	if failed && (r.exchange.Started() || r.mayRetry()) {
-		return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayBuffered: status %d", status))
-	}
-	if status < fasthttp.StatusMultipleChoices && !response.Metadata.Signed {
-		// An unsigned success can't be trusted to come from running the request.
-		return r.sendFailed(ctx, d, errors.New("callerRequest.relayBuffered: the response has no signature"))
-	}
-	if r.exchange.Started() {
-		return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayBuffered: status %d after events", status))
+		return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayBuffered: status %d: %w", status, errors.Join(engine.ErrTruncated, err)))
 	}
 	g.dialect.StripConnectionHeaders(&response.Header)
 	if err := r.exchange.Start(&response.Header, len(body), body); err != nil {
@@ -332,7 +328,7 @@
 }
 
 // relayLarge passes on a response as it arrives; first is the part that has been read already.
-func (r *callerRequest) relayLarge(ctx context.Context, response *engine.Response, first []byte) (outcome, placement.Result) {
+func (r *callerRequest) relayLarge(ctx context.Context, response *engine.Response, d placement.Decision, first []byte) (outcome, placement.Result) {
 	length := response.Length()
 	r.gateway.dialect.StripConnectionHeaders(&response.Header)
 	if err := r.exchange.Start(&response.Header, length, first); err != nil {
@@ -350,6 +346,7 @@
 			if err := r.exchange.Finish(nil); err != nil {
 				return outcomeCallerGone, placement.CallerGone
 			}
+			r.recordServed(d, response)
 			return outcomeDone, placement.Served
 		}
 		if err != nil {
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -15,15 +15,16 @@
 
 const (
 	streamBufferBytes = 4 << 10
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds the bytes that are held back until an event with an id is complete.
+	maxEventBytes = 256 << 10
 )
 
 // Errors of streams, after which another server can continue.
 var (
-	// errEventOrder means that a stream's event ids don't continue after the last event delivered, or that an unfinished
-	// event is larger than maxEventBytes.
+	// errEventOrder means that a stream's event ids don't continue after the last event delivered.
 	errEventOrder = errors.New("events don't continue after the last one delivered")
+	// errNoEvent means that maxEventBytes hold no complete event with an id.
+	errNoEvent = errors.New("got no event")
 	// errNoEventEnd means that a stream ended inside an event, or before its first one without stating its end.
 	errNoEventEnd = errors.New("the stream ended inside an event")
 )
@@ -31,7 +32,8 @@
 var idField = []byte("id:")
 
 // relayEvents relays a stream in complete events as they arrive, so that another server can continue after the
-// last one delivered.
+// last one delivered. Bytes without an id are held back until an event with one follows, or the stream ends: they may
+// be no events at all.
 func (r *callerRequest) relayEvents(ctx context.Context, response *engine.Response, d placement.Decision, reservation *placement.Reservation, w *stallWatch) (outcome, placement.Result) {
 	g := r.gateway
 	var pending []byte
@@ -40,30 +42,33 @@
 	hasEvents := false
 	for {
 		n, err := response.Read(buf)
-		if n > 0 {
+		pending = append(pending, buf[:n]...)
+		scan, scanErr := scanEvents(pending, r.lastEventID)
+		if scanErr == nil && len(pending)-scan.numbered > maxEventBytes {
+			scanErr = errNoEvent
+		}
+		if scanErr != nil {
+			return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayEvents: %w", scanErr))
+		}
+		if scan.numbered > 0 {
 			now := g.clock.Now()
 			w.progressed(now)
 			r.recordEventTimes(now, last)
 			g.recordProgress(reservation, now, last)
-			last = now
-			pending = append(pending, buf[:n]...)
-		}
-		end, lastID, orderErr := scanEvents(pending, r.lastEventID)
-		if orderErr == nil && len(pending)-end > maxEventBytes {
-			orderErr = errEventOrder
-		}
-		if orderErr != nil {
-			return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayEvents: %w", orderErr))
+			last, hasEvents = now, true
 		}
-		hasEvents = hasEvents || end > 0
-		ended := errors.Is(err, io.EOF)
-		if ended && !isStreamEnd(pending[end:], hasEvents, response.Framing()) {
-			ended, err = false, fmt.Errorf("%w after %d bytes of it, framing %s", errNoEventEnd, len(pending)-end, response.Framing())
+		end, ended := scan.numbered, errors.Is(err, io.EOF)
+		if ended {
+			end = scan.complete
+			if rest := pending[end:]; !isStreamEnd(rest, hasEvents, response.Framing()) {
+				end, ended = scan.numbered, false
+				err = fmt.Errorf("%w after %d bytes of it, framing %s", errNoEventEnd, len(rest), response.Framing())
+			}
 		}
 		if werr := r.deliver(response, pending[:end], ended); werr != nil {
 			return outcomeCallerGone, placement.CallerGone
 		}
-		r.lastEventID = lastID
+		r.lastEventID = scan.lastID
 		pending = append(pending[:0], pending[end:]...)
 		if ended {
 			r.recordServed(d, response)
@@ -76,7 +81,7 @@
 }
 
 // recordEventTimes records the time to the first event and the longest gap, which decide whether a stream is on time.
-// It is called for each read that returned data, which may hold a part of an event or several events.
+// It is called for each read that completed an event or several.
 func (r *callerRequest) recordEventTimes(now, last time.Time) {
 	if r.firstEvent == 0 {
 		r.firstEvent = now.Sub(r.exchange.Arrival())
@@ -85,16 +90,23 @@
 	}
 }
 
-// scanEvents returns the length of the complete events at the beginning of p, and the id of the last of them, or lastID
-// if none has an id. An empty line ends an event; lines end with LF or CRLF. The first id must follow lastID, unless that
-// is negative, and each further one its predecessor.
-func scanEvents(p []byte, lastID int64) (end int, newLastID int64, err error) {
-	newLastID = lastID
+// eventScan is what scanEvents finds in the bytes of a stream.
+type eventScan struct {
+	// complete is the length of the complete events, and numbered that of the part up to the last one with an id.
+	numbered, complete int
+	// lastID is the id of the last complete event that has one.
+	lastID int64
+}
+
+// scanEvents finds the complete events at the beginning of p. An empty line ends an event; lines end with LF or CRLF. The
+// first id must follow lastID, unless that is negative, and each further one its predecessor.
+func scanEvents(p []byte, lastID int64) (eventScan, error) {
+	s := eventScan{lastID: lastID}
 	var idValue []byte
 	for pos := 0; ; {
 		length := bytes.IndexByte(p[pos:], '\n')
 		if length < 0 {
-			return end, newLastID, nil
+			return s, nil
 		}
 		line := bytes.TrimSuffix(p[pos:pos+length], []byte("\r"))
 		pos += length + 1
@@ -107,14 +119,14 @@
 		if idValue != nil {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(idValue)), 10, 64)
 			if err != nil {
-				return end, newLastID, fmt.Errorf("scanEvents: %w", err)
+				return s, fmt.Errorf("scanEvents: %w", err)
 			}
-			if newLastID >= 0 && id != newLastID+1 {
-				return end, newLastID, fmt.Errorf("scanEvents: got event %d after event %d: %w", id, newLastID, errEventOrder)
+			if s.lastID >= 0 && id != s.lastID+1 {
+				return s, fmt.Errorf("scanEvents: got event %d after event %d: %w", id, s.lastID, errEventOrder)
 			}
-			newLastID, idValue = id, nil
+			s.lastID, s.numbered, idValue = id, pos, nil
 		}
-		end = pos
+		s.complete = pos
 	}
 }
 
--- a/process/gateway/events_test.go
+++ b/process/gateway/events_test.go
@@ -11,30 +11,30 @@
 	tests := []struct {
 		name, text string
 		lastID     int64
-		wantEnd    int
-		wantID     int64
+		want       eventScan
 		err        error
 	}{
-		{"nothing", "", -1, 0, -1, nil},
-		{"inside the first event", "id: 0\ndata: x\n", -1, 0, -1, nil},
-		{"inside an id", "id: 0\ndata: x\n\nid: 1", -1, 15, 0, nil},
-		{"two events", "id: 0\ndata: x\n\nid: 1\ndata: y\n\n", -1, 30, 1, nil},
-		{"lines that end with CRLF", "id: 0\r\ndata: x\r\n\r\nid: 1\r\n", -1, 18, 0, nil},
-		{"an event without an id", "data: x\n\n", 3, 9, 3, nil},
-		{"further empty lines", "id: 4\n\n\n", 3, 8, 4, nil},
-		{"a missing event", "id: 5\ndata: x\n\n", 3, 0, 3, errEventOrder},
-		{"an event again", "id: 3\ndata: x\n\n", 3, 0, 3, errEventOrder},
-		{"a missing event after others", "id: 4\n\nid: 6\n\n", 3, 7, 4, errEventOrder},
+		{"nothing", "", -1, eventScan{0, 0, -1}, nil},
+		{"inside the first event", "id: 0\ndata: x\n", -1, eventScan{0, 0, -1}, nil},
+		{"inside an id", "id: 0\ndata: x\n\nid: 1", -1, eventScan{15, 15, 0}, nil},
+		{"two events", "id: 0\ndata: x\n\nid: 1\ndata: y\n\n", -1, eventScan{30, 30, 1}, nil},
+		{"lines that end with CRLF", "id: 0\r\ndata: x\r\n\r\nid: 1\r\n", -1, eventScan{18, 18, 0}, nil},
+		{"an event without an id", "data: x\n\n", 3, eventScan{0, 9, 3}, nil},
+		{"an event without an id before others", "data: x\n\nid: 4\n\n", 3, eventScan{16, 16, 4}, nil},
+		{"further empty lines", "id: 4\n\n\n", 3, eventScan{7, 8, 4}, nil},
+		{"a missing event", "id: 5\ndata: x\n\n", 3, eventScan{0, 0, 3}, errEventOrder},
+		{"an event again", "id: 3\ndata: x\n\n", 3, eventScan{0, 0, 3}, errEventOrder},
+		{"a missing event after others", "id: 4\n\nid: 6\n\n", 3, eventScan{7, 7, 4}, errEventOrder},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			end, id, err := scanEvents([]byte(tt.text), tt.lastID)
-			if end != tt.wantEnd || id != tt.wantID || !errors.Is(err, tt.err) {
-				t.Errorf("end %d, id %d, error %v; want %d, %d, %v", end, id, err, tt.wantEnd, tt.wantID, tt.err)
+			got, err := scanEvents([]byte(tt.text), tt.lastID)
+			if got != tt.want || !errors.Is(err, tt.err) {
+				t.Errorf("%+v, error %v; want %+v, %v", got, err, tt.want, tt.err)
 			}
 		})
 	}
-	if _, _, err := scanEvents([]byte("id: x\n\n"), 3); err == nil {
+	if _, err := scanEvents([]byte("id: x\n\n"), 3); err == nil {
 		t.Error("no error for an id that is no number")
 	}
 }
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"time"
@@ -36,7 +37,7 @@
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
-	if s.isClosed(ctx, attemptID) {
+	if s.isClosed(ctx, attemptID) || s.isEndless(ctx, attemptID) {
 		return
 	}
 	if s.Engine {
@@ -69,6 +70,68 @@
 	return true
 }
 
+// isEndless starts an endless response if the server's faults demand one.
+func (s *Server) isEndless(ctx *fasthttp.RequestCtx, attemptID string) bool {
+	s.fleet.mu.Lock()
+	kind := s.faults.Endless
+	if kind != NotEndless && kind != EndlessRejection {
+		s.fleet.runCounts[attemptID]++
+	}
+	s.fleet.mu.Unlock()
+	if kind == NotEndless {
+		return false
+	}
+	start, repeated := s.endlessResponse(kind, &ctx.Response.Header, attemptID)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		began := time.Now()
+		_, err := c.Write(start)
+		for err == nil && s.ctx.Err() == nil {
+			_, err = c.Write(repeated)
+			time.Sleep(endlessInterval)
+		}
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		s.longestEndless = max(s.longestEndless, time.Since(began))
+	})
+	return true
+}
+
+// endlessInterval is the pause between two pieces of an endless response.
+const endlessInterval = 2 * time.Millisecond
+
+// endlessResponse returns the beginning of an endless response, and the piece that is then sent again and again.
+func (s *Server) endlessResponse(kind Endless, h *fasthttp.ResponseHeader, attemptID string) (start, repeated []byte) {
+	noise := bytes.Repeat([]byte("0123456789abcde\n"), endlessPieceBytes/16)
+	h.SetContentType("text/event-stream")
+	switch kind {
+	case EndlessNoise:
+		return nil, noise
+	case EndlessHeader:
+		return []byte("HTTP/1.1 200 OK\r\n"), []byte("X-Filler: 0123456789\r\n")
+	case EndlessInformational:
+		return nil, []byte("HTTP/1.1 100 Continue\r\n\r\n")
+	case EndlessRejection:
+		s.dialect().MarkNotRun(h, attemptID, "")
+		return append([]byte("HTTP/1.1 503 Service Unavailable\r\n"), headerFields(h)...), noise
+	}
+	s.dialect().SignResponse(h, attemptID, signaturePrefix+s.id)
+	switch kind {
+	case EndlessUnsignedBody:
+		for k, v := range h.All() {
+			if bytes.HasPrefix(v, []byte(signaturePrefix)) {
+				h.Del(string(k))
+			}
+		}
+	case EndlessEvents:
+		noise = bytes.ReplaceAll(noise, []byte("\n"), []byte("\n\n"))
+	}
+	return append([]byte("HTTP/1.1 200 OK\r\n"), headerFields(h)...), noise
+}
+
+// endlessPieceBytes is the size of one piece of an endless body.
+const endlessPieceBytes = 4 << 10
+
 // noticeGrace is how long after a server's first notice requests may still arrive.
 const noticeGrace = 500 * time.Millisecond
 
@@ -126,7 +189,7 @@
 		return s.writeEvents(w, metadata.LastEventID+1, pause, epoch, faults)
 	}
 	if faults.Framing == UntilClose {
-		header := streamHeader(&ctx.Response.Header)
+		header := append([]byte("HTTP/1.1 200 OK\r\n"), headerFields(&ctx.Response.Header)...)
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(c net.Conn) {
 			w := bufio.NewWriter(c)
@@ -144,9 +207,9 @@
 	})
 }
 
-// streamHeader returns the header of a stream that ends with its connection.
-func streamHeader(h *fasthttp.ResponseHeader) []byte {
-	b := []byte("HTTP/1.1 200 OK\r\n")
+// headerFields returns the fields of a header, and the empty line after it, without those that state how the body ends.
+func headerFields(h *fasthttp.ResponseHeader) []byte {
+	var b []byte
 	for k, v := range h.All() {
 		if string(k) != fasthttp.HeaderContentLength && string(k) != fasthttp.HeaderTransferEncoding {
 			b = fmt.Appendf(b, "%s: %s\r\n", k, v)
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -55,6 +55,8 @@
 	Framing Framing
 	// PartialEvent makes a stream that TruncateAfter ends break off inside an event.
 	PartialEvent bool
+	// Endless makes the server answer requests with bytes that never end.
+	Endless Endless
 	// StateLeaving makes the server state in all its responses that it is leaving, without a report that says so.
 	StateLeaving bool
 	// RejectFor makes the server reject each request and state that it is closed for this time.
@@ -77,6 +79,29 @@
 	ChunkedToTheEnd
 )
 
+// Endless is a kind of response that goes on until its receiver closes the connection.
+type Endless int
+
+// Kinds of responses without an end. The last four follow a valid header that carries the attempt ID.
+const (
+	// NotEndless is a normal response.
+	NotEndless Endless = iota
+	// EndlessNoise is no HTTP response.
+	EndlessNoise
+	// EndlessHeader is a header with one field after the other.
+	EndlessHeader
+	// EndlessInformational is one response with status 100 after the other.
+	EndlessInformational
+	// EndlessUnsignedBody is the body of a response with status 200 and no signature.
+	EndlessUnsignedBody
+	// EndlessRejection is the body of a response that states that the request was not run.
+	EndlessRejection
+	// EndlessEvent is the body of a signed response: one event that never ends.
+	EndlessEvent
+	// EndlessEvents is the body of a signed response: empty lines, and lines that are no fields of events.
+	EndlessEvents
+)
+
 // Server is one emulated backend server. The fields from startTime on are guarded by the fleet's mutex.
 type Server struct {
 	fleet *Fleet
@@ -110,6 +135,15 @@
 	noticeSince time.Time
 	// unwanted counts the requests that arrived later than noticeGrace after that.
 	unwanted int
+	// longestEndless is the longest time for which a receiver took an endless response.
+	longestEndless time.Duration
+}
+
+// LongestEndless returns the longest time for which a receiver took an endless response.
+func (s *Server) LongestEndless() time.Duration {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.longestEndless
 }
 
 // Unwanted returns how many requests arrived although the server had stated that it is leaving or closed, not counting
@@ -171,7 +205,7 @@
 func (s *Server) SetFaults(faults Faults) {
 	s.fleet.mu.Lock()
 	s.faults = faults
-	s.noticeSince, s.unwanted = time.Time{}, 0
+	s.noticeSince, s.unwanted, s.longestEndless = time.Time{}, 0, 0
 	group, epoch, unresponsive := s.group, s.epoch, faults.Unresponsive
 	s.fleet.mu.Unlock()
 	if unresponsive {
