gateway: lines about failed attempts state the organisation and the shared parts of the prompt

Change: the adapter reads the parts of a prompt, all but the last, which belongs to the request or its session; lines 'attemptFailed' have 'organisation', 'parts' and 'delivered'.

Measured: TestSharedParts, TestMetadata.

--- a/dialect.go
+++ b/dialect.go
@@ -24,8 +24,17 @@
 	ExpectedOutputTokens int
 	// LastEventID is the id of the last event that the caller has received; negative for a stream from its beginning.
 	LastEventID int64
+	// SharedParts are the parts of the prompt that other requests may have too, in their order, without the one that
+	// belongs to the request or its session alone.
+	SharedParts []PromptPart
 }
 
+// PromptPart identifies a part of a prompt by its content.
+type PromptPart uint64
+
+// MaxSharedParts bounds the parts of a prompt that are told apart.
+const MaxSharedParts = 32
+
 // BackendMetadata is what the system adds to the header of a request that it sends to a backend server.
 type BackendMetadata struct {
 	// RemainingTime is the time remaining until the caller's deadline.
--- a/emulator.go
+++ b/emulator.go
@@ -16,6 +16,8 @@
 	WriteCallerMetadata(h *fasthttp.RequestHeader, c CallerMetadata)
 	// ReadBackendMetadata decodes what the system added to a request to a backend server.
 	ReadBackendMetadata(h *fasthttp.RequestHeader) BackendMetadata
+	// ReadSharedParts returns the parts of a request's prompt that other requests may have too.
+	ReadSharedParts(h *fasthttp.RequestHeader) []PromptPart
 	// SignResponse marks a response as produced by running a request.
 	SignResponse(h *fasthttp.ResponseHeader, attemptID, signature string)
 	// MarkNotRun marks a response as proof that a request has not run; faultyServer may be empty.
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -267,6 +268,7 @@
 	}
 	g.telemetry.Count("requests", "result", "attemptFailed")
 	g.logProblem("attemptFailed").Str("request", r.caller.AttemptID).Str("server", d.ID).Bool("stalled", stalled).
+		Str("organisation", r.organisation).Strs("parts", partNames(r.caller.SharedParts)).Int64("delivered", r.lastEventID).
 		Int("load", d.Load).Int("slots", d.Slots).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Err(err).Msg("an attempt failed")
 	if errors.Is(err, engine.ErrWithheld) {
 		return outcomeUnsent, placement.Shed
@@ -279,6 +281,15 @@
 	return outcomeFailed, placement.Failed
 }
 
+// partNames returns parts of a prompt as logs show them.
+func partNames(parts []savorywing.PromptPart) []string {
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = strconv.FormatUint(uint64(part), 16)
+	}
+	return names
+}
+
 // handleNotRun handles a server's proof that it has not run the request.
 func (r *callerRequest) handleNotRun(response *engine.Response, d placement.Decision) placement.Result {
 	err := response.Drain()
