--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -110,7 +110,7 @@
 	doc := fleetDocument(1)
 	f.fleet = standin.New(standin.Config{
 		Dialect: f.dialect, ControlAddresses: f.seeds, ReportInterval: 200 * time.Millisecond, EngineService: fleetEngineService,
-		Engine: *doc.Services[0].Engine, MemberLossTimeout: 700 * time.Millisecond, PlainServiceTime: 10 * time.Millisecond,
+		Engine: *doc.Services[0].Engine, MemberLossTimeout: 700 * time.Millisecond, PlainServiceTime: 10 * time.Millisecond, RestartTime: 1500 * time.Millisecond,
 	})
 	for i := range engines {
 		f.addServer(standin.ServerConfig{ID: fmt.Sprintf("engine-%d", i), Service: fleetEngineService, Engine: true, Slots: 8,
@@ -262,6 +262,11 @@
 
 // send sends one request to an entry host. Closing disconnect, if it is not nil, closes the caller's connection.
 func (f *fleetEnv) send(entry int, path, model, key string, disconnect <-chan struct{}) fleetResponse {
+	return f.sendParts(entry, path, model, key, disconnect)
+}
+
+// sendParts is send with the shared parts of the request's prompt.
+func (f *fleetEnv) sendParts(entry int, path, model, key string, disconnect <-chan struct{}, parts ...savorywing.PromptPart) fleetResponse {
 	f.mu.Lock()
 	f.lastCall++
 	r := fleetResponse{requestID: fmt.Sprintf("call-%d", f.lastCall)}
@@ -282,7 +287,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetRequestURI(path)
 	req.Header.SetHost(fleetHost)
-	f.dialect.WriteCallerMetadata(&req.Header, savorywing.CallerMetadata{AttemptID: r.requestID, APIKey: key, Timeout: 8 * time.Second, Model: model, PromptTokens: 500, MaxOutputTokens: 60, LastEventID: -1})
+	f.dialect.WriteCallerMetadata(&req.Header, savorywing.CallerMetadata{AttemptID: r.requestID, APIKey: key, Timeout: 8 * time.Second, Model: model, PromptTokens: 500, MaxOutputTokens: 60, LastEventID: -1, SharedParts: parts})
 	req.SetBodyString("what is to be done")
 	_ = c.SetDeadline(time.Now().Add(12 * time.Second))
 	if _, err := req.WriteTo(c); err != nil {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -23,6 +23,8 @@
 	MemberLossTimeout time.Duration
 	// PlainServiceTime is the service time of a request to a plain service.
 	PlainServiceTime time.Duration
+	// RestartTime is the time after which a server that has crashed starts again, as a new incarnation under another ID.
+	RestartTime time.Duration
 }
 
 // Fleet is a set of emulated servers and their observations.
@@ -33,8 +35,14 @@
 	servers map[string]*Server
 	// runCounts counts runs by the ID of the caller's attempt.
 	runCounts map[string]int
+	// closed is set by Close; no server starts again after it.
+	closed bool
 	// violations describe the violated invariants.
 	violations []string
+	// lethal holds the parts of prompts on which an engine crashes after its first event; lethalArrivals and lethalCrashes
+	// hold the times of the requests with one of them and of the crashes.
+	lethal                        map[savorywing.PromptPart]bool
+	lethalArrivals, lethalCrashes []time.Time
 	// everReady holds "id group epoch" of every member that was ever ready.
 	everReady map[string]bool
 }
@@ -58,6 +66,34 @@
 	return f.runCounts[attemptID]
 }
 
+// SetLethal replaces the parts of prompts on which engines crash, and forgets the arrivals and crashes so far.
+func (f *Fleet) SetLethal(parts ...savorywing.PromptPart) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lethal, f.lethalArrivals, f.lethalCrashes = map[savorywing.PromptPart]bool{}, nil, nil
+	for _, part := range parts {
+		f.lethal[part] = true
+	}
+}
+
+// LethalTimes returns when requests with a lethal part arrived at engines, and when engines crashed on one.
+func (f *Fleet) LethalTimes() (arrivals, crashes []time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]time.Time(nil), f.lethalArrivals...), append([]time.Time(nil), f.lethalCrashes...)
+}
+
+// recordLethal reports whether a request has a lethal part, and records its arrival. The caller holds mu.
+func (f *Fleet) recordLethal(parts []savorywing.PromptPart) bool {
+	for _, part := range parts {
+		if f.lethal[part] {
+			f.lethalArrivals = append(f.lethalArrivals, time.Now())
+			return true
+		}
+	}
+	return false
+}
+
 // OpenHeads returns the heads of the open groups.
 func (f *Fleet) OpenHeads() []*Server {
 	f.mu.Lock()
@@ -86,6 +122,7 @@
 // Close kills every server.
 func (f *Fleet) Close() {
 	f.mu.Lock()
+	f.closed = true
 	var servers []*Server
 	for _, s := range f.servers {
 		servers = append(servers, s)
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -24,6 +24,7 @@
 	s.fleet.mu.Unlock()
 	if unresponsive || dead {
 		<-s.ctx.Done()
+		_ = ctx.Conn().Close()
 		return
 	}
 	if s.dialect().IsOrder(&ctx.Request.Header) {
@@ -177,6 +178,7 @@
 		return
 	}
 	f.checkRun(s, attemptID)
+	lethal := f.recordLethal(s.dialect().ReadSharedParts(&ctx.Request.Header))
 	faults := s.faults
 	epoch, model := s.epoch, f.model(s.model)
 	f.mu.Unlock()
@@ -186,7 +188,14 @@
 	pause := time.Duration(model.TimeFactor * float64(tokensPerEvent*f.cfg.Engine.StepTime))
 	write := func(w *bufio.Writer) (complete bool) {
 		defer s.inFlight.Add(-1)
-		return s.writeEvents(w, metadata.LastEventID+1, pause, epoch, faults)
+		if lethal {
+			faults.TruncateAfter, faults.PartialEvent = int(metadata.LastEventID)+2, true
+		}
+		complete = s.writeEvents(w, metadata.LastEventID+1, pause, epoch, faults)
+		if lethal {
+			s.crash()
+		}
+		return complete
 	}
 	if faults.Framing == UntilClose {
 		header := append([]byte("HTTP/1.1 200 OK\r\n"), headerFields(&ctx.Response.Header)...)
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -201,6 +201,36 @@
 	go s.fleet.breakAfterTimeout(group, epoch)
 }
 
+// crash kills the server, and starts it again after RestartTime at the same address.
+func (s *Server) crash() {
+	f := s.fleet
+	f.mu.Lock()
+	dead := s.dead
+	if !dead {
+		f.lethalCrashes = append(f.lethalCrashes, time.Now())
+	}
+	f.mu.Unlock()
+	if dead {
+		return
+	}
+	s.Kill()
+	time.AfterFunc(f.cfg.RestartTime, func() {
+		f.mu.Lock()
+		closed := f.closed
+		f.mu.Unlock()
+		if closed {
+			return
+		}
+		cfg := s.ServerConfig
+		cfg.ID = fmt.Sprintf("%s+", cfg.ID)
+		if _, err := f.Add(cfg); err != nil {
+			f.mu.Lock()
+			f.recordViolation("the emulated server %s could not start again: %v", s.id, err)
+			f.mu.Unlock()
+		}
+	})
+}
+
 // SetFaults replaces the faults injected into the server.
 func (s *Server) SetFaults(faults Faults) {
 	s.fleet.mu.Lock()
