quarantine: a part of a prompt on which engines crash is found, and its requests are rejected by all entry hosts

A request that ended its engine was sent to the next one.

Cause: a lost response counted as a failure of the engine alone; nothing compared what the lost requests had in common. The class: work that ends whatever takes it, whether it is new or sent again, met at any host.

Change: an entry host whose connections to an engine end before it has survived a request (500 ms of writing, or the end of the response) finds out whether the engine has ended: nothing listens at its address then. It reports the ended incarnation with the shared parts of the requests, and what it knows of survivals with these parts. The list is pushed to all entry hosts, which answer 503 with Retry-After, or 502 if the request may have run. Parts are blocked per organisation, so that one can't get another's requests rejected, and for all once engines have crashed for two. A restarted host gets the list with its first document; a new leader adopts what the hosts know.

Why this works: whatever else the requests hold, the lethal part is in every crash and in no survival; bystanders, and parts that most requests share, survive elsewhere.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -113,6 +113,16 @@
 	return &link{conn: conn, address: call.Address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
 
+// Probe opens a connection to an address and returns the error. The connection is kept for a later request.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	l, err := c.connect(ctx, Call{Address: address})
+	if err != nil {
+		return fmt.Errorf("Client.Probe: %w", err)
+	}
+	c.pool.put(l, 0)
+	return nil
+}
+
 // exchange writes the request and reads response headers until the one with the attempt ID of the call.
 func (c *Client) exchange(l *link, call Call) (*Response, error) {
 	if !call.HeaderDeadline.IsZero() {
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -18,6 +18,7 @@
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
+	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/telemetry"
@@ -91,6 +92,8 @@
 	totals      *fleet.Totals
 	packedLoads []byte
 	packedAt    time.Time
+	// quarantine finds the parts of prompts on which servers crash.
+	quarantine *quarantine.Tracker
 	// waiting holds the channels of callers that wait until the entry hosts have been notified.
 	waiting []chan<- struct{}
 	leading bool
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -108,6 +108,11 @@
 		return
 	}
 	c.nextPush = now.Add(minPushInterval)
+	c.pushToAll(now)
+}
+
+// pushToAll sends each entry host the changes that it lacks.
+func (c *Controller) pushToAll(now time.Time) {
 	// Hosts that lack the same changes are sent the same bytes.
 	encoded := map[uint64]peer.EncodedFrame{}
 	for host, e := range c.entryHosts {
@@ -138,6 +143,7 @@
 func (c *Controller) changesSince(revision uint64) *wire.FleetUpdate {
 	u := &wire.FleetUpdate{Term: c.term, Revision: c.endpoints.revision, Leader: c.settings.PeerAddress()}
 	u.Endpoints, u.Removed, u.Full = c.endpoints.since(revision)
+	u.Quarantine = c.quarantine.List(c.clock.Now())
 	if u.Full {
 		u.Controls = c.controlHosts()
 	}
@@ -164,6 +170,7 @@
 		u.Document = d.packed
 	}
 	u.Loads, u.Entries = c.loads(c.clock.Now()), c.totals.Hosts()
+	u.Probes = c.quarantine.Probes(c.clock.Now(), e.usage.TurnedAway)
 	c.recordSent(host, e, c.mesh.Push(host, wire.Frame{Fleet: u}))
 }
 
@@ -195,6 +202,7 @@
 		e.sentRevision = 0
 	}
 	c.applyLeaving(u.Leaving)
+	c.recordLosses(now, host, u)
 	for _, d := range u.Demand {
 		c.hasSeenRequests = c.hasSeenRequests || d.Requests > 0
 	}
--- /dev/null
+++ b/process/controller/quarantine.go
@@ -0,0 +1,35 @@
+package controller
+
+import (
+	"strconv"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+// recordLosses records what an entry host reports of servers that have ended under its requests.
+func (c *Controller) recordLosses(now time.Time, host string, u wire.Usage) {
+	for _, l := range u.Losses {
+		c.log.Info().Str("event", "serverEnded").Str("server", l.Server).Int64("born", l.Born).Str("entry", host).Int64("ageMs", l.AgeMs).
+			Int("requests", len(l.Requests)).Msg("a backend server ended under requests that it had just begun")
+	}
+	c.quarantine.Record(now, c.term, u)
+}
+
+// stepQuarantine blocks and releases parts of prompts, and tells the entry hosts at once.
+func (c *Controller) stepQuarantine(now time.Time) {
+	if !c.leading || !c.quarantine.Step(now) {
+		return
+	}
+	for _, change := range c.quarantine.Changes() {
+		state := "released"
+		if change.Blocked {
+			state = "blocked"
+		}
+		c.telemetry.Count("prompt_parts", "state", state)
+		c.log.Warn().Str("event", "promptPart").Str("state", state).Str("reason", change.Reason).Int("crashes", change.Crashes).
+			Str("service", change.Key.Service).Str("organisation", change.Key.Organisation).Str("part", strconv.FormatUint(change.Key.Part, 16)).
+			Msg("requests with a part of a prompt are rejected, or served again")
+	}
+	c.pushToAll(now)
+}
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -5,6 +5,7 @@
 
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
@@ -46,6 +47,7 @@
 		c.handleWaitingUsage()
 		now := c.clock.Now()
 		c.updateLeadership(now)
+		c.stepQuarantine(now)
 		c.notifyWaiting(now)
 		if !now.Before(nextPresence) {
 			nextPresence = now.Add(presenceInterval)
@@ -225,6 +227,7 @@
 		if leading {
 			c.endpoints, c.totals = newEndpointLog(), fleet.NewTotals()
 			c.entryHosts, c.demandSince, c.packedAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
+			c.quarantine = quarantine.NewTracker(c.clock.Now())
 			// Entry hosts report as soon as they know of the new leader, and are sent all endpoints.
 			c.pushNow(now)
 		}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -63,7 +62,7 @@
 		now := g.clock.Now()
 		d, reservation := r.reserve(now)
 		if reservation == nil {
-			if d.Reason != placement.ReasonNone && r.waitForChange(ctx) {
+			if d.Reason != placement.ReasonNone && d.Reason != placement.ReasonQuarantined && r.waitForChange(ctx) {
 				continue
 			}
 			if ctx.Err() == nil {
@@ -116,6 +115,9 @@
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if retryAfter, blocked := g.observer.Blocked(now, r.prompt); blocked {
+		return placement.Decision{Reason: placement.ReasonQuarantined, RetryAfter: retryAfter}, nil
+	}
 	budget := g.budget(r.service.Name)
 	if !r.counted {
 		r.counted = true
@@ -188,6 +190,7 @@
 // attempt sends the request to one server and relays its response.
 func (r *callerRequest) attempt(ctx context.Context, d placement.Decision, reservation *placement.Reservation) (outcome, placement.Result) {
 	g := r.gateway
+	r.firstEventAt, r.survived = time.Time{}, false
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := r.startWatch(d, cancel)
@@ -278,16 +281,10 @@
 		g.engines.CloseIdle(d.Address)
 		return outcomeUnsent, placement.Unreachable
 	}
-	return outcomeFailed, placement.Failed
-}
-
-// partNames returns parts of a prompt as logs show them.
-func partNames(parts []savorywing.PromptPart) []string {
-	names := make([]string, len(parts))
-	for i, part := range parts {
-		names[i] = strconv.FormatUint(uint64(part), 16)
+	if !stalled {
+		r.recordLoss(d, err)
 	}
-	return names
+	return outcomeFailed, placement.Failed
 }
 
 // handleNotRun handles a server's proof that it has not run the request.
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -53,6 +53,7 @@
 		if scan.numbered > 0 {
 			now := g.clock.Now()
 			w.progressed(now)
+			r.recordEvent(now)
 			r.recordEventTimes(now, last)
 			g.recordProgress(reservation, now, last)
 			last, hasEvents = now, true
@@ -71,6 +72,7 @@
 		r.lastEventID = scan.lastID
 		pending = append(pending[:0], pending[end:]...)
 		if ended {
+			r.recordSurvival(g.clock.Now())
 			r.recordServed(d, response)
 			return outcomeDone, placement.Served
 		}
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -124,6 +124,8 @@
 	s.mu.Unlock()
 	g.mu.Lock()
 	u.Loads, u.Leaving = g.balancer.Usage(now), g.balancer.Leaving()
+	g.observer.Report(now, &u)
+	isUrgent := g.observer.HasReport()
 	for model, d := range g.demand {
 		u.Demand = append(u.Demand, wire.ModelDemand{Model: model, Requests: d.requests, WorkMs: d.workMs})
 	}
@@ -133,7 +135,7 @@
 		s.forgetLeader(host)
 		return true
 	}
-	return len(u.Loads) > 0 || len(u.Leaving) > 0 || s.isIncomplete()
+	return len(u.Loads) > 0 || len(u.Leaving) > 0 || isUrgent || s.isIncomplete()
 }
 
 func (s *fleetSubscription) isIncomplete() bool {
@@ -247,7 +249,12 @@
 	if u.Echo != 0 {
 		s.applyLoads(u)
 	}
+	newlyListed := g.observer.Apply(g.clock.Now(), u)
 	g.mu.Unlock()
+	if newlyListed {
+		// The leader waits for what is known here of the parts.
+		s.wakeUp()
+	}
 	if changed {
 		g.log.Debug().Str("event", "endpointsChanged").Uint64("term", u.Term).Uint64("revision", u.Revision).
 			Int("changed", len(u.Endpoints)).Strs("removed", u.Removed).Msg("endpoints changed")
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/retry"
 	"savorywing.example/savorywing/process/telemetry"
 	"savorywing.example/savorywing/version/catalogue"
@@ -47,8 +48,9 @@
 	catalogue    atomic.Pointer[catalogue.Catalogue]
 	stopping     atomic.Bool
 
-	// mu guards the state on which requests are placed: balancer, budgets, demand and waitEstimator.
+	// mu guards the state on which requests are placed: balancer, observer, budgets, demand and waitEstimator.
 	mu       sync.Mutex
+	observer *quarantine.Observer
 	balancer *placement.Balancer
 	budgets  map[string]*retry.Window
 	demand   map[string]*demand
@@ -70,6 +72,7 @@
 func New(s *instance.Settings, dialect savorywing.Dialect, log zerolog.Logger) (*Gateway, error) {
 	g := &Gateway{
 		clock: clock.Boottime{}, log: log, dialect: dialect, budgets: map[string]*retry.Window{}, demand: map[string]*demand{}, waitEstimator: placement.NewWaitEstimator(),
+		observer: quarantine.NewObserver(),
 		balancer: placement.New(placement.Config{DataCentre: s.DataCentre, Seed: uint64(time.Now().UnixNano())}),
 	}
 	g.current.Store(s)
--- /dev/null
+++ b/process/gateway/loss.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"syscall"
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/quarantine"
+)
+
+// partIDs returns parts of a prompt as the quarantine knows them.
+func partIDs(parts []savorywing.PromptPart) []uint64 {
+	ids := make([]uint64, len(parts))
+	for i, part := range parts {
+		ids[i] = uint64(part)
+	}
+	return ids
+}
+
+// partNames returns parts of a prompt as logs show them.
+func partNames(parts []savorywing.PromptPart) []string {
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = strconv.FormatUint(uint64(part), 16)
+	}
+	return names
+}
+
+// recordEvent records that the current attempt got an event, and, once its server has survived the request, that.
+func (r *callerRequest) recordEvent(now time.Time) {
+	if r.firstEventAt.IsZero() {
+		r.firstEventAt = now
+	}
+	if now.Sub(r.firstEventAt) >= quarantine.SurvivalTime {
+		r.recordSurvival(now)
+	}
+}
+
+// recordSurvival records that the server of the current attempt has survived the request.
+func (r *callerRequest) recordSurvival(now time.Time) {
+	if r.survived || r.firstEventAt.IsZero() || len(r.prompt.Parts) == 0 {
+		return
+	}
+	r.survived = true
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observer.RecordSurvival(now, r.firstEventAt, r.prompt)
+}
+
+// recordLoss records that the connection of an attempt ended before its server had survived the request. The first one
+// of a server finds out whether it has ended.
+func (r *callerRequest) recordLoss(d placement.Decision, err error) {
+	if r.survived || len(r.prompt.Parts) == 0 || !isConnectionEnd(err) {
+		return
+	}
+	g := r.gateway
+	g.mu.Lock()
+	isNew := g.observer.RecordLoss(g.clock.Now(), d.ID, d.Born, r.prompt)
+	g.mu.Unlock()
+	if isNew {
+		go g.resolveLoss(d)
+	}
+}
+
+// isConnectionEnd reports whether an attempt failed because its connection ended.
+func isConnectionEnd(err error) bool {
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, engine.ErrTruncated, errNoEventEnd} {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// resolveTimeout bounds the time to find out whether a server has ended.
+const resolveTimeout = 500 * time.Millisecond
+
+// resolveLoss finds out whether a server has ended: nothing listens at its address then. A server that is unreachable
+// for another reason, or that answers, is not a loss.
+func (g *Gateway) resolveLoss(d placement.Decision) {
+	ctx, cancel := context.WithTimeout(g.ctx, resolveTimeout)
+	defer cancel()
+	err := g.engines.Probe(ctx, d.Address)
+	ended := errors.Is(err, syscall.ECONNREFUSED)
+	g.mu.Lock()
+	g.observer.Resolve(d.ID, d.Born, ended)
+	g.mu.Unlock()
+	if ended {
+		g.subscription.wakeUp()
+	}
+	g.logProblem("connectionsEnded").Str("server", d.ID).Int64("born", d.Born).Bool("ended", ended).AnErr("probe", err).
+		Msg("connections to a backend server ended before their responses")
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -11,6 +11,7 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
 )
@@ -48,6 +49,12 @@
 	// firstEvent is the time to the first event, and longestGap the longest pause between two events; 0 without
 	// events.
 	firstEvent, longestGap time.Duration
+	// prompt identifies the shared parts of the prompt; it has none for plain services.
+	prompt quarantine.Prompt
+	// firstEventAt is when the current attempt got its first event; zero before. survived reports whether its server is
+	// known to have survived the request.
+	firstEventAt time.Time
+	survived     bool
 	// mayHaveRun is set once an attempt may have run and its response was lost.
 	mayHaveRun bool
 }
@@ -190,6 +197,9 @@
 		timeout = min(timeout, r.caller.Timeout)
 	}
 	r.deadline = r.exchange.Arrival().Add(timeout)
+	if r.service.Engine != nil {
+		r.prompt = quarantine.Prompt{Service: r.service.Name, Organisation: r.organisation, Parts: partIDs(r.caller.SharedParts)}
+	}
 	if e := r.service.Engine; e != nil && e.PrefillRate > 0 {
 		r.prefillTime = time.Duration(float64(r.caller.PromptTokens)/e.PrefillRate*float64(time.Second)) + e.StepTime
 	}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -86,13 +86,17 @@
 	ReasonNoEndpoint Reason = "noEndpoint"
 	// ReasonFull means that no endpoint could start the response in time.
 	ReasonFull Reason = "full"
+	// ReasonQuarantined means that servers crash on a part of the request's prompt.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Decision is the endpoint of a request, or the reason of a rejection and the time after which to retry.
 type Decision struct {
 	ID, Address string
-	Reason      Reason
-	RetryAfter  time.Duration
+	// Born is the incarnation of the endpoint.
+	Born       int64
+	Reason     Reason
+	RetryAfter time.Duration
 	// Load and Slots are the requests in flight and the slots of the endpoint that the decision is based on; for a
 	// rejection, the sums over all usable endpoints.
 	Load, Slots int
@@ -121,7 +125,7 @@
 		}
 	}
 	return Decision{
-		ID: best.ID, Address: best.Address, Load: best.load(), Slots: best.slots(), Predicted: best.predicted, engineTime: best.engineTime,
+		ID: best.ID, Address: best.Address, Born: best.Born, Load: best.load(), Slots: best.slots(), Predicted: best.predicted, engineTime: best.engineTime,
 		StallTimeout: b.stallTimeout(best.endpoint),
 	}
 }
--- /dev/null
+++ b/process/quarantine/doc.go
@@ -0,0 +1,7 @@
+// Package quarantine finds the parts of prompts on which engines crash, whatever else a request holds, so that requests
+// with such a part are rejected everywhere instead of being sent to one engine after the other.
+//
+// Each entry host's Observer collects the requests under which a server has ended, and those that a server has survived.
+// The leader's Tracker compares the crashes: a part is blocked once several crashes in a row have it in common and no
+// request with it has survived meanwhile. Both are pure: events and time in, decisions out.
+package quarantine
--- /dev/null
+++ b/process/quarantine/observer.go
@@ -0,0 +1,276 @@
+package quarantine
+
+import (
+	"sort"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+const (
+	// SurvivalTime is how long a server must have been writing a response to have survived the request, unless the
+	// response ends earlier.
+	SurvivalTime = 500 * time.Millisecond
+	// survivalRetention is how long survivals are known at least; maxSurvivals bounds how many.
+	survivalRetention = 30 * time.Second
+	maxSurvivals      = 4096
+	// lossRetention is how long a loss is reported that no leader has acknowledged. maxLosses and maxLostRequests bound the
+	// losses, and the requests of each.
+	lossRetention   = 10 * time.Second
+	maxLosses       = 64
+	maxLostRequests = 32
+	// probeValidity is how long a permission to try one request holds.
+	probeValidity = 5 * time.Second
+	// turnedAwayTime is how long a rejection is reported.
+	turnedAwayTime = 2 * time.Second
+)
+
+// Prompt is what identifies the shared parts of a request's prompt.
+type Prompt struct {
+	Service, Organisation string
+	Parts                 []uint64
+}
+
+func (p Prompt) key(part uint64) wire.PartKey {
+	return wire.PartKey{Service: p.Service, Organisation: p.Organisation, Part: part}
+}
+
+// incarnation identifies one life of a server.
+type incarnation struct {
+	id   string
+	born int64
+}
+
+// loss is a server that may have ended, with the requests that it had just begun.
+type loss struct {
+	at       time.Time
+	requests []Prompt
+	// confirmed reports whether the server is known to have ended.
+	confirmed bool
+	// sentAt is the time in the report that contained the loss as it is now; 0 if none did.
+	sentAt int64
+}
+
+// Observer is what one entry host knows of the parts of prompts on which servers crash.
+type Observer struct {
+	// newer and older hold when the latest surviving request with a part got its first event. older is dropped when newer
+	// takes its place.
+	newer, older map[wire.PartKey]time.Time
+	rotatedAt    time.Time
+	losses       map[incarnation]*loss
+
+	// term is that of the leader that listed is from. listed holds the blocked and the suspected parts.
+	term   uint64
+	listed map[wire.PartKey]listedPart
+	// probes holds until when a blocked part may be tried with one request.
+	probes map[wire.PartKey]time.Time
+	// turnedAway holds when a request was last rejected for a part.
+	turnedAway map[wire.PartKey]time.Time
+}
+
+type listedPart struct {
+	blocked bool
+	retryAt time.Time
+}
+
+// NewObserver returns an Observer that knows of no part.
+func NewObserver() *Observer {
+	return &Observer{
+		newer: map[wire.PartKey]time.Time{}, older: map[wire.PartKey]time.Time{}, losses: map[incarnation]*loss{},
+		listed: map[wire.PartKey]listedPart{}, probes: map[wire.PartKey]time.Time{}, turnedAway: map[wire.PartKey]time.Time{},
+	}
+}
+
+// Blocked reports whether a request is to be rejected because of a part of its prompt, and the time after which one like
+// it may be tried. A request that is let through as a probe uses up the permission.
+func (o *Observer) Blocked(now time.Time, p Prompt) (retryAfter time.Duration, blocked bool) {
+	var keys []wire.PartKey
+	for _, part := range p.Parts {
+		if key, found := o.blockedKey(p, part); found {
+			keys = append(keys, key)
+		}
+	}
+	permitted := true
+	for _, key := range keys {
+		o.turnedAway[key] = now
+		permitted = permitted && now.Before(o.probes[key])
+		retryAfter = max(retryAfter, o.listed[key].retryAt.Sub(now))
+	}
+	if !permitted {
+		return max(retryAfter, minRetryAfter), true
+	}
+	for _, key := range keys {
+		delete(o.probes, key)
+	}
+	return 0, false
+}
+
+// minRetryAfter is the shortest time after which a caller is asked to retry: that of a report and its answer, with a
+// margin.
+const minRetryAfter = 1 * time.Second
+
+// blockedKey returns the key for which a part is blocked, if it is.
+func (o *Observer) blockedKey(p Prompt, part uint64) (wire.PartKey, bool) {
+	if len(o.listed) == 0 {
+		return wire.PartKey{}, false
+	}
+	key := wire.PartKey{Service: p.Service, Organisation: AllOrganisations, Part: part}
+	if o.listed[key].blocked {
+		return key, true
+	}
+	key = p.key(part)
+	return key, o.listed[key].blocked
+}
+
+// RecordSurvival records that a server has survived a request that got its first event at begun: its response is complete,
+// or has been written for SurvivalTime.
+func (o *Observer) RecordSurvival(now, begun time.Time, p Prompt) {
+	if now.Sub(o.rotatedAt) > survivalRetention || len(o.newer) >= maxSurvivals {
+		o.older, o.newer, o.rotatedAt = o.newer, map[wire.PartKey]time.Time{}, now
+	}
+	for _, part := range p.Parts {
+		o.recordSurvival(p.key(part), begun)
+		if all := (wire.PartKey{Service: p.Service, Organisation: AllOrganisations, Part: part}); o.listed[all].blocked {
+			o.recordSurvival(all, begun)
+		}
+	}
+}
+
+func (o *Observer) recordSurvival(key wire.PartKey, begun time.Time) {
+	if begun.After(o.newer[key]) {
+		o.newer[key] = begun
+	}
+}
+
+// RecordLoss records a request whose response was cut off before its server had survived it. It reports whether it has to
+// be found out if the server has ended; Resolve takes the result.
+func (o *Observer) RecordLoss(now time.Time, server string, born int64, p Prompt) bool {
+	id := incarnation{server, born}
+	l := o.losses[id]
+	isNew := l == nil
+	if isNew {
+		if len(o.losses) >= maxLosses {
+			return false
+		}
+		l = &loss{at: now}
+		o.losses[id] = l
+	}
+	if len(l.requests) < maxLostRequests {
+		l.requests, l.sentAt = append(l.requests, p), 0
+	}
+	return isNew
+}
+
+// Resolve records whether a server that may have been lost has ended.
+func (o *Observer) Resolve(server string, born int64, ended bool) {
+	id := incarnation{server, born}
+	l := o.losses[id]
+	switch {
+	case l == nil:
+	case ended:
+		l.confirmed = true
+	default:
+		delete(o.losses, id)
+	}
+}
+
+// Report adds what the leader has to know to a usage report.
+func (o *Observer) Report(now time.Time, u *wire.Usage) {
+	u.QuarantineTerm = o.term
+	relevant := map[wire.PartKey]bool{}
+	for id, l := range o.losses {
+		if now.Sub(l.at) > lossRetention {
+			delete(o.losses, id)
+			continue
+		}
+		if l.confirmed {
+			u.Losses = append(u.Losses, l.report(now, id))
+			l.sentAt = u.SentAt
+			l.addKeys(relevant)
+		}
+	}
+	for key, p := range o.listed {
+		if p.blocked {
+			u.Quarantine = append(u.Quarantine, wire.QuarantinedPart{Key: key, Blocked: true, RetryMs: max(0, p.retryAt.Sub(now)).Milliseconds()})
+		}
+		relevant[key] = true
+	}
+	for key := range relevant {
+		if begun := o.survival(key); !begun.IsZero() {
+			u.Survivals = append(u.Survivals, wire.Survival{Key: key, BegunMs: now.Sub(begun).Milliseconds()})
+		}
+	}
+	for key, at := range o.turnedAway {
+		if now.Sub(at) > turnedAwayTime {
+			delete(o.turnedAway, key)
+			continue
+		}
+		u.TurnedAway = append(u.TurnedAway, key)
+	}
+	sort.Slice(u.Losses, func(i, j int) bool { return u.Losses[i].Server < u.Losses[j].Server })
+}
+
+// survival returns when the latest surviving request with a part got its first event; zero if none is known.
+func (o *Observer) survival(key wire.PartKey) time.Time {
+	if begun, known := o.newer[key]; known {
+		return begun
+	}
+	return o.older[key]
+}
+
+func (l *loss) addKeys(keys map[wire.PartKey]bool) {
+	for _, p := range l.requests {
+		for _, part := range p.Parts {
+			keys[p.key(part)] = true
+		}
+	}
+}
+
+func (l *loss) report(now time.Time, id incarnation) wire.Loss {
+	out := wire.Loss{Server: id.id, Born: id.born, AgeMs: now.Sub(l.at).Milliseconds()}
+	for _, p := range l.requests {
+		out.Requests = append(out.Requests, wire.LostRequest{Service: p.Service, Organisation: p.Organisation, Parts: p.Parts})
+	}
+	return out
+}
+
+// HasReport reports whether the leader should get a report soon.
+func (o *Observer) HasReport() bool {
+	for _, l := range o.losses {
+		if l.confirmed {
+			return true
+		}
+	}
+	return len(o.turnedAway) > 0
+}
+
+// Apply applies a leader's update, and reports whether parts are listed that weren't before. The list of a new leader
+// holds from its first answer to a report of this host, which contained what is known here.
+func (o *Observer) Apply(now time.Time, u wire.FleetUpdate) bool {
+	if u.Term < o.term || (u.Term > o.term && u.Echo == 0) {
+		return false
+	}
+	o.term = u.Term
+	listed, isNew := make(map[wire.PartKey]listedPart, len(u.Quarantine)), false
+	for _, p := range u.Quarantine {
+		if _, known := o.listed[p.Key]; !known {
+			isNew = true
+		}
+		listed[p.Key] = listedPart{blocked: p.Blocked, retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond)}
+	}
+	o.listed = listed
+	for key := range o.probes {
+		if !listed[key].blocked {
+			delete(o.probes, key)
+		}
+	}
+	for _, key := range u.Probes {
+		o.probes[key] = now.Add(probeValidity)
+	}
+	for id, l := range o.losses {
+		if l.sentAt != 0 && u.Echo >= l.sentAt {
+			delete(o.losses, id)
+		}
+	}
+	return isNew
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -357,6 +357,13 @@
 	// Requests in flight summed over all entry hosts, by handle; see fleet.PackLoads.
 	Loads []byte `json:"loads"`
 
+	// Blocked parts of which this host may send one request, to learn whether engines
+	// still end on them.
+	Probes []PartKey `json:"probes,omitempty,omitzero"`
+
+	// All blocked and suspected parts.
+	Quarantine []QuarantinedPart `json:"quarantine,omitempty,omitzero"`
+
 	// Removed corresponds to the JSON schema field "removed".
 	Removed []string `json:"removed"`
 
@@ -579,6 +586,34 @@
 	Waiting uint64 `json:"waiting"`
 }
 
+// Loss is the end of a server with the requests that it had just begun, or not
+// begun yet.
+type Loss struct {
+	// Time since its end was noticed.
+	AgeMs int64 `json:"ageMs"`
+
+	// Incarnation of the server.
+	Born int64 `json:"born"`
+
+	// Requests corresponds to the JSON schema field "requests".
+	Requests []LostRequest `json:"requests"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `json:"server"`
+}
+
+// LostRequest holds the parts of a request's prompt that its server ended under.
+type LostRequest struct {
+	// Organisation corresponds to the JSON schema field "organisation".
+	Organisation string `json:"organisation"`
+
+	// Parts corresponds to the JSON schema field "parts".
+	Parts []uint64 `json:"parts"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
 // Member is one voter or learner of the replicated log.
 type Member struct {
 	// Host name, a slash and the number of the disk's incarnation.
@@ -658,6 +693,18 @@
 	Host string `json:"host"`
 }
 
+// PartKey identifies a part of a prompt as an organisation uses it at a service.
+type PartKey struct {
+	// Empty for public routes, * for all organisations.
+	Organisation string `json:"organisation"`
+
+	// Part corresponds to the JSON schema field "part".
+	Part uint64 `json:"part"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
 // Presence is a control host's announcement of itself to the other control hosts.
 type Presence struct {
 	// Address at which backend servers and operators reach the host.
@@ -685,6 +732,18 @@
 	Version uint64 `json:"version"`
 }
 
+// QuarantinedPart is a part of a prompt under which servers have ended.
+type QuarantinedPart struct {
+	// Requests with the part are rejected. If not, the part is only suspected.
+	Blocked bool `json:"blocked"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key PartKey `json:"key"`
+
+	// Time until the next request with the part may be tried.
+	RetryMs int64 `json:"retryMs"`
+}
+
 // RaftMessage is one message of the replicated log.
 type RaftMessage struct {
 	// Commit corresponds to the JSON schema field "commit".
@@ -875,6 +934,15 @@
 	Table *Table `json:"table,omitempty,omitzero"`
 }
 
+// Survival states that a server has survived a request with a part.
+type Survival struct {
+	// Time since the latest such request got its first event.
+	BegunMs int64 `json:"begunMs"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key PartKey `json:"key"`
+}
+
 // Table holds the groups and the owners of hosts at one log index.
 type Table struct {
 	// Groups corresponds to the JSON schema field "groups".
@@ -899,15 +967,32 @@
 	// Loads corresponds to the JSON schema field "loads".
 	Loads []EndpointLoad `json:"loads"`
 
+	// Servers that have ended under requests of this host and that the leader isn't
+	// known to have been told of.
+	Losses []Loss `json:"losses,omitempty,omitzero"`
+
+	// Blocked parts that this host knows of, for a leader that has just taken over.
+	Quarantine []QuarantinedPart `json:"quarantine,omitempty,omitzero"`
+
+	// Term of the leader that the blocked parts are from.
+	QuarantineTerm uint64 `json:"quarantineTerm"`
+
 	// Newest fleet revision received.
 	Revision uint64 `json:"revision"`
 
 	// Time of sending by the entry host's clock. The leader returns it.
 	SentAt int64 `json:"sentAt"`
 
+	// Of the parts that the leader lists, those under which requests of this host
+	// have survived.
+	Survivals []Survival `json:"survivals,omitempty,omitzero"`
+
 	// Term corresponds to the JSON schema field "term".
 	Term uint64 `json:"term"`
 
+	// Blocked parts of requests that this host has rejected lately.
+	TurnedAway []PartKey `json:"turnedAway,omitempty,omitzero"`
+
 	// Version of the document in force at the entry host.
 	Version uint64 `json:"version"`
 }
