--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -62,7 +62,7 @@
 		now := g.clock.Now()
 		d, reservation := r.reserve(now)
 		if reservation == nil {
-			if d.Reason != placement.ReasonNone && d.Reason != placement.ReasonQuarantined && r.waitForChange(ctx) {
+			if d.Reason.IsTransient() && r.waitForChange(ctx) {
 				continue
 			}
 			if ctx.Err() == nil {
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -242,17 +242,8 @@
 	}
 	s.term, s.revision = u.Term, u.Revision
 	s.mu.Unlock()
-	g.mu.Lock()
-	if changed {
-		g.balancer.UpdateEndpoints(u.Full, u.Endpoints, u.Removed)
-	}
-	if u.Echo != 0 {
-		s.applyLoads(u)
-	}
-	newlyListed := g.observer.Apply(g.clock.Now(), u)
-	g.mu.Unlock()
-	if newlyListed {
-		// The leader waits for what is known here of the parts.
+	if s.applyState(u, changed) {
+		// The leader waits for what is known here of the newly listed parts of prompts.
 		s.wakeUp()
 	}
 	if changed {
@@ -266,6 +257,20 @@
 	}
 }
 
+// applyState applies what requests are placed by, and reports whether parts of prompts are listed that weren't before.
+func (s *fleetSubscription) applyState(u wire.FleetUpdate, changed bool) bool {
+	g := s.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if changed {
+		g.balancer.UpdateEndpoints(u.Full, u.Endpoints, u.Removed)
+	}
+	if u.Echo != 0 {
+		s.applyLoads(u)
+	}
+	return g.observer.Apply(g.clock.Now(), u)
+}
+
 // applyLoads applies the loads summed over all entry hosts; the caller holds the gateway's mutex.
 func (s *fleetSubscription) applyLoads(u wire.FleetUpdate) {
 	g := s.gateway
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -90,6 +90,9 @@
 	ReasonQuarantined Reason = "quarantined"
 )
 
+// IsTransient reports whether another update of the leader may lift the rejection within the time that a request waits.
+func (r Reason) IsTransient() bool { return r == ReasonNoEndpoint || r == ReasonFull }
+
 // Decision is the endpoint of a request, or the reason of a rejection and the time after which to retry.
 type Decision struct {
 	ID, Address string
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -315,34 +315,41 @@
 // blockNext blocks the parts with the most evidence, and reports whether there were any. Several parts have the same
 // evidence if all requests under which servers crashed had them; each of them is doubtful then.
 func (t *Tracker) blockNext(now time.Time) bool {
-	var best []wire.PartKey
-	most, bestProven := 0, true
-	all, highest := t.gather(), 0
-	for _, e := range all {
-		highest = max(highest, e.count)
-	}
-	for key, e := range all {
-		proven := !t.survivals[key].IsZero()
-		switch {
-		case !t.suffices(now, key, e, proven) || (e.count < highest && t.isDominated(key, e, all)):
-			continue
-		case len(best) == 0 || e.count > most || (e.count == most && bestProven && !proven):
-			best, most, bestProven = []wire.PartKey{key}, e.count, proven
-		case e.count == most && proven == bestProven:
-			best = append(best, key)
-		}
-	}
-	for _, key := range best {
+	all := t.gather()
+	list, proven := t.strongest(now, all)
+	for _, key := range list {
 		e := all[key]
 		b := &block{crashes: e.count, lastCrashAt: e.latest, lastHit: now}
-		b.doubtful = !t.isBlockedElsewhere(key) && (bestProven || len(best) > 1 || e.moments < blockAfter)
+		b.doubtful = !t.isBlockedElsewhere(key) && (proven || len(list) > 1 || e.moments < blockAfter)
 		b.retryAt = now.Add(b.retryInterval())
 		t.makeRoom()
 		t.blocked[key] = b
 		t.changes = append(t.changes, Change{Key: key, Blocked: true, Reason: "crashes", Crashes: e.count})
 		t.blockForAll(now, key)
 	}
-	return len(best) > 0
+	return len(list) > 0
+}
+
+// strongest returns the parts with the most evidence that suffices to block them, and whether servers have survived them
+// before. Of parts in equally many crashes, those that no server has survived come first.
+func (t *Tracker) strongest(now time.Time, all map[wire.PartKey]*evidence) (list []wire.PartKey, proven bool) {
+	most, highest := 0, 0
+	for _, e := range all {
+		highest = max(highest, e.count)
+	}
+	for key, e := range all {
+		isProven := !t.survivals[key].IsZero()
+		if !t.suffices(now, key, e, isProven) || (e.count < highest && t.isDominated(key, e, all)) {
+			continue
+		}
+		switch {
+		case len(list) == 0 || e.count > most || (e.count == most && proven && !isProven):
+			list, most, proven = []wire.PartKey{key}, e.count, isProven
+		case e.count == most && isProven == proven:
+			list = append(list, key)
+		}
+	}
+	return list, proven
 }
 
 // suffices reports whether the evidence against a part is enough to block it. If another organisation's use of the part
