quarantine: buffered responses count as survivals, suspected parts are announced four times a second at most

Cause: an engine's response that isn't a stream never counted as a survival, so that its parts would be blocked after three engines lost for other reasons. Each change of the suspected parts was pushed to all hosts, each of which answered at once; with hundreds of hosts and many lost engines that multiplies the leader's work.

Change: as stated; a host answers an announcement at once only if it knows of a survival. TestFleetLethalPartKept restarts an entry host and kills the leader after a part was blocked.

--- a/cmd/savorywing/fleet_lethal_test.go
+++ b/cmd/savorywing/fleet_lethal_test.go
@@ -137,3 +137,34 @@
 		t.Error("no request with the lethal part was rejected")
 	}
 }
+
+// TestFleetLethalPartKept checks that what is known of a lethal part outlives an entry host and the leader.
+func TestFleetLethalPartKept(t *testing.T) {
+	f := newFleetEnv(t, 3, 3, 30)
+	f.waitServing()
+	f.fleet.SetLethal(lethalPart)
+	l := f.startLethalLoad(100 * time.Millisecond)
+	defer l.end()
+	f.eventually("requests with the lethal part are rejected", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.refused > 20
+	})
+	f.checkLethalArrivals()
+	f.fleet.SetLethal(lethalPart)
+	f.restartEntry(1)
+	leader := f.leader()
+	leader.Kill()
+	f.stopped[leader] = true
+	time.Sleep(4 * time.Second)
+	arrivals, _ := f.fleet.LethalTimes()
+	if len(arrivals) > maxLethalArrivals {
+		t.Errorf("%d requests with the lethal part reached engines after restarts, want at most %d", len(arrivals), maxLethalArrivals)
+	}
+	f.waitServing()
+	l.reset()
+	time.Sleep(3 * time.Second)
+	if sound, served := l.reset(); served < sound/2 {
+		t.Errorf("%d of %d sound requests were served, want half at least", served, sound)
+	}
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -312,6 +312,7 @@
 		err := response.Drain()
 		return r.sendFailed(ctx, d, errors.Join(fmt.Errorf("callerRequest.relayBuffered: status %d, signed %t, event %d delivered", status, signed, r.lastEventID), err))
 	}
+	r.recordEvent(g.clock.Now())
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
 	if err == nil && len(body) == maxBufferedResponse && signed {
 		return r.relayLarge(ctx, response, d, body)
@@ -323,6 +324,7 @@
 	if err := r.exchange.Start(&response.Header, len(body), body); err != nil {
 		return outcomeCallerGone, placement.CallerGone
 	}
+	r.recordSurvival(g.clock.Now())
 	r.recordServed(d, response)
 	if failed {
 		return outcomeDone, placement.Failed
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -243,7 +243,7 @@
 	s.term, s.revision = u.Term, u.Revision
 	s.mu.Unlock()
 	if s.applyState(u, changed) {
-		// The leader waits for what is known here of the newly listed parts of prompts.
+		// The leader waits for what is known here of parts of prompts.
 		s.wakeUp()
 	}
 	if changed {
@@ -257,7 +257,8 @@
 	}
 }
 
-// applyState applies what requests are placed by, and reports whether parts of prompts are listed that weren't before.
+// applyState applies what requests are placed by, and reports whether the leader lists parts of prompts for the first time
+// of which survivals are known here.
 func (s *fleetSubscription) applyState(u wire.FleetUpdate, changed bool) bool {
 	g := s.gateway
 	g.mu.Lock()
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -244,7 +244,8 @@
 	return len(o.turnedAway) > 0
 }
 
-// Apply applies a leader's update, and reports whether parts are listed that weren't before. The list of a new leader
+// Apply applies a leader's update, and reports whether parts are listed that weren't before and of which survivals are
+// known here. The list of a new leader
 // holds from its first answer to a report of this host, which contained what is known here.
 func (o *Observer) Apply(now time.Time, u wire.FleetUpdate) bool {
 	if u.Term < o.term || (u.Term > o.term && u.Echo == 0) {
@@ -253,7 +254,7 @@
 	o.term = u.Term
 	listed, isNew := make(map[wire.PartKey]listedPart, len(u.Quarantine)), false
 	for _, p := range u.Quarantine {
-		if _, known := o.listed[p.Key]; !known {
+		if _, known := o.listed[p.Key]; !known && !o.survival(p.Key).IsZero() {
 			isNew = true
 		}
 		listed[p.Key] = listedPart{blocked: p.Blocked, retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond)}
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -88,7 +88,10 @@
 	// dirty reports whether anything was recorded since the last step, and nextStep is when a step is due anyway.
 	dirty    bool
 	nextStep time.Time
-	changes  []Change
+	// unannounced reports whether suspects has changed since the hosts were last told.
+	unannounced      bool
+	nextAnnouncement time.Time
+	changes          []Change
 }
 
 // NewTracker returns a Tracker for a leader that takes over now.
@@ -117,14 +120,22 @@
 // stepInterval is the time between two steps while parts are suspected and there is no news of them.
 const stepInterval = 50 * time.Millisecond
 
+// announceInterval is the minimum time between two announcements of suspected parts, which every entry host answers.
+const announceInterval = 250 * time.Millisecond
+
 // Step blocks and releases parts, and reports whether the list for the hosts has changed.
 func (t *Tracker) Step(now time.Time) bool {
-	if !t.dirty && (len(t.suspects) == 0 || now.Before(t.nextStep)) {
+	if !t.dirty && (len(t.suspects) == 0 && !t.unannounced || now.Before(t.nextStep)) {
 		return false
 	}
 	t.dirty, t.nextStep = false, now.Add(stepInterval)
 	t.evaluate(now)
-	return t.updateSuspects(now) || len(t.changes) > 0
+	t.unannounced = t.updateSuspects(now) || t.unannounced
+	if len(t.changes) == 0 && (!t.unannounced || now.Before(t.nextAnnouncement)) {
+		return false
+	}
+	t.unannounced, t.nextAnnouncement = false, now.Add(announceInterval)
+	return true
 }
 
 // Changes returns the decisions since it was last called.
