quarantine: a probe counts once it is sent and has an outcome; adopted parts are doubtful

Change: a permission is used up when a request is sent; the time between probes grows only with a crash under one, and a probe without an outcome is repeated after 7 s; adopted parts count as doubtful.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -140,6 +140,7 @@
 		g.telemetry.Count("refused", "reason", "retryBudget")
 		return placement.Decision{}, nil
 	}
+	g.observer.RecordSend(r.prompt)
 	return d, g.balancer.Start(now, d, request)
 }
 
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -82,27 +82,27 @@
 }
 
 // Blocked reports whether a request is to be rejected because of a part of its prompt, and the time after which one like
-// it may be tried. A request that is let through as a probe uses up the permission.
+// it may be tried. RecordSend has to be called for a request that is sent.
 func (o *Observer) Blocked(now time.Time, p Prompt) (retryAfter time.Duration, blocked bool) {
-	var keys []wire.PartKey
 	for _, part := range p.Parts {
-		if key, found := o.blockedKey(p, part); found {
-			keys = append(keys, key)
+		key, listed := o.blockedKey(p, part)
+		if !listed {
+			continue
 		}
-	}
-	permitted := true
-	for _, key := range keys {
 		o.turnedAway[key] = now
-		permitted = permitted && now.Before(o.probes[key])
-		retryAfter = max(retryAfter, o.listed[key].retryAt.Sub(now))
+		blocked = blocked || !now.Before(o.probes[key])
+		retryAfter = max(retryAfter, o.listed[key].retryAt.Sub(now), minRetryAfter)
 	}
-	if !permitted {
-		return max(retryAfter, minRetryAfter), true
-	}
-	for _, key := range keys {
-		delete(o.probes, key)
+	return retryAfter, blocked
+}
+
+// RecordSend records that a request is sent, which uses up the permission if it is a probe.
+func (o *Observer) RecordSend(p Prompt) {
+	for _, part := range p.Parts {
+		if key, listed := o.blockedKey(p, part); listed {
+			delete(o.probes, key)
+		}
 	}
-	return 0, false
 }
 
 // minRetryAfter is the shortest time after which a caller is asked to retry: that of a report and its answer, with a
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -37,10 +37,12 @@
 	maxBlocked   = 64
 	maxSuspects  = 64
 	// A blocked part is tried again with one request after doubtfulRetry if it may have been confused with another, and
-	// after clearRetry otherwise; the time doubles with each try, up to maxRetry.
+	// after clearRetry otherwise; the time doubles with each crash under such a request, up to maxRetry. A request whose
+	// outcome isn't known after probeTimeout was probably never sent.
 	doubtfulRetry = 2 * time.Second
 	clearRetry    = 60 * time.Second
 	maxRetry      = 1 * time.Hour
+	probeTimeout  = probeValidity + 2*time.Second
 	// forgetAfter is how long a blocked part is kept for which no request was rejected.
 	forgetAfter = 15 * time.Minute
 	// adoptionTime is how long after it has taken over a leader adopts the blocked parts that entry hosts know of.
@@ -62,9 +64,12 @@
 	lastCrashAt time.Time
 	// doubtful reports whether other parts may have been the reason.
 	doubtful bool
-	tries    int
-	retryAt  time.Time
-	lastHit  time.Time
+	// probedAt is when a host was permitted to try a request, if its outcome isn't known; zero otherwise. failedProbes
+	// counts those under which a server has crashed.
+	probedAt     time.Time
+	failedProbes int
+	retryAt      time.Time
+	lastHit      time.Time
 }
 
 // Change is a decision of the Tracker, for the log.
@@ -150,7 +155,7 @@
 		if !p.Blocked || t.blocked[p.Key] != nil || len(t.blocked) >= maxBlocked {
 			continue
 		}
-		t.blocked[p.Key] = &block{retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond), lastHit: now, lastCrashAt: now}
+		t.blocked[p.Key] = &block{doubtful: true, retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond), lastHit: now, lastCrashAt: now}
 		t.changes = append(t.changes, Change{Key: p.Key, Blocked: true, Reason: "adopted"})
 		t.dirty = true
 	}
@@ -235,7 +240,11 @@
 	if at.After(b.lastCrashAt) {
 		b.lastCrashAt = at
 	}
-	b.doubtful = b.doubtful && b.tries == 0
+	if !b.probedAt.IsZero() && at.After(b.probedAt) {
+		b.probedAt, b.doubtful = time.Time{}, false
+		b.failedProbes++
+		b.retryAt = at.Add(b.retryInterval())
+	}
 }
 
 // evaluate blocks the parts that explain the crashes, and releases those that others explain better.
@@ -467,7 +476,7 @@
 	if b.doubtful {
 		interval = doubtfulRetry
 	}
-	return min(maxRetry, interval<<min(b.tries, maxDoublings))
+	return min(maxRetry, interval<<min(b.failedProbes, maxDoublings))
 }
 
 // maxDoublings keeps retryInterval from overflowing.
@@ -482,8 +491,7 @@
 		if b == nil || now.Before(b.retryAt) {
 			continue
 		}
-		b.tries++
-		b.retryAt = now.Add(b.retryInterval())
+		b.probedAt, b.retryAt = now, now.Add(probeTimeout)
 		out = append(out, key)
 	}
 	return out
