quarantine: no part is blocked for crashes at a single moment

A shared cause ends many servers within milliseconds, and nothing survives elsewhere then to acquit the part.

Change: crashes must lie at two moments, 100 ms apart, at least. Engines that crash on a part do so again with the next request.

Measured: TestOtherLosses has the case, of one organisation with a known and a new part; it failed before (the new part was blocked after 12 crashes).

--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -12,8 +12,10 @@
 
 const (
 	// mergeWindow is the time within which crashes belong together: servers that end at the same moment may share a
-	// cause, such as their rack, that says nothing about their requests.
+	// cause, such as their rack, that says nothing about their requests. No part is blocked for crashes at fewer than
+	// minMoments moments.
 	mergeWindow = 100 * time.Millisecond
+	minMoments  = 2
 	// blockAfter is the number of crashes after which a part is blocked that no server has survived. It is doubtful if
 	// they were at fewer moments than that.
 	blockAfter = 3
@@ -375,9 +377,15 @@
 // suffices reports whether the evidence against a part is enough to block it. If another organisation's use of the part
 // is blocked without doubt, one crash is.
 func (t *Tracker) suffices(now time.Time, key wire.PartKey, e *evidence, proven bool) bool {
+	if t.isBlockedElsewhere(key) && !proven {
+		return true
+	}
+	if e.moments < minMoments {
+		return false
+	}
 	if !proven {
 		since, listed := t.suspects[key]
-		return t.isBlockedElsewhere(key) || (e.count >= blockAfter && listed && now.Sub(since) >= answerTime)
+		return e.count >= blockAfter && listed && now.Sub(since) >= answerTime
 	}
 	return e.count >= provenBlockAfter && now.Sub(e.first) >= provenBlockTime && float64(e.count) >= provenFraction*float64(e.total)
 }
--- a/process/quarantine/tracker_test.go
+++ b/process/quarantine/tracker_test.go
@@ -125,6 +125,11 @@
 				s.crash(fmt.Sprint("o", n%2), []uint64{common, 5})
 			}
 		}},
+		{"all at once, of one organisation, parts known and new", func(s *scene) {
+			for range many {
+				s.crash("o", []uint64{common, 5, 9})
+			}
+		}},
 		{"two by chance", func(s *scene) {
 			for range 2 {
 				s.crash("o", []uint64{7})
