soak: streams break off inside events and without an end

The fault that truncates streams takes one of six kinds by its duration, so that seeds keep their sequence of draws: between events, inside one without a length or with a last chunk, and headers, unsigned bodies and events that never end.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -171,12 +172,28 @@
 	case 2:
 		r.faultServerWith(s, "is partitioned from the control hosts", fleet.Faults{DropReports: true}, d)
 	case 3:
-		r.faultServerWith(s, "truncates streams", fleet.Faults{TruncateAfter: 5}, d)
+		f := brokenStreams(d)
+		r.faultServerWith(s, fmt.Sprintf("breaks off streams (framing %d, endless %d)", f.Framing, f.Endless), f, d)
 	default:
 		r.faultServerWith(s, "loses responses", fleet.Faults{LoseResponse: true}, d)
 	}
 }
 
+// brokenStreams returns a fault of streams. Its kind follows from the duration, so that seeds keep their sequence of draws.
+func brokenStreams(d time.Duration) fleet.Faults {
+	const kinds = 6
+	switch kind := int(d) % kinds; kind {
+	case 0:
+		return fleet.Faults{TruncateAfter: 5}
+	case 1:
+		return fleet.Faults{TruncateAfter: 5, PartialEvent: true, Framing: fleet.UntilClose}
+	case 2:
+		return fleet.Faults{TruncateAfter: 5, PartialEvent: true, Framing: fleet.ChunkedToTheEnd}
+	default:
+		return fleet.Faults{Endless: []fleet.Endless{fleet.EndlessHeader, fleet.EndlessUnsignedBody, fleet.EndlessEvents}[kind-3]}
+	}
+}
+
 func (r *run) faultServerWith(s *fleet.Server, what string, f fleet.Faults, d time.Duration) {
 	r.recordFault("%s %s for %v", s.ID, what, d)
 	s.SetFaults(f)
