controller: a slow disk at the first start no longer ends a control host

Cause: the first membership had to be synced within 1 s, and the process ended otherwise.

Change: the start waits for the disk and logs bootstrapSlow after a second.

Why this works: nothing depends on the time of a bootstrap; a host without its first membership takes no part in elections.

Measured: TestSlowBootstrap passes.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -267,15 +267,25 @@
 	if !seed {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
-	defer cancel()
-	if err := c.node.Bootstrap(ctx, m); err != nil {
+	if err := c.formCluster(m, c.node.Bootstrap); err != nil {
 		return err
 	}
 	c.log.Info().Str("event", "clusterFormed").Int("voters", len(m.Members)).Msg("bootstrapped the cluster")
 	return nil
 }
 
+// slowBootstrap is how long a bootstrap may take before it is logged.
+const slowBootstrap = 1 * time.Second
+
+// formCluster waits until the first membership is synced to the disk, however long the disk takes.
+func (c *Controller) formCluster(m wire.Membership, bootstrap func(context.Context, wire.Membership) error) error {
+	slow := time.AfterFunc(slowBootstrap, func() {
+		c.log.Warn().Str("event", "bootstrapSlow").Dur("after", slowBootstrap).Msg("the disk has not synced the first membership yet")
+	})
+	defer slow.Stop()
+	return bootstrap(c.ctx, m)
+}
+
 // Reload applies the settings that may change while the daemon runs: the seeds. Other changes need a restart.
 func (c *Controller) Reload(s *instance.Settings) {
 	for _, address := range s.SeedPeerAddresses() {
