quarantine: a crash under a probe of a part blocked for all organisations counts for it

Cause, found on reading: a crash is reported under the organisation of the lost request, and wasn't found under the key for all.

Change: a crash counts for both keys, and one with a part blocked for all is no evidence against others.

--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -114,11 +114,10 @@
 	if len(o.listed) == 0 {
 		return wire.PartKey{}, false
 	}
-	key := wire.PartKey{Service: p.Service, Organisation: AllOrganisations, Part: part}
-	if o.listed[key].blocked {
-		return key, true
+	key := p.key(part)
+	if all := forAll(key); o.listed[all].blocked {
+		return all, true
 	}
-	key = p.key(part)
 	return key, o.listed[key].blocked
 }
 
@@ -129,9 +128,10 @@
 		o.older, o.newer, o.rotatedAt = o.newer, map[wire.PartKey]time.Time{}, now
 	}
 	for _, part := range p.Parts {
-		o.recordSurvival(p.key(part), begun)
-		if all := (wire.PartKey{Service: p.Service, Organisation: AllOrganisations, Part: part}); o.listed[all].blocked {
-			o.recordSurvival(all, begun)
+		key := p.key(part)
+		o.recordSurvival(key, begun)
+		if o.listed[forAll(key)].blocked {
+			o.recordSurvival(forAll(key), begun)
 		}
 	}
 }
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -10,6 +10,12 @@
 // AllOrganisations is the organisation in the key of a part that is blocked for all of them.
 const AllOrganisations = "*"
 
+// forAll returns the key under which a part is blocked for all organisations.
+func forAll(key wire.PartKey) wire.PartKey {
+	key.Organisation = AllOrganisations
+	return key
+}
+
 const (
 	// mergeWindow is the time within which crashes belong together: servers that end at the same moment may share a
 	// cause, such as their rack, that says nothing about their requests. No part is blocked for crashes at fewer than
@@ -227,6 +233,7 @@
 			if !c.keys[key] && len(c.keys) < maxCrashKeys {
 				c.keys[key], t.dirty = true, true
 				t.confirm(key, c.at)
+				t.confirm(forAll(key), c.at)
 			}
 		}
 	}
@@ -327,7 +334,7 @@
 		return false
 	}
 	for key := range c.keys {
-		if t.blocked[key] != nil {
+		if t.blocked[key] != nil || t.blocked[forAll(key)] != nil {
 			return true
 		}
 	}
@@ -426,8 +433,7 @@
 // blockForAll blocks a part for all organisations once servers have crashed on it for two of them: one organisation alone
 // can't get another's requests rejected.
 func (t *Tracker) blockForAll(now time.Time, key wire.PartKey) {
-	all := wire.PartKey{Service: key.Service, Organisation: AllOrganisations, Part: key.Part}
-	n := 0
+	all, n := forAll(key), 0
 	for k, b := range t.blocked {
 		if k.Service == key.Service && k.Part == key.Part && k != all && !b.doubtful {
 			n++
--- a/process/quarantine/tracker_test.go
+++ b/process/quarantine/tracker_test.go
@@ -239,6 +239,17 @@
 	if !s.isBlocked(AllOrganisations, lethal) {
 		t.Errorf("blocked %v, want all organisations'", s.List(s.now))
 	}
+	s.pass(clearRetry)
+	away := []wire.PartKey{key(AllOrganisations, lethal)}
+	if got := s.Probes(s.now, away); len(got) != 1 {
+		t.Fatalf("%d probes, want 1", len(got))
+	}
+	s.pass(100 * time.Millisecond)
+	s.crash("third", []uint64{lethal})
+	s.pass(clearRetry)
+	if got := s.Probes(s.now, away); len(got) != 0 {
+		t.Error("another probe a minute after a crash under the first, want two minutes")
+	}
 }
 
 // TestNewLeader checks that a new leader adopts the blocked parts that the entry hosts know of, but not later ones.
