quarantine: cheaper comparison of crashes; race detector over the package

Cause: with 64 crashes of 100 parts each and 64 doubtful blocked parts, a step took 26 ms, most of it in isExplained and isBlockedElsewhere.

Change: isExplained keeps the blocked parts that all crashes of a part have in common; the parts that are blocked without doubt are found once a step. No decision changes. make race has the package.

Measured: the package's tests 3.2 s instead of 8.2 s, all pass; TestFleetLethalPart and TestFleetLethalPartKept pass.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOPLS := $(BIN)/gopls
 GOPLS_VERSION := v0.21.0
 PURE := ./connection/announcement/... ./request/attempt/... ./process/admission/... ./process/disk/... ./process/group/... \
-	./process/fleet/... ./process/lease/... ./process/placement/... ./process/planner/... ./process/quorum/... ./process/retry/... ./process/router/... \
+	./process/fleet/... ./process/lease/... ./process/placement/... ./process/planner/... ./process/quarantine/... ./process/quorum/... ./process/retry/... ./process/router/... \
 	./process/state/... ./process/straggler/... ./version/...
 
 .PHONY: all build test race lint format tools
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -345,11 +346,12 @@
 // evidence if all requests under which servers crashed had them; each of them is doubtful then.
 func (t *Tracker) blockNext(now time.Time) bool {
 	all := t.gather()
-	list, proven := t.strongest(now, all)
+	certain := t.certain()
+	list, proven := t.strongest(now, all, certain)
 	for _, key := range list {
 		e := all[key]
 		b := &block{crashes: e.count, lastCrashAt: e.latest, lastHit: now}
-		b.doubtful = !t.isBlockedElsewhere(key) && (proven || len(list) > 1 || e.moments < blockAfter)
+		b.doubtful = !certain[forAll(key)] && (proven || len(list) > 1 || e.moments < blockAfter)
 		b.retryAt = now.Add(b.retryInterval())
 		t.makeRoom()
 		t.blocked[key] = b
@@ -360,15 +362,17 @@
 }
 
 // strongest returns the parts with the most evidence that suffices to block them, and whether servers have survived them
-// before. Of parts in equally many crashes, those that no server has survived come first.
-func (t *Tracker) strongest(now time.Time, all map[wire.PartKey]*evidence) (list []wire.PartKey, proven bool) {
+// before. Of parts in equally many crashes, those that no server has survived come first. One crash suffices against a part
+// that is certain, as another organisation's use of it is blocked without doubt, unless servers have survived it.
+func (t *Tracker) strongest(now time.Time, all map[wire.PartKey]*evidence, certain map[wire.PartKey]bool) (list []wire.PartKey, proven bool) {
 	most, highest := 0, 0
 	for _, e := range all {
 		highest = max(highest, e.count)
 	}
 	for key, e := range all {
 		isProven := !t.survivals[key].IsZero()
-		if !t.suffices(now, key, e, isProven) || (e.count < highest && t.isDominated(key, e, all)) {
+		isCertain := certain[forAll(key)] && !isProven
+		if !isCertain && !t.suffices(now, key, e, isProven) || (e.count < highest && t.isDominated(key, e, all)) {
 			continue
 		}
 		switch {
@@ -381,12 +385,8 @@
 	return list, proven
 }
 
-// suffices reports whether the evidence against a part is enough to block it. If another organisation's use of the part
-// is blocked without doubt, one crash is.
+// suffices reports whether the evidence against a part is enough to block it.
 func (t *Tracker) suffices(now time.Time, key wire.PartKey, e *evidence, proven bool) bool {
-	if t.isBlockedElsewhere(key) && !proven {
-		return true
-	}
 	if e.moments < minMoments {
 		return false
 	}
@@ -421,13 +421,15 @@
 	return len(common) > 0
 }
 
-func (t *Tracker) isBlockedElsewhere(key wire.PartKey) bool {
-	for k, b := range t.blocked {
-		if k.Service == key.Service && k.Part == key.Part && !b.doubtful {
-			return true
+// certain returns the parts, with AllOrganisations, that are blocked without doubt for any organisation.
+func (t *Tracker) certain() map[wire.PartKey]bool {
+	out := map[wire.PartKey]bool{}
+	for key, b := range t.blocked {
+		if !b.doubtful {
+			out[forAll(key)] = true
 		}
 	}
-	return false
+	return out
 }
 
 // blockForAll blocks a part for all organisations once servers have crashed on it for two of them: one organisation alone
@@ -463,26 +465,21 @@
 
 // isExplained reports whether another blocked part was in all crashes that a part was in, and in more.
 func (t *Tracker) isExplained(key wire.PartKey) bool {
-	for other := range t.blocked {
-		if other == key {
+	var common []wire.PartKey
+	n := 0
+	for _, c := range t.crashes {
+		if !c.keys[key] {
 			continue
 		}
-		both, alone, others := 0, 0, 0
-		for _, c := range t.crashes {
-			switch {
-			case c.keys[key] && c.keys[other]:
-				both++
-			case c.keys[key]:
-				alone++
-			case c.keys[other]:
-				others++
+		if n == 0 {
+			for other := range t.blocked {
+				common = append(common, other)
 			}
 		}
-		if alone == 0 && both > 0 && others > 0 {
-			return true
-		}
+		n++
+		common = slices.DeleteFunc(common, func(other wire.PartKey) bool { return !c.keys[other] })
 	}
-	return false
+	return slices.ContainsFunc(common, func(other wire.PartKey) bool { return t.crashesAfter(other, time.Time{}) > n })
 }
 
 func (b *block) retryInterval() time.Duration {
