Second reading: no time of the latest crash that nothing reads, no second look for what a report holds

Cause: block.lastCrashAt and evidence.latest were only written since a survival is compared with the crashes themselves; Observer.HasReport looked again for what Report had just put into the usage report.

Change: the fields and the method are gone, and the subscription asks the report. No behaviour changes.

--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -125,7 +125,6 @@
 	g.mu.Lock()
 	u.Loads, u.Leaving = g.balancer.Usage(now), g.balancer.Leaving()
 	g.observer.Report(now, &u)
-	isUrgent := g.observer.HasReport()
 	for model, d := range g.demand {
 		u.Demand = append(u.Demand, wire.ModelDemand{Model: model, Requests: d.requests, WorkMs: d.workMs})
 	}
@@ -135,7 +134,7 @@
 		s.forgetLeader(host)
 		return true
 	}
-	return len(u.Loads) > 0 || len(u.Leaving) > 0 || isUrgent || s.isIncomplete()
+	return len(u.Loads) > 0 || len(u.Leaving) > 0 || len(u.Losses) > 0 || len(u.TurnedAway) > 0 || s.isIncomplete()
 }
 
 func (s *fleetSubscription) isIncomplete() bool {
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -234,16 +234,6 @@
 	return out
 }
 
-// HasReport reports whether the leader should get a report soon.
-func (o *Observer) HasReport() bool {
-	for _, l := range o.losses {
-		if l.confirmed {
-			return true
-		}
-	}
-	return len(o.turnedAway) > 0
-}
-
 // Apply applies a leader's update, and reports whether parts are listed that weren't before and of which survivals are
 // known here. The list of a new leader
 // holds from its first answer to a report of this host, which contained what is known here.
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -68,9 +68,8 @@
 
 // block is a part whose requests are rejected.
 type block struct {
-	// crashes is the number of crashes that it was blocked for; lastCrashAt is that of the latest.
-	crashes     int
-	lastCrashAt time.Time
+	// crashes is the number of crashes that it was blocked for.
+	crashes int
 	// doubtful reports whether other parts may have been the reason.
 	doubtful bool
 	// probedAt is when a host was permitted to try a request, if its outcome isn't known; zero otherwise. failedProbes
@@ -164,7 +163,7 @@
 		if !p.Blocked || t.blocked[p.Key] != nil || len(t.blocked) >= maxBlocked {
 			continue
 		}
-		t.blocked[p.Key] = &block{doubtful: true, retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond), lastHit: now, lastCrashAt: now}
+		t.blocked[p.Key] = &block{doubtful: true, retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond), lastHit: now}
 		t.changes = append(t.changes, Change{Key: p.Key, Blocked: true, Reason: "adopted"})
 		t.dirty = true
 	}
@@ -247,9 +246,6 @@
 		return
 	}
 	b.crashes++
-	if at.After(b.lastCrashAt) {
-		b.lastCrashAt = at
-	}
 	if !b.probedAt.IsZero() && at.After(b.probedAt) {
 		b.probedAt, b.doubtful = time.Time{}, false
 		b.failedProbes++
@@ -295,8 +291,8 @@
 	// count is the number of crashes with the part after the latest survival, and total that of all since the first of
 	// them. moments is count with those within mergeWindow counted once.
 	count, total, moments int
-	// first and latest are the times of the first and the latest crash, moment that of the latest one in moments.
-	first, moment, latest time.Time
+	// first is the time of the first crash, moment that of the latest one in moments.
+	first, moment time.Time
 }
 
 // gather returns the evidence against each part from the crashes that no blocked part explains.
@@ -320,7 +316,7 @@
 			if e.count == 0 || c.at.Sub(e.moment) >= mergeWindow {
 				e.moments, e.moment = e.moments+1, c.at
 			}
-			e.count, e.latest = e.count+1, c.at
+			e.count++
 		}
 	}
 	for _, e := range out {
@@ -350,7 +346,7 @@
 	list, proven := t.strongest(now, all, certain)
 	for _, key := range list {
 		e := all[key]
-		b := &block{crashes: e.count, lastCrashAt: e.latest, lastHit: now}
+		b := &block{crashes: e.count, lastHit: now}
 		b.doubtful = !certain[forAll(key)] && (proven || len(list) > 1 || e.moments < blockAfter)
 		b.retryAt = now.Add(b.retryInterval())
 		t.makeRoom()
@@ -445,7 +441,7 @@
 		return
 	}
 	t.makeRoom()
-	t.blocked[all] = &block{lastCrashAt: t.blocked[key].lastCrashAt, retryAt: now.Add(clearRetry), lastHit: now}
+	t.blocked[all] = &block{retryAt: now.Add(clearRetry), lastHit: now}
 	t.changes = append(t.changes, Change{Key: all, Blocked: true, Reason: "organisations"})
 }
 
