standin: a server that two requests crash at once starts again once

Cause: crash read whether the server was dead and set it in two steps, so two requests with the lethal part that ended at the same time each crashed the server and each started it again; the second start found the port taken by the first. Two starts would also have counted as two crashes. It is a fault of the emulated fleet, not of the daemons.

Change: one call marks the server as dead and reports whether it was the first to do so; only that one starts the server again.

--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -191,29 +191,33 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // Kill stops a server at once. The server sends nothing more.
-func (s *Server) Kill() {
+func (s *Server) Kill() { s.stop() }
+
+// stop stops the server and reports whether this call did, and no earlier one.
+func (s *Server) stop() bool {
 	s.fleet.mu.Lock()
+	stopped := !s.dead
 	s.dead = true
 	group, epoch := s.group, s.epoch
 	s.fleet.mu.Unlock()
+	if !stopped {
+		return false
+	}
 	s.cancel()
 	_ = s.listener.Close()
 	go s.fleet.breakAfterTimeout(group, epoch)
+	return true
 }
 
 // crash kills the server, and starts it again after RestartTime at the same address.
 func (s *Server) crash() {
+	if !s.stop() {
+		return
+	}
 	f := s.fleet
 	f.mu.Lock()
-	dead := s.dead
-	if !dead {
-		f.lethalCrashes = append(f.lethalCrashes, time.Now())
-	}
+	f.lethalCrashes = append(f.lethalCrashes, time.Now())
 	f.mu.Unlock()
-	if dead {
-		return
-	}
-	s.Kill()
 	time.AfterFunc(f.cfg.RestartTime, func() {
 		f.mu.Lock()
 		closed := f.closed
