entry: a request rejected before its idempotency key is looked up isn't reported as notRun

A caller that asks again with its key to learn the outcome would conclude that it may book elsewhere.

Cause: rejections that precede the claim (configuration not confirmed, no host, full, stopping, the log doesn't respond) state whether this sending ran. With an idempotency key the request is the key's, and an earlier sending of it may have run; only the log knows. It needs no load, only a host that rejects before it asks: TestRunKeyNotReportedAsNotRun shows all five ways without processes.

Change: until the log has answered for the key, the error has the code unknown, with the same status and Retry-After. Sending again with the same key is safe. Requests without a key, and keys that the log has checked, get notRun as before.

--- a/process/entry/claim.go
+++ b/process/entry/claim.go
@@ -120,6 +120,7 @@
 		s.server.settleLater(wire.Command{Settle: s.settlement(attemptID, savorywing.Response{}, notRun)})
 		return savorywing.Response{}, notRun
 	}
+	s.isKeyChecked = true
 	if r.Accepted {
 		return savorywing.Response{}, nil
 	}
--- a/process/entry/server.go
+++ b/process/entry/server.go
@@ -88,7 +88,7 @@
 func (e *Server) Run(ctx context.Context) { e.dispatcher.run(ctx) }
 
 // admit counts a request in flight, or rejects it while the server stops or is at its limit.
-func (e *Server) admit() error {
+func (e *Server) admit() *savorywing.RequestError {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.stopping {
@@ -143,11 +143,12 @@
 
 // Serve runs a request and returns its response, or a *savorywing.RequestError.
 func (e *Server) Serve(ctx context.Context, r *savorywing.Request) (savorywing.Response, error) {
+	s := newSession(e, r)
 	if err := e.admit(); err != nil {
-		e.recordOutcome(r, nil, err)
-		return savorywing.Response{}, err
+		requestErr := s.finalError(err)
+		e.recordOutcome(r, nil, requestErr)
+		return savorywing.Response{}, requestErr
 	}
-	s := newSession(e, r)
 	response, err := s.serve(ctx)
 	if err != nil {
 		requestErr := savorywing.AsRequestError(err)
--- a/process/entry/session.go
+++ b/process/entry/session.go
@@ -22,8 +22,10 @@
 	exclude map[string]bool
 	// firstUnknownError is the first error after which the request may have run.
 	firstUnknownError *savorywing.RequestError
-	attempts          int
-	target            string
+	// isKeyChecked is set once the log has stated whether the idempotency key is free.
+	isKeyChecked bool
+	attempts     int
+	target       string
 
 	// mu guards the fields that a claimed request's execution and the end of its caller's deadline may access
 	// concurrently.
@@ -88,11 +90,15 @@
 	}
 }
 
-// finalError returns the caller's error. Once an attempt may have run, no later error is reported as notRun.
+// finalError returns the caller's error. Once an attempt may have run, no later error is reported as notRun. Neither is
+// one that precedes the check of the idempotency key, since an earlier request with the key may have run.
 func (s *session) finalError(requestErr *savorywing.RequestError) *savorywing.RequestError {
 	if s.firstUnknownError != nil {
 		return s.firstUnknownError
 	}
+	if s.request.IdempotencyKey != "" && !s.isKeyChecked {
+		return requestErr.AsUnknown()
+	}
 	if requestErr.Code() == savorywing.CodeUnknown {
 		s.firstUnknownError = requestErr
 	}
--- a/request_error.go
+++ b/request_error.go
@@ -50,6 +50,13 @@
 // Code states whether the request may have run.
 func (r *RequestError) Code() ErrorCode { return r.code }
 
+// AsUnknown returns the same error with CodeUnknown.
+func (r *RequestError) AsUnknown() *RequestError {
+	unknown := *r
+	unknown.code = CodeUnknown
+	return &unknown
+}
+
 // Status returns the HTTP status to respond with.
 func (r *RequestError) Status() int { return r.status }
 
