ingress: the document's limit of headers is in force, not the size of a buffer

What callers saw: 431 for a header of more than 4 KiB, with a document that allows 16 KiB; long cookies, or the list of a prompt's parts, get there. A document with a smaller limit was not enforced at all.

Cause: headers are parsed in the connection's read buffer of 4 KiB, and MaxHeaderBytes was handed to the server but never read. The 431 and the log line also quoted the header, the caller's key included.

Change: a header that doesn't fit is read again from a buffer as large as the limit, which the connection then keeps; the parser has consumed nothing of it, and only the header is read that way, so that nothing after it can be parsed twice. Connections begin with 4 KiB as before, so their memory doesn't grow. The error no longer quotes the header.

--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -30,6 +31,9 @@
 	acceptRetryDelay = 20 * time.Millisecond
 )
 
+// errHeaderTooLarge replaces the parser's error, which quotes the header and so the caller's key.
+var errHeaderTooLarge = errors.New("the request header exceeds the limit")
+
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
 
 // Handler serves requests.
@@ -232,15 +236,41 @@
 
 func (c *conn) readRequest(x *Exchange, limits Limits) error {
 	c.setReadDeadline(limits.HeaderTimeout)
-	if err := x.Request.ReadLimitBody(c.reader, limits.MaxBodyBytes); err != nil {
+	if err := c.readHeader(x, limits.MaxHeaderBytes); err != nil {
 		return err
 	}
 	if x.Request.MayContinue() {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
-		return x.Request.ContinueReadBody(c.reader, limits.MaxBodyBytes)
 	}
+	return x.Request.ContinueReadBody(c.reader, limits.MaxBodyBytes)
+}
+
+// readHeader reads a header of at most limit bytes. The parser leaves one that doesn't fit into the buffer unread.
+func (c *conn) readHeader(x *Exchange, limit int) error {
+	err := x.Request.Header.Read(c.reader)
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	if errors.As(err, &smallBuffer) && limit > c.reader.Size() {
+		if err := c.growBuffer(limit); err != nil {
+			return err
+		}
+		err = x.Request.Header.Read(c.reader)
+	}
+	if errors.As(err, &smallBuffer) || len(x.Request.Header.RawHeaders()) > limit {
+		return errHeaderTooLarge
+	}
+	return err
+}
+
+// growBuffer replaces the reader by one with a larger buffer. What the old one holds is read first. Most callers' headers
+// fit into the small buffer that a connection begins with.
+func (c *conn) growBuffer(size int) error {
+	b, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(b), c.conn), size)
 	return nil
 }
 
@@ -249,13 +279,12 @@
 func (c *conn) rejectUnreadable(x *Exchange, err error) {
 	c.closeAfter = true
 	status := fasthttp.StatusBadRequest
-	var smallBuffer *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET):
 		return
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &smallBuffer):
+	case errors.Is(err, errHeaderTooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case isTimeout(err):
 		return
--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -20,9 +20,14 @@
 func (f handlerFunc) Serve(ctx context.Context, x *Exchange) { f(ctx, x) }
 
 func serve(t *testing.T, h handlerFunc) (*Server, string) {
+	t.Helper()
+	return serveWithHeaderLimit(t, h, 4096)
+}
+
+func serveWithHeaderLimit(t *testing.T, h handlerFunc, maxHeaderBytes int) (*Server, string) {
 	t.Helper()
 	limits := func() Limits {
-		return Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
+		return Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
 	}
 	s := New(clock.Boottime{}, h, limits, zerolog.Nop())
 	if err := s.Start("127.0.0.1:0"); err != nil {
@@ -49,6 +54,48 @@
 	x.WriteError(ErrorResponse{Status: 200, Reason: string(x.Request.Body())})
 }
 
+// TestHeaderLimit guards against a limit of headers other than the configured one.
+func TestHeaderLimit(t *testing.T) {
+	tests := []struct {
+		name                     string
+		maxHeaderBytes, fieldLen int
+		status                   int
+	}{
+		{"larger than the first buffer", 16 << 10, 9000, 200},
+		{"just below a large limit", 16 << 10, 16<<10 - 100, 200},
+		{"above a large limit", 16 << 10, 16 << 10, 431},
+		{"just below a small limit", 1000, 900, 200},
+		{"above a small limit", 1000, 1000, 431},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, address := serveWithHeaderLimit(t, echo, tt.maxHeaderBytes)
+			c, r := dial(t, address)
+			large := "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nX: " + strings.Repeat("x", tt.fieldLen) + "\r\n\r\nhi"
+			small := "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nyou"
+			if _, err := io.WriteString(c, large+small); err != nil {
+				t.Fatal(err)
+			}
+			var resp fasthttp.Response
+			if err := resp.Read(r); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode() != tt.status {
+				t.Errorf("status %d, want %d", resp.StatusCode(), tt.status)
+			}
+			if tt.status != 200 {
+				return
+			}
+			if got := string(resp.Body()); got != "hi\n" {
+				t.Errorf("body %q, want %q", got, "hi\n")
+			}
+			if err := resp.Read(r); err != nil || string(resp.Body()) != "you\n" {
+				t.Errorf("the next request on the connection got body %q, error %v, want %q", resp.Body(), err, "you\n")
+			}
+		})
+	}
+}
+
 func TestRequests(t *testing.T) {
 	tests := []struct {
 		name, text string
