--- a/bench/policy/overload.go
+++ b/bench/policy/overload.go
@@ -48,10 +48,17 @@
 type placementPolicy interface {
 	pick(now time.Time, req placement.Request) placement.Decision
 	receive(totals map[string]int)
+	// updateGroups replaces the groups that serve. The host's balancer has been updated already.
+	updateGroups(ids []string)
 	recordSent(id string)
 	recordEnded(id string)
 }
 
+// groupServer simulates the groups: it starts the requests that were sent, reports their events and finishes them.
+type groupServer interface {
+	serve(r *overloadRun)
+}
+
 // overloadRun simulates callers whose load ranges from below to above the capacity of all groups. A caller that is
 // rejected retries once at most.
 type overloadRun struct {
@@ -64,10 +71,15 @@
 	nextReport  []time.Time
 	// lastReported holds each host's last report of its own requests.
 	lastReported       [][]wire.EndpointLoad
+	endpoints          []wire.Endpoint
 	handles            map[string]uint64
 	inFlight, retrying []*overloadCall
-	busy               map[string]int
-	score              overloadScore
+	server             groupServer
+	engine             *placement.EngineProfile
+	// newCall draws the next call, and callsPerSecond is their rate.
+	newCall        func(r *overloadRun) *overloadCall
+	callsPerSecond float64
+	score          overloadScore
 }
 
 type overloadCall struct {
@@ -77,6 +89,15 @@
 	retryAt         time.Time
 	firstEvent, end time.Time
 	counted         bool
+	// promptTokens and outputTokens are the lengths of the prompt and the response; objective is for the first event, and
+	// maxGap for the pauses between events, 0 for any.
+	promptTokens, outputTokens int
+	objective, maxGap          time.Duration
+	// lastEvent is when the response's newest event arrived, longestGap the longest pause between two.
+	lastEvent  time.Time
+	longestGap time.Duration
+	// lostAt is the group that ended with the response, if any.
+	lostAt string
 }
 
 // overloadScore counts the callers, their first events within and past the objective, and the callers whose last
@@ -87,18 +108,18 @@
 
 func newOverloadRun(seed uint64, fleet overloadFleet, offeredLoad float64, newPolicy func(b *placement.Balancer, host uint64) placementPolicy) *overloadRun {
 	r := &overloadRun{
-		overloadFleet: fleet, offeredLoad: offeredLoad, random: rand.New(rand.NewPCG(seed, seed+1)), now: time.Unix(1000, 0), busy: map[string]int{},
+		overloadFleet: fleet, offeredLoad: offeredLoad, random: rand.New(rand.NewPCG(seed, seed+1)), now: time.Unix(1000, 0),
+		server: slotServer{}, engine: overloadEngine, newCall: newSlotCall, callsPerSecond: offeredLoad * float64(fleet.groups*fleet.slots) / meanServiceTime.Seconds(),
 		handles: map[string]uint64{}, lastReported: make([][]wire.EndpointLoad, fleet.hosts),
 	}
-	var list []wire.Endpoint
 	for i := range r.groups {
 		e := wire.Endpoint{ID: fmt.Sprintf("g%02d", i), Born: 1, Handle: uint64(i + 1), Service: "engines", Model: "model", Slots: r.slots}
 		r.handles[e.ID] = e.Handle
-		list = append(list, e)
+		r.endpoints = append(r.endpoints, e)
 	}
 	for i := range r.hosts {
 		b := placement.New(placement.Config{Seed: seed + uint64(i)})
-		b.UpdateEndpoints(true, list, nil)
+		b.UpdateEndpoints(true, r.endpoints, nil)
 		r.balancers = append(r.balancers, b)
 		r.policies = append(r.policies, newPolicy(b, seed+uint64(i)))
 		r.nextReport = append(r.nextReport, r.now.Add(time.Duration(r.random.Int64N(int64(r.reportInterval)))))
@@ -106,16 +127,21 @@
 	return r
 }
 
-func (r *overloadRun) request(elapsed time.Duration) placement.Request {
+func (r *overloadRun) request(call *overloadCall) placement.Request {
+	elapsed := r.now.Sub(call.arrival)
 	return placement.Request{
-		Service: "engines", Model: "model", PromptTokens: overloadPromptTokens, Engine: overloadEngine, Objective: overloadObjective, Elapsed: elapsed,
-		Remaining: overloadTimeout - elapsed,
+		Service: "engines", Model: "model", PromptTokens: call.promptTokens, Engine: r.engine, Objective: call.objective, Elapsed: elapsed,
+		MaxEventGap: call.maxGap, Remaining: overloadTimeout - elapsed, Retry: call.lostAt != "", Excluded: []string{call.lostAt},
 	}
 }
 
+func newSlotCall(r *overloadRun) *overloadCall {
+	return &overloadCall{arrival: r.now, promptTokens: overloadPromptTokens, objective: overloadObjective}
+}
+
 // simulate runs the simulation for length and returns the score of the calls that arrived after the warm-up.
 func (r *overloadRun) simulate(length time.Duration) overloadScore {
-	perStep := r.offeredLoad * float64(r.groups*r.slots) / meanServiceTime.Seconds() * overloadStep.Seconds()
+	perStep := r.callsPerSecond * overloadStep.Seconds()
 	start := r.now
 	for r.now.Sub(start) < length {
 		r.now = r.now.Add(overloadStep)
@@ -124,7 +150,7 @@
 		}
 		for range poisson(r.random, perStep) {
 			r.score.callers++
-			r.submit(&overloadCall{arrival: r.now})
+			r.submit(r.newCall(r))
 		}
 		waiting := r.retrying
 		r.retrying = nil
@@ -135,7 +161,7 @@
 			}
 			r.submit(call)
 		}
-		r.serve()
+		r.server.serve(r)
 		r.exchangeReports()
 	}
 	return r.score
@@ -153,7 +179,7 @@
 
 func (r *overloadRun) submit(call *overloadCall) {
 	call.host = r.random.IntN(r.hosts)
-	req := r.request(r.now.Sub(call.arrival))
+	req := r.request(call)
 	d := r.policies[call.host].pick(r.now, req)
 	if d.Reason == placement.ReasonNone {
 		call.reservation = r.balancers[call.host].Start(r.now, d, req)
@@ -161,6 +187,11 @@
 		r.inFlight = append(r.inFlight, call)
 		return
 	}
+	if call.lostAt != "" && d.RetryAfter < req.Remaining {
+		call.retryAt = r.now.Add(min(d.RetryAfter, r.reportInterval))
+		r.retrying = append(r.retrying, call)
+		return
+	}
 	if call.retryAt.IsZero() && d.RetryAfter < req.Remaining/3 {
 		call.retryAt = r.now.Add(d.RetryAfter)
 		r.retrying = append(r.retrying, call)
@@ -169,20 +200,24 @@
 	r.score.rejected++
 }
 
+// slotServer simulates groups in which a request takes a slot for a time that doesn't depend on the others. It holds the
+// number of slots in use by group.
+type slotServer map[string]int
+
 // serve starts queued requests at groups with free slots, in order of arrival, counts first events and finishes requests
 // that are complete.
-func (r *overloadRun) serve() {
+func (busy slotServer) serve(r *overloadRun) {
 	kept := r.inFlight[:0]
 	for _, call := range r.inFlight {
 		switch id := call.reservation.ID; {
-		case call.end.IsZero() && r.busy[id] < r.slots:
-			r.busy[id]++
+		case call.end.IsZero() && busy[id] < r.slots:
+			busy[id]++
 			serviceTime := math.Exp(r.random.NormFloat64()*serviceTimeSigma-serviceTimeSigma*serviceTimeSigma/2) * meanServiceTime.Seconds()
 			call.firstEvent, call.end = r.now.Add(overloadPrefillTime), r.now.Add(max(overloadPrefillTime, time.Duration(serviceTime*float64(time.Second))))
 		case !call.end.IsZero() && !call.counted && r.now.After(call.firstEvent):
-			r.count(call)
+			r.recordFirstEvent(call)
 		case call.counted && r.now.After(call.end):
-			r.busy[id]--
+			busy[id]--
 			r.balancers[call.host].Finish(r.now, call.reservation, placement.Served)
 			r.policies[call.host].recordEnded(id)
 			continue
@@ -192,13 +227,17 @@
 	r.inFlight = kept
 }
 
-func (r *overloadRun) count(call *overloadCall) {
+func (r *overloadRun) recordFirstEvent(call *overloadCall) {
 	call.counted = true
 	r.balancers[call.host].RecordProgress(r.now, call.reservation, 0)
-	if r.now.Sub(call.arrival) <= overloadObjective {
-		r.score.inTime++
+	r.score.add(r.now.Sub(call.arrival) <= call.objective)
+}
+
+func (s *overloadScore) add(inTime bool) {
+	if inTime {
+		s.inTime++
 	} else {
-		r.score.late++
+		s.late++
 	}
 }
 
@@ -240,6 +279,7 @@
 	return b.balancer.Pick(now, req)
 }
 func (byCapacity) receive(map[string]int) {}
+func (byCapacity) updateGroups([]string)  {}
 func (byCapacity) recordSent(string)      {}
 func (byCapacity) recordEnded(string)     {}
 
@@ -282,8 +322,9 @@
 func (l *leastLoaded) receive(totals map[string]int) {
 	l.reported, l.unreported = totals, map[string]int{}
 }
-func (l *leastLoaded) recordSent(id string)  { l.unreported[id]++ }
-func (l *leastLoaded) recordEnded(id string) { l.unreported[id]-- }
+func (l *leastLoaded) updateGroups(ids []string) { l.groups = ids }
+func (l *leastLoaded) recordSent(id string)      { l.unreported[id]++ }
+func (l *leastLoaded) recordEnded(id string)     { l.unreported[id]-- }
 
 // placementPolicies are the policies that are compared.
 var placementPolicies = []struct {
--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 		{"routing", Routing},
 		{"retries", Retries},
 		{"placement", Placement},
+		{"prompts", Prompts},
 	}
 	const length = 6 * time.Second
 	for _, tt := range tests {
@@ -61,3 +63,22 @@
 		})
 	}
 }
+
+// TestPrompts compares the placement in production with the policy that it replaced, with long prompts and while groups
+// are lost.
+func TestPrompts(t *testing.T) {
+	const length = 30 * time.Second
+	for _, callsPerSecond := range []float64{14, 18, 26} {
+		t.Run(fmt.Sprintf("%.0f calls a second and group", callsPerSecond), func(t *testing.T) {
+			var inTime [2]float64
+			for i := range inTime {
+				s := newPromptRun(1, callsPerSecond, placementPolicies[i].newPolicy(promptFleet)).simulate(length)
+				inTime[i] = s.fraction(s.inTime)
+				t.Logf("%s: in time %.3f, late %.3f, rejected %.3f", placementPolicies[i].name, inTime[i], s.fraction(s.late), s.fraction(s.rejected))
+			}
+			if inTime[0] < inTime[1] {
+				t.Errorf("%.3f in time, want at least the %.3f of %s", inTime[0], inTime[1], placementPolicies[1].name)
+			}
+		})
+	}
+}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -41,8 +41,8 @@
 	TimeFactor float64
 }
 
-// passTime returns the time of a pass that prefills tokens and decodes for n requests.
-func (e *EngineProfile) passTime(tokens float64, n int) time.Duration {
+// PassTime returns the time of a pass that prefills tokens and decodes for n requests.
+func (e *EngineProfile) PassTime(tokens float64, n int) time.Duration {
 	prefill := tokens / max(1, e.PrefillRate) * float64(time.Second)
 	decode := float64(e.StepsPerPass) * float64(e.StepTime+time.Duration(n)*e.StepTimePerRequest)
 	return time.Duration(max(minTimeFactor, e.TimeFactor) * (prefill + decode))
@@ -56,18 +56,18 @@
 func (e *EngineProfile) firstEventTime(waiting, prompt, n int) time.Duration {
 	perPass := e.maxPrefillTokens()
 	remaining := float64(waiting + prompt)
-	total := e.passTime(0, n) / 2 // rest of the current pass
+	total := e.PassTime(0, n) / 2 // rest of the current pass
 	for remaining > perPass {
-		total += e.passTime(perPass, n)
+		total += e.PassTime(perPass, n)
 		remaining -= perPass
 	}
-	return total + e.passTime(remaining, n)
+	return total + e.PassTime(remaining, n)
 }
 
 // longestPass predicts the longest pass until the waiting tokens and a prompt are prefilled. Streams get their events
 // only at the end of a pass.
 func (e *EngineProfile) longestPass(waiting, prompt, n int) time.Duration {
-	return e.passTime(min(float64(waiting+prompt), e.maxPrefillTokens()), n)
+	return e.PassTime(min(float64(waiting+prompt), e.maxPrefillTokens()), n)
 }
 
 // maxPrefillTokens returns the maximum number of prompt tokens that a pass prefills.
