peer: the token between daemons can be replaced without a stop; who is refused is logged

Change: acceptedTokens in the settings are accepted besides the token that is sent; both are reloaded with the file. Refused connections, for the token or for another version of the protocol (both versions named), are logged as peerRefused, at most five a minute.

TLS between daemons is not weighed yet.

--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/platform"
 	"savorywing.example/savorywing/process/controller"
 	"savorywing.example/savorywing/process/gateway"
@@ -77,6 +78,8 @@
 	logOutput io.Writer
 	// retryBurst is the number of requests that may be sent again beyond the retry ratio; 0 for the default.
 	retryBurst float64
+	// tokens are the tokens between the daemons.
+	tokens peer.Tokens
 }
 
 // subnetCounter gives each environment its own loopback subnet.
@@ -96,7 +99,7 @@
 	subnetCounter.n++
 	subnet := subnetCounter.n
 	subnetCounter.Unlock()
-	f := &fleetEnv{t: t, port: 21000 + subnet*10, stopped: map[any]bool{}}
+	f := &fleetEnv{t: t, port: 21000 + subnet*10, stopped: map[any]bool{}, tokens: peer.Tokens{Sent: "test"}}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -145,7 +148,7 @@
 func (f *fleetEnv) settings(role, ip string, first bool) *instance.Settings {
 	s := &instance.Settings{
 		Role: role, Name: role + "-" + ip, IP: ip, DataCentre: "a", PeerPorts: []int{f.port}, Seeds: f.seeds, FirstStart: first,
-		Token: "test", ToleratedDiskLosses: (len(f.seeds) - 1) / 2,
+		Token: f.tokens.Sent, AcceptedTokens: f.tokens.AlsoAccepted, ToleratedDiskLosses: (len(f.seeds) - 1) / 2,
 	}
 	if role == savorywing.RoleEntry {
 		s.CallerAddress, s.ReadyAddress = fmt.Sprintf("%s:%d", ip, f.port+2), fmt.Sprintf("%s:%d", ip, f.port+3)
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -69,8 +67,8 @@
 	Listen string
 	// Peers maps the names of the other hosts to their addresses.
 	Peers map[string]string
-	// Token is the secret that all daemons share.
-	Token string
+	// Tokens are the secrets between daemons.
+	Tokens Tokens
 }
 
 // Mesh dials each host in Config.Peers and each one added by AddHost, and serves the connections that other daemons
@@ -83,6 +81,10 @@
 	listener net.Listener
 	http     *fasthttp.Server
 	traffic  Traffic
+	// tokens holds the digests of the tokens in force.
+	tokens atomic.Pointer[tokenDigests]
+	// refusals logs refused connections, a few a minute, since a daemon that is refused dials again and again.
+	refusals zerolog.Logger
 	ctx      context.Context
 	stop     context.CancelFunc
 	done     sync.WaitGroup
@@ -112,6 +114,8 @@
 	// With KeepHijackedConns, serveConn closes the connections itself. Without it, closing one has no effect while it
 	// is being read.
 	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout, Logger: &m.log, KeepHijackedConns: true}
+	m.refusals = log.Sample(&zerolog.BurstSampler{Burst: refusalLines, Period: time.Minute})
+	m.SetTokens(cfg.Tokens)
 	for host, address := range cfg.Peers {
 		m.links[host] = newLink(m, host, address)
 	}
@@ -279,15 +283,9 @@
 	return l.call(ctx, f)
 }
 
-// tokenDigest returns the value of the Authorization header, derived from the shared token.
-func (m *Mesh) tokenDigest() string {
-	sum := sha256.Sum256([]byte("peer:" + m.cfg.Token))
-	return hex.EncodeToString(sum[:])
-}
-
 func (m *Mesh) upgrade(ctx *fasthttp.RequestCtx) {
-	digest := ctx.Request.Header.Peek("Authorization")
-	if string(ctx.Path()) != peerPath || subtle.ConstantTimeCompare(digest, []byte(m.tokenDigest())) != 1 {
+	if string(ctx.Path()) != peerPath || !m.tokens.Load().accept(ctx.Request.Header.Peek("Authorization")) {
+		m.refusals.Warn().Str("event", "peerRefused").Stringer("address", ctx.RemoteAddr()).Msg("refused a connection without an accepted token")
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
@@ -316,8 +314,13 @@
 	m.readLoop(c, func(f wire.Frame) bool {
 		if f.Hello != nil {
 			from = f.Hello.Host
+			if f.Hello.Protocol != Protocol {
+				m.refusals.Warn().Str("event", "peerRefused").Str("peer", from).Uint64("protocol", f.Hello.Protocol).Uint64("supported", Protocol).
+					Msg("refused a connection with another version of the protocol")
+				return false
+			}
 			m.setInbound(from, out)
-			return f.Hello.Protocol == Protocol
+			return true
 		}
 		if from != "" {
 			m.dispatch(from, f, out)
@@ -445,7 +448,7 @@
 
 func (m *Mesh) dial(address string) (*websocket.Conn, error) {
 	d := websocket.Dialer{HandshakeTimeout: dialTimeout}
-	header := http.Header{"Authorization": []string{m.tokenDigest()}}
+	header := http.Header{"Authorization": []string{m.tokens.Load().sent}}
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
 	c, resp, err := d.DialContext(ctx, "ws://"+address+peerPath, header)
--- /dev/null
+++ b/connection/peer/token.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+)
+
+// Tokens are the secrets by which daemons recognise each other.
+type Tokens struct {
+	// Sent is stated in connections to other daemons, and accepted from them.
+	Sent string
+	// AlsoAccepted are accepted from other daemons too, so that a token can be replaced on one host after the other.
+	AlsoAccepted []string
+}
+
+// refusalLines is the number of log lines a minute about refused connections.
+const refusalLines = 5
+
+// tokenDigests holds values of the Authorization header.
+type tokenDigests struct {
+	sent     string
+	accepted [][]byte
+}
+
+// SetTokens replaces the tokens. Open connections stay open.
+func (m *Mesh) SetTokens(t Tokens) {
+	d := &tokenDigests{sent: tokenDigest(t.Sent), accepted: [][]byte{[]byte(tokenDigest(t.Sent))}}
+	for _, token := range t.AlsoAccepted {
+		d.accepted = append(d.accepted, []byte(tokenDigest(token)))
+	}
+	m.tokens.Store(d)
+}
+
+func tokenDigest(token string) string {
+	sum := sha256.Sum256([]byte("peer:" + token))
+	return hex.EncodeToString(sum[:])
+}
+
+// accept reports whether a digest is that of an accepted token.
+func (d *tokenDigests) accept(digest []byte) bool {
+	ok := 0
+	for _, a := range d.accepted {
+		ok |= subtle.ConstantTimeCompare(digest, a)
+	}
+	return ok == 1
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -189,7 +189,7 @@
 	}
 	self := c.settings.PeerAddress()
 	c.mesh, err = peer.NewMesh(peer.Config{
-		Host: self, BootID: uint64(time.Now().UnixNano()), DataCentre: c.settings.DataCentre, Listen: self, Token: c.settings.Token,
+		Host: self, BootID: uint64(time.Now().UnixNano()), DataCentre: c.settings.DataCentre, Listen: self, Tokens: peer.Tokens{Sent: c.settings.Token, AlsoAccepted: c.settings.AcceptedTokens},
 	}, &frameHandler{controller: c}, c.pool, c.log)
 	if err != nil {
 		return err
@@ -286,8 +286,10 @@
 	return bootstrap(c.ctx, m)
 }
 
-// Reload applies the settings that may change while the daemon runs: the seeds. Other changes need a restart.
+// Reload applies the settings that may change while the daemon runs: the seeds and the tokens. Other changes need a
+// restart.
 func (c *Controller) Reload(s *instance.Settings) {
+	c.mesh.SetTokens(peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens})
 	for _, address := range s.SeedPeerAddresses() {
 		c.mesh.AddHost(address, address)
 	}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -128,7 +128,7 @@
 	}
 	cfg := peer.Config{
 		Host: d.settings.Daemon.Host, BootID: d.bootID, DataCentre: d.self().DataCentre,
-		Listen: d.settings.Daemon.PeerAddress, Peers: peers, Token: token,
+		Listen: d.settings.Daemon.PeerAddress, Peers: peers, Tokens: peer.Tokens{Sent: token},
 	}
 	mesh, err := peer.NewMesh(cfg, &frameHandler{daemon: d}, d.pool, d.log)
 	d.mesh = mesh
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -90,7 +90,7 @@
 		return nil, fmt.Errorf("gateway.New: %w", err)
 	}
 	g.mesh, err = peer.NewMesh(peer.Config{
-		Host: s.PeerAddress(), BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Token: s.Token,
+		Host: s.PeerAddress(), BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Tokens: peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens},
 	}, g.subscription, g.pool, log)
 	if err != nil {
 		return nil, fmt.Errorf("gateway.New: %w", err)
@@ -100,8 +100,9 @@
 
 func (g *Gateway) settings() *instance.Settings { return g.current.Load() }
 
-// Reload applies the settings that may change while the daemon runs: seeds and limits. All others need a restart.
+// Reload applies the settings that may change while the daemon runs: seeds, tokens and limits. All others need a restart.
 func (g *Gateway) Reload(s *instance.Settings) {
+	g.mesh.SetTokens(peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens})
 	g.current.Store(s)
 	for _, address := range s.SeedPeerAddresses() {
 		g.mesh.AddHost(address, address)
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -44,7 +45,9 @@
 	FirstStart bool   `yaml:"firstStart"`
 	DataDir    string `yaml:"dataDir"`
 	LogLevel   string `yaml:"logLevel"`
-	Token      string `yaml:"token"`
+	// Token is the secret that daemons state to each other. AcceptedTokens are accepted besides it.
+	Token          string   `yaml:"token"`
+	AcceptedTokens []string `yaml:"acceptedTokens"`
 	// ToleratedDiskLosses is the number of disks that may be lost at once. The cluster has twice as many voters plus one.
 	ToleratedDiskLosses int `yaml:"lostDisks"`
 	// MemoryMB is the memory at which the process is killed, in MiB.
@@ -156,6 +159,9 @@
 	if s.Token == "" {
 		return fieldError{"token", ErrMissing}
 	}
+	if slices.Contains(s.AcceptedTokens, "") {
+		return fieldError{"acceptedTokens", ErrMissing}
+	}
 	if s.ToleratedDiskLosses < 0 {
 		return fieldError{"lostDisks", ErrRange}
 	}
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -42,6 +42,7 @@
 		{"unknown role", "role: entry", "role: both", "line 1: role"},
 		{"no seeds", "seeds: [10.0.0.7:8229,10.0.0.8:8229]", "seeds: []", "seeds"},
 		{"no token", "token: secret", "token: ''", "line 10: token"},
+		{"an empty accepted token", "token: secret", "token: secret\nacceptedTokens: ['']", "line 11: acceptedTokens"},
 		{"entry host without a caller address", "callerAddress: 10.0.0.1:8080", "", "callerAddress"},
 		{"control host without a data folder", "role: entry", "role: control\ncontrolAddress: 10.0.0.1:8229", "dataDir"},
 		{"address without a port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1", "10.0.0.1"},
