group: the first leader of a new cluster plans as soon as no further host appears

Cause: a new leader plans only once the orders of an earlier one would have expired (longestOrder and 3 s), also where there has never been a group, so that no order can have been sent; dev ran with the election and poll times of a fleet.

Change: with no group, no host that was ever in one and none that reports one, the leader waits only until no new host has appeared for 500 ms.

The first check of TestController had a cluster without any group and expected the wait there; it now has a host that was in a group and expects the same wait.

--- a/cmd/savorywing/dev.go
+++ b/cmd/savorywing/dev.go
@@ -34,7 +34,7 @@
 	devStopTimeout      = 30 * time.Second
 	secretFileMode      = 0o600
 	dirMode             = 0o700
-	devAnnounceInterval = 500 * time.Millisecond
+	devAnnounceInterval = 100 * time.Millisecond
 )
 
 func newDev() *cobra.Command {
--- a/process/group/controller.go
+++ b/process/group/controller.go
@@ -18,7 +18,9 @@
 	flapResetTime = time.Hour
 	// settleTime is how long a new leader collects reports before it plans, so that hosts that have not responded yet
 	// don't count as lost.
-	settleTime       = 3 * time.Second
+	settleTime = 3 * time.Second
+	// discoveryTime is how long no new host must have appeared before the first groups of a new cluster are planned.
+	discoveryTime    = 500 * time.Millisecond
 	expectedLoadTime = 30 * time.Second
 	// failuresPerHostDay is 39 failures a day in a fleet of 2100 hosts.
 	failuresPerHostDay = 39.0 / 2100
@@ -79,6 +81,10 @@
 	policy      planner.Policy
 	hostStates  map[string]*hostState
 	groupStates map[uint64]*groupState
+	// newestHostAt is when the host that was seen last was seen first.
+	newestHostAt time.Time
+	// settled is set once this leader has begun to plan.
+	settled bool
 }
 
 // NewController returns a controller for a new leader.
@@ -100,7 +106,7 @@
 		reports[r.Announcement.Host] = r
 	}
 	c.observe(in, reports)
-	if in.Now.Sub(in.LeadingSince) < in.Settings.Timing.MaxOrderDelay+settleTime {
+	if c.settled = c.settled || c.isSettled(in); !c.settled {
 		return Output{}
 	}
 	var out Output
@@ -112,6 +118,29 @@
 	return out
 }
 
+// isSettled reports whether hosts have had time to report and no order of an earlier leader may still be executed.
+func (c *Controller) isSettled(in Input) bool {
+	if in.Now.Sub(in.LeadingSince) >= in.Settings.Timing.MaxOrderDelay+settleTime {
+		return true
+	}
+	return isNewCluster(in) && len(in.Reports) > 0 && in.Now.Sub(c.newestHostAt) >= discoveryTime
+}
+
+// isNewCluster reports whether there has never been a group, so that no order can have been sent.
+func isNewCluster(in Input) bool {
+	for _, h := range in.Table.Hosts {
+		if h.Fence > 0 {
+			return false
+		}
+	}
+	for _, r := range in.Reports {
+		if r.Announcement.Holding != nil {
+			return false
+		}
+	}
+	return len(in.Table.Groups) == 0
+}
+
 // unloadOrphans sends an unload order to each host that holds a group without being assigned to one, so that the host
 // can be reused.
 func unloadOrphans(in Input, out *Output) {
@@ -156,6 +185,7 @@
 	s := c.hostStates[host]
 	if s == nil {
 		c.hostStates[host] = &hostState{alive: alive, since: now, boot: r.Announcement.Boot}
+		c.newestHostAt = now
 		return
 	}
 	if s.flaps > 0 && s.alive && now.Sub(s.since) > flapResetTime {
--- a/process/group/controller_test.go
+++ b/process/group/controller_test.go
@@ -33,6 +33,18 @@
 	// ignoresOrders holds the hosts that execute no orders.
 	ignoresOrders map[string]bool
 	last          Output
+	// hosts and groups are added to the table that the controller gets.
+	hosts  []wire.Ownership
+	groups []wire.Group
+}
+
+func settingsOf(t *testing.T) *settings.Settings {
+	t.Helper()
+	s, err := settings.Parse("test", []byte(settingsText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
 }
 
 func newFleet(hosts ...string) *simFleet {
@@ -77,6 +89,8 @@
 
 func (f *simFleet) step(silent []string) {
 	in := Input{Now: f.now, LeadingSince: time.Unix(1000, 0), Settings: f.settings, Table: f.machine.Table()}
+	in.Table.Hosts = append(in.Table.Hosts, f.hosts...)
+	in.Table.Groups = append(in.Table.Groups, f.groups...)
 	for _, r := range f.reports {
 		in.Reports = append(in.Reports, *r)
 	}
@@ -118,9 +132,50 @@
 	return nil
 }
 
+// TestFirstPlan checks when a new leader plans. Only where no group can have existed may it plan before an earlier leader's
+// orders have expired.
+func TestFirstPlan(t *testing.T) {
+	full := settingsOf(t).Timing.MaxOrderDelay + settleTime
+	for _, tt := range []struct {
+		name    string
+		prepare func(f *simFleet)
+		want    time.Duration
+	}{
+		{"a new cluster", func(*simFleet) {}, 2 * time.Second},
+		{"a host that holds a group", func(f *simFleet) { f.reports["b"].Announcement.Holding = &wire.Holding{Group: "ledger-1", Fence: 1} }, full},
+		{"a host that was in a group", func(f *simFleet) { f.hosts = []wire.Ownership{{Host: "b", Fence: 1}} }, full},
+		{"a group", func(f *simFleet) { f.groups = []wire.Group{{ID: "ledger-1", Fence: 1}} }, full},
+	} {
+		Convey("With "+tt.name, t, func() {
+			f := newFleet("a", "b", "c")
+			tt.prepare(f)
+			for f.now.Sub(time.Unix(1000, 0)) < tt.want {
+				So(len(f.last.Commands), ShouldEqual, 0)
+				f.run(1)
+			}
+			So(len(f.last.Commands), ShouldBeGreaterThan, 0)
+		})
+	}
+	Convey("With a host that appears later, a new cluster plans with both", t, func() {
+		f := newFleet("a")
+		f.step(nil)
+		f.now = f.now.Add(discoveryTime / 2)
+		f.reports["b"] = newFleet("b").reports["b"]
+		f.reports["b"].RequestedAt = f.now
+		f.step(nil)
+		f.now = f.now.Add(discoveryTime / 2)
+		f.step(nil)
+		So(len(f.last.Commands), ShouldEqual, 0)
+		f.now = f.now.Add(discoveryTime / 2)
+		f.step(nil)
+		So(len(f.last.Commands), ShouldBeGreaterThan, 0)
+	})
+}
+
 func TestController(t *testing.T) {
 	Convey("A new leader sends no order before older leaders' orders have expired", t, func() {
 		f := newFleet("a", "b")
+		f.hosts = []wire.Ownership{{Host: "c", Fence: 1}}
 		f.run(4)
 		So(f.machine.Table().Groups, ShouldBeEmpty)
 		f.run(6)
