gateway: a number that a caller states can't stop an entry host

What callers would see: one request whose header states prompt tokens, and the entry host answers nobody any more: neither that caller nor any other.

Cause: the prediction of the time to the first event took one turn of a loop for each pass of the prompt's prefill, under the lock that every request of the host takes; and numbers were converted to integers without a bound.

--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -275,10 +275,18 @@
 
 // sendParts is send with the shared parts of the request's prompt.
 func (f *fleetEnv) sendParts(entry int, path, model, key string, disconnect <-chan struct{}, parts ...savorywing.PromptPart) fleetResponse {
+	return f.sendMetadata(entry, path, disconnect, savorywing.CallerMetadata{
+		APIKey: key, Timeout: 8 * time.Second, Model: model, PromptTokens: 500, MaxOutputTokens: 60, LastEventID: -1, SharedParts: parts,
+	})
+}
+
+// sendMetadata is send with the given metadata; the attempt ID is added.
+func (f *fleetEnv) sendMetadata(entry int, path string, disconnect <-chan struct{}, m savorywing.CallerMetadata) fleetResponse {
 	f.mu.Lock()
 	f.lastCall++
 	r := fleetResponse{requestID: fmt.Sprintf("call-%d", f.lastCall)}
 	f.mu.Unlock()
+	m.AttemptID = r.requestID
 	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", f.entryIP(entry), f.port+2), time.Second)
 	if err != nil {
 		r.err = err
@@ -295,7 +303,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetRequestURI(path)
 	req.Header.SetHost(fleetHost)
-	f.dialect.WriteCallerMetadata(&req.Header, savorywing.CallerMetadata{AttemptID: r.requestID, APIKey: key, Timeout: 8 * time.Second, Model: model, PromptTokens: 500, MaxOutputTokens: 60, LastEventID: -1, SharedParts: parts})
+	f.dialect.WriteCallerMetadata(&req.Header, m)
 	req.SetBodyString("what is to be done")
 	_ = c.SetDeadline(time.Now().Add(12 * time.Second))
 	if _, err := req.WriteTo(c); err != nil {
--- a/cmd/savorywing/fleet_test.go
+++ b/cmd/savorywing/fleet_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -331,3 +332,23 @@
 	})
 	return leader
 }
+
+// TestFleetHugeNumbers guards against a caller whose stated numbers stop an entry host, or keep others from being served.
+func TestFleetHugeNumbers(t *testing.T) {
+	f := newFleetEnv(t, 3, 1, 20)
+	f.waitServing()
+	for _, n := range []int{math.MaxInt64, math.MaxInt64 / 1000, math.MaxInt32} {
+		m := savorywing.CallerMetadata{APIKey: fleetKey, Timeout: 8 * time.Second, Model: smallModel, PromptTokens: n, MaxOutputTokens: n, LastEventID: -1}
+		answered := make(chan fleetResponse, 1)
+		go func() { answered <- f.sendMetadata(0, "/talk/x", nil, m) }()
+		for range 5 {
+			start := time.Now()
+			if r := f.send(0, "/talk/x", smallModel, fleetKey, nil); r.err != nil || r.status != fasthttp.StatusOK || time.Since(start) > 2*time.Second {
+				t.Errorf("beside a caller that states %d tokens: status %d, error %v after %v, want 200 within 2 s", n, r.status, r.err, time.Since(start))
+			}
+		}
+		if r := <-answered; r.err != nil || r.status != fasthttp.StatusServiceUnavailable || r.retryAfter == "" {
+			t.Errorf("a caller that states %d tokens: status %d, Retry-After %q, error %v, want 503 with Retry-After", n, r.status, r.retryAfter, r.err)
+		}
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -197,7 +197,10 @@
 		timeout = min(timeout, r.caller.Timeout)
 	}
 	r.deadline = r.exchange.Arrival().Add(timeout)
-	if r.service.Engine != nil {
+	if e := r.service.Engine; e != nil {
+		r.caller.PromptTokens = boundTokens(r.caller.PromptTokens, e)
+		r.caller.MaxOutputTokens = boundTokens(r.caller.MaxOutputTokens, e)
+		r.caller.ExpectedOutputTokens = boundTokens(r.caller.ExpectedOutputTokens, e)
 		r.prompt = quarantine.Prompt{Service: r.service.Name, Organisation: r.organisation, Parts: partIDs(r.caller.SharedParts)}
 	}
 	if e := r.service.Engine; e != nil && e.PrefillRate > 0 {
@@ -206,6 +209,15 @@
 	return true
 }
 
+// boundTokens bounds a stated number of tokens by what a group can hold, so that no caller can raise the demand that is
+// planned for without limit.
+func boundTokens(n int, e *catalogue.Engine) int {
+	if e.KVTokens <= 0 {
+		return n
+	}
+	return min(n, e.KVTokens)
+}
+
 func httpRequest(r *callerRequest) *fasthttp.Request { return &r.exchange.Request }
 
 const (
--- a/process/placement/balancer_test.go
+++ b/process/placement/balancer_test.go
@@ -312,3 +312,21 @@
 		})
 	}
 }
+
+// TestHugePrompt guards against a prediction whose time grows with the length that a caller states for its prompt. All
+// requests of the host wait for it.
+func TestHugePrompt(t *testing.T) {
+	b := New(Config{})
+	b.UpdateEndpoints(true, []wire.Endpoint{{ID: "a", Born: 1, Service: "engines", Model: "m", Slots: 8}}, nil)
+	req := Request{
+		Service: "engines", Model: "m", PromptTokens: 1 << 40, Objective: 300 * time.Millisecond, Remaining: 8 * time.Second,
+		Engine: &EngineProfile{ChunkTokens: 2048, PrefillRate: 50700, StepsPerPass: 7, StepTime: 6 * time.Millisecond, TimeFactor: 1},
+	}
+	start := time.Now()
+	if d := b.Pick(start, req); d.Reason != ReasonFull {
+		t.Errorf("got reason %q, want %q", d.Reason, ReasonFull)
+	}
+	if took := time.Since(start); took > 50*time.Millisecond {
+		t.Errorf("the decision took %v", took)
+	}
+}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 )
 
@@ -56,14 +57,18 @@
 func (e *EngineProfile) firstEventTime(waiting, prompt, n int) time.Duration {
 	perPass := e.maxPrefillTokens()
 	remaining := float64(waiting + prompt)
-	total := e.PassTime(0, n) / 2 // rest of the current pass
-	for remaining > perPass {
-		total += e.PassTime(perPass, n)
-		remaining -= perPass
+	fullPasses := max(0, math.Ceil(remaining/perPass)-1)
+	rest := e.PassTime(0, n)/2 + e.PassTime(remaining-fullPasses*perPass, n) // the first part is the rest of the current pass
+	full := fullPasses * float64(e.PassTime(perPass, n))
+	if full > float64(maxPrediction) {
+		return maxPrediction
 	}
-	return total + e.PassTime(remaining, n)
+	return rest + time.Duration(full)
 }
 
+// maxPrediction bounds a prediction. It is longer than any caller waits.
+const maxPrediction = 24 * time.Hour
+
 // longestPass predicts the longest pass until the waiting tokens and a prompt are prefilled. Streams get their events
 // only at the end of a pass.
 func (e *EngineProfile) longestPass(waiting, prompt, n int) time.Duration {
