--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,13 @@
 	./process/fleet/... ./process/lease/... ./process/placement/... ./process/planner/... ./process/quarantine/... ./process/quorum/... ./process/retry/... ./process/router/... \
 	./process/state/... ./process/straggler/... ./version/...
 
-.PHONY: all build test race lint format tools
+# Fuzz targets as package:name. go test runs one at a time.
+FUZZ := connection/ingress:FuzzReadRequest platform:FuzzReadCallerMetadata platform:FuzzReadResponseMetadata platform:FuzzReadReport \
+	platform:FuzzReadDocument process/disk:FuzzDecodeFrames process/fleet:FuzzUnpackLoads process/gateway:FuzzScanEvents \
+	request/attempt:FuzzParseFrame version/instance:FuzzParse version/settings:FuzzParse wire/codec:FuzzDecodeFrame
+FUZZ_TIME := 3s
+
+.PHONY: all build test race fuzz lint format tools
 
 all: build lint test
 
@@ -21,6 +27,11 @@
 	go test -timeout 10m -race $(PURE)
 	go test -timeout 10m -race -short ./process/formation/...
 
+fuzz:
+	for f in $(FUZZ); do \
+		go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZ_TIME) -parallel 2 ./$${f%:*} || exit 1; \
+	done
+
 lint: $(LINTER)
 	go vet ./...
 	$(LINTER) fmt --diff
--- a/process/gateway/events_test.go
+++ b/process/gateway/events_test.go
@@ -60,3 +60,25 @@
 		}
 	}
 }
+
+// FuzzScanEvents checks that events are found in any bytes at the ends of lines only, and that a second scan of what is
+// complete finds the same.
+func FuzzScanEvents(f *testing.F) {
+	f.Add([]byte("id: 0\ndata: x\n\nid: 1\r\ndata: y\r\n\r\ndata: z"), int64(-1))
+	f.Add([]byte(": comment\n\nid:9223372036854775807\n\n\n"), int64(9223372036854775806))
+	f.Fuzz(func(t *testing.T, b []byte, lastID int64) {
+		s, err := scanEvents(b, lastID)
+		if s.numbered < 0 || s.numbered > s.complete || s.complete > len(b) {
+			t.Fatalf("%+v of %d bytes", s, len(b))
+		}
+		if s.numbered > 0 && b[s.numbered-1] != '\n' {
+			t.Errorf("%q is cut after %d bytes, inside a line", b, s.numbered)
+		}
+		if err != nil {
+			return
+		}
+		if again, err := scanEvents(b[:s.complete], lastID); err != nil || again != s {
+			t.Errorf("the complete part of %q: %+v, error %v, want %+v", b, again, err, s)
+		}
+	})
+}
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -54,3 +54,15 @@
 		}
 	}
 }
+
+// FuzzParse checks that arbitrary bytes are rejected, or read as settings that are valid.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(example))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, err := Parse(b); err == nil {
+			if err := s.Validate(); err != nil {
+				t.Errorf("%q is accepted: %v", b, err)
+			}
+		}
+	})
+}
