--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 fuzz:
 	for f in $(FUZZ); do \
-		go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZ_TIME) -parallel 2 ./$${f%:*} || exit 1; \
+		go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZ_TIME) -fuzzminimizetime 100x -parallel 2 ./$${f%:*} || exit 1; \
 	done
 
 lint: $(LINTER)
