--- a/process/placement/send_budget.go
+++ b/process/placement/send_budget.go
@@ -13,8 +13,6 @@
 	at     time.Time
 }
 
-// With these values most callers were served in time in the simulation of savorywing bench placement, at 12 and at
-// 120 entry hosts.
 const (
 	// fullFraction is the utilisation of a pool's slots from which budgets apply. Below it, the random choice leaves
 	// free slots in most groups.
