standin: servers state in replies to orders, too, that they are leaving

Change: the replies to orders carry the notice, and orders that begin something (join, open, load) count as unwanted after it. TestFleetLeavingInOrderReply makes all spare engines state it there and nowhere else, and loses members of two groups: no such engine may be in a group that serves, or get a further order.

--- a/cmd/savorywing/fleet_notice_test.go
+++ b/cmd/savorywing/fleet_notice_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -104,6 +105,34 @@
 	}
 }
 
+// TestFleetLeavingInOrderReply makes all spare engines state in the replies to orders, and nowhere else, that they are
+// leaving. After members of groups are lost, none of these engines may be in a group that serves, nor get further orders.
+func TestFleetLeavingInOrderReply(t *testing.T) {
+	f := newFleetEnv(t, 3, 1, 30)
+	f.waitServing()
+	leaving := f.fleet.SpareEngines()
+	if len(leaving) == 0 {
+		t.Fatal("there are no spare engines")
+	}
+	for _, s := range leaving {
+		s.SetFaults(standin.Faults{StateLeaving: true})
+	}
+	for _, head := range f.fleet.OpenHeads()[:2] {
+		f.fleet.OtherMember(head).Kill()
+	}
+	time.Sleep(4 * time.Second)
+	spare := f.fleet.SpareEngines()
+	for _, s := range leaving {
+		if !slices.Contains(spare, s) {
+			t.Errorf("%s is in a group that serves", s.ID)
+		}
+		if n := s.Unwanted(); n > 0 {
+			t.Errorf("%s got %d orders after it had stated that it is leaving", s.ID, n)
+		}
+	}
+	f.waitServing()
+}
+
 // headsOf returns the heads of the open groups of a model.
 func (f *fleetEnv) headsOf(model string) []*standin.Server {
 	var out []*standin.Server
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -183,6 +183,25 @@
 	return fmt.Sprintf("%s %s %d", id, group, epoch)
 }
 
+// SpareEngines returns the engines that are not killed and in no group that serves.
+func (f *Fleet) SpareEngines() []*Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	serving := map[string]bool{}
+	for _, s := range f.servers {
+		if s.rank == 0 && s.state == stateOpen && !s.dead {
+			serving[s.group] = true
+		}
+	}
+	var out []*Server
+	for _, s := range f.servers {
+		if s.Engine && !s.dead && !serving[s.group] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // PlainServers returns the servers of plain services that have not been killed.
 func (f *Fleet) PlainServers() []*Server {
 	f.mu.Lock()
--- a/standin/fleet/orders.go
+++ b/standin/fleet/orders.go
@@ -17,8 +17,12 @@
 	}
 	o.Members = append([]string(nil), o.Members...)
 	s.fleet.mu.Lock()
-	delay := s.faults.OrderDelay
+	delay, leaving := s.faults.OrderDelay, s.faults.StateLeaving
+	if leaving {
+		s.recordOrderWhileLeaving(o.Action, time.Now())
+	}
 	s.fleet.mu.Unlock()
+	s.dialect().WriteServerNotice(&ctx.Response.Header, leaving, 0)
 	if delay > 0 {
 		time.AfterFunc(delay, func() { s.executeOrder(o) })
 		<-time.After(delay)
@@ -27,6 +31,17 @@
 	ctx.SetStatusCode(s.executeOrder(o))
 }
 
+// recordOrderWhileLeaving counts an order that begins something although the server has stated that it is leaving. The
+// caller holds the fleet's mutex.
+func (s *Server) recordOrderWhileLeaving(action savorywing.OrderAction, now time.Time) {
+	if s.noticeSince.IsZero() {
+		s.noticeSince = now
+	}
+	if now.Sub(s.noticeSince) > noticeGrace && action != savorywing.ActionClose && action != savorywing.ActionLeave {
+		s.unwanted++
+	}
+}
+
 // executeOrder changes the server's state as an order requires and returns the status of the reply.
 func (s *Server) executeOrder(o savorywing.FleetOrder) int {
 	f := s.fleet
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -133,7 +133,7 @@
 	state        string
 	// noticeSince is when the server first stated that it is leaving or closed, since its faults were last set.
 	noticeSince time.Time
-	// unwanted counts the requests that arrived later than noticeGrace after that.
+	// unwanted counts the requests and orders that arrived later than noticeGrace after that.
 	unwanted int
 	// longestEndless is the longest time for which a receiver took an endless response.
 	longestEndless time.Duration
@@ -146,8 +146,8 @@
 	return s.longestEndless
 }
 
-// Unwanted returns how many requests arrived although the server had stated that it is leaving or closed, not counting
-// those in the first half second.
+// Unwanted returns how many requests, and orders that begin something, arrived although the server had stated that it is
+// leaving or closed, not counting those in the first half second.
 func (s *Server) Unwanted() int {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
