TestFleetNoticesWhileFrozen: both notices with an entry host that is suspended

Change: an entry host of the emulated fleet runs as a process, is suspended before the server states its notice and resumed two seconds later, with callers at both hosts. While it is suspended the others keep the rule, half a second after it is resumed it does too: none to a leaving server, at most the two that the rule allows to one that is closed.

--- a/cmd/savorywing/fleet_notice_test.go
+++ b/cmd/savorywing/fleet_notice_test.go
@@ -1,14 +1,19 @@
 package main
 
 import (
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.yaml.in/yaml/v3"
 
+	"savorywing.example/savorywing"
 	standin "savorywing.example/savorywing/standin/fleet"
 )
 
@@ -133,6 +138,78 @@
 	f.waitServing()
 }
 
+// startEntryProcess runs an entry host of the fleet as a process of its own.
+func (f *fleetEnv) startEntryProcess(i int) *process {
+	f.t.Helper()
+	settings, err := yaml.Marshal(f.settings(savorywing.RoleEntry, f.entryIP(i), true))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	file := filepath.Join(f.t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, settings, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	p := &process{t: f.t, name: "entry process", args: []string{"run", "--settings", file}, env: envProgram + "=1"}
+	p.start()
+	f.t.Cleanup(p.kill)
+	return p
+}
+
+// TestFleetNoticesWhileFrozen suspends an entry host while servers state that they are leaving, or closed for a time, and
+// resumes it. From the next update on it must send them nothing either.
+func TestFleetNoticesWhileFrozen(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		faults standin.Faults
+		// allowed is how many requests each entry host may send while the notice is in force, to find out about it.
+		allowed int
+	}{
+		{"leaving", standin.Faults{StateLeaving: true}, 0},
+		{"closed", standin.Faults{RejectFor: 20 * time.Second}, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleetEnv(t, 3, 1, 20)
+			p := f.startEntryProcess(1)
+			f.waitServing()
+			f.eventually("the process serves", func() bool { return f.send(1, "/book/look/x", "", fleetKey, nil).status == fasthttp.StatusOK })
+			server := f.fleet.PlainServers()[0]
+			stop := make(chan struct{})
+			var callers sync.WaitGroup
+			callUntil := func(entry int) {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+						f.send(entry, "/book/look/x", "", fleetKey, nil)
+					}
+				}
+			}
+			callers.Go(func() { callUntil(0) })
+			p.signal(syscall.SIGSTOP)
+			server.SetFaults(tt.faults)
+			time.Sleep(2 * time.Second)
+			if n := server.Unwanted(); n > tt.allowed {
+				t.Errorf("%d unwanted requests while one host was suspended, want at most %d", n, tt.allowed)
+			}
+			p.signal(syscall.SIGCONT)
+			callers.Go(func() { callUntil(1) })
+			callers.Go(func() { callUntil(1) })
+			time.Sleep(500 * time.Millisecond)
+			before := server.Unwanted()
+			time.Sleep(2 * time.Second)
+			if n := server.Unwanted() - before; n > tt.allowed {
+				t.Errorf("%d unwanted requests after the host was resumed, want at most %d", n, tt.allowed)
+			}
+			if r := f.send(1, "/book/look/x", "", fleetKey, nil); r.status != fasthttp.StatusOK {
+				t.Errorf("status %d at the resumed host, want 200 from the other server", r.status)
+			}
+			close(stop)
+			callers.Wait()
+		})
+	}
+}
+
 // headsOf returns the heads of the open groups of a model.
 func (f *fleetEnv) headsOf(model string) []*standin.Server {
 	var out []*standin.Server
