--- a/cmd/savorywing/fleet_notice_test.go
+++ b/cmd/savorywing/fleet_notice_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"sync"
@@ -11,9 +9,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"go.yaml.in/yaml/v3"
 
-	"savorywing.example/savorywing"
 	standin "savorywing.example/savorywing/standin/fleet"
 )
 
@@ -138,23 +134,6 @@
 	f.waitServing()
 }
 
-// startEntryProcess runs an entry host of the fleet as a process of its own.
-func (f *fleetEnv) startEntryProcess(i int) *process {
-	f.t.Helper()
-	settings, err := yaml.Marshal(f.settings(savorywing.RoleEntry, f.entryIP(i), true))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	file := filepath.Join(f.t.TempDir(), "settings.yaml")
-	if err := os.WriteFile(file, settings, 0o600); err != nil {
-		f.t.Fatal(err)
-	}
-	p := &process{t: f.t, name: "entry process", args: []string{"run", "--settings", file}, env: envProgram + "=1"}
-	p.start()
-	f.t.Cleanup(p.kill)
-	return p
-}
-
 // TestFleetNoticesWhileFrozen suspends an entry host while servers state that they are leaving, or closed for a time, and
 // resumes it. From the next update on it must send them nothing either.
 func TestFleetNoticesWhileFrozen(t *testing.T) {
@@ -169,7 +148,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleetEnv(t, 3, 1, 20)
-			p := f.startEntryProcess(1)
+			p, _ := f.startEntryProcess(1)
 			f.waitServing()
 			f.eventually("the process serves", func() bool { return f.send(1, "/book/look/x", "", fleetKey, nil).status == fasthttp.StatusOK })
 			server := f.fleet.PlainServers()[0]
