--- a/cmd/savorywing/fleet_process_test.go
+++ b/cmd/savorywing/fleet_process_test.go
@@ -66,11 +66,11 @@
 		t.Fatal(err)
 	}
 	good := string(content)
-	bad := strings.Replace(good, "\ntoken: test\n", "\ntoken: ''\n", 1)
-	if bad == good {
+	above, below, found := strings.Cut(good, "token: test\n")
+	if !found {
 		t.Fatalf("the settings have no line with the token:\n%s", good)
 	}
-	line := 1 + strings.Count(bad[:strings.Index(bad, "token: ''")], "\n")
+	bad, line := above+"token: ''\n"+below, 1+strings.Count(above, "\n")
 	for _, tt := range []struct {
 		name, text string
 		signal     bool
