quorum: power loss of all voters, and half of them cut off, have seeded tests

Change: TestPowerLoss (100 seeds, four times each): all voters stop within 5 ms, each at a write that doesn't reach its disk; what was committed must be there after the restart, and the cluster must go on. TestHalvesPartitioned (50 seeds, four voters): no half may get a lease or commit; after the link is back both agree and go on.

--- a/process/quorum/cluster_test.go
+++ b/process/quorum/cluster_test.go
@@ -39,6 +39,8 @@
 	blockedLinks map[[2]string]bool
 	// committed maps each index to the first entry that any voter reported as committed there.
 	committed map[uint64]wire.Entry
+	// powerLost stops each voter at its next write, which doesn't reach its disk.
+	powerLost bool
 	failures  []string
 }
 
@@ -92,6 +94,10 @@
 func (c *cluster) flush(id string) {
 	v := c.voters[id]
 	e := v.core.Ready()
+	if c.powerLost && (e.Install != nil || e.Record != nil) {
+		c.kill(id)
+		return
+	}
 	var err error
 	switch {
 	case e.Install != nil:
--- a/process/quorum/core_test.go
+++ b/process/quorum/core_test.go
@@ -83,6 +83,86 @@
 	})
 }
 
+// TestPowerLoss lets all voters lose power within a few milliseconds, each at the moment of a write, again and again. What
+// was committed before must still be there, and the cluster must go on.
+func TestPowerLoss(t *testing.T) {
+	const seeds, losses = 100, 4
+	for seed := uint64(1); seed <= seeds; seed++ {
+		c := newCluster(seed, 3+2*int(seed%2))
+		for loss := range losses {
+			if c.waitForLeader() == "" {
+				t.Fatalf("seed %d: no leader after %d losses of power", seed, loss)
+			}
+			for i := range 5 {
+				c.propose(fmt.Sprintf("command-%d-%d", loss, i))
+				c.run(time.Duration(c.random.Int64N(int64(4 * time.Millisecond))))
+			}
+			c.powerLost = true
+			c.propose(fmt.Sprintf("command-%d-last", loss))
+			c.run(5 * time.Millisecond)
+			for _, id := range c.ids {
+				c.kill(id)
+			}
+			c.powerLost, c.inFlight = false, nil
+			for _, id := range c.ids {
+				c.start(id)
+			}
+		}
+		c.waitForLeader()
+		c.propose("after")
+		c.run(time.Second)
+		checkAgreement(t, seed, c)
+		for index := range c.committed {
+			if got := c.voters[c.ids[0]].core.CommitIndex(); got < index {
+				t.Fatalf("seed %d: index %d was committed, and the cluster goes on from %d", seed, index, got)
+			}
+		}
+		if len(c.failures) > 0 {
+			t.Fatalf("seed %d: %s", seed, c.failures[0])
+		}
+	}
+}
+
+// TestHalvesPartitioned separates half of the voters from the other half. Neither may elect a leader or commit anything;
+// once the link is back, both must agree and go on.
+func TestHalvesPartitioned(t *testing.T) {
+	for seed := uint64(1); seed <= 50; seed++ {
+		c := newCluster(seed, 4)
+		c.waitForLeader()
+		c.propose("before")
+		c.run(200 * time.Millisecond)
+		for i, a := range c.ids {
+			for j, b := range c.ids {
+				if i%2 != j%2 {
+					c.blockedLinks[[2]string{a, b}] = true
+				}
+			}
+		}
+		c.run(2 * testElection)
+		before := len(c.committed)
+		for range 20 {
+			c.run(testElection)
+			c.propose("in one half")
+			if leader := c.leader(); leader != "" {
+				t.Fatalf("seed %d: %s holds a lease with half of the voters", seed, leader)
+			}
+		}
+		if n := len(c.committed) - before; n > 0 {
+			t.Fatalf("seed %d: %d entries were committed by half of the voters", seed, n)
+		}
+		c.heal()
+		if c.waitForLeader() == "" {
+			t.Fatalf("seed %d: no leader after the link was back", seed)
+		}
+		c.propose("after")
+		c.run(time.Second)
+		checkAgreement(t, seed, c)
+		if len(c.committed) <= before || len(c.failures) > 0 {
+			t.Fatalf("seed %d: %d entries committed, %d before; %v", seed, len(c.committed), before, c.failures)
+		}
+	}
+}
+
 // TestLeaderCutOff checks that a leader that is partitioned, frozen or unable to receive messages loses its lease by its
 // own clock before another voter gets one.
 func TestLeaderCutOff(t *testing.T) {
