--- a/bench/policy/overload.go
+++ b/bench/policy/overload.go
@@ -63,12 +63,11 @@
 // rejected retries once at most.
 type overloadRun struct {
 	overloadFleet
-	offeredLoad float64
-	random      *rand.Rand
-	now         time.Time
-	balancers   []*placement.Balancer
-	policies    []placementPolicy
-	nextReport  []time.Time
+	random     *rand.Rand
+	now        time.Time
+	balancers  []*placement.Balancer
+	policies   []placementPolicy
+	nextReport []time.Time
 	// lastReported holds each host's last report of its own requests.
 	lastReported       [][]wire.EndpointLoad
 	endpoints          []wire.Endpoint
@@ -108,7 +107,7 @@
 
 func newOverloadRun(seed uint64, fleet overloadFleet, offeredLoad float64, newPolicy func(b *placement.Balancer, host uint64) placementPolicy) *overloadRun {
 	r := &overloadRun{
-		overloadFleet: fleet, offeredLoad: offeredLoad, random: rand.New(rand.NewPCG(seed, seed+1)), now: time.Unix(1000, 0),
+		overloadFleet: fleet, random: rand.New(rand.NewPCG(seed, seed+1)), now: time.Unix(1000, 0),
 		server: slotServer{}, engine: overloadEngine, newCall: newSlotCall, callsPerSecond: offeredLoad * float64(fleet.groups*fleet.slots) / meanServiceTime.Seconds(),
 		handles: map[string]uint64{}, lastReported: make([][]wire.EndpointLoad, fleet.hosts),
 	}
