Tests: one loop for a caller at one entry host

Three new tests had the same loop. TestFleetTokenRotation's caller is stopped also when the test ends early; it would report to a test that is over. No check changes.

--- a/cmd/savorywing/fleet_notice_test.go
+++ b/cmd/savorywing/fleet_notice_test.go
@@ -36,6 +36,21 @@
 	return &wg
 }
 
+// callEntryUntil sends lookups through one entry host, one after the other, until stop is closed. check is called with each
+// response, unless it is nil.
+func (f *fleetEnv) callEntryUntil(stop <-chan struct{}, entry int, check func(r fleetResponse)) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		if r := f.send(entry, "/book/look/x", "", fleetKey, nil); check != nil {
+			check(r)
+		}
+	}
+}
+
 // TestFleetServerLeaving makes the head of a group, and a plain server, state in their responses that they are leaving.
 // No entry host may send them further requests: neither the one that saw it, nor the others, nor one that restarts.
 func TestFleetServerLeaving(t *testing.T) {
@@ -154,17 +169,7 @@
 			server := f.fleet.PlainServers()[0]
 			stop := make(chan struct{})
 			var callers sync.WaitGroup
-			callUntil := func(entry int) {
-				for {
-					select {
-					case <-stop:
-						return
-					case <-time.After(20 * time.Millisecond):
-						f.send(entry, "/book/look/x", "", fleetKey, nil)
-					}
-				}
-			}
-			callers.Go(func() { callUntil(0) })
+			callers.Go(func() { f.callEntryUntil(stop, 0, nil) })
 			p.signal(syscall.SIGSTOP)
 			server.SetFaults(tt.faults)
 			time.Sleep(2 * time.Second)
@@ -172,8 +177,8 @@
 				t.Errorf("%d unwanted requests while one host was suspended, want at most %d", n, tt.allowed)
 			}
 			p.signal(syscall.SIGCONT)
-			callers.Go(func() { callUntil(1) })
-			callers.Go(func() { callUntil(1) })
+			callers.Go(func() { f.callEntryUntil(stop, 1, nil) })
+			callers.Go(func() { f.callEntryUntil(stop, 1, nil) })
 			time.Sleep(500 * time.Millisecond)
 			before := server.Unwanted()
 			time.Sleep(2 * time.Second)
--- a/cmd/savorywing/fleet_process_test.go
+++ b/cmd/savorywing/fleet_process_test.go
@@ -8,7 +8,6 @@
 	"sync"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.yaml.in/yaml/v3"
@@ -48,16 +47,11 @@
 	stop := make(chan struct{})
 	var caller sync.WaitGroup
 	caller.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-			if r := f.send(1, "/book/look/x", "", fleetKey, nil); r.err != nil || r.status != fasthttp.StatusOK {
+		f.callEntryUntil(stop, 1, func(r fleetResponse) {
+			if r.err != nil || r.status != fasthttp.StatusOK {
 				t.Errorf("status %d, error %v while the settings change, want 200", r.status, r.err)
 			}
-		}
+		})
 	})
 	defer caller.Wait()
 	defer close(stop)
--- a/cmd/savorywing/fleet_token_test.go
+++ b/cmd/savorywing/fleet_token_test.go
@@ -4,7 +4,6 @@
 	"net"
 	"sync"
 	"testing"
-	"time"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/peer"
@@ -29,17 +28,14 @@
 	stop := make(chan struct{})
 	var caller sync.WaitGroup
 	caller.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-			if r := f.send(0, "/book/look/x", "", fleetKey, nil); r.err != nil || r.status != 200 {
+		f.callEntryUntil(stop, 0, func(r fleetResponse) {
+			if r.err != nil || r.status != 200 {
 				t.Errorf("status %d, error %v at an entry host that wasn't restarted, want 200", r.status, r.err)
 			}
-		}
+		})
 	})
+	defer caller.Wait()
+	defer close(stop)
 	for _, tokens := range []peer.Tokens{{Sent: "test", AlsoAccepted: []string{"next"}}, {Sent: "next", AlsoAccepted: []string{"test"}}, {Sent: "next"}} {
 		f.tokens = tokens
 		f.reloadControl(0)
@@ -54,6 +50,4 @@
 		f.restartEntry(1)
 		f.waitServing()
 	}
-	close(stop)
-	caller.Wait()
 }
