ingress: a limit of headers that is missing or absurd

Reading TestHeaderLimit's change again: with max_header_bytes 0 in the document every request would have got 431, where 4 KiB were served before, and with a huge one the first header above 4 KiB would have asked for a buffer of that size (makeslice: len out of range, the daemon ends).

Change: no limit means the first buffer's 4 KiB, and no buffer is larger than 1 MiB. Documents with usual limits aren't affected.

Measured: TestHeaderLimit has both cases; it panicked before, passes 3 of 3 now, with the package's other tests.

--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -22,6 +22,8 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxHeaderBytes bounds the buffer of a header, whatever the limit.
+	maxHeaderBytes = 1 << 20
 	// userTimeout closes a connection whose peer leaves sent data unacknowledged for this long.
 	userTimeout = 10 * time.Second
 	// lingerTimeout is how long a connection is still read before it is closed, so that a reset doesn't
@@ -247,8 +249,12 @@
 	return x.Request.ContinueReadBody(c.reader, limits.MaxBodyBytes)
 }
 
-// readHeader reads a header of at most limit bytes. The parser leaves one that doesn't fit into the buffer unread.
+// readHeader reads a header of at most limit bytes, or readBufferBytes if there is no limit. The parser leaves one that
+// doesn't fit into the buffer unread.
 func (c *conn) readHeader(x *Exchange, limit int) error {
+	if limit = min(limit, maxHeaderBytes); limit <= 0 {
+		limit = readBufferBytes
+	}
 	err := x.Request.Header.Read(c.reader)
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	if errors.As(err, &smallBuffer) && limit > c.reader.Size() {
--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -66,6 +66,9 @@
 		{"above a large limit", 16 << 10, 16 << 10, 431},
 		{"just below a small limit", 1000, 900, 200},
 		{"above a small limit", 1000, 1000, 431},
+		{"no limit stated", 0, 900, 200},
+		{"above the first buffer, no limit stated", 0, 9000, 431},
+		{"above the largest buffer, a huge limit", 1 << 50, 2 << 20, 431},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
