group: a test reads the settings of the simulated fleet

settingsOf, new in TestFirstPlan, parsed the text that newFleet parses already; the test now takes the settings from newFleet. No check changes.

--- a/process/group/controller_test.go
+++ b/process/group/controller_test.go
@@ -38,15 +38,6 @@
 	groups []wire.Group
 }
 
-func settingsOf(t *testing.T) *settings.Settings {
-	t.Helper()
-	s, err := settings.Parse("test", []byte(settingsText))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return s
-}
-
 func newFleet(hosts ...string) *simFleet {
 	s, err := settings.Parse("test", []byte(settingsText))
 	if err != nil {
@@ -135,7 +126,7 @@
 // TestFirstPlan checks when a new leader plans. Only where no group can have existed may it plan before an earlier leader's
 // orders have expired.
 func TestFirstPlan(t *testing.T) {
-	full := settingsOf(t).Timing.MaxOrderDelay + settleTime
+	full := newFleet().settings.Timing.MaxOrderDelay + settleTime
 	for _, tt := range []struct {
 		name    string
 		prepare func(f *simFleet)
