Responses' request limits are read and logged

Servers state in a header how many requests a second they take from all hosts together. Nothing acts on it yet. Emulated servers can state a limit and record arrivals.

--- a/dialect.go
+++ b/dialect.go
@@ -69,6 +69,11 @@
 	// ClosedFor is how long the backend server, having rejected this request, wants no further ones from this host; 0
 	// if not stated. It is at most MaxClosedFor.
 	ClosedFor time.Duration
+	// RequestLimit is how many requests a second the backend server takes from all hosts together; negative if not stated.
+	// It is at most MaxRequestLimit.
+	RequestLimit float64
+	// InvalidRequestLimit is the stated value of RequestLimit if it isn't a finite number, or negative.
+	InvalidRequestLimit string
 	// InvalidClosedFor is the stated value of ClosedFor if it can't be read, is negative or exceeds MaxClosedFor.
 	InvalidClosedFor string
 }
@@ -76,6 +81,9 @@
 // MaxClosedFor bounds how long a backend server can close itself for a host with one response.
 const MaxClosedFor = 5 * time.Minute
 
+// MaxRequestLimit bounds a backend server's limit, in requests per second.
+const MaxRequestLimit = 1e6
+
 // Dialect translates between the types of this package and the protocol of callers and backend servers.
 type Dialect interface {
 	// ReadCallerMetadata decodes the header of a caller's request.
--- a/emulator.go
+++ b/emulator.go
@@ -25,6 +25,8 @@
 	// WriteServerNotice adds to a response that the server is leaving, or for how long it is closed for the host that it
 	// responds to; 0 for neither.
 	WriteServerNotice(h *fasthttp.ResponseHeader, leaving bool, closedFor time.Duration)
+	// WriteRequestLimit adds the server's limit in requests per second to a response, as the given text; empty for none.
+	WriteRequestLimit(h *fasthttp.ResponseHeader, text string)
 	// IsOrder reports whether a request to a backend server is an order.
 	IsOrder(h *fasthttp.RequestHeader) bool
 	// ReadOrder decodes an order.
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -218,10 +218,15 @@
 		r.gateway.logProblem("closedForInvalid").Str("request", r.caller.AttemptID).Str("server", d.ID).Str("value", m.InvalidClosedFor).
 			Dur("used", m.ClosedFor).Msg("a backend server states an invalid time for which it is closed")
 	}
+	g := r.gateway
+	if m.RequestLimit >= 0 || m.InvalidRequestLimit != "" {
+		g.telemetry.Count("server_notices", "kind", "limited")
+		g.logProblem("serverLimit").Str("request", r.caller.AttemptID).Str("server", d.ID).Float64("perSecond", m.RequestLimit).
+			Str("invalid", m.InvalidRequestLimit).Int("load", d.Load).Msg("a backend server states how many requests it takes from all hosts")
+	}
 	if !m.Leaving && m.ClosedFor == 0 {
 		return
 	}
-	g := r.gateway
 	g.mu.Lock()
 	isNew := g.balancer.RecordNotice(g.clock.Now(), d.ID, placement.Notice{Leaving: m.Leaving, ClosedFor: m.ClosedFor})
 	g.mu.Unlock()
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -55,6 +55,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	faults := s.faults
+	s.arrivals = append(s.arrivals, now)
 	if !s.noticeSince.IsZero() && now.Sub(s.noticeSince) > noticeGrace {
 		s.unwanted++
 	}
@@ -63,6 +64,7 @@
 	}
 	f.mu.Unlock()
 	s.dialect().WriteServerNotice(&ctx.Response.Header, faults.StateLeaving, faults.RejectFor)
+	s.dialect().WriteRequestLimit(&ctx.Response.Header, faults.RequestLimit)
 	if faults.RejectFor <= 0 {
 		return false
 	}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -61,6 +61,9 @@
 	StateLeaving bool
 	// RejectFor makes the server reject each request and state that it is closed for this time.
 	RejectFor time.Duration
+	// RequestLimit is the text of the limit that the server states in its responses; empty for none. The server accepts
+	// requests beyond it.
+	RequestLimit string
 	// LoseResponse runs plain requests and closes the connection without a response.
 	LoseResponse bool
 }
@@ -135,6 +138,8 @@
 	noticeSince time.Time
 	// unwanted counts the requests and orders that arrived later than noticeGrace after that.
 	unwanted int
+	// arrivals holds when requests arrived since the faults were last set.
+	arrivals []time.Time
 	// longestEndless is the longest time for which a receiver took an endless response.
 	longestEndless time.Duration
 }
@@ -154,6 +159,13 @@
 	return s.unwanted
 }
 
+// Arrivals returns when requests arrived since the faults were last set, without those that were meant for another server.
+func (s *Server) Arrivals() []time.Time {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
 // Add starts a server and its reports.
 func (f *Fleet) Add(cfg ServerConfig) (*Server, error) {
 	listener, err := net.Listen("tcp", cfg.Address)
@@ -239,7 +251,7 @@
 func (s *Server) SetFaults(faults Faults) {
 	s.fleet.mu.Lock()
 	s.faults = faults
-	s.noticeSince, s.unwanted, s.longestEndless = time.Time{}, 0, 0
+	s.noticeSince, s.unwanted, s.longestEndless, s.arrivals = time.Time{}, 0, 0, nil
 	group, epoch, unresponsive := s.group, s.epoch, faults.Unresponsive
 	s.fleet.mu.Unlock()
 	if unresponsive {
