--- a/dialect.go
+++ b/dialect.go
@@ -69,8 +69,9 @@
 	// ClosedFor is how long the backend server, having rejected this request, wants no further ones from this host; 0
 	// if not stated. It is at most MaxClosedFor.
 	ClosedFor time.Duration
-	// RequestLimit is how many requests a second the backend server takes from all hosts together; negative if not stated.
-	// It is at most MaxRequestLimit.
+	// Limited reports whether the backend server states how many requests a second it takes from all hosts together, which
+	// is RequestLimit, 0 to MaxRequestLimit.
+	Limited      bool
 	RequestLimit float64
 	// InvalidRequestLimit is the stated value of RequestLimit if it isn't a finite number, or negative.
 	InvalidRequestLimit string
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -219,7 +219,7 @@
 			Dur("used", m.ClosedFor).Msg("a backend server states an invalid time for which it is closed")
 	}
 	g := r.gateway
-	if m.RequestLimit >= 0 || m.InvalidRequestLimit != "" {
+	if m.Limited || m.InvalidRequestLimit != "" {
 		g.telemetry.Count("server_notices", "kind", "limited")
 		g.logProblem("serverLimit").Str("request", r.caller.AttemptID).Str("server", d.ID).Float64("perSecond", m.RequestLimit).
 			Str("invalid", m.InvalidRequestLimit).Int("load", d.Load).Msg("a backend server states how many requests it takes from all hosts")
