Servers' request limits hold for all entry hosts together

Cause: nothing read the statement; and each entry host sees only its own requests, so a limit that each applied for itself would allow one limit per host.

The leader keeps a token bucket for each limit and grants its tokens as permits for single requests, in its answers to usage reports (process/quota). A host that would otherwise reject a request asks at once and waits for the answer, a few milliseconds; while no permit is to be had soon, requests go elsewhere or are rejected at once. Permits expire after a second, so in any 4 s a server gets at most its limit of 5 s and a burst of 2 requests and 250 ms, whichever hosts ask. Hosts without a leader make permits at half of their equal share, out of step. The limit ends with a response to a request that was sent after it was last stated; while nobody has had a response, single permits are granted for that.

--- a/cmd/savorywing/fleet_limit_test.go
+++ b/cmd/savorywing/fleet_limit_test.go
@@ -48,21 +48,24 @@
 // plainServers returns the plain servers; the model is not used.
 func (f *fleetEnv) plainServers(string) []*standin.Server { return f.fleet.PlainServers() }
 
+// limitCase is a case of TestFleetServerLimit.
+type limitCase struct {
+	name, path, model string
+	servers           func(f *fleetEnv, model string) []*standin.Server
+	// all limits each server of the pool, and not only one.
+	all       bool
+	limit     string
+	perSecond float64
+	// entry is the only host that callers ask; negative for all hosts.
+	entry int
+	// during happens two seconds after the limit is in force.
+	during func(f *fleetEnv)
+}
+
 // TestFleetServerLimit guards against servers that get more requests than they state to take from all hosts together, and
 // against limits that aren't used in full, or hold requests back that other servers could take.
 func TestFleetServerLimit(t *testing.T) {
-	for _, tt := range []struct {
-		name, path, model string
-		servers           func(f *fleetEnv, model string) []*standin.Server
-		// all limits each server of the pool, and not only one.
-		all       bool
-		limit     string
-		perSecond float64
-		// entry is the only host that callers ask; negative for all hosts.
-		entry int
-		// during happens two seconds after the limit is in force.
-		during func(f *fleetEnv)
-	}{
+	for _, tt := range []limitCase{
 		{"head of a group", "/talk/x", smallModel, (*fleetEnv).headsOf, false, "4", 4, -1, nil},
 		{"all heads of a model", "/talk/x", smallModel, (*fleetEnv).headsOf, true, "4.5", 4.5, -1, nil},
 		{"plain server", "/book/look/x", "", (*fleetEnv).plainServers, false, "5", 5, -1, nil},
@@ -85,80 +88,103 @@
 			if !tt.all {
 				limited = limited[:1]
 			}
-			stop := make(chan struct{})
-			var callers sync.WaitGroup
-			var mu sync.Mutex
-			served, refused := 0, 0
-			for n := range 18 {
-				entry := n % len(f.entries)
-				if tt.entry >= 0 {
-					entry = tt.entry
-				}
-				callers.Go(func() {
-					for {
-						select {
-						case <-stop:
-							return
-						case <-time.After(20 * time.Millisecond):
-						}
-						sentAt := time.Now()
-						r := f.send(entry, tt.path, tt.model, fleetKey, nil)
-						took := time.Since(sentAt)
-						mu.Lock()
-						switch {
-						case r.err == nil && r.status == fasthttp.StatusOK:
-							served++
-						case r.status == fasthttp.StatusServiceUnavailable:
-							refused++
-							if r.retryAfter == "" || took > time.Second {
-								t.Errorf("rejected after %v with Retry-After %q, want at once and a time", took, r.retryAfter)
-							}
-						}
-						mu.Unlock()
-					}
-				})
-			}
-			for _, s := range limited {
-				s.SetFaults(standin.Faults{RequestLimit: tt.limit})
-			}
+			l := f.startLimitLoad(tt)
+			setLimit(limited, tt.limit)
 			inForce := time.Now().Add(limitGrace)
 			time.Sleep(limitGrace + 2*time.Second)
 			if tt.during != nil {
 				tt.during(f)
 			}
 			time.Sleep(6 * time.Second)
-			measured := time.Since(inForce)
-			for _, s := range limited {
-				arrivals := s.Arrivals()
-				allowed := int(limitFactor*tt.perSecond*limitWindow.Seconds()) + limitSlack
-				most, used := mostInWindow(arrivals, inForce), countAfter(arrivals, inForce)
-				t.Logf("%s: %d requests in %v at most, %d allowed; %d of %.0f used", s.ID, most, limitWindow, allowed, used, tt.perSecond*measured.Seconds())
-				if most > allowed {
-					t.Errorf("%s got %d requests in %v, want at most %d", s.ID, most, limitWindow, allowed)
-				}
-				if tt.all && tt.during == nil && float64(used) < limitUse*min(10, tt.perSecond)*measured.Seconds() {
-					t.Errorf("%s got %d requests in %v, want %v of its limit at least", s.ID, used, measured, limitUse)
-				}
-			}
-			for _, s := range limited {
-				s.SetFaults(standin.Faults{})
-			}
+			tt.checkUse(t, limited, inForce)
+			setLimit(limited, "")
 			time.Sleep(5 * time.Second)
 			ended := time.Now()
-			mu.Lock()
-			servedBefore := served
-			mu.Unlock()
 			time.Sleep(2 * time.Second)
-			for _, s := range limited {
-				if n := countAfter(s.Arrivals(), ended); float64(n) < 2*max(tt.perSecond, 5)*2 && tt.perSecond < 1e6 {
-					t.Errorf("%s got %d requests in 2s after the end of its limit, want %.0f at least", s.ID, n, 4*max(tt.perSecond, 5))
+			tt.checkEnd(t, limited, ended)
+			close(l.stop)
+			l.callers.Wait()
+			t.Logf("%d served, %d rejected", l.served, l.rejected)
+		})
+	}
+}
+
+func setLimit(servers []*standin.Server, text string) {
+	for _, s := range servers {
+		s.SetFaults(standin.Faults{RequestLimit: text})
+	}
+}
+
+// checkUse checks that the servers got no more than their limits allow, and, if callers ask for more, most of that.
+func (tt limitCase) checkUse(t *testing.T, servers []*standin.Server, inForce time.Time) {
+	t.Helper()
+	measured := time.Since(inForce).Seconds()
+	allowed := int(limitFactor*tt.perSecond*limitWindow.Seconds()) + limitSlack
+	for _, s := range servers {
+		arrivals := s.Arrivals()
+		most, used := mostInWindow(arrivals, inForce), countAfter(arrivals, inForce)
+		t.Logf("%s: %d requests in %v at most, %d allowed; %d of %.0f used", s.ID, most, limitWindow, allowed, used, tt.perSecond*measured)
+		if most > allowed {
+			t.Errorf("%s got %d requests in %v, want at most %d", s.ID, most, limitWindow, allowed)
+		}
+		if tt.all && tt.during == nil && float64(used) < limitUse*min(10, tt.perSecond)*measured {
+			t.Errorf("%s got %d requests in %.1fs, want %v of its limit at least", s.ID, used, measured, limitUse)
+		}
+	}
+}
+
+// checkEnd checks that the servers get more than their limits allowed.
+func (tt limitCase) checkEnd(t *testing.T, servers []*standin.Server, ended time.Time) {
+	t.Helper()
+	for _, s := range servers {
+		if n := countAfter(s.Arrivals(), ended); float64(n) < 4*max(tt.perSecond, 5) && tt.perSecond < 1e6 {
+			t.Errorf("%s got %d requests in 2s after the end of its limit, want %.0f at least", s.ID, n, 4*max(tt.perSecond, 5))
+		}
+	}
+}
+
+// limitLoad is a load of requests of which some are rejected.
+type limitLoad struct {
+	stop             chan struct{}
+	callers          sync.WaitGroup
+	mu               sync.Mutex
+	served, rejected int
+}
+
+// startLimitLoad starts callers of a case that run until stop is closed. Each rejection must come at once, with a time.
+func (f *fleetEnv) startLimitLoad(tt limitCase) *limitLoad {
+	l := &limitLoad{stop: make(chan struct{})}
+	for n := range 18 {
+		entry := n % len(f.entries)
+		if tt.entry >= 0 {
+			entry = tt.entry
+		}
+		l.callers.Go(func() {
+			for {
+				select {
+				case <-l.stop:
+					return
+				case <-time.After(20 * time.Millisecond):
 				}
+				sentAt := time.Now()
+				r := f.send(entry, tt.path, tt.model, fleetKey, nil)
+				l.record(f.t, r, time.Since(sentAt))
 			}
-			close(stop)
-			callers.Wait()
-			mu.Lock()
-			defer mu.Unlock()
-			t.Logf("%d served, %d rejected; %d served in 2s after the end of the limits", served, refused, served-servedBefore)
 		})
 	}
+	return l
+}
+
+func (l *limitLoad) record(t *testing.T, r fleetResponse, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case r.err == nil && r.status == fasthttp.StatusOK:
+		l.served++
+	case r.status == fasthttp.StatusServiceUnavailable:
+		l.rejected++
+		if r.retryAfter == "" || took > time.Second {
+			t.Errorf("rejected after %v with Retry-After %q, want at once and a time", took, r.retryAfter)
+		}
+	}
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -21,6 +21,7 @@
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
+	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/process/telemetry"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
@@ -94,6 +95,8 @@
 	packedAt    time.Time
 	// quarantine finds the parts of prompts on which servers crash.
 	quarantine *quarantine.Tracker
+	// limits divides the request limits of servers among the entry hosts.
+	limits *quota.Allocator
 	// waiting holds the channels of callers that wait until the entry hosts have been notified.
 	waiting []chan<- struct{}
 	leading bool
--- a/process/controller/endpoint_log.go
+++ b/process/controller/endpoint_log.go
@@ -103,6 +103,12 @@
 	return out
 }
 
+// endpoint returns the endpoint with an ID, if it exists.
+func (l *endpointLog) endpoint(id string) (wire.Endpoint, bool) {
+	e, known := l.current[id]
+	return e, known
+}
+
 // since returns the endpoints that were changed or removed after a revision, sorted by ID. If the log doesn't reach
 // back to the revision, full is set, and the endpoints are all.
 func (l *endpointLog) since(revision uint64) (endpoints []wire.Endpoint, removed []string, full bool) {
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -7,6 +7,7 @@
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/quorum"
+	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
 )
@@ -228,6 +229,7 @@
 			c.endpoints, c.totals = newEndpointLog(), fleet.NewTotals()
 			c.entryHosts, c.demandSince, c.packedAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
 			c.quarantine = quarantine.NewTracker(c.clock.Now())
+			c.limits = quota.NewAllocator()
 			// Entry hosts report as soon as they know of the new leader, and are sent all endpoints.
 			c.pushNow(now)
 		}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/process/retry"
 	"savorywing.example/savorywing/version/catalogue"
 )
@@ -62,7 +63,7 @@
 		now := g.clock.Now()
 		d, reservation := r.reserve(now)
 		if reservation == nil {
-			if d.Reason.IsTransient() && r.waitForChange(ctx) {
+			if r.waitForCapacity(ctx, d) {
 				continue
 			}
 			if ctx.Err() == nil {
@@ -127,6 +128,7 @@
 			g.countDemand(r)
 		}
 		budget.RecordFirstSend(now)
+		g.balancer.RecordDemand(r.placementRequest(now))
 	}
 	if r.deadline.Sub(now) < minAttemptTime || r.sends >= r.route.MaxAttempts {
 		return placement.Decision{}, nil
@@ -202,6 +204,7 @@
 	}
 	defer response.Close()
 	r.recordNotice(d, response.Metadata)
+	r.recordLimit(d, reservation, response)
 	switch {
 	case response.Metadata.NotRun:
 		return outcomeNotRun, r.handleNotRun(response, d)
@@ -219,11 +222,6 @@
 			Dur("used", m.ClosedFor).Msg("a backend server states an invalid time for which it is closed")
 	}
 	g := r.gateway
-	if m.Limited || m.InvalidRequestLimit != "" {
-		g.telemetry.Count("server_notices", "kind", "limited")
-		g.logProblem("serverLimit").Str("request", r.caller.AttemptID).Str("server", d.ID).Float64("perSecond", m.RequestLimit).
-			Str("invalid", m.InvalidRequestLimit).Int("load", d.Load).Msg("a backend server states how many requests it takes from all hosts")
-	}
 	if !m.Leaving && m.ClosedFor == 0 {
 		return
 	}
@@ -241,6 +239,34 @@
 	}
 }
 
+// recordLimit applies what a response states about the requests that its server takes from all hosts together. A value that
+// is no rate changes nothing, and neither does a response that may be another server's.
+func (r *callerRequest) recordLimit(d placement.Decision, reservation *placement.Reservation, response *engine.Response) {
+	m, g := response.Metadata, r.gateway
+	if m.InvalidRequestLimit != "" {
+		g.telemetry.Count("server_notices", "kind", "invalidLimit")
+		g.logProblem("serverLimitInvalid").Str("request", r.caller.AttemptID).Str("server", d.ID).Str("value", m.InvalidRequestLimit).
+			Msg("a backend server states a request limit that is no rate")
+		return
+	}
+	isServers := m.Limited || m.Signed || m.NotRun
+	if !isServers || response.Header.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	g.mu.Lock()
+	urgent := g.balancer.RecordResponse(g.clock.Now(), quota.Response{
+		Server: d.ID, Born: d.Born, SentAt: reservation.SentAt(), Limited: m.Limited, PerSecond: m.RequestLimit,
+	})
+	g.mu.Unlock()
+	if !urgent {
+		return
+	}
+	g.telemetry.Count("server_notices", "kind", "limit")
+	g.logProblem("serverLimit").Str("request", r.caller.AttemptID).Str("server", d.ID).Bool("limited", m.Limited).Float64("perSecond", m.RequestLimit).
+		Int("load", d.Load).Msg("a backend server's request limit has begun, ended or decreased")
+	g.subscription.wakeUp()
+}
+
 // mayStillSend reports whether the server of a decision still accepts requests from this host.
 func (g *Gateway) mayStillSend(d placement.Decision) bool {
 	g.mu.Lock()
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -124,6 +124,7 @@
 	s.mu.Unlock()
 	g.mu.Lock()
 	u.Loads, u.Leaving = g.balancer.Usage(now), g.balancer.Leaving()
+	g.balancer.ReportLimits(now, &u)
 	g.observer.Report(now, &u)
 	for model, d := range g.demand {
 		u.Demand = append(u.Demand, wire.ModelDemand{Model: model, Requests: d.requests, WorkMs: d.workMs})
@@ -134,7 +135,7 @@
 		s.forgetLeader(host)
 		return true
 	}
-	return len(u.Loads) > 0 || len(u.Leaving) > 0 || len(u.Losses) > 0 || len(u.TurnedAway) > 0 || s.isIncomplete()
+	return len(u.Loads) > 0 || len(u.Leaving) > 0 || len(u.Limits) > 0 || len(u.PermitRequests) > 0 || len(u.Losses) > 0 || len(u.TurnedAway) > 0 || s.isIncomplete()
 }
 
 func (s *fleetSubscription) isIncomplete() bool {
@@ -268,6 +269,7 @@
 	if u.Echo != 0 {
 		s.applyLoads(u)
 	}
+	g.balancer.ApplyLimits(g.clock.Now(), u)
 	return g.observer.Apply(g.clock.Now(), u)
 }
 
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -35,7 +35,9 @@
 	// deadline is the end of the caller's timeout or of the route's, whichever is first.
 	deadline time.Time
 	// waitUntil is until when the request may wait for updates from the leader.
-	waitUntil   time.Time
+	waitUntil time.Time
+	// permitUntil is until when the request may wait for a permit; zero until it first waits for one.
+	permitUntil time.Time
 	prefillTime time.Duration
 	// priorWait is how long the caller waited before this request, as far as known.
 	priorWait time.Duration
@@ -108,6 +110,48 @@
 	}
 }
 
+// waitForCapacity waits for what may let a rejected request be placed after all, and reports whether it is to be tried again.
+func (r *callerRequest) waitForCapacity(ctx context.Context, d placement.Decision) bool {
+	return (d.AwaitPermit && r.waitForPermit(ctx)) || (d.Reason.IsTransient() && r.waitForChange(ctx))
+}
+
+// permitWaitFraction is the fraction of the objective for which a request may wait for a permit, and maxPermitWait bounds that
+// time. An answer of the leader takes a few milliseconds.
+const (
+	permitWaitFraction = 0.25
+	maxPermitWait      = 150 * time.Millisecond
+)
+
+// waitForPermit asks the leader for a permit and waits for its next update. It reports whether one was applied in time.
+func (r *callerRequest) waitForPermit(ctx context.Context) bool {
+	g := r.gateway
+	now := g.clock.Now()
+	if r.permitUntil.IsZero() {
+		r.permitUntil = now.Add(min(maxPermitWait, time.Duration(permitWaitFraction*float64(r.route.Objective))))
+	}
+	request := r.placementRequest(now)
+	changed := g.subscription.changes()
+	g.mu.Lock()
+	g.balancer.Await(request, 1)
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		g.balancer.Await(request, -1)
+		g.mu.Unlock()
+	}()
+	g.subscription.wakeUp()
+	timer := time.NewTimer(r.permitUntil.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-changed:
+		return true
+	}
+}
+
 // lacksUpdate reports whether the host lacks an update of the leader without which it handles no request.
 func (g *Gateway) lacksUpdate() bool {
 	c := g.catalogue.Load()
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -58,6 +59,8 @@
 	occupancies map[endpointKey]time.Duration
 	// budgets holds the send budget of this host for each full pool.
 	budgets map[endpointKey]*sendBudget
+	// permits holds servers' request limits and the permits for requests to them.
+	permits *quota.Holder
 	// notices holds what servers have stated about themselves, by ID.
 	notices map[string]serverNotice
 	// interval is the moving average of the time between two updates of the leader, and updatedAt when the last one
@@ -77,7 +80,7 @@
 	return &Balancer{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
 		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, budgets: map[endpointKey]*sendBudget{},
-		notices: map[string]serverNotice{},
+		notices: map[string]serverNotice{}, permits: quota.NewHolder(cfg.Seed),
 	}
 }
 
@@ -195,8 +198,14 @@
 	engineTime time.Duration
 	key        endpointKey
 	started    bool
+	// permitExpiry is when the permit that the request has used up expires; zero if it needed none.
+	permitExpiry time.Time
+	born         int64
 }
 
+// SentAt returns when the request was counted, just before it was sent.
+func (r *Reservation) SentAt() time.Time { return r.sent }
+
 // Start counts a request that is sent to the endpoint of a decision.
 func (b *Balancer) Start(now time.Time, d Decision, req Request) *Reservation {
 	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, key: req.key()}
@@ -207,6 +216,7 @@
 	if e == nil {
 		return res
 	}
+	res.born, res.permitExpiry = e.Born, b.permits.Use(now, e.ID, e.Born)
 	if e.localInFlight == 0 {
 		e.progressAt, e.longestPredicted = now, 0
 	}
@@ -284,6 +294,9 @@
 
 // Finish releases the reservation and updates the endpoint's statistics with the result.
 func (b *Balancer) Finish(now time.Time, res *Reservation, r Result) {
+	if r == Unreachable {
+		b.permits.Return(res.ID, res.born, res.permitExpiry)
+	}
 	e := b.byID[res.ID]
 	if e == nil {
 		return
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"savorywing.example/savorywing/process/quota"
 )
 
 // Request describes a request to be placed on an endpoint.
@@ -26,6 +28,8 @@
 	Retry bool
 }
 
+func (req Request) pool() quota.Pool { return quota.Pool{Service: req.Service, Model: req.Model} }
+
 func (req Request) key() endpointKey { return endpointKey{req.Service, req.Model} }
 
 // EngineProfile is the performance model of an engine. A group works in passes of a few steps. Each step prefills a
@@ -91,6 +95,8 @@
 	ReasonNoEndpoint Reason = "noEndpoint"
 	// ReasonFull means that no endpoint could start the response in time.
 	ReasonFull Reason = "full"
+	// ReasonLimited means that the servers take no further request at this moment by their own limits.
+	ReasonLimited Reason = "limited"
 	// ReasonQuarantined means that servers crash on a part of the request's prompt.
 	ReasonQuarantined Reason = "quarantined"
 )
@@ -112,17 +118,33 @@
 	Predicted time.Duration
 	// StallTimeout is how long the endpoint may make no progress.
 	StallTimeout time.Duration
+	// AwaitPermit reports, for a rejection, that the leader may permit a request to a server that has a limit.
+	AwaitPermit bool
 	// engineTime is Predicted without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
 }
 
 // Pick chooses an endpoint for a request or rejects it.
 func (b *Balancer) Pick(now time.Time, req Request) Decision {
+	d := b.pick(now, req)
+	if d.Reason != ReasonNone {
+		d.AwaitPermit = b.mayGetPermit(now, req)
+	}
+	return d
+}
+
+func (b *Balancer) pick(now time.Time, req Request) Decision {
 	usable, poolSize := b.usable(now, req)
 	if len(usable) == 0 {
 		return b.rejectEmpty(now, req, poolSize)
 	}
+	if e, found := b.unconfirmed(usable, req); found {
+		return b.decide(e)
+	}
 	if req.Engine != nil && !req.Retry && !b.hasBudget(now, usable, req) {
+		if e, found := b.permitted(usable, req); found {
+			return b.decide(e)
+		}
 		return b.rejectFull(usable, b.best(usable, req))
 	}
 	best := b.choose(usable, req)
@@ -132,6 +154,10 @@
 			return b.rejectFull(usable, best)
 		}
 	}
+	return b.decide(best)
+}
+
+func (b *Balancer) decide(best scoredEndpoint) Decision {
 	return Decision{
 		ID: best.ID, Address: best.Address, Born: best.Born, Load: best.load(), Slots: best.slots(), Predicted: best.predicted, engineTime: best.engineTime,
 		StallTimeout: b.stallTimeout(best.endpoint),
@@ -188,7 +214,7 @@
 	list := b.pools[req.key()]
 	var suspect []*endpoint
 	for _, e := range list {
-		if isExcluded(req, e.ID) || !b.accepts(now, e) {
+		if isExcluded(req, e.ID) || !b.accepts(now, e) || !b.permits.Allows(now, e.ID, e.Born) {
 			continue
 		}
 		stalled := e.isStalled(now, b.stallTimeout(e)) || (e.remoteStalled && e.load() > 0)
@@ -335,7 +361,10 @@
 	if poolSize > 0 {
 		d.Reason = ReasonFull
 	}
-	if closedFor := b.earliestOpening(now, req); closedFor > 0 {
+	if b.isLimited(now, req) {
+		d.Reason, d.RetryAfter = ReasonLimited, b.jitter(max(minRetryAfter, b.permits.UntilNext(now, req.pool())))
+	}
+	if closedFor := b.earliestOpening(now, req); closedFor > 0 && d.Reason != ReasonLimited {
 		d.RetryAfter = closedFor + b.jitter(minRetryAfter)
 	}
 	return d
--- a/wire/types.go
+++ b/wire/types.go
@@ -354,9 +354,19 @@
 	// Address of the leader, as far as it is known.
 	Leader string `json:"leader"`
 
+	// LimitRevision corresponds to the JSON schema field "limitRevision".
+	LimitRevision uint64 `json:"limitRevision"`
+
+	// All limits in force. Without limits and with the revision that the host has,
+	// they are unchanged.
+	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
+
 	// Requests in flight summed over all entry hosts, by handle; see fleet.PackLoads.
 	Loads []byte `json:"loads"`
 
+	// Permits granted to this host.
+	Permits []PermitGrant `json:"permits,omitempty,omitzero"`
+
 	// Blocked parts of which this host may send one request, to learn whether engines
 	// still end on them.
 	Probes []PartKey `json:"probes,omitempty,omitzero"`
@@ -705,6 +715,38 @@
 	Service string `json:"service"`
 }
 
+// PermitGrant answers a PermitRequest.
+type PermitGrant struct {
+	// Model corresponds to the JSON schema field "model".
+	Model string `json:"model"`
+
+	// A server for each permit; one with several permits occurs several times.
+	Servers []string `json:"servers"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Time until a server of the pool can take a further request; 0 if one can take
+	// it now.
+	WaitMs int64 `json:"waitMs"`
+}
+
+// PermitRequest asks for permits to send requests to backend servers of a pool
+// that have a limit.
+type PermitRequest struct {
+	// Permits for requests that are expected until the next report.
+	Ahead int `json:"ahead"`
+
+	// Model corresponds to the JSON schema field "model".
+	Model string `json:"model"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Requests that wait for a permit.
+	Waiting int `json:"waiting"`
+}
+
 // Presence is a control host's announcement of itself to the other control hosts.
 type Presence struct {
 	// Address at which backend servers and operators reach the host.
@@ -868,6 +910,30 @@
 	ID string `json:"id"`
 }
 
+// ServerLimit is what a backend server's responses say about the requests that it
+// takes from all entry hosts together.
+type ServerLimit struct {
+	// Time since the latest response that states the limit, or, if ended is set,
+	// since the request was sent whose response states none.
+	AgeMs int64 `json:"ageMs"`
+
+	// Start time of the process, in milliseconds since 1970; 0 if not stated.
+	Born int64 `json:"born"`
+
+	// The server states no limit any more.
+	Ended bool `json:"ended"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Requests per second.
+	PerSecond float64 `json:"perSecond"`
+
+	// No entry host has had a response of the server for a while, so the limit may
+	// have ended. Set only by the leader.
+	Unconfirmed bool `json:"unconfirmed"`
+}
+
 // Settle records how a claimed attempt ended.
 type Settle struct {
 	// Answer corresponds to the JSON schema field "answer".
@@ -964,6 +1030,13 @@
 	// leaving.
 	Leaving []ServerIncarnation `json:"leaving,omitempty,omitzero"`
 
+	// Newest revision of the leader's limits received.
+	LimitRevision uint64 `json:"limitRevision"`
+
+	// Limits in responses to this host that the leader is not known to have been told
+	// of.
+	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
+
 	// Loads corresponds to the JSON schema field "loads".
 	Loads []EndpointLoad `json:"loads"`
 
@@ -971,6 +1044,9 @@
 	// known to have been told of.
 	Losses []Loss `json:"losses,omitempty,omitzero"`
 
+	// Permits that this host asks for.
+	PermitRequests []PermitRequest `json:"permitRequests,omitempty,omitzero"`
+
 	// Blocked parts that this host knows of, for a leader that has just taken over.
 	Quarantine []QuarantinedPart `json:"quarantine,omitempty,omitzero"`
 
