--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -303,7 +304,7 @@
 	}
 	g.telemetry.Count("requests", "result", "attemptFailed")
 	g.logProblem("attemptFailed").Str("request", r.caller.AttemptID).Str("server", d.ID).Bool("stalled", stalled).
-		Str("organisation", r.organisation).Strs("parts", partNames(r.caller.SharedParts)).Int64("delivered", r.lastEventID).
+		Str("organisation", r.organisation).Strs("parts", partNames(r.caller.SharedParts)).Str("digest", strconv.FormatUint(r.digest, 16)).Int64("delivered", r.lastEventID).
 		Int("load", d.Load).Int("slots", d.Slots).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Err(err).Msg("an attempt failed")
 	if errors.Is(err, engine.ErrWithheld) {
 		return outcomeUnsent, placement.Shed
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -51,6 +51,8 @@
 	// firstEvent is the time to the first event, and longestGap the longest pause between two events; 0 without
 	// events.
 	firstEvent, longestGap time.Duration
+	// digest identifies the request whenever a caller sends it again.
+	digest uint64
 	// prompt identifies the shared parts of the prompt; it has none for plain services.
 	prompt quarantine.Prompt
 	// firstEventAt is when the current attempt got its first event; zero before. survived reports whether its server is
@@ -236,6 +238,8 @@
 		r.priority = priority(nil, r.route)
 	}
 	r.service = c.Service(r.route.PickService(rand.Float64()))
+	request := httpRequest(r)
+	r.digest = quarantine.Digest(request.Header.Method(), request.Header.RequestURI(), request.Body())
 	timeout := r.route.Timeout
 	if r.caller.Timeout > 0 {
 		timeout = min(timeout, r.caller.Timeout)
