--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -282,6 +282,11 @@
 
 // sendMetadata is send with the given metadata; the attempt ID is added.
 func (f *fleetEnv) sendMetadata(entry int, path string, disconnect <-chan struct{}, m savorywing.CallerMetadata) fleetResponse {
+	return f.sendBody(entry, path, disconnect, m, func(req *fasthttp.Request) { req.SetBodyString("what is to be done") })
+}
+
+// sendBody is sendMetadata with a function that sets the request's body.
+func (f *fleetEnv) sendBody(entry int, path string, disconnect <-chan struct{}, m savorywing.CallerMetadata, setBody func(req *fasthttp.Request)) fleetResponse {
 	f.mu.Lock()
 	f.lastCall++
 	r := fleetResponse{requestID: fmt.Sprintf("call-%d", f.lastCall)}
@@ -304,7 +309,7 @@
 	req.Header.SetRequestURI(path)
 	req.Header.SetHost(fleetHost)
 	f.dialect.WriteCallerMetadata(&req.Header, m)
-	req.SetBodyString("what is to be done")
+	setBody(&req)
 	_ = c.SetDeadline(time.Now().Add(12 * time.Second))
 	if _, err := req.WriteTo(c); err != nil {
 		r.err = err
--- a/cmd/savorywing/relay_test.go
+++ b/cmd/savorywing/relay_test.go
@@ -19,6 +19,8 @@
 	// generation is the generation of the connections that forward bytes. Connections of an earlier one stay silent.
 	generation int
 	conns      []net.Conn
+	// keepsOpen keeps connections open whose target doesn't listen.
+	keepsOpen bool
 }
 
 func newRelay(t *testing.T, target string) *relay {
@@ -48,6 +50,12 @@
 func (r *relay) forward(c net.Conn) {
 	out, err := net.Dial("tcp", r.target)
 	if err != nil {
+		if r.keepsOpen {
+			r.mu.Lock()
+			r.conns = append(r.conns, c)
+			r.mu.Unlock()
+			return
+		}
 		_ = c.Close()
 		return
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -41,6 +41,8 @@
 	violations []string
 	// lethal holds the parts of prompts on which an engine crashes after its first event; lethalArrivals and lethalCrashes
 	// hold the times of the requests with one of them and of the crashes.
+	// lethalBody is the body of requests on which a server crashes at once.
+	lethalBody                    string
 	lethal                        map[savorywing.PromptPart]bool
 	lethalArrivals, lethalCrashes []time.Time
 	// everReady holds "id group epoch" of every member that was ever ready.
@@ -76,6 +78,14 @@
 	}
 }
 
+// SetLethalBody makes each server crash that begins to run a request with a body, and forgets the arrivals and crashes so
+// far. No request is lethal if the body is empty.
+func (f *Fleet) SetLethalBody(body string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lethalBody, f.lethalArrivals, f.lethalCrashes = body, nil, nil
+}
+
 // LethalTimes returns when requests with a lethal part arrived at engines, and when engines crashed on one.
 func (f *Fleet) LethalTimes() (arrivals, crashes []time.Time) {
 	f.mu.Lock()
@@ -83,8 +93,12 @@
 	return append([]time.Time(nil), f.lethalArrivals...), append([]time.Time(nil), f.lethalCrashes...)
 }
 
-// recordLethal reports whether a request has a lethal part, and records its arrival. The caller holds mu.
-func (f *Fleet) recordLethal(parts []savorywing.PromptPart) bool {
+// isLethal reports whether a request has a lethal part or body, and records its arrival. The caller holds mu.
+func (f *Fleet) isLethal(parts []savorywing.PromptPart, body []byte) bool {
+	if f.lethalBody != "" && f.lethalBody == string(body) {
+		f.lethalArrivals = append(f.lethalArrivals, time.Now())
+		return true
+	}
 	for _, part := range parts {
 		if f.lethal[part] {
 			f.lethalArrivals = append(f.lethalArrivals, time.Now())
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -156,9 +156,19 @@
 	f := s.fleet
 	f.mu.Lock()
 	f.runCounts[attemptID]++
-	loseResponse := s.faults.LoseResponse
+	loseResponse, lethal := s.faults.LoseResponse, f.isLethal(nil, ctx.PostBody())
 	f.mu.Unlock()
 	time.Sleep(f.cfg.PlainServiceTime)
+	if lethal {
+		s.crash()
+	}
+	f.mu.Lock()
+	dead := s.dead
+	f.mu.Unlock()
+	if dead {
+		_ = ctx.Conn().Close()
+		return
+	}
 	if loseResponse {
 		_ = ctx.Conn().Close()
 		return
@@ -180,7 +190,7 @@
 		return
 	}
 	f.checkRun(s, attemptID)
-	lethal := f.recordLethal(s.dialect().ReadSharedParts(&ctx.Request.Header))
+	lethal := f.isLethal(s.dialect().ReadSharedParts(&ctx.Request.Header), ctx.PostBody())
 	faults := s.faults
 	epoch, model := s.epoch, f.model(s.model)
 	f.mu.Unlock()
