Requests that crash what runs them are rejected, whatever their kind

Cause: the quarantine compares what lost requests have in common, and knew only parts of prompts. A request to a plain service has none, so no crash was recorded (parts: [] in all log lines, no serverEnded).

A whole request is now one more thing to have in common: a digest of method, path and body, per organisation and service, kept apart from callers' numbers for parts. Crashes, survivals, probes, new leaders and restarted hosts are handled as for parts. Of equal evidence, the whole request is blocked and not the parts that it always comes with. Long responses now record survival and loss as well.

--- a/process/controller/quarantine.go
+++ b/process/controller/quarantine.go
@@ -29,7 +29,7 @@
 		c.telemetry.Count("prompt_parts", "state", state)
 		c.log.Warn().Str("event", "promptPart").Str("state", state).Str("reason", change.Reason).Int("crashes", change.Crashes).
 			Str("service", change.Key.Service).Str("organisation", change.Key.Organisation).Str("part", strconv.FormatUint(change.Key.Part, 16)).
-			Msg("requests with a part of a prompt are rejected, or served again")
+			Bool("request", change.Key.Request).Msg("requests with a part of a prompt, or one request, are rejected, or served again")
 	}
 	c.pushToAll(now)
 }
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -117,7 +117,7 @@
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if retryAfter, blocked := g.observer.Blocked(now, r.prompt); blocked {
+	if retryAfter, blocked := g.observer.Blocked(now, r.identity); blocked {
 		return placement.Decision{Reason: placement.ReasonQuarantined, RetryAfter: retryAfter}, nil
 	}
 	budget := g.budget(r.service.Name)
@@ -143,7 +143,7 @@
 		g.telemetry.Count("refused", "reason", "retryBudget")
 		return placement.Decision{}, nil
 	}
-	g.observer.RecordSend(r.prompt)
+	g.observer.RecordSend(r.identity)
 	return d, g.balancer.Start(now, d, request)
 }
 
@@ -304,7 +304,7 @@
 	}
 	g.telemetry.Count("requests", "result", "attemptFailed")
 	g.logProblem("attemptFailed").Str("request", r.caller.AttemptID).Str("server", d.ID).Bool("stalled", stalled).
-		Str("organisation", r.organisation).Strs("parts", partNames(r.caller.SharedParts)).Str("digest", strconv.FormatUint(r.digest, 16)).Int64("delivered", r.lastEventID).
+		Str("organisation", r.organisation).Strs("parts", partNames(r.caller.SharedParts)).Str("digest", strconv.FormatUint(r.identity.Digest, 16)).Int64("delivered", r.lastEventID).
 		Int("load", d.Load).Int("slots", d.Slots).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Err(err).Msg("an attempt failed")
 	if errors.Is(err, engine.ErrWithheld) {
 		return outcomeUnsent, placement.Shed
@@ -386,6 +386,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			r.recordSurvival(r.gateway.clock.Now())
 			if err := r.exchange.Finish(nil); err != nil {
 				return outcomeCallerGone, placement.CallerGone
 			}
@@ -397,6 +398,7 @@
 			if ctx.Err() != nil {
 				return outcomeCallerGone, placement.CallerGone
 			}
+			r.recordLoss(d, err)
 			return outcomeDone, placement.Failed
 		}
 	}
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -44,25 +44,25 @@
 
 // recordSurvival records that the server of the current attempt has survived the request.
 func (r *callerRequest) recordSurvival(now time.Time) {
-	if r.survived || r.firstEventAt.IsZero() || len(r.prompt.Parts) == 0 {
+	if r.survived || r.firstEventAt.IsZero() {
 		return
 	}
 	r.survived = true
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.observer.RecordSurvival(now, r.firstEventAt, r.prompt)
+	g.observer.RecordSurvival(now, r.firstEventAt, r.identity)
 }
 
 // recordLoss records that the connection of an attempt ended before its server had survived the request. The first one
 // of a server finds out whether it has ended.
 func (r *callerRequest) recordLoss(d placement.Decision, err error) {
-	if r.survived || len(r.prompt.Parts) == 0 || !isConnectionEnd(err) {
+	if r.survived || !isConnectionEnd(err) {
 		return
 	}
 	g := r.gateway
 	g.mu.Lock()
-	isNew := g.observer.RecordLoss(g.clock.Now(), d.ID, d.Born, r.prompt)
+	isNew := g.observer.RecordLoss(g.clock.Now(), d.ID, d.Born, r.identity)
 	g.mu.Unlock()
 	if isNew {
 		go g.resolveLoss(d)
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -51,10 +51,8 @@
 	// firstEvent is the time to the first event, and longestGap the longest pause between two events; 0 without
 	// events.
 	firstEvent, longestGap time.Duration
-	// digest identifies the request whenever a caller sends it again.
-	digest uint64
-	// prompt identifies the shared parts of the prompt; it has none for plain services.
-	prompt quarantine.Prompt
+	// identity is what the request may have in common with others.
+	identity quarantine.Identity
 	// firstEventAt is when the current attempt got its first event; zero before. survived reports whether its server is
 	// known to have survived the request.
 	firstEventAt time.Time
@@ -238,8 +236,10 @@
 		r.priority = priority(nil, r.route)
 	}
 	r.service = c.Service(r.route.PickService(rand.Float64()))
-	request := httpRequest(r)
-	r.digest = quarantine.Digest(request.Header.Method(), request.Header.RequestURI(), request.Body())
+	h := &httpRequest(r).Header
+	r.identity = quarantine.Identity{
+		Service: r.service.Name, Organisation: r.organisation, Digest: quarantine.Digest(h.Method(), h.RequestURI(), httpRequest(r).Body()),
+	}
 	timeout := r.route.Timeout
 	if r.caller.Timeout > 0 {
 		timeout = min(timeout, r.caller.Timeout)
@@ -249,7 +249,7 @@
 		r.caller.PromptTokens = boundTokens(r.caller.PromptTokens, e)
 		r.caller.MaxOutputTokens = boundTokens(r.caller.MaxOutputTokens, e)
 		r.caller.ExpectedOutputTokens = boundTokens(r.caller.ExpectedOutputTokens, e)
-		r.prompt = quarantine.Prompt{Service: r.service.Name, Organisation: r.organisation, Parts: partIDs(r.caller.SharedParts)}
+		r.identity.Parts = partIDs(r.caller.SharedParts)
 	}
 	if e := r.service.Engine; e != nil && e.PrefillRate > 0 {
 		r.prefillTime = time.Duration(float64(r.caller.PromptTokens)/e.PrefillRate*float64(time.Second)) + e.StepTime
--- a/process/quarantine/block.go
+++ b/process/quarantine/block.go
@@ -35,7 +35,7 @@
 // releaseAll releases a part for each organisation.
 func (t *Tracker) releaseAll(key wire.PartKey) {
 	for k := range t.blocked {
-		if k.Service == key.Service && k.Part == key.Part {
+		if forAll(k) == key {
 			t.release(k, "survived")
 		}
 	}
@@ -95,7 +95,7 @@
 func (t *Tracker) blockForAll(now time.Time, key wire.PartKey) {
 	all, n := forAll(key), 0
 	for k, b := range t.blocked {
-		if k.Service == key.Service && k.Part == key.Part && k != all && !b.doubtful {
+		if forAll(k) == all && k != all && !b.doubtful {
 			n++
 		}
 	}
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -60,8 +61,7 @@
 		sort.SliceStable(t.crashes, func(i, j int) bool { return t.crashes[i].at.Before(t.crashes[j].at) })
 	}
 	for _, r := range l.Requests {
-		for _, part := range r.Parts {
-			key := wire.PartKey{Service: r.Service, Organisation: r.Organisation, Part: part}
+		for _, key := range keysOf(r) {
 			if !c.keys[key] && len(c.keys) < maxCrashKeys {
 				c.keys[key], t.dirty = true, true
 				t.confirm(key, c.at)
@@ -144,7 +144,16 @@
 			list = append(list, key)
 		}
 	}
-	return list, proven
+	return narrowest(list), proven
+}
+
+// narrowest returns the whole requests among parts with equal evidence, if there are any: to block these keeps nothing else
+// from being served.
+func narrowest(list []wire.PartKey) []wire.PartKey {
+	if !slices.ContainsFunc(list, func(key wire.PartKey) bool { return key.Request }) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(key wire.PartKey) bool { return !key.Request })
 }
 
 // suffices reports whether the evidence against a part is enough to block it.
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -25,14 +25,31 @@
 	turnedAwayTime = 2 * time.Second
 )
 
-// Prompt is what identifies the shared parts of a request's prompt.
-type Prompt struct {
+// Identity is what a request may have in common with others.
+type Identity struct {
 	Service, Organisation string
-	Parts                 []uint64
+	// Digest identifies the whole request; 0 if it isn't known.
+	Digest uint64
+	// Parts are the shared parts of its prompt; there are none for plain services.
+	Parts []uint64
 }
 
-func (p Prompt) key(part uint64) wire.PartKey {
-	return wire.PartKey{Service: p.Service, Organisation: p.Organisation, Part: part}
+// keys returns the keys of the whole request and of its parts.
+func (p Identity) keys() []wire.PartKey { return keysOf(p.lost()) }
+
+func (p Identity) lost() wire.LostRequest {
+	return wire.LostRequest{Service: p.Service, Organisation: p.Organisation, Digest: p.Digest, Parts: p.Parts}
+}
+
+func keysOf(r wire.LostRequest) []wire.PartKey {
+	keys := make([]wire.PartKey, 0, len(r.Parts)+1)
+	if r.Digest != 0 {
+		keys = append(keys, wire.PartKey{Service: r.Service, Organisation: r.Organisation, Part: r.Digest, Request: true})
+	}
+	for _, part := range r.Parts {
+		keys = append(keys, wire.PartKey{Service: r.Service, Organisation: r.Organisation, Part: part})
+	}
+	return keys
 }
 
 // incarnation identifies one life of a server.
@@ -44,7 +61,7 @@
 // loss is a server that may have ended, with the requests that it had just begun.
 type loss struct {
 	at       time.Time
-	requests []Prompt
+	requests []Identity
 	// confirmed reports whether the server is known to have ended.
 	confirmed bool
 	// sentAt is the time in the report that contained the loss as it is now; 0 if none did.
@@ -81,11 +98,14 @@
 	}
 }
 
-// Blocked reports whether a request is to be rejected because of a part of its prompt, and the time after which one like
+// Blocked reports whether a request is to be rejected because of itself or a part of its prompt, and the time after which one like
 // it may be tried. RecordSend has to be called for a request that is sent.
-func (o *Observer) Blocked(now time.Time, p Prompt) (retryAfter time.Duration, blocked bool) {
-	for _, part := range p.Parts {
-		key, listed := o.blockedKey(p, part)
+func (o *Observer) Blocked(now time.Time, p Identity) (retryAfter time.Duration, blocked bool) {
+	if len(o.listed) == 0 {
+		return 0, false
+	}
+	for _, own := range p.keys() {
+		key, listed := o.blockedKey(own)
 		if !listed {
 			continue
 		}
@@ -97,9 +117,12 @@
 }
 
 // RecordSend records that a request is sent, which uses up the permission if it is a probe.
-func (o *Observer) RecordSend(p Prompt) {
-	for _, part := range p.Parts {
-		if key, listed := o.blockedKey(p, part); listed {
+func (o *Observer) RecordSend(p Identity) {
+	if len(o.probes) == 0 {
+		return
+	}
+	for _, own := range p.keys() {
+		if key, listed := o.blockedKey(own); listed {
 			delete(o.probes, key)
 		}
 	}
@@ -109,12 +132,8 @@
 // margin.
 const minRetryAfter = 1 * time.Second
 
-// blockedKey returns the key for which a part is blocked, if it is.
-func (o *Observer) blockedKey(p Prompt, part uint64) (wire.PartKey, bool) {
-	if len(o.listed) == 0 {
-		return wire.PartKey{}, false
-	}
-	key := p.key(part)
+// blockedKey returns the key under which a part is blocked, for its organisation or for all, if it is.
+func (o *Observer) blockedKey(key wire.PartKey) (wire.PartKey, bool) {
 	if all := forAll(key); o.listed[all].blocked {
 		return all, true
 	}
@@ -123,12 +142,11 @@
 
 // RecordSurvival records that a server has survived a request that got its first event at begun: its response is complete,
 // or has been written for SurvivalTime.
-func (o *Observer) RecordSurvival(now, begun time.Time, p Prompt) {
+func (o *Observer) RecordSurvival(now, begun time.Time, p Identity) {
 	if now.Sub(o.rotatedAt) > survivalRetention || len(o.newer) >= maxSurvivals {
 		o.older, o.newer, o.rotatedAt = o.newer, map[wire.PartKey]time.Time{}, now
 	}
-	for _, part := range p.Parts {
-		key := p.key(part)
+	for _, key := range p.keys() {
 		o.recordSurvival(key, begun)
 		if o.listed[forAll(key)].blocked {
 			o.recordSurvival(forAll(key), begun)
@@ -144,7 +162,7 @@
 
 // RecordLoss records a request whose response was cut off before its server had survived it. It reports whether it has to
 // be found out if the server has ended; Resolve takes the result.
-func (o *Observer) RecordLoss(now time.Time, server string, born int64, p Prompt) bool {
+func (o *Observer) RecordLoss(now time.Time, server string, born int64, p Identity) bool {
 	id := incarnation{server, born}
 	l := o.losses[id]
 	isNew := l == nil
@@ -220,8 +238,8 @@
 
 func (l *loss) addKeys(keys map[wire.PartKey]bool) {
 	for _, p := range l.requests {
-		for _, part := range p.Parts {
-			keys[p.key(part)] = true
+		for _, key := range p.keys() {
+			keys[key] = true
 		}
 	}
 }
@@ -229,7 +247,7 @@
 func (l *loss) report(now time.Time, id incarnation) wire.Loss {
 	out := wire.Loss{Server: id.id, Born: id.born, AgeMs: now.Sub(l.at).Milliseconds()}
 	for _, p := range l.requests {
-		out.Requests = append(out.Requests, wire.LostRequest{Service: p.Service, Organisation: p.Organisation, Parts: p.Parts})
+		out.Requests = append(out.Requests, p.lost())
 	}
 	return out
 }
--- a/process/quarantine/observer_test.go
+++ b/process/quarantine/observer_test.go
@@ -7,7 +7,7 @@
 	"savorywing.example/savorywing/wire"
 )
 
-func prompt(parts ...uint64) Prompt { return Prompt{Service: "s", Organisation: "o", Parts: parts} }
+func prompt(parts ...uint64) Identity { return Identity{Service: "s", Organisation: "o", Parts: parts} }
 
 func list(keys ...wire.PartKey) []wire.QuarantinedPart {
 	var out []wire.QuarantinedPart
@@ -22,7 +22,7 @@
 		name   string
 		listed []wire.QuarantinedPart
 		probes []wire.PartKey
-		prompt Prompt
+		prompt Identity
 		want   bool
 	}{
 		{"nothing listed", nil, nil, prompt(common, lethal), false},
--- /dev/null
+++ b/process/quarantine/request_test.go
@@ -0,0 +1,151 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+func requestKey(organisation string, digest uint64) wire.PartKey {
+	return wire.PartKey{Service: "s", Organisation: organisation, Part: digest, Request: true}
+}
+
+// lost returns a request of the organisation o.
+func lost(digest uint64, parts ...uint64) wire.LostRequest {
+	return wire.LostRequest{Service: "s", Organisation: "o", Digest: digest, Parts: parts}
+}
+
+// crashUnder reports that a server has ended under requests, and lets time pass until the next crash.
+func (s *scene) crashUnder(requests ...wire.LostRequest) {
+	s.crashes++
+	s.Record(s.now, 1, wire.Usage{QuarantineTerm: 1, Losses: []wire.Loss{{Server: fmt.Sprint("server-", s.crashes), Born: 1, Requests: requests}}})
+	s.pass(200 * time.Millisecond)
+}
+
+// surviveRequest reports that a request has survived that began just now.
+func (s *scene) surviveRequest(digest uint64) {
+	key := requestKey("o", digest)
+	s.Record(s.now, 1, wire.Usage{QuarantineTerm: 1, Survivals: []wire.Survival{{Key: key, BegunMs: 10}}})
+}
+
+// TestLethalRequest checks that the request is blocked which was in all crashes, and nothing else.
+func TestLethalRequest(t *testing.T) {
+	const lethalDigest, popular = 0xd1, 0xd2
+	for _, tt := range []struct {
+		name    string
+		crashes int
+		run     func(s *scene, n int)
+	}{
+		{"plain service", 3, func(s *scene, _ int) { s.crashUnder(lost(lethalDigest)) }},
+		{"other parts each time", 3, func(s *scene, n int) { s.crashUnder(lost(lethalDigest, common, uint64(1000+n))) }},
+		{"the same parts each time, never seen elsewhere", 3, func(s *scene, _ int) { s.crashUnder(lost(lethalDigest, 7, 8)) }},
+		{"sound requests beside it", 3, func(s *scene, n int) { s.crashUnder(lost(uint64(n), common), lost(lethalDigest), lost(uint64(100+n))) }},
+		{"a request that many repeat beside it", 8, func(s *scene, _ int) {
+			s.surviveRequest(popular)
+			s.crashUnder(lost(popular), lost(lethalDigest))
+		}},
+		{"a part with the same number", 3, func(s *scene, n int) { s.crashUnder(lost(lethalDigest), lost(uint64(500+n), lethalDigest)) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScene()
+			s.survive("o", s.now.Add(-10*time.Millisecond), common)
+			for n := range tt.crashes {
+				tt.run(s, n)
+			}
+			s.pass(200 * time.Millisecond)
+			if len(s.blocked) != 1 || s.blocked[requestKey("o", lethalDigest)] == nil {
+				t.Errorf("blocked %v, want the lethal request only", s.List(s.now))
+			}
+		})
+	}
+}
+
+// TestLethalPartOfRepeatedRequest checks that a lethal part is still found after the one request in which it came first has
+// been blocked.
+func TestLethalPartOfRepeatedRequest(t *testing.T) {
+	s := newScene()
+	for range 3 {
+		s.crashUnder(lost(1, lethal))
+	}
+	for n := range 3 {
+		s.crashUnder(lost(uint64(10+n), lethal))
+	}
+	s.pass(200 * time.Millisecond)
+	if !s.isBlocked("o", lethal) {
+		t.Errorf("blocked %v, want the lethal part after three crashes under other requests", s.List(s.now))
+	}
+}
+
+// TestMendedRequest checks that a request is served again once it has survived.
+func TestMendedRequest(t *testing.T) {
+	s := newScene()
+	for range 3 {
+		s.crashUnder(lost(1))
+	}
+	s.pass(clearRetry)
+	if got := s.Probes(s.now, []wire.PartKey{requestKey("o", 1)}); len(got) != 1 {
+		t.Fatalf("%d probes, want 1", len(got))
+	}
+	s.pass(time.Second)
+	s.surviveRequest(1)
+	if len(s.blocked) != 0 {
+		t.Errorf("blocked %v after a survival", s.List(s.now))
+	}
+}
+
+// TestRequestOfOtherCaller checks that one organisation's crashes don't get another's same request rejected, and that crashes
+// of two do.
+func TestRequestOfOtherCaller(t *testing.T) {
+	s := newScene()
+	for range 3 {
+		s.crashUnder(lost(1))
+	}
+	o := NewObserver()
+	o.Apply(s.now, wire.FleetUpdate{Term: 1, Echo: 1, Quarantine: s.List(s.now)})
+	for _, tt := range []struct {
+		identity Identity
+		want     bool
+	}{
+		{Identity{Service: "s", Organisation: "o", Digest: 1}, true},
+		{Identity{Service: "s", Organisation: "o", Digest: 1, Parts: []uint64{common}}, true},
+		{Identity{Service: "s", Organisation: "o", Digest: 2}, false},
+		{Identity{Service: "s", Organisation: "p", Digest: 1}, false},
+		{Identity{Service: "other", Organisation: "o", Digest: 1}, false},
+		{Identity{Service: "s", Organisation: "o", Parts: []uint64{1}}, false},
+	} {
+		if _, got := o.Blocked(s.now, tt.identity); got != tt.want {
+			t.Errorf("%+v: blocked %v, want %v", tt.identity, got, tt.want)
+		}
+	}
+	s.crashUnder(wire.LostRequest{Service: "s", Organisation: "p", Digest: 1})
+	o.Apply(s.now, wire.FleetUpdate{Term: 1, Echo: 2, Quarantine: s.List(s.now)})
+	if _, got := o.Blocked(s.now, Identity{Service: "s", Organisation: "q", Digest: 1}); !got {
+		t.Error("not blocked for all after crashes of two organisations")
+	}
+}
+
+// TestDigest checks what distinguishes two requests.
+func TestDigest(t *testing.T) {
+	seen := map[uint64]string{0: "no digest"}
+	for _, tt := range [][3]string{
+		{"POST", "/a", "b"}, {"GET", "/a", "b"}, {"POST", "/a?x=1", "b"}, {"POST", "/b", "a"}, {"POST", "/ab", ""}, {"POST", "/", "ab"}, {"", "", ""},
+	} {
+		text := fmt.Sprintf("%q", tt)
+		d := Digest([]byte(tt[0]), []byte(tt[1]), []byte(tt[2]))
+		if other, known := seen[d]; known {
+			t.Errorf("%s and %s have the same digest", text, other)
+		}
+		seen[d] = text
+	}
+}
+
+// BenchmarkDigest measures the time for a body of the default limit.
+func BenchmarkDigest(b *testing.B) {
+	body := make([]byte, 4<<20)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		Digest([]byte("POST"), []byte("/a/b"), body)
+	}
+}
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -175,6 +175,9 @@
 	if a.Organisation != b.Organisation {
 		return a.Organisation < b.Organisation
 	}
+	if a.Request != b.Request {
+		return b.Request
+	}
 	return a.Part < b.Part
 }
 
--- a/wire/types.go
+++ b/wire/types.go
@@ -354,11 +354,10 @@
 	// Address of the leader, as far as it is known.
 	Leader string `json:"leader"`
 
-	// LimitRevision corresponds to the JSON schema field "limitRevision".
+	// Revision of limits; 0 if the update doesn't contain them.
 	LimitRevision uint64 `json:"limitRevision"`
 
-	// All limits in force. Without limits and with the revision that the host has,
-	// they are unchanged.
+	// All limits in force, unless limitRevision is 0.
 	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
 
 	// Requests in flight summed over all entry hosts, by handle; see fleet.PackLoads.
@@ -612,8 +611,11 @@
 	Server string `json:"server"`
 }
 
-// LostRequest holds the parts of a request's prompt that its server ended under.
+// LostRequest identifies a request that its server ended under.
 type LostRequest struct {
+	// Digest of the whole request; 0 if not stated.
+	Digest uint64 `json:"digest"`
+
 	// Organisation corresponds to the JSON schema field "organisation".
 	Organisation string `json:"organisation"`
 
@@ -703,7 +705,8 @@
 	Host string `json:"host"`
 }
 
-// PartKey identifies a part of a prompt as an organisation uses it at a service.
+// PartKey identifies a part of a prompt, or a whole request, as an organisation
+// uses it at a service.
 type PartKey struct {
 	// Empty for public routes, * for all organisations.
 	Organisation string `json:"organisation"`
@@ -711,6 +714,9 @@
 	// Part corresponds to the JSON schema field "part".
 	Part uint64 `json:"part"`
 
+	// The part is the digest of a whole request.
+	Request bool `json:"request"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 }
@@ -774,7 +780,8 @@
 	Version uint64 `json:"version"`
 }
 
-// QuarantinedPart is a part of a prompt under which servers have ended.
+// QuarantinedPart is a part of a prompt, or a whole request, under which servers
+// have ended.
 type QuarantinedPart struct {
 	// Requests with the part are rejected. If not, the part is only suspected.
 	Blocked bool `json:"blocked"`
