A server's new life, or a connection closed at once, proves its end too

Entry hosts now also take it for an end if a connection on which nothing was sent is closed within 100 ms (a reset isn't: servers reset connections beyond their maximum). Whatever they can't decide they report as well, and the leader counts it as a crash, at the time of the loss, once a later incarnation reports at the address or under the ID within 20 s. The survivals in between count against it as for any crash.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -39,6 +39,8 @@
 	ErrWithheld = errors.New("the request was held back")
 	// ErrWrongAttempt means that the response carries another attempt ID, or none.
 	ErrWrongAttempt = errors.New("the response carries the wrong attempt ID")
+	// ErrClosedAtOnce means that a connection was closed by the peer before anything was sent on it.
+	ErrClosedAtOnce = errors.New("the connection was closed at once")
 	// ErrTruncated means that the response ended before its body was complete, as Response.Read defines it.
 	ErrTruncated = errors.New("the response was truncated")
 )
@@ -113,12 +115,21 @@
 	return &link{conn: conn, address: call.Address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
 
-// Probe opens a connection to an address and returns the error. The connection is kept for a later request.
+// closeWait is how long Probe waits for a connection to be closed by its peer: longer than a proxy takes to find that
+// nothing listens behind it.
+const closeWait = 100 * time.Millisecond
+
+// Probe opens a connection to an address and returns the error, which wraps ErrClosedAtOnce if the peer accepts and closes
+// it. Otherwise the connection is kept for a later request.
 func (c *Client) Probe(ctx context.Context, address string) error {
 	l, err := c.connect(ctx, Call{Address: address})
 	if err != nil {
 		return fmt.Errorf("Client.Probe: %w", err)
 	}
+	if err := l.awaitClose(closeWait); err != nil {
+		_ = l.conn.Close()
+		return fmt.Errorf("Client.Probe: %w", err)
+	}
 	c.pool.put(l, 0)
 	return nil
 }
--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -198,3 +198,46 @@
 		t.Errorf("error %v after %v, want an error other than ErrNotSent within 500 ms", err, time.Since(start))
 	}
 }
+
+// TestProbe checks which connections count as closed at once, and that any other is usable afterwards.
+func TestProbe(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		accept func(c *net.TCPConn) error
+		want   error
+	}{
+		{"closed", func(c *net.TCPConn) error { return c.Close() }, ErrClosedAtOnce},
+		{"reset", func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }, nil},
+		{"kept open", func(*net.TCPConn) error { return nil }, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					if err := tt.accept(c.(*net.TCPConn)); err != nil {
+						t.Error(err)
+					}
+				}
+			}()
+			c := New(clock.Boottime{}, echoDialect{})
+			err = c.Probe(context.Background(), l.Addr().String())
+			if got := errors.Is(err, ErrClosedAtOnce); got != (tt.want != nil) {
+				t.Errorf("%v, want %v", err, tt.want)
+			}
+			if tt.name == "kept open" {
+				link := c.pool.take(l.Addr().String(), time.Second)
+				if err != nil || link == nil {
+					t.Errorf("%v, want the connection in the pool", err)
+				}
+			}
+		})
+	}
+}
--- a/connection/engine/link.go
+++ b/connection/engine/link.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -70,6 +73,23 @@
 
 func (e notSentError) Unwrap() error { return e.cause }
 
+// awaitClose waits for the peer to close the connection, on which nothing has been sent. It returns ErrClosedAtOnce if it
+// does, and nil if it doesn't in this time. A connection that is reset proves nothing: servers reset those beyond their
+// maximum.
+func (l *link) awaitClose(wait time.Duration) error {
+	if err := l.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	_, err := l.reader.Peek(1)
+	switch {
+	case errors.Is(err, io.EOF):
+		return ErrClosedAtOnce
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	}
+	return l.conn.SetReadDeadline(time.Time{})
+}
+
 // isUsable reports whether the peer has neither closed the connection nor sent unexpected bytes.
 func (l *link) isUsable() bool {
 	if l.reader.Buffered() > 0 {
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -82,13 +82,14 @@
 // resolveTimeout bounds the time to find out whether a server has ended.
 const resolveTimeout = 500 * time.Millisecond
 
-// resolveLoss finds out whether a server has ended: nothing listens at its address then. A server that is unreachable
-// for another reason, or that answers, is not a loss.
+// resolveLoss finds out whether a server has ended: nothing listens at its address then, or a proxy that finds nobody
+// behind it closes the connection. Of a server that is unreachable for another reason, or that keeps the connection, the
+// leader will know if it starts again.
 func (g *Gateway) resolveLoss(d placement.Decision) {
 	ctx, cancel := context.WithTimeout(g.ctx, resolveTimeout)
 	defer cancel()
 	err := g.engines.Probe(ctx, d.Address)
-	ended := errors.Is(err, syscall.ECONNREFUSED)
+	ended := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, engine.ErrClosedAtOnce)
 	g.mu.Lock()
 	g.observer.Resolve(d.ID, d.Born, ended)
 	g.mu.Unlock()
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -47,16 +47,51 @@
 // survivalResolution is the difference from which two survivals are told apart.
 const survivalResolution = 20 * time.Millisecond
 
-// recordLoss adds a host's report of a crash to what other hosts have reported of it.
+// recordLoss adds a host's report to what other hosts have reported of a server that has ended, or may have.
 func (t *Tracker) recordLoss(now time.Time, l wire.Loss) {
-	var c *crash
-	for _, known := range t.crashes {
-		if known.server == l.Server && known.born == l.Born {
-			c = known
+	at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
+	if l.Ended || t.crash(l.Server, l.Born) != nil {
+		t.recordCrash(at, l)
+		return
+	}
+	if len(t.unproven) >= maxUnproven {
+		t.unproven = t.unproven[1:]
+	}
+	t.unproven = append(t.unproven, unprovenLoss{at, l})
+}
+
+// ProveEnds records the crashes of servers that have ended by now, of those whose connections ended before. hasEnded reports
+// whether one incarnation of a server is known to have ended, such as by a later one.
+func (t *Tracker) ProveEnds(now time.Time, hasEnded func(server string, born int64) bool) {
+	t.unproven = slices.DeleteFunc(t.unproven, func(u unprovenLoss) bool {
+		if hasEnded(u.loss.Server, u.loss.Born) || t.crash(u.loss.Server, u.loss.Born) != nil {
+			t.recordCrash(u.at, u.loss)
+			return true
+		}
+		return now.Sub(u.at) > proofTime
+	})
+}
+
+// unprovenLoss is a host's report of a server that may have ended.
+type unprovenLoss struct {
+	at   time.Time
+	loss wire.Loss
+}
+
+// crash returns the known crash of one incarnation of a server, or nil.
+func (t *Tracker) crash(server string, born int64) *crash {
+	for _, c := range t.crashes {
+		if c.server == server && c.born == born {
+			return c
 		}
 	}
+	return nil
+}
+
+func (t *Tracker) recordCrash(at time.Time, l wire.Loss) {
+	c := t.crash(l.Server, l.Born)
 	if c == nil {
-		c = &crash{server: l.Server, born: l.Born, at: now.Add(-time.Duration(l.AgeMs) * time.Millisecond), keys: map[wire.PartKey]bool{}}
+		c = &crash{server: l.Server, born: l.Born, at: at, keys: map[wire.PartKey]bool{}}
 		t.crashes = append(t.crashes, c)
 		sort.SliceStable(t.crashes, func(i, j int) bool { return t.crashes[i].at.Before(t.crashes[j].at) })
 	}
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -62,8 +62,8 @@
 type loss struct {
 	at       time.Time
 	requests []Identity
-	// confirmed reports whether the server is known to have ended.
-	confirmed bool
+	// resolved reports whether it has been tried to find out if the server has ended, and ended whether that is certain.
+	resolved, ended bool
 	// sentAt is the time in the report that contained the loss as it is now; 0 if none did.
 	sentAt int64
 }
@@ -179,16 +179,10 @@
 	return isNew
 }
 
-// Resolve records whether a server that may have been lost has ended.
+// Resolve records whether it is certain that a server that may have been lost has ended. If not, the leader finds out.
 func (o *Observer) Resolve(server string, born int64, ended bool) {
-	id := incarnation{server, born}
-	l := o.losses[id]
-	switch {
-	case l == nil:
-	case ended:
-		l.confirmed = true
-	default:
-		delete(o.losses, id)
+	if l := o.losses[incarnation{server, born}]; l != nil {
+		l.resolved, l.ended = true, ended
 	}
 }
 
@@ -201,7 +195,7 @@
 			delete(o.losses, id)
 			continue
 		}
-		if l.confirmed {
+		if l.resolved {
 			u.Losses = append(u.Losses, l.report(now, id))
 			l.sentAt = u.SentAt
 			l.addKeys(relevant)
@@ -245,7 +239,7 @@
 }
 
 func (l *loss) report(now time.Time, id incarnation) wire.Loss {
-	out := wire.Loss{Server: id.id, Born: id.born, AgeMs: now.Sub(l.at).Milliseconds()}
+	out := wire.Loss{Server: id.id, Born: id.born, AgeMs: now.Sub(l.at).Milliseconds(), Ended: l.ended}
 	for _, p := range l.requests {
 		out.Requests = append(out.Requests, p.lost())
 	}
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -36,6 +36,10 @@
 	provenBlockAfter = 5
 	provenBlockTime  = 1 * time.Second
 	provenFraction   = 0.8
+	// proofTime is how long after its connections have ended a server may be found to have ended: the time to start again and
+	// to report. maxUnproven bounds the reports of servers that may have.
+	proofTime   = 20 * time.Second
+	maxUnproven = 256
 	// crashRetention is how long a crash is compared with others.
 	crashRetention = 60 * time.Second
 	// maxCrashes, maxCrashKeys, maxBlocked and maxSuspects bound the memory. The oldest crashes and the blocked parts that
@@ -70,6 +74,8 @@
 	leadingSince time.Time
 	// crashes are sorted by time.
 	crashes []*crash
+	// unproven holds the reports of servers that may have ended.
+	unproven []unprovenLoss
 	// survivals holds when the latest surviving request of a suspected or blocked part got its first event.
 	survivals map[wire.PartKey]time.Time
 	blocked   map[wire.PartKey]*block
--- a/wire/types.go
+++ b/wire/types.go
@@ -595,8 +595,8 @@
 	Waiting uint64 `json:"waiting"`
 }
 
-// Loss is the end of a server with the requests that it had just begun, or not
-// begun yet.
+// Loss is the end of a server, or of connections to it, with the requests that it
+// had just begun, or not begun yet.
 type Loss struct {
 	// Time since its end was noticed.
 	AgeMs int64 `json:"ageMs"`
@@ -604,6 +604,9 @@
 	// Incarnation of the server.
 	Born int64 `json:"born"`
 
+	// The server is known to have ended. If not, only connections to it have.
+	Ended bool `json:"ended"`
+
 	// Requests corresponds to the JSON schema field "requests".
 	Requests []LostRequest `json:"requests"`
 
@@ -1047,8 +1050,8 @@
 	// Loads corresponds to the JSON schema field "loads".
 	Loads []EndpointLoad `json:"loads"`
 
-	// Servers that have ended under requests of this host and that the leader isn't
-	// known to have been told of.
+	// Servers whose connections have ended under requests of this host and that the
+	// leader isn't known to have been told of.
 	Losses []Loss `json:"losses,omitempty,omitzero"`
 
 	// Permits that this host asks for.
