Limits reach the hosts with the answers to their usage reports

The leader pushed all limits to all hosts for each one that began or fell. When many servers state limits at the same moment, that is a list of all limits for each server and host. Each host is now sent the list only if it changed, and changes that aren't urgent (a higher limit, one that nothing confirms) wait up to half a second. TestFleetServerLimit and TestLimitShared pass as before.

--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -144,7 +144,6 @@
 	u := &wire.FleetUpdate{Term: c.term, Revision: c.endpoints.revision, Leader: c.settings.PeerAddress()}
 	u.Endpoints, u.Removed, u.Full = c.endpoints.since(revision)
 	u.Quarantine = c.quarantine.List(c.clock.Now())
-	u.Limits, u.LimitRevision = c.limits.List(c.clock.Now()), c.limits.Revision()
 	if u.Full {
 		u.Controls = c.controlHosts()
 	}
@@ -171,8 +170,8 @@
 		u.Document = d.packed
 	}
 	u.Loads, u.Entries = c.loads(c.clock.Now()), c.totals.Hosts()
-	if e.usage.Term == c.term && e.usage.LimitRevision == c.limits.Revision() {
-		u.Limits, u.LimitRevision = nil, 0
+	if e.usage.Term != c.term || e.usage.LimitRevision != c.limits.Revision() {
+		u.Limits, u.LimitRevision = c.limits.List(c.clock.Now()), c.limits.Revision()
 	}
 	u.Permits = c.limits.Grant(c.clock.Now(), e.usage.PermitRequests, c.endpoints.endpoint)
 	u.Probes = c.quarantine.Probes(c.clock.Now(), e.usage.TurnedAway)
--- a/process/quota/allocator.go
+++ b/process/quota/allocator.go
@@ -10,9 +10,12 @@
 // Allocator is the leader's knowledge of servers' limits. It grants permits to the entry hosts.
 type Allocator struct {
 	limits map[string]*allocation
-	// revision increases with each change of the list for the hosts; 0 is the revision of a host that has none.
-	revision uint64
-	nextStep time.Time
+	// revision increases when the hosts are to be told of changes; 0 is the revision of a host that has no list. Changes that
+	// aren't urgent wait for nextRevision, since each host is sent the whole list.
+	revision     uint64
+	changed      bool
+	nextRevision time.Time
+	nextStep     time.Time
 	changes  []Change
 }
 
@@ -59,19 +62,18 @@
 	return reservedTokens
 }
 
-// Record records what an entry host reports, and reports whether the hosts have to be told at once.
-func (t *Allocator) Record(now time.Time, list []wire.ServerLimit) (urgent bool) {
+// Record records what an entry host reports.
+func (t *Allocator) Record(now time.Time, list []wire.ServerLimit) {
 	for _, l := range list {
-		urgent = t.record(now, l) || urgent
+		t.record(now, l)
 	}
-	return urgent
 }
 
-func (t *Allocator) record(now time.Time, l wire.ServerLimit) (urgent bool) {
+func (t *Allocator) record(now time.Time, l wire.ServerLimit) {
 	at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
 	a := t.allocation(now, l)
 	if a == nil {
-		return false
+		return
 	}
 	was, old := a.inForce(), a.perSecond
 	switch {
@@ -82,11 +84,13 @@
 		a.statedAt, a.perSecond = at, l.PerSecond
 	}
 	if a.inForce() == was && (a.perSecond == old || !was) {
-		return false
+		return
+	}
+	t.changed = true
+	if a.inForce() != was || a.perSecond < old {
+		t.revision++
 	}
-	t.revision++
 	t.changes = append(t.changes, Change{Server: l.ID, Born: l.Born, PerSecond: a.perSecond, Ended: !a.inForce()})
-	return a.inForce() != was || a.perSecond < old
 }
 
 // allocation returns the bucket for the incarnation of a server in a report, or nil if the report is of no use.
@@ -105,7 +109,7 @@
 
 // Step drops limits that nothing confirms, and marks those that no response has confirmed lately.
 func (t *Allocator) Step(now time.Time) {
-	if len(t.limits) == 0 || now.Before(t.nextStep) {
+	if (len(t.limits) == 0 && !t.changed) || now.Before(t.nextStep) {
 		return
 	}
 	t.nextStep = now.Add(unconfirmedAfter / 10)
@@ -115,14 +119,17 @@
 				t.changes = append(t.changes, Change{Server: id, Born: a.born, Ended: true})
 			}
 			delete(t.limits, id)
-			t.revision++
+			t.changed = true
 			continue
 		}
 		if unconfirmed := a.inForce() && now.Sub(a.statedAt) > unconfirmedAfter; unconfirmed != a.unconfirmed {
-			a.unconfirmed = unconfirmed
-			t.revision++
+			a.unconfirmed, t.changed = unconfirmed, true
 		}
 	}
+	if t.changed && !now.Before(t.nextRevision) {
+		t.changed, t.nextRevision = false, now.Add(listInterval)
+		t.revision++
+	}
 }
 
 // Changes returns the changes since it was last called.
--- a/process/quota/doc.go
+++ b/process/quota/doc.go
@@ -25,6 +25,8 @@
 	unconfirmedAfter = 2 * time.Second
 	// confirmInterval is the time between two reports of a limit that hasn't changed.
 	confirmInterval = 500 * time.Millisecond
+	// listInterval is the minimum time between two changes of the hosts' list that aren't urgent.
+	listInterval = 500 * time.Millisecond
 	// limitRetention is how long a limit is kept that no response confirms, or that has ended.
 	limitRetention = 2 * time.Minute
 	// maxLimits and maxGrant bound the memory for limits, and the permits granted at once.
