--- a/process/quota/allocator.go
+++ b/process/quota/allocator.go
@@ -16,7 +16,7 @@
 	changed      bool
 	nextRevision time.Time
 	nextStep     time.Time
-	changes  []Change
+	changes      []Change
 }
 
 // allocation is one server's limit with its token bucket.
