Permits fall with a limit

Permits granted at 40 requests a second were used up within a second after the server had gone down to 4, which is more than the lower limit allows in 4 s. Found in reading the diff. TestPermitsFallWithLimit: 20 permits kept before, 2 now.

--- a/process/quota/holder.go
+++ b/process/quota/holder.go
@@ -103,10 +103,19 @@
 	if urgent || r.PerSecond != l.perSecond || now.Sub(l.confirmedAt) >= confirmInterval {
 		l.pending, l.sentAt, l.confirmedAt = true, 0, now
 	}
-	l.ended, l.perSecond, l.statedAt, l.unconfirmed = false, r.PerSecond, now, false
+	l.setRate(r.PerSecond)
+	l.ended, l.statedAt, l.unconfirmed = false, now, false
 	return urgent
 }
 
+// setRate replaces the limit. If it falls, so does the number of permits, which were granted at the higher rate.
+func (l *limit) setRate(perSecond float64) {
+	if perSecond < l.perSecond {
+		l.permits = l.permits[:int(float64(len(l.permits))*perSecond/l.perSecond)]
+	}
+	l.perSecond = perSecond
+}
+
 // Allows reports whether this host may send a request to a server now.
 func (h *Holder) Allows(now time.Time, server string, born int64) bool {
 	l := h.inForce(server, born)
@@ -312,7 +321,8 @@
 		if at := now.Add(-time.Duration(s.AgeMs) * time.Millisecond); at.After(l.statedAt) {
 			l.statedAt = at
 		}
-		l.perSecond, l.unconfirmed, l.ended = s.PerSecond, s.Unconfirmed, false
+		l.setRate(s.PerSecond)
+		l.unconfirmed, l.ended = s.Unconfirmed, false
 	}
 	for id, l := range h.limits {
 		if !listed[id] && !l.pending {
--- a/process/quota/quota_test.go
+++ b/process/quota/quota_test.go
@@ -215,7 +215,7 @@
 		}, 0.8},
 		{"the limit falls", 12, 1, 40, 10 * time.Millisecond, everyone, func(c *cluster) {
 			c.limits["server-0"] = 4
-			c.run(3*time.Second, 10*time.Millisecond, everyone)
+			c.run(2*testInterval, 10*time.Millisecond, everyone)
 			c.arrivals["server-0"] = nil
 		}, 0},
 	} {
@@ -362,3 +362,40 @@
 		})
 	}
 }
+
+// TestPermitsFallWithLimit checks that permits granted at a higher rate don't outlast it.
+func TestPermitsFallWithLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name string
+		fall func(h *Holder)
+	}{
+		{"in a response", func(h *Holder) {
+			h.RecordResponse(now, Response{Server: "a", Born: 1, SentAt: now, Limited: true, PerSecond: 4})
+		}},
+		{"in the leader's list", func(h *Holder) {
+			h.Apply(now, wire.FleetUpdate{Term: 1, Echo: 3, LimitRevision: 2, Limits: []wire.ServerLimit{{ID: "a", Born: 1, PerSecond: 4}}})
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := NewHolder(1)
+			h.RecordResponse(now, Response{Server: "a", Born: 1, SentAt: now, Limited: true, PerSecond: 40})
+			h.Report(now, &wire.Usage{SentAt: 1}, func(string, int64) (Pool, bool) { return testPool, true })
+			h.Apply(now, wire.FleetUpdate{Term: 1, Echo: 1})
+			h.Report(now, &wire.Usage{SentAt: 2}, func(string, int64) (Pool, bool) { return testPool, true })
+			var permits []string
+			for range 20 {
+				permits = append(permits, "a")
+			}
+			h.Apply(now, wire.FleetUpdate{Term: 1, Echo: 2, Permits: []wire.PermitGrant{{Service: "s", Servers: permits}}})
+			tt.fall(h)
+			n := 0
+			for ; h.Allows(now, "a", 1); n++ {
+				h.Use(now, "a", 1)
+			}
+			if n != 2 {
+				t.Errorf("%d permits, want 2 of 20 at a tenth of the limit", n)
+			}
+		})
+	}
+}
