gateway: one wait for an update in place of two copies

waitForPermit repeated the select of waitForChange; both call awaitUpdate now. Behaviour is meant to be the same. A comment that gave an unmeasured time is gone.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -98,14 +98,19 @@
 	if remaining <= 0 || !l.isSettling(now) {
 		return false
 	}
-	timer := time.NewTimer(remaining)
+	return awaitUpdate(ctx, l.changes(), remaining)
+}
+
+// awaitUpdate waits until updated is closed, and reports whether it was in time.
+func awaitUpdate(ctx context.Context, updated <-chan struct{}, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
 		return false
-	case <-l.changes():
+	case <-updated:
 		return true
 	}
 }
@@ -116,7 +121,7 @@
 }
 
 // permitWaitFraction is the fraction of the objective for which a request may wait for a permit, and maxPermitWait bounds that
-// time. An answer of the leader takes a few milliseconds.
+// time.
 const (
 	permitWaitFraction = 0.25
 	maxPermitWait      = 150 * time.Millisecond
@@ -140,16 +145,7 @@
 		g.mu.Unlock()
 	}()
 	g.subscription.wakeUp()
-	timer := time.NewTimer(r.permitUntil.Sub(now))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return false
-	case <-changed:
-		return true
-	}
+	return awaitUpdate(ctx, changed, r.permitUntil.Sub(now))
 }
 
 // lacksUpdate reports whether the host lacks an update of the leader without which it handles no request.
