Entry hosts check and log their paths to the servers after a failure

After a failed attempt, or 350 ms in which no server sends anything, a host now dials five servers, and twelve more if it reached none; it logs how many it reached (pathRound, pathsChanged) and shows the state as savorywing_path_state. Nothing is decided by it yet.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -199,11 +199,14 @@
 	defer cancel(nil)
 	w := r.startWatch(d, cancel)
 	defer w.stop()
+	silence := time.AfterFunc(silenceTimeout, g.doubtIfSilent)
 	response, err := g.engines.Do(ctx, r.engineCall(d))
+	silence.Stop()
 	if err != nil {
 		return r.sendFailed(ctx, d, err)
 	}
 	defer response.Close()
+	g.recordResponse()
 	r.recordNotice(d, response.Metadata)
 	r.recordLimit(d, reservation, response)
 	switch {
@@ -309,6 +312,9 @@
 	if errors.Is(err, engine.ErrWithheld) {
 		return outcomeUnsent, placement.Shed
 	}
+	if stalled || isPathFailure(err) {
+		g.doubtPaths()
+	}
 	if errors.Is(err, engine.ErrNotSent) {
 		// This is proof that the request hasn't run, also if the attempt was cancelled while it dialled.
 		g.engines.CloseIdle(d.Address)
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -163,5 +163,6 @@
 	}
 	g.mu.Lock()
 	g.balancer.RecordProgress(now, reservation, gap)
+	g.reach.RecordResponse(now)
 	g.mu.Unlock()
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/quarantine"
+	"savorywing.example/savorywing/process/reach"
 	"savorywing.example/savorywing/process/retry"
 	"savorywing.example/savorywing/process/telemetry"
 	"savorywing.example/savorywing/version/catalogue"
@@ -48,7 +49,7 @@
 	catalogue    atomic.Pointer[catalogue.Catalogue]
 	stopping     atomic.Bool
 
-	// mu guards the state on which requests are placed: balancer, observer, budgets, demand and waitEstimator.
+	// mu guards the state on which requests are placed: balancer, observer, budgets, demand, waitEstimator and reach.
 	mu       sync.Mutex
 	observer *quarantine.Observer
 	balancer *placement.Balancer
@@ -56,6 +57,7 @@
 	demand   map[string]*demand
 	// waitEstimator estimates how long retrying callers have waited before.
 	waitEstimator *placement.WaitEstimator
+	reach         reach.Tracker
 
 	telemetry *telemetry.Telemetry
 	// servedLines and problemLines limit the log lines about requests that were served, and about all others.
@@ -81,6 +83,7 @@
 	g.telemetry.Gauge("busy", func() float64 { return float64(g.server.InFlight()) })
 	g.telemetry.Gauge("engine_connections_opened", func() float64 { return float64(g.engines.ConnectionsOpened()) })
 	g.telemetry.Gauge("document_age_seconds", func() float64 { return g.subscription.confirmationAge().Seconds() })
+	g.telemetry.Gauge("path_state", func() float64 { return float64(g.pathState()) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.engines = engine.New(g.clock, dialect)
 	g.subscription = newFleetSubscription(g)
--- /dev/null
+++ b/process/gateway/reach.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/reach"
+)
+
+const (
+	// silenceTimeout is how long a request may wait while no server sends anything before this host's paths are in doubt. It
+	// is longer than the usual pauses of a host with a few requests in flight.
+	silenceTimeout = 350 * time.Millisecond
+	// roundDialTimeout bounds the time to dial a server in a round. TCP sends a lost SYN again after a second, so that more
+	// time would seldom change the outcome.
+	roundDialTimeout = 300 * time.Millisecond
+)
+
+// pathState returns what is known of the paths to the servers.
+func (g *Gateway) pathState() reach.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reach.State()
+}
+
+// recordResponse records that a server has sent something.
+func (g *Gateway) recordResponse() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reach.RecordResponse(g.clock.Now())
+}
+
+// isPathFailure reports whether the path to a server may be the cause of an error.
+func isPathFailure(err error) bool {
+	var t net.Error
+	return errors.Is(err, engine.ErrNotSent) || isConnectionEnd(err) || (errors.As(err, &t) && t.Timeout())
+}
+
+// doubtPaths starts a round that finds out whether this host still reaches the servers, unless one is running or not due.
+func (g *Gateway) doubtPaths() {
+	g.mu.Lock()
+	due := g.balancer.Len() > 0 && g.reach.Begin(g.clock.Now())
+	g.mu.Unlock()
+	if due {
+		go g.runRounds()
+	}
+}
+
+// doubtIfSilent starts a round if no server has sent anything for silenceTimeout.
+func (g *Gateway) doubtIfSilent() {
+	g.mu.Lock()
+	silent := g.reach.IsSilent(g.clock.Now(), silenceTimeout)
+	g.mu.Unlock()
+	if silent {
+		g.doubtPaths()
+	}
+}
+
+// runRounds runs a round, and further ones until the servers are reached directly.
+func (g *Gateway) runRounds() {
+	for {
+		r := g.runRound()
+		g.mu.Lock()
+		changed := g.reach.Conclude(g.clock.Now(), r)
+		state := g.reach.State()
+		g.mu.Unlock()
+		g.logRound(r, state, changed)
+		if state == reach.Direct {
+			return
+		}
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-time.After(reach.RoundInterval):
+		}
+		g.mu.Lock()
+		due := g.reach.Begin(g.clock.Now())
+		g.mu.Unlock()
+		if !due {
+			return
+		}
+	}
+}
+
+func (g *Gateway) runRound() reach.Round {
+	sample, known := g.sample(reach.SampleSize, nil)
+	missed := g.dialAll(sample)
+	if len(missed) == len(sample) && known > len(sample) {
+		skip := map[string]bool{}
+		for _, t := range sample {
+			skip[t.ID] = true
+		}
+		wide, _ := g.sample(reach.WideSampleSize, skip)
+		missed = append(missed, g.dialAll(wide)...)
+		sample = append(sample, wide...)
+	}
+	return reach.Round{Known: known, Dialled: len(sample), Reached: len(sample) - len(missed)}
+}
+
+// sample returns servers to dial, and the number of all known ones.
+func (g *Gateway) sample(n int, skip map[string]bool) ([]placement.Target, int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Sample(n, skip), g.balancer.Len()
+}
+
+// dialAll dials servers at the same time and returns those that it didn't reach. The connections to the others are kept for
+// later requests.
+func (g *Gateway) dialAll(targets []placement.Target) []placement.Target {
+	ctx, cancel := context.WithTimeout(g.ctx, roundDialTimeout)
+	defer cancel()
+	errs := make([]error, len(targets))
+	var dials sync.WaitGroup
+	for i, t := range targets {
+		dials.Go(func() { errs[i] = g.engines.Probe(ctx, t.Address) })
+	}
+	dials.Wait()
+	var missed []placement.Target
+	for i, err := range errs {
+		if err != nil {
+			g.log.Debug().Str("event", "serverNotReached").Str("server", targets[i].ID).Err(err).Msg("a backend server was not reached")
+			missed = append(missed, targets[i])
+		}
+	}
+	return missed
+}
+
+func (g *Gateway) logRound(r reach.Round, state reach.State, changed bool) {
+	g.telemetry.Count("path_rounds", "state", state.String())
+	if !changed && r.Reached == r.Dialled {
+		return
+	}
+	e := g.logProblem("pathRound")
+	if changed {
+		e = g.log.Warn().Str("event", "pathsChanged")
+	}
+	e.Stringer("state", state).Int("servers", r.Known).Int("dialled", r.Dialled).Int("reached", r.Reached).Int("elsewhere", r.Elsewhere).
+		Msg("checked the paths to the backend servers")
+}
--- /dev/null
+++ b/process/reach/tracker.go
@@ -0,0 +1,108 @@
+package reach
+
+import "time"
+
+// State is what a host knows of its paths to the backend servers.
+type State int
+
+// States of paths.
+const (
+	// Direct means that the host reaches the servers, or that nobody is known to reach those that it doesn't.
+	Direct State = iota
+	// Lost means that others reach servers that this host doesn't.
+	Lost
+	// Isolated means that neither this host nor any other one asked reaches a server.
+	Isolated
+)
+
+// String returns the word that logs and metrics use for the state.
+func (s State) String() string { return [...]string{"direct", "lost", "isolated"}[s] }
+
+// Round is what one round has found.
+type Round struct {
+	// Known is the number of servers that could have been dialled, and Dialled the number of those that were.
+	Known, Dialled int
+	// Reached is the number of servers that this host has reached, and Elsewhere the number of the others that another host
+	// has reached.
+	Reached, Elsewhere int
+}
+
+// Tracker holds the state of the paths of one host. It is not safe for concurrent use.
+type Tracker struct {
+	state State
+	// running reports whether a round has begun and not ended.
+	running bool
+	// notBefore is when the next round may begin.
+	notBefore time.Time
+	// restored counts the successive rounds that have found the paths sound while the state is not Direct.
+	restored     int
+	lastResponse time.Time
+	since        time.Time
+}
+
+// State returns the current state.
+func (t *Tracker) State() State { return t.state }
+
+// Since returns when the current state began; zero if it has never changed.
+func (t *Tracker) Since() time.Time { return t.since }
+
+// RecordResponse records that bytes of a response arrived directly from a server.
+func (t *Tracker) RecordResponse(now time.Time) { t.lastResponse = now }
+
+// IsSilent reports whether no bytes of a response have arrived for a time.
+func (t *Tracker) IsSilent(now time.Time, d time.Duration) bool { return now.Sub(t.lastResponse) >= d }
+
+// Begin reports whether a round is due after a failure, and if so, marks it as running until Conclude.
+func (t *Tracker) Begin(now time.Time) bool {
+	if t.running || now.Before(t.notBefore) {
+		return false
+	}
+	t.running = true
+	return true
+}
+
+// Conclude ends a round and reports whether it has changed the state.
+func (t *Tracker) Conclude(now time.Time, r Round) bool {
+	t.running = false
+	old := t.state
+	next := t.judge(now, r)
+	if next == Direct && old != Direct {
+		t.restored++
+		if t.restored < restoringRounds {
+			next = old
+		}
+	} else {
+		t.restored = 0
+	}
+	t.state = next
+	t.notBefore = now.Add(pause(next, r))
+	if next != old {
+		t.since = now
+	}
+	return next != old
+}
+
+func pause(s State, r Round) time.Duration {
+	switch {
+	case s != Direct:
+		return RoundInterval
+	case r.Reached == r.Dialled:
+		return soundInterval
+	}
+	return doubtInterval
+}
+
+// judge returns the state by a single round.
+func (t *Tracker) judge(now time.Time, r Round) State {
+	switch {
+	case r.Elsewhere > 0 && r.Elsewhere >= min(minLost, r.Known) && r.Elsewhere >= majority*r.Reached:
+		return Lost
+	case r.Reached > 0 && r.Reached >= majority*r.Elsewhere:
+		return Direct
+	case r.Reached+r.Elsewhere > 0 || r.Dialled < min(r.Known, SampleSize+WideSampleSize):
+		return t.state
+	case now.Sub(t.lastResponse) < responseMemory:
+		return Direct
+	}
+	return Isolated
+}
