--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -80,6 +80,9 @@
 	retryBurst float64
 	// tokens are the tokens between the daemons.
 	tokens peer.Tokens
+	// hasPaths makes each entry host dial backend servers on a path of its own, in paths, that can be cut.
+	hasPaths bool
+	paths    []*standin.Path
 }
 
 // subnetCounter gives each environment its own loopback subnet.
@@ -165,7 +168,13 @@
 
 func (f *fleetEnv) startEntry(ip string) *gateway.Gateway {
 	s := f.settings(savorywing.RoleEntry, ip, true)
-	g, err := gateway.New(s, f.dialect, f.log(s.Name))
+	var opts []gateway.Option
+	if f.hasPaths {
+		path := standin.NewPath()
+		f.paths = append(f.paths, path)
+		opts = append(opts, gateway.WithDialer(path))
+	}
+	g, err := gateway.New(s, f.dialect, f.log(s.Name), opts...)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -49,14 +49,28 @@
 type Client struct {
 	clock   savorywing.Clock
 	dialect savorywing.Dialect
+	dialer  savorywing.Dialer
 	pool    *pool
 	// opened counts the connections opened since the client was created.
 	opened atomic.Uint64
 }
 
+// Option changes a client.
+type Option func(c *Client)
+
+// WithDialer makes a client open its connections with d.
+func WithDialer(d savorywing.Dialer) Option { return func(c *Client) { c.dialer = d } }
+
 // New returns a client without connections.
-func New(clock savorywing.Clock, dialect savorywing.Dialect) *Client {
-	return &Client{clock: clock, dialect: dialect, pool: newPool(clock)}
+func New(clock savorywing.Clock, dialect savorywing.Dialect, opts ...Option) *Client {
+	c := &Client{
+		clock: clock, dialect: dialect, pool: newPool(clock),
+		dialer: &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: socket.UserTimeout(userTimeout)},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // ConnectionsOpened returns the number of connections opened so far.
@@ -106,8 +120,7 @@
 			return l, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: socket.UserTimeout(userTimeout)}
-	conn, err := d.DialContext(ctx, "tcp", call.Address)
+	conn, err := c.dialer.DialContext(ctx, "tcp", call.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -70,8 +70,16 @@
 // demand is the work requested of a model since the start; both counters only increase.
 type demand struct{ requests, workMs uint64 }
 
+// Option changes an entry host.
+type Option func(g *Gateway)
+
+// WithDialer makes an entry host open its connections to backend servers with d.
+func WithDialer(d savorywing.Dialer) Option {
+	return func(g *Gateway) { g.engines = engine.New(g.clock, g.dialect, engine.WithDialer(d)) }
+}
+
 // New assembles an entry host that Start runs.
-func New(s *instance.Settings, dialect savorywing.Dialect, log zerolog.Logger) (*Gateway, error) {
+func New(s *instance.Settings, dialect savorywing.Dialect, log zerolog.Logger, opts ...Option) (*Gateway, error) {
 	g := &Gateway{
 		clock: clock.Boottime{}, log: log, dialect: dialect, budgets: map[string]*retry.Window{}, demand: map[string]*demand{}, waitEstimator: placement.NewWaitEstimator(),
 		observer: quarantine.NewObserver(),
@@ -86,6 +94,9 @@
 	g.telemetry.Gauge("path_state", func() float64 { return float64(g.pathState()) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.engines = engine.New(g.clock, dialect)
+	for _, opt := range opts {
+		opt(g)
+	}
 	g.subscription = newFleetSubscription(g)
 	g.server = ingress.New(g.clock, g, g.limits, log)
 	var err error
