The exchange with a caller is an interface of the root package

The gateway will also serve requests that another entry host has received, whose responses go there. Behaviour is the same.

--- a/cmd/savorywing/fleet_cut_test.go
+++ b/cmd/savorywing/fleet_cut_test.go
@@ -72,12 +72,7 @@
 	r := l.f.send(entry, path, model, fleetKey, nil)
 	took := time.Since(sentAt)
 	isServed := r.err == nil && r.status == fasthttp.StatusOK && (model == "" || checkCompleteStream(r.body) == nil)
-	if n := l.f.fleet.RunCount(r.requestID); path == "/book/x" && n > 1 {
-		l.f.t.Errorf("%s ran %d times", r.requestID, n)
-	}
-	if n := l.f.fleet.RunCount(r.requestID); r.err == nil && r.status == fasthttp.StatusServiceUnavailable && n > 0 {
-		l.f.t.Errorf("%s was rejected as not run and ran %d times", r.requestID, n)
-	}
+	l.f.checkRuns(path, r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.from.IsZero() || sentAt.Before(l.from) || (!l.until.IsZero() && sentAt.After(l.until)) {
@@ -98,6 +93,17 @@
 	}
 }
 
+// checkRuns checks that a request that may run once hasn't run more often, and that one that was rejected hasn't run.
+func (f *fleetEnv) checkRuns(path string, r fleetResponse) {
+	n := f.fleet.RunCount(r.requestID)
+	if path == "/book/x" && n > 1 {
+		f.t.Errorf("%s ran %d times", r.requestID, n)
+	}
+	if r.err == nil && r.status == fasthttp.StatusServiceUnavailable && n > 0 {
+		f.t.Errorf("%s was rejected as not run and ran %d times", r.requestID, n)
+	}
+}
+
 // measure counts the requests that are sent from now on for a time.
 func (l *cutLoad) measure(d time.Duration) {
 	l.mu.Lock()
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
 )
 
 // writeTimeout ends a response when a write to the caller doesn't complete within this time.
@@ -16,18 +18,9 @@
 // ErrCallerGone is returned when a write to the caller's connection fails.
 var ErrCallerGone = errors.New("the caller disconnected")
 
-// ErrorResponse is a response that the system itself generates.
-type ErrorResponse struct {
-	Status     int
-	Reason     string
-	RetryAfter time.Duration
-	// SetHeaders adds headers of the dialect; it may be nil.
-	SetHeaders func(*fasthttp.ResponseHeader)
-}
-
-// Exchange is one request and its response. Its methods must be called from one goroutine.
+// Exchange implements savorywing.Exchange on a caller's connection.
 type Exchange struct {
-	Request fasthttp.Request
+	request fasthttp.Request
 
 	conn    *conn
 	server  *Server
@@ -43,14 +36,17 @@
 	failed bool
 }
 
-// Arrival returns when the first byte of the request was received.
+// HTTPRequest implements savorywing.Exchange.
+func (x *Exchange) HTTPRequest() *fasthttp.Request { return &x.request }
+
+// Arrival implements savorywing.Exchange.
 func (x *Exchange) Arrival() time.Time { return x.arrival }
 
-// Started reports whether a response was started.
+// Started implements savorywing.Exchange.
 func (x *Exchange) Started() bool { return x.started }
 
-// WriteError sends a complete response that the system itself generates.
-func (x *Exchange) WriteError(r ErrorResponse) {
+// WriteError implements savorywing.Exchange.
+func (x *Exchange) WriteError(r savorywing.ErrorResponse) {
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
 	h.SetStatusCode(r.Status)
@@ -67,8 +63,8 @@
 	}
 }
 
-// Start sends the header of a response and the first bytes of its body in one write. With a negative length the
-// body is sent with chunked transfer encoding.
+// Start implements savorywing.Exchange. It makes one write; with a negative length the body is sent with chunked transfer
+// encoding.
 func (x *Exchange) Start(h *fasthttp.ResponseHeader, length int, first []byte) error {
 	if x.started {
 		return errors.New("Exchange.Start: a response was already started")
@@ -87,7 +83,7 @@
 		h.SetContentLength(length)
 	}
 	b := h.AppendBytes(make([]byte, 0, headerSizeHint+len(first)))
-	if x.Request.Header.IsHead() {
+	if x.request.Header.IsHead() {
 		x.bodyDone = true
 		return x.write(b)
 	}
@@ -113,7 +109,7 @@
 	return append(b, "\r\n"...)
 }
 
-// Write sends the next bytes of the body.
+// Write implements savorywing.Exchange.
 func (x *Exchange) Write(p []byte) error {
 	if x.chunked {
 		return x.write(x.appendBody(make([]byte, 0, len(p)+maxChunkOverhead), p))
@@ -126,7 +122,7 @@
 // maxChunkOverhead is the most that chunked transfer encoding adds to a chunk, in bytes.
 const maxChunkOverhead = 16
 
-// Finish sends the last bytes of the body and marks its end.
+// Finish implements savorywing.Exchange.
 func (x *Exchange) Finish(last []byte) error {
 	if !x.chunked {
 		if len(last) > 0 {
@@ -139,7 +135,7 @@
 	return x.write(append(b, "0\r\n\r\n"...))
 }
 
-// Abort closes the connection, so that the caller can't take the response for complete.
+// Abort implements savorywing.Exchange. It closes the connection.
 func (x *Exchange) Abort() {
 	x.failed = true
 	if t, ok := x.conn.conn.(*net.TCPConn); ok {
--- a/connection/ingress/fuzz_test.go
+++ b/connection/ingress/fuzz_test.go
@@ -33,10 +33,10 @@
 		if err := c.readRequest(x, limits); err != nil {
 			return
 		}
-		if n := len(x.Request.Header.RawHeaders()); n > maxHeaderBytes {
+		if n := len(x.request.Header.RawHeaders()); n > maxHeaderBytes {
 			t.Errorf("accepted a header of %d bytes", n)
 		}
-		if n := len(x.Request.Body()); n > maxBodyBytes {
+		if n := len(x.request.Body()); n > maxBodyBytes {
 			t.Errorf("accepted a body of %d bytes", n)
 		}
 	})
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -41,7 +41,7 @@
 // Handler serves requests.
 type Handler interface {
 	// Serve responds to one request. ctx is cancelled when the caller disconnects.
-	Serve(ctx context.Context, x *Exchange)
+	Serve(ctx context.Context, x savorywing.Exchange)
 }
 
 // Limits bound the size of a request, the time to receive it, and the idle time before the next one.
@@ -229,7 +229,7 @@
 		}
 		peeked <- err
 	}()
-	if x.Request.ConnectionClose() || c.server.draining.Load() {
+	if x.request.ConnectionClose() || c.server.draining.Load() {
 		c.closeAfter = true
 	}
 	c.server.handler.Serve(ctx, x)
@@ -241,12 +241,12 @@
 	if err := c.readHeader(x, limits.MaxHeaderBytes); err != nil {
 		return err
 	}
-	if x.Request.MayContinue() {
+	if x.request.MayContinue() {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
 	}
-	return x.Request.ContinueReadBody(c.reader, limits.MaxBodyBytes)
+	return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes)
 }
 
 // readHeader reads a header of at most limit bytes, or readBufferBytes if there is no limit. The parser leaves one that
@@ -255,15 +255,15 @@
 	if limit = min(limit, maxHeaderBytes); limit <= 0 {
 		limit = readBufferBytes
 	}
-	err := x.Request.Header.Read(c.reader)
+	err := x.request.Header.Read(c.reader)
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	if errors.As(err, &smallBuffer) && limit > c.reader.Size() {
 		if err := c.growBuffer(limit); err != nil {
 			return err
 		}
-		err = x.Request.Header.Read(c.reader)
+		err = x.request.Header.Read(c.reader)
 	}
-	if errors.As(err, &smallBuffer) || len(x.Request.Header.RawHeaders()) > limit {
+	if errors.As(err, &smallBuffer) || len(x.request.Header.RawHeaders()) > limit {
 		return errHeaderTooLarge
 	}
 	return err
@@ -296,7 +296,7 @@
 		return
 	}
 	c.server.log.Info().Str("event", "requestUnreadable").Int("status", status).Err(err).Msg("a caller's request could not be read")
-	x.WriteError(ErrorResponse{Status: status, Reason: err.Error()})
+	x.WriteError(savorywing.ErrorResponse{Status: status, Reason: err.Error()})
 	peeked := make(chan error, 1)
 	go func() { peeked <- io.EOF }()
 	c.linger(peeked)
--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -12,12 +12,13 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/clock"
 )
 
-type handlerFunc func(ctx context.Context, x *Exchange)
+type handlerFunc func(ctx context.Context, x savorywing.Exchange)
 
-func (f handlerFunc) Serve(ctx context.Context, x *Exchange) { f(ctx, x) }
+func (f handlerFunc) Serve(ctx context.Context, x savorywing.Exchange) { f(ctx, x) }
 
 func serve(t *testing.T, h handlerFunc) (*Server, string) {
 	t.Helper()
@@ -50,8 +51,8 @@
 	return c, bufio.NewReader(c)
 }
 
-func echo(_ context.Context, x *Exchange) {
-	x.WriteError(ErrorResponse{Status: 200, Reason: string(x.Request.Body())})
+func echo(_ context.Context, x savorywing.Exchange) {
+	x.WriteError(savorywing.ErrorResponse{Status: 200, Reason: string(x.HTTPRequest().Body())})
 }
 
 // TestHeaderLimit guards against a limit of headers other than the configured one.
@@ -150,7 +151,7 @@
 // TestPipelined checks that a pipelined request waits for the response before it, and that its bytes aren't taken
 // for a disconnect.
 func TestPipelined(t *testing.T) {
-	_, address := serve(t, func(ctx context.Context, x *Exchange) {
+	_, address := serve(t, func(ctx context.Context, x savorywing.Exchange) {
 		time.Sleep(50 * time.Millisecond)
 		if ctx.Err() != nil {
 			t.Error("the bytes of the next request were taken for a disconnect")
@@ -172,7 +173,7 @@
 // TestCallerDisconnects checks that the context of a request is cancelled soon after the caller closes the connection.
 func TestCallerDisconnects(t *testing.T) {
 	disconnected := make(chan time.Time, 1)
-	_, address := serve(t, func(ctx context.Context, _ *Exchange) {
+	_, address := serve(t, func(ctx context.Context, _ savorywing.Exchange) {
 		<-ctx.Done()
 		disconnected <- time.Now()
 	})
@@ -198,18 +199,18 @@
 	tests := []struct {
 		name     string
 		length   int
-		end      func(x *Exchange) error
+		end      func(x savorywing.Exchange) error
 		complete bool
 	}{
-		{"chunks, finished", -1, func(x *Exchange) error { return x.Finish([]byte("end")) }, true},
-		{"chunks, aborted", -1, func(x *Exchange) error { x.Abort(); return nil }, false},
-		{"chunks, never finished", -1, func(*Exchange) error { return nil }, false},
-		{"length, finished", 5, func(x *Exchange) error { return x.Finish([]byte("end")) }, true},
-		{"length, short", 9, func(x *Exchange) error { return x.Finish([]byte("end")) }, false},
+		{"chunks, finished", -1, func(x savorywing.Exchange) error { return x.Finish([]byte("end")) }, true},
+		{"chunks, aborted", -1, func(x savorywing.Exchange) error { x.Abort(); return nil }, false},
+		{"chunks, never finished", -1, func(savorywing.Exchange) error { return nil }, false},
+		{"length, finished", 5, func(x savorywing.Exchange) error { return x.Finish([]byte("end")) }, true},
+		{"length, short", 9, func(x savorywing.Exchange) error { return x.Finish([]byte("end")) }, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, address := serve(t, func(_ context.Context, x *Exchange) {
+			_, address := serve(t, func(_ context.Context, x savorywing.Exchange) {
 				var h fasthttp.ResponseHeader
 				h.SetStatusCode(200)
 				if err := x.Start(&h, tt.length, []byte("ab")); err != nil {
@@ -234,7 +235,7 @@
 
 // TestDrain checks that a planned stop completes the requests in flight and closes idle connections.
 func TestDrain(t *testing.T) {
-	s, address := serve(t, func(ctx context.Context, x *Exchange) {
+	s, address := serve(t, func(ctx context.Context, x savorywing.Exchange) {
 		time.Sleep(100 * time.Millisecond)
 		echo(ctx, x)
 	})
@@ -268,8 +269,8 @@
 func TestDrainEndsStreams(t *testing.T) {
 	finish := make(chan struct{})
 	served := make(chan string, 2)
-	s, address := serve(t, func(_ context.Context, x *Exchange) {
-		served <- string(x.Request.URI().Path())
+	s, address := serve(t, func(_ context.Context, x savorywing.Exchange) {
+		served <- string(x.HTTPRequest().URI().Path())
 		var h fasthttp.ResponseHeader
 		h.SetStatusCode(200)
 		if err := x.Start(&h, -1, []byte("ab")); err != nil {
--- /dev/null
+++ b/exchange.go
@@ -0,0 +1,38 @@
+package savorywing
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrorResponse is a response that the system itself generates.
+type ErrorResponse struct {
+	Status     int
+	Reason     string
+	RetryAfter time.Duration
+	// SetHeaders adds headers of the dialect; it may be nil.
+	SetHeaders func(*fasthttp.ResponseHeader)
+}
+
+// Exchange is one request and its response. Its methods must be called from one goroutine. Methods that send something
+// return an error if the caller is gone.
+type Exchange interface {
+	// HTTPRequest returns the request, which must not be changed.
+	HTTPRequest() *fasthttp.Request
+	// Arrival returns when the first byte of the request was received.
+	Arrival() time.Time
+	// Started reports whether a response was started.
+	Started() bool
+	// WriteError sends a complete response that the system itself generates.
+	WriteError(r ErrorResponse)
+	// Start sends the header of a response and the first bytes of its body. With a negative length, Finish marks the end of
+	// the body.
+	Start(h *fasthttp.ResponseHeader, length int, first []byte) error
+	// Write sends the next bytes of the body.
+	Write(p []byte) error
+	// Finish sends the last bytes of the body and marks its end.
+	Finish(last []byte) error
+	// Abort ends the response so that the caller can't take it for complete.
+	Abort()
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -282,12 +282,12 @@
 	g := r.gateway
 	now := g.clock.Now()
 	h := &fasthttp.RequestHeader{}
-	r.exchange.Request.Header.CopyTo(h)
+	httpRequest(r).Header.CopyTo(h)
 	h.SetNoDefaultContentType(true)
 	g.dialect.WriteBackendMetadata(h, savorywing.BackendMetadata{
 		RemainingTime: r.deadline.Sub(now), Server: d.ID, Organisation: r.organisation, LastEventID: r.lastEventID, Priority: r.priority,
 	})
-	body := r.exchange.Request.Body()
+	body := httpRequest(r).Body()
 	if len(body) > 0 || !h.IsGet() {
 		h.SetContentLength(len(body))
 	}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
-	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/version/catalogue"
@@ -25,7 +24,7 @@
 // callerRequest is one caller's request while it is served.
 type callerRequest struct {
 	gateway  *Gateway
-	exchange *ingress.Exchange
+	exchange savorywing.Exchange
 	caller   savorywing.CallerMetadata
 	route    *catalogue.Route
 	service  *catalogue.Service
@@ -62,12 +61,12 @@
 }
 
 // Serve implements ingress.Handler.
-func (g *Gateway) Serve(ctx context.Context, x *ingress.Exchange) {
-	if g.dialect.IsReadyCheck(&x.Request.Header) {
+func (g *Gateway) Serve(ctx context.Context, x savorywing.Exchange) {
+	if g.dialect.IsReadyCheck(&x.HTTPRequest().Header) {
 		g.writeReadiness(x)
 		return
 	}
-	r := &callerRequest{gateway: g, exchange: x, caller: g.dialect.ReadCallerMetadata(&x.Request.Header), lastEventID: -1}
+	r := &callerRequest{gateway: g, exchange: x, caller: g.dialect.ReadCallerMetadata(&x.HTTPRequest().Header), lastEventID: -1}
 	r.waitUntil = x.Arrival().Add(maxUpdateWait)
 	if r.caller.Timeout > 0 {
 		r.waitUntil = x.Arrival().Add(min(maxUpdateWait, time.Duration(updateWaitFraction*float64(r.caller.Timeout))))
@@ -154,12 +153,12 @@
 	return c == nil || g.unconfirmed(c, g.subscription.confirmationAge()) != ""
 }
 
-func (g *Gateway) writeReadiness(x *ingress.Exchange) {
+func (g *Gateway) writeReadiness(x savorywing.Exchange) {
 	if g.isReady() {
-		x.WriteError(ingress.ErrorResponse{Status: fasthttp.StatusOK, Reason: "ready"})
+		x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusOK, Reason: "ready"})
 		return
 	}
-	x.WriteError(ingress.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: "not ready"})
+	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: "not ready"})
 }
 
 // logProblem begins a log line about a rejected, retried or failed request. It returns nil if there were too many
@@ -183,7 +182,7 @@
 		e = e.Str("route", r.route.Name).Str("model", r.caller.Model)
 	}
 	e.Msg("rejected a request")
-	r.exchange.WriteError(ingress.ErrorResponse{Status: status, Reason: reason, RetryAfter: retryAfter, SetHeaders: func(h *fasthttp.ResponseHeader) {
+	r.exchange.WriteError(savorywing.ErrorResponse{Status: status, Reason: reason, RetryAfter: retryAfter, SetHeaders: func(h *fasthttp.ResponseHeader) {
 		g.dialect.WriteErrorHeaders(h, r.caller.AttemptID)
 	}})
 }
@@ -262,7 +261,7 @@
 	return min(n, e.KVTokens)
 }
 
-func httpRequest(r *callerRequest) *fasthttp.Request { return &r.exchange.Request }
+func httpRequest(r *callerRequest) *fasthttp.Request { return r.exchange.HTTPRequest() }
 
 const (
 	// priorityLevels is the number of priorities that backend servers distinguish.
