Entry hosts that lose their paths to the servers hand requests to others

Callers at a host that was cut off from the servers were served 42 of 410 and 8 of 58 times, 544 of 549 and 856 of 862 elsewhere.

Cause: an entry host had only its own paths to the servers. When they failed, each request tried up to three servers for 700 ms each and was rejected, for as long as the cut lasted; nothing told the host that others reached the same servers.

Change: after a failure a host dials five servers and asks other entry hosts about those that it missed (process/reach). If only others reach them, it hands each request to one of them until two rounds have reached the servers again. The other host must accept an offer before the request is sent, so that one that nobody accepted has surely not run; it serves the request as if it had received it, so that limits, quarantine, loads and retry budget count there, once. It refuses while it stops, is cut off itself, has an older document, or has no capacity to spare (process/forwarding), and never hands a request on. If no host reaches a server, requests are rejected at once. A host that can't confirm its document hands requests over too.

--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"savorywing.example/savorywing/connection/forward"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
@@ -69,6 +70,8 @@
 	Peers map[string]string
 	// Tokens are the secrets between daemons.
 	Tokens Tokens
+	// Forward serves a connection on which another daemon hands over requests, until it ends; nil if this one takes none.
+	Forward func(ctx context.Context, c *forward.Conn)
 }
 
 // Mesh dials each host in Config.Peers and each one added by AddHost, and serves the connections that other daemons
@@ -93,8 +96,14 @@
 	started  bool
 	links    map[string]*link
 	accepted map[*websocket.Conn]bool
-	// inbound maps each host to the send queue of the newest connection accepted from it.
-	inbound map[string]*queue.Queue[*outgoing]
+	// inbound maps each host to the newest connection accepted from it.
+	inbound map[string]inboundHost
+}
+
+// inboundHost is a host that has connected to this one.
+type inboundHost struct {
+	out        *queue.Queue[*outgoing]
+	dataCentre string
 }
 
 // NewMesh opens the listener, if there is one. Start begins to accept and to dial.
@@ -109,7 +118,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
 		cfg: cfg, handler: handler, log: log, pool: pool, listener: listener, links: map[string]*link{},
-		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]*queue.Queue[*outgoing]{},
+		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]inboundHost{},
 	}
 	// With KeepHijackedConns, serveConn closes the connections itself. Without it, closing one has no effect while it
 	// is being read.
@@ -195,7 +204,7 @@
 
 func (m *Mesh) push(host string, f *outgoing) error {
 	m.mu.Lock()
-	out := m.inbound[host]
+	out := m.inbound[host].out
 	m.mu.Unlock()
 	if out == nil {
 		return fmt.Errorf("Mesh.Push: %w: %s", ErrNotConnected, host)
@@ -217,6 +226,13 @@
 	return hosts
 }
 
+// DataCentreOf returns the data centre of a host that has a connection open to this one; empty for any other.
+func (m *Mesh) DataCentreOf(host string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inbound[host].dataCentre
+}
+
 func (m *Mesh) link(host string) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -284,17 +300,31 @@
 }
 
 func (m *Mesh) upgrade(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != peerPath || !m.tokens.Load().accept(ctx.Request.Header.Peek("Authorization")) {
+	serve := m.serveConn
+	isForward := m.cfg.Forward != nil && string(ctx.Path()) == forward.Path
+	if isForward {
+		serve = m.serveForward
+	}
+	if (!isForward && string(ctx.Path()) != peerPath) || !m.tokens.Load().accept(ctx.Request.Header.Peek("Authorization")) {
 		m.refusals.Warn().Str("event", "peerRefused").Stringer("address", ctx.RemoteAddr()).Msg("refused a connection without an accepted token")
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
 	u := websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }}
-	if err := u.Upgrade(ctx, m.serveConn); err != nil {
+	if err := u.Upgrade(ctx, serve); err != nil {
 		m.log.Warn().Err(err).Msg("upgrading a peer connection to WebSocket failed")
 	}
 }
 
+// serveForward serves a connection on which another daemon hands over requests.
+func (m *Mesh) serveForward(c *websocket.Conn) {
+	defer func() { _ = c.Close() }()
+	if m.track(c) {
+		defer m.untrack(c)
+		m.cfg.Forward(m.ctx, forward.NewConn(c))
+	}
+}
+
 // serveConn serves one accepted connection until it ends. Its first frame must be a Hello with the same protocol.
 func (m *Mesh) serveConn(c *websocket.Conn) {
 	if !m.track(c) {
@@ -319,7 +349,7 @@
 					Msg("refused a connection with another version of the protocol")
 				return false
 			}
-			m.setInbound(from, out)
+			m.setInbound(from, inboundHost{out, f.Hello.DataCentre})
 			return true
 		}
 		if from != "" {
@@ -333,16 +363,16 @@
 	done.Wait()
 }
 
-func (m *Mesh) setInbound(host string, out *queue.Queue[*outgoing]) {
+func (m *Mesh) setInbound(host string, in inboundHost) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.inbound[host] = out
+	m.inbound[host] = in
 }
 
 func (m *Mesh) removeInbound(host string, out *queue.Queue[*outgoing]) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.inbound[host] == out {
+	if m.inbound[host].out == out {
 		delete(m.inbound, host)
 	}
 }
@@ -446,17 +476,30 @@
 	return c.WriteMessage(websocket.BinaryMessage, b)
 }
 
+// DialForward opens a connection on which requests can be handed over to another daemon.
+func (m *Mesh) DialForward(ctx context.Context, address string) (*forward.Conn, error) {
+	c, err := m.dialPath(ctx, address, forward.Path)
+	if err != nil {
+		return nil, fmt.Errorf("Mesh.DialForward: %w", err)
+	}
+	return forward.NewConn(c), nil
+}
+
 func (m *Mesh) dial(address string) (*websocket.Conn, error) {
+	return m.dialPath(m.ctx, address, peerPath)
+}
+
+func (m *Mesh) dialPath(ctx context.Context, address, path string) (*websocket.Conn, error) {
 	d := websocket.Dialer{HandshakeTimeout: dialTimeout}
 	header := http.Header{"Authorization": []string{m.tokens.Load().sent}}
-	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, resp, err := d.DialContext(ctx, "ws://"+address+peerPath, header)
+	c, resp, err := d.DialContext(ctx, "ws://"+address+path, header)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
 	if err != nil {
-		return nil, fmt.Errorf("Mesh.dial: %w", err)
+		return nil, fmt.Errorf("Mesh.dialPath: %w", err)
 	}
 	return c, nil
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -18,6 +18,7 @@
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
+	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
@@ -97,6 +98,8 @@
 	quarantine *quarantine.Tracker
 	// limits divides the request limits of servers among the entry hosts.
 	limits *quota.Allocator
+	// forwarders lists the entry hosts that take requests of others.
+	forwarders *forwarding.Directory
 	// waiting holds the channels of callers that wait until the entry hosts have been notified.
 	waiting []chan<- struct{}
 	leading bool
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -19,6 +19,8 @@
 	lastReportAt time.Time
 	// sentRevision is the revision of the last update sent to the host; 0 if it needs a full one.
 	sentRevision uint64
+	// forwardersSentAt is when the host was last sent the entry hosts that take requests of others.
+	forwardersSentAt time.Time
 	// demand is the smoothed demand for each model, in busy slots.
 	demand map[string]float64
 	// observedTime is the total time over which demand has been sampled.
@@ -31,6 +33,7 @@
 // runLeader reconciles groups, sends orders and updates the entry hosts.
 func (c *Controller) runLeader(now time.Time, document *decodedDocument) {
 	c.totals.Expire(now, entryTimeout)
+	c.forwarders.Expire(now, entryTimeout)
 	in := formation.Input{
 		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(),
 		FirstStart: c.settings.FirstStart && !c.hasSeenRequests,
@@ -173,11 +176,26 @@
 	if e.usage.Term != c.term || e.usage.LimitRevision != c.limits.Revision() {
 		u.Limits, u.LimitRevision = c.limits.List(c.clock.Now()), c.limits.Revision()
 	}
+	c.addForwarders(host, e, u)
 	u.Permits = c.limits.Grant(c.clock.Now(), e.usage.PermitRequests, c.endpoints.endpoint)
 	u.Probes = c.quarantine.Probes(c.clock.Now(), e.usage.TurnedAway)
 	c.recordSent(host, e, c.mesh.Push(host, wire.Frame{Fleet: u}))
 }
 
+// minForwardersInterval is the minimum time between two lists of the entry hosts that take requests, which may change often
+// while many hosts start.
+const minForwardersInterval = 500 * time.Millisecond
+
+// addForwarders adds the entry hosts that take requests of others, unless the host knows them.
+func (c *Controller) addForwarders(host string, e *entryHostState, u *wire.FleetUpdate) {
+	now := c.clock.Now()
+	if e.usage.ForwarderRevision == c.forwarders.Revision() && e.usage.Term == c.term || now.Sub(e.forwardersSentAt) < minForwardersInterval {
+		return
+	}
+	e.forwardersSentAt = now
+	u.Forwarders, u.ForwarderRevision = c.forwarders.For(host), c.forwarders.Revision()
+}
+
 // handleUsage applies an entry host's usage report. While this host holds the lease, it responds with an update, which
 // confirms the newest state.
 func (c *Controller) handleUsage(host string, u wire.Usage) {
@@ -201,6 +219,7 @@
 	e.updateDemand(now, u)
 	e.usage, e.lastReportAt = u, now
 	c.totals.Set(now, host, u.Loads)
+	c.forwarders.Set(now, host, c.mesh.DataCentreOf(host), u.ForwardProtocol)
 	e.sentRevision = u.Revision
 	if u.Term != c.term || u.Revision > c.endpoints.revision {
 		e.sentRevision = 0
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -5,6 +5,7 @@
 
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/quota"
@@ -230,6 +231,7 @@
 			c.entryHosts, c.demandSince, c.packedAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
 			c.quarantine = quarantine.NewTracker(c.clock.Now())
 			c.limits = quota.NewAllocator()
+			c.forwarders = forwarding.NewDirectory()
 			// Entry hosts report as soon as they know of the new leader, and are sent all endpoints.
 			c.pushNow(now)
 		}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -58,57 +58,76 @@
 
 // run makes attempts until the caller has a response or no further attempt is possible.
 func (r *callerRequest) run(ctx context.Context) {
+	for r.tryOnce(ctx) {
+		continue
+	}
+}
+
+// tryOnce makes the next attempt, and reports whether another one is to follow.
+func (r *callerRequest) tryOnce(ctx context.Context) bool {
 	g := r.gateway
-	unreachable := 0
-	for {
-		now := g.clock.Now()
-		d, reservation := r.reserve(now)
-		if reservation == nil {
-			if r.waitForCapacity(ctx, d) {
-				continue
-			}
-			if ctx.Err() == nil {
-				r.endUnserved(now, d)
-			}
-			return
+	if r.isCutOff() {
+		return r.runForwarded(ctx)
+	}
+	now := g.clock.Now()
+	d, reservation := r.reserve(now)
+	if reservation == nil {
+		if r.waitForCapacity(ctx, d) {
+			return true
 		}
-		if r.sends > 0 {
-			g.telemetry.Count("requests", "result", "resent")
-			g.logProblem("resent").Str("request", r.caller.AttemptID).Str("server", d.ID).Int("sends", r.sends).
-				Int64("delivered", r.lastEventID).Bool("mayHaveRun", r.mayHaveRun).Msg("sending a request again")
+		if ctx.Err() == nil {
+			r.endUnplaced(ctx, now, d)
 		}
-		end, result := r.attempt(ctx, d, reservation)
-		g.mu.Lock()
-		g.balancer.Finish(g.clock.Now(), reservation, result)
-		g.mu.Unlock()
-		switch end {
-		case outcomeDone:
-			return
-		case outcomeCallerGone:
-			g.telemetry.Count("requests", "result", "callerGone")
-			g.logProblem("callerGone").Str("request", r.caller.AttemptID).Str("server", d.ID).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Msg("the caller disconnected")
-			return
-		case outcomeUnsent:
-			unreachable++
-			if unreachable >= maxUnreachable {
-				r.endUnserved(g.clock.Now(), placement.Decision{Reason: placement.ReasonNoEndpoint, RetryAfter: unsentRetryAfter})
-				return
-			}
-		case outcomeNotRun:
-			r.sends++
-		case outcomeFailed:
-			r.mayHaveRun = true
-			r.sends++
-			if !r.route.Retryable() {
-				r.endUnserved(g.clock.Now(), placement.Decision{})
-				return
-			}
+		return false
+	}
+	if r.sends > 0 {
+		g.telemetry.Count("requests", "result", "resent")
+		g.logProblem("resent").Str("request", r.caller.AttemptID).Str("server", d.ID).Int("sends", r.sends).
+			Int64("delivered", r.lastEventID).Bool("mayHaveRun", r.mayHaveRun).Msg("sending a request again")
+	}
+	end, result := r.attempt(ctx, d, reservation)
+	g.mu.Lock()
+	g.balancer.Finish(g.clock.Now(), reservation, result)
+	g.mu.Unlock()
+	return r.conclude(ctx, d, end)
+}
+
+// conclude handles the end of an attempt, and reports whether another one is to follow.
+func (r *callerRequest) conclude(ctx context.Context, d placement.Decision, end outcome) bool {
+	g := r.gateway
+	switch end {
+	case outcomeDone:
+		return false
+	case outcomeCallerGone:
+		g.telemetry.Count("requests", "result", "callerGone")
+		g.logProblem("callerGone").Str("request", r.caller.AttemptID).Str("server", d.ID).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Msg("the caller disconnected")
+		return false
+	case outcomeUnsent:
+		r.unreachable++
+		if r.unreachable >= maxUnreachable {
+			r.endUnplaced(ctx, g.clock.Now(), placement.Decision{Reason: placement.ReasonNoEndpoint, RetryAfter: unsentRetryAfter})
+			return false
 		}
-		r.excluded = append(r.excluded, d.ID)
-		if ctx.Err() != nil {
-			return
+	case outcomeNotRun:
+		r.sends++
+	case outcomeFailed:
+		r.mayHaveRun = true
+		r.sends++
+		if !r.route.Retryable() {
+			r.endUnserved(g.clock.Now(), placement.Decision{})
+			return false
 		}
 	}
+	r.excluded = append(r.excluded, d.ID)
+	return ctx.Err() == nil
+}
+
+// endUnplaced ends a request that can't be sent to a server, unless another entry host serves it.
+func (r *callerRequest) endUnplaced(ctx context.Context, now time.Time, d placement.Decision) {
+	if d.Reason == placement.ReasonNoEndpoint && r.handOver(ctx) {
+		return
+	}
+	r.endUnserved(now, d)
 }
 
 // reserve picks the next endpoint and counts the request there. Without a reservation no attempt is possible
@@ -171,12 +190,16 @@
 	g := r.gateway
 	if r.exchange.Started() {
 		g.telemetry.Count("requests", "result", "brokenOff")
-		g.logProblem("brokenOff").Str("request", r.caller.AttemptID).Str("route", r.route.Name).Int64("delivered", r.lastEventID).
+		g.logProblem("brokenOff").Str("request", r.caller.AttemptID).Str("route", r.routeName()).Int64("delivered", r.lastEventID).
 			Int("sends", r.sends).Dur("after", now.Sub(r.exchange.Arrival())).Msg("aborted a response that could not be completed")
 		r.exchange.Abort()
 		return
 	}
 	late := r.deadline.Sub(now) < minAttemptTime
+	if x, ok := r.exchange.(*forwardedExchange); ok && !r.mayHaveRun && r.unreachable > 0 && g.pathsInDoubt() {
+		x.decline(refusedCutOff)
+		return
+	}
 	switch {
 	case r.mayHaveRun && late:
 		r.refuse(fasthttp.StatusGatewayTimeout, "noAnswerInTime", 0)
@@ -423,7 +446,11 @@
 	if !g.servedLines.allow(now) {
 		return
 	}
-	g.log.Info().Str("event", "served").Str("request", r.caller.AttemptID).Str("route", r.route.Name).Str("server", d.ID).
+	e := g.log.Info().Str("event", "served")
+	if r.forwarded {
+		e = e.Str("receivedBy", r.receivedBy)
+	}
+	e.Str("request", r.caller.AttemptID).Str("route", r.route.Name).Str("server", d.ID).
 		Int("status", response.Header.StatusCode()).Str("framing", string(response.Framing())).Int("sends", r.sends+1).
 		Dur("first", r.firstEvent).Dur("longestGap", r.longestGap).Dur("predicted", d.Predicted).Int("load", d.Load).Int("slots", d.Slots).Dur("after", now.Sub(r.exchange.Arrival())).Msg("served a request")
 }
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/process/reach"
 	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
@@ -42,6 +43,8 @@
 	// term and revision are those of the last applied update; revision counts the changes of the endpoints in a term.
 	term     uint64
 	revision uint64
+	// forwarderRevision is the revision of the last applied list of entry hosts that take requests.
+	forwarderRevision uint64
 	// version is the version of the document in force here; 0 if there is none.
 	version uint64
 	// confirmedAt is the send time of the latest usage report to which a leader answered that the document in
@@ -120,10 +123,17 @@
 		return true
 	}
 	s.mu.Lock()
-	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version}
+	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version, ForwarderRevision: s.forwarderRevision}
 	s.mu.Unlock()
+	u.ForwardProtocol = g.forwardProtocol()
 	g.mu.Lock()
 	u.Loads, u.Leaving = g.balancer.Usage(now), g.balancer.Leaving()
+	if g.reach.State() != reach.Direct {
+		// Requests that make no progress here say nothing about the servers.
+		for i := range u.Loads {
+			u.Loads[i].Stalled = false
+		}
+	}
 	g.balancer.ReportLimits(now, &u)
 	g.observer.Report(now, &u)
 	for model, d := range g.demand {
@@ -241,6 +251,9 @@
 		s.fullUpdateAt = g.clock.Now()
 	}
 	s.term, s.revision = u.Term, u.Revision
+	if u.ForwarderRevision != 0 {
+		s.forwarderRevision = u.ForwarderRevision
+	}
 	s.mu.Unlock()
 	if s.applyState(u, changed) {
 		// The leader waits for what is known here of parts of prompts.
@@ -270,6 +283,9 @@
 		s.applyLoads(u)
 	}
 	g.balancer.ApplyLimits(g.clock.Now(), u)
+	if u.ForwarderRevision != 0 {
+		g.peers.Set(g.clock.Now(), u.Forwarders)
+	}
 	return g.observer.Apply(g.clock.Now(), u)
 }
 
@@ -331,6 +347,13 @@
 	}
 }
 
+// documentVersion returns the version of the document in force here; 0 if there is none.
+func (s *fleetSubscription) documentVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // confirmationAge returns the time since the document in force here was last confirmed as the newest.
 func (s *fleetSubscription) confirmationAge() time.Duration {
 	s.mu.Lock()
--- /dev/null
+++ b/process/gateway/forward.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing/connection/forward"
+	"savorywing.example/savorywing/connection/ingress"
+	"savorywing.example/savorywing/process/forwarding"
+	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/reach"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/wire"
+)
+
+const (
+	// offerTimeout bounds the time to connect to another entry host and to get its answer.
+	offerTimeout = 300 * time.Millisecond
+	// maxOffers bounds the hosts that are asked in turn for one request.
+	maxOffers = 4
+	// forwardSilence is how long a host may send nothing for a request that can be sent again: several times the interval at
+	// which it shows that it is at work.
+	forwardSilence = 1500 * time.Millisecond
+	// fallbackTimeout is the timeout of a request whose route isn't known and that states none.
+	fallbackTimeout = 8 * time.Second
+	// forwardRetryAfter is the least Retry-After of a request that no host takes: the time in which a host's capacity, or a
+	// path, is looked at again. Jitter keeps callers from returning at the same moment.
+	forwardRetryAfter = reach.RoundInterval
+)
+
+func jitteredForwardRetryAfter() time.Duration {
+	return forwardRetryAfter + rand.N(2*forwardRetryAfter)
+}
+
+// Errors of requests that were handed to another entry host.
+var (
+	// errNoForwarder means that no host takes the request, which hasn't been sent to any.
+	errNoForwarder = errors.New("no other entry host takes the request")
+	// errForwardLost means that the request may have run and its response was lost.
+	errForwardLost = errors.New("the response of the other entry host was lost")
+)
+
+// isCutOff reports whether this host can't serve requests itself. Requests of other hosts are never handed on.
+func (r *callerRequest) isCutOff() bool {
+	return !r.forwarded && r.gateway.pathState() != reach.Direct
+}
+
+// mayAskOthers reports whether other entry hosts are known that may take the request.
+func (r *callerRequest) mayAskOthers() bool {
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !r.forwarded && g.peers.Len() > 0
+}
+
+// handOver lets another host serve a request that this one couldn't send to any server, and reports whether it did. It does so
+// only while it is open whether this host's paths have failed, or the servers.
+func (r *callerRequest) handOver(ctx context.Context) bool {
+	if r.unreachable == 0 || !r.mayAskOthers() || !r.gateway.pathsInDoubt() {
+		return false
+	}
+	for r.runForwarded(ctx) {
+		continue
+	}
+	return true
+}
+
+func (r *callerRequest) routeName() string {
+	if r.route == nil {
+		return ""
+	}
+	return r.route.Name
+}
+
+// runForwarded lets another entry host serve the request, and reports whether it must be tried again.
+func (r *callerRequest) runForwarded(ctx context.Context) bool {
+	g := r.gateway
+	now := g.clock.Now()
+	if r.deadline.Sub(now) < minAttemptTime || (r.route != nil && r.sends >= r.route.MaxAttempts) {
+		r.endUnserved(now, placement.Decision{})
+		return false
+	}
+	return r.endForwarded(ctx, r.forward(ctx))
+}
+
+// endForwarded ends a request unless another entry host has served it or may still do so, and reports whether it must be
+// tried again.
+func (r *callerRequest) endForwarded(ctx context.Context, err error) bool {
+	g := r.gateway
+	switch {
+	case err == nil:
+		return false
+	case ctx.Err() != nil || errors.Is(err, ingress.ErrCallerGone):
+		g.telemetry.Count("requests", "result", "callerGone")
+		g.logProblem("callerGone").Str("request", r.caller.AttemptID).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Msg("the caller disconnected")
+		return false
+	case errors.Is(err, errForwardLost):
+		r.mayHaveRun = true
+		r.sends++
+		if r.isRetryable() {
+			return true
+		}
+	}
+	r.endUnserved(g.clock.Now(), placement.Decision{Reason: placement.ReasonCutOff, RetryAfter: jitteredForwardRetryAfter()})
+	return false
+}
+
+func (r *callerRequest) isRetryable() bool { return r.route != nil && r.route.Retryable() }
+
+// forward offers the request to other entry hosts until one takes it, and relays its response. It returns nil if the caller
+// has a response, or if nothing more can be sent to it.
+func (r *callerRequest) forward(ctx context.Context) error {
+	g := r.gateway
+	if g.pathState() == reach.Isolated {
+		return errNoForwarder
+	}
+	request := httpRequest(r)
+	offer := wire.ForwardOffer{Host: g.settings().PeerAddress(), Version: g.subscription.documentVersion(), Bytes: len(request.Body()) + len(request.Header.RawHeaders())}
+	var tried []string
+	for range maxOffers {
+		g.mu.Lock()
+		host, found := g.peers.Pick(g.clock.Now(), tried)
+		g.mu.Unlock()
+		if !found {
+			break
+		}
+		tried = append(tried, host)
+		s, err := g.forwardClient.Offer(ctx, host, offerTimeout, offer)
+		if err != nil {
+			g.recordRefusal(r.caller.AttemptID, host, err)
+			continue
+		}
+		err = r.relayForwarded(ctx, s, host)
+		if !errors.Is(err, errDeclined) {
+			return err
+		}
+	}
+	return errNoForwarder
+}
+
+// recordRefusal makes later requests avoid a host for a time that has refused one or didn't answer.
+func (g *Gateway) recordRefusal(request, host string, err error) {
+	pause := forwarding.UnreachablePause
+	reason := "unreachable"
+	var refused forward.RefusedError
+	if errors.As(err, &refused) {
+		reason = refused.Reason
+		if reason == refusedBusy {
+			pause = forwarding.BusyPause
+		}
+	}
+	g.mu.Lock()
+	g.peers.Avoid(g.clock.Now(), host, pause)
+	g.mu.Unlock()
+	g.telemetry.Count("forward_refused", "reason", reason)
+	g.logProblem("forwardRefused").Str("request", request).Str("peer", host).Str("reason", reason).Err(err).Msg("another entry host doesn't take a request")
+}
+
+// errDeclined means that the other host hasn't run the request, since it couldn't either.
+var errDeclined = errors.New("the other entry host could not serve the request")
+
+// relayForwarded hands the request to a host that takes it and relays the response.
+func (r *callerRequest) relayForwarded(ctx context.Context, s *forward.Session, host string) error {
+	g := r.gateway
+	g.mu.Lock()
+	g.peers.Start(host)
+	g.mu.Unlock()
+	stop := context.AfterFunc(ctx, s.Close)
+	status, err := r.exchangeForwarded(s)
+	alive := stop()
+	g.mu.Lock()
+	g.peers.End(host)
+	g.mu.Unlock()
+	result := "served"
+	switch {
+	case (err == nil || errors.Is(err, errDeclined)) && alive:
+		s.Release()
+	default:
+		s.Close()
+	}
+	if err != nil {
+		result = err.Error()
+	}
+	g.telemetry.Count("requests", "result", "forwarded")
+	g.logProblem("forwarded").Str("request", r.caller.AttemptID).Str("peer", host).Str("result", result).Int("status", status).Int("sends", r.sends).
+		Int64("delivered", r.lastEventID).Stringer("paths", g.pathState()).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Msg("another entry host served a request")
+	return err
+}
+
+// exchangeForwarded sends the request and passes on the parts of the response. It returns the status of the response.
+func (r *callerRequest) exchangeForwarded(s *forward.Session) (int, error) {
+	g := r.gateway
+	var h fasthttp.RequestHeader
+	httpRequest(r).Header.CopyTo(&h)
+	h.SetNoDefaultContentType(true)
+	err := s.Send(wire.ForwardedRequest{
+		Header: h.Header(), Body: httpRequest(r).Body(), ElapsedMs: g.clock.Now().Sub(r.exchange.Arrival()).Milliseconds(), LastEventID: r.lastEventID,
+		Resumed: r.exchange.Started(), Sends: r.sends, MayHaveRun: r.mayHaveRun, Counted: r.counted,
+	})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", errDeclined, err)
+	}
+	status := 0
+	for {
+		silence := max(minAttemptTime, r.deadline.Sub(g.clock.Now())+forwardSilence)
+		if r.isRetryable() {
+			silence = min(silence, forwardSilence)
+		}
+		part, err := s.Next(silence)
+		if err != nil {
+			return status, fmt.Errorf("%w: %w", errForwardLost, err)
+		}
+		if part.Declined != "" {
+			return status, fmt.Errorf("%w: %s", errDeclined, part.Declined)
+		}
+		if len(part.Header) > 0 {
+			if status, err = r.startForwarded(part); err != nil {
+				return status, err
+			}
+		} else if err := r.passOn(part); err != nil {
+			return status, err
+		}
+		if part.End {
+			return status, nil
+		}
+	}
+}
+
+// startForwarded starts the response to the caller with its first part.
+func (r *callerRequest) startForwarded(part wire.ForwardedPart) (int, error) {
+	var h fasthttp.ResponseHeader
+	h.SetNoDefaultContentType(true)
+	if err := h.Read(bufio.NewReaderSize(bytes.NewReader(part.Header), len(part.Header))); err != nil || r.exchange.Started() {
+		return 0, fmt.Errorf("%w: %w", errForwardLost, errors.Join(errors.New("an unexpected header"), err))
+	}
+	h.SetNoDefaultContentType(true)
+	r.recordForwardedEvents(part.Body)
+	if err := r.exchange.Start(&h, part.Length, part.Body); err != nil {
+		return h.StatusCode(), err
+	}
+	if part.End && part.Length < 0 {
+		return h.StatusCode(), r.exchange.Finish(nil)
+	}
+	return h.StatusCode(), nil
+}
+
+func (r *callerRequest) passOn(part wire.ForwardedPart) error {
+	r.recordForwardedEvents(part.Body)
+	if part.End {
+		return r.exchange.Finish(part.Body)
+	}
+	if len(part.Body) == 0 {
+		return nil
+	}
+	return r.exchange.Write(part.Body)
+}
+
+// recordForwardedEvents records which events have been passed on, so that another host can resume the stream after them.
+// Each part of a stream consists of complete events.
+func (r *callerRequest) recordForwardedEvents(body []byte) {
+	if r.route == nil || r.route.Kind != catalogue.Streaming {
+		return
+	}
+	if scan, err := scanEvents(body, r.lastEventID); err == nil {
+		r.lastEventID = scan.lastID
+	}
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -12,9 +12,11 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/forward"
 	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/reach"
@@ -49,7 +51,8 @@
 	catalogue    atomic.Pointer[catalogue.Catalogue]
 	stopping     atomic.Bool
 
-	// mu guards the state on which requests are placed: balancer, observer, budgets, demand, waitEstimator and reach.
+	// mu guards the state on which requests are placed: balancer, observer, budgets, demand, waitEstimator,
+	// reach, peers and intake.
 	mu       sync.Mutex
 	observer *quarantine.Observer
 	balancer *placement.Balancer
@@ -58,6 +61,11 @@
 	// waitEstimator estimates how long retrying callers have waited before.
 	waitEstimator *placement.WaitEstimator
 	reach         reach.Tracker
+	// peers are the entry hosts that take requests of this one, and intake admits those of others.
+	peers  *forwarding.Peers
+	intake *forwarding.Intake
+
+	forwardClient *forward.Client
 
 	telemetry *telemetry.Telemetry
 	// servedLines and problemLines limit the log lines about requests that were served, and about all others.
@@ -86,12 +94,17 @@
 		balancer: placement.New(placement.Config{DataCentre: s.DataCentre, Seed: uint64(time.Now().UnixNano())}),
 	}
 	g.current.Store(s)
+	g.peers = forwarding.NewPeers(s.DataCentre, uint64(time.Now().UnixNano()))
+	g.intake = forwarding.NewIntake(forwarding.Capacity{
+		MemoryBytes: s.MemoryMB << 20, Descriptors: s.MaxDescriptors, CPUShare: s.CPUShare, LinkMbps: s.LinkMbps,
+	})
 	g.servedLines, g.problemLines = sampler{limit: maxServedLinesPerSecond}, sampler{limit: maxProblemLinesPerSecond}
 	g.telemetry = telemetry.New(log)
 	g.telemetry.Gauge("busy", func() float64 { return float64(g.server.InFlight()) })
 	g.telemetry.Gauge("engine_connections_opened", func() float64 { return float64(g.engines.ConnectionsOpened()) })
 	g.telemetry.Gauge("document_age_seconds", func() float64 { return g.subscription.confirmationAge().Seconds() })
 	g.telemetry.Gauge("path_state", func() float64 { return float64(g.pathState()) })
+	g.telemetry.Gauge("forwarded_in_flight", func() float64 { return float64(g.forwardedInFlight()) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.engines = engine.New(g.clock, dialect)
 	for _, opt := range opts {
@@ -104,11 +117,12 @@
 		return nil, fmt.Errorf("gateway.New: %w", err)
 	}
 	g.mesh, err = peer.NewMesh(peer.Config{
-		Host: s.PeerAddress(), BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Tokens: peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens},
+		Host: s.PeerAddress(), Listen: s.PeerAddress(), Forward: g.serveForwarded, BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Tokens: peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens},
 	}, g.subscription, g.pool, log)
 	if err != nil {
 		return nil, fmt.Errorf("gateway.New: %w", err)
 	}
+	g.forwardClient = forward.NewClient(g.clock, g.mesh.DialForward)
 	return g, nil
 }
 
@@ -173,22 +187,27 @@
 	start := g.clock.Now()
 	g.log.Info().Str("event", "stopping").Int("busy", g.server.InFlight()).Msg("the entry host is stopping")
 	g.stopping.Store(true)
+	g.subscription.wakeUp()
 	g.server.Drain()
 	time.Sleep(listenAfterStop)
 	g.server.CloseIdle()
-	for g.server.InFlight() > 0 && g.clock.Now().Sub(start) < g.settings().Grace()-stopMargin {
+	for g.busy() > 0 && g.clock.Now().Sub(start) < g.settings().Grace()-stopMargin {
 		time.Sleep(stopPollInterval)
 	}
-	unfinished := g.server.InFlight()
+	unfinished := g.busy()
 	g.Kill()
 	g.log.Info().Str("event", "stopped").Int("cutOff", unfinished).Msg("the entry host stopped")
 }
 
+// busy returns the number of requests that are being served, for callers and for other hosts.
+func (g *Gateway) busy() int { return g.server.InFlight() + g.forwardedInFlight() }
+
 // Kill ends the entry host at once.
 func (g *Gateway) Kill() {
 	g.cancel()
 	g.server.Close()
 	g.telemetry.Stop()
+	g.forwardClient.CloseIdle()
 	g.mesh.Stop()
 	g.done.Wait()
 	g.pool.Release()
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -10,6 +10,7 @@
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
+	"savorywing.example/savorywing/wire"
 )
 
 const (
@@ -28,6 +29,20 @@
 	return g.reach.State()
 }
 
+// pathsInDoubt reports whether this host's paths may have failed.
+func (g *Gateway) pathsInDoubt() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reach.InDoubt() || g.reach.State() != reach.Direct
+}
+
+// missesServers reports whether this host doesn't reach the servers, or didn't reach most of those that it last dialled.
+func (g *Gateway) missesServers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reach.MissedMost() || g.reach.State() != reach.Direct
+}
+
 // recordResponse records that a server has sent something.
 func (g *Gateway) recordResponse() {
 	g.mu.Lock()
@@ -68,7 +83,13 @@
 		g.mu.Lock()
 		changed := g.reach.Conclude(g.clock.Now(), r)
 		state := g.reach.State()
+		if changed && state == reach.Direct {
+			g.balancer.ForgetFailures()
+		}
 		g.mu.Unlock()
+		if changed {
+			g.subscription.wakeUp()
+		}
 		g.logRound(r, state, changed)
 		if state == reach.Direct {
 			return
@@ -90,16 +111,84 @@
 func (g *Gateway) runRound() reach.Round {
 	sample, known := g.sample(reach.SampleSize, nil)
 	missed := g.dialAll(sample)
-	if len(missed) == len(sample) && known > len(sample) {
+	r := reach.Round{Known: known, Dialled: len(sample), Reached: len(sample) - len(missed)}
+	var others sync.WaitGroup
+	others.Go(func() { r.Elsewhere = g.countElsewhere(missed) })
+	if r.Reached == 0 && known > len(sample) {
 		skip := map[string]bool{}
 		for _, t := range sample {
 			skip[t.ID] = true
 		}
 		wide, _ := g.sample(reach.WideSampleSize, skip)
-		missed = append(missed, g.dialAll(wide)...)
-		sample = append(sample, wide...)
+		r.Dialled += len(wide)
+		r.Reached += len(wide) - len(g.dialAll(wide))
+	}
+	others.Wait()
+	return r
+}
+
+const (
+	// reachTimeout bounds the time to ask another entry host which servers it reaches.
+	reachTimeout = roundDialTimeout + 200*time.Millisecond
+	// reachHosts is the number of hosts that are asked at the same time, and maxReachHosts that of all in a round. Some may be
+	// cut off as well.
+	reachHosts    = 3
+	maxReachHosts = 12
+)
+
+// countElsewhere asks other entry hosts about servers that this one didn't reach, and returns how many one of them reaches.
+func (g *Gateway) countElsewhere(missed []placement.Target) int {
+	if len(missed) == 0 {
+		return 0
+	}
+	servers := make([]wire.ServerAddress, 0, len(missed))
+	for _, t := range missed {
+		servers = append(servers, wire.ServerAddress{ID: t.ID, Address: t.Address})
+	}
+	most := 0
+	var asked []string
+	for most == 0 && len(asked) < maxReachHosts {
+		hosts := g.pickPeers(reachHosts, asked)
+		if len(hosts) == 0 {
+			break
+		}
+		asked = append(asked, hosts...)
+		for _, n := range g.askReach(hosts, servers) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+func (g *Gateway) pickPeers(n int, without []string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var hosts []string
+	for range n {
+		host, found := g.peers.Pick(g.clock.Now(), append(hosts, without...))
+		if !found {
+			break
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// askReach returns how many of the servers each host reaches.
+func (g *Gateway) askReach(hosts []string, servers []wire.ServerAddress) []int {
+	counts := make([]int, len(hosts))
+	var questions sync.WaitGroup
+	for i, host := range hosts {
+		questions.Go(func() {
+			reached, err := g.forwardClient.Reach(g.ctx, host, reachTimeout, servers)
+			if err != nil {
+				g.recordRefusal("", host, err)
+			}
+			counts[i] = len(reached)
+		})
 	}
-	return reach.Round{Known: known, Dialled: len(sample), Reached: len(sample) - len(missed)}
+	questions.Wait()
+	return counts
 }
 
 // sample returns servers to dial, and the number of all known ones.
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -41,7 +42,12 @@
 	// priorWait is how long the caller waited before this request, as far as known.
 	priorWait time.Duration
 	excluded  []string
-	sends     int
+	// forwarded reports whether another entry host has received the request, and receivedBy its peer address.
+	forwarded  bool
+	receivedBy string
+	// unreachable counts the servers to which the request could not be sent.
+	unreachable int
+	sends       int
 	// counted is set at the first reserve, which counts the request in the retry budget and, unless the caller is
 	// retrying, as demand.
 	counted bool
@@ -66,18 +72,38 @@
 		g.writeReadiness(x)
 		return
 	}
+	g.serve(ctx, g.newRequest(x))
+}
+
+func (g *Gateway) newRequest(x savorywing.Exchange) *callerRequest {
 	r := &callerRequest{gateway: g, exchange: x, caller: g.dialect.ReadCallerMetadata(&x.HTTPRequest().Header), lastEventID: -1}
+	timeout := fallbackTimeout
 	r.waitUntil = x.Arrival().Add(maxUpdateWait)
 	if r.caller.Timeout > 0 {
+		timeout = r.caller.Timeout
 		r.waitUntil = x.Arrival().Add(min(maxUpdateWait, time.Duration(updateWaitFraction*float64(r.caller.Timeout))))
 	}
+	r.deadline = x.Arrival().Add(timeout)
+	return r
+}
+
+func (g *Gateway) serve(ctx context.Context, r *callerRequest) {
 	for g.lacksUpdate() && r.waitForChange(ctx) {
 		continue
 	}
-	if ctx.Err() != nil || !r.admit() {
+	if ctx.Err() != nil {
 		return
 	}
-	r.run(ctx)
+	if g.lacksUpdate() && r.mayAskOthers() {
+		// The other host finds the route and checks the key, with a document that it can confirm.
+		if err := r.forward(ctx); !errors.Is(err, errNoForwarder) {
+			r.endForwarded(ctx, err)
+			return
+		}
+	}
+	if r.admit() {
+		r.run(ctx)
+	}
 }
 
 const (
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -56,7 +56,7 @@
 		w.timer.Reset(w.timeout - stalledFor)
 		return
 	}
-	if w.isStalled(now) && w.hasAlternative(now) {
+	if w.isStalled(now) && (w.request.isCutOff() || w.hasAlternative(now)) {
 		w.cancel(errStalled)
 		return
 	}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -97,6 +97,8 @@
 	ReasonFull Reason = "full"
 	// ReasonLimited means that the servers take no further request at this moment by their own limits.
 	ReasonLimited Reason = "limited"
+	// ReasonCutOff means that this host reaches no servers, and no other entry host takes the request.
+	ReasonCutOff Reason = "cutOff"
 	// ReasonQuarantined means that servers crash on a part of the request's prompt.
 	ReasonQuarantined Reason = "quarantined"
 )
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -38,6 +38,8 @@
 	restored     int
 	lastResponse time.Time
 	since        time.Time
+	// missed reports whether the last round has reached less than half of the servers that it dialled.
+	missed bool
 }
 
 // State returns the current state.
@@ -61,9 +63,15 @@
 	return true
 }
 
+// MissedMost reports whether the last round has reached less than half of the servers that it dialled.
+func (t *Tracker) MissedMost() bool { return t.missed }
+
+// InDoubt reports whether paths may have failed: a round is running, or the last one has missed most servers.
+func (t *Tracker) InDoubt() bool { return t.running || t.missed }
+
 // Conclude ends a round and reports whether it has changed the state.
 func (t *Tracker) Conclude(now time.Time, r Round) bool {
-	t.running = false
+	t.running, t.missed = false, 2*r.Reached < r.Dialled
 	old := t.state
 	next := t.judge(now, r)
 	if next == Direct && old != Direct {
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -52,7 +53,12 @@
 	ToleratedDiskLosses int `yaml:"lostDisks"`
 	// MemoryMB is the memory at which the process is killed, in MiB.
 	MemoryMB int `yaml:"memoryMB"`
-	Limits   `yaml:"limits"`
+	// CPUShare is the fraction of a core, LinkMbps the bandwidth in Mbit/s and MaxDescriptors the number of file descriptors
+	// that the process may use; 0 for no bound. They limit what the daemon does for other hosts.
+	CPUShare       float64 `yaml:"cpuShare"`
+	LinkMbps       float64 `yaml:"linkMbps"`
+	MaxDescriptors int     `yaml:"maxDescriptors"`
+	Limits         `yaml:"limits"`
 }
 
 // Limits are the times and ratios that a deployment sets. The name of a time ends with its unit.
@@ -165,6 +171,14 @@
 	if s.ToleratedDiskLosses < 0 {
 		return fieldError{"lostDisks", ErrRange}
 	}
+	for _, capacity := range []struct {
+		field string
+		value float64
+	}{{"cpuShare", s.CPUShare}, {"linkMbps", s.LinkMbps}, {"maxDescriptors", float64(s.MaxDescriptors)}} {
+		if capacity.value < 0 || math.IsNaN(capacity.value) {
+			return fieldError{capacity.field, ErrRange}
+		}
+	}
 	for _, a := range append([]string{s.CallerAddress, s.ReadyAddress, s.ControlAddress}, s.Seeds...) {
 		if _, _, err := net.SplitHostPort(a); a != "" && err != nil {
 			return fieldError{"address " + a, err}
--- a/wire/types.go
+++ b/wire/types.go
@@ -348,6 +348,12 @@
 	// Number of entry hosts that have reported their usage lately.
 	Entries int `json:"entries"`
 
+	// Revision of forwarders; 0 if the update does not contain them.
+	ForwarderRevision uint64 `json:"forwarderRevision"`
+
+	// Entry hosts that take requests, unless forwarderRevision is 0.
+	Forwarders []Forwarder `json:"forwarders,omitempty,omitzero"`
+
 	// The endpoints replace all known endpoints.
 	Full bool `json:"full"`
 
@@ -392,6 +398,84 @@
 	Membership *Membership `json:"membership,omitempty,omitzero"`
 }
 
+// ForwardOffer asks an entry host whether it takes a request.
+type ForwardOffer struct {
+	// Size of the request.
+	Bytes int `json:"bytes"`
+
+	// Peer address of the host that has received the request.
+	Host string `json:"host"`
+
+	// Version of the document in force at the host that has received the request.
+	Version uint64 `json:"version"`
+}
+
+// ForwardReply is the reply to a ForwardOffer or a ReachQuery.
+type ForwardReply struct {
+	// IDs of the servers that the host reaches, for a ReachQuery.
+	Reached []string `json:"reached"`
+
+	// Why the host takes nothing; empty if it does.
+	Reason string `json:"reason"`
+}
+
+// ForwardedPart is the next part of the response to a ForwardedRequest. One
+// without content shows that the host is at work.
+type ForwardedPart struct {
+	// Body corresponds to the JSON schema field "body".
+	Body []byte `json:"body"`
+
+	// Why the host could not serve the request, which it has not run; empty
+	// otherwise.
+	Declined string `json:"declined"`
+
+	// The response is complete.
+	End bool `json:"end"`
+
+	// The response's header; only in the first part.
+	Header []byte `json:"header"`
+
+	// Length of the body, with the header; negative if the last part marks its end.
+	Length int `json:"length"`
+}
+
+// ForwardedRequest is a caller's request, sent after an offer was accepted.
+type ForwardedRequest struct {
+	// Body corresponds to the JSON schema field "body".
+	Body []byte `json:"body"`
+
+	// The request counts already in the retry budget and the demand.
+	Counted bool `json:"counted"`
+
+	// Time since the request arrived, in milliseconds.
+	ElapsedMs int64 `json:"elapsedMs"`
+
+	// The request's header as the caller sent it.
+	Header []byte `json:"header"`
+
+	// Last event that the caller has been sent; negative for none.
+	LastEventID int64 `json:"lastEventId"`
+
+	// MayHaveRun corresponds to the JSON schema field "mayHaveRun".
+	MayHaveRun bool `json:"mayHaveRun"`
+
+	// The caller has the header of a response already.
+	Resumed bool `json:"resumed"`
+
+	// Servers that the request was sent to.
+	Sends int `json:"sends"`
+}
+
+// Forwarder is an entry host that takes requests which other entry hosts have
+// received.
+type Forwarder struct {
+	// Peer address.
+	Address string `json:"address"`
+
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+}
+
 // Frame is one message between daemons; exactly one of its parts is set.
 type Frame struct {
 	// Announcements corresponds to the JSON schema field "announcements".
@@ -415,6 +499,18 @@
 	// Formation corresponds to the JSON schema field "formation".
 	Formation *Formation `json:"formation,omitempty,omitzero"`
 
+	// ForwardOffer corresponds to the JSON schema field "forwardOffer".
+	ForwardOffer *ForwardOffer `json:"forwardOffer,omitempty,omitzero"`
+
+	// ForwardReply corresponds to the JSON schema field "forwardReply".
+	ForwardReply *ForwardReply `json:"forwardReply,omitempty,omitzero"`
+
+	// ForwardedPart corresponds to the JSON schema field "forwardedPart".
+	ForwardedPart *ForwardedPart `json:"forwardedPart,omitempty,omitzero"`
+
+	// ForwardedRequest corresponds to the JSON schema field "forwardedRequest".
+	ForwardedRequest *ForwardedRequest `json:"forwardedRequest,omitempty,omitzero"`
+
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
@@ -436,6 +532,9 @@
 	// Raft corresponds to the JSON schema field "raft".
 	Raft []RaftMessage `json:"raft"`
 
+	// ReachQuery corresponds to the JSON schema field "reachQuery".
+	ReachQuery *ReachQuery `json:"reachQuery,omitempty,omitzero"`
+
 	// Reply corresponds to the JSON schema field "reply".
 	Reply bool `json:"reply"`
 
@@ -839,6 +938,12 @@
 	Transfer bool `json:"transfer"`
 }
 
+// ReachQuery asks an entry host which backend servers it reaches.
+type ReachQuery struct {
+	// Servers corresponds to the JSON schema field "servers".
+	Servers []ServerAddress `json:"servers"`
+}
+
 // Report is a backend server's report of its own state.
 type Report struct {
 	// Address corresponds to the JSON schema field "address".
@@ -911,6 +1016,15 @@
 	Reason string `json:"reason"`
 }
 
+// ServerAddress is the address of a backend server.
+type ServerAddress struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+}
+
 // ServerIncarnation is one run of a backend server's process.
 type ServerIncarnation struct {
 	// Start time of the process, in milliseconds since 1970; 0 if not stated.
@@ -1036,6 +1150,13 @@
 	// Demand corresponds to the JSON schema field "demand".
 	Demand []ModelDemand `json:"demand"`
 
+	// Version of the protocol by which this host takes requests from other entry
+	// hosts; 0 if it takes none now.
+	ForwardProtocol uint64 `json:"forwardProtocol"`
+
+	// Newest revision of the forwarders received.
+	ForwarderRevision uint64 `json:"forwarderRevision"`
+
 	// Servers in the endpoint list whose responses to this host say that they are
 	// leaving.
 	Leaving []ServerIncarnation `json:"leaving,omitempty,omitzero"`
