--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -80,9 +80,9 @@
 	retryBurst float64
 	// tokens are the tokens between the daemons.
 	tokens peer.Tokens
-	// hasPaths makes each entry host dial backend servers on a path of its own, in paths, that can be cut.
-	hasPaths bool
-	paths    []*standin.Path
+	// hasPaths makes each entry host dial backend servers, and other daemons, on paths of its own that can be cut.
+	hasPaths         bool
+	paths, peerPaths []*standin.Path
 }
 
 // subnetCounter gives each environment its own loopback subnet.
@@ -170,9 +170,9 @@
 	s := f.settings(savorywing.RoleEntry, ip, true)
 	var opts []gateway.Option
 	if f.hasPaths {
-		path := standin.NewPath()
-		f.paths = append(f.paths, path)
-		opts = append(opts, gateway.WithDialer(path))
+		path, peerPath := standin.NewPath(), standin.NewPath()
+		f.paths, f.peerPaths = append(f.paths, path), append(f.peerPaths, peerPath)
+		opts = append(opts, gateway.WithDialer(path), gateway.WithPeerDialer(peerPath))
 	}
 	g, err := gateway.New(s, f.dialect, f.log(s.Name), opts...)
 	if err != nil {
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/forward"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/wire"
@@ -70,6 +71,8 @@
 	Peers map[string]string
 	// Tokens are the secrets between daemons.
 	Tokens Tokens
+	// Dialer opens the connections to other daemons; nil for the system's.
+	Dialer savorywing.Dialer
 	// Forward serves a connection on which another daemon hands over requests, until it ends; nil if this one takes none.
 	Forward func(ctx context.Context, c *forward.Conn)
 }
@@ -491,6 +494,9 @@
 
 func (m *Mesh) dialPath(ctx context.Context, address, path string) (*websocket.Conn, error) {
 	d := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	if m.cfg.Dialer != nil {
+		d.NetDialContext = m.cfg.Dialer.DialContext
+	}
 	header := http.Header{"Authorization": []string{m.tokens.Load().sent}}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -66,6 +66,7 @@
 	intake *forwarding.Intake
 
 	forwardClient *forward.Client
+	peerDialer    savorywing.Dialer
 
 	telemetry *telemetry.Telemetry
 	// servedLines and problemLines limit the log lines about requests that were served, and about all others.
@@ -86,6 +87,9 @@
 	return func(g *Gateway) { g.engines = engine.New(g.clock, g.dialect, engine.WithDialer(d)) }
 }
 
+// WithPeerDialer makes an entry host open its connections to other daemons with d.
+func WithPeerDialer(d savorywing.Dialer) Option { return func(g *Gateway) { g.peerDialer = d } }
+
 // New assembles an entry host that Start runs.
 func New(s *instance.Settings, dialect savorywing.Dialect, log zerolog.Logger, opts ...Option) (*Gateway, error) {
 	g := &Gateway{
@@ -117,7 +121,7 @@
 		return nil, fmt.Errorf("gateway.New: %w", err)
 	}
 	g.mesh, err = peer.NewMesh(peer.Config{
-		Host: s.PeerAddress(), Listen: s.PeerAddress(), Forward: g.serveForwarded, BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Tokens: peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens},
+		Host: s.PeerAddress(), Listen: s.PeerAddress(), Forward: g.serveForwarded, Dialer: g.peerDialer, BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Tokens: peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens},
 	}, g.subscription, g.pool, log)
 	if err != nil {
 		return nil, fmt.Errorf("gateway.New: %w", err)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"sync"
 	"time"
 
@@ -216,6 +217,18 @@
 	return out
 }
 
+// Servers returns all servers, sorted by ID.
+func (f *Fleet) Servers() []*Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]*Server, 0, len(f.servers))
+	for _, s := range f.servers {
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
+	return list
+}
+
 // PlainServers returns the servers of plain services that have not been killed.
 func (f *Fleet) PlainServers() []*Server {
 	f.mu.Lock()
