engine: connections to silent servers live as long as keep-alive allows

Callers lose a response, and a request that may run once gets 502, if a sound server is silent for little more than a second while its connection waits. Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up. At 2 s it ended an idle connection two seconds after its last byte, of which the first second passes before a probe: a silence of 1 s was enough, where the probes' own count allows 3 s. Evidence: TestSilentServerKept read the options of a connection and failed with 1 s. The timeout is now what keep-alive allows, 4 s.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -17,8 +17,9 @@
 
 const (
 	dialTimeout = 700 * time.Millisecond
-	// userTimeout closes a connection whose peer leaves sent data unacknowledged for this long.
-	userTimeout     = 2 * time.Second
+	// userTimeout closes a connection whose peer leaves sent data, or keep-alive probes, unacknowledged for this long. It is
+	// the time that keepAlive allows, which it would cut short otherwise.
+	userTimeout     = 4 * time.Second
 	readBufferBytes = 8 << 10
 	// maxInlineBody is the largest body, in bytes, that is written before the response is read. A longer one is
 	// written concurrently, since a backend server may respond before it has read the whole body.
--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/clock"
@@ -241,3 +242,38 @@
 		})
 	}
 }
+
+// TestSilentServerKept guards against connections to sound servers that are closed after a silence of little more than a
+// second: TCP_USER_TIMEOUT also ends connections whose keep-alive probes are unanswered, whatever their number.
+func TestSilentServerKept(t *testing.T) {
+	const silence = 2 * time.Second
+	address, _ := serveScript(t, complete)
+	c := New(clock.Boottime{}, echoDialect{})
+	l, err := c.connect(context.Background(), call(address, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.conn.Close() }()
+	raw, err := l.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	option := func(level, name int) time.Duration {
+		var n int
+		var optionErr error
+		if err := raw.Control(func(fd uintptr) { n, optionErr = unix.GetsockoptInt(int(fd), level, name) }); err != nil || optionErr != nil {
+			t.Fatal(err, optionErr)
+		}
+		return time.Duration(n)
+	}
+	firstProbe := option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE) * time.Second
+	userTimeout := option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) * time.Millisecond
+	// The server may become silent just before the first probe.
+	if got := userTimeout - firstProbe; got < silence {
+		t.Errorf("a silence of %v ends the connection, want at least %v", got, silence)
+	}
+	probes := option(unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+	if limit := firstProbe + probes*option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL)*time.Second; limit != userTimeout {
+		t.Errorf("probes end a connection after %v, the user timeout after %v, want the same", limit, userTimeout)
+	}
+}
