TestFleetServerLimit: callers ask limited heads for more than the bound

Traced with the counts of all heads: in a failing run five heads got 18, 19, 20, 25 and 37, 119 in all, each at least twice what its limit allowed, so every limit had ended; the 18 callers together asked for 24 for each head, hardly more than the bound, and placement by chance spreads them. The case has 36 callers now; the bound of 20 is unchanged.

--- a/cmd/savorywing/fleet_limit_test.go
+++ b/cmd/savorywing/fleet_limit_test.go
@@ -58,6 +58,8 @@
 	perSecond float64
 	// entry is the only host that callers ask; negative for all hosts.
 	entry int
+	// callers is the number of callers, who ask each server for more than checkEnd wants.
+	callers int
 	// during happens two seconds after the limit is in force.
 	during func(f *fleetEnv)
 }
@@ -66,19 +68,19 @@
 // against limits that aren't used in full, or hold requests back that other servers could take.
 func TestFleetServerLimit(t *testing.T) {
 	for _, tt := range []limitCase{
-		{"head of a group", "/talk/x", smallModel, (*fleetEnv).headsOf, false, "4", 4, -1, nil},
-		{"all heads of a model", "/talk/x", smallModel, (*fleetEnv).headsOf, true, "4.5", 4.5, -1, nil},
-		{"plain server", "/book/look/x", "", (*fleetEnv).plainServers, false, "5", 5, -1, nil},
-		{"all plain servers", "/book/look/x", "", (*fleetEnv).plainServers, true, "5", 5, -1, nil},
-		{"all callers at one host", "/book/x", "", (*fleetEnv).plainServers, true, "8", 8, 1, nil},
-		{"leader lost", "/book/look/x", "", (*fleetEnv).plainServers, true, "4", 4, -1, func(f *fleetEnv) {
+		{"head of a group", "/talk/x", smallModel, (*fleetEnv).headsOf, false, "4", 4, -1, 18, nil},
+		{"all heads of a model", "/talk/x", smallModel, (*fleetEnv).headsOf, true, "4.5", 4.5, -1, 36, nil},
+		{"plain server", "/book/look/x", "", (*fleetEnv).plainServers, false, "5", 5, -1, 18, nil},
+		{"all plain servers", "/book/look/x", "", (*fleetEnv).plainServers, true, "5", 5, -1, 18, nil},
+		{"all callers at one host", "/book/x", "", (*fleetEnv).plainServers, true, "8", 8, 1, 18, nil},
+		{"leader lost", "/book/look/x", "", (*fleetEnv).plainServers, true, "4", 4, -1, 18, func(f *fleetEnv) {
 			leader := f.leader()
 			leader.Kill()
 			f.stopped[leader] = true
 		}},
-		{"entry host restarted", "/book/look/x", "", (*fleetEnv).plainServers, true, "4", 4, -1, func(f *fleetEnv) { f.restartEntry(2) }},
-		{"no number", "/book/look/x", "", (*fleetEnv).plainServers, true, "NaN", 1e6, -1, nil},
-		{"zero", "/book/look/x", "", (*fleetEnv).plainServers, false, "0", 0, -1, nil},
+		{"entry host restarted", "/book/look/x", "", (*fleetEnv).plainServers, true, "4", 4, -1, 18, func(f *fleetEnv) { f.restartEntry(2) }},
+		{"no number", "/book/look/x", "", (*fleetEnv).plainServers, true, "NaN", 1e6, -1, 18, nil},
+		{"zero", "/book/look/x", "", (*fleetEnv).plainServers, false, "0", 0, -1, 18, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -137,6 +139,7 @@
 func (tt limitCase) checkEnd(t *testing.T, servers []*standin.Server, ended time.Time) {
 	t.Helper()
 	for _, s := range servers {
+		t.Logf("%s: %d requests in 2s after the end of its limit", s.ID, countAfter(s.Arrivals(), ended))
 		if n := countAfter(s.Arrivals(), ended); float64(n) < 4*max(tt.perSecond, 5) && tt.perSecond < 1e6 {
 			t.Errorf("%s got %d requests in 2s after the end of its limit, want %.0f at least", s.ID, n, 4*max(tt.perSecond, 5))
 		}
@@ -154,7 +157,7 @@
 // startLimitLoad starts callers of a case that run until stop is closed. Each rejection must come at once, with a time.
 func (f *fleetEnv) startLimitLoad(tt limitCase) *limitLoad {
 	l := &limitLoad{stop: make(chan struct{})}
-	for n := range 18 {
+	for n := range tt.callers {
 		entry := n % len(f.entries)
 		if tt.entry >= 0 {
 			entry = tt.entry
