A refused connection proves the end of a server only if no other host reaches it

Requests could be quarantined because the paths of their hosts had failed. Cause: hosts take a refused connection, or one closed at once, for the proof that a server has crashed under its requests, and report that to the leader, which blocks requests that crash servers. When the paths of a host are reset, every server refuses it.

Change: the host asks other entry hosts, which dial the server and four others. The end is proven by a host that reaches one of those and not the server, so that a host that is cut off too proves nothing. Hosts answer by dialling, no longer by what they remember.

--- a/cmd/savorywing/fleet_forward_test.go
+++ b/cmd/savorywing/fleet_forward_test.go
@@ -240,3 +240,25 @@
 	}
 	f.cutOff(len(f.entries), cut, others...)
 }
+
+// TestFleetCutNotTakenForCrashes guards against requests being quarantined because the paths of their hosts were reset: a
+// refused connection proves the end of a server only if other servers are reached.
+func TestFleetCutNotTakenForCrashes(t *testing.T) {
+	t.Parallel()
+	log := &logRecorder{}
+	f := newFleetEnv(t, 3, 6, 20, withPaths, func(f *fleetEnv) { f.logOutput = log })
+	f.waitServing()
+	l := f.startCutLoad()
+	for range 4 {
+		time.Sleep(time.Second)
+		f.cutOff(4, standin.CutReset)
+		time.Sleep(time.Second)
+		f.cutOff(4, standin.NoCut)
+	}
+	l.end()
+	for _, line := range log.lines(t) {
+		if line["proven"] == true || (line["event"] == "connectionsEnded" && line["ended"] == true) {
+			t.Errorf("a server counts as ended: %v", line)
+		}
+	}
+}
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -54,10 +54,13 @@
 
 // mayAskOthers reports whether other entry hosts are known that may take the request.
 func (r *callerRequest) mayAskOthers() bool {
-	g := r.gateway
+	return !r.forwarded && r.gateway.hasPeers()
+}
+
+func (g *Gateway) hasPeers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !r.forwarded && g.peers.Len() > 0
+	return g.peers.Len() > 0
 }
 
 // handOver lets another host serve a request that this one couldn't send to any server, and reports whether it did. It does so
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -162,41 +163,33 @@
 	return nil
 }
 
-// answerReach returns which servers this host reaches. It dials those that have sent nothing lately.
+// answerReach dials servers for another host and returns which of them this one reaches.
 func (g *Gateway) answerReach(q wire.ReachQuery) *wire.ForwardReply {
 	if g.stopping.Load() || g.missesServers() {
 		return &wire.ForwardReply{Reason: refusedCutOff}
 	}
+	targets := g.knownTargets(q.Servers)
+	missed := g.dialAll(targets)
 	reply := &wire.ForwardReply{Reached: []string{}}
-	unknown := g.splitReached(q.Servers, reply)
-	missed := map[string]bool{}
-	for _, t := range g.dialAll(unknown) {
-		missed[t.ID] = true
-	}
-	for _, t := range unknown {
-		if !missed[t.ID] {
+	for _, t := range targets {
+		if !slices.Contains(missed, t) {
 			reply.Reached = append(reply.Reached, t.ID)
 		}
 	}
 	return reply
 }
 
-// splitReached adds to a reply the servers that have sent something lately, and returns the other ones that are known here.
-func (g *Gateway) splitReached(servers []wire.ServerAddress, reply *wire.ForwardReply) []placement.Target {
+// knownTargets returns those of the servers that are endpoints here; no other address is dialled.
+func (g *Gateway) knownTargets(servers []wire.ServerAddress) []placement.Target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
-	var unknown []placement.Target
+	var known []placement.Target
 	for _, s := range servers {
-		t := placement.Target{ID: s.ID, Address: s.Address}
-		switch {
-		case g.balancer.HasResponded(now, t):
-			reply.Reached = append(reply.Reached, t.ID)
-		case g.balancer.Knows(t):
-			unknown = append(unknown, t)
+		if t := (placement.Target{ID: s.ID, Address: s.Address}); g.balancer.Knows(t) {
+			known = append(known, t)
 		}
 	}
-	return unknown
+	return known
 }
 
 // forwardedExchange is the exchange with another entry host for its caller. It implements savorywing.Exchange.
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -79,17 +80,36 @@
 	return false
 }
 
+// referenceServers is the number of other servers by which another host shows that its own paths are sound.
+const referenceServers = 4
+
+// isReachedByNobody reports whether another entry host, which reaches other servers, doesn't reach the server of a decision
+// either, or whether there is no host to ask.
+func (g *Gateway) isReachedByNobody(d placement.Decision) bool {
+	if !g.hasPeers() {
+		return true
+	}
+	targets, _ := g.sample(referenceServers, map[string]bool{d.ID: true})
+	isReached, isConfirmed := false, false
+	g.askOthers(append(targets, placement.Target{ID: d.ID, Address: d.Address}), func(reached []string) bool {
+		isReached = isReached || slices.Contains(reached, d.ID)
+		isConfirmed = isConfirmed || len(reached) > 0
+		return isConfirmed
+	})
+	return isConfirmed && !isReached
+}
+
 // resolveTimeout bounds the time to find out whether a server has ended.
 const resolveTimeout = 500 * time.Millisecond
 
 // resolveLoss finds out whether a server has ended: nothing listens at its address then, or a proxy that finds nobody
-// behind it closes the connection. Of a server that is unreachable for another reason, or that keeps the connection, the
-// leader will know if it starts again.
+// behind it closes the connection, and no other entry host reaches it. Of a server that is unreachable for another
+// reason, or that keeps the connection, the leader will know if it starts again.
 func (g *Gateway) resolveLoss(d placement.Decision) {
 	ctx, cancel := context.WithTimeout(g.ctx, resolveTimeout)
 	defer cancel()
 	err := g.engines.Probe(ctx, d.Address)
-	ended := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, engine.ErrClosedAtOnce)
+	ended := (errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, engine.ErrClosedAtOnce)) && g.isReachedByNobody(d)
 	g.mu.Lock()
 	g.observer.Resolve(d.ID, d.Born, ended)
 	g.mu.Unlock()
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -136,28 +136,38 @@
 	maxReachHosts = 12
 )
 
-// countElsewhere asks other entry hosts about servers that this one didn't reach, and returns how many one of them reaches.
+// countElsewhere returns how many of the servers that this host didn't reach another entry host reaches.
 func (g *Gateway) countElsewhere(missed []placement.Target) int {
-	if len(missed) == 0 {
-		return 0
+	most := 0
+	if len(missed) > 0 {
+		g.askOthers(missed, func(reached []string) bool {
+			most = max(most, len(reached))
+			return true
+		})
 	}
-	servers := make([]wire.ServerAddress, 0, len(missed))
-	for _, t := range missed {
+	return most
+}
+
+// askOthers asks other entry hosts which servers they reach, until isEnough has returned true for an answer. Hosts that are
+// cut off give no answer.
+func (g *Gateway) askOthers(targets []placement.Target, isEnough func(reached []string) bool) {
+	servers := make([]wire.ServerAddress, 0, len(targets))
+	for _, t := range targets {
 		servers = append(servers, wire.ServerAddress{ID: t.ID, Address: t.Address})
 	}
-	most := 0
 	var asked []string
-	for most == 0 && len(asked) < maxReachHosts {
+	for enough := false; !enough && len(asked) < maxReachHosts; {
 		hosts := g.pickPeers(reachHosts, asked)
 		if len(hosts) == 0 {
-			break
+			return
 		}
 		asked = append(asked, hosts...)
-		for _, n := range g.askReach(hosts, servers) {
-			most = max(most, n)
+		for _, reached := range g.askReach(hosts, servers) {
+			if reached != nil && isEnough(reached) {
+				enough = true
+			}
 		}
 	}
-	return most
 }
 
 func (g *Gateway) pickPeers(n int, without []string) []string {
@@ -174,21 +184,22 @@
 	return hosts
 }
 
-// askReach returns how many of the servers each host reaches.
-func (g *Gateway) askReach(hosts []string, servers []wire.ServerAddress) []int {
-	counts := make([]int, len(hosts))
+// askReach returns which of the servers each host reaches; nil for a host that gives no answer.
+func (g *Gateway) askReach(hosts []string, servers []wire.ServerAddress) [][]string {
+	answers := make([][]string, len(hosts))
 	var questions sync.WaitGroup
 	for i, host := range hosts {
 		questions.Go(func() {
 			reached, err := g.forwardClient.Reach(g.ctx, host, reachTimeout, servers)
 			if err != nil {
 				g.recordRefusal("", host, err)
+				return
 			}
-			counts[i] = len(reached)
+			answers[i] = append([]string{}, reached...)
 		})
 	}
 	questions.Wait()
-	return counts
+	return answers
 }
 
 // sample returns servers to dial, and the number of all known ones.
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -232,7 +232,7 @@
 	if e == nil {
 		return
 	}
-	e.progressAt, e.respondedAt, e.progressed = now, now, true
+	e.progressAt, e.progressed = now, true
 	if gap > 0 {
 		updateMean(&e.gap, gap)
 		mean := b.gaps[res.key]
@@ -309,7 +309,6 @@
 	}
 	switch r {
 	case Served:
-		e.respondedAt = now
 		e.recordOutcome(now, false)
 		updateMean(&e.occupancy, now.Sub(res.sent))
 		occupancy := b.occupancies[res.key]
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -25,8 +25,6 @@
 	reported int
 	// progressAt is when a response last made progress, or a request was sent while none was in flight.
 	progressAt time.Time
-	// respondedAt is when a response last made progress.
-	respondedAt time.Time
 	// progressed reports whether a response has made progress since the last usage report.
 	progressed bool
 	// started is the number of this host's requests in flight that have received an event.
--- a/process/placement/sample.go
+++ b/process/placement/sample.go
@@ -7,20 +7,12 @@
 	ID, Address string
 }
 
-// responseMemory is how long after a response a server counts as reached.
-const responseMemory = 200 * time.Millisecond
-
 // Knows reports whether a target is an endpoint.
 func (b *Balancer) Knows(t Target) bool {
 	e := b.byID[t.ID]
 	return e != nil && e.Address == t.Address
 }
 
-// HasResponded reports whether a target is an endpoint whose responses have made progress lately.
-func (b *Balancer) HasResponded(now time.Time, t Target) bool {
-	return b.Knows(t) && now.Sub(b.byID[t.ID].respondedAt) < responseMemory
-}
-
 // ForgetFailures makes all endpoints count as sound again, after failures that were not theirs.
 func (b *Balancer) ForgetFailures() {
 	for _, e := range b.byID {
