Tests of what a host refuses, of requests handed on once, and of their log lines

What another host's request is refused for (stopping, cut off, older or unconfirmed document, no capacity), and that such a host isn't listed; that a request is handed on once; that the logs of both hosts name the other one. Questions which servers a host reaches no longer log a refused request.

--- a/cmd/savorywing/fleet_forward_test.go
+++ b/cmd/savorywing/fleet_forward_test.go
@@ -262,3 +262,28 @@
 		}
 	}
 }
+
+// TestFleetForwardedRequestLogged guards against requests whose path between the hosts can't be found in their logs.
+func TestFleetForwardedRequestLogged(t *testing.T) {
+	t.Parallel()
+	log := &logRecorder{}
+	f := newFleetEnv(t, 3, 2, 10, withPaths, func(f *fleetEnv) { f.logOutput = log })
+	f.waitServing()
+	f.cutOffUntilForwarded(1, standin.CutReset)
+	time.Sleep(time.Second)
+	r := f.send(0, "/talk/x", smallModel, fleetKey, nil)
+	time.Sleep(100 * time.Millisecond)
+	found := map[any]any{}
+	for _, line := range log.lines(t) {
+		if line["request"] == r.requestID {
+			found[line["event"]] = line["peer"]
+			if line["event"] == "served" {
+				found["served"] = line["receivedBy"]
+			}
+		}
+	}
+	peers := f.entryPeers()
+	if found["forwarded"] != peers[1] || found["served"] != peers[0] {
+		t.Errorf("status %d, found %v, want a line of the host that handed the request to %s and one of the host that served it for %s", r.status, found, peers[1], peers[0])
+	}
+}
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -137,7 +137,10 @@
 		tried = append(tried, host)
 		s, err := g.forwardClient.Offer(ctx, host, offerTimeout, offer)
 		if err != nil {
-			g.recordRefusal(r.caller.AttemptID, host, err)
+			reason := g.avoidPeer(host, err)
+			g.telemetry.Count("forward_refused", "reason", reason)
+			g.logProblem("forwardRefused").Str("request", r.caller.AttemptID).Str("peer", host).Str("reason", reason).Err(err).
+				Msg("another entry host doesn't take a request")
 			continue
 		}
 		err = r.relayForwarded(ctx, s, host)
@@ -148,10 +151,10 @@
 	return errNoForwarder
 }
 
-// recordRefusal makes later requests avoid a host for a time that has refused one or didn't answer.
-func (g *Gateway) recordRefusal(request, host string, err error) {
+// avoidPeer makes later requests avoid a host for a time that has refused one or didn't answer, and returns the reason.
+func (g *Gateway) avoidPeer(host string, err error) (reason string) {
 	pause := forwarding.UnreachablePause
-	reason := "unreachable"
+	reason = "unreachable"
 	var refused forward.RefusedError
 	if errors.As(err, &refused) {
 		reason = refused.Reason
@@ -162,8 +165,7 @@
 	g.mu.Lock()
 	g.peers.Avoid(g.clock.Now(), host, pause)
 	g.mu.Unlock()
-	g.telemetry.Count("forward_refused", "reason", reason)
-	g.logProblem("forwardRefused").Str("request", request).Str("peer", host).Str("reason", reason).Err(err).Msg("another entry host doesn't take a request")
+	return reason
 }
 
 // errDeclined means that the other host hasn't run the request, since it couldn't either.
--- /dev/null
+++ b/process/gateway/intake_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"savorywing.example/savorywing/platform"
+	"savorywing.example/savorywing/process/forwarding"
+	"savorywing.example/savorywing/process/reach"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/version/instance"
+	"savorywing.example/savorywing/wire"
+)
+
+// newTestGateway returns an entry host with version 7 of a document, confirmed just now.
+func newTestGateway(t *testing.T) *Gateway {
+	t.Helper()
+	s := &instance.Settings{Role: "entry", IP: "127.0.0.1", PeerPorts: []int{0}, CPUShare: 1, MaxDescriptors: 16}
+	s.Defaults()
+	g, err := New(s, platform.Dialect{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Kill)
+	g.catalogue.Store(&catalogue.Catalogue{})
+	g.subscription.version, g.subscription.confirmedAt = 7, g.clock.Now()
+	return g
+}
+
+// TestAdmitOffer checks which requests of other hosts are refused, and that such a host isn't listed either.
+func TestAdmitOffer(t *testing.T) {
+	lost := reach.Round{Known: 60, Dialled: 5, Elsewhere: 5}
+	tests := []struct {
+		name    string
+		prepare func(g *Gateway)
+		version uint64
+		want    string
+		listed  bool
+	}{
+		{"taken", func(*Gateway) {}, 7, "", true},
+		{"of a host with an older document", func(*Gateway) {}, 6, "", true},
+		{"of a host with a newer document", func(*Gateway) {}, 8, refusedDocument, true},
+		{"stopping", func(g *Gateway) { g.stopping.Store(true) }, 7, refusedStopping, false},
+		{"cut off", func(g *Gateway) { g.reach.Begin(g.clock.Now()); g.reach.Conclude(g.clock.Now(), lost) }, 7, refusedCutOff, false},
+		{"document unconfirmed", func(g *Gateway) { g.subscription.confirmedAt = g.clock.Now().Add(-time.Minute) }, 7, refusedDocument, false},
+		{"no capacity", func(g *Gateway) {
+			for range 2 {
+				g.intake.Admit(g.clock.Now(), 10)
+			}
+		}, 7, refusedBusy, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newTestGateway(t)
+			tt.prepare(g)
+			if got := g.admitOffer(wire.ForwardOffer{Version: tt.version, Bytes: 10}); got != tt.want {
+				t.Errorf("%q, want %q", got, tt.want)
+			}
+			if got := g.forwardProtocol() == forwarding.Protocol; got != tt.listed {
+				t.Errorf("listed: %v, want %v", got, tt.listed)
+			}
+		})
+	}
+}
+
+// TestForwardedOnce checks that a host never hands on a request that another one has handed to it.
+func TestForwardedOnce(t *testing.T) {
+	g := newTestGateway(t)
+	g.peers.Set(g.clock.Now(), []wire.Forwarder{{Address: "127.0.0.1:1"}})
+	g.reach.Begin(g.clock.Now())
+	g.reach.Conclude(g.clock.Now(), reach.Round{Known: 60, Dialled: 5, Elsewhere: 5})
+	for _, forwarded := range []bool{false, true} {
+		r := &callerRequest{gateway: g, forwarded: forwarded, unreachable: 1}
+		if got := r.isCutOff() && r.mayAskOthers(); got == forwarded {
+			t.Errorf("handed on: %v, for a request that was forwarded: %v", got, forwarded)
+		}
+	}
+}
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -192,7 +192,8 @@
 		questions.Go(func() {
 			reached, err := g.forwardClient.Reach(g.ctx, host, reachTimeout, servers)
 			if err != nil {
-				g.recordRefusal("", host, err)
+				reason := g.avoidPeer(host, err)
+				g.log.Debug().Str("event", "reachRefused").Str("peer", host).Str("reason", reason).Err(err).Msg("another entry host doesn't say which servers it reaches")
 				return
 			}
 			answers[i] = append([]string{}, reached...)
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -37,7 +37,6 @@
 	// restored counts the successive rounds that have found the paths sound while the state is not Direct.
 	restored     int
 	lastResponse time.Time
-	since        time.Time
 	// missed reports whether the last round has reached less than half of the servers that it dialled.
 	missed bool
 }
@@ -45,9 +44,6 @@
 // State returns the current state.
 func (t *Tracker) State() State { return t.state }
 
-// Since returns when the current state began; zero if it has never changed.
-func (t *Tracker) Since() time.Time { return t.since }
-
 // RecordResponse records that bytes of a response arrived directly from a server.
 func (t *Tracker) RecordResponse(now time.Time) { t.lastResponse = now }
 
@@ -84,9 +80,6 @@
 	}
 	t.state = next
 	t.notBefore = now.Add(pause(next, r))
-	if next != old {
-		t.since = now
-	}
 	return next != old
 }
 
