Requests that a host can't place in time are handed over while its paths are in doubt; hosts to be avoided are asked last

Callers got 503 in the first second after a cut, or beside load, although other hosts could serve. Now full is handed over too while the last round missed most servers, avoided hosts are asked last, within 600 ms in all, and only the series itself starts rounds while paths are lost.

--- a/process/forwarding/peers.go
+++ b/process/forwarding/peers.go
@@ -50,14 +50,21 @@
 
 // Pick returns a host to ask, or false if there is none. It compares two hosts at random, since other hosts choose at the
 // same time and all would choose the same one. Of two with as many requests of this host, the one in the same data centre is
-// nearer.
+// nearer. Hosts that are to be avoided come last.
 func (p *Peers) Pick(now time.Time, tried []string) (string, bool) {
-	var list []*peerHost
+	var list, avoided []*peerHost
 	for _, h := range p.hosts {
-		if !slices.Contains(tried, h.address) && !now.Before(h.avoidUntil) {
+		switch {
+		case slices.Contains(tried, h.address):
+		case now.Before(h.avoidUntil):
+			avoided = append(avoided, h)
+		default:
 			list = append(list, h)
 		}
 	}
+	if len(list) == 0 {
+		list = avoided
+	}
 	if len(list) == 0 {
 		return "", false
 	}
@@ -88,7 +95,7 @@
 	}
 }
 
-// Avoid makes Pick leave out a host for a time.
+// Avoid makes Pick prefer other hosts for a time.
 func (p *Peers) Avoid(now time.Time, address string, pause time.Duration) {
 	if h := p.hosts[address]; h != nil {
 		h.avoidUntil = now.Add(pause)
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -124,7 +124,7 @@
 
 // endUnplaced ends a request that can't be sent to a server, unless another entry host serves it.
 func (r *callerRequest) endUnplaced(ctx context.Context, now time.Time, d placement.Decision) {
-	if d.Reason == placement.ReasonNoEndpoint && r.handOver(ctx) {
+	if d.Reason.IsTransient() && r.handOver(ctx) {
 		return
 	}
 	r.endUnserved(now, d)
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -23,8 +23,9 @@
 const (
 	// offerTimeout bounds the time to connect to another entry host and to get its answer.
 	offerTimeout = 300 * time.Millisecond
-	// maxOffers bounds the hosts that are asked in turn for one request.
-	maxOffers = 4
+	// maxOffers and maxOfferTime bound the hosts that are asked in turn for one request, and the time for that.
+	maxOffers    = 4
+	maxOfferTime = 2 * offerTimeout
 	// forwardSilence is how long a host may send nothing for a request that can be sent again: several times the interval at
 	// which it shows that it is at work.
 	forwardSilence = 1500 * time.Millisecond
@@ -63,10 +64,12 @@
 	return g.peers.Len() > 0
 }
 
-// handOver lets another host serve a request that this one couldn't send to any server, and reports whether it did. It does so
-// only while it is open whether this host's paths have failed, or the servers.
+// handOver lets another host serve a request that this one can't place, and reports whether it did. It does so only while it
+// is open whether this host's paths have failed, or the servers.
 func (r *callerRequest) handOver(ctx context.Context) bool {
-	if r.unreachable == 0 || !r.mayAskOthers() || !r.gateway.pathsInDoubt() {
+	g := r.gateway
+	isInDoubt := g.missesServers() || (r.unreachable > 0 && g.pathsInDoubt())
+	if !isInDoubt || !r.mayAskOthers() {
 		return false
 	}
 	for r.runForwarded(ctx) {
@@ -127,7 +130,8 @@
 	request := httpRequest(r)
 	offer := wire.ForwardOffer{Host: g.settings().PeerAddress(), Version: g.subscription.documentVersion(), Bytes: len(request.Body()) + len(request.Header.RawHeaders())}
 	var tried []string
-	for range maxOffers {
+	start := g.clock.Now()
+	for len(tried) < maxOffers && g.clock.Now().Sub(start) < maxOfferTime {
 		g.mu.Lock()
 		host, found := g.peers.Pick(g.clock.Now(), tried)
 		g.mu.Unlock()
@@ -136,6 +140,12 @@
 		}
 		tried = append(tried, host)
 		s, err := g.forwardClient.Offer(ctx, host, offerTimeout, offer)
+		if ctx.Err() != nil {
+			if err == nil {
+				s.Close()
+			}
+			return errNoForwarder
+		}
 		if err != nil {
 			reason := g.avoidPeer(host, err)
 			g.telemetry.Count("forward_refused", "reason", reason)
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -100,11 +100,8 @@
 		case <-time.After(reach.RoundInterval):
 		}
 		g.mu.Lock()
-		due := g.reach.Begin(g.clock.Now())
+		g.reach.Continue()
 		g.mu.Unlock()
-		if !due {
-			return
-		}
 	}
 }
 
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -50,15 +50,19 @@
 // IsSilent reports whether no bytes of a response have arrived for a time.
 func (t *Tracker) IsSilent(now time.Time, d time.Duration) bool { return now.Sub(t.lastResponse) >= d }
 
-// Begin reports whether a round is due after a failure, and if so, marks it as running until Conclude.
+// Begin reports whether a round is due after a failure, and if so, marks it as running until Conclude. While paths are not
+// Direct, rounds follow each other without a failure; see Continue.
 func (t *Tracker) Begin(now time.Time) bool {
-	if t.running || now.Before(t.notBefore) {
+	if t.running || t.state != Direct || now.Before(t.notBefore) {
 		return false
 	}
 	t.running = true
 	return true
 }
 
+// Continue marks the next round as running until Conclude, while paths are not Direct.
+func (t *Tracker) Continue() { t.running = true }
+
 // MissedMost reports whether the last round has reached less than half of the servers that it dialled.
 func (t *Tracker) MissedMost() bool { return t.missed }
 
@@ -79,15 +83,12 @@
 		t.restored = 0
 	}
 	t.state = next
-	t.notBefore = now.Add(pause(next, r))
+	t.notBefore = now.Add(pause(r))
 	return next != old
 }
 
-func pause(s State, r Round) time.Duration {
-	switch {
-	case s != Direct:
-		return RoundInterval
-	case r.Reached == r.Dialled:
+func pause(r Round) time.Duration {
+	if r.Reached == r.Dialled {
 		return soundInterval
 	}
 	return doubtInterval
