reach: rounds go on until most servers are reached again

A host refused other hosts' requests, and handed on its own ones that were rejected as full, for as long as nothing failed after a round that had missed most servers, as in a crash of many: such a round left the mark in place, and only the next failure starts a round.

--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -48,17 +48,8 @@
 // WriteError implements savorywing.Exchange.
 func (x *Exchange) WriteError(r savorywing.ErrorResponse) {
 	var h fasthttp.ResponseHeader
-	h.SetNoDefaultContentType(true)
-	h.SetStatusCode(r.Status)
-	h.SetContentType("text/plain; charset=utf-8")
-	if r.RetryAfter > 0 {
-		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	if r.SetHeaders != nil {
-		r.SetHeaders(&h)
-	}
-	body := r.Reason + "\n"
-	if err := x.Start(&h, len(body), []byte(body)); err != nil {
+	body := r.Encode(&h)
+	if err := x.Start(&h, len(body), body); err != nil {
 		x.failed = true
 	}
 }
--- a/exchange.go
+++ b/exchange.go
@@ -1,6 +1,7 @@
 package savorywing
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,6 +16,20 @@
 	SetHeaders func(*fasthttp.ResponseHeader)
 }
 
+// Encode sets the header of the response and returns its body.
+func (r ErrorResponse) Encode(h *fasthttp.ResponseHeader) []byte {
+	h.SetNoDefaultContentType(true)
+	h.SetStatusCode(r.Status)
+	h.SetContentType("text/plain; charset=utf-8")
+	if r.RetryAfter > 0 {
+		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	if r.SetHeaders != nil {
+		r.SetHeaders(h)
+	}
+	return []byte(r.Reason + "\n")
+}
+
 // Exchange is one request and its response. Its methods must be called from one goroutine. Methods that send something
 // return an error if the caller is gone.
 type Exchange interface {
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -76,13 +76,13 @@
 	}
 }
 
-// runRounds runs a round, and further ones until the servers are reached directly.
+// runRounds runs a round, and further ones until most servers are reached directly.
 func (g *Gateway) runRounds() {
 	for {
 		r := g.runRound()
 		g.mu.Lock()
 		changed := g.reach.Conclude(g.clock.Now(), r)
-		state := g.reach.State()
+		state, settled := g.reach.State(), g.reach.IsSettled()
 		if changed && state == reach.Direct {
 			g.balancer.ForgetFailures()
 		}
@@ -91,7 +91,7 @@
 			g.subscription.wakeUp()
 		}
 		g.logRound(r, state, changed)
-		if state == reach.Direct {
+		if settled {
 			return
 		}
 		select {
--- a/process/reach/doc.go
+++ b/process/reach/doc.go
@@ -19,7 +19,7 @@
 	majority = 2
 	// restoringRounds is the number of successive rounds after which lost paths count as restored.
 	restoringRounds = 2
-	// RoundInterval is the time between two rounds while paths are lost.
+	// RoundInterval is the time between two rounds while the paths are lost, or most servers are not reached.
 	RoundInterval = 300 * time.Millisecond
 	// soundInterval is the minimum time between two rounds that find all paths sound, and doubtInterval that after any other.
 	soundInterval = 1 * time.Second
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -50,17 +50,19 @@
 // IsSilent reports whether no bytes of a response have arrived for a time.
 func (t *Tracker) IsSilent(now time.Time, d time.Duration) bool { return now.Sub(t.lastResponse) >= d }
 
-// Begin reports whether a round is due after a failure, and if so, marks it as running until Conclude. While paths are not
-// Direct, rounds follow each other without a failure; see Continue.
+// IsSettled reports whether no round is needed until the next failure. Otherwise rounds follow each other; see Continue.
+func (t *Tracker) IsSettled() bool { return t.state == Direct && !t.missed }
+
+// Begin reports whether a round is due after a failure, and if so, marks it as running until Conclude.
 func (t *Tracker) Begin(now time.Time) bool {
-	if t.running || t.state != Direct || now.Before(t.notBefore) {
+	if t.running || !t.IsSettled() || now.Before(t.notBefore) {
 		return false
 	}
 	t.running = true
 	return true
 }
 
-// Continue marks the next round as running until Conclude, while paths are not Direct.
+// Continue marks the next round as running until Conclude, after one that hasn't settled the state.
 func (t *Tracker) Continue() { t.running = true }
 
 // MissedMost reports whether the last round has reached less than half of the servers that it dialled.
--- a/process/reach/tracker_test.go
+++ b/process/reach/tracker_test.go
@@ -39,7 +39,7 @@
 			now := at
 			tr.RecordResponse(now.Add(-tt.response))
 			for i, r := range tt.rounds {
-				if tr.State() != Direct {
+				if !tr.IsSettled() {
 					tr.Continue()
 				} else if !tr.Begin(now) {
 					t.Fatalf("round %d doesn't begin", i)
@@ -80,12 +80,21 @@
 			}
 		})
 	}
-	t.Run("lost", func(t *testing.T) {
-		var tr Tracker
-		tr.Begin(at)
-		tr.Conclude(at, Round{60, 5, 0, 5})
-		if tr.Begin(at.Add(time.Hour)) {
-			t.Error("a failure starts a second series of rounds")
-		}
-	})
+	for name, round := range map[string]Round{"lost": {60, 5, 0, 5}, "most servers down": {60, 5, 1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			var tr Tracker
+			tr.Begin(at)
+			tr.Conclude(at, round)
+			if tr.IsSettled() || tr.Begin(at.Add(time.Hour)) {
+				t.Error("a failure starts a second series of rounds")
+			}
+			for range restoringRounds {
+				tr.Continue()
+				tr.Conclude(at, Round{60, 5, 4, 0})
+			}
+			if !tr.IsSettled() || tr.MissedMost() {
+				t.Error("rounds that reach the servers settle nothing")
+			}
+		})
+	}
 }
