--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -12,6 +12,7 @@
 	"savorywing.example/savorywing/connection/forward"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/reach"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -156,7 +157,7 @@
 
 // answerReach dials servers for another host and returns which of them this one reaches.
 func (g *Gateway) answerReach(q wire.ReachQuery) *wire.ForwardReply {
-	if g.stopping.Load() || g.missesServers() {
+	if g.stopping.Load() || g.pathState() != reach.Direct {
 		return &wire.ForwardReply{Reason: refusedCutOff}
 	}
 	targets := g.knownTargets(q.Servers)
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -139,7 +139,7 @@
 	if len(missed) > 0 {
 		g.askOthers(missed, func(reached []string) bool {
 			most = max(most, len(reached))
-			return true
+			return len(reached) > 0
 		})
 	}
 	return most
