reach: whether paths are settled is decided in one place

The gateway combined the tracker's last round and its state twice, to what the tracker's IsSettled says already; MissedMost was left for that alone. Both callers use IsSettled and InDoubt, which covers the state. Behaviour is the same; a test's assertion uses InDoubt, which is false only if MissedMost was. Run: process/reach, process/gateway, TestFleetEntryHostsCutOff, TestFleetAllEntryHostsCutOff, two proofs, the linter.

--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -33,14 +33,14 @@
 func (g *Gateway) pathsInDoubt() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.reach.InDoubt() || g.reach.State() != reach.Direct
+	return g.reach.InDoubt()
 }
 
 // missesServers reports whether this host doesn't reach the servers, or didn't reach most of those that it last dialled.
 func (g *Gateway) missesServers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.reach.MissedMost() || g.reach.State() != reach.Direct
+	return !g.reach.IsSettled()
 }
 
 // recordResponse records that a server has sent something.
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -65,11 +65,8 @@
 // Continue marks the next round as running until Conclude, after one that hasn't settled the state.
 func (t *Tracker) Continue() { t.running = true }
 
-// MissedMost reports whether the last round has reached less than half of the servers that it dialled.
-func (t *Tracker) MissedMost() bool { return t.missed }
-
-// InDoubt reports whether paths may have failed: a round is running, or the last one has missed most servers.
-func (t *Tracker) InDoubt() bool { return t.running || t.missed }
+// InDoubt reports whether paths may have failed: a round is running, or the last one hasn't settled the state.
+func (t *Tracker) InDoubt() bool { return t.running || !t.IsSettled() }
 
 // Conclude ends a round and reports whether it has changed the state.
 func (t *Tracker) Conclude(now time.Time, r Round) bool {
--- a/process/reach/tracker_test.go
+++ b/process/reach/tracker_test.go
@@ -92,7 +92,7 @@
 				tr.Continue()
 				tr.Conclude(at, Round{60, 5, 4, 0})
 			}
-			if !tr.IsSettled() || tr.MissedMost() {
+			if !tr.IsSettled() || tr.InDoubt() {
 				t.Error("rounds that reach the servers settle nothing")
 			}
 		})
