Tell callers that disconnect from connections that the host closes

A request whose connection the host itself had closed was counted and logged as callerGone, so that the lost request of the incident looked like a caller that left, and the hypotheses couldn't be told apart. The context of a request now has the cause, and the gateway logs and counts connectionClosed for the second one, with whether the host is stopping. The same line stood twice (attempts, forwarded requests) and is one function now.

--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -15,8 +15,13 @@
 // writeTimeout ends a response when a write to the caller doesn't complete within this time.
 const writeTimeout = 5 * time.Second
 
-// ErrCallerGone is returned when a write to the caller's connection fails.
-var ErrCallerGone = errors.New("the caller disconnected")
+// Causes for which a request ends without a response; the context of Handler.Serve is cancelled with one of them.
+var (
+	// ErrCallerGone means that the caller disconnected. It is also returned when a write to the caller's connection fails.
+	ErrCallerGone = errors.New("the caller disconnected")
+	// ErrServerClosed means that this server closed the connection.
+	ErrServerClosed = errors.New("the server closed the connection")
+)
 
 // Exchange implements savorywing.Exchange on a caller's connection.
 type Exchange struct {
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -40,7 +40,8 @@
 
 // Handler serves requests.
 type Handler interface {
-	// Serve responds to one request. ctx is cancelled when the caller disconnects.
+	// Serve responds to one request. ctx is cancelled when the connection ends, with ErrCallerGone or ErrServerClosed as
+	// its cause.
 	Serve(ctx context.Context, x savorywing.Exchange)
 }
 
@@ -107,7 +108,7 @@
 		s.mu.Unlock()
 		if s.closing.Load() {
 			// The connection was accepted while CloseIdle closed the others.
-			_ = nc.Close()
+			c.close()
 		}
 		s.done.Add(1)
 		go func() {
@@ -140,7 +141,7 @@
 	}
 	for c := range s.conns {
 		if !c.busy.Load() {
-			_ = c.conn.Close()
+			c.close()
 		}
 	}
 }
@@ -152,7 +153,7 @@
 		_ = l.Close()
 	}
 	for c := range s.conns {
-		_ = c.conn.Close()
+		c.close()
 	}
 	s.mu.Unlock()
 	s.done.Wait()
@@ -165,10 +166,26 @@
 	reader *bufio.Reader
 	// busy reports whether a request is being read or served.
 	busy atomic.Bool
+	// closed reports whether this server has closed the connection.
+	closed atomic.Bool
 	// closeAfter reports whether the connection is closed after the current response.
 	closeAfter bool
 }
 
+// close closes the connection from any goroutine.
+func (c *conn) close() {
+	c.closed.Store(true)
+	_ = c.conn.Close()
+}
+
+// endCause returns why the connection has ended.
+func (c *conn) endCause() error {
+	if c.closed.Load() {
+		return ErrServerClosed
+	}
+	return ErrCallerGone
+}
+
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
 	defer func() { _ = c.conn.Close() }()
@@ -220,12 +237,12 @@
 		return false
 	}
 	c.setReadDeadline(0)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
 	go func() {
 		_, err := c.reader.Peek(1)
 		if err != nil {
-			cancel()
+			cancel(c.endCause())
 		}
 		peeked <- err
 	}()
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/process/retry"
@@ -99,8 +100,7 @@
 	case outcomeDone:
 		return false
 	case outcomeCallerGone:
-		g.telemetry.Count("requests", "result", "callerGone")
-		g.logProblem("callerGone").Str("request", r.caller.AttemptID).Str("server", d.ID).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Msg("the caller disconnected")
+		r.recordGone(ctx, d.ID)
 		return false
 	case outcomeUnsent:
 		r.unreachable++
@@ -122,6 +122,19 @@
 	return ctx.Err() == nil
 }
 
+// recordGone counts and logs a request whose connection ended before its response was complete. The server is empty if the
+// request was at none.
+func (r *callerRequest) recordGone(ctx context.Context, server string) {
+	g := r.gateway
+	event, message := "callerGone", "the caller disconnected"
+	if errors.Is(context.Cause(ctx), ingress.ErrServerClosed) {
+		event, message = "connectionClosed", "this host closed the connection of a request"
+	}
+	g.telemetry.Count("requests", "result", event)
+	g.logProblem(event).Str("request", r.caller.AttemptID).Str("server", server).Bool("stopping", g.stopping.Load()).
+		Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Msg(message)
+}
+
 // endUnplaced ends a request that can't be sent to a server, unless another entry host serves it.
 func (r *callerRequest) endUnplaced(ctx context.Context, now time.Time, d placement.Decision) {
 	if d.Reason.IsTransient() && r.handOver(ctx) {
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -104,8 +104,7 @@
 	case err == nil:
 		return false
 	case ctx.Err() != nil || errors.Is(err, ingress.ErrCallerGone):
-		g.telemetry.Count("requests", "result", "callerGone")
-		g.logProblem("callerGone").Str("request", r.caller.AttemptID).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Msg("the caller disconnected")
+		r.recordGone(ctx, "")
 		return false
 	case errors.Is(err, errForwardLost):
 		r.mayHaveRun = true
