Connections of callers are ended only by the goroutine that reads from them

What callers saw: a stopping host read a request on a kept connection, passed it on to a server, and closed the connection without a response; others sent a request and found the connection closed.

Cause: CloseIdle decided from outside, by a flag that was set only after the first byte of a request had been handed from one goroutine to another, that a connection was idle, and closed it. A request in between was served on a closed connection: the peek for the next byte failed, which cancelled the attempt.

Change: CloseIdle only wakes connections that wait. The goroutine that reads from a connection decides: it looks once more at what has been received, serves a request if there is one, and otherwise ends the connection with status 408, so that a request that is still on its way has a response that says that it won't run. The same holds for the idle timeout and for the time that a new connection may take for its first request. A connection that was busy when the close began takes no further request; it got none of them a response, now it is 503 (Handler.Reject).

Why this works: nobody but the reader can end a connection between requests, and it does so only after it has found no byte. What arrives later meets the 408, which was sent before.

TestDrain wanted an idle connection to end without a byte; it wants exactly one 408 and the end now.

--- /dev/null
+++ b/connection/ingress/conn.go
@@ -0,0 +1,330 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/socket"
+)
+
+const (
+	// lingerTimeout is how long a connection is still read after its last response, so that a reset doesn't destroy it.
+	lingerTimeout = 300 * time.Millisecond
+	// firstRequestTime is how long a new connection may wait for its first request while the server stops.
+	firstRequestTime = 200 * time.Millisecond
+)
+
+// errHeaderTooLarge replaces the parser's error, which quotes the header and so the caller's key.
+var errHeaderTooLarge = errors.New("the request header exceeds the limit")
+
+// conn is a caller's connection. It carries one request at a time. Only the goroutine that reads from it decides whether it is
+// idle, and ends it then: any other might close it while a request is received. Close is the exception.
+type conn struct {
+	server     *Server
+	conn       net.Conn
+	reader     *bufio.Reader
+	acceptedAt time.Time
+	// used reports whether the connection has carried a request.
+	used bool
+	// closeAfter reports whether the connection is closed after the current response.
+	closeAfter bool
+	// peeked receives the outcome of the peek for the next byte that runs beside a request; nil if none was started.
+	peeked chan error
+
+	mu sync.Mutex
+	// waiting reports whether the connection waits for the first byte of a request.
+	waiting bool
+	// late reports whether the connection had a request when the server began to close connections, so that further
+	// requests are rejected.
+	late bool
+	// closed reports whether the server has closed the connection.
+	closed bool
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	return &conn{server: s, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true}
+}
+
+// close closes the connection from any goroutine.
+func (c *conn) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	_ = c.conn.Close()
+}
+
+// endCause returns why the connection has ended.
+func (c *conn) endCause() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return ErrServerClosed
+	}
+	return ErrCallerGone
+}
+
+// stopWaiting wakes the connection up if it waits for a request, so that it ends.
+func (c *conn) stopWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting {
+		c.late = true
+		return
+	}
+	c.setReadDeadline(c.stopDeadline())
+}
+
+// stopDeadline returns how long a request may be waited for while the server stops. The caller of a new connection is about
+// to send its first one.
+func (c *conn) stopDeadline() time.Time {
+	if c.used {
+		return time.Now()
+	}
+	return c.acceptedAt.Add(firstRequestTime)
+}
+
+// setReadDeadline sets the deadline for all reads. A connection on which it fails has been closed, so that they fail as well.
+func (c *conn) setReadDeadline(t time.Time) { _ = c.conn.SetReadDeadline(t) }
+
+func (c *conn) setReadTimeout(d time.Duration) {
+	deadline := time.Time{}
+	if d > 0 {
+		deadline = time.Now().Add(d)
+	}
+	c.setReadDeadline(deadline)
+}
+
+func (c *conn) serve() {
+	defer c.server.removeConn(c)
+	defer func() { _ = c.conn.Close() }()
+	for c.awaitRequest() {
+		c.server.inFlight.Add(1)
+		ok := c.serveOne()
+		c.server.inFlight.Add(-1)
+		if !ok {
+			return
+		}
+		if c.closeAfter {
+			c.linger()
+			return
+		}
+	}
+}
+
+// awaitRequest waits for the first byte of the next request and reports whether there is one. Otherwise the connection has
+// ended.
+func (c *conn) awaitRequest() bool {
+	timeout := c.server.limits().IdleTimeout
+	if !c.used {
+		timeout = c.server.limits().HeaderTimeout
+	}
+	c.startWaiting(timeout)
+	err := c.awaitByte()
+	if isTimeout(err) {
+		err = c.lookAgain()
+	}
+	c.mu.Lock()
+	c.waiting = false
+	c.mu.Unlock()
+	switch {
+	case err == nil:
+		c.used = true
+		return true
+	case isTimeout(err):
+		c.endIdle()
+	}
+	return false
+}
+
+// startWaiting makes the connection wait for a request until a timeout, or, if the server stops, as long as stopDeadline
+// allows.
+func (c *conn) startWaiting(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+	deadline := time.Time{}
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	if c.server.closing.Load() {
+		deadline = c.stopDeadline()
+	}
+	c.setReadDeadline(deadline)
+}
+
+// awaitByte returns nil once the next byte is in the reader's buffer.
+func (c *conn) awaitByte() error {
+	if c.peeked != nil {
+		err := <-c.peeked
+		c.peeked = nil
+		return err
+	}
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// lookAgain finds out, after the deadline of awaitByte, whether bytes have been received that no read has returned. It returns
+// the error of the deadline if there are none.
+func (c *conn) lookAgain() error {
+	received, err := socket.HasInput(c.conn)
+	if err != nil || !received {
+		return errors.Join(os.ErrDeadlineExceeded, err)
+	}
+	c.setReadTimeout(c.server.limits().HeaderTimeout)
+	_, err = c.reader.Peek(1)
+	return err
+}
+
+// endIdle ends a connection without a request. Its caller may have sent one that hasn't arrived yet: status 408 then tells that
+// it won't run. Callers without one take it for the end of an idle connection (RFC 9110, section 15.5.9).
+func (c *conn) endIdle() {
+	c.closeAfter = true
+	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
+	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusRequestTimeout, Reason: "the connection is closed: notRun"})
+	if n := c.linger(); n > 0 {
+		c.server.crossed.Add(1)
+	}
+}
+
+// serveOne reads and serves one request and reports whether the response is complete, so that the connection can be used
+// further. When it returns true, a peek for the next byte is running.
+func (c *conn) serveOne() bool {
+	limits := c.server.limits()
+	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
+	read, late := c.readRequest, c.isLate()
+	if late {
+		read = c.readHeader
+	}
+	c.setReadTimeout(limits.HeaderTimeout)
+	if err := read(x, limits); err != nil {
+		c.rejectUnreadable(x, err)
+		return false
+	}
+	if late {
+		c.closeAfter = true
+		c.server.handler.Reject(x)
+		return x.isReusable()
+	}
+	c.setReadDeadline(time.Time{})
+	if x.request.ConnectionClose() || c.server.draining.Load() {
+		c.closeAfter = true
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	peeked := make(chan error, 1)
+	c.peeked = peeked
+	go func() {
+		_, err := c.reader.Peek(1)
+		if err != nil {
+			cancel(c.endCause())
+		}
+		peeked <- err
+	}()
+	c.server.handler.Serve(ctx, x)
+	return x.isReusable() && ctx.Err() == nil
+}
+
+func (c *conn) isLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late
+}
+
+func (c *conn) readRequest(x *Exchange, limits Limits) error {
+	if err := c.readHeader(x, limits); err != nil {
+		return err
+	}
+	if x.request.MayContinue() {
+		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes)
+}
+
+// readHeader reads a header of at most MaxHeaderBytes, or readBufferBytes if there is no limit. The parser leaves one that
+// doesn't fit into the buffer unread.
+func (c *conn) readHeader(x *Exchange, limits Limits) error {
+	limit := min(limits.MaxHeaderBytes, maxHeaderBytes)
+	if limit <= 0 {
+		limit = readBufferBytes
+	}
+	err := x.request.Header.Read(c.reader)
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	if errors.As(err, &smallBuffer) && limit > c.reader.Size() {
+		if err := c.growBuffer(limit); err != nil {
+			return err
+		}
+		err = x.request.Header.Read(c.reader)
+	}
+	if errors.As(err, &smallBuffer) || len(x.request.Header.RawHeaders()) > limit {
+		return errHeaderTooLarge
+	}
+	return err
+}
+
+// growBuffer replaces the reader by one with a larger buffer. What the old one holds is read first. Most callers' headers
+// fit into the small buffer that a connection begins with.
+func (c *conn) growBuffer(size int) error {
+	b, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(b), c.conn), size)
+	return nil
+}
+
+// rejectUnreadable sends an error response for a request that could not be read. It sends nothing if the caller
+// disconnected or timed out.
+func (c *conn) rejectUnreadable(x *Exchange, err error) {
+	c.closeAfter = true
+	status := fasthttp.StatusBadRequest
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET):
+		return
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, errHeaderTooLarge):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(err):
+		return
+	}
+	c.server.log.Info().Str("event", "requestUnreadable").Int("status", status).Err(err).Msg("a caller's request could not be read")
+	x.WriteError(savorywing.ErrorResponse{Status: status, Reason: err.Error()})
+	peeked := make(chan error, 1)
+	peeked <- io.EOF
+	c.peeked = peeked
+	c.linger()
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// linger closes the sending side, keeps reading for up to lingerTimeout, and returns the number of bytes read. Closing a
+// connection with unread bytes would reset it and could destroy the response in transit.
+func (c *conn) linger() int64 {
+	if t, ok := c.conn.(*net.TCPConn); ok {
+		if err := t.CloseWrite(); err != nil {
+			return 0
+		}
+	}
+	c.setReadDeadline(time.Now().Add(lingerTimeout))
+	if err := c.awaitByte(); err != nil {
+		return 0
+	}
+	n, _ := io.Copy(io.Discard, c.reader) // nothing received from now on is served
+	return n
+}
--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -20,6 +21,10 @@
 
 func (f handlerFunc) Serve(ctx context.Context, x savorywing.Exchange) { f(ctx, x) }
 
+func (f handlerFunc) Reject(x savorywing.Exchange) {
+	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: "stopping"})
+}
+
 func serve(t *testing.T, h handlerFunc) (*Server, string) {
 	t.Helper()
 	return serveWithHeaderLimit(t, h, 4096)
@@ -233,7 +238,8 @@
 	}
 }
 
-// TestDrain checks that a planned stop completes the requests in flight and closes idle connections.
+// TestDrain checks that a planned stop completes the requests in flight and closes idle connections, with a response for a
+// request that may be on its way.
 func TestDrain(t *testing.T) {
 	s, address := serve(t, func(ctx context.Context, x savorywing.Exchange) {
 		time.Sleep(100 * time.Millisecond)
@@ -248,10 +254,13 @@
 	time.Sleep(30 * time.Millisecond)
 	s.Drain()
 	s.CloseIdle()
-	if _, err := ir.ReadByte(); err == nil {
-		t.Error("the idle connection was not closed")
-	}
 	var resp fasthttp.Response
+	if err := resp.Read(ir); err != nil || resp.StatusCode() != fasthttp.StatusRequestTimeout || !resp.ConnectionClose() {
+		t.Errorf("idle connection: status %d, error %v, Connection: close %v, want 408 and the end", resp.StatusCode(), err, resp.ConnectionClose())
+	}
+	if _, err := ir.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection: got error %v, want its end", err)
+	}
 	if err := resp.Read(r); err != nil || string(resp.Body()) != "hi\n" || !resp.ConnectionClose() {
 		t.Errorf("body %q, error %v, Connection: close %v", resp.Body(), err, resp.ConnectionClose())
 	}
--- a/connection/ingress/stop_test.go
+++ b/connection/ingress/stop_test.go
@@ -190,7 +190,7 @@
 func callOnce(n *stopCounts, c net.Conn, r *bufio.Reader, address string, load stopLoad) {
 	if c == nil {
 		var err error
-		if c, err = net.DialTimeout("tcp", address, 300*time.Millisecond); err != nil {
+		if c, err = net.DialTimeout("tcp", address, 50*time.Millisecond); err != nil {
 			n.recordClosed()
 			return
 		}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -20,6 +20,12 @@
 // new connection take about as long. Jitter keeps callers from retrying at the same moment.
 const updateRetryAfter = 1 * time.Second
 
+// stopRetryAfter is the mean Retry-After from a host that stops. Other hosts can serve the request at once; jitter keeps callers
+// from reaching them at the same moment.
+const stopRetryAfter = 100 * time.Millisecond
+
+func jitteredStopRetryAfter() time.Duration { return rand.N(2 * stopRetryAfter) }
+
 func jitteredRetryAfter() time.Duration { return updateRetryAfter + rand.N(updateRetryAfter) }
 
 // callerRequest is one caller's request while it is served.
@@ -75,6 +81,11 @@
 	g.serve(ctx, g.newRequest(x))
 }
 
+// Reject implements ingress.Handler.
+func (g *Gateway) Reject(x savorywing.Exchange) {
+	g.newRequest(x).refuse(fasthttp.StatusServiceUnavailable, string(placement.ReasonStopping), jitteredStopRetryAfter())
+}
+
 func (g *Gateway) newRequest(x savorywing.Exchange) *callerRequest {
 	r := &callerRequest{gateway: g, exchange: x, caller: g.dialect.ReadCallerMetadata(&x.HTTPRequest().Header), lastEventID: -1}
 	timeout := fallbackTimeout
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -101,6 +101,8 @@
 	ReasonCutOff Reason = "cutOff"
 	// ReasonQuarantined means that servers crash on a part of the request's prompt.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonStopping means that this host stops.
+	ReasonStopping Reason = "stopping"
 )
 
 // IsTransient reports whether another update of the leader may lift the rejection within the time that a request waits.
