Listeners for callers are closed only once their queues are empty

What callers saw: a connection to a stopping host was established, the request was sent, and the connection was reset.

Cause: closing a listener resets the connections that the kernel has established and nobody has accepted yet. For the stopping host they don't exist, for their callers they do.

Change: a listener that is to be closed first drops the first segment of new handshakes (a socket filter; where there is none, this step is left out), accepts for another 20 ms what has been established, and is closed when poll finds its queue empty. A connection that is accepted meanwhile is served like one that was accepted before.

Why this works: the kernel adds nothing to the queue after the handshakes that had begun, so that empty means empty. Callers whose handshake is dropped haven't connected; they are refused when they try again, after a second.

--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -23,6 +23,8 @@
 	userTimeout = 10 * time.Second
 	// acceptRetryDelay is the delay after a failed accept, such as one for too many open files.
 	acceptRetryDelay = 20 * time.Millisecond
+	// handshakeTime is how long a listener that is being closed still waits for handshakes that have begun.
+	handshakeTime = 20 * time.Millisecond
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
@@ -80,7 +82,7 @@
 	return nil
 }
 
-// accept accepts connections until the listener is closed.
+// accept accepts connections until the listener is closed, or, after CloseIdle, until none is left in its queue.
 func (s *Server) accept(l net.Listener) {
 	for {
 		nc, err := l.Accept()
@@ -89,6 +91,10 @@
 			s.add(nc)
 		case errors.Is(err, net.ErrClosed):
 			return
+		case isTimeout(err) && s.closing.Load():
+			if s.closeEmpty(l) {
+				return
+			}
 		default:
 			s.log.Warn().Str("event", "acceptFailed").Err(err).Msg("accepting a caller's connection failed")
 			time.Sleep(acceptRetryDelay)
@@ -96,6 +102,30 @@
 	}
 }
 
+// closeEmpty closes a listener without connections in its queue, which would be reset, and reports whether it did. Otherwise
+// accept has more time for them.
+func (s *Server) closeEmpty(l net.Listener) bool {
+	waiting, err := socket.HasConnection(l)
+	if err == nil && waiting {
+		if err = setAcceptDeadline(l, time.Now().Add(handshakeTime)); err == nil {
+			return false
+		}
+	}
+	if err != nil {
+		s.log.Warn().Str("event", "closeFailed").Err(err).Msg("a listener is closed without knowing whether connections wait")
+	}
+	_ = l.Close()
+	return true
+}
+
+func setAcceptDeadline(l net.Listener, t time.Time) error {
+	d, ok := l.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return errors.New("the listener has no deadlines")
+	}
+	return d.SetDeadline(t)
+}
+
 // add serves a connection.
 func (s *Server) add(nc net.Conn) {
 	c := newConn(s, nc)
@@ -121,8 +151,8 @@
 // Drain makes every response that starts from now on the last one on its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the listeners and begins to close the connections without a request. Requests that have been received are
-// served. All other connections end after their current
+// CloseIdle begins to close the listeners and the connections without a request. Connections in the queues of the listeners
+// are still accepted, and requests that have been received are served. All other connections end after their current
 // response; a request that is received on one after a response without "Connection: close" is passed to Handler.Reject.
 func (s *Server) CloseIdle() {
 	s.draining.Store(true)
@@ -130,7 +160,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.listeners {
-		_ = l.Close()
+		if err := socket.RefuseHandshakes(l); err != nil {
+			s.log.Debug().Err(err).Msg("handshakes can't be refused before the listener is closed")
+		}
+		if err := setAcceptDeadline(l, time.Now().Add(handshakeTime)); err != nil {
+			s.log.Warn().Str("event", "closeFailed").Err(err).Msg("a listener is closed at once")
+			_ = l.Close()
+		}
 	}
 	for c := range s.conns {
 		c.stopWaiting()
--- /dev/null
+++ b/connection/socket/listener.go
@@ -0,0 +1,71 @@
+package socket
+
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// dropNewHandshakes is a socket filter that drops segments with SYN and without ACK. The offset is that of the flags in the
+// TCP header, at which the segment begins.
+var dropNewHandshakes = []unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: 13},
+	{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: 0x12},
+	{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 0, Jf: 1, K: 0x02},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0xffff},
+}
+
+// RefuseHandshakes makes a listener accept no new handshakes, while those that have begun are completed. Closing the listener
+// would reset the connections that are not accepted yet.
+func RefuseHandshakes(l net.Listener) error {
+	return control(l, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(dropNewHandshakes)), Filter: &dropNewHandshakes[0]})
+	})
+}
+
+// HasConnection reports whether a listener has a connection to accept.
+func HasConnection(l net.Listener) (bool, error) {
+	has := false
+	err := control(l, func(fd int) error {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		has = n > 0
+		return err
+	})
+	return has, err
+}
+
+// HasInput reports whether a connection has received bytes that have not been read.
+func HasInput(c net.Conn) (bool, error) {
+	has := false
+	err := control(c, func(fd int) error {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		has = n > 0
+		if errors.Is(err, unix.EAGAIN) {
+			return nil
+		}
+		return err
+	})
+	return has, err
+}
+
+// control calls f with the file descriptor of a socket, whatever its deadlines.
+func control(socket any, f func(fd int) error) error {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return errors.New("socket.control: no file descriptor")
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var callErr error
+	if err := raw.Control(func(fd uintptr) { callErr = f(int(fd)) }); err != nil {
+		return err
+	}
+	return callErr
+}
