A request that isn't received in time gets status 408

What callers saw: a slow caller, whose header or body was not complete within the time limit, had its connection closed without a response, and couldn't tell whether the request had run. A response to any other request that couldn't be read was sent, but the connection was closed at once, with bytes of the caller unread: the reset may destroy the response.

Cause: rejectUnreadable took a timeout for a caller that is gone, and its linger read nothing.

Change: 408 with notRun, and the connection is read for a moment after each such response. TestUnreadableRequestAnswered failed in three of four cases before (EOF), and passes.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -286,10 +286,10 @@
 }
 
 // rejectUnreadable sends an error response for a request that could not be read. It sends nothing if the caller
-// disconnected or timed out.
+// disconnected.
 func (c *conn) rejectUnreadable(x *Exchange, err error) {
 	c.closeAfter = true
-	status := fasthttp.StatusBadRequest
+	status, reason := fasthttp.StatusBadRequest, err.Error()
 	switch {
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET):
 		return
@@ -298,13 +298,10 @@
 	case errors.Is(err, errHeaderTooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case isTimeout(err):
-		return
+		status, reason = fasthttp.StatusRequestTimeout, "the request was not received in time: notRun"
 	}
 	c.server.log.Info().Str("event", "requestUnreadable").Int("status", status).Err(err).Msg("a caller's request could not be read")
-	x.WriteError(savorywing.ErrorResponse{Status: status, Reason: err.Error()})
-	peeked := make(chan error, 1)
-	peeked <- io.EOF
-	c.peeked = peeked
+	x.WriteError(savorywing.ErrorResponse{Status: status, Reason: reason})
 	c.linger()
 }
 
