--- a/connection/engine/link.go
+++ b/connection/engine/link.go
@@ -7,12 +7,10 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/socket"
 )
 
 const (
@@ -95,22 +93,8 @@
 	if l.reader.Buffered() > 0 {
 		return false
 	}
-	c, ok := l.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		usable = err == unix.EAGAIN || err == unix.EWOULDBLOCK
-		return true
-	})
-	return err == nil && usable
+	input, err := socket.Peek(l.conn)
+	return err == nil && input == socket.InputNone
 }
 
 // pool holds idle connections by address, the most recently used last.
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -177,8 +177,8 @@
 // lookAgain finds out, after the deadline of awaitByte, whether bytes have been received that no read has returned. It returns
 // the error of the deadline if there are none.
 func (c *conn) lookAgain() error {
-	received, err := socket.HasInput(c.conn)
-	if err != nil || !received {
+	input, err := socket.Peek(c.conn)
+	if err != nil || input == socket.InputNone {
 		return errors.Join(os.ErrDeadlineExceeded, err)
 	}
 	c.setReadTimeout(c.server.limits().HeaderTimeout)
--- a/connection/ingress/stop_test.go
+++ b/connection/ingress/stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,9 +12,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/socket"
 )
 
 const (
@@ -64,22 +63,6 @@
 	n.closed++
 }
 
-// isQuiet reports whether the peer has neither closed the connection nor sent anything.
-func isQuiet(c net.Conn) bool {
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
-
 // readResponse returns the status of the next response.
 func readResponse(c net.Conn, r *bufio.Reader) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
@@ -195,7 +178,7 @@
 			return
 		}
 		r = bufio.NewReader(c)
-	} else if !isQuiet(c) {
+	} else if input, err := socket.Peek(c); err != nil || input != socket.InputNone {
 		_ = c.Close()
 		n.recordClosed()
 		return
