Requests that are left at the end of a stop are answered

What callers saw: a request that was still being received, or was at a silent server, when the grace time of its host ended got no answer; the connection was closed. The end of the stop cancelled it like a caller that had left.

Change: ingress.Server.Shutdown waits until all connections have ended, and cancels what is left with ErrStopping at its deadline. The gateway answers such a request: 503 if it has not run, 502 or 504 if it may have, and aborts a response that has begun. Requests that are half received get 408. Requests of other entry hosts are cancelled in the same way. The wait polled a counter of requests, which is 0 while a request has been received and not yet been counted; it waits for the connections now.

Measured: TestFleetStopAnswersWhatIsLeft got EOF on the parent commit, 502 or 504 now, within the grace time. TestShutdownAnswersWhatIsLeft and TestShutdownDoesNotWaitForIdleCallers (20 silent callers; at most 1 s) pass.

--- a/cmd/savorywing/fleet_stop_test.go
+++ b/cmd/savorywing/fleet_stop_test.go
@@ -13,6 +13,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/socket"
+	standin "savorywing.example/savorywing/standin/fleet"
 )
 
 // stopWave is what callers do around the moment at which a stopping entry host closes its connections.
@@ -176,3 +177,33 @@
 	}
 	done.Wait()
 }
+
+// TestFleetStopAnswersWhatIsLeft checks that a request that is at a silent server when the grace time of its host ends is answered,
+// and that the response doesn't say that it wasn't run.
+func TestFleetStopAnswersWhatIsLeft(t *testing.T) {
+	f := newFleetEnv(t, 3, 2, 20)
+	f.waitServing()
+	k, err := f.newKeptCaller(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := k.send("/book/x", ""); r.status != fasthttp.StatusOK {
+		t.Fatalf("status %d, error %v before the stop", r.status, r.err)
+	}
+	for _, s := range f.fleet.PlainServers() {
+		s.SetFaults(standin.Faults{Unresponsive: true})
+	}
+	f.stopped[f.entries[0]] = true
+	start := time.Now()
+	var stop sync.WaitGroup
+	stop.Go(f.entries[0].Stop)
+	time.Sleep(2500 * time.Millisecond)
+	r := k.send("/book/x", "")
+	stop.Wait()
+	if r.err != nil || (r.status != fasthttp.StatusBadGateway && r.status != fasthttp.StatusGatewayTimeout) {
+		t.Errorf("status %d, error %v, want 502 or 504", r.status, r.err)
+	}
+	if took, grace := time.Since(start), 5*time.Second; took > grace {
+		t.Errorf("the stop took %s, want at most the grace time of %s", took, grace)
+	}
+}
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -48,6 +48,9 @@
 	// late reports whether the connection had a request when the server began to close connections, so that further
 	// requests are rejected.
 	late bool
+	// expired reports whether requests must end now, and cancel cancels the one that is served; nil without one.
+	expired bool
+	cancel  context.CancelCauseFunc
 	// closed reports whether the server has closed the connection.
 	closed bool
 }
@@ -94,10 +97,32 @@
 	return c.acceptedAt.Add(firstRequestTime)
 }
 
+// expire cancels a request that is being read or served, and reports whether there is one.
+func (c *conn) expire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expired = true
+	if c.cancel != nil {
+		c.cancel(ErrStopping)
+		return true
+	}
+	c.setReadDeadline(time.Now())
+	return !c.waiting
+}
+
+func (c *conn) isExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired
+}
+
 // setReadDeadline sets the deadline for all reads. A connection on which it fails has been closed, so that they fail as well.
 func (c *conn) setReadDeadline(t time.Time) { _ = c.conn.SetReadDeadline(t) }
 
 func (c *conn) setReadTimeout(d time.Duration) {
+	if c.isExpired() {
+		d = time.Nanosecond
+	}
 	deadline := time.Time{}
 	if d > 0 {
 		deadline = time.Now().Add(d)
@@ -222,6 +247,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
+	c.setCancel(cancel)
+	defer c.setCancel(nil)
 	peeked := make(chan error, 1)
 	c.peeked = peeked
 	go func() {
@@ -232,7 +259,7 @@
 		peeked <- err
 	}()
 	c.server.handler.Serve(ctx, x)
-	return x.isReusable() && ctx.Err() == nil
+	return x.isReusable() && (ctx.Err() == nil || errors.Is(context.Cause(ctx), ErrStopping))
 }
 
 func (c *conn) isLate() bool {
@@ -241,6 +268,16 @@
 	return c.late
 }
 
+// setCancel sets what cancels the request that is served.
+func (c *conn) setCancel(cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+	if c.expired && cancel != nil {
+		cancel(ErrStopping)
+	}
+}
+
 func (c *conn) readRequest(x *Exchange, limits Limits) error {
 	if err := c.readHeader(x, limits); err != nil {
 		return err
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -21,6 +21,8 @@
 	ErrCallerGone = errors.New("the caller disconnected")
 	// ErrServerClosed means that this server closed the connection.
 	ErrServerClosed = errors.New("the server closed the connection")
+	// ErrStopping means that the request must end since the server stops. A response can still be sent.
+	ErrStopping = errors.New("the server stops")
 )
 
 // Exchange implements savorywing.Exchange on a caller's connection.
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -27,12 +27,15 @@
 	handshakeTime = 20 * time.Millisecond
 )
 
+// ExpireTime is how long requests that are cancelled at the end of a stop have for their response.
+const ExpireTime = 250 * time.Millisecond
+
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
 
 // Handler serves requests.
 type Handler interface {
 	// Serve responds to one request. ctx is cancelled when the connection ends, with ErrCallerGone or ErrServerClosed as
-	// its cause.
+	// its cause, and with ErrStopping when the request must end since the server stops.
 	Serve(ctx context.Context, x savorywing.Exchange)
 	// Reject responds to a request that comes too late to be served, since the server stops. The request has no body.
 	Reject(x savorywing.Exchange)
@@ -173,6 +176,41 @@
 	}
 }
 
+// Shutdown calls CloseIdle and waits until all connections have ended. When ctx ends, the requests that are left are
+// cancelled with ErrStopping and have a moment for their last response. It returns the number of those.
+func (s *Server) Shutdown(ctx context.Context) int {
+	s.CloseIdle()
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return 0
+	case <-ctx.Done():
+	}
+	left := s.expire()
+	select {
+	case <-ended:
+	case <-time.After(ExpireTime):
+	}
+	return left
+}
+
+// expire cancels all requests that are being read or served and returns their number.
+func (s *Server) expire() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := 0
+	for c := range s.conns {
+		if c.expire() {
+			left++
+		}
+	}
+	return left
+}
+
 // Close closes all listeners and connections at once and waits for their goroutines.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/connection/ingress/stop_test.go
+++ b/connection/ingress/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,10 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/socket"
+	"savorywing.example/savorywing/process/clock"
 )
 
 const (
@@ -198,3 +201,76 @@
 	status, err := readResponse(c, r)
 	n.record(status, err, fmt.Sprintf("send error %v, reading the response", sendErr))
 }
+
+// TestShutdownAnswersWhatIsLeft checks that requests that are still being received or served at the end of a stop are
+// answered, and that the stop doesn't wait longer for them.
+func TestShutdownAnswersWhatIsLeft(t *testing.T) {
+	tests := []struct {
+		name, request string
+		want          int
+	}{
+		{"half a header", "POST /a HTTP/1.1\r\nHo", fasthttp.StatusRequestTimeout},
+		{"half a body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\nhi", fasthttp.StatusRequestTimeout},
+		{"being served", firstRequest, fasthttp.StatusBadGateway},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, address := serveForever(t)
+			c, r := dial(t, address)
+			if _, err := io.WriteString(c, tt.request); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(30 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			start := time.Now()
+			done := make(chan int, 1)
+			go func() { done <- s.Shutdown(ctx) }()
+			if status, err := readResponse(c, r); err != nil || status != tt.want {
+				t.Errorf("status %d, error %v, want %d", status, err, tt.want)
+			}
+			_ = c.Close()
+			if left := <-done; left != 1 {
+				t.Errorf("got %d requests that were left, want 1", left)
+			}
+			if took := time.Since(start); took > 100*time.Millisecond+2*ExpireTime {
+				t.Errorf("the stop took %s", took)
+			}
+		})
+	}
+}
+
+// serveForever returns a server with generous time limits whose handler responds only when its request is cancelled.
+func serveForever(t *testing.T) (*Server, string) {
+	t.Helper()
+	handler := handlerFunc(func(ctx context.Context, x savorywing.Exchange) {
+		<-ctx.Done()
+		if errors.Is(context.Cause(ctx), ErrStopping) {
+			x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusBadGateway, Reason: "stopping"})
+		}
+	})
+	limits := Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	s := New(clock.Boottime{}, handler, func() Limits { return limits }, zerolog.Nop())
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, s.listeners[0].Addr().String()
+}
+
+// TestShutdownDoesNotWaitForIdleCallers checks that callers that send nothing, and never close their connections, hardly
+// delay a stop.
+func TestShutdownDoesNotWaitForIdleCallers(t *testing.T) {
+	s, address := serveForever(t)
+	for range 20 {
+		dial(t, address)
+	}
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	s.Shutdown(ctx)
+	if took, limit := time.Since(start), time.Second; took > limit {
+		t.Errorf("the stop took %s, want at most %s", took, limit)
+	}
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -76,9 +76,11 @@
 		if r.waitForCapacity(ctx, d) {
 			return true
 		}
-		if ctx.Err() == nil {
-			r.endUnplaced(ctx, now, d)
+		if ctx.Err() != nil {
+			r.endCancelled(ctx, "")
+			return false
 		}
+		r.endUnplaced(ctx, now, d)
 		return false
 	}
 	if r.sends > 0 {
@@ -100,7 +102,7 @@
 	case outcomeDone:
 		return false
 	case outcomeCallerGone:
-		r.recordGone(ctx, d.ID)
+		r.endCancelled(ctx, d.ID)
 		return false
 	case outcomeUnsent:
 		r.unreachable++
@@ -119,15 +121,24 @@
 		}
 	}
 	r.excluded = append(r.excluded, d.ID)
-	return ctx.Err() == nil
+	if ctx.Err() != nil {
+		r.endCancelled(ctx, d.ID)
+		return false
+	}
+	return true
 }
 
-// recordGone counts and logs a request whose connection ended before its response was complete. The server is empty if the
-// request was at none.
-func (r *callerRequest) recordGone(ctx context.Context, server string) {
+// endCancelled ends a request whose context was cancelled. It still gets a response if the host stops; otherwise its connection
+// has ended. The server is empty if the request was at none.
+func (r *callerRequest) endCancelled(ctx context.Context, server string) {
 	g := r.gateway
+	cause := context.Cause(ctx)
+	if errors.Is(cause, ingress.ErrStopping) {
+		r.endUnserved(g.clock.Now(), placement.Decision{Reason: placement.ReasonStopping, RetryAfter: jitteredStopRetryAfter()})
+		return
+	}
 	event, message := "callerGone", "the caller disconnected"
-	if errors.Is(context.Cause(ctx), ingress.ErrServerClosed) {
+	if errors.Is(cause, ingress.ErrServerClosed) {
 		event, message = "connectionClosed", "this host closed the connection of a request"
 	}
 	g.telemetry.Count("requests", "result", event)
@@ -339,6 +350,7 @@
 	g := r.gateway
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	if ctx.Err() != nil && !stalled {
+		r.mayHaveRun = r.mayHaveRun || !errors.Is(err, engine.ErrNotSent)
 		return outcomeCallerGone, placement.CallerGone
 	}
 	g.telemetry.Count("requests", "result", "attemptFailed")
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -104,7 +104,8 @@
 	case err == nil:
 		return false
 	case ctx.Err() != nil || errors.Is(err, ingress.ErrCallerGone):
-		r.recordGone(ctx, "")
+		r.mayHaveRun = r.mayHaveRun || !errors.Is(err, errNoForwarder)
+		r.endCancelled(ctx, "")
 		return false
 	case errors.Is(err, errForwardLost):
 		r.mayHaveRun = true
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -73,7 +73,10 @@
 	servedLines, problemLines sampler
 	ctx                       context.Context
 	cancel                    context.CancelFunc
-	done                      sync.WaitGroup
+	// expiring is cancelled when the requests of other hosts must end.
+	expiring        context.Context
+	expireForwarded context.CancelCauseFunc
+	done            sync.WaitGroup
 }
 
 // demand is the work requested of a model since the start; both counters only increase.
@@ -110,6 +113,7 @@
 	g.telemetry.Gauge("path_state", func() float64 { return float64(g.pathState()) })
 	g.telemetry.Gauge("forwarded_in_flight", func() float64 { return float64(g.forwardedInFlight()) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.expiring, g.expireForwarded = context.WithCancelCause(context.Background())
 	g.engines = engine.New(g.clock, dialect)
 	for _, opt := range opts {
 		opt(g)
@@ -186,25 +190,45 @@
 )
 
 // Stop ends the entry host without truncating responses: it reports not ready, accepts connections until the load
-// balancer sends none, and ends when all responses are complete or the grace time is over.
+// balancer sends none, and ends when all responses are complete or the grace time is over. Requests that are left then are
+// cancelled and answered.
 func (g *Gateway) Stop() {
-	start := g.clock.Now()
-	g.log.Info().Str("event", "stopping").Int("busy", g.server.InFlight()).Msg("the entry host is stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), g.settings().Grace()-stopMargin)
+	defer cancel()
+	g.log.Info().Str("event", "stopping").Int("busy", g.server.InFlight()+g.forwardedInFlight()).Msg("the entry host is stopping")
 	g.stopping.Store(true)
 	g.subscription.wakeUp()
 	g.server.Drain()
-	time.Sleep(listenAfterStop)
-	g.server.CloseIdle()
-	for g.busy() > 0 && g.clock.Now().Sub(start) < g.settings().Grace()-stopMargin {
-		time.Sleep(stopPollInterval)
-	}
-	unfinished := g.busy()
+	time.Sleep(min(listenAfterStop, g.settings().Grace()-stopMargin))
+	var forwarded, received int
+	var done sync.WaitGroup
+	done.Go(func() { forwarded = g.endForwardedRequests(ctx) })
+	received = g.server.Shutdown(ctx)
+	done.Wait()
 	g.Kill()
-	g.log.Info().Str("event", "stopped").Int("cutOff", unfinished).Msg("the entry host stopped")
+	g.log.Info().Str("event", "stopped").Int("cutOff", received+forwarded).Int("crossed", g.server.Crossed()).Msg("the entry host stopped")
+}
+
+// endForwardedRequests waits for the requests of other hosts. When ctx ends, it cancels those that are left and returns their
+// number.
+func (g *Gateway) endForwardedRequests(ctx context.Context) int {
+	g.awaitForwarded(ctx)
+	left := g.forwardedInFlight()
+	if left > 0 {
+		g.expireForwarded(ingress.ErrStopping)
+		ctx, cancel := context.WithTimeout(context.Background(), ingress.ExpireTime)
+		defer cancel()
+		g.awaitForwarded(ctx)
+	}
+	return left
 }
 
-// busy returns the number of requests that are being served, for callers and for other hosts.
-func (g *Gateway) busy() int { return g.server.InFlight() + g.forwardedInFlight() }
+// awaitForwarded waits until no request of another host is served, or ctx ends.
+func (g *Gateway) awaitForwarded(ctx context.Context) {
+	for g.forwardedInFlight() > 0 && ctx.Err() == nil {
+		time.Sleep(stopPollInterval)
+	}
+}
 
 // Kill ends the entry host at once.
 func (g *Gateway) Kill() {
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"savorywing.example/savorywing/connection/forward"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
@@ -37,12 +38,13 @@
 
 // serveForwarded serves a connection on which another entry host hands over requests.
 func (g *Gateway) serveForwarded(ctx context.Context, c *forward.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(g.expiring, func() { cancel(context.Cause(g.expiring)) })()
 	frames := make(chan wire.Frame)
 	go func() {
 		// The other host closes the connection when its caller is gone.
-		defer cancel()
+		defer cancel(ingress.ErrCallerGone)
 		for {
 			f, err := c.Receive(0)
 			if err != nil {
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -103,6 +103,7 @@
 		continue
 	}
 	if ctx.Err() != nil {
+		r.endCancelled(ctx, "")
 		return
 	}
 	if g.lacksUpdate() && r.mayAskOthers() {
