--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -274,7 +274,9 @@
 	requestID  string
 	status     int
 	body       string
-	err        error
+	// closes reports whether the response is the last one on its connection.
+	closes bool
+	err    error
 }
 
 // send sends one request to an entry host. Closing disconnect, if it is not nil, closes the caller's connection.
--- a/cmd/savorywing/fleet_stop_test.go
+++ b/cmd/savorywing/fleet_stop_test.go
@@ -86,7 +86,7 @@
 	}
 	var resp fasthttp.Response
 	r.err = resp.Read(k.r)
-	r.status, r.body = resp.StatusCode(), string(resp.Body())
+	r.status, r.body, r.closes = resp.StatusCode(), string(resp.Body()), resp.ConnectionClose()
 	return r
 }
 
