--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -70,10 +70,13 @@
 	seeds    []string
 	controls []*controller.Controller
 	entries  []*gateway.Gateway
-	fleet    *standin.Fleet
-	mu       sync.Mutex
-	lastCall int
-	stopped  map[any]bool
+	// program runs the daemons as processes; they run inside the test if it is empty.
+	program                          string
+	controlProcesses, entryProcesses []*daemonProcess
+	fleet                            *standin.Fleet
+	mu                               sync.Mutex
+	lastCall                         int
+	stopped                          map[any]bool
 	// logOutput receives the daemons' log lines if it is not nil.
 	logOutput io.Writer
 	// retryBurst is the number of requests that may be sent again beyond the retry ratio; 0 for the default.
@@ -109,6 +112,10 @@
 	for i := range controls {
 		f.seeds = append(f.seeds, fmt.Sprintf("127.%d.%d.%d:%d", processOctet(), subnet, 10+i, f.port+1))
 	}
+	if f.program != "" {
+		f.startProcesses(subnet, controls, entries)
+		controls, entries = 0, 0
+	}
 	for i := range controls {
 		f.controls = append(f.controls, f.startControl(fmt.Sprintf("127.%d.%d.%d", processOctet(), subnet, 10+i), t.TempDir(), true))
 	}
@@ -367,7 +374,7 @@
 // waitServing waits until every entry host serves streams of both models and calls of the plain service.
 func (f *fleetEnv) waitServing() {
 	f.t.Helper()
-	for entry := range f.entries {
+	for entry := range len(f.entries) + len(f.entryProcesses) {
 		for _, model := range []string{largeModel, smallModel} {
 			f.eventually("a stream of "+model, func() bool {
 				r := f.send(entry, "/talk/x", model, fleetKey, nil)
--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -57,8 +57,10 @@
 
 // process is one operating-system process that a test started.
 type process struct {
-	t       *testing.T
-	name    string
+	t    *testing.T
+	name string
+	// program is the program that runs; the test binary if it is empty.
+	program string
 	args    []string
 	env     string
 	cmd     *exec.Cmd
@@ -83,11 +85,14 @@
 
 func (p *process) start() {
 	p.t.Helper()
-	executable, err := os.Executable()
-	if err != nil {
-		p.t.Fatal(err)
+	program := p.program
+	if program == "" {
+		var err error
+		if program, err = os.Executable(); err != nil {
+			p.t.Fatal(err)
+		}
 	}
-	p.cmd = exec.Command(executable, p.args...)
+	p.cmd = exec.Command(program, p.args...)
 	p.cmd.Env = append(os.Environ(), p.env)
 	p.cmd.Stderr, p.cmd.Stdout = p, p
 	if err := p.cmd.Start(); err != nil {
