A response belongs to the only request with its ID on the connection

Callers were told "not run, try again" for requests that an engine ran, when a faulty engine wrote an earlier refusal once more on a kept connection.

Cause: the attempt ID alone decided whose response it was, and callers choose it. One who uses an ID again, and one who sends none (no ID was compared then, also for orders), got the repeated refusal as the response to the next request.

Change: a connection carries each attempt ID once, a request without an ID is the only one on its connection, and a connection on which a response to another request was read carries no further one. A connection ends after 256 requests, which bounds the memory for the IDs (2 KiB). Responses come in the order of the requests, so that the ID now tells them apart whoever chose it.

Weighed: to close each connection after a refusal would also do, but under load a refusal is usual, new connections are priced, and engines reset those beyond their maximum. Requests with IDs of their own are reused as before, refused or not.

TestReuse sent the same ID twice on one connection, which is now the case in which a new one is opened; its requests have two IDs instead, every row demands the same number of connections as before, and three rows are new. TestReuseBounded is new.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -82,7 +82,8 @@
 	Address string
 	Header  *fasthttp.RequestHeader
 	Body    []byte
-	// AttemptID must be echoed in the response, unless it is empty.
+	// AttemptID must be echoed in the response. A connection carries each ID once. If it is empty, the request is the only one
+	// on its connection, and any response is accepted.
 	AttemptID string
 	// MaxIdle is the longest time that a pooled connection may have been idle; 0 requires a new one.
 	MaxIdle time.Duration
@@ -117,7 +118,7 @@
 
 func (c *Client) connect(ctx context.Context, call Call) (*link, error) {
 	if call.MaxIdle > 0 {
-		if l := c.pool.take(call.Address, call.MaxIdle); l != nil {
+		if l := c.pool.take(call.Address, call.AttemptID, call.MaxIdle); l != nil {
 			return l, nil
 		}
 	}
@@ -155,6 +156,7 @@
 			return nil, notSentError{err}
 		}
 	}
+	l.begin(call.AttemptID)
 	bodyWritten, err := l.write(call)
 	if err != nil {
 		return nil, err
@@ -172,6 +174,7 @@
 		if call.AttemptID == "" || r.Metadata.AttemptID == call.AttemptID {
 			return r, nil
 		}
+		l.isLast = true
 		if r.Metadata.AttemptID == "" || !r.discard() {
 			return nil, ErrWrongAttempt
 		}
--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -35,7 +36,8 @@
 }
 
 // serveScript responds to the n-th request of each connection with the n-th text. "RESET" at the end of a text then
-// resets the connection, and "CLOSE" closes it normally.
+// resets the connection, and "CLOSE" closes it normally. The attempt ID n1 in a text stands for that of the request, if it
+// carries one.
 func serveScript(t *testing.T, texts ...string) (string, *atomic.Int64) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -58,6 +60,9 @@
 						break
 					}
 					requests.Add(1)
+					if id := string(req.Header.Peek("Number")); id != "" {
+						text = strings.ReplaceAll(text, "n1", id)
+					}
 					body, reset := strings.CutSuffix(text, "RESET")
 					body, closes := strings.CutSuffix(body, "CLOSE")
 					if _, err := io.WriteString(c, body); err != nil || closes {
@@ -142,22 +147,29 @@
 		first   string
 		pause   time.Duration
 		maxIdle time.Duration
-		opened  uint64
+		// second is the attempt ID of the second request; that of the first is n1.
+		second string
+		opened uint64
 	}{
-		{"kept", complete, 0, time.Minute, 1},
-		{"after chunks", chunked, 0, time.Minute, 1},
-		{"idle for too long", complete, 30 * time.Millisecond, 10 * time.Millisecond, 2},
-		{"a new one is required", complete, 0, 0, 2},
-		{"the server sends Connection: close", strings.Replace(complete, "Number", "Connection: close\r\nNumber", 1), 0, time.Minute, 2},
-		{"the server has closed", complete + "CLOSE", 30 * time.Millisecond, time.Minute, 2},
-		{"unexpected bytes", complete + "more", 30 * time.Millisecond, time.Minute, 2},
+		{"kept", complete, 0, time.Minute, "n2", 1},
+		{"after chunks", chunked, 0, time.Minute, "n2", 1},
+		{"idle for too long", complete, 30 * time.Millisecond, 10 * time.Millisecond, "n2", 2},
+		{"a new one is required", complete, 0, 0, "n2", 2},
+		{"the server sends Connection: close", strings.Replace(complete, "Number", "Connection: close\r\nNumber", 1), 0, time.Minute, "n2", 2},
+		{"the server has closed", complete + "CLOSE", 30 * time.Millisecond, time.Minute, "n2", 2},
+		{"unexpected bytes", complete + "more", 30 * time.Millisecond, time.Minute, "n2", 2},
+		{"after a late response to an earlier request", stale + complete, 0, time.Minute, "n2", 2},
+		{"the same attempt ID", complete, 0, time.Minute, "n1", 2},
+		{"no attempt ID", complete, 0, time.Minute, "", 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			address, _ := serveScript(t, tt.first, complete)
 			c := New(clock.Boottime{}, echoDialect{})
-			for i := range 2 {
-				response, err := c.Do(context.Background(), call(address, tt.maxIdle))
+			for i, id := range []string{"n1", tt.second} {
+				call := numberedCall(address, id)
+				call.MaxIdle = tt.maxIdle
+				response, err := c.Do(context.Background(), call)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -234,7 +246,7 @@
 				t.Errorf("%v, want %v", err, tt.want)
 			}
 			if tt.name == "kept open" {
-				link := c.pool.take(l.Addr().String(), time.Second)
+				link := c.pool.take(l.Addr().String(), "n1", time.Second)
 				if err != nil || link == nil {
 					t.Errorf("%v, want the connection in the pool", err)
 				}
@@ -277,3 +289,22 @@
 		t.Errorf("probes end a connection after %v, the user timeout after %v, want the same", limit, userTimeout)
 	}
 }
+
+// TestReuseBounded checks that connections of many requests are replaced.
+func TestReuseBounded(t *testing.T) {
+	const requests = 2*maxRequestsPerLink + 1
+	texts := make([]string, requests)
+	for i := range texts {
+		texts[i] = complete
+	}
+	address, _ := serveScript(t, texts...)
+	c := New(clock.Boottime{}, echoDialect{})
+	for n := range requests {
+		if status, _, err := exchange(c, numberedCall(address, fmt.Sprint(n))); err != nil || status != fasthttp.StatusOK {
+			t.Fatalf("request %d: status %d, error %v", n, status, err)
+		}
+	}
+	if got := c.ConnectionsOpened(); got != 3 {
+		t.Errorf("%d connections for %d requests, want 3", got, requests)
+	}
+}
--- a/connection/engine/link.go
+++ b/connection/engine/link.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/socket"
 )
@@ -21,6 +24,8 @@
 	// idleMargin is subtracted from the stated idle timeout: it allows for the network delay and for differences
 	// between the clocks.
 	idleMargin = 500 * time.Millisecond
+	// maxRequestsPerLink bounds the requests on one connection, and so the memory for their attempt IDs.
+	maxRequestsPerLink = 256
 )
 
 // link is a connection to a backend server. It carries one request at a time.
@@ -30,6 +35,27 @@
 	reader  *bufio.Reader
 	// idleSince is when the connection was put into the pool; it may be reused until idleUntil.
 	idleSince, idleUntil time.Time
+	// attempts holds a hash of the attempt ID of each request that the connection has carried, at most maxRequestsPerLink.
+	// It changes only while the connection is in use.
+	attempts []uint64
+	// isLast reports whether the connection carries no request after the current one: the responses of later ones couldn't be
+	// told from those to it.
+	isLast bool
+}
+
+// mayCarry reports whether no response to an earlier request on the connection can be taken for the response to a request
+// with this attempt ID. IDs are chosen by callers, who may use one again.
+func (l *link) mayCarry(attemptID string) bool {
+	if len(l.attempts) == 0 {
+		return true
+	}
+	return attemptID != "" && !slices.Contains(l.attempts, xxhash.Sum64String(attemptID))
+}
+
+// begin records that the connection carries a request.
+func (l *link) begin(attemptID string) {
+	l.attempts = append(l.attempts, xxhash.Sum64String(attemptID))
+	l.isLast = l.isLast || attemptID == "" || len(l.attempts) >= maxRequestsPerLink
 }
 
 // write sends the request. A body longer than maxInlineBody is still being written when it returns. The channel,
@@ -109,12 +135,12 @@
 	return &pool{clock: clock, idle: map[string][]*link{}}
 }
 
-// take returns the most recently used connection that is usable and was not idle for longer than maxIdle, or nil.
-// It closes the connections that it passes over.
-func (p *pool) take(address string, maxIdle time.Duration) *link {
+// take returns the most recently used connection that is usable for a request with this attempt ID and was not idle for
+// longer than maxIdle, or nil. It closes the connections that can't be used for any request.
+func (p *pool) take(address, attemptID string, maxIdle time.Duration) *link {
 	now := p.clock.Now()
 	for {
-		l := p.pop(address)
+		l := p.pop(address, attemptID)
 		if l == nil {
 			return nil
 		}
@@ -125,16 +151,17 @@
 	}
 }
 
-func (p *pool) pop(address string) *link {
+func (p *pool) pop(address, attemptID string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, l := range slices.Backward(list) {
+		if l.mayCarry(attemptID) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return l
+		}
 	}
-	l := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return l
+	return nil
 }
 
 // put makes a connection available until shortly before the backend server closes it. idleTimeout is the time stated by
--- a/connection/engine/response.go
+++ b/connection/engine/response.go
@@ -158,7 +158,7 @@
 	}
 	r.closed = true
 	alive := r.stop == nil || r.stop()
-	if !alive || !r.complete || r.hasRemainder || r.framing == FramingUntilClose || r.Header.ConnectionClose() || !r.isWritten() {
+	if !alive || !r.complete || r.hasRemainder || r.link.isLast || r.framing == FramingUntilClose || r.Header.ConnectionClose() || !r.isWritten() {
 		_ = r.link.conn.Close()
 		return
 	}
