Nothing that comes before a request is the response to it

Callers were told that a request was refused, or that its response was lost, by what a server had written on a new connection before it received anything: a refusal at once, as of a server that accepts too many connections, or the end of the connection.

Cause: only connections from the pool were checked for bytes and for their end before they were used.

Evidence: TestRefusalBeforeRequest, new, 3 rows; on the code before, two requests count as refused though they are sent to the server, and one that meets a connection already closed ends as "may have run".

Change: a new connection is checked as well, after Call.Confirm, which is when it may have been open for longest. What is found there ends the attempt with ErrNotSent, so another server is tried, also for a request that may run once.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -42,6 +42,8 @@
 	ErrWrongAttempt = errors.New("the response carries the wrong attempt ID")
 	// ErrClosedAtOnce means that a connection was closed by the peer before anything was sent on it.
 	ErrClosedAtOnce = errors.New("the connection was closed at once")
+	// errUnusable means that the peer has closed the connection, or has sent something, before the request.
+	errUnusable = errors.New("the connection was closed, or bytes came before the request")
 	// ErrTruncated means that the response ended before its body was complete, as Response.Read defines it.
 	ErrTruncated = errors.New("the response was truncated")
 )
@@ -105,6 +107,10 @@
 		_ = l.conn.Close()
 		return nil, fmt.Errorf("Client.Do: %w: %w", ErrNotSent, ErrWithheld)
 	}
+	if len(l.attempts) == 0 && !l.isUsable() {
+		_ = l.conn.Close()
+		return nil, fmt.Errorf("Client.Do: %w: %w", ErrNotSent, errUnusable)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	r, err := c.exchange(l, call)
 	if err != nil {
--- a/connection/engine/repeated_response_test.go
+++ b/connection/engine/repeated_response_test.go
@@ -190,3 +190,36 @@
 		}
 	}
 }
+
+// TestRefusalBeforeRequest guards against taking what a server writes on a new connection, before it has received anything,
+// for the response to the request.
+func TestRefusalBeforeRequest(t *testing.T) {
+	for _, tt := range []struct{ name, text, id string }{
+		{"a refusal without an ID", response503(""), ""},
+		{"a refusal with the ID", response503("a"), "a"},
+		{"the end of the connection", "", "a"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var requests atomic.Int64
+			address := serveConns(t, func(c net.Conn) {
+				if _, err := io.WriteString(c, tt.text); err != nil || tt.text == "" {
+					return
+				}
+				var req fasthttp.Request
+				if req.Read(bufio.NewReader(c)) == nil {
+					requests.Add(1)
+				}
+			})
+			call := numberedCall(address, tt.id)
+			call.Confirm = func() bool {
+				time.Sleep(20 * time.Millisecond)
+				return true
+			}
+			status, _, err := exchange(New(clock.Boottime{}, echoDialect{}), call)
+			time.Sleep(20 * time.Millisecond)
+			if !errors.Is(err, ErrNotSent) || requests.Load() > 0 {
+				t.Errorf("status %d, error %v, %d requests arrived; want ErrNotSent and none", status, err, requests.Load())
+			}
+		})
+	}
+}
