Informational responses answer no request

A server that sends 102 or 103 before its response made the request end as lost: 502 for one that may run once, another run for others. One with the attempt ID was taken for the response itself, and with the mark for it counted as proof that the request hasn't run.

Cause: only status 100 was skipped.

Change: every status below 200 is skipped, within the same bound of 4 headers, but 101, after which the connection speaks another protocol: no request asks for it, and the attempt ends as "may have run".

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -44,6 +44,8 @@
 	ErrClosedAtOnce = errors.New("the connection was closed at once")
 	// errUnusable means that the peer has closed the connection, or has sent something, before the request.
 	errUnusable = errors.New("the connection was closed, or bytes came before the request")
+	// errUnexpectedSwitch means that the server switches to another protocol, which no request asks for.
+	errUnexpectedSwitch = errors.New("the server switches to another protocol")
 	// ErrTruncated means that the response ended before its body was complete, as Response.Read defines it.
 	ErrTruncated = errors.New("the response was truncated")
 )
@@ -172,7 +174,11 @@
 		if err := r.Header.Read(l.reader); err != nil {
 			return nil, fmt.Errorf("reading the response header: %w", err)
 		}
-		if r.Header.StatusCode() == fasthttp.StatusContinue {
+		status := r.Header.StatusCode()
+		if status == fasthttp.StatusSwitchingProtocols {
+			return nil, errUnexpectedSwitch
+		}
+		if status < fasthttp.StatusOK {
 			continue
 		}
 		r.Metadata = c.dialect.ReadResponseMetadata(&r.Header)
--- a/connection/engine/repeated_response_test.go
+++ b/connection/engine/repeated_response_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -223,3 +224,30 @@
 		})
 	}
 }
+
+// TestInformationalResponses guards against informational responses that are taken for the response to the request.
+func TestInformationalResponses(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		want       int
+	}{
+		{"100", "HTTP/1.1 100 Continue\r\n\r\n", fasthttp.StatusOK},
+		{"102", "HTTP/1.1 102 Processing\r\n\r\n", fasthttp.StatusOK},
+		{"103", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", fasthttp.StatusOK},
+		{"103 with the attempt ID", "HTTP/1.1 103 Early Hints\r\nNumber: n1\r\n\r\n", fasthttp.StatusOK},
+		{"a repeated 100", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 2), fasthttp.StatusOK},
+		{"101, which no request asks for", "HTTP/1.1 101 Switching Protocols\r\nNumber: n1\r\n\r\n", 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			address, requests := serveScript(t, tt.text+complete, complete)
+			c := New(clock.Boottime{}, echoDialect{})
+			status, _, err := exchange(c, call(address, time.Minute))
+			if status != tt.want || (err != nil) != (tt.want == 0) || errors.Is(err, ErrNotSent) {
+				t.Errorf("status %d, error %v, want %d", status, err, tt.want)
+			}
+			if requests.Load() != 1 {
+				t.Errorf("%d requests arrived, want 1", requests.Load())
+			}
+		})
+	}
+}
