An order's outcome is never that of an earlier order

A server that repeated its reply on a kept connection made the leader take an accepted order for a refused one, or the other way round.

Cause: orders carry no attempt ID, and control hosts kept the connections for three seconds.

Change: since a request without an ID is the only one on its connection, an order opens its own; the limit for kept ones has no use left and goes. The cost is a new connection for an order that follows another to the same server within 3 s, such as to open a group that was warm.

--- a/process/controller/orders.go
+++ b/process/controller/orders.go
@@ -12,15 +12,12 @@
 	"savorywing.example/savorywing/connection/engine"
 )
 
-const (
-	// orderTimeout bounds the wait for the response to an order.
-	orderTimeout = 1 * time.Second
-	// maxConnectionIdle is how long a connection may have been idle before it is no longer used for an order.
-	maxConnectionIdle = 3 * time.Second
-)
+// orderTimeout bounds the wait for the response to an order.
+const orderTimeout = 1 * time.Second
 
 // sendOrder sends an order and returns its outcome, which is OutcomeUnknown if there was no response, and whether the
-// server has stated that it is leaving.
+// server has stated that it is leaving. Each order has a connection of its own, since nothing else tells its reply from that to
+// an earlier order.
 func (c *Controller) sendOrder(o savorywing.FleetOrder) (outcome savorywing.OrderOutcome, leaving bool) {
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 	defer cancel()
@@ -28,7 +25,7 @@
 	h.SetNoDefaultContentType(true)
 	body := c.dialect.WriteOrder(o, h)
 	response, err := c.engines.Do(ctx, engine.Call{
-		Address: o.Address, Header: h, Body: body, MaxIdle: maxConnectionIdle, HeaderDeadline: c.clock.Now().Add(orderTimeout),
+		Address: o.Address, Header: h, Body: body, HeaderDeadline: c.clock.Now().Add(orderTimeout),
 	})
 	if err != nil {
 		c.log.Warn().Str("event", "orderUnanswered").Str("server", o.Server).Str("action", o.Action.String()).Err(err).Msg("no response to an order")
