--- a/connection/ingress/stop_test.go
+++ b/connection/ingress/stop_test.go
@@ -274,3 +274,33 @@
 		t.Errorf("the stop took %s, want at most %s", took, limit)
 	}
 }
+
+// TestReceivedRequestNotMissed checks that a request that has been received when the time to wait for it ends is found.
+func TestReceivedRequestNotMissed(t *testing.T) {
+	s, _ := serveForever(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(client, firstRequest); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	s.closing.Store(true)
+	c := newConn(s, server)
+	defer c.close()
+	c.used = true
+	if !c.awaitRequest() {
+		t.Error("the request was taken for none")
+	}
+}
