Answers on their way don't excuse a request that begins to crash servers

What callers saw: a request that crashes the plain servers which run it reached them for one more of their lives than needed: all servers of the service were down once more, and all its requests rejected meanwhile.

Cause: crashes before the latest survival of a request don't count against it. A survival was dated to the arrival of the first event, and for responses without events to that of the response, however long ago its server had run the request. Responses that arrive after the first crashes therefore set these aside, and the request isn't blocked in the servers' second lives.

The hosts that refused to confirm crashes, as suspected, are not the cause.

Change: the survival of a request without events is dated to its sending. The server began it no earlier, so that no such survival is later than a crash which shows that servers had begun to crash. Streams are unchanged: their first event shows that the server had begun.

Test: TestFleetLethalRequestAnswersUnderWay delays answers by 400 ms.

--- a/cmd/savorywing/fleet_lethal_request_test.go
+++ b/cmd/savorywing/fleet_lethal_request_test.go
@@ -219,16 +219,12 @@
 			t.Parallel()
 			f := newFleetEnv(t, 3, 3, 0)
 			for i := range 3 {
-				f.addProxied(standin.ServerConfig{ID: fmt.Sprintf("proxied-plain-%d", i), Service: fleetPlainService, Slots: 6}, tt.open)
+				f.addProxied(standin.ServerConfig{ID: fmt.Sprintf("proxied-plain-%d", i), Service: fleetPlainService, Slots: 6}, func(r *relay) { r.keepsOpen = tt.open })
 			}
 			for i := range 30 {
-				f.addProxied(standin.ServerConfig{ID: fmt.Sprintf("proxied-%d", i), Service: fleetEngineService, Engine: true, Slots: 8, FabricDomain: fmt.Sprintf("d%d", i/10)}, tt.open)
-			}
-			for _, s := range f.fleet.PlainServers() {
-				if !strings.HasPrefix(s.ID, "proxied") {
-					s.Kill()
-				}
+				f.addProxied(standin.ServerConfig{ID: fmt.Sprintf("proxied-%d", i), Service: fleetEngineService, Engine: true, Slots: 8, FabricDomain: fmt.Sprintf("d%d", i/10)}, func(r *relay) { r.keepsOpen = tt.open })
 			}
+			f.killUnproxied()
 			f.waitServing()
 			l := f.startRequestLoad(lethalRequestCase{"", "/talk/x", []string{smallModel, largeModel}, setLethalBody})
 			defer l.end()
@@ -244,10 +240,52 @@
 }
 
 // addProxied adds a server that is reached through a proxy only.
-func (f *fleetEnv) addProxied(cfg standin.ServerConfig, keepsOpen bool) {
+func (f *fleetEnv) addProxied(cfg standin.ServerConfig, set func(r *relay)) {
 	cfg.Address, cfg.DataCentre = freeAddresses(f.t, 1)[0], "a"
 	r := newRelay(f.t, cfg.Address)
-	r.keepsOpen = keepsOpen
+	set(r)
 	cfg.Advertised = r.address()
 	f.addServer(cfg)
 }
+
+// killUnproxied kills the plain servers that are reached directly.
+func (f *fleetEnv) killUnproxied() {
+	for _, s := range f.fleet.PlainServers() {
+		if !strings.HasPrefix(s.ID, "proxied") {
+			s.Kill()
+		}
+	}
+}
+
+// TestFleetLethalRequestAnswersUnderWay guards against answers that are still on their way when servers begin to crash: they
+// don't show that the request is sound.
+func TestFleetLethalRequestAnswersUnderWay(t *testing.T) {
+	// The third lives of the servers begin later than lethalRequestBound.
+	f := newFleetEnv(t, 3, 3, 30, func(f *fleetEnv) { f.restartTime = 2 * time.Second })
+	for i := range 3 {
+		f.addProxied(standin.ServerConfig{ID: fmt.Sprintf("proxied-plain-%d", i), Service: fleetPlainService, Slots: 6},
+			func(r *relay) { r.answerDelay = 400 * time.Millisecond })
+	}
+	f.killUnproxied()
+	f.waitServing()
+	l := f.startRequestLoad(lethalRequestCase{"", "/book/x", []string{""}, setLethalBody})
+	defer l.end()
+	time.Sleep(time.Second)
+	// The answers to these are under way when servers crash under the next ones.
+	l.sendLethalAtOnce(2 * len(f.entries))
+	time.Sleep(100 * time.Millisecond)
+	f.fleet.SetLethalBody(lethalBody)
+	l.sendLethalAtOnce(4 * len(f.entries))
+	time.Sleep(6 * time.Second)
+	l.reset()
+	time.Sleep(4 * time.Second)
+	f.checkLethalRequests()
+	l.check()
+}
+
+// sendLethalAtOnce sends lethal requests at the same time, and doesn't wait for responses.
+func (l *requestLoad) sendLethalAtOnce(n int) {
+	for i := range n {
+		l.callers.Go(func() { l.sendLethal(n+i, 0) })
+	}
+}
--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -81,6 +81,8 @@
 	logOutput io.Writer
 	// retryBurst is the number of requests that may be sent again beyond the retry ratio; 0 for the default.
 	retryBurst float64
+	// restartTime is how long a server that has crashed takes to start again.
+	restartTime time.Duration
 	// tokens are the tokens between the daemons.
 	tokens peer.Tokens
 	// hasPaths makes each entry host dial backend servers, and other daemons, on paths of its own that can be cut.
@@ -105,7 +107,7 @@
 	subnetCounter.n++
 	subnet := subnetCounter.n
 	subnetCounter.Unlock()
-	f := &fleetEnv{t: t, port: 21000 + subnet*10, stopped: map[any]bool{}, tokens: peer.Tokens{Sent: "test"}}
+	f := &fleetEnv{t: t, port: 21000 + subnet*10, stopped: map[any]bool{}, tokens: peer.Tokens{Sent: "test"}, restartTime: 1500 * time.Millisecond}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -125,7 +127,7 @@
 	doc := fleetDocument(1)
 	f.fleet = standin.New(standin.Config{
 		Dialect: f.dialect, ControlAddresses: f.seeds, ReportInterval: 200 * time.Millisecond, EngineService: fleetEngineService,
-		Engine: *doc.Services[0].Engine, MemberLossTimeout: 700 * time.Millisecond, PlainServiceTime: 10 * time.Millisecond, RestartTime: 1500 * time.Millisecond,
+		Engine: *doc.Services[0].Engine, MemberLossTimeout: 700 * time.Millisecond, PlainServiceTime: 10 * time.Millisecond, RestartTime: f.restartTime,
 	})
 	for i := range engines {
 		f.addServer(standin.ServerConfig{ID: fmt.Sprintf("engine-%d", i), Service: fleetEngineService, Engine: true, Slots: 8,
--- a/cmd/savorywing/relay_test.go
+++ b/cmd/savorywing/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
 // relay forwards connections to a target. It can fall silent: it then discards all bytes without closing a connection.
@@ -21,6 +22,8 @@
 	conns      []net.Conn
 	// keepsOpen keeps connections open whose target doesn't listen.
 	keepsOpen bool
+	// answerDelay is how long bytes from the target are on their way; the end of a connection isn't delayed.
+	answerDelay time.Duration
 }
 
 func newRelay(t *testing.T, target string) *relay {
@@ -63,11 +66,11 @@
 	generation := r.generation
 	r.conns = append(r.conns, c, out)
 	r.mu.Unlock()
-	go r.copy(out, c, generation)
-	r.copy(c, out, generation)
+	go r.copy(out, c, generation, 0)
+	r.copy(c, out, generation, r.answerDelay)
 }
 
-func (r *relay) copy(to, from net.Conn, generation int) {
+func (r *relay) copy(to, from net.Conn, generation int, delay time.Duration) {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
@@ -80,6 +83,7 @@
 		if r.isSilent(generation) {
 			continue
 		}
+		time.Sleep(delay)
 		if _, err := to.Write(b[:n]); err != nil {
 			_ = from.Close()
 			return
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -241,7 +241,7 @@
 // attempt sends the request to one server and relays its response.
 func (r *callerRequest) attempt(ctx context.Context, d placement.Decision, reservation *placement.Reservation) (outcome, placement.Result) {
 	g := r.gateway
-	r.firstEventAt, r.survived = time.Time{}, false
+	r.begunAt, r.firstEventAt, r.survived = reservation.SentAt(), time.Time{}, false
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := r.startWatch(d, cancel)
@@ -399,7 +399,7 @@
 		err := response.Drain()
 		return r.sendFailed(ctx, d, errors.Join(fmt.Errorf("callerRequest.relayBuffered: status %d, signed %t, event %d delivered", status, signed, r.lastEventID), err))
 	}
-	r.recordEvent(g.clock.Now())
+	r.firstEventAt = g.clock.Now()
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
 	if err == nil && len(body) == maxBufferedResponse && signed {
 		return r.relayLarge(ctx, response, d, body)
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -36,7 +36,7 @@
 // recordEvent records that the current attempt got an event, and, once its server has survived the request, that.
 func (r *callerRequest) recordEvent(now time.Time) {
 	if r.firstEventAt.IsZero() {
-		r.firstEventAt = now
+		r.firstEventAt, r.begunAt = now, now
 	}
 	if now.Sub(r.firstEventAt) >= quarantine.SurvivalTime {
 		r.recordSurvival(now)
@@ -52,7 +52,7 @@
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.observer.RecordSurvival(now, r.firstEventAt, r.identity)
+	g.observer.RecordSurvival(now, r.begunAt, r.identity)
 }
 
 // recordLoss records that the connection of an attempt ended before its server had survived the request. The first one
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -64,10 +64,13 @@
 	firstEvent, longestGap time.Duration
 	// identity is what the request may have in common with others.
 	identity quarantine.Identity
-	// firstEventAt is when the current attempt got its first event; zero before. survived reports whether its server is
-	// known to have survived the request.
+	// firstEventAt is when the current attempt got its first event, or the header of a response without events; zero before.
+	// survived reports whether its server is known to have survived the request.
 	firstEventAt time.Time
 	survived     bool
+	// begunAt is when the server of the current attempt began the request, as far as known: when the first event arrived, or
+	// else when the request was sent. A response without events may arrive long after its server began.
+	begunAt time.Time
 	// mayHaveRun is set once an attempt may have run and its response was lost.
 	mayHaveRun bool
 }
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -140,8 +140,8 @@
 	return key, o.listed[key].blocked
 }
 
-// RecordSurvival records that a server has survived a request that got its first event at begun: its response is complete,
-// or has been written for SurvivalTime.
+// RecordSurvival records that a server has survived a request that it began no earlier than begun: its response is complete,
+// or has been written for SurvivalTime. A later begun would set aside crashes from before the server began.
 func (o *Observer) RecordSurvival(now, begun time.Time, p Identity) {
 	if now.Sub(o.rotatedAt) > survivalRetention || len(o.newer) >= maxSurvivals {
 		o.older, o.newer, o.rotatedAt = o.newer, map[wire.PartKey]time.Time{}, now
