Reports that were under way for long don't make survivals later

Cause: hosts report the age of a survival with each usage report, and the leader subtracted it from the time at which it handled the report. A report that was under way or queued for longer dated the same survival later, and the latest date counted, so that it crept beyond the first crashes. The clocks of hosts don't agree, so the times themselves can't be compared.

Change: clock.Remote maps the times of another host's clock to this one's by the shortest delay among recent messages, and the tracker dates ages from when a report was sent. A late report then changes nothing; a clock that begins anew is learned again.

The tests' reports carry the time at which they are sent, as hosts' do.

--- a/process/controller/quarantine.go
+++ b/process/controller/quarantine.go
@@ -13,7 +13,7 @@
 		c.log.Info().Str("event", "serverEnded").Str("server", l.Server).Int64("born", l.Born).Str("entry", host).Int64("ageMs", l.AgeMs).
 			Bool("proven", l.Ended).Int("requests", len(l.Requests)).Msg("connections to a backend server ended under requests that it had just begun")
 	}
-	c.quarantine.Record(now, c.term, u)
+	c.quarantine.Record(now, host, c.term, u)
 }
 
 // hasEnded reports whether one incarnation of a server is known to have ended: a later one has started at its address or
--- a/process/quarantine/request_test.go
+++ b/process/quarantine/request_test.go
@@ -20,14 +20,14 @@
 // crashUnder reports that a server has ended under requests, and lets time pass until the next crash.
 func (s *scene) crashUnder(requests ...wire.LostRequest) {
 	s.crashes++
-	s.Record(s.now, 1, wire.Usage{QuarantineTerm: 1, Losses: []wire.Loss{{Server: fmt.Sprint("server-", s.crashes), Born: 1, Ended: true, Requests: requests}}})
+	s.report(1, wire.Usage{QuarantineTerm: 1, Losses: []wire.Loss{{Server: fmt.Sprint("server-", s.crashes), Born: 1, Ended: true, Requests: requests}}})
 	s.pass(200 * time.Millisecond)
 }
 
 // surviveRequest reports that a request has survived that began just now.
 func (s *scene) surviveRequest(digest uint64) {
 	key := requestKey("o", digest)
-	s.Record(s.now, 1, wire.Usage{QuarantineTerm: 1, Survivals: []wire.Survival{{Key: key, BegunMs: 10}}})
+	s.report(1, wire.Usage{QuarantineTerm: 1, Survivals: []wire.Survival{{Key: key, BegunMs: 10}}})
 }
 
 // TestLethalRequest checks that the request is blocked which was in all crashes, and nothing else.
@@ -149,7 +149,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := newScene()
 			for _, l := range tt.reports {
-				s.Record(s.now, 1, wire.Usage{QuarantineTerm: 1, Losses: []wire.Loss{l}})
+				s.report(1, wire.Usage{QuarantineTerm: 1, Losses: []wire.Loss{l}})
 			}
 			begun := s.now
 			for range 30 {
@@ -168,6 +168,47 @@
 	}
 }
 
+// TestReportsUnderWay guards against reports that arrive late: a survival from before a crash doesn't become a later one each
+// time that it is reported.
+func TestReportsUnderWay(t *testing.T) {
+	const crashes = 5
+	for _, tt := range []struct {
+		name string
+		// transit is how long each report of the survival is under way, and maxShift how much later it may appear.
+		transit  []time.Duration
+		maxShift time.Duration
+	}{
+		{"all at once", []time.Duration{0, 0, 0}, 0},
+		{"some late", []time.Duration{time.Millisecond, 90 * time.Millisecond, 450 * time.Millisecond}, survivalResolution},
+		{"the first one late", []time.Duration{350 * time.Millisecond, time.Millisecond, 450 * time.Millisecond}, 350 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScene()
+			survivedAt := s.now
+			s.now = s.now.Add(400 * time.Millisecond)
+			s.reportLate("late", tt.transit[0], 1, survivalsOf(survivedAt, s.now.Add(-tt.transit[0]), 1))
+			for n := range crashes {
+				s.crashUnder(lost(1))
+				s.pass(600 * time.Millisecond)
+				transit := tt.transit[min(n+1, len(tt.transit)-1)]
+				s.reportLate("late", transit, 1, survivalsOf(survivedAt, s.now.Add(-transit), 1))
+			}
+			s.pass(200 * time.Millisecond)
+			if s.blocked[requestKey("o", 1)] == nil {
+				t.Errorf("not blocked after %d crashes", crashes)
+			}
+			if got := s.survivals[requestKey("o", 1)].Sub(survivedAt); got > tt.maxShift {
+				t.Errorf("the survival became %v later, want at most %v", got, tt.maxShift)
+			}
+		})
+	}
+}
+
+// survivalsOf returns a report, sent at sentAt, of a request that survived at begun.
+func survivalsOf(begun, sentAt time.Time, digest uint64) wire.Usage {
+	return wire.Usage{QuarantineTerm: 1, Survivals: []wire.Survival{{Key: requestKey("o", digest), BegunMs: sentAt.Sub(begun).Milliseconds()}}}
+}
+
 // TestDigest checks what distinguishes two requests.
 func TestDigest(t *testing.T) {
 	seen := map[uint64]string{0: "no digest"}
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -88,15 +89,19 @@
 	unannounced      bool
 	nextAnnouncement time.Time
 	changes          []Change
+	// hosts holds the clocks of the entry hosts that report.
+	hosts map[string]*clock.Remote
 }
 
 // NewTracker returns a Tracker for a leader that takes over now.
 func NewTracker(now time.Time) *Tracker {
-	return &Tracker{leadingSince: now, survivals: map[wire.PartKey]time.Time{}, blocked: map[wire.PartKey]*block{}}
+	return &Tracker{leadingSince: now, survivals: map[wire.PartKey]time.Time{}, blocked: map[wire.PartKey]*block{}, hosts: map[string]*clock.Remote{}}
 }
 
 // Record records what an entry host's usage report states. Step draws the conclusions.
-func (t *Tracker) Record(now time.Time, term uint64, u wire.Usage) {
+func (t *Tracker) Record(now time.Time, host string, term uint64, u wire.Usage) {
+	// Ages are relative to the time at which the report was sent.
+	now = t.sentAt(now, host, u.SentAt)
 	if u.QuarantineTerm < term && now.Sub(t.leadingSince) < adoptionTime {
 		t.adopt(now, u.Quarantine)
 	}
@@ -113,6 +118,22 @@
 	}
 }
 
+// maxHosts bounds the entry hosts whose clocks are remembered. A clock is learned again from the next reports.
+const maxHosts = 4096
+
+// sentAt returns when a report of a host was sent, by this host's clock.
+func (t *Tracker) sentAt(now time.Time, host string, stamp int64) time.Time {
+	h := t.hosts[host]
+	if h == nil {
+		if len(t.hosts) >= maxHosts {
+			clear(t.hosts)
+		}
+		h = &clock.Remote{}
+		t.hosts[host] = h
+	}
+	return h.SentAt(now, stamp)
+}
+
 // stepInterval is the time between two steps while parts are suspected and there is no news of them.
 const stepInterval = 50 * time.Millisecond
 
--- a/process/quarantine/tracker_test.go
+++ b/process/quarantine/tracker_test.go
@@ -23,6 +23,15 @@
 
 func newScene() *scene { return &scene{Tracker: NewTracker(start), now: start} }
 
+// report delivers a usage report of one host that is sent now, to the leader of a term.
+func (s *scene) report(term uint64, u wire.Usage) { s.reportLate("host", 0, term, u) }
+
+// reportLate delivers a report of a host that was sent some time ago.
+func (s *scene) reportLate(host string, transit time.Duration, term uint64, u wire.Usage) {
+	u.SentAt = s.now.Add(-transit).UnixNano()
+	s.Record(s.now, host, term, u)
+}
+
 // crash reports that a server has ended under requests of an organisation with these parts.
 func (s *scene) crash(organisation string, prompts ...[]uint64) {
 	s.crashes++
@@ -30,7 +39,7 @@
 	for _, parts := range prompts {
 		l.Requests = append(l.Requests, wire.LostRequest{Service: "s", Organisation: organisation, Parts: parts})
 	}
-	s.Record(s.now, 1, wire.Usage{QuarantineTerm: 1, Losses: []wire.Loss{l}})
+	s.report(1, wire.Usage{QuarantineTerm: 1, Losses: []wire.Loss{l}})
 }
 
 // survive reports that requests with parts that got their first event at begun have survived.
@@ -40,7 +49,7 @@
 	for _, part := range parts {
 		u.Survivals = append(u.Survivals, wire.Survival{Key: key(organisation, part), BegunMs: s.now.Sub(begun).Milliseconds()})
 	}
-	s.Record(s.now, 1, u)
+	s.report(1, u)
 }
 
 // pass lets time pass, with a step every 50 ms.
@@ -191,7 +200,7 @@
 // TestLostProbe checks that a probe whose outcome never becomes known is followed by another one.
 func TestLostProbe(t *testing.T) {
 	s := newScene()
-	s.Record(s.now, 2, wire.Usage{QuarantineTerm: 1, Quarantine: []wire.QuarantinedPart{{Key: key("o", common), Blocked: true}}})
+	s.report(2, wire.Usage{QuarantineTerm: 1, Quarantine: []wire.QuarantinedPart{{Key: key("o", common), Blocked: true}}})
 	away := []wire.PartKey{key("o", common)}
 	probes := 0
 	for range 10 * time.Second / (100 * time.Millisecond) {
@@ -256,15 +265,15 @@
 func TestNewLeader(t *testing.T) {
 	list := []wire.QuarantinedPart{{Key: key("o", lethal), Blocked: true, RetryMs: 30000}, {Key: key("o", common)}}
 	s := newScene()
-	s.Record(s.now, 2, wire.Usage{QuarantineTerm: 1, Quarantine: list})
+	s.report(2, wire.Usage{QuarantineTerm: 1, Quarantine: list})
 	s.pass(time.Second)
 	if !s.isBlocked("o", lethal) || len(s.blocked) != 1 {
 		t.Errorf("blocked %v, want the part that was blocked before", s.List(s.now))
 	}
 	s = newScene()
 	s.pass(adoptionTime)
-	s.Record(s.now, 2, wire.Usage{QuarantineTerm: 1, Quarantine: list})
-	s.Record(s.now, 2, wire.Usage{QuarantineTerm: 2, Quarantine: list})
+	s.report(2, wire.Usage{QuarantineTerm: 1, Quarantine: list})
+	s.report(2, wire.Usage{QuarantineTerm: 2, Quarantine: list})
 	if len(s.blocked) != 0 {
 		t.Errorf("blocked %v of an old list", s.List(s.now))
 	}
