Only events reach the caller of a stream

Callers found the head and the text of a response in the middle of their stream: an earlier refusal that a faulty engine wrote once more into it, or an error written where a stream without a length breaks off. At the end of a stream the head passed for its last event, and the stream for complete.

Cause: scanEvents looked for ids only. Any other line, "HTTP/1.1 503 Service Unavailable" and its fields too, was taken as a part of the event that followed or, at the end, of one without an id.

Change: each line must be a comment or a field of an event. Fields beyond those of the standard have names in lower case, precede the event's id and belong to an event that has one, as the one that states versions does. Anything else ends the attempt, so that another server continues after the last event delivered, or the stream ends with an error. Events that are complete before such a line are delivered first, also before an event that is out of order.

Not detected: a head without any field that follows data in the same line, and text that has the form of an event.

--- /dev/null
+++ b/process/gateway/attempt_test.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/wire"
+)
+
+// recordedExchange is an exchange that records what the caller gets.
+type recordedExchange struct {
+	request fasthttp.Request
+	arrival time.Time
+	status  int
+	body    strings.Builder
+	// complete reports whether the caller takes the response for complete.
+	started, complete bool
+	remaining         int
+}
+
+func (x *recordedExchange) HTTPRequest() *fasthttp.Request { return &x.request }
+func (x *recordedExchange) Arrival() time.Time             { return x.arrival }
+func (x *recordedExchange) Started() bool                  { return x.started }
+
+func (x *recordedExchange) WriteError(e savorywing.ErrorResponse) {
+	var h fasthttp.ResponseHeader
+	body := e.Encode(&h)
+	_ = x.Start(&h, len(body), body)
+}
+
+func (x *recordedExchange) Start(h *fasthttp.ResponseHeader, length int, first []byte) error {
+	if x.started {
+		return errors.New("started twice")
+	}
+	x.started, x.status, x.remaining = true, h.StatusCode(), length
+	return x.Write(first)
+}
+
+func (x *recordedExchange) Write(p []byte) error {
+	x.body.Write(p)
+	if x.remaining >= 0 {
+		x.remaining -= len(p)
+		x.complete = x.remaining == 0
+	}
+	return nil
+}
+
+func (x *recordedExchange) Finish(last []byte) error {
+	x.body.Write(last)
+	x.complete = true
+	return nil
+}
+
+func (x *recordedExchange) Abort() { x.complete = false }
+
+// serverScript answers the n-th request that its servers get together with the n-th text. ID in a text stands for the attempt
+// ID, and "CLOSE" at its end closes the connection. Further requests get no answer.
+type serverScript struct {
+	texts []string
+	// arrived counts the requests.
+	arrived atomic.Int64
+}
+
+func (s *serverScript) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if req.Read(r) != nil {
+			return
+		}
+		n := int(s.arrived.Add(1))
+		if n > len(s.texts) {
+			return
+		}
+		text, closes := strings.CutSuffix(s.texts[n-1], "CLOSE")
+		text = strings.ReplaceAll(text, "ID", string(req.Header.Peek("X-Savorywing-Attempt-Id")))
+		if _, err := io.WriteString(c, text); err != nil || closes {
+			return
+		}
+	}
+}
+
+// runScript lets a gateway serve one request with servers that follow a script.
+func runScript(t *testing.T, route catalogue.Route, s *serverScript, setHeader func(h *fasthttp.RequestHeader)) *recordedExchange {
+	t.Helper()
+	g := newTestGateway(t)
+	g.settings().RetryBurst = 1000
+	var endpoints []wire.Endpoint
+	for n := range route.MaxAttempts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go s.serve(c)
+			}
+		}()
+		endpoints = append(endpoints, wire.Endpoint{ID: fmt.Sprint("i-", n), Address: l.Addr().String(), Service: "s", Slots: 4, Born: 1, Handle: uint64(n) + 1})
+	}
+	g.balancer.UpdateEndpoints(true, endpoints, nil)
+	route.Host, route.Prefix, route.Services = "x.example", "/", []catalogue.WeightedService{{Service: "s", Weight: 1}}
+	c, err := catalogue.New(catalogue.Document{Version: 7, Routes: []catalogue.Route{route}, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.catalogue.Store(c)
+	x := &recordedExchange{arrival: g.clock.Now()}
+	x.request.Header.SetMethod(fasthttp.MethodPost)
+	x.request.Header.SetRequestURI("/x")
+	x.request.Header.SetHost("x.example")
+	x.request.SetBodyString("b")
+	x.request.Header.Set("X-Savorywing-Attempt-Id", "n1")
+	if setHeader != nil {
+		setHeader(&x.request.Header)
+	}
+	g.Serve(context.Background(), x)
+	return x
+}
+
+var streamingRoute = catalogue.Route{Name: "talk", Kind: catalogue.Streaming, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second}
+
+const (
+	signedField    = "X-Savorywing-Attempt-Id: ID\r\nX-Savorywing-Server-Signature: s\r\n"
+	eventType      = "Content-Type: text/event-stream\r\n"
+	chunkedField   = "Transfer-Encoding: chunked\r\n\r\n"
+	lastChunk      = "0\r\n\r\n"
+	okHead         = "HTTP/1.1 200 OK\r\n"
+	rawRefusalHead = "HTTP/1.1 503 Service Unavailable\r\nX-Savorywing-Not-Executed: 1\r\ncontent-length: 5\r\n\r\nfull\n"
+)
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// eventRange returns the events from first up to last.
+func eventRange(first, last int) string {
+	text := ""
+	for id := first; id <= last; id++ {
+		text += fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id)
+	}
+	return text
+}
+
+// TestResponseInStream guards against a response, such as an earlier refusal, that a server writes once more in the middle of
+// a stream and that reaches the caller. Another server continues the stream.
+func TestResponseInStream(t *testing.T) {
+	chunkedStream, openStream := okHead+signedField+eventType+chunkedField, okHead+signedField+eventType+"\r\n"
+	second := chunkedStream + chunk(eventRange(2, 3)) + lastChunk
+	first := eventRange(0, 1)
+	for _, tt := range []struct{ name, first string }{
+		{"between chunks", chunkedStream + chunk(first) + rawRefusalHead + chunk(eventRange(2, 3)) + lastChunk},
+		{"in place of the last chunk", chunkedStream + chunk(first) + rawRefusalHead + "CLOSE"},
+		{"in a chunk", chunkedStream + chunk(first+rawRefusalHead+eventRange(2, 3)) + lastChunk},
+		{"no chunks, between events", openStream + first + rawRefusalHead + eventRange(2, 3) + "CLOSE"},
+		{"no chunks, after an event that does not say which", openStream + first + "data: busy\n\n" + rawRefusalHead + "CLOSE"},
+		{"no chunks, at the end", openStream + first + rawRefusalHead + "CLOSE"},
+		{"no chunks, at the end, no body", openStream + first + strings.TrimSuffix(rawRefusalHead, "full\n") + "CLOSE"},
+		{"no chunks, in an id", openStream + first + "id: 2" + rawRefusalHead + eventRange(3, 4) + "CLOSE"},
+		{"no chunks, after an id", openStream + first + "id: 2\n" + rawRefusalHead + eventRange(3, 4) + "CLOSE"},
+		{"no chunks, in a field name", openStream + first + "id: 2\nda" + rawRefusalHead + eventRange(3, 4) + "CLOSE"},
+		{"no chunks, in data", openStream + first + "id: 2\ndata: tok" + rawRefusalHead + eventRange(3, 4) + "CLOSE"},
+		{"no chunks, in a field before the id", openStream + first + "x-savorywing-weight-versions: 3" + rawRefusalHead + eventRange(2, 3) + "CLOSE"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := &serverScript{texts: []string{tt.first, second}}
+			x := runScript(t, streamingRoute, s, nil)
+			if want := eventRange(0, 3); x.status != fasthttp.StatusOK || x.body.String() != want || !x.complete {
+				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), want)
+			}
+		})
+	}
+}
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -25,12 +25,12 @@
 	errEventOrder = errors.New("events don't continue after the last one delivered")
 	// errNoEvent means that maxEventBytes hold no complete event with an id.
 	errNoEvent = errors.New("got no event")
+	// errEventField means that a line is no field of an event, as of a response that was written into the stream.
+	errEventField = errors.New("got a line that is no field of an event")
 	// errNoEventEnd means that a stream ended inside an event, or before its first one without stating its end.
 	errNoEventEnd = errors.New("the stream ended inside an event")
 )
 
-var idField = []byte("id:")
-
 // relayEvents relays a stream in complete events as they arrive, so that another server can continue after the
 // last one delivered. Bytes without an id are held back until an event with one follows, or the stream ends: they may
 // be no events at all.
@@ -47,9 +47,6 @@
 		if scanErr == nil && len(pending)-scan.numbered > maxEventBytes {
 			scanErr = errNoEvent
 		}
-		if scanErr != nil {
-			return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayEvents: %w", scanErr))
-		}
 		if scan.numbered > 0 {
 			now := g.clock.Now()
 			w.progressed(now)
@@ -58,7 +55,7 @@
 			g.recordProgress(reservation, now, last)
 			last, hasEvents = now, true
 		}
-		end, ended := scan.numbered, errors.Is(err, io.EOF)
+		end, ended := scan.numbered, errors.Is(err, io.EOF) && scanErr == nil
 		if ended {
 			end = scan.complete
 			if rest := pending[end:]; !isStreamEnd(rest, hasEvents, response.Framing()) {
@@ -71,6 +68,9 @@
 		}
 		r.lastEventID = scan.lastID
 		pending = append(pending[:0], pending[end:]...)
+		if scanErr != nil {
+			return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayEvents: %w", scanErr))
+		}
 		if ended {
 			r.recordSurvival(g.clock.Now())
 			r.recordServed(d, response)
@@ -101,10 +101,11 @@
 }
 
 // scanEvents finds the complete events at the beginning of p. An empty line ends an event; lines end with LF or CRLF. The
-// first id must follow lastID, unless that is negative, and each further one its predecessor.
+// first id must follow lastID, unless that is negative, and each further one its predecessor. After an error, the events
+// before it are found.
 func scanEvents(p []byte, lastID int64) (eventScan, error) {
 	s := eventScan{lastID: lastID}
-	var idValue []byte
+	var event eventFields
 	for pos := 0; ; {
 		length := bytes.IndexByte(p[pos:], '\n')
 		if length < 0 {
@@ -112,24 +113,66 @@
 		}
 		line := bytes.TrimSuffix(p[pos:pos+length], []byte("\r"))
 		pos += length + 1
-		if value, found := bytes.CutPrefix(line, idField); found {
-			idValue = value
-		}
 		if len(line) > 0 {
-			continue
-		}
-		if idValue != nil {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(idValue)), 10, 64)
-			if err != nil {
+			if err := event.add(line); err != nil {
 				return s, fmt.Errorf("scanEvents: %w", err)
 			}
-			if s.lastID >= 0 && id != s.lastID+1 {
-				return s, fmt.Errorf("scanEvents: got event %d after event %d: %w", id, s.lastID, errEventOrder)
-			}
-			s.lastID, s.numbered, idValue = id, pos, nil
+			continue
+		}
+		if err := event.end(&s, pos); err != nil {
+			return s, fmt.Errorf("scanEvents: %w", err)
+		}
+		event = eventFields{}
+	}
+}
+
+// eventFields is what the lines of one event state.
+type eventFields struct {
+	// id is the value of the last field of that name; nil without one. It is a part of the bytes that are scanned.
+	id []byte
+	// isExtended reports whether the event has a field that the standard of event streams doesn't define.
+	isExtended bool
+}
+
+// add adds a line. Fields that the standard of event streams doesn't define have names in lower case and precede the id, so
+// that the header of a response that is written into an event can't be taken for fields of it.
+func (e *eventFields) add(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		e.id = value
+		return nil
+	case "", "data", "event", "retry":
+		return nil
+	}
+	if !found || e.id != nil || bytes.IndexFunc(name, isNoNameRune) >= 0 {
+		return fmt.Errorf("%w: %.40q", errEventField, line)
+	}
+	e.isExtended = true
+	return nil
+}
+
+func isNoNameRune(c rune) bool {
+	return (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_'
+}
+
+// end adds the event, which ends at a position, to a scan. Without an id, it may only have fields that the standard defines.
+func (e *eventFields) end(s *eventScan, pos int) error {
+	switch {
+	case e.id != nil:
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(e.id)), 10, 64)
+		if err != nil {
+			return err
+		}
+		if s.lastID >= 0 && id != s.lastID+1 {
+			return fmt.Errorf("got event %d after event %d: %w", id, s.lastID, errEventOrder)
 		}
-		s.complete = pos
+		s.lastID, s.numbered = id, pos
+	case e.isExtended:
+		return errEventField
 	}
+	s.complete = pos
+	return nil
 }
 
 // isStreamEnd reports whether a stream whose input has ended may be complete. rest is what follows its last complete
