A stream is continued by events or not at all

A stream had begun and broke off, and the next engine answered with something that isn't its continuation: callers found its text at the end of their stream, and the stream looked complete.

Cause: a signed response with status 200 was taken for the rest of the stream whatever its content type. What had no ids was held back, but passed on once the response ended, and an empty one of any kind counted as the end of the stream.

Evidence: TestErrorAfterBrokenStream, new, 90 rows: status 400 to 504, signed and not, five framings each, and 20 responses with other faults. On, 7 rows fail: JSON and text reach the caller, text in an event stream, a field that is no event's and an event without an id do, and an empty response of type JSON, or of none, ends the stream as complete. No row of status 4xx or 5xx failed.

Change: a response with a content type other than text/event-stream is no stream: it is passed on as it is if it is the first, which TestOtherContentOfStreamingRoute checks (2 of 5 rows failed before, with 502), and never continues one. A stream that has begun ends only after further events with ids, or with an empty response that states the type of a stream. A type that the server doesn't state is no longer made up as text/plain.

After: 90 of 90 rows and 5 of 5 pass, three runs; TestFleetTruncatedStreamNotComplete and TestFleetEndlessResponses too.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -174,6 +174,8 @@
 		if err := r.Header.Read(l.reader); err != nil {
 			return nil, fmt.Errorf("reading the response header: %w", err)
 		}
+		// A type that the server doesn't state isn't made up.
+		r.Header.SetNoDefaultContentType(true)
 		status := r.Header.StatusCode()
 		if status == fasthttp.StatusSwitchingProtocols {
 			return nil, errUnexpectedSwitch
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -259,12 +259,19 @@
 	switch {
 	case response.Metadata.NotRun:
 		return outcomeNotRun, r.handleNotRun(response, d)
-	case r.route.Kind == catalogue.Streaming && response.Header.StatusCode() == fasthttp.StatusOK && response.Metadata.Signed:
+	case r.isStream(response):
 		return r.relayEvents(ctx, response, d, reservation, w)
 	}
 	return r.relayBuffered(ctx, response, d)
 }
 
+// isStream reports whether a response is a stream of events. Servers may leave out the content type.
+func (r *callerRequest) isStream(response *engine.Response) bool {
+	h := &response.Header
+	return r.route.Kind == catalogue.Streaming && h.StatusCode() == fasthttp.StatusOK && response.Metadata.Signed &&
+		(len(h.ContentType()) == 0 || isEventStream(h))
+}
+
 // recordNotice applies what a response states about its server. The leader is told with the next usage report, which
 // is sent at once.
 func (r *callerRequest) recordNotice(d placement.Decision, m savorywing.ResponseMetadata) {
--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -140,6 +140,7 @@
 
 const (
 	signedField    = "X-Savorywing-Attempt-Id: ID\r\nX-Savorywing-Server-Signature: s\r\n"
+	unsignedField  = "X-Savorywing-Attempt-Id: ID\r\n"
 	eventType      = "Content-Type: text/event-stream\r\n"
 	chunkedField   = "Transfer-Encoding: chunked\r\n\r\n"
 	lastChunk      = "0\r\n\r\n"
@@ -158,6 +159,64 @@
 	return text
 }
 
+// TestErrorAfterBrokenStream guards against bytes of an error in a stream, and streams that end as if they were complete: a
+// stream has begun and breaks off, and the next server doesn't continue it.
+func TestErrorAfterBrokenStream(t *testing.T) {
+	const begun = okHead + signedField + eventType + chunkedField
+	type row struct {
+		name, second string
+		complete     bool
+		want         string
+	}
+	delivered := eventRange(0, 1)
+	rows := []row{
+		{"continued", begun + chunk(eventRange(2, 3)) + lastChunk, true, eventRange(0, 3)},
+		{"no event is left", begun + lastChunk, true, delivered},
+		{"no event, no length", okHead + signedField + eventType + "\r\nCLOSE", false, delivered},
+		{"no event, no content type", okHead + signedField + "Content-Length: 0\r\n\r\n", false, delivered},
+		{"no event, JSON", okHead + signedField + "Content-Type: application/json\r\nContent-Length: 0\r\n\r\n", false, delivered},
+		{"JSON", okHead + signedField + "Content-Type: application/json\r\nContent-Length: 4\r\n\r\n{}\n\n", false, delivered},
+		{"text", okHead + signedField + "Content-Type: text/plain\r\n" + chunkedField + chunk("busy\n\n") + lastChunk, false, delivered},
+		{"text in an event stream", begun + chunk("engine is busy\n\n") + lastChunk, false, delivered},
+		{"a field that is no event's", begun + chunk("error: engine is busy\n\n") + lastChunk, false, delivered},
+		{"events that don't say which", begun + chunk("data: token 2\n\n") + lastChunk, false, delivered},
+		{"the first event again", begun + chunk(eventRange(0, 11)) + lastChunk, false, delivered},
+		{"the last event again", begun + chunk(eventRange(1, 3)) + lastChunk, false, delivered},
+		{"a missing event", begun + chunk(eventRange(3, 5)) + lastChunk, false, delivered},
+		{"an id that is no number", begun + chunk("id: x\ndata: y\n\n") + lastChunk, false, delivered},
+		{"unsigned, continued", okHead + unsignedField + eventType + chunkedField + chunk(eventRange(2, 3)) + lastChunk, false, delivered},
+		{"no content", "HTTP/1.1 204 No Content\r\n" + signedField + "\r\n", false, delivered},
+		{"not run", rawRefusalHead, false, delivered},
+		{"not run, status 200", okHead + signedField + "X-Savorywing-Not-Executed: 1\r\n" + eventType + "Content-Length: 0\r\n\r\n", false, delivered},
+		{"not HTTP", "engine is busy\n\nCLOSE", false, delivered},
+		{"closed", "CLOSE", false, delivered},
+	}
+	for _, status := range []string{"400 Bad Request", "404 Not Found", "429 Too Many Requests", "500 Internal Server Error", "502 Bad Gateway", "503 Service Unavailable", "504 Gateway Timeout"} {
+		for signed, fields := range map[string]string{"signed": signedField, "unsigned": unsignedField} {
+			head := "HTTP/1.1 " + status + "\r\n" + fields
+			for framing, text := range map[string]string{
+				"no body": "Content-Length: 0\r\n\r\n", "body": "Content-Length: 6\r\n\r\nbusy\n\n", "chunked": chunkedField + chunk("busy\n\n") + lastChunk,
+				"until the end": "\r\nbusy\n\nCLOSE", "an event": eventType + chunkedField + chunk(eventRange(2, 3)) + lastChunk,
+			} {
+				rows = append(rows, row{fmt.Sprint(status[:3], " ", signed, ", ", framing), head + text, false, delivered})
+			}
+		}
+	}
+	for _, tt := range rows {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := &serverScript{texts: []string{begun + chunk(delivered) + "CLOSE", tt.second}}
+			x := runScript(t, streamingRoute, s, nil)
+			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || x.complete != tt.complete {
+				t.Errorf("status %d, complete %v, body %q, want %v, %q", x.status, x.complete, x.body.String(), tt.complete, tt.want)
+			}
+			if s.arrived.Load() != 2 {
+				t.Errorf("%d requests arrived, want 2", s.arrived.Load())
+			}
+		})
+	}
+}
+
 // TestResponseInStream guards against a response, such as an earlier refusal, that a server writes once more in the middle of
 // a stream and that reaches the caller. Another server continues the stream.
 func TestResponseInStream(t *testing.T) {
@@ -188,3 +247,24 @@
 		})
 	}
 }
+
+// TestOtherContentOfStreamingRoute guards against a signed response to a streaming request that is no stream and that doesn't
+// reach the caller as the server sent it.
+func TestOtherContentOfStreamingRoute(t *testing.T) {
+	for _, tt := range []struct{ name, text, want string }{
+		{"JSON", okHead + signedField + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}", "{}"},
+		{"JSON in chunks", okHead + signedField + "Content-Type: application/json\r\n" + chunkedField + chunk("{\n\n}") + lastChunk, "{\n\n}"},
+		{"an event stream with parameters", okHead + signedField + "Content-Type: Text/Event-Stream; charset=utf-8\r\n" + chunkedField + chunk(eventRange(0, 1)) + lastChunk, eventRange(0, 1)},
+		{"an event stream without a content type", okHead + signedField + chunkedField + chunk(eventRange(0, 1)) + lastChunk, eventRange(0, 1)},
+		{"no event", okHead + signedField + eventType + chunkedField + lastChunk, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := &serverScript{texts: []string{tt.text}}
+			x := runScript(t, streamingRoute, s, nil)
+			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || !x.complete {
+				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), tt.want)
+			}
+		})
+	}
+}
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -6,9 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"strconv"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/process/placement"
 )
@@ -27,6 +30,8 @@
 	errNoEvent = errors.New("got no event")
 	// errEventField means that a line is no field of an event, as of a response that was written into the stream.
 	errEventField = errors.New("got a line that is no field of an event")
+	// errNotContinued means that a response to a request to resume a stream is none that continues it.
+	errNotContinued = errors.New("the response doesn't continue the stream")
 	// errNoEventEnd means that a stream ended inside an event, or before its first one without stating its end.
 	errNoEventEnd = errors.New("the stream ended inside an event")
 )
@@ -61,6 +66,8 @@
 			if rest := pending[end:]; !isStreamEnd(rest, hasEvents, response.Framing()) {
 				end, ended = scan.numbered, false
 				err = fmt.Errorf("%w after %d bytes of it, framing %s", errNoEventEnd, len(rest), response.Framing())
+			} else if r.exchange.Started() && !hasEvents && !isEmptyStream(response, pending) {
+				end, ended, err = scan.numbered, false, errNotContinued
 			}
 		}
 		if werr := r.deliver(response, pending[:end], ended); werr != nil {
@@ -182,6 +189,17 @@
 	return len(rest) == 0 && (hasEvents || framing != engine.FramingUntilClose)
 }
 
+// isEmptyStream reports whether a response states that no event of a stream is left.
+func isEmptyStream(response *engine.Response, body []byte) bool {
+	return len(body) == 0 && isEventStream(&response.Header)
+}
+
+// isEventStream reports whether a header states the content type of streams of events.
+func isEventStream(h *fasthttp.ResponseHeader) bool {
+	mediaType, _, err := mime.ParseMediaType(string(h.ContentType()))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 func (r *callerRequest) deliver(response *engine.Response, events []byte, end bool) error {
 	if !r.exchange.Started() && (len(events) > 0 || end) {
 		r.gateway.dialect.StripConnectionHeaders(&response.Header)
