A stream that a caller resumes begins after the event that it names

A caller that resumed a stream got events again, or missed some, when the engine didn't continue after its Last-Event-Id.

Cause: only the events that this host had delivered counted; the first event of a request's first attempt could be any.

Change: on routes whose streams can be resumed, the caller's Last-Event-Id is the event after which the first attempt must begin, at this host and at one that takes the request over. Another start ends the attempt, and another server is asked.

Which event is the first of a stream that nobody resumes isn't known to the system: any is taken.

--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -268,3 +268,38 @@
 		})
 	}
 }
+
+// TestResumedByCaller guards against a stream that a caller resumes and that doesn't continue after the event it names.
+func TestResumedByCaller(t *testing.T) {
+	const begun = okHead + signedField + eventType + chunkedField
+	stream := func(first, last int) string { return begun + chunk(eventRange(first, last)) + lastChunk }
+	continued := stream(5, 6)
+	notResumable := streamingRoute
+	notResumable.Resumable, notResumable.MaxAttempts = false, 1
+	for _, tt := range []struct {
+		name, first string
+		route       catalogue.Route
+		want        string
+	}{
+		{"continued", continued, streamingRoute, eventRange(5, 6)},
+		{"no event is left", begun + lastChunk, streamingRoute, ""},
+		{"from the beginning", stream(0, 6), streamingRoute, eventRange(5, 6)},
+		{"the last event again", stream(4, 6), streamingRoute, eventRange(5, 6)},
+		{"a missing event", stream(6, 7), streamingRoute, eventRange(5, 6)},
+		{"broken off", begun + chunk(eventRange(5, 5)) + "CLOSE", streamingRoute, eventRange(5, 5)},
+		{"a route that can't be resumed", stream(0, 2), notResumable, eventRange(0, 2)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			texts := []string{tt.first, continued}
+			if tt.name == "broken off" {
+				texts[1] = begun + chunk(eventRange(6, 6)) + lastChunk
+				tt.want += eventRange(6, 6)
+			}
+			x := runScript(t, tt.route, &serverScript{texts: texts}, func(h *fasthttp.RequestHeader) { h.Set("Last-Event-Id", "4") })
+			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || !x.complete {
+				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), tt.want)
+			}
+		})
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -57,7 +57,8 @@
 	// counted is set at the first reserve, which counts the request in the retry budget and, unless the caller is
 	// retrying, as demand.
 	counted bool
-	// lastEventID is the id of the last event sent to the caller; negative before the first.
+	// lastEventID is the id of the last event that the caller has, also from an earlier request that it resumes; negative before
+	// the first.
 	lastEventID int64
 	// firstEvent is the time to the first event, and longestGap the longest pause between two events; 0 without
 	// events.
@@ -272,6 +273,9 @@
 		r.priority = priority(nil, r.route)
 	}
 	r.service = c.Service(r.route.PickService(rand.Float64()))
+	if r.lastEventID < 0 && r.route.Kind == catalogue.Streaming && r.route.Resumable {
+		r.lastEventID = r.caller.LastEventID
+	}
 	h := &httpRequest(r).Header
 	r.identity = quarantine.Identity{
 		Service: r.service.Name, Organisation: r.organisation, Digest: quarantine.Digest(h.Method(), h.RequestURI(), httpRequest(r).Body()),
