"Not run" is passed on only with a server's proof

Callers of requests that may run once were told 503, 429 or 408, which promise that a request has not run, by servers that had not said so; and a response that contradicts itself let such a request run at a second server.

Cause: a server's failure is passed on with its status, and these statuses mean more to callers than to servers: only a response marked as not run proves it. The mark was believed with status 200 too, and with two attempt IDs the first one counted.

Evidence: TestRefusalWithoutProof, new, 16 rows; before, 7 fail: 503, signed and not, 429 and 408 without the mark are passed on; success with the mark, signed and not, and a refusal with two IDs, as of two responses in one header, send the request to a second server.

Change: the mark counts with a status of 400 or higher only. 408, 421, 429 and 503 without it, and success with it, end the attempt as "may have run": another server is asked if the request may be repeated, and the caller gets 502 otherwise.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -257,7 +257,7 @@
 	r.recordNotice(d, response.Metadata)
 	r.recordLimit(d, reservation, response)
 	switch {
-	case response.Metadata.NotRun:
+	case response.Metadata.NotRun && response.Header.StatusCode() >= fasthttp.StatusBadRequest:
 		return outcomeNotRun, r.handleNotRun(response, d)
 	case r.isStream(response):
 		return r.relayEvents(ctx, response, d, reservation, w)
@@ -268,7 +268,7 @@
 // isStream reports whether a response is a stream of events. Servers may leave out the content type.
 func (r *callerRequest) isStream(response *engine.Response) bool {
 	h := &response.Header
-	return r.route.Kind == catalogue.Streaming && h.StatusCode() == fasthttp.StatusOK && response.Metadata.Signed &&
+	return r.route.Kind == catalogue.Streaming && h.StatusCode() == fasthttp.StatusOK && response.Metadata.Signed && !response.Metadata.NotRun &&
 		(len(h.ContentType()) == 0 || isEventStream(h))
 }
 
@@ -402,7 +402,7 @@
 	failed := status >= fasthttp.StatusInternalServerError || !signed
 	// An unsigned success can't be trusted to come from running the request.
 	untrusted := status < fasthttp.StatusMultipleChoices && !signed
-	if untrusted || r.exchange.Started() || (failed && r.mayRetry()) {
+	if untrusted || lacksProof(response) || r.exchange.Started() || (failed && r.mayRetry()) {
 		err := response.Drain()
 		return r.sendFailed(ctx, d, errors.Join(fmt.Errorf("callerRequest.relayBuffered: status %d, signed %t, event %d delivered", status, signed, r.lastEventID), err))
 	}
@@ -426,6 +426,16 @@
 	return outcomeDone, placement.Served
 }
 
+// lacksProof reports whether a response contradicts itself, or has a status that callers take for the promise that the request
+// has not run without being a server's proof of it. Such a response isn't passed on.
+func lacksProof(response *engine.Response) bool {
+	switch response.Header.StatusCode() {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return response.Metadata.NotRun
+}
+
 // mayRetry reports whether another attempt may be made instead of passing a server's failure on to the caller.
 func (r *callerRequest) mayRetry() bool {
 	return r.route.Retryable() && r.sends+1 < r.route.MaxAttempts && r.deadline.Sub(r.gateway.clock.Now()) > minAttemptTime
--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -303,3 +303,44 @@
 		})
 	}
 }
+
+// TestRefusalWithoutProof guards against requests that count as not run by a response that doesn't prove it. Such a request
+// must not run at a second server either, if it may run once only.
+func TestRefusalWithoutProof(t *testing.T) {
+	const notRun, empty = "X-Savorywing-Not-Executed: 1\r\n", "Content-Length: 0\r\n\r\n"
+	const refused = "HTTP/1.1 503 Service Unavailable\r\n"
+	route := catalogue.Route{Name: "book", Kind: catalogue.NonIdempotent, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second}
+	served := okHead + signedField + "Content-Length: 2\r\n\r\nok"
+	for _, tt := range []struct {
+		name, text string
+		// status and arrived are those of a request that may run once.
+		status  int
+		arrived int64
+	}{
+		{"a refusal", refused + unsignedField + notRun + empty, fasthttp.StatusOK, 2},
+		{"a signed refusal", refused + signedField + notRun + empty, fasthttp.StatusOK, 2},
+		{"misdirected", "HTTP/1.1 421 Misdirected Request\r\n" + unsignedField + empty, fasthttp.StatusOK, 2},
+		{"unavailable", refused + unsignedField + empty, fasthttp.StatusBadGateway, 1},
+		{"unavailable, signed", refused + signedField + empty, fasthttp.StatusBadGateway, 1},
+		{"too many requests", "HTTP/1.1 429 Too Many Requests\r\n" + signedField + empty, fasthttp.StatusBadGateway, 1},
+		{"request timeout", "HTTP/1.1 408 Request Timeout\r\n" + unsignedField + empty, fasthttp.StatusBadGateway, 1},
+		{"another failure", "HTTP/1.1 500 Internal Server Error\r\n" + signedField + empty, fasthttp.StatusInternalServerError, 1},
+		{"another ID", refused + strings.ReplaceAll(unsignedField, "ID", "n2") + notRun + empty, fasthttp.StatusBadGateway, 1},
+		{"no ID", refused + notRun + empty, fasthttp.StatusBadGateway, 1},
+		{"success", okHead + signedField + notRun + empty, fasthttp.StatusBadGateway, 1},
+		{"unsigned success", okHead + unsignedField + notRun + empty, fasthttp.StatusBadGateway, 1},
+		{"informational", "HTTP/1.1 103 Early Hints\r\n" + unsignedField + notRun + "\r\nCLOSE", fasthttp.StatusBadGateway, 1},
+		{"two responses in one header", okHead + signedField + refused + unsignedField + notRun + empty, fasthttp.StatusBadGateway, 1},
+		{"two IDs", refused + unsignedField + strings.ReplaceAll(unsignedField, "ID", "n2") + notRun + empty, fasthttp.StatusBadGateway, 1},
+		{"two IDs, the other first", refused + strings.ReplaceAll(unsignedField, "ID", "n2") + unsignedField + notRun + empty, fasthttp.StatusBadGateway, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := &serverScript{texts: []string{tt.text + "CLOSE", served}}
+			x := runScript(t, route, s, nil)
+			if x.status != tt.status || s.arrived.Load() != tt.arrived {
+				t.Errorf("status %d, %d requests arrived, body %q, want %d, %d", x.status, s.arrived.Load(), x.body.String(), tt.status, tt.arrived)
+			}
+		})
+	}
+}
