Reports with values that no backend server can state are refused

What callers saw: one report whose group has a negative rank ended every control host, followers as well as the leader (index out of range in formation's observeServer); ports 70000, -1, 0, none and words, addresses without an IP, negative and huge slots, cold times, start times and sequence numbers were taken, and so was text that isn't UTF-8, silently changed, and objects in which a name occurs twice.

Cause: Dialect.ReadReport checked that four fields are there, and nothing about their values, and no code behind it did.

--- /dev/null
+++ b/wire/validate.go
@@ -0,0 +1,137 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// ErrInvalid reports a value from another process that is missing, out of range or not of the expected form.
+var ErrInvalid = errors.New("the value is missing or invalid")
+
+// Bounds of what other processes may state.
+const (
+	maxNameBytes = 256
+	maxStaged    = 64
+	// MaxGroupHosts is the maximum number of hosts in a group.
+	MaxGroupHosts = 1024
+	// maxSlots is the maximum number of requests that a server runs at once.
+	maxSlots = 1 << 20
+	// maxSequence is reached after more than 30 years with one report a millisecond.
+	maxSequence = 1 << 40
+	// maxUnixMs is in the year 2109.
+	maxUnixMs = 1 << 42
+	// maxColdMs is one day.
+	maxColdMs = 24 * 60 * 60 * 1000
+)
+
+// groupStates lists the states of a group membership.
+var groupStates = map[string]bool{"joining": true, "ready": true, "open": true, "closing": true, "broken": true}
+
+// checkID checks an ID, which others log, compare and send in headers.
+func checkID(s string) error {
+	if strings.ContainsRune(s, ' ') {
+		return fmt.Errorf("id: %w", ErrInvalid)
+	}
+	return checkName("id", s)
+}
+
+// checkName checks a name.
+func checkName(field, s string) error {
+	if s == "" {
+		return fmt.Errorf("%s: %w", field, ErrInvalid)
+	}
+	return checkText(field, s)
+}
+
+// checkText is checkName for text that may be empty.
+func checkText(field, s string) error {
+	isUnprintable := func(r rune) bool { return !unicode.IsPrint(r) }
+	if len(s) > maxNameBytes || !utf8.ValidString(s) || strings.ContainsFunc(s, isUnprintable) {
+		return fmt.Errorf("%s: %w", field, ErrInvalid)
+	}
+	return nil
+}
+
+// CheckAddress checks that an address consists of the IP address of one host and a port.
+func CheckAddress(s string) error {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return fmt.Errorf("address: %w: %w", ErrInvalid, err)
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return fmt.Errorf("address: %w", ErrInvalid)
+	}
+	return nil
+}
+
+func checkRange[T int | int64 | uint64](field string, v, low, high T) error {
+	if v < low || v > high {
+		return fmt.Errorf("%s: %w", field, ErrInvalid)
+	}
+	return nil
+}
+
+// Validate checks a report, of which a withdrawal needs only the ID. The error wraps ErrInvalid.
+func (r *Report) Validate() error {
+	if r.Gone && r.Service == "" {
+		return firstError("Report.Validate", checkID(r.ID))
+	}
+	var group error
+	if r.Group != nil {
+		group = r.Group.Validate()
+	}
+	return firstError("Report.Validate", checkID(r.ID), checkName("service", r.Service), CheckAddress(r.Address),
+		checkText("data centre", r.DataCentre), checkText("release", r.Release), r.checkDomain(),
+		checkRange("sequence", r.Sequence, 0, maxSequence), checkRange("start time", r.Born, 0, maxUnixMs),
+		checkRange("slots", r.Slots, 0, maxSlots), checkRange("cold time", r.ColdMs, 0, maxColdMs), r.checkStaged(), group)
+}
+
+// checkDomain checks the domain, without which a server is no engine and has no group.
+func (r *Report) checkDomain() error {
+	if r.Engine {
+		return checkName("domain", r.Domain)
+	}
+	if r.Domain != "" || r.Group != nil {
+		return fmt.Errorf("domain: %w", ErrInvalid)
+	}
+	return nil
+}
+
+func (r *Report) checkStaged() error {
+	if err := checkRange("number of staged models", len(r.Staged), 0, maxStaged); err != nil {
+		return err
+	}
+	for i, model := range r.Staged {
+		if err := checkName("staged model", model); err != nil {
+			return err
+		}
+		if slices.Contains(r.Staged[:i], model) {
+			return fmt.Errorf("staged model %q occurs twice: %w", model, ErrInvalid)
+		}
+	}
+	return nil
+}
+
+// Validate checks a membership. The error wraps ErrInvalid.
+func (p *GroupPlace) Validate() error {
+	var state error
+	if !groupStates[p.State] {
+		state = fmt.Errorf("state %.20q: %w", p.State, ErrInvalid)
+	}
+	return firstError("GroupPlace.Validate", checkName("name", p.Name), checkRange("rank", p.Rank, 0, MaxGroupHosts-1), state)
+}
+
+// firstError returns the first of several errors, with a prefix.
+func firstError(where string, errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return fmt.Errorf("%s: %w", where, err)
+		}
+	}
+	return nil
+}
