A sender of refused reports is logged once

What operators saw: a line for each refused report, so that a server whose reports are wrong wrote about one line a second, on each control host, as long as it ran. A withdrawal whose id isn't an id was accepted.

Cause: controlapi logged each refusal.

Change: logging.Repeats lets the first event of a source through, an hour later the next one, and at most 200 sources an hour, since the ids of bad reports can be different each time; the line states how many were omitted. A withdrawal is refused with status 400 unless its id is valid.

--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -12,6 +12,8 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -26,6 +28,8 @@
 var (
 	// ErrInvalidDocument means that a published document is not valid.
 	ErrInvalidDocument = errors.New("the document is invalid")
+	// ErrInvalidReport means that a report or a withdrawal is not valid.
+	ErrInvalidReport = errors.New("the report is invalid")
 	// ErrNoQuorum means that this host reaches no majority of control hosts, so its state may be stale. Another control
 	// host may be able to serve the call.
 	ErrNoQuorum = errors.New("no majority of control hosts answers")
@@ -49,15 +53,17 @@
 	dialect savorywing.ControlDialect
 	handler Handler
 	log     zerolog.Logger
-	http    *fasthttp.Server
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// refusals limits the log lines about each sender of refused reports, which sends one after the other.
+	refusals *logging.Repeats
+	http     *fasthttp.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // New returns a server. Start makes it listen.
 func New(dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{dialect: dialect, handler: handler, log: log, ctx: ctx, cancel: cancel}
+	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock.Boottime{}), ctx: ctx, cancel: cancel}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, Logger: &s.log, ReduceMemoryUsage: true,
@@ -96,6 +102,7 @@
 		s.handleReport(ctx, call.Server)
 	case savorywing.ControlWithdraw:
 		if err := s.handler.HandleWithdrawal(s.ctx, call.Server); err != nil {
+			s.logRefusal(call.Server, err)
 			s.writeError(ctx, err)
 		}
 	case savorywing.ControlPublish:
@@ -119,8 +126,9 @@
 func (s *Server) handleReport(ctx *fasthttp.RequestCtx, id string) {
 	r, err := s.dialect.ReadReport(id, ctx.PostBody())
 	if err != nil {
-		s.log.Warn().Str("event", "reportRefused").Str("server", id).Err(err).Msg("a report could not be decoded")
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		err = fmt.Errorf("%w: %w", ErrInvalidReport, err)
+		s.logRefusal(id, err)
+		s.writeError(ctx, err)
 		return
 	}
 	address, err := s.handler.HandleReport(s.ctx, r)
@@ -132,9 +140,19 @@
 	ctx.SetBody(s.dialect.WriteReportReply(address))
 }
 
+// logRefusal logs that a report was refused as invalid, once for each sender.
+func (s *Server) logRefusal(id string, err error) {
+	if !errors.Is(err, ErrInvalidReport) {
+		return
+	}
+	if allowed, omitted := s.refusals.Allow(id); allowed {
+		s.log.Warn().Str("event", "reportRefused").Str("server", fmt.Sprintf("%.100s", id)).Uint64("omitted", omitted).Err(err).Msg("refused an invalid report")
+	}
+}
+
 func (s *Server) writeError(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusServiceUnavailable
-	if errors.Is(err, ErrInvalidDocument) {
+	if errors.Is(err, ErrInvalidDocument) || errors.Is(err, ErrInvalidReport) {
 		status = fasthttp.StatusBadRequest
 	}
 	ctx.Error(err.Error(), status)
--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -44,9 +44,13 @@
 
 // HandleWithdrawal deregisters a backend server that ends.
 func (c *Controller) HandleWithdrawal(ctx context.Context, id string) error {
+	r := wire.Report{ID: id, Gone: true}
+	if err := r.Validate(); err != nil {
+		return fmt.Errorf("Controller.HandleWithdrawal: %w: %w", controlapi.ErrInvalidReport, err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return c.submitUrgentReport(ctx, wire.Report{ID: id, Gone: true})
+	return c.submitUrgentReport(ctx, r)
 }
 
 // submitUrgentReport returns once this host and the leader have applied a report.
