A report can't change the group of other servers

What callers saw: a report of another writer, well formed, that claims a place in a group which serves ended the group. A report that claims to be an open head got requests.

Cause: formation took the rank, the name and the epoch in a report as they are. A second server at a place replaced the first, a rank beyond the size of the group made the group look too large, a huge rank made the list of members as long, and the epoch wasn't compared with that of the group.

Change: a place belongs to the server that the leader ordered there or that was seen there first. A report can't claim a place that is taken or that the group doesn't have, a second place, or another epoch than that in the name. Such a server is left out: it is no member, no endpoint, and not free for other groups, so that one that does belong somewhere isn't moved while its head may serve. It is looked at again in each step, so that it is placed, and told to leave, once its group is gone. If all claims are seen at the same time, as by a leader that has just started, the server that has reported last is taken. A group name of another form has no model, and ends. Engines of unknown services aren't counted for planning.

What remains: a new leader that has never seen a group and gets a false claim together with no report of the real member yet takes the false one. One with the id of a real server, plausible throughout, can't be told from that server's own.

--- a/process/fleet/endpoints.go
+++ b/process/fleet/endpoints.go
@@ -6,11 +6,12 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// ModelOf returns the model of a known group. A group is complete once its head reports open: every member has then
-// reported ready under its name and epoch.
-type ModelOf func(group string) (model string, known bool)
+// ModelOf returns the model of the group that a server heads, or false if the server isn't known as the head of the group
+// that it reports. A group is complete once its head reports open: every member has then reported ready under its name and
+// epoch.
+type ModelOf func(s *Server) (model string, known bool)
 
-// Endpoints returns where requests can be sent, sorted by id. A head whose group modelOf doesn't know gets no requests.
+// Endpoints returns where requests can be sent, sorted by id. A head that modelOf doesn't know gets no requests.
 // A server without a report for longer than silentAfter is marked silent but kept, since it may still serve.
 func (t *Table) Endpoints(now time.Time, silentAfter time.Duration, modelOf ModelOf) []wire.Endpoint {
 	var list []wire.Endpoint
@@ -27,7 +28,7 @@
 			ColdMs: r.ColdMs, Silent: now.Sub(s.lastReportAt) > silentAfter,
 		}
 		if r.Engine {
-			model, known := modelOf(r.Group.Name)
+			model, known := modelOf(s)
 			if !known {
 				continue
 			}
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -79,13 +79,13 @@
 	add(engine("ready", StateReady, 0), now)
 	add(engine("broken", StateBroken, 0), now)
 	got := map[string]wire.Endpoint{}
-	for _, e := range table.Endpoints(now, 3*time.Second, func(name string) (string, bool) { return "m", name == "g" }) {
+	for _, e := range table.Endpoints(now, 3*time.Second, func(s *Server) (string, bool) { return "m", s.Report().Group.Name == "g" }) {
 		got[e.ID] = e
 	}
 	if len(got) != 3 || got["head"].Model != "m" || got["head"].Epoch != 7 || !got["silent"].Silent || got["plain"].Silent {
 		t.Errorf("endpoints: %+v", got)
 	}
-	if n := len(table.Endpoints(now, 3*time.Second, func(string) (string, bool) { return "", false })); n != 2 {
+	if n := len(table.Endpoints(now, 3*time.Second, func(*Server) (string, bool) { return "", false })); n != 2 {
 		t.Errorf("%d endpoints while no group is known to be complete, want the 2 without an engine", n)
 	}
 }
--- a/process/formation/index.go
+++ b/process/formation/index.go
@@ -111,11 +111,11 @@
 }
 
 // countReporting counts the reporting engines of each domain.
-func (rc *Reconciler) countReporting(now time.Time) {
+func (rc *Reconciler) countReporting(now time.Time, in Input) {
 	for _, d := range rc.index.domains {
 		d.reporting = 0
 		for _, e := range d.engines {
-			if !e.Report().Leaving && !rc.isLost(now, e.Server) {
+			if in.isEngine(e.Server) && !e.Report().Leaving && !rc.isLost(now, e.Server) {
 				d.reporting++
 			}
 		}
--- a/process/formation/plan.go
+++ b/process/formation/plan.go
@@ -148,7 +148,7 @@
 		}
 	}
 	r := e.Report()
-	return !rc.isLost(now, e.Server) && !r.Leaving && rc.orders[r.ID] == nil && !now.Before(rc.quarantinedUntil[r.ID]) &&
+	return !rc.unplaced[r.ID] && !rc.isLost(now, e.Server) && !r.Leaving && rc.orders[r.ID] == nil && !now.Before(rc.quarantinedUntil[r.ID]) &&
 		!rc.mayReceiveStaleOrder(now, e.Server)
 }
 
--- a/process/formation/reconciler.go
+++ b/process/formation/reconciler.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -69,6 +71,16 @@
 	FirstStart bool
 }
 
+// isEngine reports whether a server runs models of a known service.
+func (in Input) isEngine(s *fleet.Server) bool {
+	r := s.Report()
+	if !r.Engine {
+		return false
+	}
+	service := in.Catalogue.Service(r.Service)
+	return service != nil && service.Engine != nil
+}
+
 // Reconciler holds the state that a leader keeps between steps.
 type Reconciler struct {
 	cfg Config
@@ -103,7 +115,9 @@
 	indexStale bool
 	// observedRevision is the table's revision as of the last observation.
 	observedRevision uint64
-	// seen holds the ids of all servers ever seen, and newestFirstSeen is when the newest of them was first seen.
+	// unplaced holds the ids of servers that report a place in a group in which they aren't listed.
+	unplaced map[string]bool
+	// seen holds the ids of all engines ever seen, and newestFirstSeen is when the newest of them was first seen.
 	seen            map[string]bool
 	newestFirstSeen time.Time
 }
@@ -151,6 +165,8 @@
 	headReleased bool
 	// removed is set once the group is no longer kept.
 	removed bool
+	// fresh is set during the observation in which the group is first seen.
+	fresh bool
 	// servers holds the members' servers by rank, nil for unknown ones; it is valid while resolved is set.
 	servers  []*fleet.Server
 	resolved bool
@@ -163,7 +179,7 @@
 	cfg.Defaults()
 	return &Reconciler{
 		cfg: cfg, groups: map[string]*group{}, pendingJoins: map[string]bool{}, orders: map[string]*pendingOrder{}, lastModels: map[string]cachedModel{}, seen: map[string]bool{}, quarantinedUntil: map[string]time.Time{},
-		reservations:   map[string]reservation{},
+		reservations: map[string]reservation{}, unplaced: map[string]bool{},
 		lastUnanswered: map[string]time.Time{}, maxDomainHosts: map[string]int{},
 	}
 }
@@ -188,6 +204,22 @@
 	return fmt.Sprintf("g%d%s%s", epoch, nameSeparator, model), epoch
 }
 
+// parseName returns the epoch in a group's name, or false if the name is of another form than those of nextName.
+func parseName(name string) (uint64, bool) {
+	prefix, _, _ := strings.Cut(name, nameSeparator)
+	number, isOurs := strings.CutPrefix(prefix, "g")
+	epoch, err := strconv.ParseUint(number, 10, 64)
+	return epoch, isOurs && err == nil
+}
+
+// groupModel returns the model of a group, or an empty string if no leader has formed a group of that name.
+func groupModel(name string) string {
+	if _, isOurs := parseName(name); !isOurs {
+		return ""
+	}
+	return modelOf(name)
+}
+
 func modelOf(name string) string {
 	_, model, _ := strings.Cut(name, nameSeparator)
 	return model
@@ -263,16 +295,29 @@
 	rc.orders[o.Server] = &pendingOrder{order: o, sentAt: now}
 }
 
-// ModelOf returns the model of a known group, which may be incomplete. Only a group whose head reports open is known to
-// be complete: each of its members has been ready once.
-func (rc *Reconciler) ModelOf(name string) (model string, known bool) {
-	g := rc.groups[name]
-	if g == nil {
+// ModelOf implements fleet.ModelOf. The group may be incomplete. Only a group whose head reports open is known to be
+// complete: each of its members has been ready once.
+func (rc *Reconciler) ModelOf(s *fleet.Server) (model string, known bool) {
+	g := rc.groupOf(s)
+	if g == nil || g.model == "" || g.members[0] != s.Report().ID {
 		return "", false
 	}
 	return g.model, true
 }
 
+// groupOf returns the group that a server reports and is listed in, or nil.
+func (rc *Reconciler) groupOf(s *fleet.Server) *group {
+	membership := s.GroupMembership()
+	if membership == nil {
+		return nil
+	}
+	g := rc.groups[membership.Name]
+	if g == nil || g.epoch != membership.Epoch || membership.Rank >= len(g.members) || g.members[membership.Rank] != s.Report().ID {
+		return nil
+	}
+	return g
+}
+
 // isLost reports whether a server is unavailable: unknown, dead, withdrawn, or without a report within
 // ReportTimeout.
 func (rc *Reconciler) isLost(now time.Time, s *fleet.Server) bool {
@@ -303,16 +348,19 @@
 func (rc *Reconciler) observe(now time.Time, in Input) {
 	isNew := rc.index == nil || rc.index.generation != in.Table.Generation()
 	for _, s := range in.Table.Servers() {
-		if isNew && !rc.seen[s.Report().ID] {
+		if isNew && in.isEngine(s) && !rc.seen[s.Report().ID] {
 			rc.seen[s.Report().ID], rc.newestFirstSeen = true, now
 		}
-		if s.ChangedAt() > rc.observedRevision {
-			rc.observeServer(now, s)
+		if s.ChangedAt() > rc.observedRevision || rc.unplaced[s.Report().ID] {
+			rc.observeServer(now, in, s)
 		}
 	}
+	for _, g := range rc.groups {
+		g.fresh = false
+	}
 	rc.observedRevision = in.Table.Revision()
 	rc.ensureIndex(in.Table)
-	rc.countReporting(now)
+	rc.countReporting(now, in)
 	rc.dropApplied(in)
 	clear(rc.pendingJoins)
 	for _, p := range rc.orders {
@@ -322,8 +370,11 @@
 	}
 }
 
-// observeServer applies what one server's report shows of its group.
-func (rc *Reconciler) observeServer(now time.Time, s *fleet.Server) {
+// observeServer applies what one server's report shows of its group. A server that claims a place which the group can't
+// have, or which another server has, is left out: its report must not change the group for the others.
+func (rc *Reconciler) observeServer(now time.Time, in Input, s *fleet.Server) {
+	id := s.Report().ID
+	delete(rc.unplaced, id)
 	membership := s.GroupMembership()
 	if membership == nil || s.Dead() {
 		return
@@ -334,16 +385,24 @@
 	}
 	g := rc.groups[membership.Name]
 	if g == nil {
-		g = &group{name: membership.Name, epoch: membership.Epoch, model: modelOf(membership.Name), ready: map[string]bool{}, opened: true, knownSince: now}
-		rc.groups[membership.Name] = g
+		g = &group{name: membership.Name, epoch: membership.Epoch, model: groupModel(membership.Name), ready: map[string]bool{}, opened: true, knownSince: now, fresh: true}
+	}
+	if !rc.canPlace(in, g, s) {
+		rc.unplaced[id] = true
+		return
+	}
+	if rc.groups[g.name] == nil {
+		rc.groups[g.name] = g
 		rc.indexStale = true
 	}
 	for len(g.members) <= membership.Rank {
 		g.members = append(g.members, "")
 		rc.indexStale = true
 	}
-	id := s.Report().ID
-	if g.members[membership.Rank] != id {
+	if old := g.members[membership.Rank]; old != id {
+		if old != "" {
+			rc.unplaced[old] = true
+		}
 		g.members[membership.Rank] = id
 		rc.indexStale = true
 	}
@@ -353,6 +412,24 @@
 	}
 }
 
+// canPlace reports whether a group can have a server at the place that the server reports.
+func (rc *Reconciler) canPlace(in Input, g *group, s *fleet.Server) bool {
+	id, membership := s.Report().ID, s.GroupMembership()
+	if epoch, isOurs := parseName(g.name); g.epoch != membership.Epoch || (isOurs && epoch != g.epoch) {
+		return false
+	}
+	if rank := slices.Index(g.members, id); rank >= 0 {
+		return rank == membership.Rank
+	}
+	if membership.Rank < len(g.members) {
+		old := in.Table.Server(g.members[membership.Rank])
+		// Of several servers, all seen for the first time, the one that still reports is most likely the member.
+		return g.members[membership.Rank] == "" || (g.fresh && old != nil && s.LastReportAt().After(old.LastReportAt()))
+	}
+	size := rc.groupSize(in, g)
+	return !g.formedHere && (size == 0 || membership.Rank < size)
+}
+
 func (rc *Reconciler) recordModel(s *fleet.Server, model string) {
 	r := s.Report()
 	rc.lastModels[r.ID] = cachedModel{incarnation: r.Born, model: model}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -8,6 +8,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/wire"
 )
 
 // Config describes an emulated fleet.
@@ -252,3 +253,16 @@
 	}
 	return n
 }
+
+// Memberships returns the group, epoch and rank of each live server that is in a group, by ID.
+func (f *Fleet) Memberships() map[string]wire.GroupPlace {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]wire.GroupPlace{}
+	for id, s := range f.servers {
+		if s.group != "" && !s.dead {
+			out[id] = wire.GroupPlace{Name: s.group, Epoch: s.epoch, Rank: s.rank, State: s.state}
+		}
+	}
+	return out
+}
