An invalid entry of another daemon's frame costs only itself

What operators saw: nothing, since daemons send each other only what they have checked. But a build that checks less runs beside this one while machines are replaced, and forwards what it has taken: a report with a negative rank ends every control host that it is forwarded to. A frame that couldn't be decoded ended the connection, with all frames behind it, without a log line.

Cause: frames were decoded, and nothing looked at their values.

Change: Frame.RemoveInvalid removes the entries of a frame, and the parts, that are invalid: reports, endpoints, loads, limits, permits, ages, addresses, messages of the log with gaps. The mesh and forward.Conn call it right after decoding, so that nothing behind them needs to check again. An undecodable frame is skipped. Each daemon's invalid frames are logged once. Slightly negative ages are kept: a time may be read just before the event that it is compared with. Packed loads that would turn negative or overflow, a document that expands beyond the largest frame, and a query for more than 64 servers, or for one server many times, are bounded too.

--- a/connection/forward/conn.go
+++ b/connection/forward/conn.go
@@ -68,6 +68,9 @@
 		return wire.Frame{}, fmt.Errorf("Conn.Receive: %w", err)
 	}
 	f, err := codec.DecodeFrame(b)
+	if err == nil {
+		err = f.RemoveInvalid()
+	}
 	if err != nil {
 		return wire.Frame{}, fmt.Errorf("Conn.Receive: %w", err)
 	}
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -17,6 +17,8 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/forward"
+	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
@@ -91,9 +93,11 @@
 	tokens atomic.Pointer[tokenDigests]
 	// refusals logs refused connections, a few a minute, since a daemon that is refused dials again and again.
 	refusals zerolog.Logger
-	ctx      context.Context
-	stop     context.CancelFunc
-	done     sync.WaitGroup
+	// invalid limits the log lines about each daemon that sends invalid frames.
+	invalid *logging.Repeats
+	ctx     context.Context
+	stop    context.CancelFunc
+	done    sync.WaitGroup
 
 	mu       sync.Mutex
 	started  bool
@@ -121,7 +125,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
 		cfg: cfg, handler: handler, log: log, pool: pool, listener: listener, links: map[string]*link{},
-		ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]inboundHost{},
+		invalid: logging.NewRepeats(clock.Boottime{}), ctx: ctx, stop: cancel, accepted: map[*websocket.Conn]bool{}, inbound: map[string]inboundHost{},
 	}
 	// With KeepHijackedConns, serveConn closes the connections itself. Without it, closing one has no effect while it
 	// is being read.
@@ -412,7 +416,8 @@
 	}
 }
 
-// readLoop passes frames to handle until the connection fails, nothing arrives for readTimeout, or handle returns false.
+// readLoop passes frames to handle until the connection fails, nothing arrives for readTimeout, or handle returns false. An
+// invalid frame, or an invalid entry of one, costs neither the connection nor the other entries.
 func (m *Mesh) readLoop(c *websocket.Conn, handle func(wire.Frame) bool) {
 	c.SetReadLimit(codec.MaxFrame)
 	extend := func() error { return c.SetReadDeadline(time.Now().Add(readTimeout)) }
@@ -433,12 +438,27 @@
 		}
 		m.traffic.receive(len(b))
 		f, err := codec.DecodeFrame(b)
-		if err != nil || !handle(f) {
+		if err != nil {
+			m.logInvalid(c, err)
+			continue
+		}
+		if err := f.RemoveInvalid(); err != nil {
+			m.logInvalid(c, err)
+		}
+		if !handle(f) {
 			return
 		}
 	}
 }
 
+// logInvalid logs that a daemon has sent something invalid, once for each daemon.
+func (m *Mesh) logInvalid(c *websocket.Conn, err error) {
+	address, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	if allowed, omitted := m.invalid.Allow(address); allowed {
+		m.log.Warn().Str("event", "frameInvalid").Str("address", address).Uint64("omitted", omitted).Err(err).Msg("ignored invalid parts of a peer's frame")
+	}
+}
+
 // writeLoop writes queued frames, and a ping each heartbeatInterval. It returns when a write fails or quit is closed.
 func (m *Mesh) writeLoop(c *websocket.Conn, out *queue.Queue[*outgoing], quit <-chan struct{}) {
 	ticker := time.NewTicker(heartbeatInterval)
--- a/process/fleet/loads.go
+++ b/process/fleet/loads.go
@@ -25,6 +25,9 @@
 	stalledFlag    = 1
 	progressedFlag = 2
 	flagBits       = 2
+	// maxInFlight and maxWaitingUnits are more than all hosts together can have at one endpoint.
+	maxInFlight     = 1 << 32
+	maxWaitingUnits = 1 << 44
 )
 
 // PackLoads encodes loads in a few bytes each, since they go to every entry host several times a second.
@@ -57,6 +60,9 @@
 			}
 			b = b[n:]
 		}
+		if v[1]>>flagBits > maxInFlight || v[2] > maxWaitingUnits {
+			return nil, fmt.Errorf("fleet.UnpackLoads: %w", ErrCorruptLoads)
+		}
 		list = append(list, Load{
 			Handle: v[0], InFlight: int(v[1] >> flagBits), WaitingTokens: int(v[2]) * tokenUnit,
 			Stalled: v[1]&stalledFlag != 0, Progressed: v[1]&progressedFlag != 0,
--- a/process/fleet/loads_test.go
+++ b/process/fleet/loads_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"errors"
+	"math"
 	"reflect"
 	"testing"
 )
@@ -21,7 +23,21 @@
 	}
 }
 
-// FuzzUnpackLoads checks that arbitrary bytes never decode to more loads than they can hold.
+// TestHugeLoads guards against counts that turn negative, or overflow in a sum, once they are unpacked.
+func TestHugeLoads(t *testing.T) {
+	for _, v := range []uint64{1 << 40, 1 << 62, math.MaxUint64} {
+		for _, b := range [][]byte{
+			binary.AppendUvarint(binary.AppendUvarint([]byte{1}, v), 0),
+			binary.AppendUvarint([]byte{1, 0}, max(v, 1<<50)),
+		} {
+			if got, err := UnpackLoads(b); !errors.Is(err, ErrCorruptLoads) {
+				t.Errorf("%x: got %+v, %v, want ErrCorruptLoads", b, got, err)
+			}
+		}
+	}
+}
+
+// FuzzUnpackLoads checks that arbitrary bytes never decode to more loads than they can hold, or to negative counts.
 func FuzzUnpackLoads(f *testing.F) {
 	f.Add(PackLoads([]Load{{Handle: 1, InFlight: 3}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -29,5 +45,10 @@
 		if err == nil && len(list)*3 > len(b) {
 			t.Errorf("%d loads from %d bytes", len(list), len(b))
 		}
+		for _, l := range list {
+			if l.InFlight < 0 || l.WaitingTokens < 0 {
+				t.Errorf("%x: %+v", b, l)
+			}
+		}
 	})
 }
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -179,7 +179,7 @@
 	defer g.mu.Unlock()
 	var known []placement.Target
 	for _, s := range servers {
-		if t := (placement.Target{ID: s.ID, Address: s.Address}); g.balancer.Knows(t) {
+		if t := (placement.Target{ID: s.ID, Address: s.Address}); g.balancer.Knows(t) && !slices.Contains(known, t) {
 			known = append(known, t)
 		}
 	}
--- /dev/null
+++ b/process/gateway/invalid_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"savorywing.example/savorywing/wire"
+)
+
+// TestForwardedRequestWithInvalidHeader guards against the header of a forwarded request that ends the process, or that is
+// served as something else.
+func TestForwardedRequestWithInvalidHeader(t *testing.T) {
+	g := newTestGateway(t)
+	for _, header := range []string{
+		"", "\r\n", "\x00", "GET", "GET / HTTP/1.1", "GET / HTTP/1.1\r\nHost: x\r\n", "\xff\xfe / HTTP/1.1\r\n",
+		"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 100000), "GET / HTTP/1.1\r\n: x\r\n\r\n", strings.Repeat("G", 1<<20),
+	} {
+		if err := g.serveRequest(context.Background(), nil, "127.0.0.1:1", wire.ForwardedRequest{Header: []byte(header)}); err == nil {
+			t.Errorf("header %.40q: no error", header)
+		}
+	}
+	if n := g.forwardedInFlight(); n != 0 {
+		t.Errorf("%d requests are in flight", n)
+	}
+}
+
+// TestReachQueryForOneServer guards against a query that makes a host dial the same server many times.
+func TestReachQueryForOneServer(t *testing.T) {
+	g := newTestGateway(t)
+	var list []wire.Endpoint
+	var servers []wire.ServerAddress
+	for i := range 3 {
+		id, address := fmt.Sprint("i-", i), fmt.Sprint("127.0.0.1:", 1+i)
+		list = append(list, wire.Endpoint{ID: id, Address: address, Service: "s"})
+		for range 100 {
+			servers = append(servers, wire.ServerAddress{ID: id, Address: address}, wire.ServerAddress{ID: "other", Address: address})
+		}
+	}
+	g.balancer.UpdateEndpoints(true, list, nil)
+	if got := g.knownTargets(servers); len(got) != 3 {
+		t.Errorf("%d servers are dialled, want 3: %v", len(got), got)
+	}
+}
--- a/wire/codec/codec_test.go
+++ b/wire/codec/codec_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"errors"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -25,8 +26,8 @@
 	})
 }
 
-// FuzzDecodeFrame checks that decoding arbitrary bytes as a frame between daemons, and encoding what was decoded, does
-// not panic.
+// FuzzDecodeFrame checks that decoding arbitrary bytes as a frame between daemons, removing what is invalid, and encoding the
+// rest does not panic, and that nothing invalid remains.
 func FuzzDecodeFrame(f *testing.F) {
 	b, err := Encode(wire.Frame{ID: 1, Hello: &wire.Hello{Host: "a"}, Announcements: []wire.Announcement{{Host: "b"}}})
 	if err != nil {
@@ -34,9 +35,33 @@
 	}
 	f.Add(b)
 	f.Add([]byte{0xa1, 0x62})
-	f.Fuzz(func(_ *testing.T, b []byte) {
-		if frame, err := DecodeFrame(b); err == nil {
-			_, _ = Encode(frame)
+	b, err = Encode(wire.Frame{Reports: []wire.Report{{ID: "a", Slots: -1, Group: &wire.GroupPlace{Rank: -1}}}, Usage: &wire.Usage{
+		Loads: []wire.EndpointLoad{{ID: "b", InFlight: -1}}, Limits: []wire.ServerLimit{{ID: "c", PerSecond: -1}}}, Fleet: &wire.FleetUpdate{
+		Endpoints: []wire.Endpoint{{ID: "d", Address: "e"}}}, Raft: []wire.RaftMessage{{Index: 1, Entries: []wire.Entry{{Index: 1}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := DecodeFrame(b)
+		if err != nil {
+			return
+		}
+		_ = frame.RemoveInvalid()
+		if err := frame.RemoveInvalid(); err != nil {
+			t.Errorf("invalid entries remain: %v", err)
 		}
+		_, _ = Encode(frame)
 	})
 }
+
+// TestDocumentThatExpands guards against a small document that takes all memory once it is decompressed.
+func TestDocumentThatExpands(t *testing.T) {
+	b, err := Compress(make([]byte, MaxFrame+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decompress(b); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("%d bytes gave %d, %v, want ErrTooLarge", len(b), len(got), err)
+	}
+}
