Announcements and answers to polls with impossible values are refused

Announcements without a usable address, with more than 2^63 accelerators or slots (which turn negative), or with a boot ID or a sequence number that no later announcement of that host can exceed were taken, passed on to the other daemons, and polled. None of the refused ones was logged, nor was an answer to a poll that couldn't be used.

Cause: serve and dev checked that three fields are there.

Change: wire.Announcement, Holding and Load have a Validate, which the callers' listener, the client that polls and Frame.RemoveInvalid call, so that nothing behind them needs to check again. codec.DecodeJSON, until now in platform, decodes announcements and answers to polls. Refusals are logged once for each sender.

What remains: a valid announcement of another writer with the name of a real server, and a later boot ID, replaces its address.

--- a/connection/backend/control.go
+++ b/connection/backend/control.go
@@ -11,6 +11,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 // Paths of a backend server's control interface.
@@ -33,12 +34,17 @@
 	return &ControlClient{client: client, timeout: timeout}
 }
 
-// Poll returns the backend server's current announcement, made after the call started.
+// Poll returns the backend server's current announcement, made after the call started. The error wraps wire.ErrInvalid for an
+// announcement with invalid values.
 func (c *ControlClient) Poll(ctx context.Context, address string) (wire.Announcement, error) {
 	var a wire.Announcement
 	call := savorywing.Call{Method: fasthttp.MethodGet, Path: PathAnnouncement}
-	if err := c.call(ctx, address, call, &a); err != nil {
-		return a, fmt.Errorf("ControlClient.Poll: %w", err)
+	err := c.call(ctx, address, call, &a)
+	if err == nil {
+		err = a.Validate()
+	}
+	if err != nil {
+		return wire.Announcement{}, fmt.Errorf("ControlClient.Poll: %w", err)
 	}
 	return a, nil
 }
@@ -76,5 +82,5 @@
 	if response.Status != fasthttp.StatusOK {
 		return fmt.Errorf("the backend server responded with status %d, want 200", response.Status)
 	}
-	return json.Unmarshal(body, v)
+	return codec.DecodeJSON(body, v)
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/entry"
+	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/metrics"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
@@ -58,6 +59,8 @@
 
 	// announcements queues the announcements that backend servers push, for forwardAnnouncements.
 	announcements *queue.Queue[wire.Announcement]
+	// invalidPolls limits the log lines about each backend server that answers polls with invalid announcements.
+	invalidPolls *logging.Repeats
 	// leader is the name of the last known leader's host.
 	leader atomic.Pointer[string]
 	// introductions holds the newest Introduction of each control host.
@@ -73,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, clock: clock, log: log, bootID: uint64(clock.Now().UnixNano()), metrics: metrics.New(),
-		announcements: queue.New[wire.Announcement](announcementQueueSize), ctx: ctx, cancel: cancel,
+		announcements: queue.New[wire.Announcement](announcementQueueSize), invalidPolls: logging.NewRepeats(clock), ctx: ctx, cancel: cancel,
 	}
 	if err := d.assemble(); err != nil {
 		cancel()
--- a/process/daemon/poll.go
+++ b/process/daemon/poll.go
@@ -67,6 +67,10 @@
 			d.registry.RecordPollResponse(requestedAt, response)
 		case isConnectionRefused(err):
 			d.registry.RecordConnectionFailure(a.Host)
+		case errors.Is(err, wire.ErrInvalid):
+			if allowed, omitted := d.invalidPolls.Allow(a.Host); allowed {
+				d.log.Warn().Str("backend", a.Host).Uint64("omitted", omitted).Err(err).Msg("ignored an invalid response to a poll")
+			}
 		}
 	})
 	if err != nil {
--- a/request/caller/server.go
+++ b/request/caller/server.go
@@ -21,9 +21,11 @@
 	"savorywing.example/savorywing/connection/backend"
 	"savorywing.example/savorywing/connection/httplog"
 	"savorywing.example/savorywing/process/entry"
+	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/registry"
 	"savorywing.example/savorywing/version/settings"
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 const (
@@ -51,6 +53,8 @@
 	keys     settings.Keys
 	announce AnnouncementHandler
 	log      zerolog.Logger
+	// refusals limits the log lines about each sender of refused announcements, which sends one after the other.
+	refusals *logging.Repeats
 	http     *fasthttp.Server
 	listener net.Listener
 	ready    atomic.Bool
@@ -58,7 +62,7 @@
 
 // New returns a Server; Start runs it.
 func New(clock savorywing.Clock, r *registry.Registry, e *entry.Server, keys settings.Keys, a AnnouncementHandler, log zerolog.Logger) *Server {
-	s := &Server{clock: clock, registry: r, entry: e, keys: keys, announce: a, log: log}
+	s := &Server{clock: clock, registry: r, entry: e, keys: keys, announce: a, log: log, refusals: logging.NewRepeats(clock)}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleMalformed, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxRequestBodySize: bodyReadFactor * int(r.Settings().Limits.MaxBody), Concurrency: maxConns, ReadBufferSize: maxHeaderBytes,
@@ -121,12 +125,17 @@
 
 func (s *Server) handleAnnounce(ctx *fasthttp.RequestCtx) {
 	var a wire.Announcement
-	if err := json.Unmarshal(ctx.PostBody(), &a); err != nil {
-		s.writeError(ctx, newBadRequest(fasthttp.StatusBadRequest, "", "the announcement is not valid JSON: %v", err))
-		return
+	err := codec.DecodeJSON(ctx.PostBody(), &a)
+	if err == nil {
+		err = a.Validate()
 	}
-	if a.Host == "" || a.Address == "" || (a.Kind != savorywing.KindEngine && a.Kind != savorywing.KindService) {
-		s.writeError(ctx, newBadRequest(fasthttp.StatusBadRequest, "", "an announcement names host, address and kind (engine or service)"))
+	if err != nil {
+		address := ctx.RemoteIP().String()
+		if allowed, omitted := s.refusals.Allow(address + " " + a.Host); allowed {
+			s.log.Warn().Str("event", "announcementRefused").Str("address", address).Str("backend", fmt.Sprintf("%.100s", a.Host)).
+				Uint64("omitted", omitted).Err(err).Msg("refused an invalid announcement")
+		}
+		s.writeError(ctx, newBadRequest(fasthttp.StatusBadRequest, "", "the announcement is not valid: %v", err))
 		return
 	}
 	s.announce.HandleAnnouncement(a)
--- a/platform/json.go
+++ b/wire/codec/json.go
@@ -1,4 +1,4 @@
-package platform
+package codec
 
 import (
 	"bytes"
@@ -10,8 +10,8 @@
 	"unicode/utf8"
 )
 
-// maxNesting is the maximum depth of objects and lists in a body.
-const maxNesting = 32
+// maxJSONLevels is the maximum depth of objects and lists in a JSON text.
+const maxJSONLevels = 32
 
 var (
 	errNotUTF8       = errors.New("the text isn't UTF-8")
@@ -20,14 +20,14 @@
 	errNoObject      = errors.New("the text is no object")
 )
 
-// decodeObject decodes a JSON object. It rejects what json.Unmarshal would accept in part or by guessing: text that isn't
+// DecodeJSON decodes a JSON object. It rejects what json.Unmarshal would accept in part or by guessing: text that isn't
 // UTF-8, and names that occur twice in an object.
-func decodeObject(b []byte, v any) error {
+func DecodeJSON(b []byte, v any) error {
 	if err := checkObject(b); err != nil {
-		return fmt.Errorf("platform.decodeObject: %w", err)
+		return fmt.Errorf("codec.DecodeJSON: %w", err)
 	}
 	if err := json.Unmarshal(b, v); err != nil {
-		return fmt.Errorf("platform.decodeObject: %w", err)
+		return fmt.Errorf("codec.DecodeJSON: %w", err)
 	}
 	return nil
 }
@@ -78,7 +78,7 @@
 	switch {
 	case token == '}' || token == ']':
 		return open[:len(open)-1], nil
-	case len(open) == maxNesting:
+	case len(open) == maxJSONLevels:
 		return nil, errNesting
 	case token == '{':
 		return append(open, map[string]bool{}), nil
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -17,6 +17,11 @@
 const (
 	maxNameBytes = 256
 	maxStaged    = 64
+	maxPrefixes  = 1 << 16
+	// maxAccelerators is the maximum number of accelerators of a host.
+	maxAccelerators = 1 << 16
+	// maxBoot is a boot ID, a time in nanoseconds, of the year 2262.
+	maxBoot = 1<<63 - 1
 	// MaxGroupHosts is the maximum number of hosts in a group.
 	MaxGroupHosts = 1024
 	// maxSlots is the maximum number of requests that a server runs at once.
@@ -135,3 +140,36 @@
 	}
 	return nil
 }
+
+// Validate checks an announcement. The error wraps ErrInvalid.
+func (a *Announcement) Validate() error {
+	var kind, holding, load error
+	switch a.Kind {
+	case "engine":
+	case "service":
+		kind = checkName("service", a.Service)
+	default:
+		kind = fmt.Errorf("kind %.20q: %w", a.Kind, ErrInvalid)
+	}
+	if a.Holding != nil {
+		holding = a.Holding.Validate()
+	}
+	if a.Load != nil {
+		load = a.Load.Validate()
+	}
+	return firstError("Announcement.Validate", checkName("host", a.Host), CheckAddress(a.Address), kind,
+		checkText("service", a.Service), checkText("data centre", a.DataCentre), checkText("fabric domain", a.FabricDomain),
+		checkRange("boot", a.Boot, 0, maxBoot), checkRange("sequence", a.Sequence, 0, maxSequence),
+		checkRange("accelerators", a.Accelerators, 0, maxAccelerators), checkRange("prefixes", len(a.Prefixes), 0, maxPrefixes), holding, load)
+}
+
+// Validate checks an assignment. The error wraps ErrInvalid.
+func (h *Holding) Validate() error {
+	return firstError("Holding.Validate", checkName("group", h.Group), checkText("model", h.Model), checkText("version", h.Version))
+}
+
+// Validate checks a load. The error wraps ErrInvalid.
+func (l *Load) Validate() error {
+	return firstError("Load.Validate", checkRange("slots", l.Slots, 0, maxSlots), checkRange("running", l.Running, 0, maxSlots),
+		checkRange("waiting", l.Waiting, 0, maxSlots))
+}
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -28,6 +28,7 @@
 func (f *Frame) RemoveInvalid() error {
 	errs := []error{
 		keepValid("report", &f.Reports, (*Report).Validate),
+		keepValid("announcement", &f.Announcements, (*Announcement).Validate),
 		keepValid("message of the log", &f.Raft, (*RaftMessage).Validate),
 		removePart("presence", &f.Presence, (*Presence).Validate),
 		removePart("forward offer", &f.ForwardOffer, (*ForwardOffer).Validate),
