Callers' keys aren't logged with requests that can't be read

The host logs a line for each request that it can't read, with the parser's error. fasthttp quotes the request in it, so a malformed header or a bad Content-Length put the caller's API key into the log of an entry host, and into the response.

Change: the line has the status and a reason of the server's own; so has the response, whose statuses don't change.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -323,21 +323,21 @@
 }
 
 // rejectUnreadable sends an error response for a request that could not be read. It sends nothing if the caller
-// disconnected.
+// disconnected. Errors of the parser quote the request, and with it the caller's key, so they are not logged.
 func (c *conn) rejectUnreadable(x *Exchange, err error) {
 	c.closeAfter = true
-	status, reason := fasthttp.StatusBadRequest, err.Error()
+	status, reason := fasthttp.StatusBadRequest, "the request is malformed"
 	switch {
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET):
 		return
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
+		status, reason = fasthttp.StatusRequestEntityTooLarge, "the request body exceeds the limit"
 	case errors.Is(err, errHeaderTooLarge):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, errHeaderTooLarge.Error()
 	case isTimeout(err):
 		status, reason = fasthttp.StatusRequestTimeout, "the request was not received in time: notRun"
 	}
-	c.server.log.Info().Str("event", "requestUnreadable").Int("status", status).Err(err).Msg("a caller's request could not be read")
+	c.server.log.Info().Str("event", "requestUnreadable").Int("status", status).Str("reason", reason).Msg("a caller's request could not be read")
 	x.WriteError(savorywing.ErrorResponse{Status: status, Reason: reason})
 	c.linger()
 }
