--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -35,6 +35,8 @@
 	conn       net.Conn
 	reader     *bufio.Reader
 	acceptedAt time.Time
+	// refused reports whether the connection is one too many.
+	refused bool
 	// used reports whether the connection has carried a request.
 	used bool
 	// closeAfter reports whether the connection is closed after the current response.
@@ -147,6 +149,19 @@
 	}
 }
 
+// fullRetryAfter is the Retry-After of connections that are refused since there are too many.
+const fullRetryAfter = time.Second
+
+// refuse ends a connection without reading from it.
+func (c *conn) refuse() {
+	defer c.server.removeConn(c)
+	defer func() { _ = c.conn.Close() }()
+	c.closeAfter = true
+	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
+	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: "too many connections: notRun", RetryAfter: fullRetryAfter})
+	c.linger()
+}
+
 // awaitRequest waits for the first byte of the next request and reports whether there is one. Otherwise the connection has
 // ended.
 func (c *conn) awaitRequest() bool {
@@ -308,6 +323,7 @@
 	if errors.As(err, &smallBuffer) || len(x.request.Header.RawHeaders()) > limit {
 		return errHeaderTooLarge
 	}
+	x.hasHeader = err == nil
 	return err
 }
 
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/socket"
@@ -47,16 +48,34 @@
 	HeaderTimeout, IdleTimeout   time.Duration
 }
 
+// ErrorFormat sets the header of an error response that the server itself generates, and returns the body. request is nil
+// unless a whole header was received.
+type ErrorFormat func(request *fasthttp.RequestHeader, h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte
+
+// Option sets an optional part of a Server.
+type Option func(*Server)
+
+// WithErrorFormat sets the format of the server's own error responses. The default is that of savorywing.ErrorResponse.
+func WithErrorFormat(f ErrorFormat) Option { return func(s *Server) { s.errorFormat = f } }
+
+// WithMaxConns bounds the connections. Further ones get status 503 without being read. The default has no bound.
+func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
+
 // Server serves callers' connections.
 type Server struct {
-	clock   savorywing.Clock
-	handler Handler
-	log     zerolog.Logger
-	limits  func() Limits
+	clock       savorywing.Clock
+	handler     Handler
+	log         zerolog.Logger
+	limits      func() Limits
+	errorFormat ErrorFormat
+	// maxConns is the bound of served, or 0 for none.
+	maxConns int
 
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]bool
+	// served is the number of connections in conns that are not refused.
+	served int
 	// inFlight counts the requests that are being read or served.
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -67,8 +86,16 @@
 }
 
 // New returns a server without listeners. limits is called for each request.
-func New(clock savorywing.Clock, handler Handler, limits func() Limits, log zerolog.Logger) *Server {
-	return &Server{clock: clock, handler: handler, limits: limits, log: log, conns: map[*conn]bool{}}
+func New(clock savorywing.Clock, handler Handler, limits func() Limits, log zerolog.Logger, opts ...Option) *Server {
+	s := &Server{clock: clock, handler: handler, limits: limits, log: log, errorFormat: encodeError, conns: map[*conn]bool{}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+func encodeError(_ *fasthttp.RequestHeader, h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte {
+	return r.Encode(h)
 }
 
 // Start listens at an address and accepts connections in the background.
@@ -129,12 +156,20 @@
 	return d.SetDeadline(t)
 }
 
-// add serves a connection.
+// add serves a connection, or refuses it if there are too many.
 func (s *Server) add(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
+	c.refused = s.maxConns > 0 && s.served >= s.maxConns
 	s.conns[c] = true
+	if !c.refused {
+		s.served++
+	}
 	s.mu.Unlock()
+	if c.refused {
+		s.done.Go(c.refuse)
+		return
+	}
 	s.done.Go(c.serve)
 }
 
@@ -142,6 +177,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if !c.refused {
+		s.served--
+	}
 }
 
 // InFlight returns the number of requests that are being read or served.
