admission: slots that the division leaves over can be borrowed

Callers saw: a request that an otherwise idle group could have run waited at its entry host until its first-token deadline, 10 s, and got 503 notRun, "the answer would come later than the caller can wait". TestPlannedStop, in KNOWN-RED.txt, met it beside load.

Cause, by a trace of its 12 requests on a group of 16 slots with 3 entry hosts: the host's own slots are 5 or 6, as the remainder of 16/3 falls by the group's name, and it may borrow 4/3 of the 5 that are free, rounded down to 6. With 5 slots of its own it ran 11 and queued the twelfth, with 5 slots free and nobody else to use them. That one began when the first response had ended, after 8 s, or beside load after 10.8 s, which is past its deadline. The stop has no part in it: the same happens without one.

Change: a host may have as many requests in flight as its own slots and the borrowed ones, or its exact even share of both where that is more. Lending itself keeps its margin, a quarter of the slots.

TestLendableSlotsAreUsed: 11 of 12 for two of three hosts before, 12 after.

The test's bounds are unchanged.

--- a/bench/policy/admission.go
+++ b/bench/policy/admission.go
@@ -20,7 +20,7 @@
 	// SplitPartitioned gives every entry host slots of its own; together they are exactly the group's slots.
 	SplitPartitioned
 	// SplitBorrowing is SplitPartitioned, and each entry host may also borrow slots that are free according to the
-	// last reports, as limited by admission.LendableSlots and admission.BorrowableSlots.
+	// last reports, as limited by admission.LendableSlots and admission.MaxInFlight.
 	SplitBorrowing
 	// SplitSingleHost is the baseline: a single entry host that knows the current load of every group.
 	SplitSingleHost
@@ -255,7 +255,7 @@
 	case SplitNone:
 		return all / simHosts
 	case SplitBorrowing:
-		return n + admission.BorrowableSlots(free, simHosts)
+		return admission.MaxInFlight(n, all, free, simHosts)
 	}
 	return n
 }
--- a/process/admission/slots.go
+++ b/process/admission/slots.go
@@ -36,10 +36,13 @@
 	return own
 }
 
-// BorrowableSlots returns how many slots beyond its own one of n entry hosts may use over all groups together. free is
-// the number of free slots by the latest reports.
-func BorrowableSlots(free, n int) int {
-	return max(free, 0) * borrowFactor / max(n, 1)
+// MaxInFlight returns how many requests one of n entry hosts may have in flight over all groups together: as many as its own
+// slots, or its even share of all slots where the division left it less, and the slots that it may borrow. free is the number
+// of free slots by the latest reports.
+func MaxInFlight(own, all, free, n int) int {
+	n = max(n, 1)
+	borrowable := max(free, 0) * borrowFactor
+	return max(own+borrowable/n, (all+borrowable)/n)
 }
 
 // LendableSlots returns how many slots of a group may be borrowed when busy of them are reported in use: the free ones,
--- a/process/entry/queue.go
+++ b/process/entry/queue.go
@@ -69,12 +69,13 @@
 
 // slots is the number of requests that this host may have in flight over all candidates.
 func (q *requestQueue) slots(now time.Time, candidates []registry.Candidate, host hostIndex, maxRequests int) int {
-	own, free := 0, 0
+	own, all, free := 0, 0, 0
 	for _, c := range candidates {
+		all += usableSlots(c, maxRequests)
 		own += host.ownSlots(now, c, maxRequests)
 		free += q.lendableSlots(now, c, maxRequests)
 	}
-	return max(1, own+admission.BorrowableSlots(free, host.hosts))
+	return max(1, admission.MaxInFlight(own, all, free, host.hosts))
 }
 
 // available lists the candidates that may get one more request: those with a free slot of this host and, while the
