ingress: error formats don't depend on the request

A parser that fails on a body discards the header that it has read, so an error format can't tell requests with an idempotency key from others.

Change: the format gets the error only.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -323,7 +323,6 @@
 	if errors.As(err, &smallBuffer) || len(x.request.Header.RawHeaders()) > limit {
 		return errHeaderTooLarge
 	}
-	x.hasHeader = err == nil
 	return err
 }
 
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -28,8 +28,6 @@
 // Exchange implements savorywing.Exchange on a caller's connection.
 type Exchange struct {
 	request fasthttp.Request
-	// hasHeader reports whether the whole header of the request was received.
-	hasHeader bool
 
 	conn    *conn
 	server  *Server
@@ -57,11 +55,7 @@
 // WriteError implements savorywing.Exchange.
 func (x *Exchange) WriteError(r savorywing.ErrorResponse) {
 	var h fasthttp.ResponseHeader
-	var request *fasthttp.RequestHeader
-	if x.hasHeader {
-		request = &x.request.Header
-	}
-	body := x.server.errorFormat(request, &h, r)
+	body := x.server.errorFormat(&h, r)
 	if err := x.Start(&h, len(body), body); err != nil {
 		x.failed = true
 	}
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -48,9 +48,9 @@
 	HeaderTimeout, IdleTimeout   time.Duration
 }
 
-// ErrorFormat sets the header of an error response that the server itself generates, and returns the body. request is nil
-// unless a whole header was received.
-type ErrorFormat func(request *fasthttp.RequestHeader, h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte
+// ErrorFormat sets the header of an error response that the server itself generates, since it could not read a request, and
+// returns the body.
+type ErrorFormat func(h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte
 
 // Option sets an optional part of a Server.
 type Option func(*Server)
@@ -94,7 +94,7 @@
 	return s
 }
 
-func encodeError(_ *fasthttp.RequestHeader, h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte {
+func encodeError(h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte {
 	return r.Encode(h)
 }
 
