entry: cancelled requests are answered, and claims are settled at a stop

Cause: waiting for the dispatcher ignored the request's context; settling a claim in the background was not waited for; nothing could cancel executions of claimed requests.

Change: a cancelled request is withdrawn from its queue, and its error names the reason. Drain also waits for settlements, and when its time is over cancels the executions that are left and waits up to 2 s until their claims are settled, as unknown unless they are known not to have run. A claim whose request is cancelled before it is sent is settled as not run. Settlements don't use the worker pool any more, in which they were dropped when it was full.

TestRemove is new.

--- a/process/admission/heap.go
+++ b/process/admission/heap.go
@@ -56,6 +56,17 @@
 	return item
 }
 
+// removeID removes the request with an ID and reports whether there was one.
+func (h *itemHeap) removeID(id string) bool {
+	for _, item := range h.items {
+		if item.ID == id {
+			heap.Remove(h, item.index)
+			return true
+		}
+	}
+	return false
+}
+
 // countUntil returns the number of requests whose deadline is not after d.
 func (h *itemHeap) countUntil(d time.Time) int {
 	n := 0
--- a/process/admission/queue.go
+++ b/process/admission/queue.go
@@ -305,6 +305,17 @@
 	return expired
 }
 
+// Remove removes a waiting request of an organisation, and reports whether it was waiting.
+func (q *Queue) Remove(organisation, id string) bool {
+	t := q.organisations[organisation]
+	if t == nil || !t.items.removeID(id) {
+		return false
+	}
+	q.waiting--
+	q.dropIdle(organisation, t)
+	return true
+}
+
 // Backlog returns the expected time to run all waiting requests.
 func (q *Queue) Backlog() time.Duration {
 	if q.slots == 0 {
--- a/process/admission/queue_test.go
+++ b/process/admission/queue_test.go
@@ -136,6 +136,39 @@
 	})
 }
 
+// TestRemove checks that a removed request is neither counted nor run, and that the others keep their order.
+func TestRemove(t *testing.T) {
+	q := NewQueue(FairDeadline)
+	q.SetSlots(10)
+	for i, id := range []string{"a", "b", "c"} {
+		if d := q.Admit(start, 0, item(id, "x", time.Duration(10+i)*time.Second)); d.Rejected {
+			t.Fatalf("%s was rejected", id)
+		}
+	}
+	tests := []struct {
+		organisation, id string
+		want             bool
+	}{
+		{"x", "b", true},
+		{"x", "b", false},
+		{"x", "d", false},
+		{"y", "a", false},
+	}
+	for _, tt := range tests {
+		if got := q.Remove(tt.organisation, tt.id); got != tt.want {
+			t.Errorf("Remove(%q, %q) = %t, want %t", tt.organisation, tt.id, got, tt.want)
+		}
+	}
+	if q.Len() != 2 {
+		t.Errorf("%d requests wait, want 2", q.Len())
+	}
+	for _, want := range []string{"a", "c"} {
+		if got, ok := q.Next(0); !ok || got.ID != want {
+			t.Errorf("the next request is %q, want %q", got.ID, want)
+		}
+	}
+}
+
 // TestOwnSlots checks that the slots of all hosts add up to the slots of a group.
 func TestOwnSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/process/entry/claim.go
+++ b/process/entry/claim.go
@@ -42,6 +42,12 @@
 		}
 		return response, err
 	}
+	if ctx.Err() != nil {
+		s.release(g, false)
+		notRun := savorywing.NewRequestError(savorywing.CodeNotRun, statusUnavailable, "the request was withdrawn", savorywing.WithCause(errClaimRefused))
+		s.server.settleLater(wire.Command{Settle: s.settlement(attemptID, savorywing.Response{}, notRun)})
+		return savorywing.Response{}, notRun
+	}
 	type result struct {
 		response savorywing.Response
 		err      error
@@ -50,7 +56,7 @@
 	s.server.countExecution()
 	err = s.server.pool.Submit(func() {
 		defer s.server.requestEnded()
-		response, err := s.execute(context.WithoutCancel(ctx), g, attemptID)
+		response, err := s.execute(s.server.executions, g, attemptID)
 		done <- result{response, err}
 	})
 	if err != nil {
@@ -63,6 +69,8 @@
 	select {
 	case r := <-done:
 		return r.response, r.err
+	case <-ctx.Done():
+		return savorywing.Response{}, savorywing.NewRequestError(savorywing.CodeUnknown, statusUnavailable, "the request still runs", savorywing.WithCause(errClaimRefused))
 	case <-s.server.clock.After(max(0, s.request.ResponseDeadline().Sub(s.server.clock.Now()))):
 		return savorywing.Response{}, savorywing.NewRequestError(savorywing.CodeUnknown, statusTimeout,
 			"no answer within the caller's patience", savorywing.WithRetryAfter(time.Second), savorywing.WithCause(errClaimRefused))
@@ -174,9 +182,13 @@
 	}
 }
 
-// settleLater retries in the background to commit the outcome to the log.
+// settleLater retries in the background to commit the outcome to the log. Drain waits for it.
 func (e *Server) settleLater(c wire.Command) {
-	_ = e.pool.Submit(func() { e.settleWithRetries(c) })
+	e.countExecution()
+	go func() {
+		defer e.requestEnded()
+		e.settleWithRetries(c)
+	}()
 }
 
 func (e *Server) settleWithRetries(c wire.Command) {
--- a/process/entry/dispatcher.go
+++ b/process/entry/dispatcher.go
@@ -29,6 +29,8 @@
 		exclude map[string]bool
 		done    chan<- decision
 	}
+	// cancelEvent withdraws a request that waits for its decision.
+	cancelEvent struct{ request *savorywing.Request }
 	// finishedEvent returns the grant of a finished attempt; observed is set if its times are to be recorded.
 	finishedEvent struct {
 		queue       string
@@ -41,6 +43,7 @@
 )
 
 func (submitEvent) isEvent()   {}
+func (cancelEvent) isEvent()   {}
 func (finishedEvent) isEvent() {}
 
 // decision is a grant, or the error with which the request is rejected.
@@ -103,6 +106,8 @@
 	switch e := e.(type) {
 	case submitEvent:
 		d.submit(e)
+	case cancelEvent:
+		d.withdraw(e.request)
 	case finishedEvent:
 		d.finish(e)
 	}
@@ -163,6 +168,17 @@
 	d.dispatch(q)
 }
 
+// withdraw rejects a request if it still waits.
+func (d *dispatcher) withdraw(r *savorywing.Request) {
+	q := d.queues[r.Queue()]
+	if q == nil || !q.admission.Remove(r.Organisation, string(r.ID)) {
+		return
+	}
+	submitted := q.waiting[string(r.ID)]
+	delete(q.waiting, string(r.ID))
+	submitted.done <- decision{err: savorywing.NewRequestError(savorywing.CodeNotRun, statusUnavailable, "the request was withdrawn")}
+}
+
 // anyUntried reports whether there is a candidate that has not failed this request.
 func anyUntried(candidates []registry.Candidate, exclude map[string]bool) bool {
 	for _, c := range candidates {
--- a/process/entry/server.go
+++ b/process/entry/server.go
@@ -44,10 +44,14 @@
 	pool       *ants.Pool
 	dispatcher *dispatcher
 	owner      string
+	// executions is cancelled when claimed requests must end, which run on if their caller is gone.
+	executions       context.Context
+	cancelExecutions context.CancelCauseFunc
 
 	mu       sync.Mutex
 	budget   *retry.Budget
 	stopping bool
+	// inFlight counts requests, executions of claimed ones and claims that are being settled.
 	inFlight int
 	idle     chan struct{}
 }
@@ -78,6 +82,7 @@
 		dispatcher: newDispatcher(clock, r, uint64(clock.Now().UnixNano())),
 		budget:     retry.NewBudget(r.Settings().Limits.RetryRatio), idle: make(chan struct{}),
 	}
+	e.executions, e.cancelExecutions = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -101,7 +106,7 @@
 	return nil
 }
 
-// countExecution counts a claimed request's execution, which may outlast its caller.
+// countExecution counts the execution of a claimed request, or the settlement of its claim. They may outlast its caller.
 func (e *Server) countExecution() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -124,7 +129,13 @@
 	return e.inFlight
 }
 
-// Drain rejects new requests and waits until every request in flight has ended.
+// expireTime is how long executions that are cancelled at the end of a stop have until their claims are settled.
+const expireTime = 2 * time.Second
+
+var errStopping = errors.New("this entry host is stopping")
+
+// Drain rejects new requests and waits until every request in flight has ended and its claim is settled. When ctx ends, it
+// cancels the executions that are left, which may outlast their callers, and has their claims settled.
 func (e *Server) Drain(ctx context.Context) error {
 	e.mu.Lock()
 	e.stopping = true
@@ -137,8 +148,13 @@
 	case <-e.idle:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("Server.Drain: %w", ctx.Err())
 	}
+	e.cancelExecutions(errStopping)
+	select {
+	case <-e.idle:
+	case <-e.clock.After(expireTime):
+	}
+	return fmt.Errorf("Server.Drain: %w", ctx.Err())
 }
 
 // Serve runs a request and returns its response, or a *savorywing.RequestError.
--- a/process/entry/session.go
+++ b/process/entry/session.go
@@ -74,7 +74,7 @@
 // allowed.
 func (s *session) serve(ctx context.Context) (savorywing.Response, error) {
 	for {
-		g, err := s.grant()
+		g, err := s.grant(ctx)
 		if err != nil {
 			return savorywing.Response{}, s.finalError(savorywing.AsRequestError(err))
 		}
@@ -82,7 +82,7 @@
 		if err == nil {
 			return response, nil
 		}
-		requestErr := s.finalError(savorywing.AsRequestError(err))
+		requestErr := s.finalError(cancelledError(ctx, savorywing.AsRequestError(err)))
 		if !s.mayRetry(ctx, savorywing.AsRequestError(err)) {
 			return savorywing.Response{}, requestErr
 		}
@@ -90,6 +90,15 @@
 	}
 }
 
+// cancelledError returns the error of a request with the reason for which it was cancelled, if it was.
+func cancelledError(ctx context.Context, requestErr *savorywing.RequestError) *savorywing.RequestError {
+	if ctx.Err() == nil {
+		return requestErr
+	}
+	return savorywing.NewRequestError(requestErr.Code(), statusUnavailable, "the request was cancelled: "+context.Cause(ctx).Error(),
+		savorywing.WithCause(requestErr), savorywing.WithRetryAfter(time.Second))
+}
+
 // finalError returns the caller's error. Once an attempt may have run, no later error is reported as notRun. Neither is
 // one that precedes the check of the idempotency key, since an earlier request with the key may have run.
 func (s *session) finalError(requestErr *savorywing.RequestError) *savorywing.RequestError {
@@ -116,8 +125,8 @@
 }
 
 // grant waits for the dispatcher's decision, which comes at the latest when the first-token deadline can't be met any
-// more.
-func (s *session) grant() (grant, error) {
+// more. It returns an error once ctx has ended.
+func (s *session) grant(ctx context.Context) (grant, error) {
 	if !s.server.registry.IsFresh() {
 		return grant{}, savorywing.NewRequestError(savorywing.CodeNotRun, statusUnavailable, staleConfigMessage, savorywing.WithRetryAfter(time.Second))
 	}
@@ -125,11 +134,28 @@
 	if !s.server.dispatcher.events.Push(submitEvent{request: s.request, exclude: s.exclude, done: done}) {
 		return grant{}, savorywing.NewRequestError(savorywing.CodeNotRun, statusUnavailable, "this entry host is full", savorywing.WithRetryAfter(time.Second))
 	}
-	d := <-done
-	if d.err != nil {
-		return grant{}, d.err
+	var d decision
+	select {
+	case d = <-done:
+	case <-ctx.Done():
+		s.push(cancelEvent{request: s.request})
+		d = <-done
+	}
+	switch {
+	case d.err == nil && ctx.Err() == nil:
+		return d.grant, nil
+	case d.err == nil:
+		s.release(d.grant, false)
+		d.err = savorywing.NewRequestError(savorywing.CodeNotRun, statusUnavailable, "the request was withdrawn")
+	}
+	return grant{}, cancelledError(ctx, d.err)
+}
+
+// push sends an event to the dispatcher, which has a place for it soon.
+func (s *session) push(e event) {
+	for !s.server.dispatcher.events.Push(e) {
+		<-s.server.clock.After(time.Millisecond)
 	}
-	return d.grant, nil
 }
 
 // release gives a grant back. observed is set if the attempt ran to its end, so that its times are recorded.
@@ -142,9 +168,7 @@
 		e.interToken = mean(s.interToken)
 		s.mu.Unlock()
 	}
-	for !s.server.dispatcher.events.Push(e) {
-		<-s.server.clock.After(time.Millisecond)
-	}
+	s.push(e)
 }
 
 func mean(times []time.Duration) time.Duration {
