A new leader is told of the crashes that the one before it knew

What callers saw: while the control hosts changed their leader, a request that crashes servers went on to crash them.

Cause: entry hosts forgot a loss once the leader had acknowledged it, and a new leader adopts only the parts that were blocked already.

Change: a loss is kept after its acknowledgement, for as long as survivals are known, and reported to each new leader. The number of losses stays bounded; those that the leader knows make room first. A loss that the leader knows and that wasn't an end doesn't keep a later one of the same server from being resolved.

--- a/cmd/savorywing/fleet_lethal_request_test.go
+++ b/cmd/savorywing/fleet_lethal_request_test.go
@@ -289,3 +289,28 @@
 		l.callers.Go(func() { l.sendLethal(n+i, 0) })
 	}
 }
+
+// TestFleetLethalRequestLeaderLost guards against a new leader that doesn't know of the crashes which the one before it was told
+// of.
+func TestFleetLethalRequestLeaderLost(t *testing.T) {
+	f := newFleetEnv(t, 3, 3, 20, func(f *fleetEnv) { f.restartTime = 2 * time.Second })
+	f.addPlainServers(1)
+	f.waitServing()
+	l := f.startRequestLoad(lethalRequestCase{"", "/book/x", []string{""}, setLethalBody})
+	defer l.end()
+	time.Sleep(time.Second)
+	f.fleet.SetLethalBody(lethalBody)
+	f.eventually("all plain servers have crashed", func() bool {
+		_, crashes := f.fleet.LethalTimes()
+		return len(crashes) >= 3
+	})
+	time.Sleep(300 * time.Millisecond)
+	leader := f.leader()
+	leader.Kill()
+	f.stopped[leader] = true
+	time.Sleep(6 * time.Second)
+	l.reset()
+	time.Sleep(4 * time.Second)
+	f.checkLethalRequests()
+	l.check()
+}
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -14,9 +14,10 @@
 	// survivalRetention is how long survivals are known at least; maxSurvivals bounds how many.
 	survivalRetention = 30 * time.Second
 	maxSurvivals      = 4096
-	// lossRetention is how long a loss is reported that no leader has acknowledged. maxLosses and maxLostRequests bound the
-	// losses, and the requests of each.
-	lossRetention   = 10 * time.Second
+	// lossRetention is how long a loss is reported that the leader hasn't acknowledged, and known in case another leader takes
+	// over: no longer than survivals, which may speak against it. maxLosses and maxLostRequests bound the losses, and the
+	// requests of each.
+	lossRetention   = survivalRetention
 	maxLosses       = 64
 	maxLostRequests = 32
 	// probeValidity is how long a permission to try one request holds.
@@ -66,6 +67,8 @@
 	resolved, ended bool
 	// sentAt is the time in the report that contained the loss as it is now; 0 if none did.
 	sentAt int64
+	// acknowledged reports whether the current leader knows the loss as it is now.
+	acknowledged bool
 }
 
 // Observer is what one entry host knows of the parts of prompts on which servers crash.
@@ -165,20 +168,43 @@
 func (o *Observer) RecordLoss(now time.Time, server string, born int64, p Identity) bool {
 	id := incarnation{server, born}
 	l := o.losses[id]
+	if l != nil && l.acknowledged && !l.ended {
+		// The server has gone on, and may have ended now.
+		l = nil
+	}
 	isNew := l == nil
 	if isNew {
-		if len(o.losses) >= maxLosses {
+		if !o.makeRoom() {
 			return false
 		}
 		l = &loss{at: now}
 		o.losses[id] = l
 	}
 	if len(l.requests) < maxLostRequests {
-		l.requests, l.sentAt = append(l.requests, p), 0
+		l.requests, l.sentAt, l.acknowledged = append(l.requests, p), 0, false
 	}
 	return isNew
 }
 
+// makeRoom drops the oldest loss that the leader knows if there are maxLosses, and reports whether there is room for another.
+func (o *Observer) makeRoom() bool {
+	if len(o.losses) < maxLosses {
+		return true
+	}
+	var oldest *loss
+	var oldestID incarnation
+	for id, l := range o.losses {
+		if l.acknowledged && (oldest == nil || l.at.Before(oldest.at)) {
+			oldest, oldestID = l, id
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(o.losses, oldestID)
+	return true
+}
+
 // Resolve records whether it is certain that a server that may have been lost has ended. If not, the leader finds out.
 func (o *Observer) Resolve(server string, born int64, ended bool) {
 	if l := o.losses[incarnation{server, born}]; l != nil {
@@ -195,7 +221,7 @@
 			delete(o.losses, id)
 			continue
 		}
-		if l.resolved {
+		if l.resolved && !l.acknowledged {
 			u.Losses = append(u.Losses, l.report(now, id))
 			l.sentAt = u.SentAt
 			l.addKeys(relevant)
@@ -253,6 +279,7 @@
 	if u.Term < o.term || (u.Term > o.term && u.Echo == 0) {
 		return false
 	}
+	o.acknowledgeLosses(u)
 	o.term = u.Term
 	listed, isNew := make(map[wire.PartKey]listedPart, len(u.Quarantine)), false
 	for _, p := range u.Quarantine {
@@ -270,10 +297,17 @@
 	for _, key := range u.Probes {
 		o.probes[key] = now.Add(probeValidity)
 	}
-	for id, l := range o.losses {
-		if l.sentAt != 0 && u.Echo >= l.sentAt {
-			delete(o.losses, id)
+	return isNew
+}
+
+// acknowledgeLosses records which losses the leader knows. A new one knows only those in reports that it has answered.
+func (o *Observer) acknowledgeLosses(u wire.FleetUpdate) {
+	for _, l := range o.losses {
+		switch {
+		case l.sentAt != 0 && u.Echo >= l.sentAt:
+			l.sentAt, l.acknowledged = 0, true
+		case u.Term > o.term:
+			l.sentAt, l.acknowledged = 0, false
 		}
 	}
-	return isNew
 }
--- a/process/quarantine/observer_test.go
+++ b/process/quarantine/observer_test.go
@@ -85,6 +85,60 @@
 	}
 }
 
+// TestLossesForNewLeader guards against a new leader that doesn't know of the losses which the one before it was told of.
+func TestLossesForNewLeader(t *testing.T) {
+	o := NewObserver()
+	report := func(now time.Time, sentAt int64) (servers string) {
+		u := wire.Usage{SentAt: sentAt}
+		o.Report(now, &u)
+		for _, l := range u.Losses {
+			servers += l.Server
+		}
+		return servers
+	}
+	lose := func(now time.Time, server string, ended bool) bool {
+		isNew := o.RecordLoss(now, server, 1, prompt(lethal))
+		if isNew {
+			o.Resolve(server, 1, ended)
+		}
+		return isNew
+	}
+	lose(start, "a", true)
+	lose(start, "b", false)
+	sentAt := int64(0)
+	for _, tt := range []struct {
+		name string
+		// after is the time since the losses.
+		after time.Duration
+		// update is applied before the report.
+		update wire.FleetUpdate
+		want   string
+	}{
+		{"no leader knows", 0, wire.FleetUpdate{}, "ab"},
+		{"the leader knows", time.Second, wire.FleetUpdate{Term: 1, Echo: 1}, ""},
+		{"a new leader that has answered no report", time.Second, wire.FleetUpdate{Term: 2}, ""},
+		{"a new leader's first answer", time.Second, wire.FleetUpdate{Term: 2, Echo: 4}, "ab"},
+		{"an answer of the leader before it", time.Second, wire.FleetUpdate{Term: 1, Echo: 4}, "ab"},
+		{"an answer to a report before that", time.Second, wire.FleetUpdate{Term: 2, Echo: 4}, "ab"},
+		{"the new leader knows", time.Second, wire.FleetUpdate{Term: 2, Echo: 6}, ""},
+		{"another leader, long after", lossRetention + time.Second, wire.FleetUpdate{Term: 3, Echo: 7}, ""},
+	} {
+		o.Apply(start.Add(tt.after), tt.update)
+		sentAt++
+		if got := report(start.Add(tt.after), sentAt); got != tt.want {
+			t.Errorf("%s: losses of %q, want of %q", tt.name, got, tt.want)
+		}
+	}
+	lose(start, "a", true)
+	lose(start, "b", false)
+	o.Apply(start, wire.FleetUpdate{Term: 3, Echo: sentAt})
+	report(start, 20)
+	o.Apply(start, wire.FleetUpdate{Term: 3, Echo: 20})
+	if lose(start, "a", true) || !lose(start, "b", true) {
+		t.Error("a known loss of a server that has ended is to be resolved again, or one of another server isn't")
+	}
+}
+
 // TestListOfNewLeader checks that the list of a new leader holds only from its first answer to a report of this host.
 func TestListOfNewLeader(t *testing.T) {
 	o := NewObserver()
