Entry hosts together keep no more idle connections than a server accepts

A server resets connections beyond the number that it accepts from all callers together, and a request on one of them fails.

Cause: each host kept up to 16 idle connections to an address, whatever the service's MaxConnections: 12 hosts could keep 192 to a plain server that accepts 96. It is the class of the server limits: a bound for all hosts, kept by each one for itself.

Change: a host keeps at most its part of MaxConnections, by the number of entry hosts that the leader counts, and at least one. Probes of paths keep a connection only if there is none.

Not tried with processes; connections in use aren't bounded together, only by the slots of the servers.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -91,6 +91,8 @@
 	AttemptID string
 	// MaxIdle is the longest time that a pooled connection may have been idle; 0 requires a new one.
 	MaxIdle time.Duration
+	// MaxPooled bounds the idle connections to the address that are kept for later requests; 0 for no bound but the pool's.
+	MaxPooled int
 	// Confirm, unless it is nil, is called once a connection is open and reports whether the request is still to be
 	// sent: what is known of the server may have changed while it was dialled.
 	Confirm func() bool
@@ -127,6 +129,7 @@
 func (c *Client) connect(ctx context.Context, call Call) (*link, error) {
 	if call.MaxIdle > 0 {
 		if l := c.pool.take(call.Address, call.AttemptID, call.MaxIdle); l != nil {
+			l.maxPooled = call.MaxPooled
 			return l, nil
 		}
 	}
@@ -135,7 +138,7 @@
 		return nil, err
 	}
 	c.opened.Add(1)
-	return &link{conn: conn, address: call.Address, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	return &link{conn: conn, address: call.Address, maxPooled: call.MaxPooled, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
 }
 
 // closeWait is how long Probe waits for a connection to be closed by its peer: longer than a proxy takes to find that
@@ -143,9 +146,9 @@
 const closeWait = 100 * time.Millisecond
 
 // Probe opens a connection to an address and returns the error, which wraps ErrClosedAtOnce if the peer accepts and closes
-// it. Otherwise the connection is kept for a later request.
+// it. Otherwise the connection is kept for a later request, unless there is one already.
 func (c *Client) Probe(ctx context.Context, address string) error {
-	l, err := c.connect(ctx, Call{Address: address})
+	l, err := c.connect(ctx, Call{Address: address, MaxPooled: 1})
 	if err != nil {
 		return fmt.Errorf("Client.Probe: %w", err)
 	}
--- a/connection/engine/link.go
+++ b/connection/engine/link.go
@@ -33,6 +33,8 @@
 	conn    net.Conn
 	address string
 	reader  *bufio.Reader
+	// maxPooled bounds the idle connections to the address; 0 for maxIdlePerAddress only.
+	maxPooled int
 	// idleSince is when the connection was put into the pool; it may be reused until idleUntil.
 	idleSince, idleUntil time.Time
 	// attempts holds a hash of the attempt ID of each request that the connection has carried, at most maxRequestsPerLink.
@@ -58,6 +60,14 @@
 	l.isLast = l.isLast || attemptID == "" || len(l.attempts) >= maxRequestsPerLink
 }
 
+// poolBound returns the number of idle connections to the address from which another one is closed instead of being kept.
+func (l *link) poolBound() int {
+	if l.maxPooled > 0 {
+		return min(l.maxPooled, maxIdlePerAddress)
+	}
+	return maxIdlePerAddress
+}
+
 // write sends the request. A body longer than maxInlineBody is still being written when it returns. The channel,
 // which is nil for a shorter body, then receives the outcome.
 func (l *link) write(call Call) (<-chan error, error) {
@@ -180,7 +190,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
-	if len(p.idle[l.address]) >= maxIdlePerAddress {
+	if len(p.idle[l.address]) >= l.poolBound() {
 		_ = l.conn.Close()
 		return
 	}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -350,7 +350,17 @@
 		idle = maxIdleNotRetryable
 	}
 	return engine.Call{Address: d.Address, Header: h, Body: body, AttemptID: r.caller.AttemptID, MaxIdle: idle, HeaderDeadline: r.deadline,
-		Confirm: func() bool { return g.mayStillSend(d) }}
+		MaxPooled: maxPooled(r.service.MaxConnections, int(g.subscription.entryHosts.Load())),
+		Confirm:   func() bool { return g.mayStillSend(d) }}
+}
+
+// maxPooled returns this host's part of the connections that a server accepts from all hosts together; 0 if it states no
+// number.
+func maxPooled(maxConnections, entryHosts int) int {
+	if maxConnections <= 0 {
+		return 0
+	}
+	return max(1, maxConnections/max(1, entryHosts))
 }
 
 func (r *callerRequest) sendFailed(ctx context.Context, d placement.Decision, err error) (outcome, placement.Result) {
