A stored document that can't be decoded is logged once

Cause: decoding was tried again with each status and each update.

Change: the version that couldn't be decoded is remembered and not tried again. The document that is in force stays.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -114,6 +114,8 @@
 	lastStep    time.Time
 	changed     bool
 	nextSummary time.Time
+	// unreadable is the version of the last document that could not be decoded here.
+	unreadable uint64
 	// loggedDropped is how many dropped events have been logged.
 	loggedDropped uint64
 
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -9,6 +9,7 @@
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/quota"
+	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
 )
@@ -281,13 +282,16 @@
 	if old := c.document.Load(); old != nil && old.version >= p.Version {
 		return
 	}
-	b, err := codec.Decompress(p.Document)
-	if err != nil {
-		c.log.Error().Str("event", "documentUnreadable").Uint64("version", p.Version).Err(err).Msg("a published document can't be decoded")
+	if c.unreadable == p.Version {
 		return
 	}
-	catalogue, err := c.dialect.ReadDocument(b)
+	b, err := codec.Decompress(p.Document)
+	var catalogue *catalogue.Catalogue
+	if err == nil {
+		catalogue, err = c.dialect.ReadDocument(b)
+	}
 	if err != nil {
+		c.unreadable = p.Version
 		c.log.Error().Str("event", "documentUnreadable").Uint64("version", p.Version).Err(err).Msg("a published document can't be decoded")
 		return
 	}
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -9,6 +9,7 @@
 
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/reach"
+	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
@@ -47,6 +48,8 @@
 	forwarderRevision uint64
 	// version is the version of the document in force here; 0 if there is none.
 	version uint64
+	// unreadable is the version of the last document that could not be decoded here.
+	unreadable uint64
 	// confirmedAt is the send time of the latest usage report to which a leader answered that the document in
 	// force here is the newest. It never decreases.
 	confirmedAt time.Time
@@ -304,22 +307,25 @@
 func (s *fleetSubscription) applyDocument(u wire.FleetUpdate) {
 	g := s.gateway
 	s.mu.Lock()
-	newer := len(u.Document) > 0 && u.Version > s.version
+	newer := len(u.Document) > 0 && u.Version > s.version && u.Version != s.unreadable
+	isNext := u.Version > s.version
 	s.mu.Unlock()
 	if !newer {
-		if u.Version > s.version && u.Echo == 0 {
+		if isNext && u.Echo == 0 {
 			s.wakeUp()
 		}
 		return
 	}
 	b, err := codec.Decompress(u.Document)
-	if err != nil {
-		g.log.Error().Str("event", "documentUnreadable").Uint64("version", u.Version).Err(err).Msg("the leader's document can't be decompressed")
-		return
+	var c *catalogue.Catalogue
+	if err == nil {
+		c, err = g.dialect.ReadDocument(b)
 	}
-	c, err := g.dialect.ReadDocument(b)
 	if err != nil {
-		g.log.Error().Str("event", "documentUnreadable").Uint64("version", u.Version).Err(err).Msg("the leader's document is invalid")
+		s.mu.Lock()
+		s.unreadable = u.Version
+		s.mu.Unlock()
+		g.log.Error().Str("event", "documentUnreadable").Uint64("version", u.Version).Err(err).Msg("the leader's document can't be decoded")
 		return
 	}
 	s.mu.Lock()
--- a/process/gateway/invalid_test.go
+++ b/process/gateway/invalid_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
+
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 // TestForwardedRequestWithInvalidHeader guards against the header of a forwarded request that ends the process, or that is
@@ -43,3 +47,22 @@
 		t.Errorf("%d servers are dialled, want 3: %v", len(got), got)
 	}
 }
+
+// TestUnreadableDocument guards against a document of the leader that can't be decoded and is logged with each update.
+func TestUnreadableDocument(t *testing.T) {
+	invalid, err := codec.Compress([]byte(`{"version":8}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, document := range map[string][]byte{"not compressed": []byte("document"), "truncated": invalid[:len(invalid)-2], "invalid": invalid} {
+		var lines bytes.Buffer
+		g := newTestGateway(t)
+		g.log = zerolog.New(&lines)
+		for range 100 {
+			g.subscription.applyDocument(wire.FleetUpdate{Version: 8, Document: document, Echo: 1})
+		}
+		if n := strings.Count(lines.String(), "documentUnreadable"); n != 1 || g.subscription.documentVersion() != 7 {
+			t.Errorf("%s: logged %d times, want once; version %d in force, want 7", name, n, g.subscription.documentVersion())
+		}
+	}
+}
