Documents with numbers that can't be meant are refused

What callers would have seen: a document with groups of -1 hosts ended each leader, one after the other (slice bounds out of range), one with groups of very many hosts, or very many concurrent loads, kept the leader in an endless loop or made it use up its memory. None was refused, and once accepted they are stored. A key that is empty would have admitted requests without a key. Times beyond 64 bits became negative on x86-64 and the longest ones on arm64.

Cause: catalogue.New checked structure, timeouts and weights, and no other number.

Change: bounds.go has the range of each number. A document that is out of range, that isn't UTF-8, that has a name twice in an object, in services or in the models of a service, or an empty key or limit, is refused with status 400 when it is published (CheckDocument). A stored document may come from a version that checked less: ReadDocument still reads it, with its numbers brought into range, so that no deployment loses its routes with an upgrade and nothing behind New needs to check again. Durations are converted with saturation, and predictions of an engine's times are bounded.

--- a/cmd/savorywing/fleet_test.go
+++ b/cmd/savorywing/fleet_test.go
@@ -168,6 +168,11 @@
 	sharedKey.Organisations[1].Keys = []string{fleetKey}
 	unknownService.Routes[0].Services = []catalogue.WeightedService{{Service: "nobody", Weight: 1}}
 	duplicateRoute.Routes[1].Prefix = "/talk/"
+	negativeSize, hugeLoads, negativeLimit, emptyKey := fleetDocument(9), fleetDocument(9), fleetDocument(9), fleetDocument(9)
+	negativeSize.Services[0].Engine.Models[1].HostsPerGroup = -1
+	hugeLoads.Services[0].Engine.MaxConcurrentLoads = math.MaxInt
+	negativeLimit.Limits.MaxHeaderBytes = -1
+	emptyKey.Organisations[0].Keys = []string{fleetKey, ""}
 	tests := []struct {
 		name  string
 		doc   catalogue.Document
@@ -182,6 +187,10 @@
 		{"shared key", sharedKey, 400, true},
 		{"unknown service", unknownService, 400, true},
 		{"duplicate route", duplicateRoute, 400, true},
+		{"negative size of a group", negativeSize, 400, true},
+		{"huge number of loads", hugeLoads, 400, true},
+		{"negative limit", negativeLimit, 400, true},
+		{"empty key", emptyKey, 400, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/dialect.go
+++ b/dialect.go
@@ -98,8 +98,8 @@
 	StripConnectionHeaders(h *fasthttp.ResponseHeader)
 	// WriteErrorHeaders adds the caller's attempt ID to a response that the system itself produces.
 	WriteErrorHeaders(h *fasthttp.ResponseHeader, attemptID string)
-	// ReadDocument decodes and checks a published document, the catalogue of services, routes and organisations. The
-	// error states what is wrong with it.
+	// ReadDocument decodes a published document, the catalogue of services, routes and organisations. The error states what
+	// is wrong with it.
 	ReadDocument(b []byte) (*catalogue.Catalogue, error)
 	// IsReadyCheck reports whether a request is a readiness check of the daemon.
 	IsReadyCheck(h *fasthttp.RequestHeader) bool
@@ -175,8 +175,10 @@
 	// WriteReportReply encodes the acknowledgement of a report. Unless address is empty, it asks the backend server to
 	// send later reports there.
 	WriteReportReply(address string) []byte
-	// ReadDocument decodes and checks a published document, the catalogue of services, routes and organisations. The
+	// CheckDocument decodes a document that is to be published, the catalogue of services, routes and organisations. The
 	// error states what is wrong with it.
+	CheckDocument(b []byte) (*catalogue.Catalogue, error)
+	// ReadDocument decodes a document that this or an earlier version has accepted.
 	ReadDocument(b []byte) (*catalogue.Catalogue, error)
 	// WriteOrder encodes an order as the header and body of a request; it returns the body.
 	WriteOrder(o FleetOrder, h *fasthttp.RequestHeader) []byte
--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -94,7 +94,7 @@
 // PublishDocument commits a document, which becomes the newest if its version is the highest. It returns
 // ErrInvalidDocument if the document is invalid, and ErrNoQuorum if it was not committed in time.
 func (c *Controller) PublishDocument(ctx context.Context, document []byte) error {
-	catalogue, err := c.dialect.ReadDocument(document)
+	catalogue, err := c.dialect.CheckDocument(document)
 	if err != nil {
 		c.log.Info().Str("event", "documentRefused").Int("bytes", len(document)).Err(err).Msg("rejected an invalid document")
 		return fmt.Errorf("Controller.Publish: %w: %w", controlapi.ErrInvalidDocument, err)
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -50,7 +50,7 @@
 func (e *EngineProfile) PassTime(tokens float64, n int) time.Duration {
 	prefill := tokens / max(1, e.PrefillRate) * float64(time.Second)
 	decode := float64(e.StepsPerPass) * float64(e.StepTime+time.Duration(n)*e.StepTimePerRequest)
-	return time.Duration(max(minTimeFactor, e.TimeFactor) * (prefill + decode))
+	return time.Duration(min(max(minTimeFactor, e.TimeFactor)*(prefill+decode), float64(maxPrediction)))
 }
 
 // minTimeFactor keeps a model without a stated time factor from counting as infinitely fast.
@@ -64,10 +64,7 @@
 	fullPasses := max(0, math.Ceil(remaining/perPass)-1)
 	rest := e.PassTime(0, n)/2 + e.PassTime(remaining-fullPasses*perPass, n) // the first part is the rest of the current pass
 	full := fullPasses * float64(e.PassTime(perPass, n))
-	if full > float64(maxPrediction) {
-		return maxPrediction
-	}
-	return rest + time.Duration(full)
+	return min(maxPrediction, rest+time.Duration(min(full, float64(maxPrediction))))
 }
 
 // maxPrediction bounds a prediction. It is longer than any caller waits.
--- a/version/catalogue/catalogue.go
+++ b/version/catalogue/catalogue.go
@@ -162,14 +162,26 @@
 	byHost map[string][]*Route
 	// byKey is keyed by API key.
 	byKey map[string]*Organisation
+	// problem is what Validate returns.
+	problem error
 }
 
-// New checks and indexes a document.
+// New checks and indexes a document. Numbers that are out of range are brought into range, so that a document which an
+// earlier version has accepted stays in force. Validate returns an error for such a document.
 func New(d Document) (*Catalogue, error) {
-	c := &Catalogue{document: d, services: map[string]*Service{}, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}}
+	c := &Catalogue{services: map[string]*Service{}, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}}
+	var b bounds
+	b.document(&d)
+	c.document = d
 	for i := range d.Services {
+		if c.services[d.Services[i].Name] != nil {
+			b.problem(fmt.Sprintf("service %q", d.Services[i].Name), ErrDuplicateName)
+		}
 		c.services[d.Services[i].Name] = &d.Services[i]
 	}
+	if b.err != nil {
+		c.problem = fmt.Errorf("Catalogue.Validate: %w", b.err)
+	}
 	for i := range d.Routes {
 		if err := c.addRoute(&d.Routes[i]); err != nil {
 			return nil, fmt.Errorf("catalogue.New: route %q: %w", d.Routes[i].Name, err)
@@ -181,6 +193,9 @@
 	for i := range d.Organisations {
 		o := &d.Organisations[i]
 		for _, key := range o.Keys {
+			if key == "" {
+				continue // a request without a key has none
+			}
 			if other := c.byKey[key]; other != nil && other != o {
 				return nil, fmt.Errorf("catalogue.New: %q and %q: %w", other.Name, o.Name, ErrDuplicateKey)
 			}
@@ -220,6 +235,9 @@
 	return nil
 }
 
+// Validate returns an error if the document must not be accepted, although New could make a catalogue of it.
+func (c *Catalogue) Validate() error { return c.problem }
+
 // Version returns the document's version.
 func (c *Catalogue) Version() uint64 { return c.document.Version }
 
--- a/wire/codec/json.go
+++ b/wire/codec/json.go
@@ -32,6 +32,14 @@
 	return nil
 }
 
+// CheckJSON checks that a text is what DecodeJSON decodes, apart from the types of its values.
+func CheckJSON(b []byte) error {
+	if err := checkObject(b); err != nil {
+		return fmt.Errorf("codec.CheckJSON: %w", err)
+	}
+	return nil
+}
+
 func checkObject(b []byte) error {
 	if !utf8.Valid(b) {
 		return errNotUTF8
