Tests of the gateway take the platform's names from the dialect

The scripted responses of attempt_test.go spelled out header names that belong in platform/. The dialect now writes them.

--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/platform"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/wire"
 )
@@ -86,15 +87,16 @@
 			return
 		}
 		text, closes := strings.CutSuffix(s.texts[n-1], "CLOSE")
-		text = strings.ReplaceAll(text, "ID", string(req.Header.Peek("X-Savorywing-Attempt-Id")))
+		text = strings.ReplaceAll(text, "ID", platform.Dialect{}.ReadCallerMetadata(&req.Header).AttemptID)
 		if _, err := io.WriteString(c, text); err != nil || closes {
 			return
 		}
 	}
 }
 
-// runScript lets a gateway serve one request with servers that follow a script.
-func runScript(t *testing.T, route catalogue.Route, s *serverScript, setHeader func(h *fasthttp.RequestHeader)) *recordedExchange {
+// runScript lets a gateway serve one request with servers that follow a script. The caller has received the events up to
+// lastEventID, which is negative for none.
+func runScript(t *testing.T, route catalogue.Route, s *serverScript, lastEventID int64) *recordedExchange {
 	t.Helper()
 	g := newTestGateway(t)
 	g.settings().RetryBurst = 1000
@@ -128,10 +130,7 @@
 	x.request.Header.SetRequestURI("/x")
 	x.request.Header.SetHost("x.example")
 	x.request.SetBodyString("b")
-	x.request.Header.Set("X-Savorywing-Attempt-Id", "n1")
-	if setHeader != nil {
-		setHeader(&x.request.Header)
-	}
+	platform.Dialect{}.WriteCallerMetadata(&x.request.Header, savorywing.CallerMetadata{AttemptID: "n1", LastEventID: lastEventID})
 	g.Serve(context.Background(), x)
 	return x
 }
@@ -139,15 +138,35 @@
 var streamingRoute = catalogue.Route{Name: "talk", Kind: catalogue.Streaming, Resumable: true, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second}
 
 const (
-	signedField    = "X-Savorywing-Attempt-Id: ID\r\nX-Savorywing-Server-Signature: s\r\n"
-	unsignedField  = "X-Savorywing-Attempt-Id: ID\r\n"
-	eventType      = "Content-Type: text/event-stream\r\n"
-	chunkedField   = "Transfer-Encoding: chunked\r\n\r\n"
-	lastChunk      = "0\r\n\r\n"
-	okHead         = "HTTP/1.1 200 OK\r\n"
-	rawRefusalHead = "HTTP/1.1 503 Service Unavailable\r\nX-Savorywing-Not-Executed: 1\r\ncontent-length: 5\r\n\r\nfull\n"
+	eventType    = "Content-Type: text/event-stream\r\n"
+	chunkedField = "Transfer-Encoding: chunked\r\n\r\n"
+	lastChunk    = "0\r\n\r\n"
+	okHead       = "HTTP/1.1 200 OK\r\n"
+)
+
+// Fields of responses, as the dialect writes them.
+var (
+	signedField    = fieldText(func(h *fasthttp.ResponseHeader) { platform.Dialect{}.SignResponse(h, "ID", "s") })
+	unsignedField  = strings.ReplaceAll(refusalField, notRunField, "")
+	refusalField   = fieldText(func(h *fasthttp.ResponseHeader) { platform.Dialect{}.MarkNotRun(h, "ID", "") })
+	notRunField    = refusalField[strings.Index(refusalField, "\r\n")+2:]
+	rawRefusalHead = "HTTP/1.1 503 Service Unavailable\r\n" + notRunField + "content-length: 5\r\n\r\nfull\n"
 )
 
+// fieldText returns the fields that a function sets.
+func fieldText(set func(h *fasthttp.ResponseHeader)) string {
+	h := &fasthttp.ResponseHeader{}
+	h.SetNoDefaultContentType(true)
+	set(h)
+	text := ""
+	for k, v := range h.All() {
+		if string(k) != fasthttp.HeaderContentLength {
+			text += fmt.Sprintf("%s: %s\r\n", k, v)
+		}
+	}
+	return text
+}
+
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // eventRange returns the events from first up to last.
@@ -162,7 +181,7 @@
 // TestErrorAfterBrokenStream guards against bytes of an error in a stream, and streams that end as if they were complete: a
 // stream has begun and breaks off, and the next server doesn't continue it.
 func TestErrorAfterBrokenStream(t *testing.T) {
-	const begun = okHead + signedField + eventType + chunkedField
+	begun := okHead + signedField + eventType + chunkedField
 	type row struct {
 		name, second string
 		complete     bool
@@ -187,7 +206,7 @@
 		{"unsigned, continued", okHead + unsignedField + eventType + chunkedField + chunk(eventRange(2, 3)) + lastChunk, false, delivered},
 		{"no content", "HTTP/1.1 204 No Content\r\n" + signedField + "\r\n", false, delivered},
 		{"not run", rawRefusalHead, false, delivered},
-		{"not run, status 200", okHead + signedField + "X-Savorywing-Not-Executed: 1\r\n" + eventType + "Content-Length: 0\r\n\r\n", false, delivered},
+		{"not run, status 200", okHead + signedField + notRunField + eventType + "Content-Length: 0\r\n\r\n", false, delivered},
 		{"not HTTP", "engine is busy\n\nCLOSE", false, delivered},
 		{"closed", "CLOSE", false, delivered},
 	}
@@ -206,7 +225,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			s := &serverScript{texts: []string{begun + chunk(delivered) + "CLOSE", tt.second}}
-			x := runScript(t, streamingRoute, s, nil)
+			x := runScript(t, streamingRoute, s, -1)
 			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || x.complete != tt.complete {
 				t.Errorf("status %d, complete %v, body %q, want %v, %q", x.status, x.complete, x.body.String(), tt.complete, tt.want)
 			}
@@ -235,12 +254,12 @@
 		{"no chunks, after an id", openStream + first + "id: 2\n" + rawRefusalHead + eventRange(3, 4) + "CLOSE"},
 		{"no chunks, in a field name", openStream + first + "id: 2\nda" + rawRefusalHead + eventRange(3, 4) + "CLOSE"},
 		{"no chunks, in data", openStream + first + "id: 2\ndata: tok" + rawRefusalHead + eventRange(3, 4) + "CLOSE"},
-		{"no chunks, in a field before the id", openStream + first + "x-savorywing-weight-versions: 3" + rawRefusalHead + eventRange(2, 3) + "CLOSE"},
+		{"no chunks, in a field before the id", openStream + first + "x-versions: 3" + rawRefusalHead + eventRange(2, 3) + "CLOSE"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			s := &serverScript{texts: []string{tt.first, second}}
-			x := runScript(t, streamingRoute, s, nil)
+			x := runScript(t, streamingRoute, s, -1)
 			if want := eventRange(0, 3); x.status != fasthttp.StatusOK || x.body.String() != want || !x.complete {
 				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), want)
 			}
@@ -261,7 +280,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			s := &serverScript{texts: []string{tt.text}}
-			x := runScript(t, streamingRoute, s, nil)
+			x := runScript(t, streamingRoute, s, -1)
 			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || !x.complete {
 				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), tt.want)
 			}
@@ -271,7 +290,7 @@
 
 // TestResumedByCaller guards against a stream that a caller resumes and that doesn't continue after the event it names.
 func TestResumedByCaller(t *testing.T) {
-	const begun = okHead + signedField + eventType + chunkedField
+	begun := okHead + signedField + eventType + chunkedField
 	stream := func(first, last int) string { return begun + chunk(eventRange(first, last)) + lastChunk }
 	continued := stream(5, 6)
 	notResumable := streamingRoute
@@ -296,7 +315,7 @@
 				texts[1] = begun + chunk(eventRange(6, 6)) + lastChunk
 				tt.want += eventRange(6, 6)
 			}
-			x := runScript(t, tt.route, &serverScript{texts: texts}, func(h *fasthttp.RequestHeader) { h.Set("Last-Event-Id", "4") })
+			x := runScript(t, tt.route, &serverScript{texts: texts}, 4)
 			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || !x.complete {
 				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), tt.want)
 			}
@@ -307,7 +326,7 @@
 // TestRefusalWithoutProof guards against requests that count as not run by a response that doesn't prove it. Such a request
 // must not run at a second server either, if it may run once only.
 func TestRefusalWithoutProof(t *testing.T) {
-	const notRun, empty = "X-Savorywing-Not-Executed: 1\r\n", "Content-Length: 0\r\n\r\n"
+	const empty = "Content-Length: 0\r\n\r\n"
 	const refused = "HTTP/1.1 503 Service Unavailable\r\n"
 	route := catalogue.Route{Name: "book", Kind: catalogue.NonIdempotent, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second}
 	served := okHead + signedField + "Content-Length: 2\r\n\r\nok"
@@ -317,27 +336,27 @@
 		status  int
 		arrived int64
 	}{
-		{"a refusal", refused + unsignedField + notRun + empty, fasthttp.StatusOK, 2},
-		{"a signed refusal", refused + signedField + notRun + empty, fasthttp.StatusOK, 2},
+		{"a refusal", refused + unsignedField + notRunField + empty, fasthttp.StatusOK, 2},
+		{"a signed refusal", refused + signedField + notRunField + empty, fasthttp.StatusOK, 2},
 		{"misdirected", "HTTP/1.1 421 Misdirected Request\r\n" + unsignedField + empty, fasthttp.StatusOK, 2},
 		{"unavailable", refused + unsignedField + empty, fasthttp.StatusBadGateway, 1},
 		{"unavailable, signed", refused + signedField + empty, fasthttp.StatusBadGateway, 1},
 		{"too many requests", "HTTP/1.1 429 Too Many Requests\r\n" + signedField + empty, fasthttp.StatusBadGateway, 1},
 		{"request timeout", "HTTP/1.1 408 Request Timeout\r\n" + unsignedField + empty, fasthttp.StatusBadGateway, 1},
 		{"another failure", "HTTP/1.1 500 Internal Server Error\r\n" + signedField + empty, fasthttp.StatusInternalServerError, 1},
-		{"another ID", refused + strings.ReplaceAll(unsignedField, "ID", "n2") + notRun + empty, fasthttp.StatusBadGateway, 1},
-		{"no ID", refused + notRun + empty, fasthttp.StatusBadGateway, 1},
-		{"success", okHead + signedField + notRun + empty, fasthttp.StatusBadGateway, 1},
-		{"unsigned success", okHead + unsignedField + notRun + empty, fasthttp.StatusBadGateway, 1},
-		{"informational", "HTTP/1.1 103 Early Hints\r\n" + unsignedField + notRun + "\r\nCLOSE", fasthttp.StatusBadGateway, 1},
-		{"two responses in one header", okHead + signedField + refused + unsignedField + notRun + empty, fasthttp.StatusBadGateway, 1},
-		{"two IDs", refused + unsignedField + strings.ReplaceAll(unsignedField, "ID", "n2") + notRun + empty, fasthttp.StatusBadGateway, 1},
-		{"two IDs, the other first", refused + strings.ReplaceAll(unsignedField, "ID", "n2") + unsignedField + notRun + empty, fasthttp.StatusBadGateway, 1},
+		{"another ID", refused + strings.ReplaceAll(unsignedField, "ID", "n2") + notRunField + empty, fasthttp.StatusBadGateway, 1},
+		{"no ID", refused + notRunField + empty, fasthttp.StatusBadGateway, 1},
+		{"success", okHead + signedField + notRunField + empty, fasthttp.StatusBadGateway, 1},
+		{"unsigned success", okHead + unsignedField + notRunField + empty, fasthttp.StatusBadGateway, 1},
+		{"informational", "HTTP/1.1 103 Early Hints\r\n" + unsignedField + notRunField + "\r\nCLOSE", fasthttp.StatusBadGateway, 1},
+		{"two responses in one header", okHead + signedField + refused + unsignedField + notRunField + empty, fasthttp.StatusBadGateway, 1},
+		{"two IDs", refused + unsignedField + strings.ReplaceAll(unsignedField, "ID", "n2") + notRunField + empty, fasthttp.StatusBadGateway, 1},
+		{"two IDs, the other first", refused + strings.ReplaceAll(unsignedField, "ID", "n2") + unsignedField + notRunField + empty, fasthttp.StatusBadGateway, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			s := &serverScript{texts: []string{tt.text + "CLOSE", served}}
-			x := runScript(t, route, s, nil)
+			x := runScript(t, route, s, -1)
 			if x.status != tt.status || s.arrived.Load() != tt.arrived {
 				t.Errorf("status %d, %d requests arrived, body %q, want %d, %d", x.status, s.arrived.Load(), x.body.String(), tt.status, tt.arrived)
 			}
