Paths to servers count as sound only if the servers answer

Callers saw: behind a proxy beside the entry host that accepts every connection and then falls silent, resets or closes, requests at hosts that were cut off waited for their deadline or got 502, while other hosts served everything.

Cause: a round took an accepted dial as proof that a server is reached, here and when another host asked. The class: a sign of the nearest hop taken for a sign of the far end.

Change: a round asks servers for their status on a new connection (Dialect.WriteStatusQuery; on the platform a call that needs no slot) and counts answers within 300 ms, gateway errors excepted. Other hosts answer from what servers have answered them within the last 300 ms (reach.Answers) and ask the servers for the rest, so that few queries are sent; where the asker's connections were refused, only an answer on a new connection counts. A round also starts when requests wait at most servers while few others answer, not only when no server sends anything. While no server is reached, other hosts' answers are used for a second. Connections from before a cut are closed once the paths are lost. Wire: ReachQuery.withinMs and ServerAddress.refused; a daemon that doesn't know them asks as before, and 0 (an older daemon asks) means that the servers are asked.

In tests, reach.Round.Dialled is Asked now, and TestFleetPathsFlap and TestFleetCutNotTakenForCrashes became tables with the same checks.

The bounds on queries for one server many times hold in evidence() now; its test asks there.

--- a/cmd/savorywing/fleet_cut_test.go
+++ b/cmd/savorywing/fleet_cut_test.go
@@ -163,6 +163,12 @@
 	}
 }
 
+func killLeader(f *fleetEnv) {
+	leader := f.leader()
+	leader.Kill()
+	f.stopped[leader] = true
+}
+
 // TestFleetEntryHostsCutOff guards against callers who aren't served because their entry host has lost its paths to the
 // servers while other entry hosts have kept theirs.
 func TestFleetEntryHostsCutOff(t *testing.T) {
@@ -182,12 +188,19 @@
 		{"new connections refused", standin.CutRefuse, 4, 0, nil},
 		{"all but a few servers", standin.CutSilent, 4, 2, nil},
 		{"one host", standin.CutSilent, 1, 0, nil},
+		{"accepted and silent", standin.CutAcceptSilent, 4, 0, nil},
+		{"accepted and one way", standin.CutAcceptOneWay, 4, 0, nil},
+		{"accepted and reset", standin.CutAcceptReset, 4, 0, nil},
+		{"accepted and closed", standin.CutAcceptClose, 4, 0, nil},
+		{"open ones silent, new ones accepted and reset", standin.CutAcceptSilentThenReset, 4, 0, nil},
+		{"open ones reset, new ones accepted and silent", standin.CutAcceptResetThenSilent, 4, 0, nil},
+		{"new connections accepted and reset", standin.CutAcceptRefuse, 4, 0, nil},
+		{"accepted and silent, one host", standin.CutAcceptSilent, 1, 0, nil},
+		{"accepted and silent, all but one host", standin.CutAcceptSilent, 5, 0, nil},
+		{"accepted and silent, all but a few servers", standin.CutAcceptSilent, 4, 2, nil},
 		{"all but one host", standin.CutReset, 5, 0, nil},
-		{"leader lost", standin.CutSilent, 4, 0, func(f *fleetEnv) {
-			leader := f.leader()
-			leader.Kill()
-			f.stopped[leader] = true
-		}},
+		{"leader lost", standin.CutSilent, 4, 0, killLeader},
+		{"accepted and silent, leader lost", standin.CutAcceptSilent, 4, 0, killLeader},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -221,6 +234,9 @@
 	}{
 		{"silent", standin.CutSilent},
 		{"reset", standin.CutReset},
+		{"accepted and silent", standin.CutAcceptSilent},
+		{"accepted and reset", standin.CutAcceptReset},
+		{"accepted and closed", standin.CutAcceptClose},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
--- a/cmd/savorywing/fleet_forward_test.go
+++ b/cmd/savorywing/fleet_forward_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -166,13 +168,28 @@
 
 // TestFleetPathsFlap guards against lost or repeated requests while paths are cut and restored again and again.
 func TestFleetPathsFlap(t *testing.T) {
-	t.Parallel()
+	for _, tt := range []struct {
+		name string
+		cuts []standin.Cut
+	}{
+		{"refused and reset", []standin.Cut{standin.CutReset, standin.CutRefuse}},
+		{"accepted", []standin.Cut{standin.CutAcceptReset, standin.CutAcceptRefuse, standin.CutAcceptSilent, standin.CutAcceptClose}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			checkPathsFlap(t, tt.cuts)
+		})
+	}
+}
+
+func checkPathsFlap(t *testing.T, cuts []standin.Cut) {
+	t.Helper()
 	f := newFleetEnv(t, 3, 4, 20, withPaths)
 	f.waitServing()
 	l := f.startCutLoad()
 	l.begin()
 	for n := range 8 {
-		cut := []standin.Cut{standin.CutReset, standin.CutRefuse}[n%2]
+		cut := cuts[n%len(cuts)]
 		f.paths[n%2].Set(cut)
 		time.Sleep(300 * time.Millisecond)
 		f.paths[n%3].Set(cut)
@@ -198,11 +215,20 @@
 		fail func(f *fleetEnv)
 	}{
 		{"one server is silent", func(f *fleetEnv) {
-			s := f.fleet.OpenHeads()[0]
-			f.cutOffFrom(s.Address, standin.CutSilent)
+			f.cutOffFrom(standin.CutSilent, f.fleet.OpenHeads()[0])
 			time.Sleep(1200 * time.Millisecond)
 			f.cutOff(len(f.entries), standin.NoCut)
 		}},
+		{"a third of the servers pause", func(f *fleetEnv) {
+			servers := append(f.fleet.OpenHeads(), f.fleet.PlainServers()...)
+			for range 3 {
+				rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+				f.cutOffFrom(standin.CutPause, servers[:len(servers)/3]...)
+				time.Sleep(1200 * time.Millisecond)
+				f.cutOff(len(f.entries), standin.NoCut)
+				time.Sleep(500 * time.Millisecond)
+			}
+		}},
 		{"half of all engines crash", func(f *fleetEnv) {
 			for i, s := range f.fleet.Servers() {
 				if s.Engine && i%2 == 0 {
@@ -230,11 +256,11 @@
 	}
 }
 
-// cutOffFrom cuts off all hosts from one server.
-func (f *fleetEnv) cutOffFrom(address string, cut standin.Cut) {
+// cutOffFrom cuts off all hosts from some servers.
+func (f *fleetEnv) cutOffFrom(cut standin.Cut, servers ...*standin.Server) {
 	var others []string
 	for _, s := range f.fleet.Servers() {
-		if s.Address != address {
+		if !slices.Contains(servers, s) {
 			others = append(others, s.Address)
 		}
 	}
@@ -244,22 +270,33 @@
 // TestFleetCutNotTakenForCrashes guards against requests being quarantined because the paths of their hosts were reset: a
 // refused connection proves the end of a server only if other servers are reached.
 func TestFleetCutNotTakenForCrashes(t *testing.T) {
-	t.Parallel()
-	log := &logRecorder{}
-	f := newFleetEnv(t, 3, 6, 20, withPaths, func(f *fleetEnv) { f.logOutput = log })
-	f.waitServing()
-	l := f.startCutLoad()
-	for range 4 {
-		time.Sleep(time.Second)
-		f.cutOff(4, standin.CutReset)
-		time.Sleep(time.Second)
-		f.cutOff(4, standin.NoCut)
-	}
-	l.end()
-	for _, line := range log.lines(t) {
-		if line["proven"] == true || (line["event"] == "connectionsEnded" && line["ended"] == true) {
-			t.Errorf("a server counts as ended: %v", line)
-		}
+	for _, tt := range []struct {
+		name string
+		cut  standin.Cut
+	}{
+		{"reset", standin.CutReset},
+		{"accepted and reset", standin.CutAcceptReset},
+		{"accepted and closed", standin.CutAcceptClose},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			log := &logRecorder{}
+			f := newFleetEnv(t, 3, 6, 20, withPaths, func(f *fleetEnv) { f.logOutput = log })
+			f.waitServing()
+			l := f.startCutLoad()
+			for range 4 {
+				time.Sleep(time.Second)
+				f.cutOff(4, tt.cut)
+				time.Sleep(time.Second)
+				f.cutOff(4, standin.NoCut)
+			}
+			l.end()
+			for _, line := range log.lines(t) {
+				if line["proven"] == true || (line["event"] == "connectionsEnded" && line["ended"] == true) {
+					t.Errorf("a server counts as ended: %v", line)
+				}
+			}
+		})
 	}
 }
 
--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -27,6 +27,7 @@
 	return savorywing.CallerMetadata{}
 }
 func (echoDialect) WriteBackendMetadata(*fasthttp.RequestHeader, savorywing.BackendMetadata) {}
+func (echoDialect) WriteStatusQuery(*fasthttp.RequestHeader, string)                         {}
 func (echoDialect) StripConnectionHeaders(*fasthttp.ResponseHeader)                          {}
 func (echoDialect) WriteErrorHeaders(*fasthttp.ResponseHeader, string)                       {}
 func (echoDialect) ReadDocument([]byte) (*catalogue.Catalogue, error)                        { return nil, nil }
--- a/connection/engine/link.go
+++ b/connection/engine/link.go
@@ -229,3 +229,16 @@
 		_ = l.conn.Close()
 	}
 }
+
+// closeAllIdle closes all idle connections.
+func (p *pool) closeAllIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]*link{}
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, l := range list {
+			_ = l.conn.Close()
+		}
+	}
+}
--- a/connection/engine/response.go
+++ b/connection/engine/response.go
@@ -180,3 +180,6 @@
 
 // CloseIdle closes the pooled idle connections to an address. It is called when the server there has failed.
 func (c *Client) CloseIdle(address string) { c.pool.closeIdle(address) }
+
+// CloseAllIdle closes all pooled idle connections.
+func (c *Client) CloseAllIdle() { c.pool.closeAllIdle() }
--- a/connection/forward/client.go
+++ b/connection/forward/client.go
@@ -58,8 +58,8 @@
 }
 
 // Reach asks a host which servers it reaches, and returns their IDs. The error is a RefusedError if it doesn't know.
-func (c *Client) Reach(ctx context.Context, address string, timeout time.Duration, servers []wire.ServerAddress) ([]string, error) {
-	s, reply, err := c.ask(ctx, address, timeout, wire.Frame{ReachQuery: &wire.ReachQuery{Servers: servers}})
+func (c *Client) Reach(ctx context.Context, address string, timeout time.Duration, q wire.ReachQuery) ([]string, error) {
+	s, reply, err := c.ask(ctx, address, timeout, wire.Frame{ReachQuery: &q})
 	if err != nil {
 		return nil, err
 	}
--- a/dialect.go
+++ b/dialect.go
@@ -94,6 +94,9 @@
 	WriteBackendMetadata(h *fasthttp.RequestHeader, m BackendMetadata)
 	// ReadResponseMetadata decodes the header of a backend server's response.
 	ReadResponseMetadata(h *fasthttp.ResponseHeader) ResponseMetadata
+	// WriteStatusQuery makes the header a request for a backend server's status: one that needs no slot, and that every backend
+	// server answers at once.
+	WriteStatusQuery(h *fasthttp.RequestHeader, address string)
 	// StripConnectionHeaders removes the headers that concern only the connection to the backend server.
 	StripConnectionHeaders(h *fasthttp.ResponseHeader)
 	// WriteErrorHeaders adds the caller's attempt ID to a response that the system itself produces.
--- a/emulator.go
+++ b/emulator.go
@@ -27,6 +27,8 @@
 	WriteServerNotice(h *fasthttp.ResponseHeader, leaving bool, closedFor time.Duration)
 	// WriteRequestLimit adds the server's limit in requests per second to a response, as the given text; empty for none.
 	WriteRequestLimit(h *fasthttp.ResponseHeader, text string)
+	// IsStatusQuery reports whether a request to a backend server asks for its status.
+	IsStatusQuery(h *fasthttp.RequestHeader) bool
 	// IsOrder reports whether a request to a backend server is an order.
 	IsOrder(h *fasthttp.RequestHeader) bool
 	// ReadOrder decodes an order.
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -246,14 +246,14 @@
 	defer cancel(nil)
 	w := r.startWatch(d, cancel)
 	defer w.stop()
-	silence := time.AfterFunc(silenceTimeout, g.doubtIfSilent)
+	endWait := g.startWait(d.ID)
 	response, err := g.engines.Do(ctx, r.engineCall(d))
-	silence.Stop()
+	endWait()
 	if err != nil {
 		return r.sendFailed(ctx, d, err)
 	}
 	defer response.Close()
-	g.recordResponse()
+	g.recordAnswer(d.ID)
 	r.recordNotice(d, response.Metadata)
 	r.recordLimit(d, reservation, response)
 	switch {
--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -67,7 +67,8 @@
 func (x *recordedExchange) Abort() { x.complete = false }
 
 // serverScript answers the n-th request that its servers get together with the n-th text. ID in a text stands for the attempt
-// ID, and "CLOSE" at its end closes the connection. Further requests get no answer.
+// ID, and "CLOSE" at its end closes the connection. Further requests get no answer, and status queries, which don't count, an
+// empty one.
 type serverScript struct {
 	texts []string
 	// arrived counts the requests.
@@ -82,6 +83,12 @@
 		if req.Read(r) != nil {
 			return
 		}
+		if (platform.Dialect{}).IsStatusQuery(&req.Header) {
+			if _, err := io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n"); err != nil {
+				return
+			}
+			continue
+		}
 		n := int(s.arrived.Add(1))
 		if n > len(s.texts) {
 			return
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -225,5 +225,6 @@
 	g.mu.Lock()
 	g.balancer.RecordProgress(now, reservation, gap)
 	g.reach.RecordResponse(now)
+	g.answers.Record(now, reservation.ID)
 	g.mu.Unlock()
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -52,7 +52,7 @@
 	stopping     atomic.Bool
 
 	// mu guards the state on which requests are placed: balancer, observer, budgets, demand, waitEstimator,
-	// reach, peers and intake.
+	// reach, answers, peers and intake.
 	mu       sync.Mutex
 	observer *quarantine.Observer
 	balancer *placement.Balancer
@@ -61,6 +61,7 @@
 	// waitEstimator estimates how long retrying callers have waited before.
 	waitEstimator *placement.WaitEstimator
 	reach         reach.Tracker
+	answers       reach.Answers
 	// peers are the entry hosts that take requests of this one, and intake admits those of others.
 	peers  *forwarding.Peers
 	intake *forwarding.Intake
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -157,31 +157,42 @@
 	return nil
 }
 
-// answerReach dials servers for another host and returns which of them this one reaches.
+// answerReach returns which servers answer this host. It asks those of which it knows nothing recent enough.
 func (g *Gateway) answerReach(q wire.ReachQuery) *wire.ForwardReply {
 	if g.stopping.Load() || g.pathState() != reach.Direct {
 		return &wire.ForwardReply{Reason: refusedCutOff}
 	}
-	targets := g.knownTargets(q.Servers)
-	missed := g.dialAll(targets)
-	reply := &wire.ForwardReply{Reached: []string{}}
-	for _, t := range targets {
-		if !slices.Contains(missed, t) {
-			reply.Reached = append(reply.Reached, t.ID)
+	reached, open := g.evidence(q)
+	missed := g.askServers(open)
+	for _, t := range open {
+		if !slices.ContainsFunc(missed, func(s wire.ServerAddress) bool { return s.ID == t.ID }) {
+			reached = append(reached, t.ID)
 		}
 	}
-	return reply
+	return &wire.ForwardReply{Reached: reached}
 }
 
-// knownTargets returns those of the servers that are endpoints here; no other address is dialled.
-func (g *Gateway) knownTargets(servers []wire.ServerAddress) []placement.Target {
+// evidence returns which servers of a query are known to have answered this host, and which must be asked. Those that are no
+// endpoints here are neither; no other address is dialled.
+func (g *Gateway) evidence(q wire.ReachQuery) (reached []string, open []placement.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var known []placement.Target
-	for _, s := range servers {
-		if t := (placement.Target{ID: s.ID, Address: s.Address}); g.balancer.Knows(t) && !slices.Contains(known, t) {
-			known = append(known, t)
+	now, within := g.clock.Now(), time.Duration(min(max(0, q.WithinMs), queryTimeout.Milliseconds()))*time.Millisecond
+	reached = []string{}
+	seen := map[placement.Target]bool{}
+	for _, s := range q.Servers {
+		t := placement.Target{ID: s.ID, Address: s.Address}
+		if seen[t] || !g.balancer.Knows(t) {
+			continue
+		}
+		seen[t] = true
+		switch g.answers.Evidence(now, s.ID, within, s.Refused) {
+		case reach.Answered:
+			reached = append(reached, s.ID)
+		case reach.Unknown:
+			open = append(open, t)
+		case reach.Missed:
 		}
 	}
-	return known
+	return reached, open
 }
--- a/process/gateway/intake_test.go
+++ b/process/gateway/intake_test.go
@@ -31,7 +31,7 @@
 
 // TestAdmitOffer checks which requests of other hosts are refused, and that such a host isn't listed either.
 func TestAdmitOffer(t *testing.T) {
-	lost := reach.Round{Known: 60, Dialled: 5, Elsewhere: 5}
+	lost := reach.Round{Known: 60, Asked: 5, Elsewhere: 5}
 	tests := []struct {
 		name    string
 		prepare func(g *Gateway)
@@ -70,7 +70,7 @@
 	g := newTestGateway(t)
 	g.peers.Set(g.clock.Now(), []wire.Forwarder{{Address: "127.0.0.1:1"}})
 	g.reach.Begin(g.clock.Now())
-	g.reach.Conclude(g.clock.Now(), reach.Round{Known: 60, Dialled: 5, Elsewhere: 5})
+	g.reach.Conclude(g.clock.Now(), reach.Round{Known: 60, Asked: 5, Elsewhere: 5})
 	for _, forwarded := range []bool{false, true} {
 		r := &callerRequest{gateway: g, forwarded: forwarded, unreachable: 1}
 		if got := r.isCutOff() && r.mayAskOthers(); got == forwarded {
--- a/process/gateway/invalid_test.go
+++ b/process/gateway/invalid_test.go
@@ -43,7 +43,7 @@
 		}
 	}
 	g.balancer.UpdateEndpoints(true, list, nil)
-	if got := g.knownTargets(servers); len(got) != 3 {
+	if _, got := g.evidence(wire.ReachQuery{Servers: servers}); len(got) != 3 {
 		t.Errorf("%d servers are dialled, want 3: %v", len(got), got)
 	}
 }
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -13,6 +13,7 @@
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/quarantine"
+	"savorywing.example/savorywing/wire"
 )
 
 // partIDs returns parts of a prompt as the quarantine knows them.
@@ -91,7 +92,12 @@
 	}
 	targets, _ := g.sample(referenceServers, map[string]bool{d.ID: true})
 	isReached, isConfirmed := false, false
-	g.askOthers(append(targets, placement.Target{ID: d.ID, Address: d.Address}), func(reached []string) bool {
+	// Only an answer of now shows whether the server still runs.
+	q := wire.ReachQuery{Servers: []wire.ServerAddress{{ID: d.ID, Address: d.Address}}}
+	for _, t := range targets {
+		q.Servers = append(q.Servers, wire.ServerAddress{ID: t.ID, Address: t.Address})
+	}
+	g.askOthers(q, func(reached []string) bool {
 		isReached = isReached || slices.Contains(reached, d.ID)
 		isConfirmed = isConfirmed || len(reached) > 0
 		return isConfirmed
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
@@ -14,12 +18,12 @@
 )
 
 const (
-	// silenceTimeout is how long a request may wait while no server sends anything before this host's paths are in doubt. It
+	// silenceTimeout is how long a request may wait while most servers send nothing before this host's paths are in doubt. It
 	// is longer than the usual pauses of a host with a few requests in flight.
 	silenceTimeout = 350 * time.Millisecond
-	// roundDialTimeout bounds the time to dial a server in a round. TCP sends a lost SYN again after a second, so that more
-	// time would seldom change the outcome.
-	roundDialTimeout = 300 * time.Millisecond
+	// queryTimeout bounds the time in which a server must answer a status query of a round. TCP sends a lost SYN again after a
+	// second, so that more time would seldom change the outcome.
+	queryTimeout = 300 * time.Millisecond
 )
 
 // pathState returns what is known of the paths to the servers.
@@ -36,18 +40,35 @@
 	return g.reach.InDoubt()
 }
 
-// missesServers reports whether this host doesn't reach the servers, or didn't reach most of those that it last dialled.
+// missesServers reports whether this host doesn't reach the servers, or didn't reach most of those that it last asked.
 func (g *Gateway) missesServers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return !g.reach.IsSettled()
 }
 
-// recordResponse records that a server has sent something.
-func (g *Gateway) recordResponse() {
+// recordAnswer records that a server has sent bytes of a response.
+func (g *Gateway) recordAnswer(server string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reach.RecordResponse(g.clock.Now())
+	now := g.clock.Now()
+	g.reach.RecordResponse(now)
+	g.answers.Record(now, server)
+}
+
+// startWait records that an attempt waits for a server's answer, and doubts this host's paths if it and most others wait too
+// long. The function that it returns ends the wait.
+func (g *Gateway) startWait(server string) (end func()) {
+	g.mu.Lock()
+	g.answers.Send(g.clock.Now(), server)
+	g.mu.Unlock()
+	timer := time.AfterFunc(silenceTimeout, g.doubtIfSilent)
+	return func() {
+		timer.Stop()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.answers.End(g.clock.Now(), server)
+	}
 }
 
 // isPathFailure reports whether the path to a server may be the cause of an error.
@@ -66,10 +87,10 @@
 	}
 }
 
-// doubtIfSilent starts a round if no server has sent anything for silenceTimeout.
+// doubtIfSilent starts a round if requests have waited at most servers for silenceTimeout.
 func (g *Gateway) doubtIfSilent() {
 	g.mu.Lock()
-	silent := g.reach.IsSilent(g.clock.Now(), silenceTimeout)
+	silent := g.answers.IsSilent(g.clock.Now(), silenceTimeout)
 	g.mu.Unlock()
 	if silent {
 		g.doubtPaths()
@@ -78,8 +99,9 @@
 
 // runRounds runs a round, and further ones until most servers are reached directly.
 func (g *Gateway) runRounds() {
+	rounds := pathRounds{gateway: g}
 	for {
-		r := g.runRound()
+		r := rounds.run()
 		g.mu.Lock()
 		changed := g.reach.Conclude(g.clock.Now(), r)
 		state, settled := g.reach.State(), g.reach.IsSettled()
@@ -88,6 +110,10 @@
 		}
 		g.mu.Unlock()
 		if changed {
+			if state != reach.Direct {
+				// A connection of before may stay silent after the cut.
+				g.engines.CloseAllIdle()
+			}
 			g.subscription.wakeUp()
 		}
 		g.logRound(r, state, changed)
@@ -105,10 +131,26 @@
 	}
 }
 
-func (g *Gateway) runRound() reach.Round {
+// pathRounds is a series of rounds.
+type pathRounds struct {
+	gateway *Gateway
+	// elsewhere is what other hosts answered at askedAt; zero if none has reached a server.
+	elsewhere int
+	askedAt   time.Time
+}
+
+// elsewhereMemory is how long other hosts' answers are used again while this host reaches no server.
+const elsewhereMemory = 1 * time.Second
+
+func (p *pathRounds) run() reach.Round {
+	g := p.gateway
 	sample, known := g.sample(reach.SampleSize, nil)
-	missed := g.dialAll(sample)
-	r := reach.Round{Known: known, Dialled: len(sample), Reached: len(sample) - len(missed)}
+	missed := g.askServers(sample)
+	r := reach.Round{Known: known, Asked: len(sample), Reached: len(sample) - len(missed)}
+	if r.Reached == 0 && p.elsewhere > 0 && g.clock.Now().Sub(p.askedAt) < elsewhereMemory {
+		r.Elsewhere = min(p.elsewhere, len(missed))
+		return r
+	}
 	var others sync.WaitGroup
 	others.Go(func() { r.Elsewhere = g.countElsewhere(missed) })
 	if r.Reached == 0 && known > len(sample) {
@@ -117,27 +159,29 @@
 			skip[t.ID] = true
 		}
 		wide, _ := g.sample(reach.WideSampleSize, skip)
-		r.Dialled += len(wide)
-		r.Reached += len(wide) - len(g.dialAll(wide))
+		r.Asked += len(wide)
+		r.Reached += len(wide) - len(g.askServers(wide))
 	}
 	others.Wait()
+	p.elsewhere, p.askedAt = r.Elsewhere, g.clock.Now()
 	return r
 }
 
 const (
 	// reachTimeout bounds the time to ask another entry host which servers it reaches.
-	reachTimeout = roundDialTimeout + 200*time.Millisecond
-	// reachHosts is the number of hosts that are asked at the same time, and maxReachHosts that of all in a round. Some may be
-	// cut off as well.
+	reachTimeout = queryTimeout + 200*time.Millisecond
+	// reachHosts is the number of hosts that are asked first, and maxReachHosts that of all in a round. Some may be cut off as
+	// well.
 	reachHosts    = 3
 	maxReachHosts = 12
 )
 
 // countElsewhere returns how many of the servers that this host didn't reach another entry host reaches.
-func (g *Gateway) countElsewhere(missed []placement.Target) int {
+func (g *Gateway) countElsewhere(missed []wire.ServerAddress) int {
 	most := 0
 	if len(missed) > 0 {
-		g.askOthers(missed, func(reached []string) bool {
+		q := wire.ReachQuery{Servers: missed, WithinMs: queryTimeout.Milliseconds()}
+		g.askOthers(q, func(reached []string) bool {
 			most = max(most, len(reached))
 			return len(reached) > 0
 		})
@@ -145,25 +189,22 @@
 	return most
 }
 
-// askOthers asks other entry hosts which servers they reach, until isEnough has returned true for an answer. Hosts that are
-// cut off give no answer.
-func (g *Gateway) askOthers(targets []placement.Target, isEnough func(reached []string) bool) {
-	servers := make([]wire.ServerAddress, 0, len(targets))
-	for _, t := range targets {
-		servers = append(servers, wire.ServerAddress{ID: t.ID, Address: t.Address})
-	}
+// askOthers asks other entry hosts which servers they reach, a few and then more until isEnough has returned true for an
+// answer. Hosts that are cut off give no answer.
+func (g *Gateway) askOthers(q wire.ReachQuery, isEnough func(reached []string) bool) {
 	var asked []string
-	for enough := false; !enough && len(asked) < maxReachHosts; {
-		hosts := g.pickPeers(reachHosts, asked)
-		if len(hosts) == 0 {
-			return
-		}
+	for _, n := range []int{reachHosts, maxReachHosts - reachHosts} {
+		hosts := g.pickPeers(n, asked)
 		asked = append(asked, hosts...)
-		for _, reached := range g.askReach(hosts, servers) {
+		enough := false
+		for _, reached := range g.askReach(hosts, q) {
 			if reached != nil && isEnough(reached) {
 				enough = true
 			}
 		}
+		if enough {
+			return
+		}
 	}
 }
 
@@ -182,12 +223,12 @@
 }
 
 // askReach returns which of the servers each host reaches; nil for a host that gives no answer.
-func (g *Gateway) askReach(hosts []string, servers []wire.ServerAddress) [][]string {
+func (g *Gateway) askReach(hosts []string, q wire.ReachQuery) [][]string {
 	answers := make([][]string, len(hosts))
 	var questions sync.WaitGroup
 	for i, host := range hosts {
 		questions.Go(func() {
-			reached, err := g.forwardClient.Reach(g.ctx, host, reachTimeout, servers)
+			reached, err := g.forwardClient.Reach(g.ctx, host, reachTimeout, q)
 			if err != nil {
 				reason := g.avoidPeer(host, err)
 				g.log.Debug().Str("event", "reachRefused").Str("peer", host).Str("reason", reason).Err(err).Msg("another entry host doesn't say which servers it reaches")
@@ -200,43 +241,68 @@
 	return answers
 }
 
-// sample returns servers to dial, and the number of all known ones.
+// sample returns servers to ask, and the number of all known ones.
 func (g *Gateway) sample(n int, skip map[string]bool) ([]placement.Target, int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.balancer.Sample(n, skip), g.balancer.Len()
 }
 
-// dialAll dials servers at the same time and returns those that it didn't reach. The connections to the others are kept for
-// later requests.
-func (g *Gateway) dialAll(targets []placement.Target) []placement.Target {
-	ctx, cancel := context.WithTimeout(g.ctx, roundDialTimeout)
+// askServers asks servers for their status at the same time and returns those that didn't answer. The connections to the
+// others are kept for later requests.
+func (g *Gateway) askServers(targets []placement.Target) []wire.ServerAddress {
+	ctx, cancel := context.WithTimeout(g.ctx, queryTimeout)
 	defer cancel()
 	errs := make([]error, len(targets))
-	var dials sync.WaitGroup
+	var queries sync.WaitGroup
+	for i, t := range targets {
+		queries.Go(func() {
+			errs[i] = g.askServer(ctx, t)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.answers.RecordQuery(g.clock.Now(), t.ID, errs[i] == nil)
+		})
+	}
+	queries.Wait()
+	var missed []wire.ServerAddress
 	for i, t := range targets {
-		dials.Go(func() { errs[i] = g.engines.Probe(ctx, t.Address) })
-	}
-	dials.Wait()
-	var missed []placement.Target
-	for i, err := range errs {
-		if err != nil {
-			g.log.Debug().Str("event", "serverNotReached").Str("server", targets[i].ID).Err(err).Msg("a backend server was not reached")
-			missed = append(missed, targets[i])
+		if err := errs[i]; err != nil {
+			g.log.Debug().Str("event", "serverNotReached").Str("server", t.ID).Err(err).Msg("a backend server didn't answer a status query")
+			refused := ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+			missed = append(missed, wire.ServerAddress{ID: t.ID, Address: t.Address, Refused: refused})
 		}
 	}
 	return missed
 }
 
+// askServer asks a server for its status on a new connection. An error of a gateway is no answer, since it may come from a
+// proxy that doesn't reach the server.
+func (g *Gateway) askServer(ctx context.Context, t placement.Target) error {
+	h := &fasthttp.RequestHeader{}
+	g.dialect.WriteStatusQuery(h, t.Address)
+	response, err := g.engines.Do(ctx, engine.Call{Address: t.Address, Header: h})
+	if err != nil {
+		return fmt.Errorf("Gateway.askServer: %w", err)
+	}
+	defer response.Close()
+	if status := response.Header.StatusCode(); status >= fasthttp.StatusInternalServerError {
+		return fmt.Errorf("Gateway.askServer: status %d", status)
+	}
+	if err := response.Drain(); err != nil {
+		return fmt.Errorf("Gateway.askServer: %w", err)
+	}
+	return nil
+}
+
 func (g *Gateway) logRound(r reach.Round, state reach.State, changed bool) {
 	g.telemetry.Count("path_rounds", "state", state.String())
-	if !changed && r.Reached == r.Dialled {
+	if !changed && r.Reached == r.Asked {
 		return
 	}
 	e := g.logProblem("pathRound")
 	if changed {
 		e = g.log.Warn().Str("event", "pathsChanged")
 	}
-	e.Stringer("state", state).Int("servers", r.Known).Int("dialled", r.Dialled).Int("reached", r.Reached).Int("elsewhere", r.Elsewhere).
+	e.Stringer("state", state).Int("servers", r.Known).Int("asked", r.Asked).Int("reached", r.Reached).Int("elsewhere", r.Elsewhere).
 		Msg("checked the paths to the backend servers")
 }
--- a/process/reach/doc.go
+++ b/process/reach/doc.go
@@ -1,16 +1,17 @@
 // Package reach decides whether a host has lost its paths to the backend servers while other hosts have kept theirs.
 //
 // A failed request doesn't tell whether its server or the path to it has failed. So a failure only starts a round: the host
-// dials a few servers itself and asks other entry hosts about those it didn't reach. Servers that nobody reaches are down and
-// say nothing about paths. The package is pure: outcomes and time in, decisions out.
+// asks a few servers for their status and other entry hosts about those that didn't answer. Servers that answer nobody are down
+// and say nothing about paths. Only answers count, since a proxy may open connections whether it reaches the server or not. The
+// package is pure: outcomes and time in, decisions out.
 package reach
 
 import "time"
 
 const (
-	// SampleSize is the number of servers that a round dials.
+	// SampleSize is the number of servers that a round asks.
 	SampleSize = 5
-	// WideSampleSize is the number of further servers that a round dials if it reached none of the first.
+	// WideSampleSize is the number of further servers that a round asks if it reached none of the first.
 	WideSampleSize = 12
 	// minLost is the number of servers that only others reach from which paths count as lost.
 	minLost = 2
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -20,10 +20,10 @@
 
 // Round is what one round has found.
 type Round struct {
-	// Known is the number of servers that could have been dialled, and Dialled the number of those that were.
-	Known, Dialled int
-	// Reached is the number of servers that this host has reached, and Elsewhere the number of the others that another host
-	// has reached.
+	// Known is the number of servers that could have been asked, and Asked the number of those that were.
+	Known, Asked int
+	// Reached is the number of servers that have answered this host, and Elsewhere the number of the others that have answered
+	// another host.
 	Reached, Elsewhere int
 }
 
@@ -37,7 +37,7 @@
 	// restored counts the successive rounds that have found the paths sound while the state is not Direct.
 	restored     int
 	lastResponse time.Time
-	// missed reports whether the last round has reached less than half of the servers that it dialled.
+	// missed reports whether the last round has reached less than half of the servers that it asked.
 	missed bool
 }
 
@@ -47,9 +47,6 @@
 // RecordResponse records that bytes of a response arrived directly from a server.
 func (t *Tracker) RecordResponse(now time.Time) { t.lastResponse = now }
 
-// IsSilent reports whether no bytes of a response have arrived for a time.
-func (t *Tracker) IsSilent(now time.Time, d time.Duration) bool { return now.Sub(t.lastResponse) >= d }
-
 // IsSettled reports whether no round is needed until the next failure. Otherwise rounds follow each other; see Continue.
 func (t *Tracker) IsSettled() bool { return t.state == Direct && !t.missed }
 
@@ -70,7 +67,7 @@
 
 // Conclude ends a round and reports whether it has changed the state.
 func (t *Tracker) Conclude(now time.Time, r Round) bool {
-	t.running, t.missed = false, 2*r.Reached < r.Dialled
+	t.running, t.missed = false, 2*r.Reached < r.Asked
 	old := t.state
 	next := t.judge(now, r)
 	if next == Direct && old != Direct {
@@ -87,7 +84,7 @@
 }
 
 func pause(r Round) time.Duration {
-	if r.Reached == r.Dialled {
+	if r.Reached == r.Asked {
 		return soundInterval
 	}
 	return doubtInterval
@@ -100,7 +97,7 @@
 		return Lost
 	case r.Reached > 0 && r.Reached >= majority*r.Elsewhere:
 		return Direct
-	case r.Reached+r.Elsewhere > 0 || r.Dialled < min(r.Known, SampleSize+WideSampleSize):
+	case r.Reached+r.Elsewhere > 0 || r.Asked < min(r.Known, SampleSize+WideSampleSize):
 		return t.state
 	case now.Sub(t.lastResponse) < responseMemory:
 		return Direct
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -27,6 +27,11 @@
 		_ = ctx.Conn().Close()
 		return
 	}
+	if s.dialect().IsStatusQuery(&ctx.Request.Header) {
+		ctx.SetContentType("application/json")
+		ctx.SetBodyString("{}")
+		return
+	}
 	if s.dialect().IsOrder(&ctx.Request.Header) {
 		s.handleOrder(ctx)
 		return
--- a/wire/types.go
+++ b/wire/types.go
@@ -942,6 +942,10 @@
 type ReachQuery struct {
 	// Servers corresponds to the JSON schema field "servers".
 	Servers []ServerAddress `json:"servers"`
+
+	// Age up to which what the host knows already is an answer, in milliseconds; 0 if
+	// it must ask the servers.
+	WithinMs int64 `json:"withinMs"`
 }
 
 // Report is a backend server's report of its own state.
@@ -1023,6 +1027,10 @@
 
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id"`
+
+	// Whether the host that asks got no silence but an end of its connection: only a
+	// new connection shows that others get one.
+	Refused bool `json:"refused"`
 }
 
 // ServerIncarnation is one run of a backend server's process.
