Hosts take requests of others while many servers have crashed

Callers saw: with three of six hosts cut off and half of the engines killed a second later, 81 of 121 requests were served at hosts that were cut off and 89 of 120 at the others, and rejections there were "cutOff" although other hosts were serving.

Cause: a host refused offers, and wasn't listed, whenever its last round had reached less than half of the servers, which a crash of many does to all hosts. The round tells more: servers that nobody reaches are down.

Change: a host takes requests if its last round reached most servers, or some and at least twice as many as only others reach (Tracker.IsSound). It hands over its own unplaceable requests in the other cases only.

Evidence: TestAdmitOffer/most servers crashed fails before ("cutOff") and passes now; two cases beside it guard the limits.

--- a/cmd/savorywing/fleet_cut_test.go
+++ b/cmd/savorywing/fleet_cut_test.go
@@ -226,6 +226,36 @@
 	}
 }
 
+// TestFleetCutBesideCrash guards against hosts that turn requests of cut-off hosts away because many servers have crashed, while
+// they serve their own.
+func TestFleetCutBesideCrash(t *testing.T) {
+	t.Parallel()
+	const hosts = 3
+	// leastShare is how often callers at hosts that are cut off must be served, in relation to the others.
+	const leastShare = 2.0 / 3
+	f := newFleetEnv(t, 3, 6, 20, withPaths)
+	f.waitServing()
+	l := f.startCutLoad()
+	time.Sleep(time.Second)
+	f.cutOff(hosts, standin.CutAcceptSilent)
+	time.Sleep(time.Second)
+	for i, s := range f.fleet.Servers() {
+		if s.Engine && i%2 == 0 {
+			s.Kill()
+		}
+	}
+	time.Sleep(cutGrace - time.Second)
+	l.measure(cutMeasured)
+	f.cutOff(hosts, standin.NoCut)
+	time.Sleep(cutGrace)
+	l.end()
+	cut, others := l.sum(func(entry int) bool { return entry < hosts }), l.sum(func(entry int) bool { return entry >= hosts })
+	t.Logf("%d of %d served at hosts that are cut off, %d of %d at the others", cut.served, cut.sent, others.served, others.sent)
+	if others.served == 0 || float64(cut.served)*float64(others.sent) < leastShare*float64(others.served)*float64(cut.sent) {
+		t.Errorf("%d of %d served at hosts that are cut off, %d of %d at the others: %+v", cut.served, cut.sent, others.served, others.sent, cut.failed)
+	}
+}
+
 // TestFleetAllEntryHostsCutOff guards against requests that are held although no host can serve them.
 func TestFleetAllEntryHostsCutOff(t *testing.T) {
 	for _, tt := range []struct {
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -68,7 +68,7 @@
 // is open whether this host's paths have failed, or the servers.
 func (r *callerRequest) handOver(ctx context.Context) bool {
 	g := r.gateway
-	isInDoubt := g.missesServers() || (r.unreachable > 0 && g.pathsInDoubt())
+	isInDoubt := !g.hasSoundPaths() || (r.unreachable > 0 && g.pathsInDoubt())
 	if !isInDoubt || !r.mayAskOthers() {
 		return false
 	}
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -30,7 +30,7 @@
 
 // forwardProtocol returns the version of the protocol by which this host takes requests of others; 0 if it takes none now.
 func (g *Gateway) forwardProtocol() uint64 {
-	if g.stopping.Load() || g.missesServers() || g.lacksUpdate() {
+	if g.stopping.Load() || !g.hasSoundPaths() || g.lacksUpdate() {
 		return 0
 	}
 	return forwarding.Protocol
@@ -113,7 +113,7 @@
 	switch {
 	case g.stopping.Load():
 		return refusedStopping
-	case g.missesServers():
+	case !g.hasSoundPaths():
 		return refusedCutOff
 	case g.lacksUpdate() || g.subscription.documentVersion() < offer.Version:
 		return refusedDocument
--- a/process/gateway/intake_test.go
+++ b/process/gateway/intake_test.go
@@ -44,6 +44,18 @@
 		{"of a host with a newer document", func(*Gateway) {}, 8, refusedDocument, true},
 		{"stopping", func(g *Gateway) { g.stopping.Store(true) }, 7, refusedStopping, false},
 		{"cut off", func(g *Gateway) { g.reach.Begin(g.clock.Now()); g.reach.Conclude(g.clock.Now(), lost) }, 7, refusedCutOff, false},
+		{"most servers crashed", func(g *Gateway) {
+			g.reach.Begin(g.clock.Now())
+			g.reach.Conclude(g.clock.Now(), reach.Round{Known: 60, Asked: 5, Reached: 1})
+		}, 7, "", true},
+		{"reaches a few of the servers that others reach", func(g *Gateway) {
+			g.reach.Begin(g.clock.Now())
+			g.reach.Conclude(g.clock.Now(), reach.Round{Known: 60, Asked: 5, Reached: 1, Elsewhere: 1})
+		}, 7, refusedCutOff, false},
+		{"reaches no server, nor do others", func(g *Gateway) {
+			g.reach.Begin(g.clock.Now())
+			g.reach.Conclude(g.clock.Now(), reach.Round{Known: 60, Asked: 5})
+		}, 7, refusedCutOff, false},
 		{"document unconfirmed", func(g *Gateway) { g.subscription.confirmedAt = g.clock.Now().Add(-time.Minute) }, 7, refusedDocument, false},
 		{"no capacity", func(g *Gateway) {
 			for range 2 {
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -40,11 +40,11 @@
 	return g.reach.InDoubt()
 }
 
-// missesServers reports whether this host doesn't reach the servers, or didn't reach most of those that it last asked.
-func (g *Gateway) missesServers() bool {
+// hasSoundPaths reports whether this host is known to reach the servers, or those that anybody reaches.
+func (g *Gateway) hasSoundPaths() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.reach.IsSettled()
+	return g.reach.IsSound()
 }
 
 // recordAnswer records that a server has sent bytes of a response.
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -27,6 +27,9 @@
 	Reached, Elsewhere int
 }
 
+// showsSoundPaths reports whether servers are reached, and few that aren't are reached by others.
+func (r Round) showsSoundPaths() bool { return r.Reached > 0 && r.Reached >= majority*r.Elsewhere }
+
 // Tracker holds the state of the paths of one host. It is not safe for concurrent use.
 type Tracker struct {
 	state State
@@ -39,6 +42,8 @@
 	lastResponse time.Time
 	// missed reports whether the last round has reached less than half of the servers that it asked.
 	missed bool
+	// proven reports whether the last round has shown that paths are sound, whatever became of the other servers.
+	proven bool
 }
 
 // State returns the current state.
@@ -50,6 +55,10 @@
 // IsSettled reports whether no round is needed until the next failure. Otherwise rounds follow each other; see Continue.
 func (t *Tracker) IsSettled() bool { return t.state == Direct && !t.missed }
 
+// IsSound reports whether the paths are known to be sound: the last round has reached most servers, or some while most of the
+// others answer nobody.
+func (t *Tracker) IsSound() bool { return t.state == Direct && (!t.missed || t.proven) }
+
 // Begin reports whether a round is due after a failure, and if so, marks it as running until Conclude.
 func (t *Tracker) Begin(now time.Time) bool {
 	if t.running || !t.IsSettled() || now.Before(t.notBefore) {
@@ -67,7 +76,7 @@
 
 // Conclude ends a round and reports whether it has changed the state.
 func (t *Tracker) Conclude(now time.Time, r Round) bool {
-	t.running, t.missed = false, 2*r.Reached < r.Asked
+	t.running, t.missed, t.proven = false, 2*r.Reached < r.Asked, r.showsSoundPaths()
 	old := t.state
 	next := t.judge(now, r)
 	if next == Direct && old != Direct {
@@ -95,7 +104,7 @@
 	switch {
 	case r.Elsewhere > 0 && r.Elsewhere >= min(minLost, r.Known) && r.Elsewhere >= majority*r.Reached:
 		return Lost
-	case r.Reached > 0 && r.Reached >= majority*r.Elsewhere:
+	case r.showsSoundPaths():
 		return Direct
 	case r.Reached+r.Elsewhere > 0 || r.Asked < min(r.Known, SampleSize+WideSampleSize):
 		return t.state
