--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -43,7 +43,7 @@
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
-	if s.isClosed(ctx, attemptID) || s.isEndless(ctx, attemptID) {
+	if s.isClosed(ctx, attemptID) || s.isEndless(ctx, attemptID) || s.isRefused(ctx, attemptID) || s.isNotResumed(ctx, attemptID, metadata) {
 		return
 	}
 	if s.Engine {
@@ -78,6 +78,46 @@
 	return true
 }
 
+// isRefused refuses every other request if the server's faults demand it, and repeats the refusal on its connection before the
+// response to the next one.
+func (s *Server) isRefused(ctx *fasthttp.RequestCtx, attemptID string) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if !s.faults.RepeatRefusals {
+		return false
+	}
+	if refusal := s.refusals[ctx.ConnID()]; refusal != nil {
+		delete(s.refusals, ctx.ConnID())
+		_, err := ctx.Conn().Write(refusal)
+		return err != nil
+	}
+	if s.hasRefused = !s.hasRefused; !s.hasRefused {
+		return false
+	}
+	s.dialect().MarkNotRun(&ctx.Response.Header, attemptID, "")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.SetContentLength(0)
+	s.refusals[ctx.ConnID()] = append([]byte{}, ctx.Response.Header.Header()...)
+	return true
+}
+
+// isNotResumed answers a request to resume a stream with an error if the server's faults demand it.
+func (s *Server) isNotResumed(ctx *fasthttp.RequestCtx, attemptID string, metadata savorywing.BackendMetadata) bool {
+	s.fleet.mu.Lock()
+	status := s.faults.ResumeStatus
+	s.fleet.mu.Unlock()
+	if status == 0 || metadata.LastEventID < 0 {
+		return false
+	}
+	s.dialect().SignResponse(&ctx.Response.Header, attemptID, signaturePrefix+s.id)
+	ctx.SetStatusCode(status)
+	ctx.SetBodyString(ErrorText + "\n\n")
+	return true
+}
+
+// ErrorText is the text of responses that don't resume a stream.
+const ErrorText = "busy: come back later"
+
 // isEndless starts an endless response if the server's faults demand one.
 func (s *Server) isEndless(ctx *fasthttp.RequestCtx, attemptID string) bool {
 	s.fleet.mu.Lock()
@@ -182,6 +222,16 @@
 	ctx.SetBodyString("done by " + s.id)
 }
 
+// closeIdle closes an idle connection some time later if the server's faults demand it, whatever has arrived meanwhile.
+func (s *Server) closeIdle(c net.Conn, state fasthttp.ConnState) {
+	s.fleet.mu.Lock()
+	after := s.faults.CloseAfter
+	s.fleet.mu.Unlock()
+	if state == fasthttp.StateIdle && after > 0 {
+		time.AfterFunc(after, func() { _ = c.Close() })
+	}
+}
+
 // serveStream responds with a stream of events, each after the time of tokensPerEvent steps. The group's requests run
 // concurrently.
 func (s *Server) serveStream(ctx *fasthttp.RequestCtx, attemptID string, metadata savorywing.BackendMetadata) {
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -66,6 +66,13 @@
 	RequestLimit string
 	// LoseResponse runs plain requests and closes the connection without a response.
 	LoseResponse bool
+	// RepeatRefusals makes the server refuse every other request, and write the refusal once more when the next request has
+	// arrived on the same connection, before its response.
+	RepeatRefusals bool
+	// ResumeStatus is the status of signed responses with a body of one line to requests that resume a stream; 0 to resume it.
+	ResumeStatus int
+	// CloseAfter closes a connection, without notice, this long after a response; 0 means never.
+	CloseAfter time.Duration
 }
 
 // Framing is how a stream states its end.
@@ -140,6 +147,10 @@
 	unwanted int
 	// arrivals holds when requests arrived since the faults were last set.
 	arrivals []time.Time
+	// refusals holds the last refusal of each connection whose next request is to be run, by the connection's number.
+	// hasRefused reports whether the next request on any other connection is to be run.
+	refusals   map[uint64][]byte
+	hasRefused bool
 	// longestEndless is the longest time for which a receiver took an endless response.
 	longestEndless time.Duration
 }
@@ -176,9 +187,9 @@
 	if cfg.Advertised == "" {
 		cfg.Advertised = cfg.Address
 	}
-	s := &Server{fleet: f, ServerConfig: cfg, id: cfg.ID, listener: listener, wake: make(chan struct{}, 1), startTime: time.Now().UnixMilli()}
+	s := &Server{fleet: f, ServerConfig: cfg, id: cfg.ID, refusals: map[uint64][]byte{}, listener: listener, wake: make(chan struct{}, 1), startTime: time.Now().UnixMilli()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: discardLogger{}, StreamRequestBody: false}
+	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: discardLogger{}, StreamRequestBody: false, ConnState: s.closeIdle}
 	f.mu.Lock()
 	f.servers[s.id] = s
 	f.mu.Unlock()
