--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -309,3 +311,103 @@
 		t.Errorf("%d connections for %d requests, want 3", got, requests)
 	}
 }
+
+// TestIdleEndsAsRequestBegins guards against requests that fail, since the connection on which they begin is ended as idle by
+// other requests to the same server, or has just been kept by a probe.
+func TestIdleEndsAsRequestBegins(t *testing.T) {
+	const callers, requests = 4, 200
+	texts := make([]string, requests*callers)
+	for i := range texts {
+		texts[i] = complete
+	}
+	address, arrived := serveScript(t, texts...)
+	c := New(clock.Boottime{}, echoDialect{})
+	stop := make(chan struct{})
+	var others, group sync.WaitGroup
+	for _, f := range []func(){
+		func() { c.CloseIdle(address) },
+		func() { c.pool.sweepAt(c.clock.Now()) },
+		func() { _ = c.Probe(context.Background(), address) },
+	} {
+		others.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					f()
+					time.Sleep(100 * time.Microsecond)
+				}
+			}
+		})
+	}
+	for caller := range callers {
+		group.Go(func() {
+			for n := range requests {
+				if status, body, err := exchange(c, numberedCall(address, fmt.Sprint(caller, "-", n))); err != nil || body != "hello" {
+					t.Errorf("request %d: status %d, body %q, error %v", n, status, body, err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	close(stop)
+	others.Wait()
+	if arrived.Load() != callers*requests {
+		t.Errorf("%d requests arrived, want %d", arrived.Load(), callers*requests)
+	}
+	t.Logf("%d connections for %d requests", c.ConnectionsOpened(), callers*requests)
+}
+
+// sweepAt sweeps the pool as if it hadn't been done for a while.
+func (p *pool) sweepAt(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastSweep = time.Time{}
+	p.sweep(now)
+}
+
+// TestIdleEndsUnnoticed guards against requests that count as not sent, or are sent twice, when the server closes an idle
+// connection as the request is written on it.
+func TestIdleEndsUnnoticed(t *testing.T) {
+	const requests = 300
+	var arrived atomic.Int64
+	address := serveConns(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			var req fasthttp.Request
+			if n > 0 {
+				if err := conn.SetReadDeadline(time.Now().Add(rand.N(200 * time.Microsecond))); err != nil {
+					return
+				}
+			}
+			if req.Read(r) != nil {
+				return
+			}
+			arrived.Add(1)
+			if _, err := io.WriteString(conn, strings.ReplaceAll(complete, "n1", string(req.Header.Peek("Number")))); err != nil {
+				return
+			}
+		}
+	})
+	c := New(clock.Boottime{}, echoDialect{})
+	served, lost := 0, 0
+	for n := range requests {
+		before := arrived.Load()
+		status, _, err := exchange(c, numberedCall(address, fmt.Sprint(n)))
+		got := arrived.Load() - before
+		switch {
+		case err == nil && status == fasthttp.StatusOK && got == 1:
+			served++
+		case err != nil && !errors.Is(err, ErrNotSent) && got <= 1:
+			lost++
+		default:
+			t.Errorf("request %d: status %d, error %v, arrived %d times", n, status, err, got)
+		}
+		time.Sleep(rand.N(200 * time.Microsecond))
+	}
+	t.Logf("%d served, %d lost, %d connections", served, lost, c.ConnectionsOpened())
+	if served == 0 {
+		t.Error("no request was served")
+	}
+}
