A request isn't blocked by the first report of a crash alone

What callers saw: a sound request that many repeat was rejected, and the one that crashed the servers went on: TestFleetLethalRequest failed beside load with 13 arrivals later than 3 s after the third crash (3 allowed), and two further lives of all three servers.

Cause: each host reports what it has lost itself in a crash.

Change: against parts that servers have survived before, a crash counts once the hosts have had answerTime (150 ms) to report it. Such parts can be told from others only by how many crashes they were in. Others are blocked as soon as before.

Test: TestFirstReportOfCrash failed (only the popular request blocked), passes. Where the evidence against both is equal, both are blocked, and the doubtful ones are tried 2 s later.

--- a/process/quarantine/block.go
+++ b/process/quarantine/block.go
@@ -63,7 +63,8 @@
 // blockNext blocks the parts with the most evidence, and reports whether there were any. Several parts have the same
 // evidence if all requests under which servers crashed had them; each of them is doubtful then.
 func (t *Tracker) blockNext(now time.Time) bool {
-	all := t.gather()
+	// A crash that other hosts may still report would speak only against what the first one lost there.
+	all := t.gather(now.Add(-answerTime))
 	certain := t.certain()
 	list, proven := t.strongest(now, all, certain)
 	for _, key := range list {
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -13,7 +13,9 @@
 	server string
 	born   int64
 	at     time.Time
-	keys   map[wire.PartKey]bool
+	// reportedAt is when the first host reported the crash. Others may report further keys for a while.
+	reportedAt time.Time
+	keys       map[wire.PartKey]bool
 }
 
 // recordSurvival records that a server has survived a request with a part that got its first event at begun. A blocked
@@ -47,11 +49,11 @@
 // survivalResolution is the difference from which two survivals are told apart.
 const survivalResolution = 20 * time.Millisecond
 
-// recordLoss adds a host's report to what other hosts have reported of a server that has ended, or may have.
-func (t *Tracker) recordLoss(now time.Time, l wire.Loss) {
-	at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
+// recordLoss adds a host's report, sent at sentAt, to what other hosts have reported of a server that has ended, or may have.
+func (t *Tracker) recordLoss(now, sentAt time.Time, l wire.Loss) {
+	at := sentAt.Add(-time.Duration(l.AgeMs) * time.Millisecond)
 	if l.Ended || t.crash(l.Server, l.Born) != nil {
-		t.recordCrash(at, l)
+		t.recordCrash(now, at, l)
 		return
 	}
 	if len(t.unproven) >= maxUnproven {
@@ -65,7 +67,7 @@
 func (t *Tracker) ProveEnds(now time.Time, hasEnded func(server string, born int64) bool) {
 	t.unproven = slices.DeleteFunc(t.unproven, func(u unprovenLoss) bool {
 		if hasEnded(u.loss.Server, u.loss.Born) || t.crash(u.loss.Server, u.loss.Born) != nil {
-			t.recordCrash(u.at, u.loss)
+			t.recordCrash(now, u.at, u.loss)
 			return true
 		}
 		return now.Sub(u.at) > proofTime
@@ -88,10 +90,10 @@
 	return nil
 }
 
-func (t *Tracker) recordCrash(at time.Time, l wire.Loss) {
+func (t *Tracker) recordCrash(now, at time.Time, l wire.Loss) {
 	c := t.crash(l.Server, l.Born)
 	if c == nil {
-		c = &crash{server: l.Server, born: l.Born, at: at, keys: map[wire.PartKey]bool{}}
+		c = &crash{server: l.Server, born: l.Born, at: at, reportedAt: now, keys: map[wire.PartKey]bool{}}
 		t.crashes = append(t.crashes, c)
 		sort.SliceStable(t.crashes, func(i, j int) bool { return t.crashes[i].at.Before(t.crashes[j].at) })
 	}
@@ -115,22 +117,31 @@
 	first, moment time.Time
 }
 
-// gather returns the evidence against each part from the crashes that no blocked part explains.
-func (t *Tracker) gather() map[wire.PartKey]*evidence {
+// gather returns the evidence against each part from the crashes that no blocked part explains. Of a part that servers have
+// survived before, only those crashes count that were first reported until settledBy.
+func (t *Tracker) gather(settledBy time.Time) map[wire.PartKey]*evidence {
 	out := map[wire.PartKey]*evidence{}
-	total := 0
+	total, settled := 0, 0
 	for _, c := range t.crashes {
 		if t.isCausedByBlocked(c) {
 			continue
 		}
 		total++
+		isSettled := !c.reportedAt.After(settledBy)
+		if isSettled {
+			settled++
+		}
 		for key := range c.keys {
-			if !c.at.After(t.survivals[key]) {
+			survivedAt, proven := t.survivals[key]
+			if !c.at.After(survivedAt) || (proven && !isSettled) {
 				continue
 			}
 			e := out[key]
 			if e == nil {
 				e = &evidence{first: c.at, total: 1 - total}
+				if proven {
+					e.total = 1 - settled
+				}
 				out[key] = e
 			}
 			if e.count == 0 || c.at.Sub(e.moment) >= mergeWindow {
@@ -139,7 +150,11 @@
 			e.count++
 		}
 	}
-	for _, e := range out {
+	for key, e := range out {
+		if _, proven := t.survivals[key]; proven {
+			e.total += settled
+			continue
+		}
 		e.total += total
 	}
 	return out
@@ -232,7 +247,7 @@
 	old := t.suspects
 	t.suspects = map[wire.PartKey]time.Time{}
 	changed := false
-	for key, e := range t.gather() {
+	for key, e := range t.gather(now) {
 		if e.count < suspectAfter || len(t.suspects) >= maxSuspects {
 			continue
 		}
--- a/process/quarantine/request_test.go
+++ b/process/quarantine/request_test.go
@@ -204,6 +204,31 @@
 	}
 }
 
+// TestFirstReportOfCrash guards against a request that is blocked in the place of the lethal one because the first report of a
+// crash contained only that: other hosts have lost the lethal one at the same server.
+func TestFirstReportOfCrash(t *testing.T) {
+	const lethalDigest, popular = 0xd1, 0xd2
+	s := newScene()
+	s.surviveRequest(popular)
+	s.surviveRequest(lethalDigest)
+	for range 2 {
+		s.pass(1500 * time.Millisecond)
+		for _, digest := range []uint64{popular, lethalDigest} {
+			var losses []wire.Loss
+			for n := range 3 {
+				losses = append(losses, wire.Loss{Server: fmt.Sprint("server-", s.crashes+n), Born: 1, Ended: true, Requests: []wire.LostRequest{lost(digest)}})
+			}
+			s.report(1, wire.Usage{QuarantineTerm: 1, Losses: losses})
+			s.pass(100 * time.Millisecond)
+		}
+		s.crashes += 3
+	}
+	s.pass(100 * time.Millisecond)
+	if s.blocked[requestKey("o", lethalDigest)] == nil {
+		t.Errorf("blocked %v, want the lethal request among them after six crashes", s.List(s.now))
+	}
+}
+
 // survivalsOf returns a report, sent at sentAt, of a request that survived at begun.
 func survivalsOf(begun, sentAt time.Time, digest uint64) wire.Usage {
 	return wire.Usage{QuarantineTerm: 1, Survivals: []wire.Survival{{Key: requestKey("o", digest), BegunMs: sentAt.Sub(begun).Milliseconds()}}}
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -28,7 +28,8 @@
 	blockAfter = 3
 	// suspectAfter is the number of crashes from which the entry hosts report survivals.
 	suspectAfter = 2
-	// answerTime is the time within which the hosts have reported the survivals of a suspected part.
+	// answerTime is the time within which the hosts have reported the survivals of a suspected part, and what else was lost in a
+	// crash that one of them has reported.
 	answerTime = 150 * time.Millisecond
 	// provenBlockAfter and provenBlockTime are the number of crashes and the time from the first of them, without any
 	// survival, after which a part is blocked that servers have survived before, if it was in provenFraction of all
@@ -100,16 +101,15 @@
 
 // Record records what an entry host's usage report states. Step draws the conclusions.
 func (t *Tracker) Record(now time.Time, host string, term uint64, u wire.Usage) {
-	// Ages are relative to the time at which the report was sent.
-	now = t.sentAt(now, host, u.SentAt)
+	sentAt := t.sentAt(now, host, u.SentAt)
 	if u.QuarantineTerm < term && now.Sub(t.leadingSince) < adoptionTime {
 		t.adopt(now, u.Quarantine)
 	}
 	for _, s := range u.Survivals {
-		t.recordSurvival(s.Key, now.Add(-time.Duration(s.BegunMs)*time.Millisecond))
+		t.recordSurvival(s.Key, sentAt.Add(-time.Duration(s.BegunMs)*time.Millisecond))
 	}
 	for _, l := range u.Losses {
-		t.recordLoss(now, l)
+		t.recordLoss(now, sentAt, l)
 	}
 	for _, key := range u.TurnedAway {
 		if b := t.blocked[key]; b != nil {
