Doubtful parts of requests are tried one at a time

What callers saw: a sound request that many repeat was rejected for over a minute after another one had crashed servers.

Cause: where two requests were in the same crashes, both are blocked, and both were tried after the same time. The same host sent both probes to the same server at once; it crashed under the lethal one, and that counted as a second crash under the sound one, which was then no longer doubtful and not to be tried for two minutes.

Change: a doubtful part isn't tried while the outcome of another probe of its service is unknown.

Test: TestProbesOneByOne, three rows of three failed (2 probes at the same time), pass.

--- a/process/quarantine/block.go
+++ b/process/quarantine/block.go
@@ -158,7 +158,7 @@
 	var out []wire.PartKey
 	for _, key := range turnedAway {
 		b := t.blocked[key]
-		if b == nil || now.Before(b.retryAt) {
+		if b == nil || now.Before(b.retryAt) || (b.doubtful && t.isProbing(now, key.Service)) {
 			continue
 		}
 		b.probedAt, b.retryAt = now, now.Add(probeTimeout)
@@ -166,3 +166,14 @@
 	}
 	return out
 }
+
+// isProbing reports whether a part of a service is being tried whose outcome isn't known. The server of a second probe could be
+// the same one.
+func (t *Tracker) isProbing(now time.Time, service string) bool {
+	for key, b := range t.blocked {
+		if key.Service == service && !b.probedAt.IsZero() && now.Sub(b.probedAt) < probeTimeout {
+			return true
+		}
+	}
+	return false
+}
--- a/process/quarantine/request_test.go
+++ b/process/quarantine/request_test.go
@@ -229,6 +229,46 @@
 	}
 }
 
+// TestProbesOneByOne guards against probes of several doubtful parts at the same time: a server that crashes under one of them
+// would speak against the others as well.
+func TestProbesOneByOne(t *testing.T) {
+	const lethalDigest, popular = 0xd1, 0xd2
+	away := []wire.PartKey{requestKey("o", lethalDigest), requestKey("o", popular)}
+	for _, tt := range []struct {
+		name string
+		// outcome happens after the first probe.
+		outcome func(s *scene, probed uint64)
+		// wait is how long after that another part may be tried.
+		wait time.Duration
+	}{
+		{"the server survives", func(s *scene, probed uint64) { s.surviveRequest(probed) }, 0},
+		{"the server crashes", func(s *scene, probed uint64) { s.crashUnder(lost(probed)) }, 0},
+		{"never sent", func(*scene, uint64) {}, probeTimeout},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScene()
+			for range 3 {
+				s.crashUnder(lost(lethalDigest), lost(popular))
+			}
+			s.pass(doubtfulRetry)
+			got := s.Probes(s.now, away)
+			if len(got) != 1 {
+				t.Fatalf("%d probes at the same time, want 1", len(got))
+			}
+			s.pass(100 * time.Millisecond)
+			if more := s.Probes(s.now, away); len(more) != 0 {
+				t.Errorf("another probe before the outcome of the first one is known")
+			}
+			tt.outcome(s, got[0].Part)
+			s.pass(tt.wait + 100*time.Millisecond)
+			other := requestKey("o", lethalDigest+popular-got[0].Part)
+			if next := s.Probes(s.now, []wire.PartKey{other}); s.blocked[other] != nil && len(next) != 1 {
+				t.Errorf("no probe of the other part after that")
+			}
+		})
+	}
+}
+
 // survivalsOf returns a report, sent at sentAt, of a request that survived at begun.
 func survivalsOf(begun, sentAt time.Time, digest uint64) wire.Usage {
 	return wire.Usage{QuarantineTerm: 1, Survivals: []wire.Survival{{Key: requestKey("o", digest), BegunMs: sentAt.Sub(begun).Milliseconds()}}}
