serve: callers' connections are ended by the goroutine that reads from them

Callers of serve and dev saw, around a planned stop: a request on a kept connection whose connection was closed while it began, and one on a new connection that was reset in the listener's queue, neither with an answer.

Change: the server for callers uses connection/ingress. Limits and errors stay as they were, but for the code of status 408: unknown, as an earlier request with the same key may have run. Leadership is transferred with a time limit of its own. A caller's disconnect cancels its request at once, not at the next write.

--- a/connection/ingress/request_handler.go
+++ b/connection/ingress/request_handler.go
@@ -38,6 +38,9 @@
 func respond(ctx context.Context, x savorywing.Exchange, handle RequestHandler) {
 	var r fasthttp.RequestCtx
 	r.Init2(nil, httplog.Discard{}, true)
+	if c, ok := x.(*Exchange); ok {
+		r.SetRemoteAddr(c.conn.conn.RemoteAddr())
+	}
 	x.HTTPRequest().Header.CopyTo(&r.Request.Header)
 	r.Request.SetBodyRaw(x.HTTPRequest().Body())
 	handle(ctx, &r)
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -29,9 +29,8 @@
 const (
 	workerPoolSize        = 8192
 	announcementQueueSize = 4096
-	transferAttempts      = 10
+	transferTimeout       = 1500 * time.Millisecond
 	transferRetryInterval = 100 * time.Millisecond
-	listenerStopTimeout   = 5 * time.Second
 	metricsNamespace      = "savorywing"
 )
 
@@ -216,21 +215,15 @@
 	return nil
 }
 
-// Stop stops the daemon gracefully: it reports not ready, admits no new requests, waits until the requests in flight have
-// ended or ctx ends, and transfers leadership.
+// Stop stops the daemon gracefully. It reports not ready and makes callers turn to other hosts, serves every request that it
+// receives until the balancer has noticed, waits until the requests in flight have ended or ctx ends, and transfers
+// leadership. Requests that are left when ctx ends are cancelled and answered, which is an error.
 func (d *Daemon) Stop(ctx context.Context) error {
 	var err error
 	if d.entry != nil {
-		d.callers.SetReady(false)
-		d.wait(d.registry.Settings().Timing.BalancerDetectionTime)
-		err = d.entry.Drain(ctx)
-		stopCtx, cancel := context.WithTimeout(ctx, listenerStopTimeout)
-		defer cancel()
-		if stopErr := d.callers.Stop(stopCtx); err == nil {
-			err = stopErr
-		}
+		err = d.stopEntry(ctx)
 	}
-	d.transferLeadership(ctx)
+	d.transferLeadership()
 	d.Kill()
 	if err != nil {
 		return fmt.Errorf("Daemon.Stop: %w", err)
@@ -238,14 +231,31 @@
 	return nil
 }
 
-func (d *Daemon) transferLeadership(ctx context.Context) {
+func (d *Daemon) stopEntry(ctx context.Context) error {
+	d.callers.SetReady(false)
+	d.callers.Drain()
+	select {
+	case <-ctx.Done():
+	case <-d.clock.After(d.registry.Settings().Timing.BalancerDetectionTime):
+	}
+	left := d.callers.Stop(ctx)
+	if err := d.entry.Drain(ctx); err != nil {
+		return err
+	}
+	if left > 0 {
+		return fmt.Errorf("%d requests were cancelled: %w", left, ctx.Err())
+	}
+	return nil
+}
+
+// transferLeadership has its own time limit, since a stop whose time is used up must not leave the others without a leader.
+func (d *Daemon) transferLeadership() {
 	if d.node == nil {
 		return
 	}
-	for range transferAttempts {
-		if d.node.Status().Role != quorum.Leader {
-			return
-		}
+	ctx, cancel := context.WithTimeout(d.ctx, transferTimeout)
+	defer cancel()
+	for d.node.Status().Role == quorum.Leader && ctx.Err() == nil {
 		if d.node.TransferLeadership(ctx) {
 			d.log.Info().Msg("transferred leadership")
 		}
@@ -255,6 +265,10 @@
 
 // Kill stops the daemon at once.
 func (d *Daemon) Kill() {
+	if d.callers != nil {
+		// Requests that are cancelled return their grants to the dispatcher, which d.cancel stops.
+		d.callers.Close()
+	}
 	d.cancel()
 	d.operator.Stop()
 	d.mesh.Stop()
--- a/request/caller/server.go
+++ b/request/caller/server.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math"
-	"net"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,7 +16,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/backend"
-	"savorywing.example/savorywing/connection/httplog"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/entry"
 	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/registry"
@@ -30,14 +27,14 @@
 
 const (
 	readTimeout    = 10 * time.Second
-	writeTimeout   = 30 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxConns       = 4096
 	maxHeaderBytes = 16 << 10
 	// bodyReadFactor is the multiple of the largest allowed body that is still read, so that the sender of a
 	// larger one gets an error response.
-	bodyReadFactor     = 4
-	statusClientClosed = 499
+	bodyReadFactor = 4
+	// stoppingRetryAfter is the Retry-After of requests that come too late.
+	stoppingRetryAfter = time.Second
 )
 
 // AnnouncementHandler handles the announcements of backend servers.
@@ -55,63 +52,74 @@
 	log      zerolog.Logger
 	// refusals limits the log lines about each sender of refused announcements, which sends one after the other.
 	refusals *logging.Repeats
-	http     *fasthttp.Server
-	listener net.Listener
+	http     *ingress.Server
 	ready    atomic.Bool
 }
 
 // New returns a Server; Start runs it.
 func New(clock savorywing.Clock, r *registry.Registry, e *entry.Server, keys settings.Keys, a AnnouncementHandler, log zerolog.Logger) *Server {
 	s := &Server{clock: clock, registry: r, entry: e, keys: keys, announce: a, log: log, refusals: logging.NewRepeats(clock)}
-	s.http = &fasthttp.Server{
-		Handler: s.handle, ErrorHandler: s.handleMalformed, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
-		MaxRequestBodySize: bodyReadFactor * int(r.Settings().Limits.MaxBody), Concurrency: maxConns, ReadBufferSize: maxHeaderBytes,
-		Name: "savorywing", NoDefaultDate: true, CloseOnShutdown: true,
-		Logger: httplog.Discard{},
-	}
+	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), s.limits, log, ingress.WithErrorFormat(formatError), ingress.WithMaxConns(maxConns))
 	return s
 }
 
+func (s *Server) limits() ingress.Limits {
+	return ingress.Limits{
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: bodyReadFactor * int(s.registry.Settings().Limits.MaxBody),
+		HeaderTimeout: readTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
 // Start listens at a TCP address and serves in the background.
 func (s *Server) Start(address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
+	if err := s.http.Start(address); err != nil {
 		return fmt.Errorf("caller.Server.Start: %w", err)
 	}
-	s.listener = listener
 	s.ready.Store(true)
-	go func() {
-		if err := s.http.Serve(listener); err != nil {
-			s.log.Error().Err(err).Msg("the HTTP server for callers stopped")
-		}
-	}()
 	return nil
 }
 
 // SetReady sets whether the load balancer should send callers to this host.
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
-// Stop closes the listener and waits for requests in flight.
-func (s *Server) Stop(ctx context.Context) error {
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("caller.Server.Stop: %w", err)
-	}
-	return nil
-}
+// Drain makes every response the last one on its connection, so that callers turn to other hosts.
+func (s *Server) Drain() { s.http.Drain() }
+
+// Stop closes the listener and waits until every request that was received has its response. When ctx ends, it cancels the
+// requests that are left, which are answered with an error, and returns their number.
+func (s *Server) Stop(ctx context.Context) int { return s.http.Shutdown(ctx) }
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() { s.http.Close() }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	switch path := string(ctx.Path()); path {
+// serverName is the Server header of all responses.
+const serverName = "savorywing"
+
+func (s *Server) handle(ctx context.Context, rc *fasthttp.RequestCtx) {
+	rc.Response.Header.SetServer(serverName)
+	switch path := string(rc.Path()); path {
 	case "/healthz":
-		ctx.SetBodyString("ok\n")
+		rc.SetBodyString("ok\n")
 	case "/readyz":
-		s.handleReady(ctx)
+		s.handleReady(rc)
 	case backend.PathAnnounce:
-		s.handleAnnounce(ctx)
+		s.handleAnnounce(rc)
 	case "/v1/models":
-		s.handleModels(ctx)
+		s.handleModels(rc)
 	default:
-		s.handleRequest(ctx)
+		s.handleRequest(ctx, rc)
+	}
+}
+
+// reject responds to a request that comes too late. An earlier one with its idempotency key may have run.
+func (s *Server) reject(_ context.Context, rc *fasthttp.RequestCtx) {
+	rc.Response.Header.SetServer(serverName)
+	err := savorywing.NewRequestError(savorywing.CodeNotRun, fasthttp.StatusServiceUnavailable, "this entry host is stopping",
+		savorywing.WithRetryAfter(stoppingRetryAfter))
+	if len(rc.Request.Header.Peek(backend.HeaderIdempotencyKey)) > 0 {
+		err = err.AsUnknown()
 	}
+	s.writeError(rc, err)
 }
 
 func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
@@ -174,39 +182,39 @@
 	return key, nil
 }
 
-func (s *Server) handleRequest(ctx *fasthttp.RequestCtx) {
-	key, err := s.authenticate(ctx)
+func (s *Server) handleRequest(ctx context.Context, rc *fasthttp.RequestCtx) {
+	key, err := s.authenticate(rc)
 	if err != nil {
-		s.writeError(ctx, err)
+		s.writeError(rc, err)
 		return
 	}
-	r, err := parse(ctx, s.registry.Settings(), key, s.clock.Now())
+	r, err := parse(rc, s.registry.Settings(), key, s.clock.Now())
 	if err != nil {
-		s.writeError(ctx, err)
+		s.writeError(rc, err)
 		return
 	}
 	timeouts, known := s.registry.TimeoutsOf(r.Class, r.Arrival)
 	if !known {
-		s.writeError(ctx, newBadRequest(fasthttp.StatusForbidden, "", "the class %q is not configured any more", r.Class))
+		s.writeError(rc, newBadRequest(fasthttp.StatusForbidden, "", "the class %q is not configured any more", r.Class))
 		return
 	}
 	r.Timeouts = timeouts
-	ctx.Response.Header.Set(backend.HeaderAttemptID, string(r.ID))
-	response, err := s.entry.Serve(context.Background(), r)
+	rc.Response.Header.Set(backend.HeaderAttemptID, string(r.ID))
+	response, err := s.entry.Serve(ctx, r)
 	if err != nil {
-		s.writeError(ctx, err)
+		s.writeError(rc, err)
 		return
 	}
-	ctx.SetStatusCode(response.Status)
-	ctx.SetContentType(response.ContentType)
+	rc.SetStatusCode(response.Status)
+	rc.SetContentType(response.ContentType)
 	if response.Events != nil {
-		ctx.SetBodyStream(&eventReader{events: response.Events}, -1)
+		rc.SetBodyStream(&eventReader{events: response.Events}, -1)
 		return
 	}
-	ctx.SetBody(response.Body)
+	rc.SetBody(response.Body)
 }
 
-// eventReader is a streamed response as the body of an HTTP response; an error aborts the connection.
+// eventReader is a streamed response as the body of an HTTP response; an error leaves the body without its end.
 type eventReader struct {
 	events  savorywing.EventStream
 	pending []byte
@@ -232,22 +240,32 @@
 	return nil
 }
 
-// handleMalformed responds to data that can't be read as an HTTP request.
-func (s *Server) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
-	var timeout interface{ Timeout() bool }
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
-		status = fasthttp.StatusRequestTimeout
-	case errors.Is(err, io.EOF):
-		status = statusClientClosed
+// formatError is the format of errors for requests that could not be read. One that was not received did not run, but it may
+// have an idempotency key with which an earlier one ran.
+func formatError(h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte {
+	detail := entry.ErrorDetail{Code: string(savorywing.CodeNotRun), Message: "the request could not be read", Type: "invalid_request_error"}
+	switch r.Status {
+	case fasthttp.StatusRequestTimeout:
+		detail.Code, detail.Message = string(savorywing.CodeUnknown), "no request was received on this connection in time"
+	case fasthttp.StatusServiceUnavailable:
+		detail.Code, detail.Message = string(savorywing.CodeUnknown), "this entry host has too many connections and received no request on this one"
+	}
+	text, err := json.Marshal(entry.ErrorBody{Error: detail})
+	if err != nil {
+		text = nil // the status still tells what is wrong
 	}
-	ctx.SetConnectionClose()
-	s.writeError(ctx, newBadRequest(status, "", "the request could not be read"))
+	h.SetServer(serverName)
+	h.SetStatusCode(r.Status)
+	h.SetContentType("application/json")
+	if r.RetryAfter > 0 {
+		h.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds(r.RetryAfter))
+	}
+	return text
 }
 
+// retryAfterSeconds returns the value of a Retry-After header, in whole seconds.
+func retryAfterSeconds(d time.Duration) string { return strconv.Itoa(int(math.Ceil(d.Seconds()))) }
+
 func (s *Server) writeError(ctx *fasthttp.RequestCtx, err error) {
 	if b, ok := asBadRequest(err); ok {
 		detail := entry.ErrorDetail{Code: string(savorywing.CodeNotRun), Message: b.reason, Type: "invalid_request_error", Param: b.param}
@@ -256,7 +274,7 @@
 	}
 	requestErr := savorywing.AsRequestError(err)
 	if d := requestErr.RetryAfter(); d > 0 {
-		ctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds(d))
 	}
 	detail := entry.ErrorDetail{Code: string(requestErr.Code()), Message: requestErr.Reason(), Type: "server_error"}
 	writeJSON(ctx, requestErr.Status(), entry.ErrorBody{Error: detail})
