control API: connections are ended by the goroutine that reads from them

Cause: fasthttp.Server's Shutdown, as at the servers for callers.

Change: the server uses connection/ingress. While leadership is transferred, each response is the last one on its connection; then idle connections get 408, and calls in progress have 500 ms as before and are answered with 503 after that. Calls go on when their caller disconnects, as before: TestCallOutlivesItsCaller. Kill, which tests use for a crash, doesn't wait for calls any more.

--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -5,23 +5,23 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
-	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/wire"
 )
 
 const (
-	maxBodyBytes = 16 << 20
-	readTimeout  = 5 * time.Second
-	idleTimeout  = 30 * time.Second
-	stopTimeout  = 500 * time.Millisecond
+	maxHeaderBytes = 4 << 10
+	maxBodyBytes   = 16 << 20
+	readTimeout    = 5 * time.Second
+	idleTimeout    = 30 * time.Second
+	stopTimeout    = 500 * time.Millisecond
 )
 
 // Errors that a Handler returns.
@@ -55,89 +55,99 @@
 	log     zerolog.Logger
 	// refusals limits the log lines about each sender of refused reports, which sends one after the other.
 	refusals *logging.Repeats
-	http     *fasthttp.Server
-	ctx      context.Context
-	cancel   context.CancelFunc
+	http     *ingress.Server
+	// ctx is that of all calls. A call goes on when its caller disconnects: a backend server that ends may not wait for the
+	// acknowledgement of its withdrawal.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // New returns a server. Start makes it listen.
-func New(dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger) *Server {
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock.Boottime{}), ctx: ctx, cancel: cancel}
-	s.http = &fasthttp.Server{
-		Handler: s.handle, MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		NoDefaultServerHeader: true, Logger: &s.log, ReduceMemoryUsage: true,
-	}
+func New(clock savorywing.Clock, dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger) *Server {
+	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
+	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log)
 	return s
 }
 
 // Start listens at an address and serves in the background.
 func (s *Server) Start(address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("Server.Start: %w", err)
+	if err := s.http.Start(address); err != nil {
+		return fmt.Errorf("controlapi.Server.Start: %w", err)
 	}
-	go func() {
-		if err := s.http.Serve(listener); err != nil {
-			s.log.Error().Err(err).Str("address", address).Msg("serving the control address failed")
-		}
-	}()
 	return nil
 }
 
-// Stop closes the listener, waits up to stopTimeout for the calls in progress and cancels the rest.
+// Drain makes every response the last one on its connection, so that callers turn to other control hosts.
+func (s *Server) Drain() { s.http.Drain() }
+
+// Stop closes the listener and idle connections, waits up to stopTimeout for the calls in progress, and cancels the rest,
+// which are answered.
 func (s *Server) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		s.log.Warn().Err(err).Msg("calls were still in progress at the stop and are cancelled")
+	defer context.AfterFunc(ctx, s.cancel)()
+	if left := s.http.Shutdown(ctx); left > 0 {
+		s.log.Warn().Str("event", "callsCancelled").Int("calls", left).Msg("calls were still in progress at the stop and are cancelled")
 	}
+	s.Close()
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
 	s.cancel()
+	s.http.Close()
 }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	call := s.dialect.ReadControlRequest(ctx.Method(), ctx.Path())
+func (s *Server) handle(_ context.Context, r *fasthttp.RequestCtx) {
+	call := s.dialect.ReadControlRequest(r.Method(), r.Path())
 	switch call.Operation {
 	case savorywing.ControlReport:
-		s.handleReport(ctx, call.Server)
+		s.handleReport(r, call.Server)
 	case savorywing.ControlWithdraw:
 		if err := s.handler.HandleWithdrawal(s.ctx, call.Server); err != nil {
 			s.logRefusal(call.Server, err)
-			s.writeError(ctx, err)
+			s.writeError(r, err)
 		}
 	case savorywing.ControlPublish:
-		// The body's buffer is reused after the call, so the document must be a copy.
-		if err := s.handler.PublishDocument(s.ctx, append([]byte(nil), ctx.PostBody()...)); err != nil {
-			s.writeError(ctx, err)
+		// A handler may keep the document, so it must be a copy.
+		if err := s.handler.PublishDocument(s.ctx, append([]byte(nil), r.PostBody()...)); err != nil {
+			s.writeError(r, err)
 		}
 	case savorywing.ControlRead:
 		b, err := s.handler.ReadDocument(s.ctx)
 		if err != nil {
-			s.writeError(ctx, err)
+			s.writeError(r, err)
 			return
 		}
-		ctx.SetContentType("application/json")
-		ctx.SetBody(b)
+		r.SetContentType("application/json")
+		r.SetBody(b)
 	default:
-		ctx.Error("no such call", fasthttp.StatusNotFound)
+		r.Error("no such call", fasthttp.StatusNotFound)
 	}
 }
 
-func (s *Server) handleReport(ctx *fasthttp.RequestCtx, id string) {
-	r, err := s.dialect.ReadReport(id, ctx.PostBody())
+// reject responds to a call that comes too late.
+func (s *Server) reject(_ context.Context, r *fasthttp.RequestCtx) {
+	r.Error("this control host is stopping", fasthttp.StatusServiceUnavailable)
+}
+
+func (s *Server) handleReport(r *fasthttp.RequestCtx, id string) {
+	report, err := s.dialect.ReadReport(id, r.PostBody())
 	if err != nil {
 		err = fmt.Errorf("%w: %w", ErrInvalidReport, err)
 		s.logRefusal(id, err)
-		s.writeError(ctx, err)
+		s.writeError(r, err)
 		return
 	}
-	address, err := s.handler.HandleReport(s.ctx, r)
+	address, err := s.handler.HandleReport(s.ctx, report)
 	if err != nil {
-		s.writeError(ctx, err)
+		s.writeError(r, err)
 		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(s.dialect.WriteReportReply(address))
+	r.SetContentType("application/json")
+	r.SetBody(s.dialect.WriteReportReply(address))
 }
 
 // logRefusal logs that a report was refused as invalid, once for each sender.
@@ -150,10 +160,10 @@
 	}
 }
 
-func (s *Server) writeError(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) writeError(r *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusServiceUnavailable
 	if errors.Is(err, ErrInvalidDocument) || errors.Is(err, ErrInvalidReport) {
 		status = fasthttp.StatusBadRequest
 	}
-	ctx.Error(err.Error(), status)
+	r.Error(err.Error(), status)
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -216,7 +216,7 @@
 	if n := folder.TornBytes(); n > 0 {
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
-	c.api = controlapi.New(c.dialect, c, c.log)
+	c.api = controlapi.New(c.clock, c.dialect, c, c.log)
 	c.telemetry = telemetry.New(c.log)
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
@@ -303,9 +303,10 @@
 	}
 }
 
-// Stop transfers leadership to another member and stops the control host.
+// Stop transfers leadership to another member, answers the calls in progress and stops the control host.
 func (c *Controller) Stop() {
 	c.log.Info().Str("event", "stopping").Msg("the control host is stopping")
+	c.api.Drain()
 	ctx, cancel := context.WithTimeout(c.ctx, transferTimeout)
 	defer cancel()
 	for c.node.Status().Role == quorum.Leader && ctx.Err() == nil {
@@ -314,13 +315,14 @@
 		}
 		time.Sleep(transferRetryInterval)
 	}
+	c.api.Stop()
 	c.Kill()
 	c.log.Info().Str("event", "stopped").Msg("the control host stopped")
 }
 
-// Kill stops the control host without transferring leadership.
+// Kill stops the control host at once, without transferring leadership.
 func (c *Controller) Kill() {
-	c.api.Stop()
+	c.api.Close()
 	c.telemetry.Stop()
 	c.cancel()
 	c.mesh.Stop()
