operator API: connections are ended by the goroutine that reads from them

Operators saw, while a daemon of serve stopped: a call on a kept connection without an answer, and of a change that took longer than the stop nothing at all: its connection stayed open until the process ended.

Cause: fasthttp.Server's Shutdown, as at the servers for callers, and commands that nothing cancelled.

Change: the server uses connection/ingress. After a second, commands that are left are cancelled and answered with 503, which says that their outcome is unknown. The API stops after the transfer of leadership, so that commands reach the new leader.

--- a/connection/operator/server.go
+++ b/connection/operator/server.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"encoding/json"
 	"fmt"
-	"net"
 	"strings"
 	"time"
 
@@ -13,7 +12,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
-	"savorywing.example/savorywing/connection/httplog"
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -30,7 +30,9 @@
 
 const (
 	commandTimeout = 10 * time.Second
+	idleTimeout    = time.Minute
 	stopTimeout    = time.Second
+	maxHeaderBytes = 4 << 10
 	maxBodyBytes   = 4 << 20
 )
 
@@ -44,38 +46,64 @@
 	token string
 	ops   Operations
 	log   zerolog.Logger
-	http  *fasthttp.Server
+	http  *ingress.Server
+	// ctx is that of all commands, which go on when the operator disconnects.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // New returns a server. Start makes it listen.
-func New(token string, ops Operations, log zerolog.Logger) *Server {
+func New(clock savorywing.Clock, token string, ops Operations, log zerolog.Logger) *Server {
 	s := &Server{token: token, ops: ops, log: log}
-	s.http = &fasthttp.Server{Handler: s.handle, ReadTimeout: commandTimeout, MaxRequestBodySize: maxBodyBytes, CloseOnShutdown: true, Logger: httplog.Discard{}}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: commandTimeout, IdleTimeout: idleTimeout}
+	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log, ingress.WithErrorFormat(formatError))
 	return s
 }
 
 // Start listens and serves in the background.
 func (s *Server) Start(address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
+	if err := s.http.Start(address); err != nil {
 		return fmt.Errorf("operator.Server.Start: %w", err)
 	}
-	go func() {
-		if err := s.http.Serve(listener); err != nil {
-			s.log.Error().Err(err).Msg("serving the operator interface failed")
-		}
-	}()
 	return nil
 }
 
-// Stop closes the listener and waits up to stopTimeout for the calls in progress.
+// Stop closes the listener and idle connections, waits up to stopTimeout for the calls in progress, and cancels the rest,
+// which are answered.
 func (s *Server) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	_ = s.http.ShutdownWithContext(ctx)
+	defer context.AfterFunc(ctx, s.cancel)()
+	if left := s.http.Shutdown(ctx); left > 0 {
+		s.log.Warn().Int("calls", left).Msg("operators' calls were still in progress at the stop and are cancelled")
+	}
+	s.Close()
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
+	s.cancel()
+	s.http.Close()
+}
+
+// formatError is the format of errors for calls that could not be read.
+func formatError(h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte {
+	h.SetStatusCode(r.Status)
+	h.SetContentType("application/json")
+	text, err := json.Marshal(ErrorBody{Error: r.Reason})
+	if err != nil {
+		return nil // the status still tells what is wrong
+	}
+	return text
+}
+
+// reject responds to a call that comes too late.
+func (s *Server) reject(_ context.Context, ctx *fasthttp.RequestCtx) {
+	reply(ctx, fasthttp.StatusServiceUnavailable, ErrorBody{Error: "the daemon is stopping: the call was not run"})
 }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+func (s *Server) handle(_ context.Context, ctx *fasthttp.RequestCtx) {
 	token, found := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
 	if !found || subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
 		reply(ctx, fasthttp.StatusUnauthorized, ErrorBody{Error: "the operators' token is missing or wrong"})
@@ -112,22 +140,22 @@
 		return
 	}
 	var c wire.ChangeConfiguration
-	command(ctx, &c, func(commandCtx context.Context) (wire.Result, error) { return s.ops.Apply(commandCtx, c) })
+	s.command(ctx, &c, func(commandCtx context.Context) (wire.Result, error) { return s.ops.Apply(commandCtx, c) })
 }
 
 func (s *Server) handleDrain(ctx *fasthttp.RequestCtx) {
 	var d wire.DrainHost
-	command(ctx, &d, func(commandCtx context.Context) (wire.Result, error) { return s.ops.Drain(commandCtx, d) })
+	s.command(ctx, &d, func(commandCtx context.Context) (wire.Result, error) { return s.ops.Drain(commandCtx, d) })
 }
 
 // command decodes the body into v and runs a command. The status is 200 if the command was accepted, 409 if it was not
 // and 503 if its outcome is unknown.
-func command(ctx *fasthttp.RequestCtx, v any, run func(context.Context) (wire.Result, error)) {
+func (s *Server) command(ctx *fasthttp.RequestCtx, v any, run func(context.Context) (wire.Result, error)) {
 	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
 		reply(ctx, fasthttp.StatusBadRequest, ErrorBody{Error: err.Error()})
 		return
 	}
-	commandCtx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	commandCtx, cancel := context.WithTimeout(s.ctx, commandTimeout)
 	defer cancel()
 	r, err := run(commandCtx)
 	switch {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -116,7 +116,7 @@
 			return err
 		}
 	}
-	d.operator = operator.New(token, &operations{daemon: d}, d.log)
+	d.operator = operator.New(d.clock, token, &operations{daemon: d}, d.log)
 	d.metrics.Publish(metricsNamespace + "." + d.settings.Daemon.Host)
 	return nil
 }
@@ -224,6 +224,7 @@
 		err = d.stopEntry(ctx)
 	}
 	d.transferLeadership()
+	d.operator.Stop()
 	d.Kill()
 	if err != nil {
 		return fmt.Errorf("Daemon.Stop: %w", err)
@@ -269,8 +270,8 @@
 		// Requests that are cancelled return their grants to the dispatcher, which d.cancel stops.
 		d.callers.Close()
 	}
+	d.operator.Close()
 	d.cancel()
-	d.operator.Stop()
 	d.mesh.Stop()
 	if d.node != nil {
 		d.node.Stop()
