An invalid seed costs only itself, and settings out of range are refused

What operators saw: one seed that is no address (no port) kept a daemon from starting, while one with a word as its host, or port 70000, was taken and dialled for ever. A seed that is listed twice, or under two ports, was a voter twice in the first membership. Ports 0, -1 and 70000, negative, huge and infinite times and memory were taken: a negative report interval makes every server count as lost.

Cause: Settings.Validate checked that addresses have a port, and few numbers.

Change: a seed that isn't an IP address with a port is logged and ignored, as long as another one is left, and each host is taken once. If invalid seeds differ between hosts at a first start, so do their first memberships; a host sets one only if its majority is also one of all listed seeds, so that any two majorities overlap. Listen addresses, ports, times, ratios and capacities are checked, with the line of the field.

Measured, before and after: TestParseRejects: 21 of 30 new rows failed, none after. TestInvalidSeed: refused, then two seeds. FuzzParse: 5 s without a finding. Nine tests of the fleet's start, settings and tokens pass.

Not fixed: YAML's decoder takes the fraction 1.5 for the whole number 1.

--- a/cmd/savorywing/run.go
+++ b/cmd/savorywing/run.go
@@ -81,6 +81,7 @@
 	out := logging.NewWriter(os.Stdout)
 	defer out.Close()
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("host", s.Name).Logger()
+	warnOfSeeds(log, s)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	hangups := make(chan os.Signal, 1)
@@ -105,6 +106,13 @@
 	return nil
 }
 
+// warnOfSeeds logs the seeds that are ignored.
+func warnOfSeeds(log zerolog.Logger, s *instance.Settings) {
+	if invalid := s.InvalidSeeds(); len(invalid) > 0 {
+		log.Warn().Str("event", "seedsIgnored").Strs("seeds", invalid).Msg("ignoring seeds that are no IP address with a port")
+	}
+}
+
 // reloadInterval is how often the settings file is checked for changes.
 const reloadInterval = 2 * time.Second
 
@@ -161,6 +169,7 @@
 		return
 	}
 	r.content = b
+	warnOfSeeds(r.log, s)
 	r.daemon.Reload(s)
 	r.log.Info().Str("event", "settingsReloaded").Str("file", r.file).Bool("signal", onSignal).Strs("seeds", s.Seeds).Msg("settings reloaded")
 }
--- a/process/controller/bootstrap_test.go
+++ b/process/controller/bootstrap_test.go
@@ -7,6 +7,10 @@
 
 	"github.com/rs/zerolog"
 
+	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/disk"
+	"savorywing.example/savorywing/process/quorum"
+	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -27,3 +31,43 @@
 		t.Errorf("formCluster: %v, want to wait for the disk", err)
 	}
 }
+
+// TestBootstrapWithInvalidSeed guards against one invalid seed that costs the cluster, against first memberships of hosts with
+// different seeds whose majorities need not overlap, and against a seed that is a voter twice.
+func TestBootstrapWithInvalidSeed(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		seeds []string
+		want  int
+	}{
+		{"valid", []string{"127.0.0.1:2", "127.0.0.2:2", "127.0.0.3:2"}, 3},
+		{"one of three invalid", []string{"127.0.0.1:2", "127.0.0.2:2", "nowhere:2"}, 2},
+		{"two of three invalid", []string{"127.0.0.1:2", "", "nowhere:2"}, 0},
+		{"one of two invalid", []string{"127.0.0.1:2", "nowhere:2"}, 0},
+		{"one of four invalid", []string{"127.0.0.1:2", "127.0.0.2:2", "127.0.0.3:2", "nowhere:2"}, 0},
+		{"one of five invalid", []string{"127.0.0.1:2", "127.0.0.2:2", "127.0.0.3:2", "127.0.0.4:2", "nowhere:2"}, 4},
+		{"two of five invalid", []string{"127.0.0.1:2", "127.0.0.2:2", "127.0.0.3:2", "x", "nowhere:2"}, 0},
+		{"one twice", []string{"127.0.0.1:2", "127.0.0.2:2", "127.0.0.2:3"}, 2},
+	} {
+		s := &instance.Settings{Role: "control", IP: "127.0.0.1", PeerPorts: []int{1}, Seeds: tt.seeds, FirstStart: true, DataDir: t.TempDir()}
+		s.Defaults()
+		folder, err := disk.Open(s.DataDir, s.PeerAddress(), disk.WithIncarnation(firstIncarnation))
+		if err != nil {
+			t.Fatal(err)
+		}
+		node, err := quorum.NewNode(folder, clock.Boottime{}, quorum.HostTransport(func(string, wire.Frame) error { return nil }), electionTimeout, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		node.Start()
+		c := &Controller{ctx: context.Background(), log: zerolog.Nop(), settings: s, node: node}
+		if err := c.bootstrap(); err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if got := c.Members(); len(got) != tt.want {
+			t.Errorf("%s: members %v, want %d", tt.name, got, tt.want)
+		}
+		node.Stop()
+	}
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -275,6 +275,11 @@
 	if !seed {
 		return nil
 	}
+	if invalid := c.settings.InvalidSeeds(); len(m.Members)/2+1 <= (len(m.Members)+len(invalid))/2 {
+		// Hosts on which other seeds are invalid may set other memberships, whose majorities would not overlap.
+		c.log.Error().Str("event", "clusterNotFormed").Strs("invalid", invalid).Msg("too many seeds are invalid to form a cluster")
+		return nil
+	}
 	if err := c.formCluster(m, c.node.Bootstrap); err != nil {
 		return err
 	}
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -6,15 +6,16 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.yaml.in/yaml/v3"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/wire"
 )
 
 // Errors of settings.
@@ -24,6 +25,17 @@
 	ErrRole    = errors.New("the role must be entry or control")
 )
 
+// Upper bounds of numbers.
+const (
+	maxPort       = 1<<16 - 1
+	maxDiskLosses = 50
+	// maxMemoryMB is one EiB.
+	maxMemoryMB = 1 << 40
+	// maxMilliseconds is one year.
+	maxMilliseconds = 366 * 24 * 60 * 60 * 1000
+	maxCapacity     = 1e12
+)
+
 // Settings are the settings of one daemon.
 type Settings struct {
 	Role       string `yaml:"role"`
@@ -40,7 +52,8 @@
 	MetricsPort int `yaml:"metricsPort"`
 	// PeerPorts are free ports of this host, the same on all hosts. The first accepts connections of other daemons.
 	PeerPorts []int `yaml:"peerPorts"`
-	// Seeds are control addresses of control hosts. Some of the hosts may no longer exist.
+	// Seeds are control addresses of control hosts. Some of the hosts may no longer exist, and entries that are no address are
+	// ignored, but at least one is needed.
 	Seeds []string `yaml:"seeds"`
 	// FirstStart allows the seeds to bootstrap a new cluster. Every later start joins the existing one.
 	FirstStart bool   `yaml:"firstStart"`
@@ -156,37 +169,107 @@
 	if net.ParseIP(s.IP) == nil {
 		return fieldError{"ip", fmt.Errorf("%w: an IP address is needed", ErrMissing)}
 	}
-	if len(s.PeerPorts) == 0 {
-		return fieldError{"peerPorts", ErrMissing}
+	if err := s.validatePorts(); err != nil {
+		return err
 	}
 	if len(s.Seeds) == 0 {
 		return fieldError{"seeds", ErrMissing}
 	}
+	if len(s.SeedPeerAddresses()) == 0 {
+		return fieldError{"seeds", fmt.Errorf("%w: no seed is an IP address with a port", ErrRange)}
+	}
 	if s.Token == "" {
 		return fieldError{"token", ErrMissing}
 	}
 	if slices.Contains(s.AcceptedTokens, "") {
 		return fieldError{"acceptedTokens", ErrMissing}
 	}
-	if s.ToleratedDiskLosses < 0 {
-		return fieldError{"lostDisks", ErrRange}
+	if err := s.validateNumbers(); err != nil {
+		return err
 	}
-	for _, capacity := range []struct {
-		field string
-		value float64
-	}{{"cpuShare", s.CPUShare}, {"linkMbps", s.LinkMbps}, {"maxDescriptors", float64(s.MaxDescriptors)}} {
-		if capacity.value < 0 || math.IsNaN(capacity.value) {
-			return fieldError{capacity.field, ErrRange}
+	for _, address := range []struct{ field, value string }{
+		{"callerAddress", s.CallerAddress}, {"readyAddress", s.ReadyAddress}, {"controlAddress", s.ControlAddress},
+	} {
+		if address.value == "" {
+			continue
 		}
-	}
-	for _, a := range append([]string{s.CallerAddress, s.ReadyAddress, s.ControlAddress}, s.Seeds...) {
-		if _, _, err := net.SplitHostPort(a); a != "" && err != nil {
-			return fieldError{"address " + a, err}
+		if err := checkListenAddress(address.value); err != nil {
+			return fieldError{address.field, err}
 		}
 	}
 	return s.validateRole()
 }
 
+// checkListenAddress checks an address to listen at, which may have no host.
+func checkListenAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("%w: port %q of %s", ErrRange, port, address)
+	}
+	if host != "" && net.ParseIP(host) == nil {
+		return fmt.Errorf("%w: %s has no IP address", ErrRange, address)
+	}
+	return nil
+}
+
+func (s *Settings) validatePorts() error {
+	if len(s.PeerPorts) == 0 {
+		return fieldError{"peerPorts", ErrMissing}
+	}
+	for i, port := range s.PeerPorts {
+		if port < 1 || port > maxPort || slices.Contains(s.PeerPorts[:i], port) {
+			return fieldError{"peerPorts", fmt.Errorf("%w: %d", ErrRange, port)}
+		}
+	}
+	if s.MetricsPort < 0 || s.MetricsPort > maxPort {
+		return fieldError{"metricsPort", fmt.Errorf("%w: %d", ErrRange, s.MetricsPort)}
+	}
+	return nil
+}
+
+// validateNumbers checks that numbers are finite and not negative, and that calculations with them don't overflow.
+func (s *Settings) validateNumbers() error {
+	for _, n := range []struct {
+		field     string
+		value     float64
+		low, high float64
+	}{
+		{"lostDisks", float64(s.ToleratedDiskLosses), 0, maxDiskLosses}, {"memoryMB", float64(s.MemoryMB), 1, maxMemoryMB},
+		{"cpuShare", s.CPUShare, 0, maxCapacity}, {"linkMbps", s.LinkMbps, 0, maxCapacity}, {"maxDescriptors", float64(s.MaxDescriptors), 0, maxCapacity},
+	} {
+		if !isWithin(n.value, n.low, n.high) {
+			return fieldError{n.field, fmt.Errorf("%w: %v", ErrRange, n.value)}
+		}
+	}
+	if err := s.Limits.validate(); err != nil {
+		return fieldError{"limits", err}
+	}
+	return nil
+}
+
+func (l *Limits) validate() error {
+	for _, ms := range []int64{l.ReportIntervalMs, l.DrainMs, l.KeyRevocationMs, l.ConfigPropagationMs, l.MemberLossTimeoutMs} {
+		if ms < 1 || ms > maxMilliseconds {
+			return fmt.Errorf("%w: %d ms", ErrRange, ms)
+		}
+	}
+	for _, seconds := range []float64{l.GraceSeconds, l.RetryWindowSeconds} {
+		if !isWithin(seconds, 0, maxMilliseconds/1000) {
+			return fmt.Errorf("%w: %v s", ErrRange, seconds)
+		}
+	}
+	if !isWithin(l.RetryRatio, 0, maxCapacity) || !isWithin(l.RetryBurst, 0, maxCapacity) {
+		return fmt.Errorf("%w: retries", ErrRange)
+	}
+	return nil
+}
+
+// isWithin reports whether low <= v <= high, which is false if v is NaN.
+func isWithin(v, low, high float64) bool { return v >= low && v <= high }
+
 func (s *Settings) validateRole() error {
 	switch s.Role {
 	case savorywing.RoleEntry:
@@ -239,17 +322,32 @@
 // MetricsAddress returns the address on which metrics are served.
 func (s *Settings) MetricsAddress() string { return net.JoinHostPort(s.IP, fmt.Sprint(s.MetricsPort)) }
 
-// SeedPeerAddresses returns the peer addresses of the seeds.
+// SeedPeerAddresses returns the peer addresses of the seeds, each once, without the invalid seeds.
 func (s *Settings) SeedPeerAddresses() []string {
 	var addresses []string
 	for _, seed := range s.Seeds {
-		if ip, _, err := net.SplitHostPort(seed); err == nil {
-			addresses = append(addresses, s.PeerAddressOf(ip))
+		if wire.CheckAddress(seed) != nil {
+			continue
+		}
+		ip, _, _ := net.SplitHostPort(seed)
+		if address := s.PeerAddressOf(ip); !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
 		}
 	}
 	return addresses
 }
 
+// InvalidSeeds returns the seeds that are no address of a host. They are ignored.
+func (s *Settings) InvalidSeeds() []string {
+	var invalid []string
+	for _, seed := range s.Seeds {
+		if wire.CheckAddress(seed) != nil {
+			invalid = append(invalid, seed)
+		}
+	}
+	return invalid
+}
+
 // VoterCount returns the number of voters needed so that a majority survives the loss of ToleratedDiskLosses disks.
 func (s *Settings) VoterCount() int { return 2*s.ToleratedDiskLosses + 1 }
 
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"strings"
 	"testing"
 )
@@ -46,6 +47,36 @@
 		{"entry host without a caller address", "callerAddress: 10.0.0.1:8080", "", "callerAddress"},
 		{"control host without a data folder", "role: entry", "role: control\ncontrolAddress: 10.0.0.1:8229", "dataDir"},
 		{"address without a port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1", "10.0.0.1"},
+		{"address with port 0", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:0", "line 6: readyAddress"},
+		{"address with port 70000", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:70000", "line 6: readyAddress"},
+		{"address with port -1", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:-1", "line 6: readyAddress"},
+		{"address with a word as its port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:http", "line 6: readyAddress"},
+		{"address with a word as its host", "callerAddress: 10.0.0.1:8080", "callerAddress: nowhere:8080", "line 5: callerAddress"},
+		{"peer port 0", "[7340,7355]", "[0]", "line 7: peerPorts"},
+		{"peer port -1", "[7340,7355]", "[7340,-1]", "line 7: peerPorts"},
+		{"peer port 70000", "[7340,7355]", "[70000]", "line 7: peerPorts"},
+		{"peer port beyond 64 bits", "[7340,7355]", "[18446744073709551616]", "line 7"},
+		{"peer port twice", "[7340,7355]", "[7340,7340]", "line 7: peerPorts"},
+		{"metrics port 70000", "lostDisks: 2", "metricsPort: 70000", "line 11: metricsPort"},
+		{"metrics port -1", "lostDisks: 2", "metricsPort: -1", "line 11: metricsPort"},
+		{"no valid seed", "[10.0.0.7:8229,10.0.0.8:8229]", "[nowhere:1,'10.0.0.7',10.0.0.7:70000]", "line 8: seeds"},
+		{"seeds of another type", "[10.0.0.7:8229,10.0.0.8:8229]", "{a: b}", "line 8"},
+		{"negative losses", "lostDisks: 2", "lostDisks: -1", "line 11: lostDisks"},
+		{"huge losses", "lostDisks: 2", "lostDisks: 9223372036854775807", "line 11: lostDisks"},
+		{"negative memory", "memoryMB: 206", "memoryMB: -1", "line 12: memoryMB"},
+		{"huge memory", "memoryMB: 206", "memoryMB: 9223372036854775807", "line 12: memoryMB"},
+		{"capacity that is no number", "lostDisks: 2", "cpuShare: .nan", "line 11: cpuShare"},
+		{"infinite capacity", "lostDisks: 2", "linkMbps: .inf", "line 11: linkMbps"},
+		{"negative time", "revokeMs: 4000", "revokeMs: -4000", "line 13: limits"},
+		{"huge time", "revokeMs: 4000", "reportEveryMs: 9223372036854775807", "line 13: limits"},
+		{"time that is no number", "revokeMs: 4000", "graceSeconds: .nan", "line 13: limits"},
+		{"infinite time", "revokeMs: 4000", "retryWindowSeconds: .inf", "line 13: limits"},
+		{"negative ratio", "revokeMs: 4000", "retryShare: -0.1", "line 13: limits"},
+		{"same field twice", "lostDisks: 2", "lostDisks: 2\nlostDisks: 3", "line 12"},
+		{"deep nesting", "[7340,7355]", strings.Repeat("[", 20000), ""},
+		{"not UTF-8", "name: entry-1", "name: \xff\xfe", ""},
+		{"aliases that expand", "name: entry-1", "name: &a [x]\nseeds: [*a,*a]", ""},
+		{"empty", example, "", "EOF"},
 	}
 	for _, tt := range tests {
 		_, err := Parse([]byte(strings.Replace(example, tt.old, tt.new, 1)))
@@ -55,6 +86,21 @@
 	}
 }
 
+// TestInvalidSeed guards against one seed that costs the others, or that is counted twice as a voter.
+func TestInvalidSeed(t *testing.T) {
+	s, err := Parse([]byte(strings.Replace(example, "[10.0.0.7:8229,10.0.0.8:8229]",
+		"[10.0.0.7:8229, nowhere:8229, 10.0.0.9, '10.0.0.9:', 10.0.0.9:70000, 10.0.0.9:-1, 10.0.0.9:port, '', 10.0.0.7:8229, 10.0.0.7:8230, 10.0.0.1:8229]", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.SeedPeerAddresses(), []string{"10.0.0.7:7340", "10.0.0.1:7340"}; !slices.Equal(got, want) {
+		t.Errorf("seeds %v, want %v", got, want)
+	}
+	if got := s.InvalidSeeds(); len(got) != 7 {
+		t.Errorf("invalid seeds: %q", got)
+	}
+}
+
 // FuzzParse checks that arbitrary bytes are rejected, or read as settings that are valid.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(example))
