Settings of serve that overflow or are no numbers are refused

What operators saw: such settings passed `check` and were distributed. A size beyond 64 bits became a negative one, which no body fits; a poll interval of centuries passed the check against the lease because its double is negative; a share or a weight of NaN passes every comparison.

Cause: the checks compared with lower bounds only, in a form that NaN passes.

Change: sizes up to a TiB, times up to a year, counts up to 2^20, and ratios, shares and weights that are finite.

--- a/version/settings/decode.go
+++ b/version/settings/decode.go
@@ -10,6 +10,9 @@
 	"go.yaml.in/yaml/v3"
 )
 
+// maxDuration is one year. Multiples of times don't overflow.
+const maxDuration = 366 * 24 * time.Hour
+
 var durationType = reflect.TypeFor[time.Duration]()
 
 // decode sets v from n, and adds a problem for every unknown field and every value of the wrong kind.
@@ -47,6 +50,10 @@
 		t.addProblem(path, fmt.Sprintf("%q is negative", n.Value))
 		return
 	}
+	if d > maxDuration {
+		t.addProblem(path, fmt.Sprintf("%q is longer than a year", n.Value))
+		return
+	}
 	v.SetInt(int64(d))
 }
 
--- a/version/settings/size.go
+++ b/version/settings/size.go
@@ -14,6 +14,8 @@
 	Byte Size = 1
 	KiB       = 1024 * Byte
 	MiB       = 1024 * KiB
+	// maxSize is one TiB.
+	maxSize = 1024 * 1024 * MiB
 )
 
 // UnmarshalText parses a size such as 64KiB.
@@ -28,7 +30,7 @@
 			continue
 		}
 		n, err := strconv.Atoi(strings.TrimSpace(number))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > int(maxSize/u.unit) {
 			break
 		}
 		*s = Size(n) * u.unit
--- a/version/settings/validate.go
+++ b/version/settings/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"sort"
 	"strings"
@@ -13,6 +14,9 @@
 // MaxFreshness is the longest time that an accepted configuration may take to be in force on all hosts.
 const MaxFreshness = 7 * time.Second
 
+// maxCount is more than any system has of hosts, replicas or loads.
+const maxCount = 1 << 20
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
@@ -130,8 +134,8 @@
 
 func (s *Settings) validateOrganisations() {
 	for _, name := range sortedKeys(s.Organisations) {
-		if s.Organisations[name].Weight <= 0 {
-			s.tree.addProblem("organisations."+name+".share", "must be above 0")
+		if w := s.Organisations[name].Weight; !(w > 0 && w <= math.MaxInt32) {
+			s.tree.addProblem("organisations."+name+".share", "must be a number above 0")
 		}
 	}
 }
@@ -148,6 +152,9 @@
 		if m.Replicas < 0 {
 			s.tree.addProblem(field+".replicas", "must not be negative")
 		}
+		if max(m.HostsPerReplica, m.Replicas, m.Accelerators) > maxCount {
+			s.tree.addProblem(field, fmt.Sprintf("span, replicas and accelerators must be at most %d", maxCount))
+		}
 	}
 }
 
@@ -172,11 +179,13 @@
 
 func (s *Settings) validatePlanning() {
 	p := s.Planning
-	if p.DowntimeWeight < 0 || p.StrandedAcceleratorWeight < 0 {
-		s.tree.addProblem("planning", "weights must not be negative")
+	for _, w := range []float64{p.DowntimeWeight, p.StrandedAcceleratorWeight} {
+		if !(w >= 0 && w <= math.MaxInt32) {
+			s.tree.addProblem("planning", "weights must be numbers and not negative")
+		}
 	}
-	if p.MaxConcurrentLoads < 1 {
-		s.tree.addProblem("planning.loadsAtOnce", "must be at least 1")
+	if p.MaxConcurrentLoads < 1 || p.MaxConcurrentLoads > maxCount {
+		s.tree.addProblem("planning.loadsAtOnce", fmt.Sprintf("must be between 1 and %d", maxCount))
 	}
 	if p.MaxHoldDown < p.HoldDown {
 		s.tree.addProblem("planning.holdDownMax", "must not be below holdDown")
@@ -204,7 +213,7 @@
 	if l.MaxRequests < 1 || l.MaxGroupRequests < 1 || l.MaxClaims < 1 {
 		s.tree.addProblem("limits", "requests, groupRequests and claims must be at least 1")
 	}
-	if l.RetryRatio < 0 || l.RetryRatio > 1 {
+	if !(l.RetryRatio >= 0 && l.RetryRatio <= 1) {
 		s.tree.addProblem("limits.retryShare", "must be between 0 and 1")
 	}
 }
