Messages of the log that no member sends change nothing

Such a message can come from a host of another cluster with the same token, from a disk that was put into the wrong host, or from another build.

Everything that a member of the log sends passes as before.

--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/state"
 	"savorywing.example/savorywing/wire"
@@ -77,7 +78,9 @@
 	// compactionThreshold is the log length, in entries, at which a snapshot replaces the committed entries.
 	compactionThreshold int
 	failure             error
-	syncs               uint64
+	// unreadable limits the log lines about each member that sends snapshots that can't be decoded.
+	unreadable *logging.Repeats
+	syncs      uint64
 	// syncTime is the total time of all syncs.
 	syncTime time.Duration
 	ctx      context.Context
@@ -117,6 +120,7 @@
 	n := &Node{
 		disk: d, clock: clock, transport: t, electionTimeout: electionTimeout, log: log, events: queue.New[event](eventQueueCapacity),
 		pending: map[uint64]pendingProposal{}, ctx: ctx, cancel: cancel, seed: uint64(clock.Now().UnixNano()), compactionThreshold: defaultCompactionEntries,
+		unreadable: logging.NewRepeats(clock),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -263,7 +267,9 @@
 		switch e := e.(type) {
 		case stepEvent:
 			for _, m := range e.messages {
-				n.core.Step(n.clock.Now(), m)
+				if n.isReadable(m) {
+					n.core.Step(n.clock.Now(), m)
+				}
 			}
 		case proposeEvent:
 			proposals = append(proposals, e)
@@ -280,6 +286,21 @@
 	n.propose(proposals)
 }
 
+// isReadable reports whether the state in a message can be decoded. A snapshot that can't must not replace the state on the
+// disk, without which this member can't start again.
+func (n *Node) isReadable(m wire.RaftMessage) bool {
+	if m.Snapshot == nil {
+		return true
+	}
+	_, err := state.Restore(m.Snapshot.Data)
+	if err != nil {
+		if allowed, omitted := n.unreadable.Allow(m.From); allowed {
+			n.log.Error().Str("member", m.From).Uint64("omitted", omitted).Err(err).Msg("ignored a snapshot of another member that can't be decoded")
+		}
+	}
+	return err == nil
+}
+
 func (n *Node) propose(events []proposeEvent) {
 	if len(events) == 0 {
 		return
--- a/process/quorum/replication.go
+++ b/process/quorum/replication.go
@@ -158,12 +158,26 @@
 		c.send(reply)
 		return
 	}
+	if c.contradictsCommitted(m.Entries) {
+		// No leader sends such entries. The sender belongs to another log.
+		return
+	}
 	c.storeEntries(m.Entries)
 	reply.Index = m.Index + uint64(len(m.Entries))
 	c.commit = max(c.commit, min(m.Commit, reply.Index))
 	c.send(reply)
 }
 
+// contradictsCommitted reports whether a committed entry would have to be replaced by another one.
+func (c *Core) contradictsCommitted(entries []wire.Entry) bool {
+	for _, e := range entries {
+		if term, known := c.log.term(e.Index); known && term != e.Term {
+			return e.Index <= c.commit
+		}
+	}
+	return false
+}
+
 // storeEntries appends entries after truncating the log from the first conflicting one.
 func (c *Core) storeEntries(entries []wire.Entry) {
 	membershipChanged := false
@@ -204,7 +218,7 @@
 
 func (c *Core) handleAppendReply(m wire.RaftMessage) {
 	p := c.progress[m.From]
-	if c.role != Leader || p == nil {
+	if c.role != Leader || p == nil || m.Index > c.log.lastIndex() {
 		return
 	}
 	if sent, ok := c.roundSent[m.Round]; ok && sent.After(p.acked) {
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -19,6 +19,9 @@
 	minRate = 1e-6
 	// maxBytes bounds the size of a request.
 	maxBytes = 1 << 30
+	// maxTerm and maxIndex are reached after more than 30 years with one election, and a million entries, a millisecond.
+	maxTerm  = 1 << 40
+	maxIndex = 1 << 60
 	// maxReached bounds the servers of a ReachQuery.
 	maxReached = 64
 )
@@ -206,12 +209,18 @@
 	return firstError("ServerAddress.Validate", checkID(a.ID), CheckAddress(a.Address))
 }
 
-// Validate checks that the entries of a message follow its index without gaps. The error wraps ErrInvalid.
+// Validate checks the indexes and the terms of a message, whose entries must follow its index without gaps. The error wraps
+// ErrInvalid.
 func (m *RaftMessage) Validate() error {
+	var entries, snapshot error
 	for i, e := range m.Entries {
-		if e.Index != m.Index+1+uint64(i) {
-			return fmt.Errorf("RaftMessage.Validate: index of entry %d: %w", i, ErrInvalid)
+		if e.Index != m.Index+1+uint64(i) || e.Term > m.Term {
+			entries = fmt.Errorf("entry %d: %w", i, ErrInvalid)
+			break
 		}
 	}
-	return nil
+	if m.Snapshot != nil {
+		snapshot = firstError("snapshot", checkRange("index", m.Snapshot.Index, 0, maxIndex), checkRange("term", m.Snapshot.Term, 0, m.Term))
+	}
+	return firstError("RaftMessage.Validate", checkRange("term", m.Term, 0, maxTerm), checkRange("index", m.Index, 0, maxIndex), entries, snapshot)
 }
--- a/wire/validate_frame_test.go
+++ b/wire/validate_frame_test.go
@@ -37,6 +37,8 @@
 		{"messages of the log", Frame{Raft: []RaftMessage{
 			{Index: 3, Entries: []Entry{{Index: 4}, {Index: 5}}}, {Index: 3, Entries: []Entry{{Index: 3}}},
 			{Index: 3, Entries: []Entry{{Index: 4}, {Index: 6}}}, {Index: math.MaxUint64, Entries: []Entry{{Index: 7}}},
+			{Index: 3, Term: 1, Entries: []Entry{{Index: 4, Term: 2}}}, {Term: math.MaxUint64}, {Index: math.MaxUint64},
+			{Term: 1, Snapshot: &Snapshot{Index: math.MaxUint64}}, {Term: 1, Snapshot: &Snapshot{Index: 1, Term: 2}},
 		}}, Frame{Raft: []RaftMessage{{Index: 3, Entries: []Entry{{Index: 4}, {Index: 5}}}}}},
 		{"endpoints", Frame{Fleet: &FleetUpdate{Term: 1, Endpoints: []Endpoint{
 			endpoint(func(e *Endpoint) { e.Address = "nowhere" }), endpoint(func(*Endpoint) {}), endpoint(func(e *Endpoint) { e.Slots = -1 }),
