--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -14,9 +14,8 @@
 	// maxAgeMs is more than 30 years. An age that was read just before its event is slightly negative.
 	maxAgeMs = 1 << 40
 	minAgeMs = -60 * 1000
-	// maxRate bounds a rate in requests per second, and minRate a rate that isn't 0.
+	// maxRate bounds a rate in requests per second.
 	maxRate = 1e6
-	minRate = 1e-6
 	// maxBytes bounds the size of a request.
 	maxBytes = 1 << 30
 	// maxTerm and maxIndex are reached after more than 30 years with one election, and a million entries, a millisecond.
@@ -135,7 +134,7 @@
 // Validate checks a limit. The error wraps ErrInvalid.
 func (l *ServerLimit) Validate() error {
 	var rate error
-	if math.IsNaN(l.PerSecond) || l.PerSecond < 0 || l.PerSecond > maxRate || (l.PerSecond > 0 && l.PerSecond < minRate) {
+	if math.IsNaN(l.PerSecond) || l.PerSecond < 0 || l.PerSecond > maxRate {
 		rate = fmt.Errorf("rate: %w: %v", ErrInvalid, l.PerSecond)
 	}
 	return firstError("ServerLimit.Validate", checkID(l.ID), rate, checkRange("start time", l.Born, 0, maxUnixMs),
