A record with a gap in a stored log is damage

What operators would have seen: a record whose entries have a gap, or the same index twice, was loaded, with its entries at the places of others; the member would have replicated and applied them so.

Cause: replay compared only the first entry of a record with what precedes it.

Change: the indexes of a record's entries must follow each other, else the log is damaged (ErrCorrupt).

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 # Fuzz targets as package:name. go test runs one at a time.
 FUZZ := connection/ingress:FuzzReadRequest platform:FuzzReadCallerMetadata platform:FuzzReadResponseMetadata platform:FuzzReadReport \
 	platform:FuzzReadDocument process/disk:FuzzDecodeFrames process/fleet:FuzzUnpackLoads process/gateway:FuzzScanEvents \
+	process/quorum:FuzzStep process/state:FuzzRestore \
 	request/attempt:FuzzParseFrame version/instance:FuzzParse version/settings:FuzzParse wire/codec:FuzzDecodeFrame
 FUZZ_TIME := 3s
 
--- a/process/disk/folder.go
+++ b/process/disk/folder.go
@@ -249,6 +249,11 @@
 	if from <= base || from > base+uint64(len(stored.Entries))+1 {
 		return fmt.Errorf("%w: entry %d does not follow entry %d", ErrCorrupt, from, base+uint64(len(stored.Entries)))
 	}
+	for i, e := range r.Entries {
+		if e.Index != from+uint64(i) {
+			return fmt.Errorf("%w: entry %d is at the place of entry %d", ErrCorrupt, e.Index, from+uint64(i))
+		}
+	}
 	stored.Entries = append(stored.Entries[:from-base-1], r.Entries...)
 	return nil
 }
--- a/process/disk/folder_test.go
+++ b/process/disk/folder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"os"
 	"path/filepath"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 func record(term uint64, first uint64, data ...string) savorywing.Record {
@@ -206,3 +208,54 @@
 func BenchmarkAppend1(b *testing.B)   { benchmarkAppend(b, 1) }
 func BenchmarkAppend16(b *testing.B)  { benchmarkAppend(b, 16) }
 func BenchmarkAppend256(b *testing.B) { benchmarkAppend(b, 256) }
+
+// TestRecordOfAnotherVersion guards against a log of another version that can't be loaded, or that is loaded in part. Fields
+// that this version doesn't know are ignored; values of another type, negative ones and gaps are damage.
+func TestRecordOfAnotherVersion(t *testing.T) {
+	entry := func(index any) map[string]any {
+		return map[string]any{"index": index, "term": uint64(2), "data": []byte("x"), "kind": uint64(1)}
+	}
+	encoded := func(term any, entries ...any) map[string]any {
+		return map[string]any{"record": map[string]any{"term": term, "vote": "host/1", "entries": entries}}
+	}
+	more := encoded(uint64(2), entry(uint64(4)))
+	more["later"] = map[string]any{"a": []int{1, 2}}
+	more["record"].(map[string]any)["checksum"] = "x"
+	for _, tt := range []struct {
+		name     string
+		payload  any
+		rejected bool
+	}{
+		{"next entry", encoded(uint64(2), entry(uint64(4))), false},
+		{"unknown fields", more, false},
+		{"unknown kind of entry", encoded(uint64(2), map[string]any{"index": uint64(4), "term": uint64(2), "kind": uint64(99)}), false},
+		{"text for a number", encoded("two"), true},
+		{"negative term", encoded(int64(-2)), true},
+		{"term that goes back", encoded(uint64(1)), true},
+		{"negative index", encoded(uint64(2), entry(int64(-4))), true},
+		{"index 0", encoded(uint64(2), entry(uint64(0))), true},
+		{"highest index", encoded(uint64(2), entry(uint64(math.MaxUint64))), true},
+		{"gap before the record", encoded(uint64(2), entry(uint64(6))), true},
+		{"gap in the record", encoded(uint64(2), entry(uint64(4)), entry(uint64(6))), true},
+		{"entry twice", encoded(uint64(2), entry(uint64(4)), entry(uint64(4))), true},
+		{"list", []int{1}, true},
+		{"deep nesting", []any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{[]any{}}}}}}}}}}}}}}}}}}, true},
+	} {
+		dir, path := folderWithRecords(t)
+		payload, err := codec.Encode(tt.payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, append(b, encodeChecksummed(payload)...), fileMode); err != nil {
+			t.Fatal(err)
+		}
+		got, err := reopen(dir)
+		if tt.rejected != errors.Is(err, ErrCorrupt) || (!tt.rejected && len(got.Entries) != 4) {
+			t.Errorf("%s: %d entries, error %v", tt.name, len(got.Entries), err)
+		}
+	}
+}
