Values that a server's responses state wrongly are logged once

What operators saw: each response of a server that states an unreadable Retry-After or limit gave a line, with the whole value, up to 200 a second in all, which then lacked for other problems.

Cause: logProblem bounds the lines of all requests together.

Change: these lines are written once for each server and kind, with at most 100 bytes of the value.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -276,8 +276,7 @@
 // is sent at once.
 func (r *callerRequest) recordNotice(d placement.Decision, m savorywing.ResponseMetadata) {
 	if m.InvalidClosedFor != "" {
-		r.gateway.logProblem("closedForInvalid").Str("request", r.caller.AttemptID).Str("server", d.ID).Str("value", m.InvalidClosedFor).
-			Dur("used", m.ClosedFor).Msg("a backend server states an invalid time for which it is closed")
+		r.gateway.logInvalid("closedForInvalid", d.ID, m.InvalidClosedFor).Str("request", r.caller.AttemptID).Dur("used", m.ClosedFor).Msg("a backend server states an invalid time for which it is closed")
 	}
 	g := r.gateway
 	if !m.Leaving && m.ClosedFor == 0 {
@@ -303,7 +302,7 @@
 	m, g := response.Metadata, r.gateway
 	if m.InvalidRequestLimit != "" {
 		g.telemetry.Count("server_notices", "kind", "invalidLimit")
-		g.logProblem("serverLimitInvalid").Str("request", r.caller.AttemptID).Str("server", d.ID).Str("value", m.InvalidRequestLimit).
+		g.logInvalid("serverLimitInvalid", d.ID, m.InvalidRequestLimit).Str("request", r.caller.AttemptID).
 			Msg("a backend server states a request limit that is no rate")
 		return
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/forwarding"
+	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/reach"
@@ -72,8 +73,10 @@
 	telemetry *telemetry.Telemetry
 	// servedLines and problemLines limit the log lines about requests that were served, and about all others.
 	servedLines, problemLines sampler
-	ctx                       context.Context
-	cancel                    context.CancelFunc
+	// invalidValues limits the log lines about each server that states invalid values.
+	invalidValues *logging.Repeats
+	ctx           context.Context
+	cancel        context.CancelFunc
 	// expiring is cancelled when the requests of other hosts must end.
 	expiring        context.Context
 	expireForwarded context.CancelCauseFunc
@@ -106,6 +109,7 @@
 	g.intake = forwarding.NewIntake(forwarding.Capacity{
 		MemoryBytes: s.MemoryMB << 20, Descriptors: s.MaxDescriptors, CPUShare: s.CPUShare, LinkMbps: s.LinkMbps,
 	})
+	g.invalidValues = logging.NewRepeats(g.clock)
 	g.servedLines, g.problemLines = sampler{limit: maxServedLinesPerSecond}, sampler{limit: maxProblemLinesPerSecond}
 	g.telemetry = telemetry.New(log)
 	g.telemetry.Gauge("busy", func() float64 { return float64(g.server.InFlight()) })
--- a/process/gateway/invalid_test.go
+++ b/process/gateway/invalid_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/rs/zerolog"
 
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
 )
@@ -66,3 +69,24 @@
 		}
 	}
 }
+
+// TestInvalidNotices guards against a server whose responses all state an invalid value and each of which is logged.
+func TestInvalidNotices(t *testing.T) {
+	var lines bytes.Buffer
+	g := newTestGateway(t)
+	g.log = zerolog.New(&lines)
+	r := &callerRequest{gateway: g}
+	for range 100 {
+		for _, id := range []string{"i", "j"} {
+			response := &engine.Response{Metadata: savorywing.ResponseMetadata{InvalidClosedFor: strings.Repeat("9", 10000), InvalidRequestLimit: "few"}}
+			r.recordNotice(placement.Decision{ID: id}, response.Metadata)
+			r.recordLimit(placement.Decision{ID: id}, nil, response)
+		}
+	}
+	if closed, limit := strings.Count(lines.String(), "closedForInvalid"), strings.Count(lines.String(), "serverLimitInvalid"); closed != 2 || limit != 2 {
+		t.Errorf("the values of two servers were logged %d and %d times, want twice", closed, limit)
+	}
+	if lines.Len() > 4<<10 {
+		t.Errorf("the lines have %d bytes", lines.Len())
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -213,6 +214,15 @@
 	return g.log.Info().Str("event", event)
 }
 
+// logInvalid is logProblem for a value that a server states with each response: it is logged once for each server.
+func (g *Gateway) logInvalid(event, server, value string) *zerolog.Event {
+	allowed, omitted := g.invalidValues.Allow(event + " " + server)
+	if !allowed {
+		return nil
+	}
+	return g.logProblem(event).Str("server", server).Str("value", fmt.Sprintf("%.100s", value)).Uint64("omitted", omitted)
+}
+
 // refuse responds to the caller with an error, and counts and logs it.
 func (r *callerRequest) refuse(status int, reason string, retryAfter time.Duration) {
 	g := r.gateway
