--- a/process/quorum/invalid_test.go
+++ b/process/quorum/invalid_test.go
@@ -97,7 +97,9 @@
 	c := newTestCore(true)
 	commit := c.commit
 	for range 3 {
-		c.Propose(nil)
+		if _, _, err := c.Propose(nil); err != nil {
+			t.Fatal(err)
+		}
 	}
 	c.Step(time.Unix(1000, 0), wire.RaftMessage{Kind: kindAppendReply, From: "c", To: "a", Term: 3, Index: math.MaxUint64})
 	if c.commit != commit {
