A forwarded response that is out of order isn't passed on

What callers would have seen: bytes that belong to no response on their connection, if the host that serves a forwarded request sends a part before the header, or more than the length that the header states; on a kept connection they would have been the next response.

Cause: parts were passed on as they came.

Change: forwardedResponse checks that a part can follow those before it, and counts the bytes of a body that has a length. Of a part that can't follow, nothing is sent; the response counts as lost.

--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", errDeclined, err)
 	}
-	status := 0
+	response := forwardedResponse{request: r}
 	for {
 		silence := max(minAttemptTime, r.deadline.Sub(g.clock.Now())+forwardSilence)
 		if r.isRetryable() {
@@ -230,51 +230,88 @@
 		}
 		part, err := s.Next(silence)
 		if err != nil {
-			return status, fmt.Errorf("%w: %w", errForwardLost, err)
+			return response.status, fmt.Errorf("%w: %w", errForwardLost, err)
 		}
 		if part.Declined != "" {
-			return status, fmt.Errorf("%w: %s", errDeclined, part.Declined)
+			return response.status, fmt.Errorf("%w: %s", errDeclined, part.Declined)
 		}
-		if len(part.Header) > 0 {
-			if status, err = r.startForwarded(part); err != nil {
-				return status, err
-			}
-		} else if err := r.passOn(part); err != nil {
-			return status, err
+		if err := response.pass(part); err != nil {
+			return response.status, err
 		}
 		if part.End {
-			return status, nil
+			return response.status, nil
 		}
 	}
 }
 
-// startForwarded starts the response to the caller with its first part.
-func (r *callerRequest) startForwarded(part wire.ForwardedPart) (int, error) {
+// forwardedResponse is the response of another host, of which the caller is sent one part after the other.
+type forwardedResponse struct {
+	request *callerRequest
+	status  int
+	// bounded reports whether the body has a length, of which left bytes are to come. left is never negative.
+	bounded bool
+	left    int
+}
+
+var errUnexpectedPart = errors.New("a part that isn't expected")
+
+// pass passes on a part. Of a part that can't follow the parts before it, nothing is sent to the caller.
+func (f *forwardedResponse) pass(part wire.ForwardedPart) error {
+	if len(part.Header) > 0 {
+		return f.start(part)
+	}
+	x := f.request.exchange
+	if !x.Started() && (part.End || len(part.Body) > 0) {
+		return fmt.Errorf("%w: %w: it has no header", errForwardLost, errUnexpectedPart)
+	}
+	if err := f.count(part); err != nil {
+		return err
+	}
+	f.request.recordForwardedEvents(part.Body)
+	if part.End {
+		return x.Finish(part.Body)
+	}
+	if len(part.Body) == 0 {
+		return nil
+	}
+	return x.Write(part.Body)
+}
+
+// start starts the response to the caller with its first part.
+func (f *forwardedResponse) start(part wire.ForwardedPart) error {
+	r := f.request
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
 	if err := h.Read(bufio.NewReaderSize(bytes.NewReader(part.Header), len(part.Header))); err != nil || r.exchange.Started() {
-		return 0, fmt.Errorf("%w: %w", errForwardLost, errors.Join(errors.New("an unexpected header"), err))
+		return fmt.Errorf("%w: %w", errForwardLost, errors.Join(errors.New("an unexpected header"), err))
 	}
 	h.SetNoDefaultContentType(true)
+	f.status = h.StatusCode()
+	// A response to HEAD has the length of a body that it doesn't have.
+	f.bounded, f.left = part.Length >= 0 && !httpRequest(r).Header.IsHead(), max(part.Length, 0)
+	if err := f.count(part); err != nil {
+		return err
+	}
 	r.recordForwardedEvents(part.Body)
 	if err := r.exchange.Start(&h, part.Length, part.Body); err != nil {
-		return h.StatusCode(), err
+		return err
 	}
 	if part.End && part.Length < 0 {
-		return h.StatusCode(), r.exchange.Finish(nil)
+		return r.exchange.Finish(nil)
 	}
-	return h.StatusCode(), nil
+	return nil
 }
 
-func (r *callerRequest) passOn(part wire.ForwardedPart) error {
-	r.recordForwardedEvents(part.Body)
-	if part.End {
-		return r.exchange.Finish(part.Body)
-	}
-	if len(part.Body) == 0 {
+// count counts a part's bytes. A body with a length must have neither more nor fewer bytes.
+func (f *forwardedResponse) count(part wire.ForwardedPart) error {
+	if !f.bounded {
 		return nil
 	}
-	return r.exchange.Write(part.Body)
+	if len(part.Body) > f.left || (part.End && len(part.Body) < f.left) {
+		return fmt.Errorf("%w: %w: %d bytes of %d that remain, end %v", errForwardLost, errUnexpectedPart, len(part.Body), f.left, part.End)
+	}
+	f.left -= len(part.Body)
+	return nil
 }
 
 // recordForwardedEvents records which events have been passed on, so that another host can resume the stream after them.
