A host introduces only itself, and a first membership has voters

What operators would have seen: an introduction that names another host replaced that host's own, so that a cluster of serve could form with an incarnation that doesn't exist; a first membership without voters was stored, after which the host refused every other one; a list of a thousand control hosts made a daemon dial all of them for ever.

Change: introductions count only for the host that sends them. Formation.Validate wants voters, and each member once. A frame names up to 128 control hosts.

The new rows of TestInvalidEntryCostsOnlyItself, and TestHugeLists, cover the rest.

--- a/process/daemon/frames.go
+++ b/process/daemon/frames.go
@@ -23,7 +23,7 @@
 }
 
 // HandleOneWay handles announcements, messages of the replicated log and introductions.
-func (f *frameHandler) HandleOneWay(_ string, frame wire.Frame) {
+func (f *frameHandler) HandleOneWay(from string, frame wire.Frame) {
 	d := f.daemon
 	for _, a := range frame.Announcements {
 		d.registry.Observe(a)
@@ -31,8 +31,9 @@
 	if len(frame.Raft) > 0 && d.node != nil {
 		d.node.Step(frame.Raft)
 	}
-	if frame.Introduction != nil {
-		d.introductions.set(*frame.Introduction)
+	// A host introduces only itself. What another one says of it could form a cluster without it.
+	if in := frame.Introduction; in != nil && quorum.HostOf(in.ID) == from {
+		d.introductions.set(*in)
 	}
 }
 
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -21,6 +21,8 @@
 	// maxTerm and maxIndex are reached after more than 30 years with one election, and a million entries, a millisecond.
 	maxTerm  = 1 << 40
 	maxIndex = 1 << 60
+	// maxControls bounds the control hosts that one frame names.
+	maxControls = 128
 	// maxReached bounds the servers of a ReachQuery.
 	maxReached = 64
 )
@@ -36,6 +38,7 @@
 		removePart("forward offer", &f.ForwardOffer, (*ForwardOffer).Validate),
 		removePart("forwarded request", &f.ForwardedRequest, (*ForwardedRequest).Validate),
 		removePart("hello", &f.Hello, (*Hello).Validate),
+		removePart("formation", &f.Formation, (*Formation).Validate),
 	}
 	if u := f.Fleet; u != nil {
 		errs = append(errs, u.removeInvalid(), removePart("fleet update", &f.Fleet, (*FleetUpdate).Validate))
@@ -56,7 +59,7 @@
 func (u *FleetUpdate) removeInvalid() error {
 	return errors.Join(
 		keepValid("endpoint", &u.Endpoints, (*Endpoint).Validate),
-		keepValid("control host", &u.Controls, func(s *string) error { return CheckAddress(*s) }),
+		u.removeInvalidControls(),
 		keepValid("limit", &u.Limits, (*ServerLimit).Validate),
 		keepValid("permit", &u.Permits, (*PermitGrant).Validate),
 		keepValid("forwarder", &u.Forwarders, (*Forwarder).Validate),
@@ -64,6 +67,13 @@
 	)
 }
 
+// removeInvalidControls also bounds the control hosts, each of which is dialled for ever.
+func (u *FleetUpdate) removeInvalidControls() error {
+	err := keepValid("control host", &u.Controls, func(s *string) error { return CheckAddress(*s) })
+	u.Controls = u.Controls[:min(len(u.Controls), maxControls)]
+	return err
+}
+
 func (u *Usage) removeInvalid() error {
 	return errors.Join(
 		keepValid("load", &u.Loads, (*EndpointLoad).Validate),
@@ -184,6 +194,7 @@
 func (p *Presence) Validate() error {
 	// A peer that is no address costs only itself.
 	p.Peers = slices.DeleteFunc(p.Peers, func(s string) bool { return CheckAddress(s) != nil })
+	p.Peers = p.Peers[:min(len(p.Peers), maxControls)]
 	return firstError("Presence.Validate", checkID(p.ID), CheckAddress(p.ControlAddress))
 }
 
@@ -223,3 +234,26 @@
 	}
 	return firstError("RaftMessage.Validate", checkRange("term", m.Term, 0, maxTerm), checkRange("index", m.Index, 0, maxIndex), entries, snapshot)
 }
+
+// Validate checks the first membership of a cluster. The error wraps ErrInvalid.
+func (f *Formation) Validate() error {
+	if f.Membership == nil {
+		return fmt.Errorf("Formation.Validate: membership: %w", ErrInvalid)
+	}
+	return firstError("Formation.Validate", f.Membership.Validate())
+}
+
+// Validate checks that a membership has voters, and no member twice. The error wraps ErrInvalid.
+func (m *Membership) Validate() error {
+	voters, seen := 0, map[string]bool{}
+	for _, member := range m.Members {
+		if err := checkID(member.ID); err != nil || seen[member.ID] {
+			return fmt.Errorf("Membership.Validate: member %.100q: %w", member.ID, ErrInvalid)
+		}
+		seen[member.ID] = true
+		if member.Voter {
+			voters++
+		}
+	}
+	return firstError("Membership.Validate", checkRange("voters", voters, 1, maxControls))
+}
--- a/wire/validate_frame_test.go
+++ b/wire/validate_frame_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -72,6 +74,10 @@
 		{"presence", Frame{Presence: &Presence{ID: "h/1", ControlAddress: "10.0.0.9:0"}}, Frame{}},
 		{"peers of a presence", Frame{Presence: &Presence{ID: "h/1", ControlAddress: addr, Peers: []string{"x:1", addr, ""}}},
 			Frame{Presence: &Presence{ID: "h/1", ControlAddress: addr, Peers: []string{addr}}}},
+		{"first membership", Frame{Formation: &Formation{}}, Frame{}},
+		{"first membership without members", Frame{Formation: &Formation{Membership: &Membership{}}}, Frame{}},
+		{"first membership without voters", Frame{Formation: &Formation{Membership: &Membership{Members: []Member{{ID: "a/1"}}}}}, Frame{}},
+		{"first membership with a member twice", Frame{Formation: &Formation{Membership: &Membership{Members: []Member{{ID: "a/1", Voter: true}, {ID: "a/1"}}}}}, Frame{}},
 		{"hello", Frame{Hello: &Hello{Host: "a\nb"}}, Frame{}},
 		{"negative offer", Frame{ForwardOffer: &ForwardOffer{Host: addr, Bytes: -1}}, Frame{}},
 		{"huge offer", Frame{ForwardOffer: &ForwardOffer{Host: addr, Bytes: huge}}, Frame{}},
@@ -91,6 +97,18 @@
 	}
 }
 
+// TestHugeLists guards against frames that make a host dial a thousand others for ever.
+func TestHugeLists(t *testing.T) {
+	var many []string
+	for i := range 1000 {
+		many = append(many, fmt.Sprintf("10.0.%d.%d:80", i/250, 1+i%250))
+	}
+	f := Frame{Fleet: &FleetUpdate{Controls: slices.Clone(many)}, Presence: &Presence{ID: "a/1", ControlAddress: addr, Peers: many}}
+	if err := f.RemoveInvalid(); err != nil || len(f.Fleet.Controls) != maxControls || len(f.Presence.Peers) != maxControls {
+		t.Errorf("%d and %d hosts, %v, want %d", len(f.Fleet.Controls), len(f.Presence.Peers), err, maxControls)
+	}
+}
+
 // TestHugeReachQuery guards against a query that makes a host dial a thousand servers at once.
 func TestHugeReachQuery(t *testing.T) {
 	q := &ReachQuery{}
