--- a/wire/validate.go
+++ b/wire/validate.go
@@ -16,7 +16,7 @@
 // Bounds of what other processes may state.
 const (
 	maxNameBytes = 256
-	maxStaged    = 64
+	maxStaged    = 256
 	maxPrefixes  = 1 << 16
 	// maxAccelerators is the maximum number of accelerators of a host.
 	maxAccelerators = 1 << 16
@@ -26,8 +26,8 @@
 	MaxGroupHosts = 1024
 	// maxSlots is the maximum number of requests that a server runs at once.
 	maxSlots = 1 << 20
-	// maxSequence is reached after more than 30 years with one report a millisecond.
-	maxSequence = 1 << 40
+	// maxSequence leaves room for sequence numbers that are times in nanoseconds.
+	maxSequence = 1 << 62
 	// maxUnixMs is in the year 2109.
 	maxUnixMs = 1 << 42
 	// maxColdMs is one day.
