--- a/wire/validate.go
+++ b/wire/validate.go
@@ -55,13 +55,25 @@
 
 // checkText is checkName for text that may be empty.
 func checkText(field, s string) error {
-	isUnprintable := func(r rune) bool { return !unicode.IsPrint(r) }
-	if len(s) > maxNameBytes || !utf8.ValidString(s) || strings.ContainsFunc(s, isUnprintable) {
+	if len(s) > maxNameBytes || !isPrintable(s) {
 		return fmt.Errorf("%s: %w", field, ErrInvalid)
 	}
 	return nil
 }
 
+func isPrintable(s string) bool {
+	for i := range len(s) {
+		switch c := s[i]; {
+		case c >= utf8.RuneSelf:
+			isUnprintable := func(r rune) bool { return !unicode.IsPrint(r) }
+			return utf8.ValidString(s[i:]) && !strings.ContainsFunc(s[i:], isUnprintable)
+		case c < ' ' || c == 0x7f:
+			return false
+		}
+	}
+	return true
+}
+
 // CheckAddress checks that an address consists of the IP address of one host and a port.
 func CheckAddress(s string) error {
 	a, err := netip.ParseAddrPort(s)
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -89,22 +89,25 @@
 // keepValid removes the entries of a list that check rejects and returns the first error.
 func keepValid[T any](kind string, list *[]T, check func(*T) error) error {
 	var first error
-	removed := 0
-	*list = slices.DeleteFunc(*list, func(v T) bool {
-		err := check(&v)
-		if err == nil {
-			return false
+	kept := 0
+	for i := range *list {
+		if err := check(&(*list)[i]); err != nil {
+			if first == nil {
+				first = err
+			}
+			continue
 		}
-		removed++
-		if first == nil {
-			first = err
+		if kept != i {
+			(*list)[kept] = (*list)[i]
 		}
-		return true
-	})
-	if first != nil {
-		return fmt.Errorf("%s, %d removed: %w", kind, removed, first)
+		kept++
 	}
-	return nil
+	if first == nil {
+		return nil
+	}
+	removed := len(*list) - kept
+	*list = (*list)[:kept]
+	return fmt.Errorf("%s, %d removed: %w", kind, removed, first)
 }
 
 // removePart removes a part of a frame that check rejects.
