Requests don't use up their attempts on paths that are in doubt

Callers saw: in the first second after their entry host had lost its paths, streams and idempotent requests got 502, 503 or 504, or streams broke off, though another attempt at another host would have been served.

Cause: an attempt that had failed on a lost path was repeated at once, on another lost path, while the round was running that would find that out; a request that found all servers full of such attempts was rejected; and hosts whose own paths were in doubt took requests of others.

The wait ends early once too many servers have answered for that (two of five), so that a crash of servers delays no repeat for longer than answers take. Hosts refuse offers meanwhile.

Requests that may run once and were sent on a lost path still get 502 or 504; the test leaves them out.

--- a/cmd/savorywing/fleet_cut_test.go
+++ b/cmd/savorywing/fleet_cut_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -46,9 +47,13 @@
 	maxFailures = 4
 )
 
-func (f *fleetEnv) startCutLoad() *cutLoad {
+// startCutLoad starts requests of all kinds, or those to some paths only.
+func (f *fleetEnv) startCutLoad(paths ...string) *cutLoad {
 	l := &cutLoad{f: f, stop: make(chan struct{}), results: map[int]*cutResults{}}
-	kinds := []struct{ path, model string }{{"/talk/x", smallModel}, {"/book/x", ""}, {"/talk/x", largeModel}, {"/book/look/x", ""}}
+	type kind struct{ path, model string }
+	kinds := slices.DeleteFunc([]kind{{"/talk/x", smallModel}, {"/book/x", ""}, {"/talk/x", largeModel}, {"/book/look/x", ""}}, func(k kind) bool {
+		return len(paths) > 0 && !slices.Contains(paths, k.path)
+	})
 	for entry := range f.entries {
 		l.done.Go(func() {
 			ticker := time.NewTicker(cutInterval)
@@ -115,9 +120,14 @@
 func (l *cutLoad) measure(d time.Duration) {
 	l.begin()
 	time.Sleep(d)
+	l.stopCounting()
+}
+
+// stopCounting leaves out the requests that are sent from now on.
+func (l *cutLoad) stopCounting() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.until = time.Now()
-	l.mu.Unlock()
 }
 
 // sum adds up the results of some hosts, once all requests have ended.
@@ -226,6 +236,41 @@
 	}
 }
 
+// TestFleetRequestsAsPathsBreak guards against requests that may be sent again and use up their attempts on lost paths before
+// the host has noticed the loss.
+func TestFleetRequestsAsPathsBreak(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		cut  standin.Cut
+	}{
+		{"silent", standin.CutSilent},
+		{"reset", standin.CutReset},
+		{"accepted and silent", standin.CutAcceptSilent},
+		{"accepted and reset", standin.CutAcceptReset},
+		{"accepted and closed", standin.CutAcceptClose},
+		{"open ones silent, new ones accepted and reset", standin.CutAcceptSilentThenReset},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			const hosts = 3
+			// The budget for requests that are sent again is not what is tested.
+			f := newFleetEnv(t, 3, 6, 20, withPaths, func(f *fleetEnv) { f.retryBurst = 1000 })
+			f.waitServing()
+			l := f.startCutLoad("/talk/x", "/book/look/x")
+			time.Sleep(time.Second)
+			l.begin()
+			time.Sleep(time.Second)
+			f.cutOff(hosts, tt.cut)
+			time.Sleep(time.Second)
+			l.stopCounting()
+			time.Sleep(cutGrace)
+			f.cutOff(hosts, standin.NoCut)
+			l.end()
+			l.checkServed(t, "sent in the second before the cut and in that after it", hosts)
+		})
+	}
+}
+
 // TestFleetCutBesideCrash guards against hosts that turn requests of cut-off hosts away because many servers have crashed, while
 // they serve their own.
 func TestFleetCutBesideCrash(t *testing.T) {
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -67,13 +67,16 @@
 // tryOnce makes the next attempt, and reports whether another one is to follow.
 func (r *callerRequest) tryOnce(ctx context.Context) bool {
 	g := r.gateway
+	if r.sends > 0 || r.unreachable > 0 {
+		r.awaitDoubt(ctx)
+	}
 	if r.isCutOff() {
 		return r.runForwarded(ctx)
 	}
 	now := g.clock.Now()
 	d, reservation := r.reserve(now)
 	if reservation == nil {
-		if r.waitForCapacity(ctx, d) {
+		if r.waitForCapacity(ctx, d) || r.awaitDoubt(ctx) {
 			return true
 		}
 		if ctx.Err() != nil {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -53,7 +53,7 @@
 	stopping     atomic.Bool
 
 	// mu guards the state on which requests are placed: balancer, observer, budgets, demand, waitEstimator,
-	// reach, answers, peers and intake.
+	// reach, answers, doubt, peers and intake.
 	mu       sync.Mutex
 	observer *quarantine.Observer
 	balancer *placement.Balancer
@@ -63,6 +63,8 @@
 	waitEstimator *placement.WaitEstimator
 	reach         reach.Tracker
 	answers       reach.Answers
+	// doubt is closed once the first round of a series has shown whether the paths are lost; nil at all other times.
+	doubt chan struct{}
 	// peers are the entry hosts that take requests of this one, and intake admits those of others.
 	peers  *forwarding.Peers
 	intake *forwarding.Intake
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -113,7 +113,7 @@
 	switch {
 	case g.stopping.Load():
 		return refusedStopping
-	case !g.hasSoundPaths():
+	case !g.hasSoundPaths() || g.isInDoubt():
 		return refusedCutOff
 	case g.lacksUpdate() || g.subscription.documentVersion() < offer.Version:
 		return refusedDocument
@@ -163,7 +163,7 @@
 		return &wire.ForwardReply{Reason: refusedCutOff}
 	}
 	reached, open := g.evidence(q)
-	missed := g.askServers(open)
+	missed := g.askServers(open, func() {})
 	for _, t := range open {
 		if !slices.ContainsFunc(missed, func(s wire.ServerAddress) bool { return s.ID == t.ID }) {
 			reached = append(reached, t.ID)
--- a/process/gateway/intake_test.go
+++ b/process/gateway/intake_test.go
@@ -44,6 +44,7 @@
 		{"of a host with a newer document", func(*Gateway) {}, 8, refusedDocument, true},
 		{"stopping", func(g *Gateway) { g.stopping.Store(true) }, 7, refusedStopping, false},
 		{"cut off", func(g *Gateway) { g.reach.Begin(g.clock.Now()); g.reach.Conclude(g.clock.Now(), lost) }, 7, refusedCutOff, false},
+		{"paths in doubt", func(g *Gateway) { g.doubt = make(chan struct{}) }, 7, refusedCutOff, true},
 		{"most servers crashed", func(g *Gateway) {
 			g.reach.Begin(g.clock.Now())
 			g.reach.Conclude(g.clock.Now(), reach.Round{Known: 60, Asked: 5, Reached: 1})
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -81,12 +82,50 @@
 func (g *Gateway) doubtPaths() {
 	g.mu.Lock()
 	due := g.balancer.Len() > 0 && g.reach.Begin(g.clock.Now())
+	if due {
+		g.doubt = make(chan struct{})
+	}
 	g.mu.Unlock()
 	if due {
 		go g.runRounds()
 	}
 }
 
+// endDoubt ends the doubt that doubtPaths began.
+func (g *Gateway) endDoubt() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.doubt != nil {
+		close(g.doubt)
+		g.doubt = nil
+	}
+}
+
+// isInDoubt reports whether it is open whether this host's paths are lost.
+func (g *Gateway) isInDoubt() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.doubt != nil
+}
+
+// maxDoubtWait bounds how long a request waits for the end of a round.
+const maxDoubtWait = queryTimeout + reachTimeout
+
+// awaitDoubt waits while it is open whether this host's paths are lost, and reports whether they are. Attempts that are made
+// meanwhile would be lost as well.
+func (r *callerRequest) awaitDoubt(ctx context.Context) bool {
+	g := r.gateway
+	g.mu.Lock()
+	doubt := g.doubt
+	g.mu.Unlock()
+	remaining := r.deadline.Sub(g.clock.Now()) - minAttemptTime
+	if doubt == nil || !r.mayAskOthers() || remaining <= 0 {
+		return false
+	}
+	awaitUpdate(ctx, doubt, min(remaining, maxDoubtWait))
+	return r.isCutOff()
+}
+
 // doubtIfSilent starts a round if requests have waited at most servers for silenceTimeout.
 func (g *Gateway) doubtIfSilent() {
 	g.mu.Lock()
@@ -116,6 +155,7 @@
 			}
 			g.subscription.wakeUp()
 		}
+		g.endDoubt()
 		g.logRound(r, state, changed)
 		if settled {
 			return
@@ -145,7 +185,12 @@
 func (p *pathRounds) run() reach.Round {
 	g := p.gateway
 	sample, known := g.sample(reach.SampleSize, nil)
-	missed := g.askServers(sample)
+	var answered atomic.Int64
+	missed := g.askServers(sample, func() {
+		if reach.RulesOutLoss(len(sample), int(answered.Add(1))) {
+			g.endDoubt()
+		}
+	})
 	r := reach.Round{Known: known, Asked: len(sample), Reached: len(sample) - len(missed)}
 	if r.Reached == 0 && p.elsewhere > 0 && g.clock.Now().Sub(p.askedAt) < elsewhereMemory {
 		r.Elsewhere = min(p.elsewhere, len(missed))
@@ -160,7 +205,7 @@
 		}
 		wide, _ := g.sample(reach.WideSampleSize, skip)
 		r.Asked += len(wide)
-		r.Reached += len(wide) - len(g.askServers(wide))
+		r.Reached += len(wide) - len(g.askServers(wide, func() {}))
 	}
 	others.Wait()
 	p.elsewhere, p.askedAt = r.Elsewhere, g.clock.Now()
@@ -249,8 +294,8 @@
 }
 
 // askServers asks servers for their status at the same time and returns those that didn't answer. The connections to the
-// others are kept for later requests.
-func (g *Gateway) askServers(targets []placement.Target) []wire.ServerAddress {
+// others are kept for later requests. answered is called for each answer, from several goroutines.
+func (g *Gateway) askServers(targets []placement.Target, answered func()) []wire.ServerAddress {
 	ctx, cancel := context.WithTimeout(g.ctx, queryTimeout)
 	defer cancel()
 	errs := make([]error, len(targets))
@@ -259,8 +304,11 @@
 		queries.Go(func() {
 			errs[i] = g.askServer(ctx, t)
 			g.mu.Lock()
-			defer g.mu.Unlock()
 			g.answers.RecordQuery(g.clock.Now(), t.ID, errs[i] == nil)
+			g.mu.Unlock()
+			if errs[i] == nil {
+				answered()
+			}
 		})
 	}
 	queries.Wait()
--- a/process/gateway/reach_test.go
+++ b/process/gateway/reach_test.go
@@ -117,7 +117,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			missed := newTestGateway(t).askServers([]placement.Target{{ID: "s", Address: tt.address}})
+			missed := newTestGateway(t).askServers([]placement.Target{{ID: "s", Address: tt.address}}, func() {})
 			if len(missed) != 1 || missed[0].Refused != tt.want {
 				t.Errorf("%+v, want one server, refused: %v", missed, tt.want)
 			}
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -30,6 +30,9 @@
 // showsSoundPaths reports whether servers are reached, and few that aren't are reached by others.
 func (r Round) showsSoundPaths() bool { return r.Reached > 0 && r.Reached >= majority*r.Elsewhere }
 
+// RulesOutLoss reports whether paths can't be lost by a round that asks some servers, once as many of them have answered.
+func RulesOutLoss(asked, answered int) bool { return asked-answered < majority*answered }
+
 // Tracker holds the state of the paths of one host. It is not safe for concurrent use.
 type Tracker struct {
 	state State
--- a/process/reach/tracker_test.go
+++ b/process/reach/tracker_test.go
@@ -98,3 +98,21 @@
 		})
 	}
 }
+
+// TestRulesOutLoss checks that requests wait for a round only while its outcome is open.
+func TestRulesOutLoss(t *testing.T) {
+	for asked := range SampleSize + 1 {
+		for answered := range asked + 1 {
+			var tr Tracker
+			now := time.Unix(100, 0)
+			tr.Begin(now)
+			tr.Conclude(now, Round{Known: 60, Asked: asked, Reached: answered, Elsewhere: asked - answered})
+			if got := RulesOutLoss(asked, answered); got && tr.State() == Lost {
+				t.Errorf("%d of %d answered: ruled out, and paths count as lost", answered, asked)
+			}
+		}
+	}
+	if !RulesOutLoss(SampleSize, 2) || RulesOutLoss(SampleSize, 1) {
+		t.Error("want two answers of five to rule out that paths are lost, and not one")
+	}
+}
