Offers in the tests of connection/forward name their host

Offers without one are invalid since daemons check each other's frames, so that the tests of kept connections, written beside that change, got no answers.

--- a/connection/forward/client_test.go
+++ b/connection/forward/client_test.go
@@ -79,7 +79,7 @@
 
 // handOver offers a request, sends it and reads its response.
 func handOver(c *Client, address string) error {
-	s, err := c.Offer(context.Background(), address, time.Second, wire.ForwardOffer{Bytes: 10})
+	s, err := c.Offer(context.Background(), address, time.Second, wire.ForwardOffer{Host: "h", Bytes: 10})
 	if err != nil {
 		return err
 	}
@@ -153,7 +153,7 @@
 	})
 	failed, lost := int64(0), int64(0)
 	for n := range requests {
-		s, err := client.Offer(context.Background(), address, time.Second, wire.ForwardOffer{})
+		s, err := client.Offer(context.Background(), address, time.Second, wire.ForwardOffer{Host: "h"})
 		if err != nil {
 			t.Fatal(err)
 		}
