A resumed stream is complete only with its last frame

`serve`: a stream that had begun and broke off ended as if it were complete when the engine answered the request to resume it with the end mark alone, or with text and the end mark.

Cause: lines that are no frames are skipped, and the end mark completes whatever came before it.

Change: after a resumption, the end mark counts only if a delivered frame has stated a finish reason, which the last one of a response has; otherwise the stream is resumed again, or ends with an error. Streams that are not resumed are as before.

--- a/request/attempt/attempt.go
+++ b/request/attempt/attempt.go
@@ -17,6 +17,9 @@
 	minResumeWait = time.Second
 )
 
+// errUnfinished is returned for a resumed stream that ends without the frame that states why.
+var errUnfinished = errors.New("the resumed stream lacks its last frame")
+
 // Attempt is one attempt of a request at one backend server.
 type Attempt struct {
 	backend     savorywing.Backend
@@ -27,6 +30,8 @@
 	frames      *frames
 	idleTimeout time.Duration
 	resumes     int
+	// hasFinished reports whether a delivered frame has stated why the response ends.
+	hasFinished bool
 }
 
 // Option sets an optional part of an Attempt.
@@ -92,12 +97,16 @@
 func (a *Attempt) read() (Frame, error) {
 	for {
 		f, err := a.frames.next()
+		if errors.Is(err, io.EOF) && a.resumes > 0 && !a.hasFinished {
+			return f, fmt.Errorf("Attempt.read: after %d frames: %w", a.sequence.NextOffset(), errUnfinished)
+		}
 		if err != nil {
 			return f, err
 		}
 		switch v := a.sequence.Check(f.ID, f.Sequence); v {
 		case Deliver:
 			a.response.Stream.SetIdleTimeout(a.idleTimeout)
+			a.hasFinished = a.hasFinished || f.FinishReason() != ""
 			return f, nil
 		case Drop:
 			continue
