`serve` checks idle connections and responses of backend servers like `run`

`serve`: a request that may be repeated was lost, and counted against its budget, when it met a connection on which a backend server had repeated a refusal or that it had closed while idle; so were polls and orders. A server that sent 102 or 103 lost its response. A success marked as not run counted as proof, so that a request that may run once went to a second server.

Cause: connections from the pool were used as they were; only status 100 was skipped, once; the mark counted with any status.

A refusal repeated after the request was written ends as "unknown", as before: attempt IDs are the system's own, so it can't be taken for that of another request, and a request that may run once always has a new connection.

Change: a connection on which something has arrived, or that has ended, is closed and the next one taken; up to 4 headers below 200 are read before the response; a success with the mark is an error after which the request may have run.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -37,6 +37,9 @@
 var (
 	errWrongAttempt = errors.New("the response carries another attempt ID")
 	errTooLong      = errors.New("the response is too long")
+	errNoResponse   = errors.New("got informational responses only")
+	// errContradiction means that a response reports success and that the request has not run.
+	errContradiction = errors.New("the response contradicts itself")
 )
 
 // Client sends requests to backend servers. It never retries a request by itself.
@@ -61,17 +64,22 @@
 
 // connect returns a connection to an address, and whether it comes from the pool.
 func (c *Client) connect(ctx context.Context, address string, newConnection bool) (*link, bool, error) {
-	if !newConnection {
-		if l := c.pool.take(address); l != nil {
+	for !newConnection {
+		l := c.pool.take(address)
+		if l == nil {
+			break
+		}
+		if l.isUsable() {
 			l.hasWritten = false
 			return l, true, nil
 		}
+		_ = l.Close()
 	}
 	conn, err := dialTCP(ctx, address)
 	if err != nil {
 		return nil, false, err
 	}
-	l := &link{Conn: StrictConn{Conn: conn}, client: c}
+	l := &link{Conn: StrictConn{Conn: conn}, socket: conn, client: c}
 	l.reader = newReader(l)
 	return l, false, nil
 }
@@ -123,20 +131,43 @@
 	}
 	l.idleTimeout = call.FirstByteTimeout
 	resp := &fasthttp.Response{StreamBody: true}
-	if err := resp.ReadLimitBody(l.reader, maxResponseBytes); err != nil {
+	if err := readResponse(l, resp); err != nil {
 		return savorywing.BackendResponse{}, fmt.Errorf("reading the response: %w", err)
 	}
 	if got := string(resp.Header.Peek(HeaderAttemptID)); got != string(call.AttemptID) {
 		return savorywing.BackendResponse{}, errWrongAttempt
 	}
+	notRun := len(resp.Header.Peek(HeaderNotRun)) > 0
+	if notRun && resp.StatusCode() < fasthttp.StatusBadRequest {
+		return savorywing.BackendResponse{}, errContradiction
+	}
 	return savorywing.BackendResponse{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
-		NotRun:      len(resp.Header.Peek(HeaderNotRun)) > 0,
+		NotRun:      notRun,
 		Stream:      &stream{pool: c.pool, link: l, address: t.Address, resp: resp},
 	}, nil
 }
 
+// maxInformational bounds the informational responses that are skipped before one response.
+const maxInformational = 4
+
+// readResponse reads the header of a response, and the beginning of its body, after those of informational responses.
+func readResponse(l *link, resp *fasthttp.Response) error {
+	for range maxInformational {
+		if err := resp.Header.Read(l.reader); err != nil {
+			return err
+		}
+		switch status := resp.StatusCode(); {
+		case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+			return nil
+		case status >= fasthttp.StatusOK:
+			return resp.ReadBody(l.reader, maxResponseBytes)
+		}
+	}
+	return errNoResponse
+}
+
 func writeRequest(l *link, t savorywing.Target, call savorywing.Call) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
--- a/connection/backend/pool.go
+++ b/connection/backend/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/socket"
 )
 
 const (
@@ -18,6 +19,8 @@
 type link struct {
 	net.Conn
 
+	// socket is the connection below Conn.
+	socket net.Conn
 	client *Client
 	// idleTimeout bounds the wait for bytes in each read.
 	idleTimeout time.Duration
@@ -44,6 +47,12 @@
 	return l.Conn.Write(p)
 }
 
+// isUsable reports whether the backend server has neither closed an idle connection nor sent anything on it.
+func (l *link) isUsable() bool {
+	input, err := socket.Peek(l.socket)
+	return err == nil && input == socket.InputNone
+}
+
 // pool keeps idle connections by address.
 type pool struct {
 	clock savorywing.Clock
