A response without content is complete

`serve`: a plain service's 204 reached its caller as an error with the code "unknown", though the request had been served.

Cause: such a response states neither a length nor chunks, which counts as a body of unknown end.

Evidence: TestNoContent, new; before, the first response ends with "neither a content length nor chunked encoding".

Change: 204 and 304 never have a body, so they are complete with their header, and their connection carries the next request.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -159,7 +159,7 @@
 			return err
 		}
 		switch status := resp.StatusCode(); {
-		case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		case hasNoBody(status):
 			return nil
 		case status >= fasthttp.StatusOK:
 			return resp.ReadBody(l.reader, maxResponseBytes)
@@ -168,6 +168,11 @@
 	return errNoResponse
 }
 
+// hasNoBody reports whether responses with a status never have a body, whatever their header states.
+func hasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
 func writeRequest(l *link, t savorywing.Target, call savorywing.Call) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -209,6 +214,10 @@
 // Read returns io.EOF only at the end of the body as stated by its length or by the final chunk. A body of more than
 // maxResponseBytes is an error.
 func (s *stream) Read(p []byte) (int, error) {
+	if hasNoBody(s.resp.StatusCode()) {
+		s.ended = true
+		return 0, io.EOF
+	}
 	if s.resp.Header.ContentLength() < -1 {
 		return 0, errors.New("the response has neither a content length nor chunked encoding")
 	}
--- a/connection/backend/repeated_response_test.go
+++ b/connection/backend/repeated_response_test.go
@@ -132,3 +132,19 @@
 		}
 	}
 }
+
+// TestNoContent guards against responses without a body that count as lost.
+func TestNoContent(t *testing.T) {
+	s := &scriptedServer{texts: []string{"HTTP/1.1 204 No Content\r\nX-Request-Id: ID\r\n\r\n", served}}
+	address, c := s.start(t), New(clock.System{})
+	for n, want := range []string{"", "done"} {
+		response, err := c.Send(context.Background(), savorywing.Target{Address: address}, savorywing.Call{AttemptID: savorywing.NewID(), Method: "POST", Path: "/x", FirstByteTimeout: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(response.Stream); err != nil || string(body) != want {
+			t.Errorf("request %d: body %q, error %v, want %q", n+1, body, err, want)
+		}
+		_ = response.Stream.Close()
+	}
+}
