What another host hands back is checked before it reaches the caller

With an older build at the host that had taken a stream over, or a fault there, a caller could get the text of an error, events again, or a part of an event in its stream, and the stream as complete.

Cause: the host that has the caller's connection scanned the parts for the last event only, and passed them on whatever the scan had found.

Evidence: TestForwardedParts, new, 18 rows; before, 7 fail: the text of an error with the header, in the middle and at the end, a missing event, events again, a stream from the beginning, a part of an event. The other 11 passed: headers and errors in place of a continuation, declined requests, sessions that end, and responses that are no streams.

Change: a part of a stream is passed on only if it consists of complete events that continue it; otherwise its session ends as one whose response was lost, so that the stream is resumed or ends with an error.

After: 18 of 18 rows pass, three runs with the race detector.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -268,11 +268,15 @@
 	return r.relayBuffered(ctx, response, d)
 }
 
-// isStream reports whether a response is a stream of events. Servers may leave out the content type.
+// isStream reports whether a response is a stream of events that a server has made.
 func (r *callerRequest) isStream(response *engine.Response) bool {
-	h := &response.Header
-	return r.route.Kind == catalogue.Streaming && h.StatusCode() == fasthttp.StatusOK && response.Metadata.Signed && !response.Metadata.NotRun &&
-		(len(h.ContentType()) == 0 || isEventStream(h))
+	return r.route.Kind == catalogue.Streaming && response.Metadata.Signed && !response.Metadata.NotRun && r.statesStream(&response.Header)
+}
+
+// statesStream reports whether a header is that of a stream of events. Servers may leave out the content type.
+func (r *callerRequest) statesStream(h *fasthttp.ResponseHeader) bool {
+	isStreaming := r.route != nil && r.route.Kind == catalogue.Streaming
+	return h.StatusCode() == fasthttp.StatusOK && (isEventStream(h) || (isStreaming && len(h.ContentType()) == 0))
 }
 
 // recordNotice applies what a response states about its server. The leader is told with the next usage report, which
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -16,7 +16,6 @@
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
-	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -222,7 +221,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", errDeclined, err)
 	}
-	response := forwardedResponse{request: r}
+	response := forwardedResponse{request: r, isStream: r.exchange.Started()}
 	for {
 		silence := max(minAttemptTime, r.deadline.Sub(g.clock.Now())+forwardSilence)
 		if r.isRetryable() {
@@ -251,6 +250,8 @@
 	// bounded reports whether the body has a length, of which left bytes are to come. left is never negative.
 	bounded bool
 	left    int
+	// isStream reports whether the response is a stream of events.
+	isStream bool
 }
 
 var errUnexpectedPart = errors.New("a part that isn't expected")
@@ -267,7 +268,9 @@
 	if err := f.count(part); err != nil {
 		return err
 	}
-	f.request.recordForwardedEvents(part.Body)
+	if err := f.recordEvents(part); err != nil {
+		return err
+	}
 	if part.End {
 		return x.Finish(part.Body)
 	}
@@ -286,13 +289,15 @@
 		return fmt.Errorf("%w: %w", errForwardLost, errors.Join(errors.New("an unexpected header"), err))
 	}
 	h.SetNoDefaultContentType(true)
-	f.status = h.StatusCode()
+	f.status, f.isStream = h.StatusCode(), r.statesStream(&h)
 	// A response to HEAD has the length of a body that it doesn't have.
 	f.bounded, f.left = part.Length >= 0 && !httpRequest(r).Header.IsHead(), max(part.Length, 0)
 	if err := f.count(part); err != nil {
 		return err
 	}
-	r.recordForwardedEvents(part.Body)
+	if err := f.recordEvents(part); err != nil {
+		return err
+	}
 	if err := r.exchange.Start(&h, part.Length, part.Body); err != nil {
 		return err
 	}
@@ -302,6 +307,14 @@
 	return nil
 }
 
+// recordEvents records the events of a part of a stream.
+func (f *forwardedResponse) recordEvents(part wire.ForwardedPart) error {
+	if !f.isStream {
+		return nil
+	}
+	return f.request.recordForwardedEvents(part.Body)
+}
+
 // count counts a part's bytes. A body with a length must have neither more nor fewer bytes.
 func (f *forwardedResponse) count(part wire.ForwardedPart) error {
 	if !f.bounded {
@@ -314,13 +327,16 @@
 	return nil
 }
 
-// recordForwardedEvents records which events have been passed on, so that another host can resume the stream after them.
-// Each part of a stream consists of complete events.
-func (r *callerRequest) recordForwardedEvents(body []byte) {
-	if r.route == nil || r.route.Kind != catalogue.Streaming {
-		return
+// recordForwardedEvents records which events are passed on, so that another host can resume the stream after them. Each part
+// of a stream consists of complete events that continue it.
+func (r *callerRequest) recordForwardedEvents(body []byte) error {
+	scan, err := scanEvents(body, r.lastEventID)
+	if err == nil && scan.complete < len(body) {
+		err = errNoEventEnd
 	}
-	if scan, err := scanEvents(body, r.lastEventID); err == nil {
-		r.lastEventID = scan.lastID
+	if err != nil {
+		return fmt.Errorf("%w: callerRequest.recordForwardedEvents: %w", errForwardLost, err)
 	}
+	r.lastEventID = scan.lastID
+	return nil
 }
--- /dev/null
+++ b/process/gateway/forward_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing/connection/forward"
+	"savorywing.example/savorywing/wire"
+)
+
+// offerTo returns a session with a host that has accepted an offer, and that serves what follows with a function.
+func offerTo(t *testing.T, g *Gateway, serve func(c *forward.Conn)) *forward.Session {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		u := websocket.FastHTTPUpgrader{}
+		if err := u.Upgrade(ctx, func(ws *websocket.Conn) {
+			c := forward.NewConn(ws)
+			if _, err := c.Receive(time.Second); err == nil && c.Send(wire.Frame{ForwardReply: &wire.ForwardReply{}}) == nil {
+				serve(c)
+			}
+			_ = c.Close()
+		}); err != nil {
+			t.Error(err)
+		}
+	}}
+	go func() { _ = s.Serve(l) }()
+	client := forward.NewClient(g.clock, func(ctx context.Context, address string) (*forward.Conn, error) {
+		ws, resp, err := websocket.DefaultDialer.DialContext(ctx, "ws://"+address+forward.Path, nil)
+		if err != nil {
+			return nil, err
+		}
+		_ = resp.Body.Close()
+		return forward.NewConn(ws), nil
+	})
+	session, err := client.Offer(context.Background(), l.Addr().String(), time.Second, wire.ForwardOffer{Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(session.Close)
+	return session
+}
+
+// TestForwardedParts guards against bytes that another host hands back and that don't belong to the caller's stream.
+func TestForwardedParts(t *testing.T) {
+	head := func(status int, contentType string) []byte {
+		h := &fasthttp.ResponseHeader{}
+		h.SetStatusCode(status)
+		h.SetContentType(contentType)
+		h.SetContentLength(-1)
+		return append([]byte{}, h.Header()...)
+	}
+	const busy = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\r\nbusy\n"
+	stream := head(fasthttp.StatusOK, "text/event-stream")
+	begun := wire.ForwardedPart{Header: stream, Length: -1, Body: []byte(eventRange(0, 1))}
+	part := func(text string) wire.ForwardedPart { return wire.ForwardedPart{Body: []byte(text)} }
+	end := wire.ForwardedPart{End: true}
+	for _, tt := range []struct {
+		name string
+		// resumed reports whether the caller has the first two events from another host.
+		resumed bool
+		parts   []wire.ForwardedPart
+		want    string
+		err     error
+	}{
+		{"a stream", false, []wire.ForwardedPart{begun, part(eventRange(2, 3)), {}, end}, eventRange(0, 3), nil},
+		{"resumed", true, []wire.ForwardedPart{part(eventRange(2, 3)), end}, eventRange(0, 3), nil},
+		{"resumed, no event is left", true, []wire.ForwardedPart{end}, eventRange(0, 1), nil},
+		{"resumed, a header", true, []wire.ForwardedPart{begun, end}, eventRange(0, 1), errForwardLost},
+		{"resumed, an error", true, []wire.ForwardedPart{{Header: head(503, "text/plain"), Length: 4, Body: []byte("busy"), End: true}}, eventRange(0, 1), errForwardLost},
+		{"resumed, declined", true, []wire.ForwardedPart{{Declined: "cutOff", End: true}}, eventRange(0, 1), errDeclined},
+		{"a header again", false, []wire.ForwardedPart{begun, begun, end}, eventRange(0, 1), errForwardLost},
+		{"the text of an error", false, []wire.ForwardedPart{begun, part(busy), end}, eventRange(0, 1), errForwardLost},
+		{"the text of an error at the end", false, []wire.ForwardedPart{begun, {Body: []byte(busy), End: true}}, eventRange(0, 1), errForwardLost},
+		{"the text of an error with the header", false, []wire.ForwardedPart{{Header: stream, Length: -1, Body: []byte(busy)}, end}, "", errForwardLost},
+		{"a missing event", false, []wire.ForwardedPart{begun, part(eventRange(3, 3)), end}, eventRange(0, 1), errForwardLost},
+		{"events again", false, []wire.ForwardedPart{begun, part(eventRange(1, 2)), end}, eventRange(0, 1), errForwardLost},
+		{"resumed, from the beginning", true, []wire.ForwardedPart{part(eventRange(0, 3)), end}, eventRange(0, 1), errForwardLost},
+		{"a part of an event", false, []wire.ForwardedPart{begun, part("id: 2\ndata"), end}, eventRange(0, 1), errForwardLost},
+		{"ended", false, []wire.ForwardedPart{begun}, eventRange(0, 1), errForwardLost},
+		{"ended before the response", false, nil, "", errForwardLost},
+		{"another content", false, []wire.ForwardedPart{{Header: head(200, "application/json"), Length: 2, Body: []byte("{}"), End: true}}, "{}", nil},
+		{"a failure", false, []wire.ForwardedPart{{Header: head(500, "text/plain"), Length: 4, Body: []byte("fail"), End: true}}, "fail", nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			g := newTestGateway(t)
+			s := offerTo(t, g, func(c *forward.Conn) {
+				if f, err := c.Receive(time.Second); err != nil || f.ForwardedRequest == nil || f.ForwardedRequest.Resumed != tt.resumed {
+					t.Errorf("got %+v, error %v", f, err)
+				}
+				for _, p := range tt.parts {
+					if err := c.Send(wire.Frame{ForwardedPart: &p}); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+			x := &recordedExchange{arrival: g.clock.Now()}
+			r := g.newRequest(x)
+			r.route = &streamingRoute
+			if tt.resumed {
+				x.started, x.remaining, r.lastEventID = true, -1, 1
+				x.body.WriteString(eventRange(0, 1))
+			}
+			_, err := r.exchangeForwarded(s)
+			if !errors.Is(err, tt.err) || (err != nil) != (tt.err != nil) || x.body.String() != tt.want || x.complete != (tt.err == nil) {
+				t.Errorf("error %v, complete %v, body %q, want %v, %q", err, x.complete, x.body.String(), tt.err, tt.want)
+			}
+		})
+	}
+}
