Proofs of what a response may be taken for

The proof "unsigned responses are not passed on" named TestFleetEndlessResponses, which passes with the mechanism switched off, also on (two runs): another server serves the request. It names TestRefusalWithoutProof now, with a new row for a request that may run once; that fails when switched off, and passes as the code is.

--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -355,6 +355,7 @@
 		{"no ID", refused + notRunField + empty, fasthttp.StatusBadGateway, 1},
 		{"success", okHead + signedField + notRunField + empty, fasthttp.StatusBadGateway, 1},
 		{"unsigned success", okHead + unsignedField + notRunField + empty, fasthttp.StatusBadGateway, 1},
+		{"success without the mark, unsigned", okHead + unsignedField + "Content-Length: 4\r\n\r\nfake", fasthttp.StatusBadGateway, 1},
 		{"informational", "HTTP/1.1 103 Early Hints\r\n" + unsignedField + notRunField + "\r\nCLOSE", fasthttp.StatusBadGateway, 1},
 		{"two responses in one header", okHead + signedField + refused + unsignedField + notRunField + empty, fasthttp.StatusBadGateway, 1},
 		{"two IDs", refused + unsignedField + strings.ReplaceAll(unsignedField, "ID", "n2") + notRunField + empty, fasthttp.StatusBadGateway, 1},
