soak: planned stops of entry hosts in series, under requests on kept connections

The soak stopped entry hosts one at a time, and its callers counted a request without an answer as failed, whatever had happened. It now stops and restarts them in series that overlap with each other and with other faults, with SIGHUP and a second SIGTERM meanwhile. Requests are sent on connections that were open before, half of them within 4 ms of the close. A caller sends if it can't see the close yet.

Checked: such a request gets an answer unless its host was killed or frozen; responses with 408, 429 and 503 are true, as for others; the process exits in time and with code 0.

It runs daemons by savorywing run, as before; it has never run savorywing serve.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -85,25 +85,27 @@
 	switch kind {
 	case 0:
 		r.recordFault("%s is frozen for %v", p.name, d)
+		p.disruptions.Add(1)
 		p.signal(syscall.SIGSTOP)
 		r.scheduleRepair(d, func() {
 			p.signal(syscall.SIGCONT)
+			p.disruptions.Add(1)
 			r.release(p)
 		})
 	case 1:
 		r.recordFault("%s is stopped with SIGTERM", p.name)
 		r.scheduleRepair(0, func() {
-			if !p.end(syscall.SIGTERM, gracePeriod+2*time.Second) {
-				r.recordViolation("%s did not exit in time after SIGTERM", p.name)
-			}
+			r.stopPlanned(p)
 			r.restart(p, d)
 		})
 	case 2:
 		r.recordFault("%s is killed", p.name)
+		p.disruptions.Add(1)
 		p.end(syscall.SIGKILL, time.Second)
 		r.scheduleRepair(0, func() { r.restart(p, d) })
 	default:
 		r.recordFault("%s is killed and loses its data", p.name)
+		p.disruptions.Add(1)
 		p.end(syscall.SIGKILL, time.Second)
 		if err := p.deleteData(); err != nil {
 			r.recordViolation("%v", err)
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -18,11 +19,15 @@
 	control                     bool
 	// faulty reports whether a fault on the process is not repaired yet. Guarded by run.mu.
 	faulty bool
+	// disruptions counts the beginnings and ends of faults that may leave requests without an answer.
+	disruptions atomic.Int64
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
 	frozen bool
+	// exitCode is that of the last process that has exited; -1 if a signal ended it.
+	exitCode int
 }
 
 func (p *process) start(first bool) error {
@@ -48,8 +53,11 @@
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.frozen = cmd, exited, false
 	go func() {
-		_ = cmd.Wait() // the log shows how it ended
+		_ = cmd.Wait() // the exit code and the log show how it ended
 		_ = out.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.exitCode = cmd.ProcessState.ExitCode()
 		close(exited)
 	}()
 	return nil
@@ -66,20 +74,41 @@
 // end sends a signal and waits for the process to exit. It kills the process after the given time, and reports whether
 // the process exited before that.
 func (p *process) end(s syscall.Signal, within time.Duration) bool {
+	exited := p.exit()
 	p.signal(s)
 	select {
-	case <-p.exited:
+	case <-exited:
 		return true
 	case <-time.After(within):
+		p.disruptions.Add(1)
 		p.signal(syscall.SIGKILL)
-		<-p.exited
+		<-exited
 		return false
 	}
 }
 
+// exit returns a channel that is closed when the process exits.
+func (p *process) exit() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+func (p *process) isFrozen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.frozen
+}
+
+func (p *process) lastExitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exitCode
+}
+
 func (p *process) running() bool {
 	select {
-	case <-p.exited:
+	case <-p.exit():
 		return false
 	default:
 		return true
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -38,7 +38,10 @@
 	Served     int64
 	Rejected   int64
 	Failed     int64
-	Faults     []string
+	// Crossing counts the requests that were sent on connections of hosts during their planned stops, all of which must be
+	// answered.
+	Crossing int64
+	Faults   []string
 }
 
 const (
@@ -79,6 +82,7 @@
 	lastRequestID                 atomic.Uint64
 	nextServer                    int
 	served, rejected, failedCalls atomic.Int64
+	crossing                      atomic.Int64
 }
 
 // Run runs the soak with one seed. It returns an error if the daemons or the fleet can't be started.
@@ -105,7 +109,10 @@
 		defer work.Done()
 		r.runOperator()
 	}()
+	var stops sync.WaitGroup
+	stops.Go(r.runPlannedStops)
 	r.injectFaults()
+	stops.Wait()
 	r.repairs.Wait()
 	ok := r.servesAll(recoveryTimeout)
 	close(r.stop)
@@ -122,7 +129,7 @@
 	defer r.mu.Unlock()
 	return Result{
 		Violations: append(r.fleet.Violations(), r.violations...), Faults: r.faults,
-		Served: r.served.Load(), Rejected: r.rejected.Load(), Failed: r.failedCalls.Load(),
+		Served: r.served.Load(), Rejected: r.rejected.Load(), Failed: r.failedCalls.Load(), Crossing: r.crossing.Load(),
 	}
 }
 
@@ -241,7 +248,7 @@
 func (r *run) servesAll(within time.Duration) bool {
 	deadline := time.Now().Add(within)
 	for i := range r.cfg.Entry {
-		for _, call := range []request{{path: "/talk/x", model: largeModel}, {path: "/talk/x", model: smallModel}, {path: "/book/x"}} {
+		for _, call := range calls {
 			for !r.send(i, call).ok {
 				if time.Now().After(deadline) {
 					return false
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -58,7 +58,7 @@
 			}
 			return
 		}
-		t.Logf("seed %d: %d faults, %d served, %d rejected, %d failed", seed, len(r.Faults), r.Served, r.Rejected, r.Failed)
+		t.Logf("seed %d: %d faults, %d served, %d rejected, %d failed, %d during planned stops", seed, len(r.Faults), r.Served, r.Rejected, r.Failed, r.Crossing)
 	}
 }
 
