--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -50,7 +50,7 @@
 
 // injectFaults injects faults, which may overlap, for FaultDuration.
 func (r *run) injectFaults() {
-	for time.Since(r.start) < r.cfg.FaultDuration {
+	for time.Now().Before(r.faultsUntil) {
 		time.Sleep(time.Duration(r.random.ExpFloat64() * float64(meanFaultInterval)))
 		length := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		switch x := r.random.IntN(10); {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -69,8 +69,10 @@
 	relays    []*relay
 	fleet     *fleet.Fleet
 	start     time.Time
-	repairs   sync.WaitGroup
-	stop      chan struct{}
+	// faultsUntil is until when faults and planned stops begin.
+	faultsUntil time.Time
+	repairs     sync.WaitGroup
+	stop        chan struct{}
 
 	mu         sync.Mutex
 	violations []string
@@ -109,6 +111,7 @@
 		defer work.Done()
 		r.runOperator()
 	}()
+	r.faultsUntil = time.Now().Add(cfg.FaultDuration)
 	var stops sync.WaitGroup
 	stops.Go(r.runPlannedStops)
 	r.injectFaults()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -44,7 +44,7 @@
 		t.Fatalf("%v\n%s", err, out)
 	}
 	for _, seed := range seeds(t) {
-		r, err := Run(Config{Binary: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: 8 * time.Second, Control: 3, Entry: 2, Engines: 20,
+		r, err := Run(Config{Binary: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: 6 * time.Second, Control: 3, Entry: 2, Engines: 20,
 			Callers: 6, Subnet: 91, Dialect: platform.Dialect{}})
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
--- a/bench/soak/stops.go
+++ b/bench/soak/stops.go
@@ -33,7 +33,7 @@
 	random := rand.New(rand.NewPCG(r.cfg.Seed, ^r.cfg.Seed))
 	for {
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanStopInterval)))
-		if time.Since(r.start) >= r.cfg.FaultDuration {
+		if !time.Now().Before(r.faultsUntil) {
 			return
 		}
 		hosts := r.entries()
