Losses are reported to a new leader at once

Hosts told a new leader of earlier losses with their next regular report, up to 400 ms later if they were idle.

Test: the first answer of a new leader asks for a report (TestLossesForNewLeader: this check failed, passes).

--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -272,16 +272,16 @@
 	return out
 }
 
-// Apply applies a leader's update, and reports whether parts are listed that weren't before and of which survivals are
-// known here. The list of a new leader
+// Apply applies a leader's update, and reports whether the leader waits for a report: parts are listed that weren't before and of
+// which survivals are known here, or a new leader doesn't know the losses here. The list of a new leader
 // holds from its first answer to a report of this host, which contained what is known here.
 func (o *Observer) Apply(now time.Time, u wire.FleetUpdate) bool {
 	if u.Term < o.term || (u.Term > o.term && u.Echo == 0) {
 		return false
 	}
-	o.acknowledgeLosses(u)
+	isNew := o.acknowledgeLosses(now, u)
 	o.term = u.Term
-	listed, isNew := make(map[wire.PartKey]listedPart, len(u.Quarantine)), false
+	listed := make(map[wire.PartKey]listedPart, len(u.Quarantine))
 	for _, p := range u.Quarantine {
 		if _, known := o.listed[p.Key]; !known && !o.survival(p.Key).IsZero() {
 			isNew = true
@@ -300,14 +300,17 @@
 	return isNew
 }
 
-// acknowledgeLosses records which losses the leader knows. A new one knows only those in reports that it has answered.
-func (o *Observer) acknowledgeLosses(u wire.FleetUpdate) {
+// acknowledgeLosses records which losses the leader knows, and reports whether a new one doesn't know all that the one before it
+// knew. A new one knows only those in reports that it has answered.
+func (o *Observer) acknowledgeLosses(now time.Time, u wire.FleetUpdate) (forgotten bool) {
 	for _, l := range o.losses {
 		switch {
 		case l.sentAt != 0 && u.Echo >= l.sentAt:
 			l.sentAt, l.acknowledged = 0, true
 		case u.Term > o.term:
+			forgotten = forgotten || (l.acknowledged && now.Sub(l.at) <= lossRetention)
 			l.sentAt, l.acknowledged = 0, false
 		}
 	}
+	return forgotten
 }
--- a/process/quarantine/observer_test.go
+++ b/process/quarantine/observer_test.go
@@ -112,18 +112,22 @@
 		after time.Duration
 		// update is applied before the report.
 		update wire.FleetUpdate
+		// urgent is whether the leader waits for the report.
+		urgent bool
 		want   string
 	}{
-		{"no leader knows", 0, wire.FleetUpdate{}, "ab"},
-		{"the leader knows", time.Second, wire.FleetUpdate{Term: 1, Echo: 1}, ""},
-		{"a new leader that has answered no report", time.Second, wire.FleetUpdate{Term: 2}, ""},
-		{"a new leader's first answer", time.Second, wire.FleetUpdate{Term: 2, Echo: 4}, "ab"},
-		{"an answer of the leader before it", time.Second, wire.FleetUpdate{Term: 1, Echo: 4}, "ab"},
-		{"an answer to a report before that", time.Second, wire.FleetUpdate{Term: 2, Echo: 4}, "ab"},
-		{"the new leader knows", time.Second, wire.FleetUpdate{Term: 2, Echo: 6}, ""},
-		{"another leader, long after", lossRetention + time.Second, wire.FleetUpdate{Term: 3, Echo: 7}, ""},
+		{"no leader knows", 0, wire.FleetUpdate{}, false, "ab"},
+		{"the leader knows", time.Second, wire.FleetUpdate{Term: 1, Echo: 1}, false, ""},
+		{"a new leader that has answered no report", time.Second, wire.FleetUpdate{Term: 2}, false, ""},
+		{"a new leader's first answer", time.Second, wire.FleetUpdate{Term: 2, Echo: 4}, true, "ab"},
+		{"an answer of the leader before it", time.Second, wire.FleetUpdate{Term: 1, Echo: 4}, false, "ab"},
+		{"an answer to a report before that", time.Second, wire.FleetUpdate{Term: 2, Echo: 4}, false, "ab"},
+		{"the new leader knows", time.Second, wire.FleetUpdate{Term: 2, Echo: 6}, false, ""},
+		{"another leader, long after", lossRetention + time.Second, wire.FleetUpdate{Term: 3, Echo: 7}, false, ""},
 	} {
-		o.Apply(start.Add(tt.after), tt.update)
+		if got := o.Apply(start.Add(tt.after), tt.update); got != tt.urgent {
+			t.Errorf("%s: the leader waits: %v, want %v", tt.name, got, tt.urgent)
+		}
 		sentAt++
 		if got := report(start.Add(tt.after), sentAt); got != tt.want {
 			t.Errorf("%s: losses of %q, want of %q", tt.name, got, tt.want)
