serve, dev: SIGHUP doesn't end the process

Callers saw: SIGHUP, which no one handled, ended a daemon of serve or dev at once, before and during a planned stop, and cut off all its requests.

Evidence: TestServeSignals, two of its three cases failing before (4 of 4 requests in flight without an answer in each, exit code -1); a second SIGTERM changed nothing before either.

Change: SIGHUP is logged and changes nothing. serve reads its settings at the start, so there is nothing to reload. dev runs the same function.

After: all three cases pass.

--- a/cmd/savorywing/serve.go
+++ b/cmd/savorywing/serve.go
@@ -54,8 +54,29 @@
 	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("host", s.Daemon.Host).Logger(), nil
 }
 
-// runDaemon runs a daemon until SIGTERM or SIGINT and then stops it gracefully, waiting at most stopWithin. If
-// started is not nil, it is called once the daemon has started; its error stops the daemon.
+// ignoreHangups logs SIGHUP until stop is called. By default the signal would end the process with the requests in flight.
+func ignoreHangups(log zerolog.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ended := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				log.Info().Msg("SIGHUP changes nothing: the settings are read at the start")
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(ended)
+	}
+}
+
+// runDaemon runs a daemon until SIGTERM or SIGINT and then stops it gracefully, waiting at most stopWithin. Further signals
+// change nothing. If started is not nil, it is called once the daemon has started; its error stops the daemon.
 func runDaemon(ctx context.Context, s *settings.Settings, stopWithin time.Duration, started func() error) error {
 	if ctx == nil {
 		ctx = context.Background()
@@ -66,6 +87,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	defer ignoreHangups(log)()
 	d, err := daemon.New(s, clock.System{}, log)
 	if err != nil {
 		return err
