No requests are sent to a daemon as to a backend server

What callers saw: a report of another writer with the address at which an entry host accepts callers made entry hosts send it requests, which came back without the caller's key: of 200 requests on a fleet of two entry hosts 18 failed, 8 with status 401 and 10 with 502.

Cause: nothing knew that the address isn't a backend server's.

Change: entry hosts state their listen addresses in usage reports, control hosts theirs in their presence. The leader has no endpoint with such an address, and control hosts ignore reports with one, logged once for each server. An address counts until a minute after it was last stated. Hosts of earlier versions state none, so that requests may reach them as before.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -19,6 +19,7 @@
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/forwarding"
+	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
@@ -80,10 +81,12 @@
 	leaderControl atomic.Pointer[string]
 
 	// The fields below are used by the goroutine of run only.
-	table          *fleet.Table
-	reconciler     *formation.Reconciler
-	entryHosts     map[string]*entryHostState
-	presence       map[string]peerPresence
+	table      *fleet.Table
+	reconciler *formation.Reconciler
+	entryHosts map[string]*entryHostState
+	presence   map[string]peerPresence
+	// daemons holds when each address of a daemon of the system was last stated.
+	daemons        map[string]time.Time
 	pendingReports []wire.Report
 	flushAt        time.Time
 	// endpoints holds the endpoints last sent to entry hosts, with the revision at which each one was changed or removed.
@@ -114,6 +117,8 @@
 	lastStep    time.Time
 	changed     bool
 	nextSummary time.Time
+	// invalidReports limits the log lines about each server that reports an address of a daemon.
+	invalidReports *logging.Repeats
 	// unreadable is the version of the last document that could not be decoded here.
 	unreadable uint64
 	// loggedDropped is how many dropped events have been logged.
@@ -143,6 +148,7 @@
 		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, urgent: queue.New[event](urgentQueueSize),
 		reports: queue.NewMailbox[string, reportEvent](maxWaitingReports), usage: queue.NewMailbox[string, wire.Usage](maxWaitingUsage),
 		table: fleet.NewTable(), totals: fleet.NewTotals(), endpoints: newEndpointLog(), entryHosts: map[string]*entryHostState{}, presence: map[string]peerPresence{},
+		daemons: map[string]time.Time{}, invalidReports: logging.NewRepeats(clock.Boottime{}),
 		reconciler: formation.New(reconcilerConfig(s)),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -106,7 +107,8 @@
 		c.changed = true
 		return
 	}
-	changed, urgent := c.endpoints.refresh(c.table.Endpoints(now, c.silentAfter(), c.reconciler.ModelOf))
+	list := slices.DeleteFunc(c.table.Endpoints(now, c.silentAfter(), c.reconciler.ModelOf), func(e wire.Endpoint) bool { return c.isDaemon(e.Address) })
+	changed, urgent := c.endpoints.refresh(list)
 	if !changed || !urgent {
 		return
 	}
@@ -218,6 +220,8 @@
 	}
 	e.updateDemand(now, u)
 	e.usage, e.lastReportAt = u, now
+	c.recordDaemon(host)
+	c.recordDaemon(u.Addresses...)
 	c.totals.Set(now, host, u.Loads)
 	c.forwarders.Set(now, host, c.mesh.DataCentreOf(host), u.ForwardProtocol)
 	e.sentRevision = u.Revision
--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -17,6 +18,8 @@
 		_ = c.mesh.Send(host, frame)
 	}
 	c.ensureMembers()
+	c.recordDaemon(c.settings.ListenAddresses()...)
+	maps.DeleteFunc(c.daemons, func(address string, _ time.Time) bool { return !c.isDaemon(address) })
 	c.table.Expire(now, serverRetention)
 	if c.leading {
 		c.node.SetIncarnations(c.desiredVoters(now))
@@ -39,6 +42,7 @@
 		c.log.Info().Str("event", "controlHostFound").Str("peer", from).Str("id", p.ID).Msg("discovered a control host")
 	}
 	c.presence[from] = peerPresence{presence: p, receivedAt: c.clock.Now()}
+	c.recordDaemon(from, p.ControlAddress)
 	c.mesh.AddHost(from, from)
 	for _, host := range p.Peers {
 		c.mesh.AddHost(host, host)
@@ -104,3 +108,18 @@
 
 // entryTimeout is how long an entry host may send no usage report before its load is no longer counted.
 const entryTimeout = 2 * time.Second
+
+// recordDaemon records addresses at which a daemon of the system listens.
+func (c *Controller) recordDaemon(addresses ...string) {
+	now := c.clock.Now()
+	for _, address := range addresses {
+		c.daemons[address] = now
+	}
+}
+
+// isDaemon reports whether a daemon of the system listens at an address. A request that is sent there as to a backend server
+// would come back.
+func (c *Controller) isDaemon(address string) bool {
+	seenAt, known := c.daemons[address]
+	return known && c.clock.Now().Sub(seenAt) < serverRetention
+}
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -173,6 +173,12 @@
 		}
 		return
 	}
+	if c.isDaemon(r.Address) {
+		if allowed, omitted := c.invalidReports.Allow(r.ID); allowed {
+			c.log.Warn().Str("event", "reportIgnored").Str("server", r.ID).Str("address", r.Address).Uint64("omitted", omitted).Msg("ignored a report with the address of a daemon")
+		}
+		return
+	}
 	changed, err := c.table.Apply(now, r)
 	if err != nil {
 		c.telemetry.Count("reports_ignored", "reason", err.Error())
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -128,7 +128,7 @@
 	s.mu.Lock()
 	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version, ForwarderRevision: s.forwarderRevision}
 	s.mu.Unlock()
-	u.ForwardProtocol = g.forwardProtocol()
+	u.ForwardProtocol, u.Addresses = g.forwardProtocol(), g.settings().ListenAddresses()
 	g.mu.Lock()
 	u.Loads, u.Leaving = g.balancer.Usage(now), g.balancer.Leaving()
 	if g.reach.State() != reach.Direct {
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -314,6 +314,22 @@
 // PeerAddress returns the address on which other daemons connect to this one.
 func (s *Settings) PeerAddress() string { return s.PeerAddressOf(s.IP) }
 
+// ListenAddresses returns the addresses at which the daemon listens, as others reach them.
+func (s *Settings) ListenAddresses() []string {
+	addresses := []string{s.PeerAddress()}
+	for _, address := range []string{s.CallerAddress, s.ReadyAddress, s.ControlAddress} {
+		host, port, err := net.SplitHostPort(address)
+		if err != nil {
+			continue // a daemon of another role doesn't listen there
+		}
+		if ip := net.ParseIP(host); ip == nil || ip.IsUnspecified() {
+			host = s.IP
+		}
+		addresses = append(addresses, net.JoinHostPort(host, port))
+	}
+	return addresses
+}
+
 // PeerAddressOf returns the peer address of the host with the given IP address. Ports are the same on all hosts.
 func (s *Settings) PeerAddressOf(ip string) string {
 	return net.JoinHostPort(ip, fmt.Sprint(s.PeerPorts[0]))
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -86,6 +86,16 @@
 	}
 }
 
+func TestListenAddresses(t *testing.T) {
+	s, err := Parse([]byte(strings.Replace(strings.Replace(example, "10.0.0.1:8080", "':8080'", 1), "10.0.0.1:8081", "0.0.0.0:8081", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.ListenAddresses(), []string{"10.0.0.1:7340", "10.0.0.1:8080", "10.0.0.1:8081"}; !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
 // TestInvalidSeed guards against one seed that costs the others, or that is counted twice as a voter.
 func TestInvalidSeed(t *testing.T) {
 	s, err := Parse([]byte(strings.Replace(example, "[10.0.0.7:8229,10.0.0.8:8229]",
--- a/wire/types.go
+++ b/wire/types.go
@@ -1155,6 +1155,9 @@
 
 // Usage is an entry host's report to the leader.
 type Usage struct {
+	// Addresses at which this host listens, which are no backend server's.
+	Addresses []string `json:"addresses,omitempty,omitzero"`
+
 	// Demand corresponds to the JSON schema field "demand".
 	Demand []ModelDemand `json:"demand"`
 
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -83,6 +83,7 @@
 		keepValid("survival", &u.Survivals, (*Survival).Validate),
 		keepValid("quarantined part", &u.Quarantine, (*QuarantinedPart).Validate),
 		keepValid("demand", &u.Demand, (*ModelDemand).Validate),
+		keepValid("address", &u.Addresses, func(s *string) error { return CheckAddress(*s) }),
 	)
 }
 
