--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -113,7 +113,9 @@
 func (c *Controller) recordDaemon(addresses ...string) {
 	now := c.clock.Now()
 	for _, address := range addresses {
-		c.daemons[address] = now
+		if address != "" {
+			c.daemons[address] = now
+		}
 	}
 }
 
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -193,13 +193,15 @@
 	return firstError("ModelDemand.Validate", checkText("model", d.Model), checkRange("work", d.WorkMs, 0, math.MaxInt64))
 }
 
-// Validate checks the announcement of a control host, without those of its peers that are invalid. The error wraps
-// ErrInvalid.
+// Validate checks the announcement of a control host. Of its addresses, it removes those that are invalid, since the host
+// takes part in the log without them. The error wraps ErrInvalid.
 func (p *Presence) Validate() error {
-	// A peer that is no address costs only itself.
+	if CheckAddress(p.ControlAddress) != nil {
+		p.ControlAddress = ""
+	}
 	p.Peers = slices.DeleteFunc(p.Peers, func(s string) bool { return CheckAddress(s) != nil })
 	p.Peers = p.Peers[:min(len(p.Peers), maxControls)]
-	return firstError("Presence.Validate", checkID(p.ID), CheckAddress(p.ControlAddress))
+	return firstError("Presence.Validate", checkID(p.ID))
 }
 
 // Validate checks the start of a connection. The error wraps ErrInvalid.
