A request that reaches another host too late is handed back

A request that a host handed over too late after its offer had been accepted, as a host does that was suspended, was answered 502: it counted as one that may have run. So did one whose taker ended what was left meanwhile.

Cause: the taker closed the connection without a word. What is written on it then is lost, and the other host can't tell whether it was read.

Evidence: TestLateRequestDeclined, new, 3 rows; before, "too late" and "the host ends what is left" end as lost.

Change: before the taker gives up on a request that it has accepted, it declines it with the message for requests that it can't serve. It reads nothing afterwards, so that is true whenever the request arrives.

--- a/process/gateway/forward_test.go
+++ b/process/gateway/forward_test.go
@@ -119,3 +119,54 @@
 		})
 	}
 }
+
+// TestLateRequestDeclined guards against requests that count as lost, though they have never run, since they reach another
+// host too late after it has accepted them, as from a host that was suspended, or as it stops.
+func TestLateRequestDeclined(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		wait time.Duration
+		ends bool
+		want error
+	}{
+		{"in time", 0, false, nil},
+		{"too late", requestTimeout + 200*time.Millisecond, false, errDeclined},
+		{"the host ends what is left", 50 * time.Millisecond, true, errDeclined},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			taker := newTestGateway(t)
+			served := make(chan struct{})
+			s := offerTo(t, taker, func(c *forward.Conn) {
+				defer close(served)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				frames := make(chan wire.Frame)
+				go func() {
+					if f, err := c.Receive(0); err == nil {
+						select {
+						case frames <- f:
+						case <-ctx.Done():
+						}
+					}
+				}()
+				if tt.ends {
+					time.AfterFunc(tt.wait/2, cancel)
+				}
+				// offerTo has accepted the offer.
+				if err := taker.awaitRequest(ctx, c, wire.ForwardOffer{}, frames); err != nil && !errors.Is(err, errNoRequest) {
+					t.Errorf("awaiting the request: %v", err)
+				}
+			})
+			time.Sleep(tt.wait)
+			x := &recordedExchange{arrival: taker.clock.Now()}
+			x.request.Header.SetRequestURI("/x")
+			x.request.Header.SetHost("x.example")
+			r := newTestGateway(t).newRequest(x)
+			if _, err := r.exchangeForwarded(s); !errors.Is(err, tt.want) || (err != nil) != (tt.want != nil) {
+				t.Errorf("error %v, want %v", err, tt.want)
+			}
+			<-served
+		})
+	}
+}
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -23,6 +23,7 @@
 	refusedCutOff   = "cutOff"
 	refusedDocument = "olderDocument"
 	refusedBusy     = "busy"
+	refusedLate     = "late"
 )
 
 // requestTimeout bounds the time between the acceptance of an offer and the request.
@@ -92,21 +93,37 @@
 	if err := c.Send(wire.Frame{ForwardReply: &wire.ForwardReply{}}); err != nil {
 		return err
 	}
+	return g.awaitRequest(ctx, c, offer, frames)
+}
+
+// awaitRequest waits for the request of an accepted offer, and serves it.
+func (g *Gateway) awaitRequest(ctx context.Context, c *forward.Conn, offer wire.ForwardOffer, frames <-chan wire.Frame) error {
 	timer := time.NewTimer(requestTimeout)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		if err := declineLate(c); err != nil && !errors.Is(context.Cause(ctx), ingress.ErrCallerGone) {
+			return err
+		}
 		return nil
 	case <-timer.C:
-		return errors.New("Gateway.handleOffer: no request followed an accepted offer")
+		return errors.Join(errNoRequest, declineLate(c))
 	case f := <-frames:
 		if f.ForwardedRequest == nil {
-			return errors.New("Gateway.handleOffer: an unexpected frame")
+			return errors.New("Gateway.awaitRequest: an unexpected frame")
 		}
 		return g.serveRequest(ctx, c, offer.Host, *f.ForwardedRequest)
 	}
 }
 
+// errNoRequest means that no request followed an accepted offer in time.
+var errNoRequest = errors.New("no request followed an accepted offer")
+
+// declineLate hands back the request of an accepted offer that may still arrive, since the connection ends before it is read.
+func declineLate(c *forward.Conn) error {
+	return c.Send(wire.Frame{ForwardedPart: &wire.ForwardedPart{Declined: refusedLate, End: true}})
+}
+
 // admitOffer returns why this host doesn't take a request, or an empty string. The document must not be older than that of
 // the host that asks, by which an earlier request of the same caller may have been handled.
 func (g *Gateway) admitOffer(offer wire.ForwardOffer) string {
