Whether a server has ended is tried again until it is certain

What callers saw: while entry hosts couldn't ask each other, the crashes of servers counted for nothing unless the servers started again, and a request that crashed them went on to be sent.

Cause: a host tried once to find out whether a server had ended. A refused connection counts only if another host confirms it; without an answer within half a second the leader was told that nothing is certain, for good.

Change: four tries at most, 0.3 s apart, until the result is certain; the leader is told again when it turns out that the server has ended.

Tests: TestFleetCrashProvenLater (hosts can't ask each other for 0.3 s after the crashes) failed once of one, the leader knew nothing after 20 s; passes three times of three. TestLateProof failed, passes. TestFleetCutNotTakenForCrashes passes twice.

--- a/cmd/savorywing/fleet_lethal_request_test.go
+++ b/cmd/savorywing/fleet_lethal_request_test.go
@@ -314,3 +314,38 @@
 	f.checkLethalRequests()
 	l.check()
 }
+
+// TestFleetCrashProvenLater guards against crashes that count for nothing because no other host could be asked at that moment.
+func TestFleetCrashProvenLater(t *testing.T) {
+	log := &logRecorder{}
+	f := newFleetEnv(t, 3, 3, 20, withPaths, func(f *fleetEnv) { f.logOutput, f.restartTime = log, time.Minute })
+	f.waitServing()
+	f.fleet.SetLethalBody(lethalBody)
+	for _, p := range f.peerPaths {
+		p.Set(standin.CutRefuse, f.seeds...)
+	}
+	for _, s := range f.plainServers("") {
+		addr := s.Address
+		f.eventually("the server has crashed", func() bool {
+			f.sendBody(0, "/book/x", nil, savorywing.CallerMetadata{APIKey: fleetKey, Timeout: time.Second, LastEventID: -1}, func(req *fasthttp.Request) { setLethalBody(req, 0) })
+			c, err := net.DialTimeout("tcp", addr, time.Second)
+			if err == nil {
+				_ = c.Close()
+			}
+			return err != nil
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, p := range f.peerPaths {
+		p.Set(standin.NoCut)
+	}
+	f.eventually("the leader knows that both servers have ended", func() bool {
+		ended := map[any]bool{}
+		for _, line := range log.lines(t) {
+			if line["event"] == "serverEnded" && line["proven"] == true {
+				ended[line["server"]] = true
+			}
+		}
+		return len(ended) == 2
+	})
+}
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -85,13 +85,13 @@
 const referenceServers = 4
 
 // isReachedByNobody reports whether another entry host, which reaches other servers, doesn't reach the server of a decision
-// either, or whether there is no host to ask.
-func (g *Gateway) isReachedByNobody(d placement.Decision) bool {
+// either, or whether there is no host to ask. It is not confirmed if no host that reaches others has answered.
+func (g *Gateway) isReachedByNobody(d placement.Decision) (nobody, isConfirmed bool) {
 	if !g.hasPeers() {
-		return true
+		return true, true
 	}
 	targets, _ := g.sample(referenceServers, map[string]bool{d.ID: true})
-	isReached, isConfirmed := false, false
+	isReached := false
 	// Only an answer of now shows whether the server still runs.
 	q := wire.ReachQuery{Servers: []wire.ServerAddress{{ID: d.ID, Address: d.Address}}}
 	for _, t := range targets {
@@ -102,26 +102,50 @@
 		isConfirmed = isConfirmed || len(reached) > 0
 		return isConfirmed
 	})
-	return isConfirmed && !isReached
+	return isConfirmed && !isReached, isConfirmed
 }
 
-// resolveTimeout bounds the time to find out whether a server has ended.
-const resolveTimeout = 500 * time.Millisecond
+const (
+	// resolveTimeout bounds the time to find out whether a server has ended.
+	resolveTimeout = 500 * time.Millisecond
+	// maxResolves and resolveInterval are how often, and after which time, this is tried again while nothing is known for
+	// certain.
+	maxResolves     = 4
+	resolveInterval = 300 * time.Millisecond
+)
 
 // resolveLoss finds out whether a server has ended: nothing listens at its address then, or a proxy that finds nobody
 // behind it closes the connection, and no other entry host reaches it. Of a server that is unreachable for another
 // reason, or that keeps the connection, the leader will know if it starts again.
 func (g *Gateway) resolveLoss(d placement.Decision) {
+	for range maxResolves {
+		if g.tryResolve(d) {
+			return
+		}
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-time.After(resolveInterval):
+		}
+	}
+}
+
+// tryResolve is one try of resolveLoss. It reports whether the result is certain.
+func (g *Gateway) tryResolve(d placement.Decision) bool {
 	ctx, cancel := context.WithTimeout(g.ctx, resolveTimeout)
 	defer cancel()
 	err := g.engines.Probe(ctx, d.Address)
-	ended := (errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, engine.ErrClosedAtOnce)) && g.isReachedByNobody(d)
+	ended, certain := false, err == nil
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, engine.ErrClosedAtOnce) {
+		ended, certain = g.isReachedByNobody(d)
+	}
 	g.mu.Lock()
 	g.observer.Resolve(d.ID, d.Born, ended)
 	g.mu.Unlock()
 	if ended {
 		g.subscription.wakeUp()
 	}
-	g.logProblem("connectionsEnded").Str("server", d.ID).Int64("born", d.Born).Bool("ended", ended).AnErr("probe", err).
+	g.logProblem("connectionsEnded").Str("server", d.ID).Int64("born", d.Born).Bool("ended", ended).Bool("certain", certain).AnErr("probe", err).
 		Msg("connections to a backend server ended before their responses")
+	return certain
 }
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -205,11 +205,17 @@
 	return true
 }
 
-// Resolve records whether it is certain that a server that may have been lost has ended. If not, the leader finds out.
+// Resolve records whether it is certain that a server that may have been lost has ended. If not, the leader finds out, unless it
+// turns out here later.
 func (o *Observer) Resolve(server string, born int64, ended bool) {
-	if l := o.losses[incarnation{server, born}]; l != nil {
-		l.resolved, l.ended = true, ended
+	l := o.losses[incarnation{server, born}]
+	if l == nil || (l.resolved && l.ended) {
+		return
+	}
+	if ended {
+		l.sentAt, l.acknowledged = 0, false
 	}
+	l.resolved, l.ended = true, ended
 }
 
 // Report adds what the leader has to know to a usage report.
--- a/process/quarantine/observer_test.go
+++ b/process/quarantine/observer_test.go
@@ -143,6 +143,28 @@
 	}
 }
 
+// TestLateProof checks that the leader is told if it turns out later that a server has ended.
+func TestLateProof(t *testing.T) {
+	o := NewObserver()
+	o.RecordLoss(start, "a", 1, prompt(lethal))
+	for i, tt := range []struct {
+		name        string
+		ended, want bool
+	}{
+		{"nothing is known", false, false},
+		{"the server has ended", true, true},
+		{"that is certain", false, true},
+	} {
+		o.Resolve("a", 1, tt.ended)
+		u := wire.Usage{SentAt: int64(i + 1)}
+		o.Report(start, &u)
+		if len(u.Losses) != 1 && i < 2 || len(u.Losses) == 1 && u.Losses[0].Ended != tt.want {
+			t.Errorf("%s: reported %+v, want ended %v", tt.name, u.Losses, tt.want)
+		}
+		o.Apply(start, wire.FleetUpdate{Term: 1, Echo: u.SentAt})
+	}
+}
+
 // TestListOfNewLeader checks that the list of a new leader holds only from its first answer to a report of this host.
 func TestListOfNewLeader(t *testing.T) {
 	o := NewObserver()
