An adopted block isn't released because of a survival from before it

Cause: a new leader adopts blocked parts without the crashes behind them, and the first host that reports a survival of the part, however old, releases it.

Test: TestAdoptedBlockOutlivesSurvivals failed, passes; a survival after the adoption still releases the part.

--- a/process/quarantine/block.go
+++ b/process/quarantine/block.go
@@ -19,6 +19,8 @@
 	failedProbes int
 	retryAt      time.Time
 	lastHit      time.Time
+	// adoptedAt is when the block was adopted from the leader before this one, which knew of the crashes; zero otherwise.
+	adoptedAt time.Time
 }
 
 func (t *Tracker) adopt(now time.Time, list []wire.QuarantinedPart) {
@@ -26,7 +28,7 @@
 		if !p.Blocked || t.blocked[p.Key] != nil || len(t.blocked) >= maxBlocked {
 			continue
 		}
-		t.blocked[p.Key] = &block{doubtful: true, retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond), lastHit: now}
+		t.blocked[p.Key] = &block{doubtful: true, retryAt: now.Add(time.Duration(p.RetryMs) * time.Millisecond), lastHit: now, adoptedAt: now}
 		t.changes = append(t.changes, Change{Key: p.Key, Blocked: true, Reason: "adopted"})
 		t.dirty = true
 	}
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -26,7 +26,8 @@
 		return
 	}
 	t.survivals[key], t.dirty = begun, true
-	if t.blocked[key] == nil || t.crashesAfter(key, begun) >= blockAfter {
+	b := t.blocked[key]
+	if b == nil || !begun.After(b.adoptedAt) || t.crashesAfter(key, begun) >= blockAfter {
 		return
 	}
 	t.release(key, "survived")
--- a/process/quarantine/tracker_test.go
+++ b/process/quarantine/tracker_test.go
@@ -279,6 +279,24 @@
 	}
 }
 
+// TestAdoptedBlockOutlivesSurvivals guards against a new leader that releases a part because of a survival from before the crashes
+// for which the leader before it blocked the part.
+func TestAdoptedBlockOutlivesSurvivals(t *testing.T) {
+	s := newScene()
+	s.report(2, wire.Usage{
+		QuarantineTerm: 1, Quarantine: []wire.QuarantinedPart{{Key: key("o", lethal), Blocked: true, RetryMs: 30000}},
+		Survivals: []wire.Survival{{Key: key("o", lethal), BegunMs: 8000}},
+	})
+	s.pass(time.Second)
+	if !s.isBlocked("o", lethal) {
+		t.Fatal("released because of an earlier survival")
+	}
+	s.survive("o", s.now.Add(-500*time.Millisecond), lethal)
+	if s.isBlocked("o", lethal) {
+		t.Error("still blocked after a survival")
+	}
+}
+
 // TestMemory checks that crashes without end, each with new parts, take bounded memory.
 func TestMemory(t *testing.T) {
 	s := newScene()
