A leader that loses its lease for a moment keeps blocked requests and limits

Cause: a leader forgot the blocked parts and the servers' limits when it got its lease back. Entry hosts report these only to a leader of a later term than that of the list which they hold, so that they took the empty list for the newest.

Change: both are forgotten with the term and not with the lease. No other host can have led in between.

Test: TestLeaseLostForAMoment failed, passes.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -97,6 +97,8 @@
 	totals      *fleet.Totals
 	packedLoads []byte
 	packedAt    time.Time
+	// toldTerm is the term in which entry hosts told this leader what quarantine and limits hold.
+	toldTerm uint64
 	// quarantine finds the parts of prompts on which servers crash.
 	quarantine *quarantine.Tracker
 	// limits divides the request limits of servers among the entry hosts.
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -236,8 +236,7 @@
 		if leading {
 			c.endpoints, c.totals = newEndpointLog(), fleet.NewTotals()
 			c.entryHosts, c.demandSince, c.packedAt = map[string]*entryHostState{}, time.Time{}, time.Time{}
-			c.quarantine = quarantine.NewTracker(c.clock.Now())
-			c.limits = quota.NewAllocator()
+			c.beginTerm(c.clock.Now(), status.Term)
 			c.forwarders = forwarding.NewDirectory()
 			// Entry hosts report as soon as they know of the new leader, and are sent all endpoints.
 			c.pushNow(now)
@@ -250,6 +249,15 @@
 	c.decodeDocument(status.Published)
 }
 
+// beginTerm forgets what an earlier leader, or this host in an earlier term, was told by entry hosts. They tell it again in each
+// term, but not if this host only loses its lease for a moment.
+func (c *Controller) beginTerm(now time.Time, term uint64) {
+	if term == c.toldTerm {
+		return
+	}
+	c.toldTerm, c.quarantine, c.limits = term, quarantine.NewTracker(now), quota.NewAllocator()
+}
+
 // announceLeader sends the leader's host to the entry hosts that are connected to this one.
 func (c *Controller) announceLeader(host string) {
 	c.setLeaderControl(host)
