TestRunKeyNotReportedAsNotRun: no data race with the execution that it follows

The race detector reports the test's writes to the server's and the log's fields (on as well): the execution of the claimed request ends after its response.

--- a/process/entry/server_test.go
+++ b/process/entry/server_test.go
@@ -228,15 +228,31 @@
 			f.clock.ahead.Store(int64(f.registry.Settings().Timing.Freshness))
 		}},
 		{"no host serves", func(f *fixture) { f.registry.RecordConnectionFailure("a") }},
-		{"the host is full", func(f *fixture) { f.server.inFlight = f.registry.Settings().Limits.MaxRequests }},
-		{"the host is stopping", func(f *fixture) { f.server.stopping = true }},
-		{"the log doesn't respond", func(f *fixture) { f.log.loseResults = true }},
+		{"the host is full", func(f *fixture) {
+			f.server.mu.Lock()
+			defer f.server.mu.Unlock()
+			f.server.inFlight = f.registry.Settings().Limits.MaxRequests
+		}},
+		{"the host is stopping", func(f *fixture) {
+			f.server.mu.Lock()
+			defer f.server.mu.Unlock()
+			f.server.stopping = true
+		}},
+		{"the log doesn't respond", func(f *fixture) {
+			f.log.mu.Lock()
+			defer f.log.mu.Unlock()
+			f.log.loseResults = true
+		}},
 	}
 	for _, tt := range tests {
 		Convey("A key that has run is rejected as unknown when "+tt.name, t, func() {
 			f := newFixture("a")
 			_, requestErr := f.send("key", false)
 			So(requestErr, ShouldBeNil)
+			// The execution of a claimed request ends after its response.
+			for f.server.InFlight() > 0 {
+				time.Sleep(time.Millisecond)
+			}
 			tt.reject(f)
 			_, requestErr = f.send("key", false)
 			So(requestErr, ShouldNotBeNil)
