The host that hands over a request pays for its next attempt

Callers saw: as many entry hosts lost their paths at once, streams and idempotent requests that had been in flight got 502 from the few hosts that were left, which could have served them.

Cause: a request that is sent again counts in the retry budget of the host that sends it. Requests in flight at all hosts that are cut off are sent again by the others, whose budgets are a share each; the budgets of the hosts that are cut off went unused.

Change: the host that hands over a request spends its own budget for the next attempt, if that has any left, and says so (ForwardedRequest.retryPaid); the other host spends its own only otherwise. Each attempt is paid for once, so all hosts together send no more than before. A daemon that doesn't know the field pays itself, as before.

TestRetryPaidOnce checks who pays; it can't run on the code before.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -185,10 +185,11 @@
 	if d.Reason != placement.ReasonNone {
 		return d, nil
 	}
-	if r.sends > 0 && !budget.Spend(now, g.retryBurst()) {
+	if r.sends > 0 && !r.retryPaid && !budget.Spend(now, g.retryBurst()) {
 		g.telemetry.Count("refused", "reason", "retryBudget")
 		return placement.Decision{}, nil
 	}
+	r.retryPaid = false
 	g.observer.RecordSend(r.identity)
 	return d, g.balancer.Start(now, d, request)
 }
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -92,9 +92,22 @@
 		r.endUnserved(now, placement.Decision{})
 		return false
 	}
+	r.payRetry(now)
 	return r.endForwarded(ctx, r.forward(ctx))
 }
 
+// payRetry spends this host's retry budget for a request that another host is to send again. Hosts that take many such
+// requests would run out of theirs, while those that are cut off need none.
+func (r *callerRequest) payRetry(now time.Time) {
+	if r.sends == 0 || r.retryPaid || r.service == nil {
+		return
+	}
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.retryPaid = g.budget(r.service.Name).Spend(now, g.retryBurst())
+}
+
 // endForwarded ends a request unless another entry host has served it or may still do so, and reports whether it must be
 // tried again.
 func (r *callerRequest) endForwarded(ctx context.Context, err error) bool {
@@ -107,7 +120,7 @@
 		r.endCancelled(ctx, "")
 		return false
 	case errors.Is(err, errForwardLost):
-		r.mayHaveRun = true
+		r.mayHaveRun, r.retryPaid = true, false
 		r.sends++
 		if r.isRetryable() {
 			return true
@@ -217,6 +230,7 @@
 	err := s.Send(wire.ForwardedRequest{
 		Header: h.Header(), Body: httpRequest(r).Body(), ElapsedMs: g.clock.Now().Sub(r.exchange.Arrival()).Milliseconds(), LastEventID: r.lastEventID,
 		Resumed: r.exchange.Started(), Sends: r.sends, MayHaveRun: r.mayHaveRun, Counted: r.counted,
+		RetryPaid: r.retryPaid,
 	})
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", errDeclined, err)
--- a/process/gateway/intake_test.go
+++ b/process/gateway/intake_test.go
@@ -91,3 +91,47 @@
 		}
 	}
 }
+
+// TestRetryPaidOnce checks which retry budget a request spends that one host has sent and another sends again.
+func TestRetryPaidOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// cutOff and taking are the retries that the budgets of the two hosts allow.
+		cutOff, taking float64
+		sends          int
+		paid, placed   bool
+	}{
+		{"not sent yet", 0, 0, 0, false, true},
+		{"the host that is cut off pays", 1, 0, 1, true, true},
+		{"the host that takes it pays", 0, 1, 1, false, true},
+		{"both could", 1, 1, 1, true, true},
+		{"no host can", 0, 0, 1, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			newRequest := func(retries float64) *callerRequest {
+				g := newTestGateway(t)
+				s := *g.settings()
+				s.RetryRatio, s.RetryBurst = 0, retries/retryBudgetFraction
+				g.current.Store(&s)
+				g.balancer.UpdateEndpoints(true, []wire.Endpoint{{ID: "s", Service: "plain", Slots: 4, Handle: 1}}, nil)
+				return &callerRequest{
+					gateway: g, exchange: &forwardedExchange{arrival: g.clock.Now()}, route: &catalogue.Route{MaxAttempts: 2, Objective: time.Second},
+					service: &catalogue.Service{Name: "plain"}, deadline: g.clock.Now().Add(2 * time.Second), counted: true, sends: tt.sends, lastEventID: -1,
+				}
+			}
+			from, to := newRequest(tt.cutOff), newRequest(tt.taking)
+			from.payRetry(from.gateway.clock.Now())
+			if from.retryPaid != tt.paid {
+				t.Errorf("paid by the host that is cut off: %v, want %v", from.retryPaid, tt.paid)
+			}
+			to.retryPaid = from.retryPaid
+			if _, got := to.reserve(to.gateway.clock.Now()); (got != nil) != tt.placed {
+				t.Errorf("sent again: %v, want %v", got != nil, tt.placed)
+			}
+			if again := to.gateway.budget("plain").Spend(to.gateway.clock.Now(), tt.taking); again != (tt.taking > 0 && (tt.paid || tt.sends == 0)) {
+				t.Errorf("the budget of the host that takes it allows another retry: %v", again)
+			}
+		})
+	}
+}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -58,6 +58,8 @@
 	// counted is set at the first reserve, which counts the request in the retry budget and, unless the caller is
 	// retrying, as demand.
 	counted bool
+	// retryPaid is set once a retry budget has been spent for the next attempt, which the host that makes it then doesn't do.
+	retryPaid bool
 	// lastEventID is the id of the last event that the caller has, also from an earlier request that it resumes; negative before
 	// the first.
 	lastEventID int64
--- a/wire/types.go
+++ b/wire/types.go
@@ -462,6 +462,10 @@
 	// The caller has the header of a response already.
 	Resumed bool `json:"resumed"`
 
+	// The host that hands over the request has spent its own retry budget for the
+	// next attempt.
+	RetryPaid bool `json:"retryPaid"`
+
 	// Servers that the request was sent to.
 	Sends int `json:"sends"`
 }
