--- a/connection/ingress/stop_test.go
+++ b/connection/ingress/stop_test.go
@@ -4,11 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,190 +14,77 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
-	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/standin/closing"
 )
 
+// stopRounds is the number of stops of one test, and stopCallers that of callers during each.
 const (
-	// stopRounds and stopCallers are the number of stops, and of connections during each.
 	stopRounds  = 40
 	stopCallers = 60
-	// closeSpread is how long before or after the close callers send their requests.
-	closeSpread = 2 * time.Millisecond
 )
 
-// stopCounts counts what callers saw of requests around the close.
-type stopCounts struct {
-	mu sync.Mutex
-	// closed counts callers that saw the close before they sent, or could not connect.
-	served, rejected, closed int
-	unanswered               []string
-	// handled counts the requests around the close that reached the handler.
-	handled int
-}
-
-func (n *stopCounts) record(status int, err error, what string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	switch {
-	case err != nil:
-		n.unanswered = append(n.unanswered, fmt.Sprintf("%s: %v", what, err))
-	case status == fasthttp.StatusOK:
-		n.served++
-	default:
-		n.rejected++
-	}
-}
-
-func (n *stopCounts) handle(ctx context.Context, x savorywing.Exchange) {
-	if string(x.HTTPRequest().URI().Path()) == stopPath {
-		n.mu.Lock()
-		n.handled++
-		n.mu.Unlock()
-	}
-	echo(ctx, x)
-}
-
-func (n *stopCounts) recordClosed() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.closed++
-}
-
-// readResponse returns the status of the next response.
-func readResponse(c net.Conn, r *bufio.Reader) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
-		return 0, err
-	}
-	var resp fasthttp.Response
-	if err := resp.Read(r); err != nil {
-		return 0, err
-	}
-	return resp.StatusCode(), nil
-}
+// firstRequest is sent before the stop, and stopRequest around the close.
+const (
+	stopPath     = "/b"
+	firstRequest = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+	stopRequest  = "POST " + stopPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+)
 
 // TestRequestsAroundTheClose stops a server while callers send requests on kept connections, on which nothing had been sent
 // before the stop, and on new ones. A request that was sent before its caller could see the close must be answered.
 func TestRequestsAroundTheClose(t *testing.T) {
 	tests := []struct {
 		name string
-		load stopLoad
+		load closing.Load
 	}{
-		{"kept connections", stopLoad{connected: true, used: true}},
-		{"kept connections, requests in two parts", stopLoad{connected: true, used: true, split: true}},
-		{"connections without a request before", stopLoad{connected: true}},
-		{"new connections", stopLoad{}},
+		{"kept connections", closing.Load{Connected: true, First: firstRequest}},
+		{"kept connections, requests in two parts", closing.Load{Connected: true, First: firstRequest, Split: true}},
+		{"connections without a request before", closing.Load{Connected: true}},
+		{"new connections", closing.Load{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var n stopCounts
+			var counts closing.Counts
+			// handled counts the requests around the close that reached the handler.
+			var handled atomic.Int64
+			tt.load.Callers, tt.load.Request = stopCallers, func(int) string { return stopRequest }
 			for range stopRounds {
-				stopUnderLoad(t, &n, tt.load)
+				s, address := serve(t, func(ctx context.Context, x savorywing.Exchange) {
+					if string(x.HTTPRequest().URI().Path()) == stopPath {
+						handled.Add(1)
+					}
+					echo(ctx, x)
+				})
+				if err := tt.load.Run(&counts, closing.Server{Address: address, Drain: s.Drain, Close: s.CloseIdle}); err != nil {
+					t.Fatal(err)
+				}
+				s.Close()
 			}
-			t.Logf("served %d, rejected %d, saw the close first %d, unanswered %d", n.served, n.rejected, n.closed, len(n.unanswered))
-			if len(n.unanswered) > 0 {
-				t.Errorf("%d requests got no answer, want 0; the first: %s", len(n.unanswered), n.unanswered[0])
+			t.Log(counts.String())
+			if errs := counts.Errors(); len(errs) > 0 {
+				t.Errorf("%d requests got no answer, want 0; the first: %v", len(errs), errs[0])
 			}
-			if n.handled != n.served {
-				t.Errorf("%d requests reached the handler and %d were served, want as many", n.handled, n.served)
+			if got := int(handled.Load()); got != counts.Served() {
+				t.Errorf("%d requests reached the handler and %d were served, want as many", got, counts.Served())
 			}
-			if n.served == 0 {
+			if counts.Served() == 0 {
 				t.Error("no request was served")
 			}
 		})
 	}
 }
 
-// stopLoad is what callers do around the close. They have opened their connections before the stop if connected is set, and
-// sent a first request on them if used is set. With split, the last request comes in two parts.
-type stopLoad struct{ connected, used, split bool }
-
-// firstRequest is sent before the stop, and stopRequest around the close.
-const (
-	stopPath     = "/b"
-	firstRequest = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
-	stopRequest  = "POST " + stopPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
-)
-
-func stopUnderLoad(t *testing.T, n *stopCounts, load stopLoad) {
-	t.Helper()
-	s, address := serve(t, n.handle)
-	var ready, callers sync.WaitGroup
-	var closeAt time.Time
-	stopping := make(chan struct{})
-	ready.Add(stopCallers)
-	for range stopCallers {
-		callers.Go(func() {
-			c, r, err := openBeforeStop(address, load)
-			ready.Done()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			<-stopping
-			time.Sleep(time.Until(closeAt) + rand.N(2*closeSpread) - closeSpread)
-			callOnce(n, c, r, address, load)
-		})
-	}
-	ready.Wait()
-	closeAt = time.Now().Add(10 * time.Millisecond)
-	s.Drain()
-	close(stopping)
-	time.Sleep(time.Until(closeAt))
-	s.CloseIdle()
-	callers.Wait()
-	s.Close()
-}
-
-// openBeforeStop returns the connection that a caller has when the stop begins, or nil.
-func openBeforeStop(address string, load stopLoad) (net.Conn, *bufio.Reader, error) {
-	if !load.connected {
-		return nil, nil, nil
-	}
-	c, err := net.Dial("tcp", address)
-	if err != nil {
-		return nil, nil, err
-	}
-	r := bufio.NewReader(c)
-	if load.used {
-		if _, err := io.WriteString(c, firstRequest); err != nil {
-			return nil, nil, err
-		}
-		if status, err := readResponse(c, r); err != nil || status != fasthttp.StatusOK {
-			return nil, nil, fmt.Errorf("status %d before the stop, error %w", status, err)
-		}
-	}
-	return c, r, nil
-}
-
-// callOnce sends one request, on a new connection if c is nil.
-func callOnce(n *stopCounts, c net.Conn, r *bufio.Reader, address string, load stopLoad) {
-	if c == nil {
-		var err error
-		if c, err = net.DialTimeout("tcp", address, 50*time.Millisecond); err != nil {
-			n.recordClosed()
-			return
-		}
-		r = bufio.NewReader(c)
-	} else if input, err := socket.Peek(c); err != nil || input != socket.InputNone {
-		_ = c.Close()
-		n.recordClosed()
-		return
+// readResponse returns the status of the next response.
+func readResponse(c net.Conn, r *bufio.Reader) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		return 0, err
 	}
-	defer func() { _ = c.Close() }()
-	rest := stopRequest
-	if load.split {
-		if _, err := io.WriteString(c, rest[:20]); err != nil {
-			n.record(0, err, "sending the first part")
-			return
-		}
-		time.Sleep(3 * time.Millisecond)
-		rest = rest[20:]
+	var resp fasthttp.Response
+	if err := resp.Read(r); err != nil {
+		return 0, err
 	}
-	// What has been sent may have an answer even if the rest can't be sent any more.
-	_, sendErr := io.WriteString(c, rest)
-	status, err := readResponse(c, r)
-	n.record(status, err, fmt.Sprintf("send error %v, reading the response", sendErr))
+	return resp.StatusCode(), nil
 }
 
 // TestShutdownAnswersWhatIsLeft checks that requests that are still being received or served at the end of a stop are
