--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 FUZZ := connection/ingress:FuzzReadRequest platform:FuzzReadCallerMetadata platform:FuzzReadResponseMetadata platform:FuzzReadReport \
 	platform:FuzzReadDocument process/disk:FuzzDecodeFrames process/fleet:FuzzUnpackLoads process/gateway:FuzzScanEvents \
 	process/quorum:FuzzStep process/state:FuzzRestore \
-	request/attempt:FuzzParseFrame version/instance:FuzzParse version/settings:FuzzParse wire/codec:FuzzDecodeFrame
+	request/attempt:FuzzParseFrame version/instance:FuzzParse version/settings:FuzzParse wire/codec:FuzzCheckJSON wire/codec:FuzzDecodeFrame
 FUZZ_TIME := 3s
 
 .PHONY: all build test race fuzz lint format tools
