--- a/connection/backend/repeated_response_test.go
+++ b/connection/backend/repeated_response_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -25,7 +26,8 @@
 	refusal string
 }
 
-func (s *scriptedServer) start(t *testing.T) string {
+// serveConns serves each connection with a function, and returns the address.
+func serveConns(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,7 +40,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
 	return l.Addr().String()
@@ -99,7 +101,7 @@
 		for _, newConnection := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, new connection %t", tt.name, newConnection), func(t *testing.T) {
 				s := &scriptedServer{texts: []string{tt.first, tt.second, served}}
-				address, c := s.start(t), New(clock.System{})
+				address, c := serveConns(t, s.serve), New(clock.System{})
 				send := func() (bool, string, error) {
 					response, err := c.Send(context.Background(), savorywing.Target{Address: address}, savorywing.Call{
 						AttemptID: savorywing.NewID(), IdempotencyKey: "k", Method: "POST", Path: "/x", Body: []byte("x"),
@@ -136,7 +138,7 @@
 // TestNoContent guards against responses without a body that count as lost.
 func TestNoContent(t *testing.T) {
 	s := &scriptedServer{texts: []string{"HTTP/1.1 204 No Content\r\nX-Request-Id: ID\r\n\r\n", served}}
-	address, c := s.start(t), New(clock.System{})
+	address, c := serveConns(t, s.serve), New(clock.System{})
 	for n, want := range []string{"", "done"} {
 		response, err := c.Send(context.Background(), savorywing.Target{Address: address}, savorywing.Call{AttemptID: savorywing.NewID(), Method: "POST", Path: "/x", FirstByteTimeout: time.Second})
 		if err != nil {
@@ -148,3 +150,74 @@
 		_ = response.Stream.Close()
 	}
 }
+
+// TestIdleEndsUnnoticed guards against requests that count as not run, or are sent twice, when a server closes an idle
+// connection as a request is written on it, or when idle connections are closed here meanwhile.
+func TestIdleEndsUnnoticed(t *testing.T) {
+	const requests = 200
+	var arrived atomic.Int64
+	address := serveConns(t, func(c net.Conn) { serveBriefly(c, &arrived) })
+	c := New(clock.System{})
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Microsecond):
+				c.pool.closeIdle(address)
+			}
+		}
+	}()
+	complete, lost := 0, 0
+	for n := range requests {
+		before := arrived.Load()
+		body, err := sendOnce(c, address)
+		got := arrived.Load() - before
+		switch {
+		case err == nil && body == "done" && got == 1:
+			complete++
+		case err != nil && savorywing.AsRequestError(err).Code() == savorywing.CodeUnknown && got <= 1:
+			lost++
+		default:
+			t.Errorf("request %d: body %q, error %v, arrived %d times", n, body, err, got)
+		}
+		time.Sleep(rand.N(200 * time.Microsecond))
+	}
+	close(stop)
+	<-done
+	t.Logf("%d served, %d lost", complete, lost)
+	if complete == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// serveBriefly answers the requests of a connection until it is idle for some microseconds.
+func serveBriefly(c net.Conn, arrived *atomic.Int64) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for req := new(fasthttp.Request); req.Read(r) == nil; req = new(fasthttp.Request) {
+		arrived.Add(1)
+		text := strings.ReplaceAll(served, "ID", string(req.Header.Peek(HeaderAttemptID)))
+		if _, err := io.WriteString(c, text); err != nil || c.SetReadDeadline(time.Now().Add(rand.N(200*time.Microsecond))) != nil {
+			return
+		}
+	}
+}
+
+// sendOnce sends a request on a connection that may have been kept, and returns the body of its response.
+func sendOnce(c *Client, address string) (string, error) {
+	response, err := c.Send(context.Background(), savorywing.Target{Address: address}, savorywing.Call{
+		AttemptID: savorywing.NewID(), Method: "POST", Path: "/x", FirstByteTimeout: time.Second,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Stream.Close() }()
+	body, err := io.ReadAll(response.Stream)
+	if err != nil {
+		return "", savorywing.NewRequestError(savorywing.CodeUnknown, fasthttp.StatusBadGateway, "the body was lost", savorywing.WithCause(err))
+	}
+	return string(body), nil
+}
