--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -63,7 +63,7 @@
 // Option changes a client.
 type Option func(c *Client)
 
-// WithDialer makes a client open its connections with d.
+// WithDialer makes a client open its connections, which must be sockets, with d.
 func WithDialer(d savorywing.Dialer) Option { return func(c *Client) { c.dialer = d } }
 
 // New returns a client without connections.
