A new leader doesn't block a request by what the first host tells it

Cause: hosts report their losses again to a new leader, which they find one after another. The time within which others may report a crash began with the first report, and the first host's losses alone decided.

Test: TestHostsFindNewLeader failed (only the popular request blocked), passes.

--- a/process/quarantine/block.go
+++ b/process/quarantine/block.go
@@ -65,8 +65,7 @@
 // blockNext blocks the parts with the most evidence, and reports whether there were any. Several parts have the same
 // evidence if all requests under which servers crashed had them; each of them is doubtful then.
 func (t *Tracker) blockNext(now time.Time) bool {
-	// A crash that other hosts may still report would speak only against what the first one lost there.
-	all := t.gather(now.Add(-answerTime))
+	all := t.gather(t.settledBy(now))
 	certain := t.certain()
 	list, proven := t.strongest(now, all, certain)
 	for _, key := range list {
@@ -82,6 +81,15 @@
 	return len(list) > 0
 }
 
+// settledBy returns until when a crash must have been reported first so that all hosts have had time to report it. Before that, it
+// would speak only against what the first of them lost there.
+func (t *Tracker) settledBy(now time.Time) time.Time {
+	if now.Sub(t.newHostAt) < joinTime {
+		return time.Time{}
+	}
+	return now.Add(-answerTime)
+}
+
 // certain returns the parts, with AllOrganisations, that are blocked without doubt for any organisation.
 func (t *Tracker) certain() map[wire.PartKey]bool {
 	out := map[wire.PartKey]bool{}
--- a/process/quarantine/request_test.go
+++ b/process/quarantine/request_test.go
@@ -229,6 +229,28 @@
 	}
 }
 
+// TestHostsFindNewLeader guards against a request that is blocked in the place of the lethal one because a new leader was told by one
+// host only: hosts find it one after another.
+func TestHostsFindNewLeader(t *testing.T) {
+	const lethalDigest, popular = 0xd1, 0xd2
+	s := newScene()
+	losses := func(digest uint64) (out []wire.Loss) {
+		for n := range 6 {
+			out = append(out, wire.Loss{Server: fmt.Sprint("server-", n), Born: 1, Ended: true, AgeMs: 2000 - int64(n/3)*1500, Requests: []wire.LostRequest{lost(digest)}})
+		}
+		return out
+	}
+	survivals := []wire.Survival{{Key: requestKey("o", popular), BegunMs: 9000}, {Key: requestKey("o", lethalDigest), BegunMs: 9000}}
+	for n, digest := range []uint64{popular, lethalDigest} {
+		s.reportLate(fmt.Sprint("host-", n), 0, 1, wire.Usage{QuarantineTerm: 1, Losses: losses(digest), Survivals: survivals})
+		s.pass(250 * time.Millisecond)
+	}
+	s.pass(200 * time.Millisecond)
+	if s.blocked[requestKey("o", lethalDigest)] == nil {
+		t.Errorf("blocked %v, want the lethal request among them", s.List(s.now))
+	}
+}
+
 // TestProbesOneByOne guards against probes of several doubtful parts at the same time: a server that crashes under one of them
 // would speak against the others as well.
 func TestProbesOneByOne(t *testing.T) {
--- a/process/quarantine/tracker.go
+++ b/process/quarantine/tracker.go
@@ -31,6 +31,8 @@
 	// answerTime is the time within which the hosts have reported the survivals of a suspected part, and what else was lost in a
 	// crash that one of them has reported.
 	answerTime = 150 * time.Millisecond
+	// joinTime is the time after a host's first report within which others may find a new leader, and tell it what they have lost.
+	joinTime = 300 * time.Millisecond
 	// provenBlockAfter and provenBlockTime are the number of crashes and the time from the first of them, without any
 	// survival, after which a part is blocked that servers have survived before, if it was in provenFraction of all
 	// crashes. Many servers may be lost at once for other reasons, and a part that many requests share is then in most
@@ -90,8 +92,9 @@
 	unannounced      bool
 	nextAnnouncement time.Time
 	changes          []Change
-	// hosts holds the clocks of the entry hosts that report.
-	hosts map[string]*clock.Remote
+	// hosts holds the clocks of the entry hosts that report, and newHostAt is when one of them first did.
+	hosts     map[string]*clock.Remote
+	newHostAt time.Time
 }
 
 // NewTracker returns a Tracker for a leader that takes over now.
@@ -129,7 +132,7 @@
 			clear(t.hosts)
 		}
 		h = &clock.Remote{}
-		t.hosts[host] = h
+		t.hosts[host], t.newHostAt = h, now
 	}
 	return h.SentAt(now, stamp)
 }
