--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -54,6 +54,8 @@
 		time.Sleep(time.Duration(r.random.ExpFloat64() * float64(meanFaultInterval)))
 		length := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		switch x := r.random.IntN(10); {
+		case r.cfg.Serve:
+			r.freeze(r.processes[x%len(r.processes)], length)
 		case x < 4:
 			r.faultProcess(length)
 		case x < 8:
@@ -84,14 +86,7 @@
 	}
 	switch kind {
 	case 0:
-		r.recordFault("%s is frozen for %v", p.name, d)
-		p.disruptions.Add(1)
-		p.signal(syscall.SIGSTOP)
-		r.scheduleRepair(d, func() {
-			p.signal(syscall.SIGCONT)
-			p.disruptions.Add(1)
-			r.release(p)
-		})
+		r.freezeAcquired(p, d)
 	case 1:
 		r.recordFault("%s is stopped with SIGTERM", p.name)
 		r.scheduleRepair(0, func() {
@@ -114,6 +109,24 @@
 	}
 }
 
+// freeze freezes a process for d unless it is faulty.
+func (r *run) freeze(p *process, d time.Duration) {
+	if p.running() && r.acquire(p) {
+		r.freezeAcquired(p, d)
+	}
+}
+
+func (r *run) freezeAcquired(p *process, d time.Duration) {
+	r.recordFault("%s is frozen for %v", p.name, d)
+	p.disruptions.Add(1)
+	p.signal(syscall.SIGSTOP)
+	r.scheduleRepair(d, func() {
+		p.signal(syscall.SIGCONT)
+		p.disruptions.Add(1)
+		r.release(p)
+	})
+}
+
 // catchUpTime is how long a control host still counts as faulty after its restart.
 const catchUpTime = 3 * time.Second
 
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -17,6 +17,8 @@
 type process struct {
 	name, binary, dir, settings string
 	control                     bool
+	// serveFolder is the folder with the settings for savorywing serve; empty for savorywing run.
+	serveFolder string
 	// faulty reports whether a fault on the process is not repaired yet. Guarded by run.mu.
 	faulty bool
 	// disruptions counts the beginnings and ends of faults that may leave requests without an answer.
@@ -33,19 +35,15 @@
 func (p *process) start(first bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	file := filepath.Join(p.dir, "settings.yaml")
-	if err := os.MkdirAll(p.dir, 0o700); err != nil {
-		return fmt.Errorf("process.start: %w", err)
-	}
-	text := fmt.Sprintf("firstStart: %v\n%s", first, p.settings)
-	if err := os.WriteFile(file, []byte(text), settingsMode); err != nil {
+	args, err := p.prepare(first)
+	if err != nil {
 		return fmt.Errorf("process.start: %w", err)
 	}
 	out, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, settingsMode)
 	if err != nil {
 		return fmt.Errorf("process.start: %w", err)
 	}
-	cmd := exec.Command(p.binary, "run", "--settings", file) // #nosec G204 -- the binary under test
+	cmd := exec.Command(p.binary, args...) // #nosec G204 -- the binary under test
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("process.start: %w", err)
@@ -63,6 +61,19 @@
 	return nil
 }
 
+// prepare writes the settings of the process and returns its arguments.
+func (p *process) prepare(first bool) ([]string, error) {
+	if err := os.MkdirAll(p.dir, 0o700); err != nil {
+		return nil, err
+	}
+	if p.serveFolder != "" {
+		return []string{"serve", "--settings", p.serveFolder, "--stop-within", gracePeriod.String()}, nil
+	}
+	file := filepath.Join(p.dir, "settings.yaml")
+	text := fmt.Sprintf("firstStart: %v\n%s", first, p.settings)
+	return []string{"run", "--settings", file}, os.WriteFile(file, []byte(text), settingsMode)
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/standin"
 	"savorywing.example/savorywing/standin/fleet"
 	"savorywing.example/savorywing/version/catalogue"
 )
@@ -30,6 +31,9 @@
 	// Subnet is the second byte of the run's loopback addresses, 127.Subnet.*.*. Concurrent runs need different ones.
 	Subnet  int
 	Dialect savorywing.EmulatorDialect
+	// Serve makes the run start Entry daemons by savorywing serve, in front of emulated services, and stop and freeze them; other
+	// faults are injected only into daemons of savorywing run.
+	Serve bool
 }
 
 // Result holds the violations, the counts of requests by outcome, and the injected faults of a run.
@@ -64,11 +68,14 @@
 // run is a soak in progress.
 type run struct {
 	cfg       Config
+	protocol  protocol
 	random    *rand.Rand
 	processes []*process
 	relays    []*relay
 	fleet     *fleet.Fleet
-	start     time.Time
+	// services are the emulated services behind daemons of savorywing serve.
+	services []*standin.Server
+	start    time.Time
 	// faultsUntil is until when faults and planned stops begin.
 	faultsUntil time.Time
 	repairs     sync.WaitGroup
@@ -91,7 +98,12 @@
 func Run(cfg Config) (Result, error) {
 	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now()}
 	defer r.close()
-	if err := r.assemble(); err != nil {
+	assemble := r.assemble
+	r.protocol = fleetProtocol{r}
+	if cfg.Serve {
+		assemble = r.assembleServe
+	}
+	if err := assemble(); err != nil {
 		return Result{}, fmt.Errorf("soak.Run: %w", err)
 	}
 	if !r.servesAll(recoveryTimeout) {
@@ -106,11 +118,9 @@
 			r.runCaller(i)
 		}()
 	}
-	work.Add(1)
-	go func() {
-		defer work.Done()
-		r.runOperator()
-	}()
+	if !cfg.Serve {
+		work.Go(r.runOperator)
+	}
 	r.faultsUntil = time.Now().Add(cfg.FaultDuration)
 	var stops sync.WaitGroup
 	stops.Go(r.runPlannedStops)
@@ -123,15 +133,21 @@
 	if !ok {
 		r.recordViolation("not everything is served %v after the last fault", recoveryTimeout)
 	}
-	r.checkRead("at the end")
+	if !cfg.Serve {
+		r.checkRead("at the end")
+	}
 	return r.result(), nil
 }
 
 func (r *run) result() Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	violations := r.violations
+	if r.fleet != nil {
+		violations = append(r.fleet.Violations(), violations...)
+	}
 	return Result{
-		Violations: append(r.fleet.Violations(), r.violations...), Faults: r.faults,
+		Violations: violations, Faults: r.faults,
 		Served: r.served.Load(), Rejected: r.rejected.Load(), Failed: r.failedCalls.Load(), Crossing: r.crossing.Load(),
 	}
 }
@@ -242,6 +258,10 @@
 	if r.fleet != nil {
 		r.fleet.Close()
 	}
+	for _, s := range r.services {
+		// The run is over, and its process ends soon.
+		_ = s.Stop()
+	}
 	for _, rel := range r.relays {
 		rel.close()
 	}
@@ -251,7 +271,7 @@
 func (r *run) servesAll(within time.Duration) bool {
 	deadline := time.Now().Add(within)
 	for i := range r.cfg.Entry {
-		for _, call := range calls {
+		for _, call := range r.protocol.calls() {
 			for !r.send(i, call).ok {
 				if time.Now().After(deadline) {
 					return false
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -36,29 +36,43 @@
 	return out
 }
 
-// TestSoak runs the listed seeds against the real daemons.
-func TestSoak(t *testing.T) {
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "savorywing")
 	build := exec.Command("go", "build", "-o", binary, "../../cmd/savorywing")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	return binary
+}
+
+// report fails the test if a run violated a check.
+func report(t *testing.T, seed uint64, r Result) {
+	t.Helper()
+	for _, v := range r.Violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if len(r.Violations) > 0 {
+		for _, f := range r.Faults {
+			t.Log(f)
+		}
+	}
+	t.Logf("seed %d: %d faults, %d served, %d rejected, %d failed, %d during planned stops", seed, len(r.Faults), r.Served, r.Rejected, r.Failed, r.Crossing)
+}
+
+// TestSoak runs the listed seeds against the real daemons.
+func TestSoak(t *testing.T) {
+	binary := buildProgram(t)
 	for _, seed := range seeds(t) {
 		r, err := Run(Config{Binary: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: 6 * time.Second, Control: 3, Entry: 2, Engines: 20,
 			Callers: 6, Subnet: 91, Dialect: platform.Dialect{}})
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
-		for _, v := range r.Violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
+		report(t, seed, r)
 		if t.Failed() {
-			for _, f := range r.Faults {
-				t.Log(f)
-			}
 			return
 		}
-		t.Logf("seed %d: %d faults, %d served, %d rejected, %d failed, %d during planned stops", seed, len(r.Faults), r.Served, r.Rejected, r.Failed, r.Crossing)
 	}
 }
 
@@ -94,3 +108,15 @@
 		t.Error("acquire returned false for an entry host that has recovered")
 	}
 }
+
+// TestSoakServe runs seeds against daemons of savorywing serve.
+func TestSoakServe(t *testing.T) {
+	binary := buildProgram(t)
+	for _, seed := range []uint64{5} {
+		r, err := Run(Config{Binary: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: 6 * time.Second, Entry: 3, Callers: 6, Subnet: 92, Serve: true})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		report(t, seed, r)
+	}
+}
--- a/bench/soak/stops.go
+++ b/bench/soak/stops.go
@@ -85,6 +85,7 @@
 	var signals, wave sync.WaitGroup
 	random := rand.New(rand.NewPCG(s.seed, s.seed))
 	kept := r.keepConnections(slices.Index(r.entries(), p))
+	calls := r.protocol.calls()
 	stopped := p.exit()
 	begun := time.Now()
 	for _, k := range kept {
@@ -135,13 +136,14 @@
 // keepConnections opens connections to a host. On half of them, a request is served first.
 func (r *run) keepConnections(entry int) []*keptConnection {
 	var kept []*keptConnection
+	calls := r.protocol.calls()
 	for i := range waveSize {
 		conn, err := net.DialTimeout("tcp", r.entryAddress(entry), time.Second)
 		if err != nil {
 			continue
 		}
 		k := &keptConnection{entry: entry, conn: conn, in: bufio.NewReader(conn)}
-		if i%2 == 0 && (!r.exchange(k, request{path: "/book/x"}).ok || !k.isOpen()) {
+		if i%2 == 0 && (!r.exchange(k, calls[len(calls)-1]).ok || !k.isOpen()) {
 			_ = conn.Close()
 			continue
 		}
--- a/bench/soak/workload.go
+++ b/bench/soak/workload.go
@@ -23,14 +23,59 @@
 // request is a caller's request. Without a model it is a non-idempotent action, which may run at most once.
 type request struct{ path, model string }
 
-// calls are the requests of callers.
-var calls = []request{{path: "/talk/x", model: largeModel}, {path: "/talk/x", model: smallModel}, {path: "/book/x"}}
+// protocol is what callers speak to a kind of daemon.
+type protocol interface {
+	// calls returns the requests of callers.
+	calls() []request
+	// writeRequest writes a request that can be told from others by the ID.
+	writeRequest(req *fasthttp.Request, id string, call request)
+	// check returns an error for a response that can't be the one to the request.
+	check(id string, call request, resp *fasthttp.Response) error
+	// statesNotRun reports whether a response states that the request has not run.
+	statesNotRun(resp *fasthttp.Response) bool
+	// runCount returns how often a request without a model has run.
+	runCount(id string) int
+}
+
+// fleetProtocol is the protocol of savorywing run.
+type fleetProtocol struct{ run *run }
+
+func (fleetProtocol) calls() []request {
+	return []request{{path: "/talk/x", model: largeModel}, {path: "/talk/x", model: smallModel}, {path: "/book/x"}}
+}
+
+func (p fleetProtocol) writeRequest(req *fasthttp.Request, id string, call request) {
+	req.Header.SetHost(callerHost)
+	p.run.cfg.Dialect.WriteCallerMetadata(&req.Header, savorywing.CallerMetadata{
+		AttemptID: id, APIKey: apiKey, Timeout: callerTimeout, Model: call.model, PromptTokens: 400, MaxOutputTokens: 60, LastEventID: -1,
+	})
+	req.SetBodyString("a prompt")
+}
+
+func (fleetProtocol) check(id string, call request, resp *fasthttp.Response) error {
+	if resp.StatusCode() == fasthttp.StatusOK && call.model != "" {
+		if err := checkCompleteStream(resp.Body()); err != nil {
+			return fmt.Errorf("incorrect stream in a response that ended without an error: %w", err)
+		}
+	}
+	// The host doesn't know the request yet to which it responds with 408.
+	if resp.StatusCode() != fasthttp.StatusRequestTimeout && !strings.Contains(resp.Header.String(), id) {
+		return fmt.Errorf("a response without the request's attempt ID:\n%s", resp.Header.String())
+	}
+	return nil
+}
+
+func (fleetProtocol) statesNotRun(resp *fasthttp.Response) bool {
+	s := resp.StatusCode()
+	return s == fasthttp.StatusServiceUnavailable || s == fasthttp.StatusTooManyRequests || s == fasthttp.StatusRequestTimeout
+}
+
+func (p fleetProtocol) runCount(id string) int { return p.run.fleet.RunCount(id) }
 
 // outcome is the result of a request at its caller.
 type outcome struct {
-	ok     bool
-	status int
-	err    error
+	ok  bool
+	err error
 }
 
 // send sends one request on a new connection and checks the response.
@@ -47,15 +92,11 @@
 func (r *run) exchange(k *keptConnection, call request) outcome {
 	host := r.entries()[k.entry]
 	disruptions, sentAt := host.disruptions.Load(), time.Now()
-	attemptID := fmt.Sprintf("n%d", r.lastRequestID.Add(1))
+	id := fmt.Sprintf("n%d", r.lastRequestID.Add(1))
 	var req fasthttp.Request
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetRequestURI(call.path)
-	req.Header.SetHost(callerHost)
-	r.cfg.Dialect.WriteCallerMetadata(&req.Header, savorywing.CallerMetadata{
-		AttemptID: attemptID, APIKey: apiKey, Timeout: callerTimeout, Model: call.model, PromptTokens: 400, MaxOutputTokens: 60, LastEventID: -1,
-	})
-	req.SetBodyString("a prompt")
+	r.protocol.writeRequest(&req, id, call)
 	if err := k.conn.SetDeadline(time.Now().Add(callerTimeout + time.Second)); err != nil {
 		return outcome{err: err}
 	}
@@ -64,50 +105,38 @@
 	}
 	if _, err := k.in.Peek(1); err != nil {
 		if host.disruptions.Load() == disruptions && !host.isFrozen() {
-			r.recordViolation("%s to %s, sent at %.3f s, got no answer, without a fault of the host: %v", attemptID, host.name, sentAt.Sub(r.start).Seconds(), err)
+			r.recordViolation("%s to %s, sent at %.3f s, got no answer, without a fault of the host: %v", id, host.name, sentAt.Sub(r.start).Seconds(), err)
 		}
-		r.checkRunCount(attemptID, call, 0)
+		r.checkRunCount(id, call, false)
 		return outcome{err: err}
 	}
 	var resp fasthttp.Response
 	if err := resp.Read(k.in); err != nil {
-		r.checkRunCount(attemptID, call, 0)
+		r.checkRunCount(id, call, false)
 		return outcome{err: err}
 	}
 	k.closing = resp.ConnectionClose()
-	o := outcome{status: resp.StatusCode(), ok: resp.StatusCode() == fasthttp.StatusOK}
-	if o.ok && call.model != "" {
-		if err := checkCompleteStream(resp.Body()); err != nil {
-			r.recordViolation("%s: incorrect stream in a response that ended without an error: %v", attemptID, err)
-		}
+	if err := r.protocol.check(id, call, &resp); err != nil {
+		r.recordViolation("%s: %v", id, err)
 	}
-	// The host doesn't know the request yet to which it responds with 408.
-	if o.status != fasthttp.StatusRequestTimeout && !strings.Contains(resp.Header.String(), attemptID) {
-		r.recordViolation("%s: a response without the request's attempt ID:\n%s", attemptID, resp.Header.String())
-	}
-	r.checkRunCount(attemptID, call, o.status)
-	return o
+	r.checkRunCount(id, call, r.protocol.statesNotRun(&resp))
+	return outcome{ok: resp.StatusCode() == fasthttp.StatusOK}
 }
 
 // checkRunCount checks that an action ran at most once, and not at all if the response says so.
-func (r *run) checkRunCount(attemptID string, call request, status int) {
+func (r *run) checkRunCount(id string, call request, statedNotRun bool) {
 	if call.model != "" {
 		return
 	}
-	runs := r.fleet.RunCount(attemptID)
+	runs := r.protocol.runCount(id)
 	if runs > 1 {
-		r.recordViolation("%s ran %d times", attemptID, runs)
+		r.recordViolation("%s ran %d times", id, runs)
 	}
-	if runs > 0 && isNotRun(status) {
-		r.recordViolation("%s was answered with status %d but has run", attemptID, status)
+	if runs > 0 && statedNotRun {
+		r.recordViolation("%s was answered as not run but has run", id)
 	}
 }
 
-// isNotRun reports whether a status states that the request has not run.
-func isNotRun(status int) bool {
-	return status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusRequestTimeout
-}
-
 // checkCompleteStream returns an error unless a body holds all events once and in order.
 func checkCompleteStream(body []byte) error {
 	next := 0
@@ -135,6 +164,7 @@
 			_ = k.conn.Close()
 		}
 	}()
+	calls := r.protocol.calls()
 	for i := 0; ; i++ {
 		select {
 		case <-r.stop:
--- a/cmd/savorywing/soak.go
+++ b/cmd/savorywing/soak.go
@@ -54,6 +54,7 @@
 	cmd.Flags().IntVar(&cfg.Engines, "engines", 30, "emulated engines")
 	cmd.Flags().IntVar(&cfg.Callers, "callers", 12, "callers")
 	cmd.Flags().IntVar(&cfg.Subnet, "subnet", 77, "second byte of the addresses 127.SUBNET.*.*; concurrent runs need different ones")
+	cmd.Flags().BoolVar(&cfg.Serve, "serve", false, "run the entry hosts by savorywing serve, as control hosts too")
 	cmd.Flags().StringVar(&cfg.Dir, "dir", filepath.Join(os.TempDir(), "savorywing-soak"), "folder for settings, data folders and logs")
 	return cmd
 }
