telemetry: a stop doesn't wait for scrapers

Operators would have seen: a daemon that doesn't end after SIGTERM, until it is killed, if a scraper (or any other connection to the metrics address) has sent nothing or half a request. Callers are answered before, but on a control host the mesh and the log stop after the metrics.

Cause: fasthttp.Server's Shutdown waits for such connections, without a limit, and the server had no read timeout.

Change: the metrics listener uses connection/ingress, with a limit of 500 ms for its stop.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -225,7 +225,7 @@
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
 	c.api = controlapi.New(c.clock, c.dialect, c, c.log)
-	c.telemetry = telemetry.New(c.log)
+	c.telemetry = telemetry.New(c.clock, c.log)
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
 			return 1
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -113,7 +113,7 @@
 	})
 	g.invalidValues = logging.NewRepeats(g.clock)
 	g.servedLines, g.problemLines = sampler{limit: maxServedLinesPerSecond}, sampler{limit: maxProblemLinesPerSecond}
-	g.telemetry = telemetry.New(log)
+	g.telemetry = telemetry.New(g.clock, log)
 	g.telemetry.Gauge("busy", func() float64 { return float64(g.server.InFlight()) })
 	g.telemetry.Gauge("engine_connections_opened", func() float64 { return float64(g.engines.ConnectionsOpened()) })
 	g.telemetry.Gauge("document_age_seconds", func() float64 { return g.subscription.confirmationAge().Seconds() })
--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -4,10 +4,10 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
-	"net"
 	"sort"
 	"sync"
 	"time"
@@ -17,6 +17,9 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/ingress"
 )
 
 const (
@@ -27,6 +30,11 @@
 	lowestMicroseconds  = 1
 	highestMicroseconds = int64(time.Minute / time.Microsecond)
 	significantFigures  = 2
+	// Scrapers send short requests without a body.
+	maxHeaderBytes = 4 << 10
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	stopTimeout    = 500 * time.Millisecond
 )
 
 var quantiles = []float64{50, 90, 99}
@@ -34,8 +42,7 @@
 // Telemetry is safe for concurrent use.
 type Telemetry struct {
 	set  *metrics.Set
-	log  zerolog.Logger
-	http *fasthttp.Server
+	http *ingress.Server
 
 	mu         sync.Mutex
 	histograms map[key]*hdrhistogram.Histogram
@@ -44,8 +51,11 @@
 type key struct{ name, label, value string }
 
 // New returns empty telemetry.
-func New(log zerolog.Logger) *Telemetry {
-	return &Telemetry{set: metrics.NewSet(), log: log, histograms: map[key]*hdrhistogram.Histogram{}}
+func New(clock savorywing.Clock, log zerolog.Logger) *Telemetry {
+	t := &Telemetry{set: metrics.NewSet(), histograms: map[key]*hdrhistogram.Histogram{}}
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	t.http = ingress.New(clock, ingress.NewRequestHandler(t.handle, t.handle), func() ingress.Limits { return limits }, log)
+	return t
 }
 
 // Count increments a counter with one label. Label values must come from a bounded set.
@@ -133,21 +143,14 @@
 
 // Start serves /metrics and /debug/vars at a TCP address.
 func (t *Telemetry) Start(address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
+	if err := t.http.Start(address); err != nil {
 		return fmt.Errorf("Telemetry.Start: %w", err)
 	}
 	publish.Do(func() { expvar.Publish(expvarName, t) })
-	t.http = &fasthttp.Server{Handler: t.handle, NoDefaultServerHeader: true, Logger: &t.log}
-	go func() {
-		if err := t.http.Serve(listener); err != nil {
-			t.log.Warn().Str("event", "metricsStopped").Err(err).Msg("serving metrics failed")
-		}
-	}()
 	return nil
 }
 
-func (t *Telemetry) handle(ctx *fasthttp.RequestCtx) {
+func (t *Telemetry) handle(_ context.Context, ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/metrics":
 		ctx.SetContentType("text/plain; charset=utf-8")
@@ -159,12 +162,10 @@
 	}
 }
 
-// Stop closes the metrics listener.
+// Stop closes the metrics listener. It waits up to stopTimeout for scrapes in progress.
 func (t *Telemetry) Stop() {
-	if t.http == nil {
-		return
-	}
-	if err := t.http.Shutdown(); err != nil {
-		t.log.Warn().Str("event", "metricsStopped").Err(err).Msg("closing the metrics listener failed")
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	t.http.Shutdown(ctx)
+	t.http.Close()
 }
--- a/process/telemetry/telemetry_test.go
+++ b/process/telemetry/telemetry_test.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"savorywing.example/savorywing/process/clock"
 )
 
 func TestText(t *testing.T) {
-	tel := New(zerolog.Nop())
+	tel := New(clock.System{}, zerolog.Nop())
 	tel.Count("refused", "reason", "full")
 	tel.Count("refused", "reason", "full")
 	tel.Gauge("busy", func() float64 { return 3 })
@@ -29,7 +31,7 @@
 }
 
 func TestMaxHistograms(t *testing.T) {
-	tel := New(zerolog.Nop())
+	tel := New(clock.System{}, zerolog.Nop())
 	for i := range 1000 {
 		tel.Observe("whole", "organisation", fmt.Sprint(i), time.Hour)
 	}
