entry: streams that are cancelled end with the reason

The error event, and the log line, of a stream whose caller disconnected or whose host stops said that the answer couldn't be finished, as if an engine had failed. Since a disconnect cancels the request, the line "the caller has gone" came rarely.

Change: they name the cause, as complete responses do. TestServeStopWithin asks for it in all four cases (not run before the change).

New as well: TestDrainServesWhatWaits, requests that wait for a slot or for their claim when a stop begins. It passed at once.

Beside 12 busy processes on 8 cores, before this commit: the tests of connection/ingress, request/caller, connection/controlapi and connection/operator twice, TestServeSignals, TestServeStopWhileStarting, TestServeStopWithin, TestServeStopsInSeries and TestFleetControlsStopInSeries once, all passed. After it TestServeStopWithin and go test -race ./process/entry passed.

--- a/cmd/savorywing/serve_stop_test.go
+++ b/cmd/savorywing/serve_stop_test.go
@@ -122,8 +122,8 @@
 	for _, tt := range tests {
 		callers.Go(func() {
 			r := s.readToEnd(0, tt.method, tt.path, tt.key, tt.body)
-			if r.status != tt.status || !strings.Contains(r.body, tt.want) {
-				t.Errorf("%s: status %d, error %v, %q, want %d and %s", tt.name, r.status, r.err, tail(r.body), tt.status, tt.want)
+			if r.status != tt.status || !strings.Contains(r.body, tt.want) || !strings.Contains(r.body, "the server stops") {
+				t.Errorf("%s: status %d, error %v, %q, want %d, %s and the reason", tt.name, r.status, r.err, tail(r.body), tt.status, tt.want)
 			}
 			if tt.status == 200 && r.err == nil {
 				t.Errorf("%s: the response has a clean end", tt.name)
--- a/process/entry/events.go
+++ b/process/entry/events.go
@@ -16,6 +16,8 @@
 
 // events is the response of one attempt as server-sent events.
 type events struct {
+	// request is the context of the request, and ctx that of the attempt.
+	request context.Context
 	ctx     context.Context
 	cancel  context.CancelFunc
 	session *session
@@ -28,8 +30,8 @@
 
 var _ savorywing.EventStream = (*events)(nil)
 
-func newEvents(ctx context.Context, cancel context.CancelFunc, s *session, g grant, a *attempt.Attempt, first attempt.Frame) *events {
-	return &events{ctx: ctx, cancel: cancel, session: s, grant: g, attempt: a, first: &first}
+func newEvents(request, ctx context.Context, cancel context.CancelFunc, s *session, g grant, a *attempt.Attempt, first attempt.Frame) *events {
+	return &events{request: request, ctx: ctx, cancel: cancel, session: s, grant: g, attempt: a, first: &first}
 }
 
 // next returns the next frame and records its arrival time.
@@ -61,7 +63,7 @@
 		e.end(nil, io.EOF)
 		return doneEvent, nil
 	}
-	requestErr := savorywing.AsRequestError(err)
+	requestErr := cancelledError(e.request, savorywing.AsRequestError(err))
 	e.end(requestErr, requestErr)
 	return errorEvent(requestErr), nil
 }
--- a/process/entry/session.go
+++ b/process/entry/session.go
@@ -240,8 +240,8 @@
 }
 
 // generate opens a model's response and waits for its first token until the caller's deadline.
-func (s *session) generate(ctx context.Context, g grant, attemptID savorywing.ID) (savorywing.Response, error) {
-	ctx, cancel := context.WithDeadline(ctx, s.request.ResponseDeadline())
+func (s *session) generate(request context.Context, g grant, attemptID savorywing.ID) (savorywing.Response, error) {
+	ctx, cancel := context.WithDeadline(request, s.request.ResponseDeadline())
 	timer := time.AfterFunc(s.request.FirstTokenDeadline().Sub(s.server.clock.Now()), cancel)
 	idleTimeout := max(minIdleTimeout, idleTimeoutFactor*s.request.Timeouts.BetweenTokens)
 	a, err := attempt.Open(ctx, s.server.backend, g.candidate.Target, s.call(attemptID), attempt.WithIdleTimeout(idleTimeout))
@@ -255,7 +255,7 @@
 		_ = a.Close()
 		return savorywing.Response{}, s.timeoutError(orTimeout(err))
 	}
-	events := newEvents(ctx, cancel, s, g, a, first)
+	events := newEvents(request, ctx, cancel, s, g, a, first)
 	if s.request.Stream {
 		return savorywing.Response{Status: statusOK, ContentType: "text/event-stream", Events: events}, nil
 	}
--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -99,6 +99,57 @@
 	})
 }
 
+// heldBackend responds once it is released.
+type heldBackend struct {
+	fakeBackend
+	release chan struct{}
+}
+
+func (b *heldBackend) Send(ctx context.Context, t savorywing.Target, call savorywing.Call) (savorywing.BackendResponse, error) {
+	<-b.release
+	return b.fakeBackend.Send(ctx, t, call)
+}
+
+// delayedLog is a log that takes a while for each command.
+type delayedLog struct{ *fakeLog }
+
+func (l delayedLog) Propose(ctx context.Context, c wire.Command) (wire.Result, error) {
+	time.Sleep(100 * time.Millisecond)
+	return l.fakeLog.Propose(ctx, c)
+}
+
+// TestDrainServesWhatWaits checks that requests that wait for a slot, or for their claim, when a stop begins are served.
+func TestDrainServesWhatWaits(t *testing.T) {
+	Convey("When a stop begins", t, func() {
+		f := newFixture("a")
+		Convey("requests that wait for a slot are served", func() {
+			b := &heldBackend{release: make(chan struct{})}
+			f.server.backend = b
+			var served []<-chan *savorywing.RequestError
+			for range 12 {
+				served = append(served, f.serveInBackground(context.Background(), f.request("")))
+			}
+			time.Sleep(50 * time.Millisecond)
+			drained := make(chan error, 1)
+			go func() { drained <- f.server.Drain(context.Background()) }()
+			time.Sleep(20 * time.Millisecond)
+			close(b.release)
+			for _, s := range served {
+				So(within(s, time.Second), ShouldBeNil)
+			}
+			So(<-drained, ShouldBeNil)
+		})
+		Convey("a request whose claim is being committed is served and its claim settled", func() {
+			f.server.log = delayedLog{f.log}
+			served := f.serveInBackground(context.Background(), f.request("key"))
+			time.Sleep(50 * time.Millisecond)
+			So(f.server.Drain(context.Background()), ShouldBeNil)
+			So(within(served, time.Second), ShouldBeNil)
+			So(f.claimState("key"), ShouldEqual, state.ClaimDone)
+		})
+	})
+}
+
 // claimState returns the state of a key's claim, as another host would find it.
 func (f *fixture) claimState(key string) string {
 	r, _ := f.log.Propose(context.Background(), wire.Command{Claim: &wire.Claim{
