TestFleetStopControlProcess: signals in series at a control host

A control host of run, as a process: SIGHUP before its stop; SIGHUP, SIGTERM and SIGINT during it, while six operators publish on kept connections. Each document must get an answer, the exit code be 0, and what was acknowledged be in force.

--- a/cmd/savorywing/fleet_control_stop_test.go
+++ b/cmd/savorywing/fleet_control_stop_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,26 +76,37 @@
 	return !resp.ConnectionClose()
 }
 
-// restartControl starts control host i again, on an empty disk, and waits until there are three voters.
-func (f *fleetEnv) restartControl(i int) *controller.Controller {
+// controlIP returns the address of control host i.
+func (f *fleetEnv) controlIP(i int) string {
 	f.t.Helper()
 	host, _, err := net.SplitHostPort(f.seeds[i])
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	c := f.startControl(host, f.t.TempDir(), false)
+	return host
+}
+
+// restartControl starts control host i again, on an empty disk, and waits until there are three voters.
+func (f *fleetEnv) restartControl(i int) {
+	f.t.Helper()
+	c := f.startControl(f.controlIP(i), f.t.TempDir(), false)
 	f.controls = append(f.controls, c)
+	f.waitReplaced(c, f.controlIP(i))
+}
+
+// waitReplaced waits until c knows of three voters, one of which is a host that has started again at ip.
+func (f *fleetEnv) waitReplaced(c *controller.Controller, ip string) {
+	f.t.Helper()
 	f.eventually("three voters again", func() bool {
 		voters, isNew := 0, false
 		for _, m := range c.Members() {
 			if m.Voter {
 				voters++
-				isNew = isNew || strings.HasPrefix(m.ID, host) && !strings.HasSuffix(m.ID, "/first")
+				isNew = isNew || strings.HasPrefix(m.ID, ip) && !strings.HasSuffix(m.ID, "/first")
 			}
 		}
 		return voters == 3 && isNew
 	})
-	return c
 }
 
 // TestFleetControlsStopInSeries stops control hosts one after another, the leader first, while operators publish documents on kept
@@ -176,3 +188,52 @@
 	}
 	return c.Version()
 }
+
+// TestFleetStopControlProcess stops a control host, as a process, with signals in series while operators publish documents on kept
+// connections. Each must get an answer.
+func TestFleetStopControlProcess(t *testing.T) {
+	if testing.Short() {
+		t.Skip("stops take seconds")
+	}
+	tests := []struct {
+		name    string
+		signals []syscall.Signal
+	}{
+		{"SIGHUP before the stop", []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM}},
+		{"signals during the stop", []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetEnv(t, 3, 1, 10)
+			f.waitServing()
+			replaced := f.controls[0]
+			replaced.Stop()
+			f.stopped[replaced] = true
+			p := f.startControlProcess(f.controlIP(0))
+			f.waitReplaced(f.controls[1], f.controlIP(0))
+			var version, acknowledged atomic.Uint64
+			version.Store(1)
+			publisher := &publisher{f: f, address: f.seeds[0], version: &version, acknowledged: &acknowledged, byStatus: map[int]int{}}
+			stop := make(chan struct{})
+			var running sync.WaitGroup
+			for range 6 {
+				running.Go(func() { publisher.run(stop) })
+			}
+			f.eventually("documents are acknowledged", func() bool { return acknowledged.Load() > 0 })
+			for _, signal := range tt.signals {
+				p.signal(signal)
+				time.Sleep(20 * time.Millisecond)
+			}
+			if code := p.wait(); code != 0 {
+				t.Errorf("the process exited with code %d, want 0: %s", code, tail(p.logText()))
+			}
+			close(stop)
+			running.Wait()
+			t.Logf("answers by status %v", publisher.byStatus)
+			if got := f.documentVersion(); got < acknowledged.Load() {
+				t.Errorf("version %d is in force, want at least %d, which was acknowledged", got, acknowledged.Load())
+			}
+		})
+	}
+}
--- a/cmd/savorywing/fleet_process_test.go
+++ b/cmd/savorywing/fleet_process_test.go
@@ -13,18 +13,33 @@
 	"go.yaml.in/yaml/v3"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/version/instance"
 )
 
 // startEntryProcess runs an entry host of the fleet as a process of its own, and returns the file of its settings too.
 func (f *fleetEnv) startEntryProcess(i int) (p *process, file string) {
 	f.t.Helper()
-	settings, err := yaml.Marshal(f.settings(savorywing.RoleEntry, f.entryIP(i), true))
+	return f.startProcess(f.settings(savorywing.RoleEntry, f.entryIP(i), true))
+}
+
+// startControlProcess runs a control host as a process of its own, on an empty disk.
+func (f *fleetEnv) startControlProcess(ip string) *process {
+	f.t.Helper()
+	s := f.settings(savorywing.RoleControl, ip, false)
+	s.DataDir = f.t.TempDir()
+	p, _ := f.startProcess(s)
+	return p
+}
+
+func (f *fleetEnv) startProcess(s *instance.Settings) (p *process, file string) {
+	f.t.Helper()
+	settings, err := yaml.Marshal(s)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	file = filepath.Join(f.t.TempDir(), "settings.yaml")
 	f.writeFile(file, string(settings))
-	p = &process{t: f.t, name: "entry process", args: []string{"run", "--settings", file}, env: envProgram + "=1"}
+	p = &process{t: f.t, name: s.Role + " process", args: []string{"run", "--settings", file}, env: envProgram + "=1"}
 	p.start()
 	f.t.Cleanup(p.kill)
 	return p, file
