--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -88,6 +88,8 @@
 	// hasPaths makes each entry host dial backend servers, and other daemons, on paths of its own that can be cut.
 	hasPaths         bool
 	paths, peerPaths []*standin.Path
+	// dataCentre returns the data centre of an entry host; nil for "a".
+	dataCentre func(entry int) string
 }
 
 // subnetCounter gives each environment its own loopback subnet.
@@ -177,6 +179,9 @@
 
 func (f *fleetEnv) startEntry(ip string) *gateway.Gateway {
 	s := f.settings(savorywing.RoleEntry, ip, true)
+	if f.dataCentre != nil {
+		s.DataCentre = f.dataCentre(len(f.entries))
+	}
 	var opts []gateway.Option
 	if f.hasPaths {
 		path, peerPath := standin.NewPath(), standin.NewPath()
