Large responses to slow readers aren't cancelled as stalled

Callers saw: a plain idempotent request with a response above 256 KiB was cut off 2.5 objectives after it was sent if the caller hadn't read it all by then, at any entry host, forwarded or not.

Cause: the timer that moves a request away from a silent server ran on while the response was passed on. It knows events of streams as progress, and no bytes of other responses, and once part of the response has been passed on no server can take over anyway.

Change: the timer is stopped when the first part is passed on; a check that is under way then cancels nothing.

--- a/cmd/savorywing/fleet_forward_kinds_test.go
+++ b/cmd/savorywing/fleet_forward_kinds_test.go
@@ -1,9 +1,17 @@
 package main
 
 import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
 	standin "savorywing.example/savorywing/standin/fleet"
 )
 
@@ -82,3 +90,88 @@
 	l.callers.Wait()
 	t.Logf("%d served, %d rejected", l.served, l.rejected)
 }
+
+// slowReader sends a request and reads the response in pieces, with pauses. It returns the number of bytes of the body, or an
+// error.
+func (f *fleetEnv) slowReader(entry int, pieceBytes int, pause time.Duration, maxPauses int) (int, error) {
+	conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", f.entryIP(entry), f.port+2), time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		return 0, err
+	}
+	var req fasthttp.Request
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetRequestURI("/book/look/x")
+	req.Header.SetHost(fleetHost)
+	f.dialect.WriteCallerMetadata(&req.Header, savorywing.CallerMetadata{APIKey: fleetKey, AttemptID: fmt.Sprintf("slow-%p", conn), LastEventID: -1})
+	if _, err := req.WriteTo(conn); err != nil {
+		return 0, err
+	}
+	total, pauses := 0, 0
+	header := ""
+	for b := make([]byte, pieceBytes); ; {
+		n, err := conn.Read(b)
+		total += n
+		if !strings.Contains(header, "\r\n\r\n") {
+			header += string(b[:n])
+		}
+		end := strings.Index(header, "\r\n\r\n")
+		body := total - end - len("\r\n\r\n")
+		if err != nil {
+			return body, err
+		}
+		if end >= 0 && body >= slowBodyBytes {
+			return body, nil
+		}
+		if pauses++; pauses <= maxPauses {
+			time.Sleep(pause)
+		}
+	}
+}
+
+// slowBodyBytes is more than sockets and buffers on the way hold.
+const slowBodyBytes = 12 << 20
+
+// TestFleetForwardedSlowReaders guards against callers who read slowly and hold up others through the connections between entry
+// hosts, and against truncated responses to them.
+func TestFleetForwardedSlowReaders(t *testing.T) {
+	t.Parallel()
+	f := newFleetEnv(t, 3, 3, 20, withPaths)
+	f.waitServing()
+	f.cutOffUntilForwarded(1, standin.CutReset)
+	for _, s := range f.fleet.PlainServers() {
+		s.SetFaults(standin.Faults{BodyBytes: slowBodyBytes})
+	}
+	var readers sync.WaitGroup
+	var steady, stopped atomic.Int64
+	for n := range 4 {
+		readers.Go(func() {
+			// This takes longer than the time after which a silent server counts as stalled.
+			entry := n % 2
+			got, err := f.slowReader(entry, 64<<10, 4*time.Millisecond, slowBodyBytes/(64<<10))
+			if err != nil || got != slowBodyBytes {
+				t.Errorf("a caller at host %d that reads steadily got %d bytes of %d: %v", entry, got, slowBodyBytes, err)
+				return
+			}
+			steady.Add(1)
+		})
+		readers.Go(func() {
+			// The writes to a caller that doesn't read for 5 s are given up, on either host.
+			n, err := f.slowReader(0, 64<<10, 12*time.Second, 1)
+			if err == nil {
+				t.Errorf("a caller that stops reading got all %d bytes", n)
+			}
+			stopped.Add(1)
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	l := f.startCutLoad("/talk/x")
+	l.measure(4 * time.Second)
+	l.end()
+	l.checkServed(t, "beside slow readers", 1)
+	readers.Wait()
+	t.Logf("%d steady readers served, %d responses to readers that stopped were given up", steady.Load(), stopped.Load())
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -266,7 +266,7 @@
 	case r.isStream(response):
 		return r.relayEvents(ctx, response, d, reservation, w)
 	}
-	return r.relayBuffered(ctx, response, d)
+	return r.relayBuffered(ctx, response, d, w)
 }
 
 // isStream reports whether a response is a stream of events that a server has made.
@@ -413,7 +413,7 @@
 
 // relayBuffered reads a response to its end before passing it on without its connection headers. relayLarge takes
 // over if the body reaches maxBufferedResponse.
-func (r *callerRequest) relayBuffered(ctx context.Context, response *engine.Response, d placement.Decision) (outcome, placement.Result) {
+func (r *callerRequest) relayBuffered(ctx context.Context, response *engine.Response, d placement.Decision, w *stallWatch) (outcome, placement.Result) {
 	g := r.gateway
 	status, signed := response.Header.StatusCode(), response.Metadata.Signed
 	failed := status >= fasthttp.StatusInternalServerError || !signed
@@ -426,6 +426,8 @@
 	r.firstEventAt = g.clock.Now()
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
 	if err == nil && len(body) == maxBufferedResponse && signed {
+		// From here on no other server can take over.
+		w.stop()
 		return r.relayLarge(ctx, response, d, body)
 	}
 	if err != nil || !response.Complete() {
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -19,6 +19,8 @@
 	timer   *time.Timer
 	// lastProgress is when the response last made progress, in Unix nanoseconds on the gateway's clock.
 	lastProgress atomic.Int64
+	// stopped keeps a check that is under way from cancelling the attempt.
+	stopped atomic.Bool
 	// timeout is how long the response may make no progress.
 	timeout time.Duration
 }
@@ -43,12 +45,16 @@
 func (w *stallWatch) isPlain() bool { return w.request.service.Engine == nil }
 
 func (w *stallWatch) stop() {
+	w.stopped.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
 func (w *stallWatch) check() {
+	if w.stopped.Load() {
+		return
+	}
 	g := w.request.gateway
 	now := g.clock.Now()
 	stalledFor := now.Sub(time.Unix(0, w.lastProgress.Load()))
@@ -57,7 +63,9 @@
 		return
 	}
 	if w.isStalled(now) && (w.request.isCutOff() || w.hasAlternative(now)) {
-		w.cancel(errStalled)
+		if !w.stopped.Load() {
+			w.cancel(errStalled)
+		}
 		return
 	}
 	w.timer.Reset(stallRecheckInterval)
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -201,7 +201,7 @@
 	f := s.fleet
 	f.mu.Lock()
 	f.runCounts[attemptID]++
-	loseResponse, lethal := s.faults.LoseResponse, f.isLethal(nil, ctx.PostBody())
+	loseResponse, bodyBytes, lethal := s.faults.LoseResponse, s.faults.BodyBytes, f.isLethal(nil, ctx.PostBody())
 	f.mu.Unlock()
 	time.Sleep(f.cfg.PlainServiceTime)
 	if lethal {
@@ -219,6 +219,10 @@
 		return
 	}
 	s.dialect().SignResponse(&ctx.Response.Header, attemptID, signaturePrefix+s.id)
+	if bodyBytes > 0 {
+		ctx.SetBody(make([]byte, bodyBytes))
+		return
+	}
 	ctx.SetBodyString("done by " + s.id)
 }
 
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -64,6 +64,8 @@
 	// RequestLimit is the text of the limit that the server states in its responses; empty for none. The server accepts
 	// requests beyond it.
 	RequestLimit string
+	// BodyBytes is the size of the responses to plain requests; 0 for a short one.
+	BodyBytes int
 	// LoseResponse runs plain requests and closes the connection without a response.
 	LoseResponse bool
 	// RepeatRefusals makes the server refuse every other request, and write the refusal once more when the next request has
