Responses that have begun aren't asked for again through another host

Seen in a trace of TestFleetForwardedSlowReaders: after a plain response that had been passed on in part was lost, the host that is cut off handed the idempotent request to another host, where it ran again; nothing of that response could follow, and the caller's was aborted all the same. It cost servers, the retry budget and the caller's time.

Change: a request whose response was lost is sent again only if nothing was passed on, or if it is a stream, whose rest can follow. TestLostResponseNotRunAgain checks that; it tests a new function and can't run on the code before.

--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -122,7 +122,7 @@
 	case errors.Is(err, errForwardLost):
 		r.mayHaveRun, r.retryPaid = true, false
 		r.sends++
-		if r.isRetryable() {
+		if r.canResume() {
 			return true
 		}
 	}
@@ -130,6 +130,12 @@
 	return false
 }
 
+// canResume reports whether a request whose response was lost may be sent again: only the rest of a stream can follow what the
+// caller has got.
+func (r *callerRequest) canResume() bool {
+	return r.isRetryable() && (!r.exchange.Started() || r.route.Kind == catalogue.Streaming)
+}
+
 func (r *callerRequest) isRetryable() bool { return r.route != nil && r.route.Retryable() }
 
 // forward offers the request to other entry hosts until one takes it, and relays its response. It returns nil if the caller
--- a/process/gateway/intake_test.go
+++ b/process/gateway/intake_test.go
@@ -135,3 +135,27 @@
 		})
 	}
 }
+
+// TestLostResponseNotRunAgain guards against requests that are sent again although their caller has got a part of a response that
+// nothing can follow.
+func TestLostResponseNotRunAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		kind    catalogue.RouteKind
+		started bool
+		want    bool
+	}{
+		{"idempotent, nothing passed on", catalogue.Idempotent, false, true},
+		{"idempotent, begun", catalogue.Idempotent, true, false},
+		{"stream, begun", catalogue.Streaming, true, true},
+		{"may run once", catalogue.NonIdempotent, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := &callerRequest{exchange: &forwardedExchange{started: tt.started}, route: &catalogue.Route{Kind: tt.kind, Resumable: true}}
+			if got := r.canResume(); got != tt.want {
+				t.Errorf("sent again: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
