Requests with Expect: 100-continue are read after an idle time

What callers saw: a request with "Expect: 100-continue" on a kept connection whose last response was more than 5 s ago got status 408 at once, and nothing of its body was read.

Cause: 100 Continue was written without a deadline of its own, so that the one of the response before applied, which was over.

Change: all writes to a connection set their deadline (conn.write).

Test: TestContinueAfterIdleTime, with a deadline in the past after the first response, got 408 in place of 100; passes. The tests of unreadable requests and of kinds of requests at a stop pass.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -132,6 +132,15 @@
 	c.setReadDeadline(deadline)
 }
 
+// write writes to the connection within writeTimeout.
+func (c *conn) write(b []byte) error {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := c.conn.Write(b)
+	return err
+}
+
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
 	defer func() { _ = c.conn.Close() }()
@@ -298,7 +307,7 @@
 		return err
 	}
 	if x.request.MayContinue() {
-		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
 	}
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -147,11 +147,7 @@
 	if len(b) == 0 {
 		return nil
 	}
-	if err := x.conn.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		x.failed = true
-		return fmt.Errorf("Exchange.write: %w: %w", ErrCallerGone, err)
-	}
-	if _, err := x.conn.conn.Write(b); err != nil {
+	if err := x.conn.write(b); err != nil {
 		x.failed = true
 		return fmt.Errorf("Exchange.write: %w: %w", ErrCallerGone, err)
 	}
