An empty line between requests does not begin one

What callers saw: one that sends an empty line after a body, as old clients do, had its connection closed without a response once the time limit for headers was over, also if its next request began at that moment; at a stop its connection got no 408. Servers should ignore such lines (RFC 9112, section 2.2).

The parser reports that as the end of the connection, and nothing is sent then.

Change: empty lines are skipped before a request is waited for.

Test: TestEmptyLineBeforeRequest failed in two of three cases (EOF in place of 200 and of 408); passes. All tests of the package pass with the race detector.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -41,3 +41,46 @@
 		t.Errorf("status %d, error %v, want 200", status, err)
 	}
 }
+
+// TestEmptyLineBeforeRequest checks that an empty line after a request, as some callers send it, isn't taken for the beginning
+// of the next request, which would end the connection.
+func TestEmptyLineBeforeRequest(t *testing.T) {
+	tests := []struct {
+		name string
+		// pause is the time between the empty line and the next request, or the close if there is none.
+		pause   time.Duration
+		request string
+		want    int
+	}{
+		{"request at once", 0, firstRequest, fasthttp.StatusOK},
+		{"request later", 200 * time.Millisecond, firstRequest, fasthttp.StatusOK},
+		{"no request", 0, "", fasthttp.StatusRequestTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			limits := Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: time.Second}
+			s := newServer(t, echo, limits)
+			c, r := dial(t, s.listeners[0].Addr().String())
+			if _, err := io.WriteString(c, firstRequest+"\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if status, err := readResponse(c, r); err != nil || status != fasthttp.StatusOK {
+				t.Fatalf("status %d, error %v, want 200", status, err)
+			}
+			time.Sleep(tt.pause)
+			if _, err := io.WriteString(c, tt.request); err != nil {
+				t.Fatal(err)
+			}
+			if tt.request == "" {
+				s.CloseIdle()
+			}
+			start := time.Now()
+			if status, err := readResponse(c, r); err != nil || status != tt.want {
+				t.Errorf("status %d, error %v, want %d", status, err, tt.want)
+			}
+			if took := time.Since(start); took > limits.HeaderTimeout {
+				t.Errorf("the response took %s", took)
+			}
+		})
+	}
+}
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -212,15 +212,38 @@
 	c.setReadDeadline(deadline)
 }
 
-// awaitByte returns nil once the next byte is in the reader's buffer.
+// awaitByte returns nil once the first byte of the next request is in the reader's buffer.
 func (c *conn) awaitByte() error {
 	if c.peeked != nil {
 		err := <-c.peeked
 		c.peeked = nil
-		return err
+		if err != nil {
+			return err
+		}
 	}
-	_, err := c.reader.Peek(1)
-	return err
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		if c.skipEmptyLines() {
+			return nil
+		}
+	}
+}
+
+// skipEmptyLines discards empty lines from the reader's buffer and reports whether other bytes follow. Some callers send one
+// after a body, and it begins no request (RFC 9112, section 2.2).
+func (c *conn) skipEmptyLines() bool {
+	for c.reader.Buffered() > 0 {
+		b, err := c.reader.Peek(1)
+		if err != nil || (b[0] != '\r' && b[0] != '\n') {
+			return err == nil
+		}
+		if _, err := c.reader.Discard(1); err != nil {
+			return false
+		}
+	}
+	return false
 }
 
 // lookAgain finds out, after the deadline of awaitByte, whether bytes have been received that no read has returned. It returns
@@ -231,7 +254,9 @@
 		return errors.Join(os.ErrDeadlineExceeded, err)
 	}
 	c.setReadTimeout(c.server.limits().HeaderTimeout)
-	_, err = c.reader.Peek(1)
+	if _, err = c.reader.Peek(1); err == nil && !c.skipEmptyLines() {
+		return os.ErrDeadlineExceeded
+	}
 	return err
 }
 
--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -32,15 +32,18 @@
 
 func serveWithHeaderLimit(t *testing.T, h handlerFunc, maxHeaderBytes int) (*Server, string) {
 	t.Helper()
-	limits := func() Limits {
-		return Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
-	}
-	s := New(clock.Boottime{}, h, limits, zerolog.Nop())
+	s := newServer(t, h, Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: 100, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond})
+	return s, s.listeners[0].Addr().String()
+}
+
+func newServer(t *testing.T, h handlerFunc, limits Limits) *Server {
+	t.Helper()
+	s := New(clock.Boottime{}, h, func() Limits { return limits }, zerolog.Nop())
 	if err := s.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	return s, s.listeners[0].Addr().String()
+	return s
 }
 
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
