A request that has begun as a server closes its connections is served

What callers saw: status 503 for a request whose first byte the host had read before it began to close connections, and that it could have served.

Cause: whether a request comes too late was decided when its header was about to be read, and not when it began. A close in between counted it as one behind a response that had begun before the stop.

Change: the decision is made as the wait for the first byte ends, under the lock that the close takes.

Test: TestRequestReceivedAtTheCloseServed, a close between the two steps, failed (rejected); passes.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,3 +86,70 @@
 		})
 	}
 }
+
+// deadlineConn calls before and after, which may be nil, around the next change of its read deadline. last is the deadline that was
+// set last.
+type deadlineConn struct {
+	*net.TCPConn
+	before, after func()
+
+	mu   sync.Mutex
+	last time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	before, after := c.before, c.after
+	c.before, c.after = nil, nil
+	if before != nil {
+		before()
+	}
+	c.mu.Lock()
+	c.last = t
+	err := c.TCPConn.SetReadDeadline(t)
+	c.mu.Unlock()
+	if after != nil {
+		after()
+	}
+	return err
+}
+
+// newTestConn returns the server's side of a connection on which a request has been received and not been read.
+func newTestConn(t *testing.T, s *Server) (*conn, *deadlineConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	client, _ := dial(t, l.Addr().String())
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	if _, err := io.WriteString(client, firstRequest); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	d := &deadlineConn{TCPConn: nc.(*net.TCPConn)}
+	return newConn(s, d), d
+}
+
+// TestRequestReceivedAtTheCloseServed checks that a request that has begun when the server begins to close connections, and
+// that hasn't been read yet, is served and not rejected.
+func TestRequestReceivedAtTheCloseServed(t *testing.T) {
+	served := false
+	s := newServer(t, func(ctx context.Context, x savorywing.Exchange) {
+		served = true
+		echo(ctx, x)
+	}, Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, HeaderTimeout: time.Second, IdleTimeout: time.Second})
+	c, _ := newTestConn(t, s)
+	if !c.awaitRequest() {
+		t.Fatal("no request")
+	}
+	c.stopWaiting()
+	c.serveOne()
+	if !served {
+		t.Error("the request was rejected")
+	}
+}
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -39,6 +39,8 @@
 	refused bool
 	// used reports whether the connection has carried a request.
 	used bool
+	// tooLate reports whether the current request is rejected. It is late as of the beginning of the request.
+	tooLate bool
 	// closeAfter reports whether the connection is closed after the current response.
 	closeAfter bool
 	// peeked receives the outcome of the peek for the next byte that runs beside a request; nil if none was started.
@@ -47,8 +49,8 @@
 	mu sync.Mutex
 	// waiting reports whether the connection waits for the first byte of a request.
 	waiting bool
-	// late reports whether the connection had a request when the server began to close connections, so that further
-	// requests are rejected.
+	// late reports whether the connection had a request when the server began to close connections, so that requests that begin
+	// afterwards are rejected.
 	late bool
 	// expired reports whether requests must end now, and cancel cancels the one that is served; nil without one.
 	expired bool
@@ -183,9 +185,7 @@
 	if isTimeout(err) {
 		err = c.lookAgain()
 	}
-	c.mu.Lock()
-	c.waiting = false
-	c.mu.Unlock()
+	c.endWaiting()
 	switch {
 	case err == nil:
 		c.used = true
@@ -212,6 +212,13 @@
 	c.setReadDeadline(deadline)
 }
 
+// endWaiting marks the connection as one that doesn't wait for a request.
+func (c *conn) endWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.tooLate = false, c.late
+}
+
 // awaitByte returns nil once the first byte of the next request is in the reader's buffer.
 func (c *conn) awaitByte() error {
 	if c.peeked != nil {
@@ -276,8 +283,8 @@
 func (c *conn) serveOne() bool {
 	limits := c.server.limits()
 	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
-	read, late := c.readRequest, c.isLate()
-	if late {
+	read := c.readRequest
+	if c.tooLate {
 		read = c.readHeader
 	}
 	c.setReadTimeout(limits.HeaderTimeout)
@@ -285,7 +292,7 @@
 		c.rejectUnreadable(x, err)
 		return false
 	}
-	if late {
+	if c.tooLate {
 		c.closeAfter = true
 		c.server.handler.Reject(x)
 		return x.isReusable()
@@ -311,12 +318,6 @@
 	return x.isReusable() && (ctx.Err() == nil || errors.Is(context.Cause(ctx), ErrStopping))
 }
 
-func (c *conn) isLate() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.late
-}
-
 // setCancel sets what cancels the request that is served.
 func (c *conn) setCancel(cancel context.CancelCauseFunc) {
 	c.mu.Lock()
