A request found at the end of the idle time is read also if the server closes then

What callers saw: status 408 for a request that the host had received. It had not run, as the response said.

Cause: after the idle time the reader found the request and set a time limit to read it, while the connection still counted as one that waits; a close at that moment replaced the limit by one that was over.

Change: the connection no longer waits once the request is found.

Test: TestReceivedRequestNotMissedAtTheClose failed (i/o timeout); passes.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -153,3 +153,28 @@
 		t.Error("the request was rejected")
 	}
 }
+
+// beside runs f in a goroutine and waits a moment for it; it may have to wait for its caller.
+func beside(f func()) {
+	done := make(chan struct{})
+	go func() {
+		f()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// TestReceivedRequestNotMissedAtTheClose checks that a request that is found at the end of the idle time is read although the
+// server begins to close connections at the same moment.
+func TestReceivedRequestNotMissedAtTheClose(t *testing.T) {
+	s, _ := serveForever(t)
+	c, d := newTestConn(t, s)
+	c.used = true
+	d.after = func() { beside(c.stopWaiting) }
+	if err := c.lookAgain(); err != nil {
+		t.Errorf("the request was missed: %v", err)
+	}
+}
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -216,7 +216,9 @@
 func (c *conn) endWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.tooLate = false, c.late
+	if c.waiting {
+		c.waiting, c.tooLate = false, c.late
+	}
 }
 
 // awaitByte returns nil once the first byte of the next request is in the reader's buffer.
@@ -260,6 +262,7 @@
 	if err != nil || input == socket.InputNone {
 		return errors.Join(os.ErrDeadlineExceeded, err)
 	}
+	c.endWaiting()
 	c.setReadTimeout(c.server.limits().HeaderTimeout)
 	if _, err = c.reader.Peek(1); err == nil && !c.skipEmptyLines() {
 		return os.ErrDeadlineExceeded
