The end of a stop is not missed by a connection that sets a time limit

What callers saw: one whose request was half received at the end of a stop could have its connection closed without a response in place of status 408.

Cause: setReadTimeout looked whether the stop had ended, and set the time limit afterwards without the lock; an end in between was overwritten by a limit of seconds, and the process ends 250 ms later.

Change: both happen under the lock.

Test: TestExpireWhileTimeoutIsSet failed (59.9 s left of a minute); passes.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -178,3 +178,18 @@
 		t.Errorf("the request was missed: %v", err)
 	}
 }
+
+// TestExpireWhileTimeoutIsSet checks that a connection doesn't read on for a whole time limit if the stop ends as it sets that limit.
+func TestExpireWhileTimeoutIsSet(t *testing.T) {
+	s, _ := serveForever(t)
+	c, d := newTestConn(t, s)
+	c.waiting = false
+	d.before = func() { beside(func() { c.expire() }) }
+	c.setReadTimeout(time.Minute)
+	time.Sleep(50 * time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if left := time.Until(d.last); left > 0 {
+		t.Errorf("the connection reads for another %s", left)
+	}
+}
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -114,21 +114,18 @@
 	return !c.waiting
 }
 
-func (c *conn) isExpired() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.expired
-}
-
 // setReadDeadline sets the deadline for all reads. A connection on which it fails has been closed, so that they fail as well.
 func (c *conn) setReadDeadline(t time.Time) { _ = c.conn.SetReadDeadline(t) }
 
+// setReadTimeout bounds the time of the reads that follow; 0 for no bound. An expired connection has no time left.
 func (c *conn) setReadTimeout(d time.Duration) {
-	if c.isExpired() {
-		d = time.Nanosecond
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	deadline := time.Time{}
-	if d > 0 {
+	switch {
+	case c.expired:
+		deadline = time.Now()
+	case d > 0:
 		deadline = time.Now().Add(d)
 	}
 	c.setReadDeadline(deadline)
