A connection that is accepted as a server is closed at once ends with it

What operators could see: a daemon that is ended without a planned stop, or whose stop has used up its time, waited for a caller, as long as it went on sending requests.

Cause: Close closes the connections that are registered, and then waits for all. One that had been accepted and was registered a moment later was served like any other.

Change: connections that are registered after Close are closed.

Test: TestConnectionAcceptedWhileClosed failed (still served after 1 s); passes.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -193,3 +193,21 @@
 		t.Errorf("the connection reads for another %s", left)
 	}
 }
+
+// TestConnectionAcceptedWhileClosed checks that a connection that is accepted as the server is closed at once ends.
+func TestConnectionAcceptedWhileClosed(t *testing.T) {
+	s, _ := serveForever(t)
+	c, _ := newTestConn(t, s)
+	s.Close()
+	s.add(c.conn)
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the connection is still served")
+	}
+}
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -76,6 +76,8 @@
 	conns     map[*conn]bool
 	// served is the number of connections in conns that are not refused.
 	served int
+	// closed reports whether Close was called, so that connections that are accepted afterwards are closed at once.
+	closed bool
 	// inFlight counts the requests that are being read or served.
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -160,6 +162,11 @@
 func (s *Server) add(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = nc.Close()
+		return
+	}
 	c.refused = s.maxConns > 0 && s.served >= s.maxConns
 	s.conns[c] = true
 	if !c.refused {
@@ -252,6 +259,7 @@
 // Close closes all listeners and connections at once and waits for their goroutines.
 func (s *Server) Close() {
 	s.mu.Lock()
+	s.closed = true
 	for _, l := range s.listeners {
 		_ = l.Close()
 	}
