Refused announcements say again what an announcement needs

TestBadInput failed on the merged code: the texts of refusals of announcements ("not valid JSON", "names host, address and kind") had become one of their own when announcements got a Validate. Both texts are back, with what Validate found behind them; the test passes unchanged.

--- a/request/caller/server.go
+++ b/request/caller/server.go
@@ -133,8 +133,10 @@
 
 func (s *Server) handleAnnounce(ctx *fasthttp.RequestCtx) {
 	var a wire.Announcement
+	reason := "the announcement is not valid JSON"
 	err := codec.DecodeJSON(ctx.PostBody(), &a)
 	if err == nil {
+		reason = "an announcement names host, address and kind (engine or service), and states valid values"
 		err = a.Validate()
 	}
 	if err != nil {
@@ -143,7 +145,7 @@
 			s.log.Warn().Str("event", "announcementRefused").Str("address", address).Str("backend", fmt.Sprintf("%.100s", a.Host)).
 				Uint64("omitted", omitted).Err(err).Msg("refused an invalid announcement")
 		}
-		s.writeError(ctx, newBadRequest(fasthttp.StatusBadRequest, "", "the announcement is not valid: %v", err))
+		s.writeError(ctx, newBadRequest(fasthttp.StatusBadRequest, "", "%s: %v", reason, err))
 		return
 	}
 	s.announce.HandleAnnouncement(a)
