--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -16,6 +16,7 @@
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
+	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/wire"
 )
 
