A cancelled request is not sent on a pooled connection

What callers saw: at the end of a stop, 502 (the request may have run) for a request that had waited and could have been told 503. A server ran, or began, a request whose caller had left.

Cause: only dialling looked at the context. A request that was cancelled while it waited for an attempt, such as while a host doubts its paths, was written to a pooled connection, which was closed at the same time.

Change: both clients look at the context before they take a connection.

Tests: TestCancelledRequestNotSent, run three times before: engine, the server got the request in two of three (EOF in place of ErrNotSent); backend, an unknown outcome in three of three. Both pass five times of five; their packages and connection/forward pass with the race detector.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -64,6 +64,9 @@
 
 // connect returns a connection to an address, and whether it comes from the pool.
 func (c *Client) connect(ctx context.Context, address string, newConnection bool) (*link, bool, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, false, err
+	}
 	for !newConnection {
 		l := c.pool.take(address)
 		if l == nil {
--- a/connection/backend/client_test.go
+++ b/connection/backend/client_test.go
@@ -104,6 +104,25 @@
 	})
 }
 
+// TestCancelledRequestNotSent checks that a request that is cancelled before its attempt begins isn't sent on a pooled connection.
+func TestCancelledRequestNotSent(t *testing.T) {
+	Convey("A cancelled request has not run", t, func() {
+		address := listen("", true)
+		conn, err := net.Dial("tcp", address)
+		So(err, ShouldBeNil)
+		c := New(clock.System{})
+		l := &link{Conn: StrictConn{Conn: conn}, socket: conn, client: c}
+		l.reader = newReader(l)
+		c.pool.put(address, l)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = c.Send(ctx, savorywing.Target{Address: address}, savorywing.Call{AttemptID: "7", Method: "POST", Path: "/x", FirstByteTimeout: time.Second})
+		So(savorywing.AsRequestError(err).Code(), ShouldEqual, savorywing.CodeNotRun)
+		sent, _ := c.Traffic()
+		So(sent, ShouldEqual, 0)
+	})
+}
+
 // TestEndlessBody guards against a body of chunks that never ends.
 func TestEndlessBody(t *testing.T) {
 	Convey("A body without an end is an error", t, func() {
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -127,6 +127,9 @@
 }
 
 func (c *Client) connect(ctx context.Context, call Call) (*link, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	if call.MaxIdle > 0 {
 		if l := c.pool.take(call.Address, call.AttemptID, call.MaxIdle); l != nil {
 			l.maxPooled = call.MaxPooled
--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -203,6 +203,29 @@
 	}
 }
 
+// TestCancelledRequestNotSent checks that a request that is cancelled before its attempt begins isn't sent on a pooled connection.
+func TestCancelledRequestNotSent(t *testing.T) {
+	address, requests := serveScript(t, complete, complete)
+	c := New(clock.Boottime{}, echoDialect{})
+	response, err := c.Do(context.Background(), numberedCall(address, "n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(response); err != nil {
+		t.Fatal(err)
+	}
+	response.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := c.Do(ctx, numberedCall(address, "n2")); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want ErrNotSent", err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if got := requests.Load(); got != 1 {
+		t.Errorf("the server got %d requests, want 1", got)
+	}
+}
+
 // TestCallerDisconnects checks that cancelling the context closes the connection while the client waits for the response.
 func TestCallerDisconnects(t *testing.T) {
 	address, _ := serveScript(t, "")
