Connections that are accepted after the end of a stop get answers

What callers saw: with a grace time hardly longer than the time for which a stopping host accepts connections (3.2 s or less), a request on a connection that was accepted after the requests that were left had been cancelled was served as if there were time, and its connection closed 250 ms later without a response.

Cause: the end of the stop was told to the connections of that moment only; a listener is closed up to tens of milliseconds later.

Change: the server keeps it, and connections that are accepted afterwards begin with it.

Test: TestConnectionAcceptedAfterExpiry failed (no response within 5 s); passes, as do the others of stops, three times of three with the race detector.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -88,10 +89,11 @@
 }
 
 // deadlineConn calls before and after, which may be nil, around the next change of its read deadline. last is the deadline that was
-// set last.
+// set last, and client the other side.
 type deadlineConn struct {
 	*net.TCPConn
 	before, after func()
+	client        net.Conn
 
 	mu   sync.Mutex
 	last time.Time
@@ -131,7 +133,7 @@
 		t.Fatal(err)
 	}
 	time.Sleep(20 * time.Millisecond)
-	d := &deadlineConn{TCPConn: nc.(*net.TCPConn)}
+	d := &deadlineConn{TCPConn: nc.(*net.TCPConn), client: client}
 	return newConn(s, d), d
 }
 
@@ -211,3 +213,28 @@
 		t.Error("the connection is still served")
 	}
 }
+
+// TestConnectionAcceptedAfterExpiry checks that a request on a connection that is accepted after the requests that were left have
+// been cancelled is answered as well, before the process ends.
+func TestConnectionAcceptedAfterExpiry(t *testing.T) {
+	s, _ := serveForever(t)
+	c, d := newTestConn(t, s)
+	s.CloseIdle()
+	s.expire()
+	s.add(c.conn)
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	client := d.client
+	if status, err := readResponse(client, bufio.NewReader(client)); err != nil || status != fasthttp.StatusBadGateway {
+		t.Errorf("status %d, error %v, want 502", status, err)
+	}
+	_ = client.Close()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the connection is still served")
+	}
+}
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -78,6 +78,8 @@
 	served int
 	// closed reports whether Close was called, so that connections that are accepted afterwards are closed at once.
 	closed bool
+	// expired reports whether expire was called, also for connections that are accepted afterwards.
+	expired bool
 	// inFlight counts the requests that are being read or served.
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -167,6 +169,7 @@
 		_ = nc.Close()
 		return
 	}
+	c.expired = s.expired
 	c.refused = s.maxConns > 0 && s.served >= s.maxConns
 	s.conns[c] = true
 	if !c.refused {
@@ -247,6 +250,7 @@
 func (s *Server) expire() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expired = true
 	left := 0
 	for c := range s.conns {
 		if c.expire() {
