soak: hosts that are still starting, and requests sent during a kill, aren't violations

The exit code must be 0 once the process has accepted a connection of a caller since its start. Kills are recorded before and after, as freezes are.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -95,13 +95,11 @@
 		})
 	case 2:
 		r.recordFault("%s is killed", p.name)
-		p.disruptions.Add(1)
-		p.end(syscall.SIGKILL, time.Second)
+		p.kill()
 		r.scheduleRepair(0, func() { r.restart(p, d) })
 	default:
 		r.recordFault("%s is killed and loses its data", p.name)
-		p.disruptions.Add(1)
-		p.end(syscall.SIGKILL, time.Second)
+		p.kill()
 		if err := p.deleteData(); err != nil {
 			r.recordViolation("%v", err)
 		}
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -23,6 +23,9 @@
 	faulty bool
 	// disruptions counts the beginnings and ends of faults that may leave requests without an answer.
 	disruptions atomic.Int64
+	// reached reports whether the process has accepted a connection of a caller since its last start. Before that, a signal may
+	// end it before it handles signals.
+	reached atomic.Bool
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -49,6 +52,7 @@
 		return fmt.Errorf("process.start: %w", err)
 	}
 	exited := make(chan struct{})
+	p.reached.Store(false)
 	p.cmd, p.exited, p.frozen = cmd, exited, false
 	go func() {
 		_ = cmd.Wait() // the exit code and the log show how it ended
@@ -105,6 +109,13 @@
 	return p.exited
 }
 
+// kill kills the process. Requests that are sent meanwhile may stay without an answer.
+func (p *process) kill() {
+	p.disruptions.Add(1)
+	p.end(syscall.SIGKILL, time.Second)
+	p.disruptions.Add(1)
+}
+
 func (p *process) isFrozen() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/bench/soak/workload.go
+++ b/bench/soak/workload.go
@@ -78,9 +78,18 @@
 	err error
 }
 
+// dial connects to an entry host.
+func (r *run) dial(entry int) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", r.entryAddress(entry), time.Second)
+	if err == nil {
+		r.entries()[entry].reached.Store(true)
+	}
+	return c, err
+}
+
 // send sends one request on a new connection and checks the response.
 func (r *run) send(entry int, call request) outcome {
-	c, err := net.DialTimeout("tcp", r.entryAddress(entry), time.Second)
+	c, err := r.dial(entry)
 	if err != nil {
 		return outcome{err: err}
 	}
@@ -177,7 +186,7 @@
 		}
 		if k == nil {
 			entry := (n + i) % r.cfg.Entry
-			conn, err := net.DialTimeout("tcp", r.entryAddress(entry), time.Second)
+			conn, err := r.dial(entry)
 			if err != nil {
 				r.failedCalls.Add(1)
 				continue
