Tests of requests that begin at the end of a connection depend less on time

They wait for what they need in place of fixed pauses, and the time limits are a second and more, for busy machines.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/socket"
 )
 
 // TestContinueAfterIdleTime checks that a request with "Expect: 100-continue" is served although the time limit of the
@@ -56,12 +57,12 @@
 		want    int
 	}{
 		{"request at once", 0, firstRequest, fasthttp.StatusOK},
-		{"request later", 200 * time.Millisecond, firstRequest, fasthttp.StatusOK},
+		{"request later", 1200 * time.Millisecond, firstRequest, fasthttp.StatusOK},
 		{"no request", 0, "", fasthttp.StatusRequestTimeout},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			limits := Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: time.Second}
+			limits := Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 100, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
 			s := newServer(t, echo, limits)
 			c, r := dial(t, s.listeners[0].Addr().String())
 			if _, err := io.WriteString(c, firstRequest+"\r\n"); err != nil {
@@ -132,7 +133,13 @@
 	if _, err := io.WriteString(client, firstRequest); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(20 * time.Millisecond)
+	input := socket.InputNone
+	for input != socket.InputBytes {
+		time.Sleep(time.Millisecond)
+		if input, err = socket.Peek(nc); err != nil {
+			t.Fatal(err)
+		}
+	}
 	d := &deadlineConn{TCPConn: nc.(*net.TCPConn), client: client}
 	return newConn(s, d), d
 }
@@ -156,8 +163,9 @@
 	}
 }
 
-// beside runs f in a goroutine and waits a moment for it; it may have to wait for its caller.
-func beside(f func()) {
+// beside runs f in a goroutine and waits a moment for it, since it may have to wait for its caller. The channel is closed once f
+// has returned.
+func beside(f func()) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		f()
@@ -167,6 +175,7 @@
 	case <-done:
 	case <-time.After(50 * time.Millisecond):
 	}
+	return done
 }
 
 // TestReceivedRequestNotMissedAtTheClose checks that a request that is found at the end of the idle time is read although the
@@ -186,9 +195,10 @@
 	s, _ := serveForever(t)
 	c, d := newTestConn(t, s)
 	c.waiting = false
-	d.before = func() { beside(func() { c.expire() }) }
+	var expired <-chan struct{}
+	d.before = func() { expired = beside(func() { c.expire() }) }
 	c.setReadTimeout(time.Minute)
-	time.Sleep(50 * time.Millisecond)
+	<-expired
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if left := time.Until(d.last); left > 0 {
