Tests of servers that stop share one load around the close

The tests for callers of serve, on control hosts and for operators had each its own copy of the callers, of what they count and of how they connect. They use standin/closing; the cases, the numbers of calls and the checks are the same (all answered, acknowledged documents committed, none left).

--- a/connection/controlapi/stop_test.go
+++ b/connection/controlapi/stop_test.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -17,8 +15,8 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
-	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/standin/closing"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -109,42 +107,12 @@
 	return resp, resp.Read(r)
 }
 
+// stopRounds is the number of stops of one test, and stopCallers that of callers during each.
 const (
 	stopRounds  = 30
 	stopCallers = 60
-	// closeSpread is how long before or after the close callers send their requests.
-	closeSpread = 2 * time.Millisecond
 )
 
-// outcomes counts calls around the close. closed counts those whose caller saw the close before it sent.
-type outcomes struct {
-	mu                       sync.Mutex
-	served, rejected, closed int
-	errs                     []error
-}
-
-func (o *outcomes) record(h *countingHandler, document string, resp *fasthttp.Response, err error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	switch {
-	case err != nil:
-		o.errs = append(o.errs, err)
-	case resp.StatusCode() != fasthttp.StatusOK:
-		o.rejected++
-	default:
-		o.served++
-		if document != "" && !h.isCommitted(document) {
-			o.errs = append(o.errs, errors.New("acknowledged, but not committed: "+document))
-		}
-	}
-}
-
-func (o *outcomes) recordClosed() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.closed++
-}
-
 // TestCallsAroundTheClose stops the server while backend servers and operators call it. Each call that was sent before its
 // caller could see the close must be answered, and each acknowledged document be committed.
 func TestCallsAroundTheClose(t *testing.T) {
@@ -159,52 +127,35 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var o outcomes
-			for round := range stopRounds {
-				stopUnderCalls(t, &o, round, tt.method, tt.path, tt.kept)
+			var counts closing.Counts
+			for range stopRounds {
+				h := &countingHandler{delay: time.Millisecond, committed: map[string]bool{}}
+				s, address := start(t, h)
+				load := closing.Load{Callers: stopCallers, Connected: tt.kept, Request: func(n int) string { return call(tt.method, tt.path, fmt.Sprint(n)) }}
+				if tt.kept {
+					load.First = call(fasthttp.MethodPost, "/report", "{}")
+				}
+				if tt.method == fasthttp.MethodPut {
+					load.Check = h.checkCommitted
+				}
+				if err := load.Run(&counts, closing.Server{Address: address, Close: s.Stop}); err != nil {
+					t.Fatal(err)
+				}
 			}
-			t.Logf("served %d, rejected %d, saw the close first %d, errors %d", o.served, o.rejected, o.closed, len(o.errs))
-			if len(o.errs) > 0 {
-				t.Errorf("%d calls went wrong, want 0; the first: %v", len(o.errs), o.errs[0])
-			}
-			if o.served == 0 {
-				t.Error("no call was served")
+			t.Log(counts.String())
+			if err := counts.Err(); err != nil {
+				t.Error(err)
 			}
 		})
 	}
 }
 
-func stopUnderCalls(t *testing.T, o *outcomes, round int, method, path string, kept bool) {
-	t.Helper()
-	h := &countingHandler{delay: time.Millisecond, committed: map[string]bool{}}
-	s, address := start(t, h)
-	var ready, callers sync.WaitGroup
-	var closeAt time.Time
-	stopping := make(chan struct{})
-	ready.Add(stopCallers)
-	for i := range stopCallers {
-		callers.Go(func() {
-			var c net.Conn
-			var r *bufio.Reader
-			if kept {
-				c, r = openBeforeStop(t, address)
-			}
-			ready.Done()
-			<-stopping
-			time.Sleep(time.Until(closeAt) + rand.N(2*closeSpread) - closeSpread)
-			document := ""
-			if method == fasthttp.MethodPut {
-				document = fmt.Sprintf("%d/%d", round, i)
-			}
-			callOnce(o, h, c, r, address, call(method, path, document), document)
-		})
+// checkCommitted returns an error for a document that was acknowledged and isn't committed.
+func (h *countingHandler) checkCommitted(n int, resp *fasthttp.Response) error {
+	if resp.StatusCode() == fasthttp.StatusOK && !h.isCommitted(fmt.Sprint(n)) {
+		return fmt.Errorf("document %d was acknowledged, but not committed", n)
 	}
-	ready.Wait()
-	closeAt = time.Now().Add(10 * time.Millisecond)
-	close(stopping)
-	time.Sleep(time.Until(closeAt))
-	s.Stop()
-	callers.Wait()
+	return nil
 }
 
 func openBeforeStop(t *testing.T, address string) (net.Conn, *bufio.Reader) {
@@ -223,29 +174,6 @@
 	return c, r
 }
 
-// callOnce makes one call, on a new connection if c is nil.
-func callOnce(o *outcomes, h *countingHandler, c net.Conn, r *bufio.Reader, address, request, document string) {
-	if c == nil {
-		var err error
-		if c, err = net.DialTimeout("tcp", address, 50*time.Millisecond); err != nil {
-			o.recordClosed()
-			return
-		}
-		r = bufio.NewReader(c)
-	} else if input, err := socket.Peek(c); err != nil || input != socket.InputNone {
-		_ = c.Close()
-		o.recordClosed()
-		return
-	}
-	defer func() { _ = c.Close() }()
-	_, sendErr := io.WriteString(c, request)
-	resp, err := readResponse(c, r)
-	if err != nil {
-		err = errors.Join(sendErr, err)
-	}
-	o.record(h, document, resp, err)
-}
-
 // TestStopAnswersSlowCalls guards against calls that end without an answer since they take longer than the stop.
 func TestStopAnswersSlowCalls(t *testing.T) {
 	s, address := start(t, &countingHandler{delay: time.Minute, committed: map[string]bool{}})
--- a/connection/ingress/stop_test.go
+++ b/connection/ingress/stop_test.go
@@ -62,15 +62,12 @@
 				s.Close()
 			}
 			t.Log(counts.String())
-			if errs := counts.Errors(); len(errs) > 0 {
-				t.Errorf("%d requests got no answer, want 0; the first: %v", len(errs), errs[0])
+			if err := counts.Err(); err != nil {
+				t.Error(err)
 			}
 			if got := int(handled.Load()); got != counts.Served() {
 				t.Errorf("%d requests reached the handler and %d were served, want as many", got, counts.Served())
 			}
-			if counts.Served() == 0 {
-				t.Error("no request was served")
-			}
 		})
 	}
 }
--- a/connection/operator/stop_test.go
+++ b/connection/operator/stop_test.go
@@ -3,20 +3,17 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
-	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/standin/closing"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -87,62 +84,20 @@
 // could see the close must be answered.
 func TestCallsAroundTheClose(t *testing.T) {
 	const rounds, callers = 30, 60
-	const closeSpread = 2 * time.Millisecond
-	var mu sync.Mutex
-	served, rejected, closed := 0, 0, 0
-	var errs []error
-	callOnce := func(c net.Conn, r *bufio.Reader) {
-		defer func() { _ = c.Close() }()
-		input, err := socket.Peek(c)
-		crossed := err != nil || input != socket.InputNone
-		resp := &fasthttp.Response{}
-		if !crossed {
-			_, sendErr := io.WriteString(c, call(fasthttp.MethodPost, PathConfiguration, "{}"))
-			if resp, err = readResponse(c, r); err != nil {
-				err = errors.Join(sendErr, err)
-			}
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case crossed:
-			closed++
-		case err != nil:
-			errs = append(errs, err)
-		case resp.StatusCode() == fasthttp.StatusOK:
-			served++
-		default:
-			rejected++
-		}
+	var counts closing.Counts
+	load := closing.Load{
+		Callers: callers, Connected: true, First: call(fasthttp.MethodGet, PathStatus, ""),
+		Request: func(int) string { return call(fasthttp.MethodPost, PathConfiguration, "{}") },
 	}
 	for range rounds {
 		s, address := start(t, slowOperations{delay: time.Millisecond})
-		var ready, done sync.WaitGroup
-		var closeAt time.Time
-		stopping := make(chan struct{})
-		ready.Add(callers)
-		for range callers {
-			done.Go(func() {
-				c, r := openBeforeStop(t, address)
-				ready.Done()
-				<-stopping
-				time.Sleep(time.Until(closeAt) + rand.N(2*closeSpread) - closeSpread)
-				callOnce(c, r)
-			})
+		if err := load.Run(&counts, closing.Server{Address: address, Close: s.Stop}); err != nil {
+			t.Fatal(err)
 		}
-		ready.Wait()
-		closeAt = time.Now().Add(10 * time.Millisecond)
-		close(stopping)
-		time.Sleep(time.Until(closeAt))
-		s.Stop()
-		done.Wait()
 	}
-	t.Logf("served %d, rejected %d, saw the close first %d, unanswered %d", served, rejected, closed, len(errs))
-	if len(errs) > 0 {
-		t.Errorf("%d calls got no answer, want 0; the first: %v", len(errs), errs[0])
-	}
-	if served == 0 {
-		t.Error("no call was served")
+	t.Log(counts.String())
+	if err := counts.Err(); err != nil {
+		t.Error(err)
 	}
 }
 
--- a/request/caller/stop_test.go
+++ b/request/caller/stop_test.go
@@ -4,13 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,11 +16,11 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
-	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/entry"
 	"savorywing.example/savorywing/process/metrics"
 	"savorywing.example/savorywing/process/registry"
+	"savorywing.example/savorywing/standin/closing"
 	"savorywing.example/savorywing/version/settings"
 	"savorywing.example/savorywing/wire"
 )
@@ -147,151 +144,51 @@
 	return resp, resp.Read(r)
 }
 
+// stopRounds is the number of stops of one test, and stopCallers that of callers during each.
 const (
 	stopRounds  = 30
 	stopCallers = 60
-	// closeSpread is how long before or after the close callers send their requests.
-	closeSpread = 2 * time.Millisecond
 )
 
-// stopCounts counts what callers saw of requests around the close. closed counts those that saw the close before they sent.
-type stopCounts struct {
-	mu                       sync.Mutex
-	served, rejected, closed int
-	unanswered               []error
-}
-
-func (n *stopCounts) record(resp *fasthttp.Response, err error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	switch {
-	case err != nil:
-		n.unanswered = append(n.unanswered, err)
-	case resp.StatusCode() == fasthttp.StatusOK:
-		n.served++
-	default:
-		n.rejected++
-	}
-}
-
-func (n *stopCounts) recordClosed() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.closed++
-}
-
 // TestRequestsAroundTheClose stops the server while callers send requests. One that was sent before its caller could see the close
 // must be answered.
 func TestRequestsAroundTheClose(t *testing.T) {
+	first := post("/a", "", "hi")
 	tests := []struct {
-		name                   string
-		connected, used, split bool
+		name string
+		load closing.Load
 	}{
-		{"kept connections", true, true, false},
-		{"kept connections, requests in two parts", true, true, true},
-		{"connections without a request before", true, false, false},
-		{"new connections", false, false, false},
+		{"kept connections", closing.Load{Connected: true, First: first}},
+		{"kept connections, requests in two parts", closing.Load{Connected: true, First: first, Split: true}},
+		{"connections without a request before", closing.Load{Connected: true}},
+		{"new connections", closing.Load{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var n stopCounts
+			var counts closing.Counts
+			tt.load.Callers, tt.load.Request = stopCallers, func(int) string { return post("/b", "", "hi") }
 			for range stopRounds {
-				stopUnderLoad(t, &n, tt.connected, tt.used, tt.split)
-			}
-			t.Logf("served %d, rejected %d, saw the close first %d, unanswered %d", n.served, n.rejected, n.closed, len(n.unanswered))
-			if len(n.unanswered) > 0 {
-				t.Errorf("%d requests got no answer, want 0; the first: %v", len(n.unanswered), n.unanswered[0])
+				h := newHost(t, backendFunc(echo))
+				if err := tt.load.Run(&counts, closing.Server{Address: h.address, Close: func() { h.stop(t) }}); err != nil {
+					t.Fatal(err)
+				}
 			}
-			if n.served == 0 {
-				t.Error("no request was served")
+			t.Log(counts.String())
+			if err := counts.Err(); err != nil {
+				t.Error(err)
 			}
 		})
 	}
 }
 
-func stopUnderLoad(t *testing.T, n *stopCounts, connected, used, split bool) {
+// stop stops the server and checks that no request is left.
+func (h *host) stop(t *testing.T) {
 	t.Helper()
-	h := newHost(t, backendFunc(echo))
-	var ready, callers sync.WaitGroup
-	var closeAt time.Time
-	stopping := make(chan struct{})
-	ready.Add(stopCallers)
-	for range stopCallers {
-		callers.Go(func() {
-			var c net.Conn
-			var r *bufio.Reader
-			if connected {
-				c, r = h.openBeforeStop(t, used)
-			}
-			ready.Done()
-			<-stopping
-			time.Sleep(time.Until(closeAt) + rand.N(2*closeSpread) - closeSpread)
-			h.callOnce(n, c, r, split)
-		})
-	}
-	ready.Wait()
-	closeAt = time.Now().Add(10 * time.Millisecond)
-	close(stopping)
-	time.Sleep(time.Until(closeAt))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	if left := h.server.Stop(ctx); left > 0 {
 		t.Errorf("%d requests were left", left)
 	}
-	callers.Wait()
-}
-
-// openBeforeStop returns a connection, on which a first request has been served if used is set.
-func (h *host) openBeforeStop(t *testing.T, used bool) (net.Conn, *bufio.Reader) {
-	c, err := net.Dial("tcp", h.address)
-	if err != nil {
-		t.Error(err)
-		return nil, nil
-	}
-	r := bufio.NewReader(c)
-	if !used {
-		return c, r
-	}
-	if _, err := io.WriteString(c, post("/a", "", "hi")); err != nil {
-		t.Error(err)
-	}
-	if resp, err := readResponse(c, r); err != nil || resp.StatusCode() != fasthttp.StatusOK {
-		t.Errorf("before the stop: status %d, %s, error %v", resp.StatusCode(), resp.Body(), err)
-	}
-	return c, r
-}
-
-// callOnce sends one request, on a new connection if c is nil.
-func (h *host) callOnce(n *stopCounts, c net.Conn, r *bufio.Reader, split bool) {
-	if c == nil {
-		var err error
-		if c, err = net.DialTimeout("tcp", h.address, 50*time.Millisecond); err != nil {
-			n.recordClosed()
-			return
-		}
-		r = bufio.NewReader(c)
-	} else if input, err := socket.Peek(c); err != nil || input != socket.InputNone {
-		_ = c.Close()
-		n.recordClosed()
-		return
-	}
-	defer func() { _ = c.Close() }()
-	rest := post("/b", "", "hi")
-	if split {
-		if _, err := io.WriteString(c, rest[:20]); err != nil {
-			n.record(nil, err)
-			return
-		}
-		time.Sleep(3 * time.Millisecond)
-		rest = rest[20:]
-	}
-	// What has been sent may have an answer even if the rest can't be sent any more.
-	_, sendErr := io.WriteString(c, rest)
-	resp, err := readResponse(c, r)
-	if err != nil {
-		err = errors.Join(sendErr, err)
-	}
-	n.record(resp, err)
 }
 
 // errorCode returns the code and the message of an error response.
--- a/standin/closing/closing.go
+++ b/standin/closing/closing.go
@@ -47,10 +47,10 @@
 	Check func(n int, resp *fasthttp.Response) error
 }
 
-// Server is a server that is to be stopped. Drain begins the stop, and Close closes its connections; each returns at once or
-// when it is done.
+// Server is a server that is to be stopped.
 type Server struct {
-	Address      string
+	Address string
+	// Drain, unless it is nil, begins the stop. Close closes the connections, and may return before they have ended.
 	Drain, Close func()
 }
 
@@ -65,9 +65,17 @@
 // Served returns the number of requests with status 200.
 func (c *Counts) Served() int { return c.served }
 
-// Errors returns the errors of requests that had no answer, or a wrong one, though they were sent before their callers could
-// see the close.
-func (c *Counts) Errors() []error { return c.errs }
+// Err returns an error if a request had no answer, or a wrong one, though it was sent before its caller could see the close, or
+// if none was served.
+func (c *Counts) Err() error {
+	switch {
+	case len(c.errs) > 0:
+		return fmt.Errorf("Counts.Err: %d requests got no answer, or a wrong one; the first: %w", len(c.errs), c.errs[0])
+	case c.served == 0:
+		return errors.New("Counts.Err: no request was served")
+	}
+	return nil
+}
 
 // String describes the counts.
 func (c *Counts) String() string {
@@ -116,7 +124,9 @@
 	}
 	ready.Wait()
 	closeAt = time.Now().Add(stopDelay)
-	s.Drain()
+	if s.Drain != nil {
+		s.Drain()
+	}
 	close(stopping)
 	time.Sleep(time.Until(closeAt))
 	s.Close()
