Requests on lost paths are cancelled whatever other hosts see of the server

Callers saw: while their entry host was cut off and the machine was busy, first tries there, and some at other hosts, were rejected as full or waited for their deadline.

Change: once the paths are lost, an attempt is cancelled if its server has sent this host nothing for the stall timeout, on any connection (Answers.HasAnswered).

--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +36,9 @@
 		w.timeout = time.Duration(plainStallFactor * float64(r.route.Objective))
 	}
 	w.lastProgress.Store(r.gateway.clock.Now().UnixNano())
-	w.timer = time.AfterFunc(w.timeout, w.check)
+	// The timer starts once its field is set, which the check reads.
+	w.timer = time.AfterFunc(math.MaxInt64, w.check)
+	w.timer.Reset(w.timeout)
 	return w
 }
 
@@ -62,7 +65,7 @@
 		w.timer.Reset(w.timeout - stalledFor)
 		return
 	}
-	if w.isStalled(now) && (w.request.isCutOff() || w.hasAlternative(now)) {
+	if w.isLost(now) || (w.isStalled(now) && (w.request.isCutOff() || w.hasAlternative(now))) {
 		if !w.stopped.Load() {
 			w.cancel(errStalled)
 		}
@@ -71,6 +74,18 @@
 	w.timer.Reset(stallRecheckInterval)
 }
 
+// isLost reports whether the path to the server is known to be lost. What other hosts see of the server says nothing about the
+// response then.
+func (w *stallWatch) isLost(now time.Time) bool {
+	if !w.request.isCutOff() {
+		return false
+	}
+	g := w.request.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.answers.HasAnswered(now, w.server, w.timeout)
+}
+
 // isStalled reports whether further waiting is pointless. An engine counts as stalled only if none of its requests
 // makes progress, since a single one may wait for a slot.
 func (w *stallWatch) isStalled(now time.Time) bool {
--- a/process/reach/answers.go
+++ b/process/reach/answers.go
@@ -99,6 +99,12 @@
 	return silent > 0 && silent >= majority*answering
 }
 
+// HasAnswered reports whether a server has sent bytes of a response within a time before now.
+func (a *Answers) HasAnswered(now time.Time, id string, within time.Duration) bool {
+	s := a.servers[id]
+	return s != nil && now.Sub(s.answeredAt) < within
+}
+
 // Evidence is what is known of a server without asking it.
 type Evidence int
 
