TestFleetForwardedSlowReaders: a longer time limit than that of the routes

With the race detector at a load average of 30, reading 12 MiB took longer than the 2 s of the route, and 0 of 4 and, where the longer limit wasn't in force yet, 2 of 4 callers got the whole response. The limit isn't what is tested; the time after which a response counted as stalled (500 ms) is the same.

--- a/cmd/savorywing/fleet_forward_kinds_test.go
+++ b/cmd/savorywing/fleet_forward_kinds_test.go
@@ -140,6 +140,12 @@
 func TestFleetForwardedSlowReaders(t *testing.T) {
 	t.Parallel()
 	f := newFleetEnv(t, 3, 3, 20, withPaths)
+	doc := fleetDocument(2)
+	for i := range doc.Routes {
+		// The time limit of a request is not what is tested.
+		doc.Routes[i].Timeout = 8 * time.Second
+	}
+	f.publish(doc)
 	f.waitServing()
 	f.cutOffUntilForwarded(1, standin.CutReset)
 	for _, s := range f.fleet.PlainServers() {
