Tests of processes: ports that no outgoing connection takes

TestServeSignals/a second SIGTERM failed once beside load: daemon.New could not listen at 127.0.0.1:33443, "address already in use". The harness looks for free ports and frees them for the daemons, which start later. They came from the range for outgoing connections (32768 to 60999), of which several test programs open many.

Change: ports below that range, at random. No check is changed. Two test programs may still choose the same port at the same moment.

--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -134,22 +136,24 @@
 	relays map[[2]int]*relay
 }
 
+// Ports from firstPort to lastPort are not used for outgoing connections, which would take one that is free for a moment.
+const firstPort, lastPort = 10000, 32000
+
 // freeAddresses returns n loopback addresses (host:port) that were free a moment ago.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
-	var listeners []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < n {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort+1)))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
-		listeners = append(listeners, l)
+		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
 	}
-	for _, l := range listeners {
-		_ = l.Close()
-	}
 	return addresses
 }
 
