Emulated paths: a connection that is dialled during a cut is cut as well

TestFleetAllEntryHostsCutOff/accepted and reset failed once in the last full run of these tests: 20 of 160 requests were served although all hosts were cut off, and others got 502. A connection that was being dialled while Path.Set ran was not in the list of those to cut and carried on (suspected from the code and the 20 served requests; the run has no trace of the connection). The cut is applied under the lock now.

--- a/standin/fleet/path.go
+++ b/standin/fleet/path.go
@@ -113,6 +113,11 @@
 func (p *Path) to(address string) Cut {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.cutTo(address)
+}
+
+// cutTo is to for callers that hold mu.
+func (p *Path) cutTo(address string) Cut {
 	if p.spare[address] {
 		return NoCut
 	}
@@ -144,9 +149,15 @@
 	}
 	c := &pathConn{TCPConn: tcp, path: p, closed: make(chan struct{})}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.conns[c] = true
-	p.mu.Unlock()
-	c.apply(e.opened)
+	// The path may have been cut during the dial.
+	e = effects[p.cutTo(address)]
+	if e.dialError != nil {
+		c.apply(e.open)
+	} else {
+		c.apply(e.opened)
+	}
 	return c, nil
 }
 
