Names of a server that closes: BeginClose, afterClose

A reader who hadn't seen the work stumbled over CloseIdle, which also closes listeners and doesn't wait, and over "crossed": the counter and the log field of requests that are received after their connection was closed. Behaviour is the same; the packages' tests and TestSessionLogLines pass.

--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -77,7 +77,7 @@
 				t.Fatal(err)
 			}
 			if tt.request == "" {
-				s.CloseIdle()
+				s.BeginClose()
 			}
 			start := time.Now()
 			if status, err := readResponse(c, r); err != nil || status != tt.want {
@@ -230,7 +230,7 @@
 func TestConnectionAcceptedAfterExpiry(t *testing.T) {
 	s, _ := serveForever(t)
 	c, d := newTestConn(t, s)
-	s.CloseIdle()
+	s.BeginClose()
 	s.expire()
 	s.add(c.conn)
 	ended := make(chan struct{})
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -276,7 +276,7 @@
 	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
 	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusRequestTimeout, Reason: "the connection is closed: notRun"})
 	if n := c.linger(); n > 0 {
-		c.server.crossed.Add(1)
+		c.server.afterClose.Add(1)
 	}
 }
 
--- a/connection/ingress/request_handler_test.go
+++ b/connection/ingress/request_handler_test.go
@@ -166,7 +166,7 @@
 		t.Fatal(err)
 	}
 	time.Sleep(30 * time.Millisecond)
-	s.CloseIdle()
+	s.BeginClose()
 	_ = end.Close()
 	for _, want := range []string{"ab", "rejected /late"} {
 		var resp fasthttp.Response
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -84,9 +84,9 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	closing  atomic.Bool
-	// crossed counts the requests that were received after their connection had been closed.
-	crossed atomic.Int64
-	done    sync.WaitGroup
+	// afterClose counts the requests that were received after their connection had been closed.
+	afterClose atomic.Int64
+	done       sync.WaitGroup
 }
 
 // New returns a server without listeners. limits is called for each request.
@@ -116,7 +116,7 @@
 	return nil
 }
 
-// accept accepts connections until the listener is closed, or, after CloseIdle, until none is left in its queue.
+// accept accepts connections until the listener is closed, or, after BeginClose, until none is left in its queue.
 func (s *Server) accept(l net.Listener) {
 	for {
 		nc, err := l.Accept()
@@ -195,17 +195,17 @@
 // InFlight returns the number of requests that are being read or served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Crossed returns the number of requests that were received after their connection had been closed, so that their callers
+// ReceivedAfterClose returns the number of requests that were received after their connection had been closed, so that their callers
 // got the response with which it was.
-func (s *Server) Crossed() int { return int(s.crossed.Load()) }
+func (s *Server) ReceivedAfterClose() int { return int(s.afterClose.Load()) }
 
 // Drain makes every response that starts from now on the last one on its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle begins to close the listeners and the connections without a request. Connections in the queues of the listeners
+// BeginClose begins to close the listeners and the connections without a request. Connections in the queues of the listeners
 // are still accepted, and requests that have been received are served. All other connections end after their current
 // response; a request that is received on one after a response without "Connection: close" is passed to Handler.Reject.
-func (s *Server) CloseIdle() {
+func (s *Server) BeginClose() {
 	s.draining.Store(true)
 	s.closing.Store(true)
 	s.mu.Lock()
@@ -224,10 +224,10 @@
 	}
 }
 
-// Shutdown calls CloseIdle and waits until all connections have ended. When ctx ends, the requests that are left are
+// Shutdown calls BeginClose and waits until all connections have ended. When ctx ends, the requests that are left are
 // cancelled with ErrStopping and have a moment for their last response. It returns the number of those.
 func (s *Server) Shutdown(ctx context.Context) int {
-	s.CloseIdle()
+	s.BeginClose()
 	ended := make(chan struct{})
 	go func() {
 		s.done.Wait()
--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -256,7 +256,7 @@
 	}
 	time.Sleep(30 * time.Millisecond)
 	s.Drain()
-	s.CloseIdle()
+	s.BeginClose()
 	var resp fasthttp.Response
 	if err := resp.Read(ir); err != nil || resp.StatusCode() != fasthttp.StatusRequestTimeout || !resp.ConnectionClose() {
 		t.Errorf("idle connection: status %d, error %v, Connection: close %v, want 408 and the end", resp.StatusCode(), err, resp.ConnectionClose())
@@ -299,7 +299,7 @@
 	}
 	<-served
 	s.Drain()
-	s.CloseIdle()
+	s.BeginClose()
 	close(finish)
 	var resp fasthttp.Response
 	if err := resp.Read(r); err != nil || string(resp.Body()) != "abend" {
--- a/connection/ingress/stop_kinds_test.go
+++ b/connection/ingress/stop_kinds_test.go
@@ -94,7 +94,7 @@
 		s.Drain()
 	}
 	if step.closeIdle {
-		s.CloseIdle()
+		s.BeginClose()
 		time.Sleep(20 * time.Millisecond)
 	}
 	if step.release {
--- a/connection/ingress/stop_test.go
+++ b/connection/ingress/stop_test.go
@@ -56,7 +56,7 @@
 					}
 					echo(ctx, x)
 				})
-				if err := tt.load.Run(&counts, closing.Server{Address: address, Drain: s.Drain, Close: s.CloseIdle}); err != nil {
+				if err := tt.load.Run(&counts, closing.Server{Address: address, Drain: s.Drain, Close: s.BeginClose}); err != nil {
 					t.Fatal(err)
 				}
 				s.Close()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -213,7 +213,7 @@
 	received = g.server.Shutdown(ctx)
 	done.Wait()
 	g.Kill()
-	g.log.Info().Str("event", "stopped").Int("cutOff", received+forwarded).Int("crossed", g.server.Crossed()).Msg("the entry host stopped")
+	g.log.Info().Str("event", "stopped").Int("cutOff", received+forwarded).Int("afterClose", g.server.ReceivedAfterClose()).Msg("the entry host stopped")
 }
 
 // endForwardedRequests waits for the requests of other hosts. When ctx ends, it cancels those that are left and returns their
