ingress: one way to end a connection with a response; a comment of reach

Found on reading the change again. Connections beyond the bound, idle ones and requests that can't be read each set closeAfter, sent a response and lingered by themselves, and three places built the same Exchange: endWith and newExchange serve them. askServers said that it keeps connections, which it hasn't since requests without an attempt ID are the only ones on theirs. Behaviour is the same.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -166,10 +166,20 @@
 func (c *conn) refuse() {
 	defer c.server.removeConn(c)
 	defer func() { _ = c.conn.Close() }()
+	c.endWith(c.newExchange(), savorywing.ErrorResponse{
+		Status: fasthttp.StatusServiceUnavailable, Reason: "too many connections: notRun", RetryAfter: fullRetryAfter,
+	})
+}
+
+func (c *conn) newExchange() *Exchange {
+	return &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
+}
+
+// endWith sends the last response on the connection and returns the number of bytes that are received after it.
+func (c *conn) endWith(x *Exchange, r savorywing.ErrorResponse) int64 {
 	c.closeAfter = true
-	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
-	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: "too many connections: notRun", RetryAfter: fullRetryAfter})
-	c.linger()
+	x.WriteError(r)
+	return c.linger()
 }
 
 // awaitRequest waits for the first byte of the next request and reports whether there is one. Otherwise the connection has
@@ -272,10 +282,8 @@
 // endIdle ends a connection without a request. Its caller may have sent one that hasn't arrived yet: status 408 then tells that
 // it won't run. Callers without one take it for the end of an idle connection (RFC 9110, section 15.5.9).
 func (c *conn) endIdle() {
-	c.closeAfter = true
-	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
-	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusRequestTimeout, Reason: "the connection is closed: notRun"})
-	if n := c.linger(); n > 0 {
+	r := savorywing.ErrorResponse{Status: fasthttp.StatusRequestTimeout, Reason: "the connection is closed: notRun"}
+	if n := c.endWith(c.newExchange(), r); n > 0 {
 		c.server.afterClose.Add(1)
 	}
 }
@@ -284,7 +292,7 @@
 // further. When it returns true, a peek for the next byte is running.
 func (c *conn) serveOne() bool {
 	limits := c.server.limits()
-	x := &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
+	x := c.newExchange()
 	read := c.readRequest
 	if c.tooLate {
 		read = c.readHeader
@@ -390,8 +398,7 @@
 		status, reason = fasthttp.StatusRequestTimeout, "the request was not received in time: notRun"
 	}
 	c.server.log.Info().Str("event", "requestUnreadable").Int("status", status).Str("reason", reason).Msg("a caller's request could not be read")
-	x.WriteError(savorywing.ErrorResponse{Status: status, Reason: reason})
-	c.linger()
+	c.endWith(x, savorywing.ErrorResponse{Status: status, Reason: reason})
 }
 
 func isTimeout(err error) bool {
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -293,8 +293,8 @@
 	return g.balancer.Sample(n, skip), g.balancer.Len()
 }
 
-// askServers asks servers for their status at the same time and returns those that didn't answer. The connections to the
-// others are kept for later requests. answered is called for each answer, from several goroutines.
+// askServers asks servers for their status at the same time and returns those that didn't answer. answered is called for each
+// answer, from several goroutines.
 func (g *Gateway) askServers(targets []placement.Target, answered func()) []wire.ServerAddress {
 	ctx, cancel := context.WithTimeout(g.ctx, queryTimeout)
 	defer cancel()
