--- a/review/standin/installation.go
+++ b/review/standin/installation.go
@@ -215,6 +215,40 @@
 	_ = os.RemoveAll(n.dir)
 }
 
+// leader returns the control host to which the servers send their reports.
+func (n *installation) leader() *daemon {
+	address := ""
+	for _, s := range n.servers {
+		s.mu.Lock()
+		if s.state == "ready" {
+			address = s.heartbeatAddr
+			if address == "" {
+				address = s.reportedTo
+			}
+		}
+		s.mu.Unlock()
+	}
+	for i, d := range n.controls {
+		if n.controlAddress(i) == address {
+			return d
+		}
+	}
+	return nil
+}
+
+// restart starts a daemon again that has ended, as one of a system that was started before.
+func (d *daemon) restart() error {
+	b, err := os.ReadFile(d.settings)
+	if err != nil {
+		return err
+	}
+	text := strings.Replace(string(b), "firstStart: true", "firstStart: false", 1)
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return d.start()
+}
+
 // callControl makes a call to the control hosts in turn until one of them gives a clear answer.
 func (n *installation) callControl(method, path string, body []byte, timeout time.Duration) (int, []byte, error) {
 	deadline := time.Now().Add(timeout)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -50,11 +51,15 @@
 	sequence      uint64
 	state         string
 	heartbeatAddr string
-	silent        bool
-	runs          []*request
-	done          chan struct{}
-	once          sync.Once
-	conns         map[net.Conn]bool
+	// reportedTo is the control address that acknowledged the last report.
+	reportedTo string
+	wake       chan struct{}
+	runs       []*request
+	// arrivals holds the requests that arrived, run or not, but for those that were meant for another server.
+	arrivals []*request
+	done     chan struct{}
+	once     sync.Once
+	conns    map[net.Conn]bool
 }
 
 const reportInterval = 1200 * time.Millisecond
@@ -67,7 +72,7 @@
 		return nil, err
 	}
 	s := &server{installation: n, id: fmt.Sprintf("i-%06x", 0xa1b2c3+i*7919), service: service, ip: serverIP(i), listener: l, born: time.Now().UnixMilli(),
-		handle: handle, state: "ready", done: make(chan struct{}), conns: map[net.Conn]bool{}}
+		handle: handle, state: "ready", done: make(chan struct{}), wake: make(chan struct{}, 1), conns: map[net.Conn]bool{}}
 	n.servers = append(n.servers, s)
 	go s.accept()
 	go s.report()
@@ -131,6 +136,9 @@
 		} else if r.id() != "" {
 			fmt.Fprintf(&b, "X-Savorywing-Server-Signature: %s.%s\r\n", s.id, r.id())
 		}
+		if s.isLeaving() {
+			b.WriteString("Server-Leaving: 1\r\n")
+		}
 		for _, line := range a.header {
 			b.WriteString(line + "\r\n")
 		}
@@ -155,6 +163,9 @@
 	if r.id() == "" {
 		return answer{status: 400, notRun: true}
 	}
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, r)
+	s.mu.Unlock()
 	a := s.handle(r)
 	if !a.notRun {
 		s.mu.Lock()
@@ -164,6 +175,34 @@
 	return a
 }
 
+// allArrivals returns the requests that arrived for the server.
+func (s *server) allArrivals() []*request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*request(nil), s.arrivals...)
+}
+
+// leave makes the server say that it is leaving, in its reports and in all its answers.
+func (s *server) leave() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.wake <- struct{}{}
+}
+
+func (s *server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == "draining"
+}
+
+// end deregisters the server and ends it.
+func (s *server) end() {
+	_, _, err := s.installation.callControl(http.MethodPost, "/v1/instances/"+s.id+"/deregister", nil, 3*time.Second)
+	s.installation.record.add("server %s has deregistered, error %v", s.id, err)
+	s.stop()
+}
+
 // allRuns returns the requests that the server ran.
 func (s *server) allRuns() []*request {
 	s.mu.Lock()
@@ -215,14 +254,14 @@
 	return string(bytes.TrimRight([]byte(line), "\r\n")), nil
 }
 
-// report sends a status report every reportInterval, to the address that the system has named, or else to the control hosts in
-// turn.
+// report sends a status report every reportInterval, to the address that the system has named, or else to any control host.
 func (s *server) report() {
 	for {
 		s.sendReport()
 		select {
 		case <-s.done:
 			return
+		case <-s.wake:
 		case <-time.After(reportInterval):
 		}
 	}
@@ -231,14 +270,11 @@
 func (s *server) sendReport() {
 	s.mu.Lock()
 	s.sequence++
-	if s.silent {
-		s.mu.Unlock()
-		return
-	}
+	state := s.state
 	b, _ := json.Marshal(map[string]any{"service": s.service, "address": s.address(), "zone": "a", "version": "v1", "slots": 6, "state": s.state,
 		"cold_left_ms": 0, "seq": s.sequence, "born": s.born})
 	addresses := []string{s.heartbeatAddr}
-	for i := range s.installation.controls {
+	for _, i := range rand.Perm(len(s.installation.controls)) {
 		addresses = append(addresses, s.installation.controlAddress(i))
 	}
 	s.mu.Unlock()
@@ -261,8 +297,15 @@
 		}
 		_ = json.Unmarshal(reply, &v)
 		s.mu.Lock()
-		s.heartbeatAddr = v.Address
+		s.reportedTo = address
+		// An address that was named stays valid until a report fails there.
+		if v.Address != "" || s.heartbeatAddr != address {
+			s.heartbeatAddr = v.Address
+		}
 		s.mu.Unlock()
+		if state == "draining" {
+			s.installation.record.add("server %s: %s acknowledged that it is draining", s.id, address)
+		}
 		return
 	}
 }
