--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the review's scripts.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-go build -o ../bin/scene .
+go build -buildvcs=false -o ../bin/scene .
