--- a/review/standin/readyz.go
+++ b/review/standin/readyz.go
@@ -49,7 +49,10 @@
 	}
 	ran := 0
 	for _, s := range n.servers {
-		ran += len(s.allRuns())
+		for _, run := range s.allRuns() {
+			ran++
+			r.add("server %s ran %s, %s", s.id, run.id(), run.line)
+		}
 	}
 	r.add("the servers ran %d requests", ran)
 	if served == 0 {
