Full disks one after another: members return to the log

What callers saw: one control host at a time had a full disk for some seconds.

Cause: after a failed write process/disk refuses all others, and process/quorum left the log for good: no vote, no acknowledgement. Only a restart led out of that state, and nothing restarted the process, which went on announcing itself. A leader kept its role and confirmed documents until its heartbeats were missed.

Ruled out: lost acknowledgements on the way (all processes and links were sound), the choice of voters (the failed ones stayed members, as their announcements went on).

Now the core stands still while the disk fails, and the member returns once its whole state, which is in memory and has all that it ever acknowledged, is written to new files and synced. A single write that succeeds isn't believed. A leader steps down at once. An attempt takes new names, and removes what earlier ones left, so that a restart at any moment loads one whole state. This holds for savorywing serve too, and for learners and the bootstrap.

TestNodeDiskFails and TestFolderFailedWrite demanded that a voter never returns. They are replaced: nothing is acknowledged until the state is written anew (TestNodeDiskFails, TestFailedDiskContract), and nothing acknowledged is lost then.

--- a/log.go
+++ b/log.go
@@ -17,9 +17,10 @@
 type Disk interface {
 	// Load returns the synced state, entries in order.
 	Load() (PersistedState, error)
-	// Append adds a record and returns once it is synced.
+	// Append adds a record and returns once it is synced. After a write that failed, it returns an error until Compact has
+	// written the whole state anew.
 	Append(r Record) error
-	// Compact replaces everything up to the snapshot's index and keeps the entries after it.
+	// Compact replaces everything up to the snapshot's index. r has the term, the vote and all entries after it.
 	Compact(s wire.Snapshot, r Record) error
 	// Close releases the files.
 	Close() error
--- a/process/controller/bootstrap_test.go
+++ b/process/controller/bootstrap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,6 +33,21 @@
 	}
 }
 
+// TestBootstrapOnFullDisk guards against a control host that exits at its first start because its disk has no room at that moment.
+func TestBootstrapOnFullDisk(t *testing.T) {
+	c := &Controller{ctx: t.Context(), log: zerolog.Nop()}
+	tries := 0
+	fullDisk := func(context.Context, wire.Membership) error {
+		if tries++; tries < 3 {
+			return fmt.Errorf("%w: %w", quorum.ErrOutage, disk.ErrWriteFailed)
+		}
+		return nil
+	}
+	if err := c.formCluster(wire.Membership{}, fullDisk); err != nil || tries != 3 {
+		t.Errorf("formCluster: %v after %d tries, want to wait for room on the disk", err, tries)
+	}
+}
+
 // TestBootstrapWithInvalidSeed guards against one invalid seed that costs the cluster, against first memberships of hosts with
 // different seeds whose majorities need not overlap, and against a seed that is a voter twice.
 func TestBootstrapWithInvalidSeed(t *testing.T) {
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -140,8 +141,9 @@
 
 // peerPresence is the last presence message of another control host.
 type peerPresence struct {
-	presence   wire.Presence
-	receivedAt time.Time
+	presence wire.Presence
+	// soundAt is when the host last announced itself as able to take part in the log; zero before.
+	soundAt time.Time
 }
 
 // New returns a control host, which Start runs.
@@ -235,6 +237,13 @@
 	c.telemetry.Gauge("reports_replaced", func() float64 { replaced, _ := c.reports.Counts(); return float64(replaced) })
 	c.telemetry.Gauge("usage_replaced", func() float64 { replaced, _ := c.usage.Counts(); return float64(replaced) })
 	c.telemetry.Gauge("events_dropped", func() float64 { return float64(c.dropped()) })
+	c.telemetry.Gauge("log_out", func() float64 {
+		if c.node.Status().FailureReason != "" {
+			return 1
+		}
+		return 0
+	})
+	c.telemetry.Gauge("log_outages", func() float64 { return float64(c.node.Status().Outages) })
 	c.telemetry.Gauge("log_commit_index", func() float64 { return float64(c.node.Status().CommitIndex) })
 	return nil
 }
@@ -298,13 +307,26 @@
 // slowBootstrap is how long a bootstrap may take before it is logged.
 const slowBootstrap = 1 * time.Second
 
-// formCluster waits until the first membership is synced to the disk, however long the disk takes.
+// bootstrapRetryInterval is the time between two tries of a bootstrap whose disk fails.
+const bootstrapRetryInterval = electionTimeout / 2
+
+// formCluster waits until the first membership is synced to the disk, however long the disk takes or refuses to write it.
 func (c *Controller) formCluster(m wire.Membership, bootstrap func(context.Context, wire.Membership) error) error {
 	slow := time.AfterFunc(slowBootstrap, func() {
 		c.log.Warn().Str("event", "bootstrapSlow").Dur("after", slowBootstrap).Msg("the disk has not synced the first membership yet")
 	})
 	defer slow.Stop()
-	return bootstrap(c.ctx, m)
+	for {
+		err := bootstrap(c.ctx, m)
+		if !errors.Is(err, quorum.ErrOutage) {
+			return err
+		}
+		select {
+		case <-c.ctx.Done():
+			return err
+		case <-time.After(bootstrapRetryInterval):
+		}
+	}
 }
 
 // Reload applies the settings that may change while the daemon runs: the seeds and the tokens. Other changes need a
--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -27,8 +27,9 @@
 }
 
 func (c *Controller) presenceFrame() wire.Frame {
+	status := c.node.Status()
 	return wire.Frame{Presence: &wire.Presence{
-		ID: c.node.Status().ID, ControlAddress: c.settings.ControlAddress, Peers: c.controlHosts(),
+		ID: status.ID, ControlAddress: c.settings.ControlAddress, Peers: c.controlHosts(), DiskFailed: status.FailureReason != "",
 	}}
 }
 
@@ -41,7 +42,7 @@
 	if _, known := c.presence[from]; !known {
 		c.log.Info().Str("event", "controlHostFound").Str("peer", from).Str("id", p.ID).Msg("discovered a control host")
 	}
-	c.presence[from] = peerPresence{presence: p, receivedAt: c.clock.Now()}
+	c.presence[from] = c.presence[from].updated(c.clock.Now(), p)
 	c.recordDaemon(from, p.ControlAddress)
 	c.mesh.AddHost(from, from)
 	for _, host := range p.Peers {
@@ -52,6 +53,15 @@
 	}
 }
 
+// updated returns the presence after an announcement. A host whose disk has failed counts as silent from then on.
+func (old peerPresence) updated(now time.Time, p wire.Presence) peerPresence {
+	soundAt := now
+	if p.DiskFailed {
+		soundAt = old.soundAt
+	}
+	return peerPresence{presence: p, soundAt: soundAt}
+}
+
 // desiredVoters returns the control hosts that should be members of the log, each with the ID of its disk. Hosts are added
 // up to the number that the tolerated number of disk losses requires. A silent member stays, unless another host waits to
 // become one.
@@ -59,7 +69,7 @@
 	self := c.settings.PeerAddress()
 	isReachable := func(host string) bool {
 		p, known := c.presence[host]
-		return host == self || (known && now.Sub(p.receivedAt) < replaceVoterAfter)
+		return host == self || (known && now.Sub(p.soundAt) < replaceVoterAfter)
 	}
 	out := map[string]string{}
 	for _, m := range c.node.Status().Members.Members {
@@ -98,10 +108,10 @@
 		return false
 	}
 	sort.Slice(silent, func(i, j int) bool {
-		return c.presence[silent[i]].receivedAt.Before(c.presence[silent[j]].receivedAt)
+		return c.presence[silent[i]].soundAt.Before(c.presence[silent[j]].soundAt)
 	})
 	c.log.Info().Str("event", "voterReplaced").Str("peer", silent[0]).
-		Dur("silentFor", c.clock.Now().Sub(c.presence[silent[0]].receivedAt)).Msg("replaced a silent voter")
+		Dur("silentFor", c.clock.Now().Sub(c.presence[silent[0]].soundAt)).Msg("replaced a silent voter")
 	delete(hosts, silent[0])
 	return true
 }
--- a/process/disk/contract_test.go
+++ b/process/disk/contract_test.go
@@ -52,3 +52,56 @@
 		})
 	}
 }
+
+// TestFailedDiskContract checks that a disk on which a write has failed appends nothing until its whole state is written anew.
+func TestFailedDiskContract(t *testing.T) {
+	tests := map[string]func(t *testing.T) (d savorywing.Disk, fill, makeRoom func()){
+		"memory": func(*testing.T) (savorywing.Disk, func(), func()) {
+			m := NewMemory("host/1")
+			return m, func() { m.FailWrites.Store(true) }, func() { m.FailWrites.Store(false) }
+		},
+		"folder": func(t *testing.T) (savorywing.Disk, func(), func()) {
+			f, err := Open(t.TempDir(), "host")
+			if err != nil {
+				t.Fatal(err)
+			}
+			fill, makeRoom := fillable(t, f)
+			return f, fill, makeRoom
+		},
+	}
+	for name, open := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, fill, makeRoom := open(t)
+			if _, err := d.Load(); err != nil {
+				t.Fatal(err)
+			}
+			if err := d.Append(record(1, 1, "one", "two")); err != nil {
+				t.Fatal(err)
+			}
+			s := wire.Snapshot{Index: 1, Term: 1, Data: []byte("state"), Membership: &wire.Membership{}}
+			for round := range 3 {
+				fill()
+				if d.Append(record(1, 3, "lost")) == nil || d.Compact(s, record(1, 2, "two")) == nil {
+					t.Fatal("a full disk takes a write")
+				}
+				makeRoom()
+				if d.Append(record(1, 3, "after")) == nil {
+					t.Fatal("the disk appends after a failed write")
+				}
+				if err := d.Compact(s, record(1, 2, "two", "three")); err != nil {
+					t.Fatalf("round %d: %v", round, err)
+				}
+				if err := d.Append(record(1, 4, "four")); err != nil {
+					t.Fatalf("round %d: %v", round, err)
+				}
+				got, err := d.Load()
+				if err != nil || len(got.Entries) != 3 || string(got.Entries[1].Data) != "three" || string(got.Snapshot.Data) != "state" {
+					t.Fatalf("round %d: loaded %+v, error %v", round, got, err)
+				}
+			}
+			if err := d.Close(); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
--- a/process/disk/folder.go
+++ b/process/disk/folder.go
@@ -20,16 +20,23 @@
 // Folder stores the state of one voter in a data folder. Each generation has one log file, and a snapshot file
 // unless it is the first. The newest generation is the valid one.
 type Folder struct {
-	dir        string
+	dir string
+	// generation is the newest generation that is known to be synced.
 	generation int
-	logFile    *os.File
-	identity   string
+	// attempted is the newest generation that was begun. It is never less than generation, and no number is used twice: files
+	// of a generation that failed may reappear after a loss of power.
+	attempted int
+	logFile   *os.File
+	identity  string
 	// incarnation is the second part of the identity that an empty folder gets.
 	incarnation string
 	// tornBytes is the length of the incomplete frame that Load removed.
 	tornBytes int
-	// failure is the error of the first failed write. Nothing is written after it.
+	// failure is the error of the first write that failed since the state was last written as a whole. Nothing is appended
+	// after it.
 	failure error
+	// syncDir syncs the names in a folder.
+	syncDir func(dir string) error
 }
 
 var _ savorywing.Disk = (*Folder)(nil)
@@ -50,7 +57,7 @@
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return nil, fmt.Errorf("disk.Open: %w", err)
 	}
-	f := &Folder{dir: dir, incarnation: string(savorywing.NewID())}
+	f := &Folder{dir: dir, incarnation: string(savorywing.NewID()), syncDir: syncDir}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -58,10 +65,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("disk.Open: %w", err)
 	}
-	f.generation = generation
+	f.generation, f.attempted = generation, generation
 	if generation == 0 {
 		f.identity = host + "/" + f.incarnation
-		if err := f.startGeneration(frame{Identity: f.identity}); err != nil {
+		if err := f.startGeneration(frame{Identity: f.identity}, nil); err != nil {
 			return nil, fmt.Errorf("disk.Open: %w", err)
 		}
 	}
@@ -98,40 +105,52 @@
 	return generation, err
 }
 
-// startGeneration starts the next generation with its first frame. The generation becomes valid with the rename of
-// its log file.
-func (f *Folder) startGeneration(first frame) error {
+// startGeneration starts the next generation with its first frame, and its snapshot unless that is nil. The generation becomes
+// valid with the rename of its log file.
+func (f *Folder) startGeneration(first frame, snapshot []byte) error {
 	b, err := encodeFrame(first)
 	if err != nil {
 		return err
 	}
-	next := f.generation + 1
-	if err := writeFileAtomically(f.logPath(next), b); err != nil {
+	f.attempted++
+	next := f.attempted
+	if snapshot != nil {
+		if err := writeFileAtomically(f.snapshotPath(next), snapshot); err != nil {
+			return err
+		}
+	}
+	if err := f.writeFile(f.logPath(next), b); err != nil {
 		return err
 	}
-	if err := syncDir(f.dir); err != nil {
+	log, err := openLog(f.logPath(next))
+	if err != nil {
 		return err
 	}
 	if f.logFile != nil {
 		_ = f.logFile.Close()
-		f.logFile = nil
 	}
-	f.generation = next
-	return f.openLog()
+	f.logFile, f.generation = log, next
+	return nil
 }
 
-func (f *Folder) openLog() error {
-	log, err := os.OpenFile(f.logPath(f.generation), os.O_RDWR|os.O_APPEND, fileMode)
-	if err != nil {
+// writeFile writes a file as a whole, and syncs it and its name.
+func (f *Folder) writeFile(path string, b []byte) error {
+	if err := writeFileAtomically(path, b); err != nil {
 		return err
 	}
-	f.logFile = log
-	return nil
+	return f.syncDir(f.dir)
+}
+
+func openLog(path string) (*os.File, error) {
+	return os.OpenFile(path, os.O_RDWR|os.O_APPEND, fileMode)
 }
 
+// temporarySuffix marks files that are being written.
+const temporarySuffix = ".tmp"
+
 // writeFileAtomically writes and syncs a temporary file and renames it to path. The caller syncs the folder.
 func writeFileAtomically(path string, b []byte) error {
-	temporary := path + ".tmp"
+	temporary := path + temporarySuffix
 	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return err
@@ -143,10 +162,14 @@
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
+	if err == nil {
+		err = os.Rename(temporary, path)
+	}
 	if err != nil {
-		return err
+		// On a full disk, what has been written of the file takes the room that the next attempt needs.
+		_ = os.Remove(temporary)
 	}
-	return os.Rename(temporary, path)
+	return err
 }
 
 func syncDir(dir string) error {
@@ -197,23 +220,26 @@
 		}
 	}
 	if f.logFile == nil {
-		if err := f.openLog(); err != nil {
+		if f.logFile, err = openLog(f.logPath(f.generation)); err != nil {
 			return stored, err
 		}
 	}
-	return stored, f.truncateTornFrame(validSize, len(b))
+	f.truncateTornFrame(validSize, len(b))
+	return stored, nil
 }
 
-// truncateTornFrame truncates the log from size to validSize bytes, to remove an incomplete frame at its end.
-func (f *Folder) truncateTornFrame(validSize, size int) error {
+// truncateTornFrame truncates the log from size to validSize bytes, to remove an incomplete frame at its end. If that fails,
+// nothing is appended until the state has been written anew.
+func (f *Folder) truncateTornFrame(validSize, size int) {
 	if validSize == size {
-		return nil
+		return
 	}
 	f.tornBytes = size - validSize
-	if err := f.logFile.Truncate(int64(validSize)); err != nil {
-		return err
+	err := f.logFile.Truncate(int64(validSize))
+	if err == nil {
+		err = f.logFile.Sync()
 	}
-	return f.logFile.Sync()
+	f.recordFailure("Folder.truncateTornFrame", err)
 }
 
 func (f *Folder) loadSnapshot() (*wire.Snapshot, error) {
@@ -268,53 +294,69 @@
 	}
 }
 
-// Append appends a record as one frame and syncs it.
+// Append appends a record as one frame and syncs it. After a write that failed, it returns that error until Compact has
+// succeeded: the log then ends in bytes of which it isn't known whether they are on the disk.
 func (f *Folder) Append(r savorywing.Record) error {
 	if f.failure != nil {
 		return f.failure
 	}
 	b, err := encodeFrame(frame{Record: r})
-	if err == nil {
-		_, err = f.logFile.Write(b)
+	if err != nil {
+		return fmt.Errorf("Folder.Append: %w", err)
 	}
+	_, err = f.logFile.Write(b)
 	if err == nil {
 		err = f.logFile.Sync()
 	}
 	return f.recordFailure("Folder.Append", err)
 }
 
-// recordFailure stores and returns the error of a failed write. After a failed sync the contents of the disk are
-// unknown, so all later writes fail.
+// recordFailure stores an error of a write and returns it with where it occurred.
 func (f *Folder) recordFailure(where string, err error) error {
-	if err != nil {
-		f.failure = fmt.Errorf("%s: %w", where, err)
+	if err == nil {
+		return nil
 	}
+	f.failure = fmt.Errorf("%s: %w", where, err)
 	return f.failure
 }
 
-// Compact starts a new generation from a snapshot. r holds the entries that follow it.
+// Compact starts a new generation from a snapshot. r holds the entries that follow it. It writes the whole state to new files
+// and so ends a failure of earlier writes, if it succeeds.
 func (f *Folder) Compact(s wire.Snapshot, r savorywing.Record) error {
-	if f.failure != nil {
-		return f.failure
-	}
-	return f.recordFailure("Folder.Compact", f.compact(s, r))
-}
-
-func (f *Folder) compact(s wire.Snapshot, r savorywing.Record) error {
 	payload, err := codec.Encode(s)
 	if err != nil {
-		return err
+		return fmt.Errorf("Folder.Compact: %w", err)
 	}
-	if err := writeFileAtomically(f.snapshotPath(f.generation+1), encodeChecksummed(payload)); err != nil {
-		return err
+	if f.attempted > f.generation {
+		err = f.removeFailedGenerations()
 	}
-	if err := f.startGeneration(frame{Identity: f.identity, Snapshot: true, Record: r}); err != nil {
-		return err
+	if err == nil {
+		err = f.startGeneration(frame{Identity: f.identity, Snapshot: true, Record: r}, encodeChecksummed(payload))
 	}
+	if err != nil {
+		return f.recordFailure("Folder.Compact", err)
+	}
+	f.failure = nil
 	f.removeOldGenerations()
 	return nil
 }
 
+// removeFailedGenerations deletes the files of generations that are newer than the valid one, so that attempts that fail again
+// and again don't fill the disk. A log without its snapshot would be corrupt, so all logs are removed for good first.
+func (f *Folder) removeFailedGenerations() error {
+	for _, path := range []func(int) string{f.logPath, f.snapshotPath} {
+		for n := f.generation + 1; n <= f.attempted; n++ {
+			if err := os.Remove(path(n)); err != nil && !errors.Is(err, os.ErrNotExist) {
+				return err
+			}
+		}
+		if err := f.syncDir(f.dir); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Dir returns the path of the data folder.
 func (f *Folder) Dir() string { return f.dir }
 
--- a/process/disk/memory.go
+++ b/process/disk/memory.go
@@ -14,6 +14,8 @@
 // Memory is an in-memory savorywing.Disk for tests.
 type Memory struct {
 	stored savorywing.PersistedState
+	// failed reports whether a write has failed since the last Compact.
+	failed bool
 	// FailWrites makes every write return ErrWriteFailed.
 	FailWrites atomic.Bool
 }
@@ -34,7 +36,8 @@
 
 // Append stores a record.
 func (m *Memory) Append(r savorywing.Record) error {
-	if m.FailWrites.Load() {
+	m.failed = m.failed || m.FailWrites.Load()
+	if m.failed {
 		return ErrWriteFailed
 	}
 	return replay(&m.stored, r)
@@ -42,7 +45,8 @@
 
 // Compact stores a snapshot and the entries that follow it.
 func (m *Memory) Compact(s wire.Snapshot, r savorywing.Record) error {
-	if m.FailWrites.Load() {
+	m.failed = m.FailWrites.Load()
+	if m.failed {
 		return ErrWriteFailed
 	}
 	m.stored.Snapshot = &s
--- a/process/quorum/core.go
+++ b/process/quorum/core.go
@@ -261,6 +261,9 @@
 	}
 }
 
+// StepDown makes this member a follower that knows no leader, and begins a new election timeout. A leader gives up its lease.
+func (c *Core) StepDown(now time.Time) { c.becomeFollower(now, c.term, "") }
+
 // HasLease reports whether, at now, no other leader can have been elected and all entries committed by earlier
 // leaders are known here.
 func (c *Core) HasLease(now time.Time) bool {
--- a/process/quorum/status.go
+++ b/process/quorum/status.go
@@ -25,8 +25,10 @@
 	// LeaseUntil is when the leader's lease expires unless it is renewed; zero without a lease.
 	LeaseUntil time.Time
 	// LeadingSince is when the node became leader; zero while it does not lead.
-	LeadingSince  time.Time
+	LeadingSince time.Time
+	// FailureReason is why this member takes no part in the log; empty while it does. Outages counts how often that began.
 	FailureReason string
+	Outages       uint64
 	Syncs         uint64
 	SyncTime      time.Duration
 }
@@ -57,10 +59,10 @@
 		ID: n.core.ID(), Role: n.core.Role(), Term: n.core.Term(), Leader: n.core.LeaderID(), CommitIndex: n.core.CommitIndex(),
 		LogLength: n.core.LogLength(), Members: n.core.Members(), Table: n.publishedTable,
 		ConfigurationNumber: n.machine.Configuration().Number, ClaimCount: n.machine.ClaimCount(),
-		LeaseUntil: n.core.LeaseUntil(now), LeadingSince: n.leadingSince, Syncs: n.syncs, SyncTime: n.syncTime,
+		LeaseUntil: n.core.LeaseUntil(now), LeadingSince: n.leadingSince, Outages: n.outages, Syncs: n.syncs, SyncTime: n.syncTime,
 	}
-	if n.failure != nil {
-		status.FailureReason = n.failure.Error()
+	if n.outage != nil {
+		status.FailureReason, status.Leader = n.outage.cause.Error(), n.outage.leader
 	}
 	n.status.Store(status)
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -864,6 +864,10 @@
 	// Address at which backend servers and operators reach the host.
 	ControlAddress string `json:"controlAddress"`
 
+	// Whether the host takes no part in the replicated log, since its disk has
+	// failed.
+	DiskFailed bool `json:"diskFailed"`
+
 	// ID of the host's disk.
 	ID string `json:"id"`
 
