quorum: compact the log by its size too

What callers would see: after some hundred large documents the disks of all control hosts are full at the same time, and no configuration is acknowledged. Suspected by the review; a full disk on all voters isn't one that a majority can bear.

Cause: the log was compacted at 8,192 entries whatever their size. With documents of more than 16 KB, packed, a disk of 128 MB is full before that.

Counted is what is written to the disk, so entries that were replaced count as well.

TestNodeCompactsLargeEntries (100 documents of 100 KB, bound of 1 MiB) fails without the change ("after 21 documents of 102400 bytes the folder has 2154375 bytes, want at most 2097152") and passes with it.

--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -23,6 +23,8 @@
 	maxBatchEvents           = 1024
 	ticksPerHeartbeat        = 2
 	defaultCompactionEntries = 8192
+	// defaultCompactionBytes bounds the log on the disk to a small part of that of the smallest control hosts, 128 MB.
+	defaultCompactionBytes = 8 << 20
 	// statusNotLeader is the HTTP status for commands that were not proposed: 503 Service Unavailable.
 	statusNotLeader = 503
 )
@@ -77,6 +79,9 @@
 	logClock       logClock
 	// compactionThreshold is the log length, in entries, at which a snapshot replaces the committed entries.
 	compactionThreshold int
+	// compactionBytes is the number of bytes of entries appended to the disk at which a snapshot replaces them, and appendedBytes is that number
+	// since the last snapshot.
+	compactionBytes, appendedBytes int
 	// applied is the index of the last entry, or snapshot, that the machine has applied.
 	applied uint64
 	// outage is set while this member takes no part in the log, and nil otherwise. The core isn't stepped meanwhile.
@@ -116,6 +121,11 @@
 	return func(n *Node) { n.compactionThreshold = entries }
 }
 
+// WithCompactionBytes sets the size of the log on the disk, in bytes of entries, at which a snapshot replaces the committed entries.
+func WithCompactionBytes(bytes int) Option {
+	return func(n *Node) { n.compactionBytes = bytes }
+}
+
 // NewNode loads the persisted state and returns a node that Start runs. electionTimeout is the minimum: each
 // election deadline adds a random part of less than the same length.
 func NewNode(d savorywing.Disk, clock savorywing.Clock, t Transport, electionTimeout time.Duration, log zerolog.Logger, opts ...Option) (*Node, error) {
@@ -127,7 +137,8 @@
 	n := &Node{
 		disk: d, clock: clock, transport: t, electionTimeout: electionTimeout, log: log, events: queue.New[event](eventQueueCapacity),
 		pending: map[uint64]pendingProposal{}, ctx: ctx, cancel: cancel, seed: uint64(clock.Now().UnixNano()), compactionThreshold: defaultCompactionEntries,
-		unreadable: logging.NewRepeats(clock), unwritable: logging.NewRepeats(clock),
+		compactionBytes: defaultCompactionBytes,
+		unreadable:      logging.NewRepeats(clock), unwritable: logging.NewRepeats(clock),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -137,6 +148,7 @@
 		return nil, err
 	}
 	n.core = NewCore(stored, electionTimeout, clock.Now(), n.seed)
+	n.appendedBytes = entryBytes(stored.Entries)
 	n.publish()
 	return n, nil
 }
@@ -455,6 +467,7 @@
 		if err := n.disk.Compact(*e.Install, record); err != nil {
 			return err
 		}
+		n.appendedBytes = 0
 		if err := n.restore(e.Install); err != nil {
 			return err
 		}
@@ -462,6 +475,7 @@
 		if err := n.disk.Append(record); err != nil {
 			return err
 		}
+		n.appendedBytes += entryBytes(record.Entries)
 	default:
 		return nil
 	}
@@ -503,12 +517,23 @@
 	}
 }
 
-// compact replaces the committed entries by a snapshot once the log has compactionThreshold entries.
+// compact replaces the committed entries by a snapshot once the log is too long, or too large on the disk. The entries that are
+// not committed yet stay.
 func (n *Node) compact() {
-	if n.core.LogLength() < n.compactionThreshold {
+	isLarge := n.appendedBytes >= n.compactionBytes && n.core.CommitIndex() > n.core.log.snapshot.Index
+	if n.core.LogLength() < n.compactionThreshold && !isLarge {
 		return
 	}
 	if err := n.writeState(nil); err != nil {
 		n.beginOutage(err, Effects{})
 	}
 }
+
+// entryBytes returns the size of the entries' data in bytes.
+func entryBytes(entries []wire.Entry) int {
+	bytes := 0
+	for _, e := range entries {
+		bytes += len(e.Data)
+	}
+	return bytes
+}
--- a/process/quorum/node_test.go
+++ b/process/quorum/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -118,3 +119,51 @@
 		So(r.Claim.State, ShouldEqual, state.ClaimRunning)
 	})
 }
+
+// TestNodeCompactsLargeEntries guards against disks that fill on all voters at once, since the log is compacted by its number of
+// entries alone, however large they are.
+func TestNodeCompactsLargeEntries(t *testing.T) {
+	const maxBytes, documentBytes, documents = 1 << 20, 100 << 10, 100
+	folder, err := disk.Open(t.TempDir(), "host")
+	if err != nil {
+		t.Fatal(err)
+	}
+	node, err := NewNode(folder, clock.System{}, &localTransport{}, 20*time.Millisecond, zerolog.Nop(), WithSeed(1), WithCompactionBytes(maxBytes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.Start()
+	defer node.Stop()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := node.Bootstrap(ctx, wire.Membership{Members: []wire.Member{{ID: node.Status().ID, Voter: true}}}); err != nil {
+		t.Fatal(err)
+	}
+	for !node.HasLease() && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range uint64(documents) {
+		if _, err := node.Propose(ctx, wire.Command{Publish: &wire.Publish{Version: i + 1, Document: make([]byte, documentBytes)}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := folderBytes(t, folder.Dir()); got > 2*maxBytes {
+			t.Fatalf("after %d documents of %d bytes the folder has %d bytes, want at most %d", i+1, documentBytes, got, 2*maxBytes)
+		}
+	}
+}
+
+func folderBytes(t *testing.T, dir string) int64 {
+	t.Helper()
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bytes := int64(0)
+	for _, e := range entries {
+		// A file may be replaced by a newer one meanwhile.
+		if info, err := e.Info(); err == nil {
+			bytes += info.Size()
+		}
+	}
+	return bytes
+}
--- a/process/quorum/outage.go
+++ b/process/quorum/outage.go
@@ -91,7 +91,12 @@
 		compacted := n.core.Compact(n.applied, data)
 		s = &compacted
 	}
-	return n.disk.Compact(*s, savorywing.Record{Term: n.core.Term(), Vote: n.core.vote, Entries: n.core.Entries()})
+	entries := n.core.Entries()
+	if err := n.disk.Compact(*s, savorywing.Record{Term: n.core.Term(), Vote: n.core.vote, Entries: entries}); err != nil {
+		return err
+	}
+	n.appendedBytes = entryBytes(entries)
+	return nil
 }
 
 // reject answers an event during an outage. Messages of other members are lost; only who leads is taken from them.
