--- a/process/disk/contract_test.go
+++ b/process/disk/contract_test.go
@@ -75,9 +75,7 @@
 			if _, err := d.Load(); err != nil {
 				t.Fatal(err)
 			}
-			if err := d.Append(record(1, 1, "one", "two")); err != nil {
-				t.Fatal(err)
-			}
+			must(t, d.Append(record(1, 1, "one", "two")))
 			s := wire.Snapshot{Index: 1, Term: 1, Data: []byte("state"), Membership: &wire.Membership{}}
 			for round := range 3 {
 				fill()
@@ -88,20 +86,21 @@
 				if d.Append(record(1, 3, "after")) == nil {
 					t.Fatal("the disk appends after a failed write")
 				}
-				if err := d.Compact(s, record(1, 2, "two", "three")); err != nil {
-					t.Fatalf("round %d: %v", round, err)
-				}
-				if err := d.Append(record(1, 4, "four")); err != nil {
-					t.Fatalf("round %d: %v", round, err)
-				}
+				must(t, d.Compact(s, record(1, 2, "two", "three")))
+				must(t, d.Append(record(1, 4, "four")))
 				got, err := d.Load()
 				if err != nil || len(got.Entries) != 3 || string(got.Entries[1].Data) != "three" || string(got.Snapshot.Data) != "state" {
 					t.Fatalf("round %d: loaded %+v, error %v", round, got, err)
 				}
 			}
-			if err := d.Close(); err != nil {
-				t.Fatal(err)
-			}
+			must(t, d.Close())
 		})
 	}
 }
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/process/disk/folder.go
+++ b/process/disk/folder.go
@@ -250,7 +250,9 @@
 	if err == nil {
 		err = f.logFile.Sync()
 	}
-	f.recordFailure("Folder.truncateTornFrame", err)
+	if err != nil {
+		f.failure = fmt.Errorf("Folder.truncateTornFrame: %w", err)
+	}
 }
 
 func (f *Folder) loadSnapshot() (*wire.Snapshot, error) {
--- a/process/disk/folder_test.go
+++ b/process/disk/folder_test.go
@@ -26,13 +26,7 @@
 func folderWithRecords(t *testing.T) (string, string) {
 	t.Helper()
 	dir := t.TempDir()
-	f, err := Open(dir, "host")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := f.Load(); err != nil {
-		t.Fatal(err)
-	}
+	f := openLoaded(t, dir)
 	for _, r := range []savorywing.Record{record(1, 1, "one"), record(1, 2, "two"), record(2, 2, "other", "three")} {
 		if err := f.Append(r); err != nil {
 			t.Fatal(err)
@@ -158,6 +152,16 @@
 	})
 }
 
+// openLoaded opens and loads a folder.
+func openLoaded(t *testing.T, dir string) *Folder {
+	t.Helper()
+	f, err := Open(dir, "host")
+	must(t, err)
+	_, err = f.Load()
+	must(t, err)
+	return f
+}
+
 // fullDevice refuses every write for lack of room.
 const fullDevice = "/dev/full"
 
@@ -214,19 +218,11 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			dir, _ := folderWithRecords(t)
-			f, err := Open(dir, "host")
-			if err != nil {
-				t.Fatal(err)
-			}
-			if _, err := f.Load(); err != nil {
-				t.Fatal(err)
-			}
+			f := openLoaded(t, dir)
 			s := wire.Snapshot{Index: 2, Term: 2, Data: []byte("state"), Membership: &wire.Membership{}}
 			for range 3 {
 				blocked := f.attempted + 1
-				if err := tt.fail(f, blocked); err != nil {
-					t.Fatal(err)
-				}
+				must(t, tt.fail(f, blocked))
 				if f.Compact(s, record(2, 3, "three")) == nil || f.Append(record(2, 4, "lost")) == nil {
 					t.Fatal("a write that fails is taken for written")
 				}
@@ -235,12 +231,8 @@
 					_, _ = os.RemoveAll(path), os.RemoveAll(path+temporarySuffix)
 				}
 			}
-			if err := f.Compact(s, record(2, 3, "three")); err != nil {
-				t.Fatal(err)
-			}
-			if err := f.Append(record(2, 4, "four")); err != nil {
-				t.Fatal(err)
-			}
+			must(t, f.Compact(s, record(2, 3, "three")))
+			must(t, f.Append(record(2, 4, "four")))
 			got, err := reopen(dir)
 			if err != nil || got.Snapshot == nil || len(got.Entries) != 2 {
 				t.Fatalf("loaded %+v, error %v", got, err)
@@ -269,9 +261,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := os.WriteFile(filepath.Join(restarted, file.Name()), b, fileMode); err != nil {
-			t.Fatal(err)
-		}
+		must(t, os.WriteFile(filepath.Join(restarted, file.Name()), b, fileMode))
 	}
 	return reopen(restarted)
 }
@@ -296,13 +286,7 @@
 // voter never starts again: the log must get its name only after that of the snapshot was synced.
 func TestFolderKeepsSnapshotOfLog(t *testing.T) {
 	dir, _ := folderWithRecords(t)
-	f, err := Open(dir, "host")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := f.Load(); err != nil {
-		t.Fatal(err)
-	}
+	f := openLoaded(t, dir)
 	syncs := 0
 	f.syncDir = func(dir string) error {
 		syncs++
@@ -313,9 +297,7 @@
 		}
 		return syncDir(dir)
 	}
-	if err := f.Compact(wire.Snapshot{Index: 2, Term: 2, Membership: &wire.Membership{}}, record(2, 3, "three")); err != nil {
-		t.Fatal(err)
-	}
+	must(t, f.Compact(wire.Snapshot{Index: 2, Term: 2, Membership: &wire.Membership{}}, record(2, 3, "three")))
 	if syncs != 2 {
 		t.Errorf("the folder was synced %d times, want twice", syncs)
 	}
@@ -326,13 +308,7 @@
 func TestFolderUnsyncedNames(t *testing.T) {
 	for failing := 1; failing <= 2; failing++ {
 		dir, _ := folderWithRecords(t)
-		f, err := Open(dir, "host")
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := f.Load(); err != nil {
-			t.Fatal(err)
-		}
+		f := openLoaded(t, dir)
 		s := wire.Snapshot{Index: 2, Term: 2, Data: []byte("state"), Membership: &wire.Membership{}}
 		for range 5 {
 			left := failing
@@ -358,9 +334,7 @@
 			t.Errorf("sync %d: the attempts leave %q, error %v", failing, files, err)
 		}
 		f.syncDir = syncDir
-		if err := f.Compact(s, record(2, 3, "three")); err != nil {
-			t.Fatal(err)
-		}
+		must(t, f.Compact(s, record(2, 3, "three")))
 		if got, err := reopen(dir); err != nil || lastData(got) != "three" {
 			t.Errorf("sync %d: loaded %+v, error %v", failing, got, err)
 		}
@@ -375,9 +349,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(path, append(b, "SWF1 and no more"...), fileMode); err != nil {
-		t.Fatal(err)
-	}
+	must(t, os.WriteFile(path, append(b, "SWF1 and no more"...), fileMode))
 	f, err := Open(dir, "host")
 	if err != nil {
 		t.Fatal(err)
@@ -393,9 +365,7 @@
 	if f.Append(record(2, 4, "behind")) == nil {
 		t.Error("a record is appended behind an incomplete frame")
 	}
-	if err := f.Compact(wire.Snapshot{Index: 2, Term: 2, Membership: &wire.Membership{}}, record(2, 3, "three")); err != nil {
-		t.Fatal(err)
-	}
+	must(t, f.Compact(wire.Snapshot{Index: 2, Term: 2, Membership: &wire.Membership{}}, record(2, 3, "three")))
 	if got, err := reopen(dir); err != nil || lastData(got) != "three" {
 		t.Errorf("loaded %+v, error %v", got, err)
 	}
