Forms reach the server as they were sent

Cause: fasthttp's ContinueReadBody takes such a body apart unless it is told not to, and the attempt wrote it anew.

Now the server for callers reads bodies as they are. It is the same for run, serve, control hosts and operators. The emulated servers parsed forms as well, so that a broken one closed the connection; they don't any more.

--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -88,6 +88,8 @@
 	// hasPaths makes each entry host dial backend servers, and other daemons, on paths of its own that can be cut.
 	hasPaths         bool
 	paths, peerPaths []*standin.Path
+	// wrapDialer returns the dialer to backend servers of hosts that have paths; nil for the path itself.
+	wrapDialer func(path savorywing.Dialer) savorywing.Dialer
 	// dataCentre returns the data centre of an entry host; nil for "a".
 	dataCentre func(entry int) string
 }
@@ -186,7 +188,11 @@
 	if f.hasPaths {
 		path, peerPath := standin.NewPath(), standin.NewPath()
 		f.paths, f.peerPaths = append(f.paths, path), append(f.peerPaths, peerPath)
-		opts = append(opts, gateway.WithDialer(path), gateway.WithPeerDialer(peerPath))
+		var dialer savorywing.Dialer = path
+		if f.wrapDialer != nil {
+			dialer = f.wrapDialer(path)
+		}
+		opts = append(opts, gateway.WithDialer(dialer), gateway.WithPeerDialer(peerPath))
 	}
 	g, err := gateway.New(s, f.dialect, f.log(s.Name), opts...)
 	if err != nil {
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -347,7 +347,8 @@
 			return err
 		}
 	}
-	return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes)
+	// A body is read as it is, whatever its type: a form would be taken apart and written anew.
+	return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes, false)
 }
 
 // readHeader reads a header of at most MaxHeaderBytes, or readBufferBytes if there is no limit. The parser leaves one that
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -191,7 +191,7 @@
 	}
 	s := &Server{fleet: f, ServerConfig: cfg, id: cfg.ID, refusals: map[uint64][]byte{}, listener: listener, wake: make(chan struct{}, 1), startTime: time.Now().UnixMilli()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: discardLogger{}, StreamRequestBody: false, ConnState: s.closeIdle}
+	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: discardLogger{}, StreamRequestBody: false, DisablePreParseMultipartForm: true, ConnState: s.closeIdle}
 	f.mu.Lock()
 	f.servers[s.id] = s
 	f.mu.Unlock()
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -86,7 +86,7 @@
 		stats:  Stats{Executions: map[string]int{}, Attempts: map[string]int{}},
 		client: &fasthttp.Client{ReadTimeout: time.Second, WriteTimeout: time.Second},
 	}
-	s.http = &fasthttp.Server{Handler: s.handle, CloseOnShutdown: true}
+	s.http = &fasthttp.Server{Handler: s.handle, CloseOnShutdown: true, DisablePreParseMultipartForm: true}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
 	s.done.Add(2)
