serve: send targets as they were received

What callers saw: services behind savorywing serve got another target than the caller had sent, such as /A for /booking/%2F%2e%2E/%41, which is outside the service's own prefix.

Cause: connection/backend set the target as a URI, which fasthttp parses and writes in its normal form, and the service was chosen by that form.

The target is written as it is, and chooses the service as it is. TestRequestTargets: 7 of 10 targets arrived changed before ("the server got "GET /A HTTP/1.1", want "GET /booking/%2F%2e%2E/%41 HTTP/1.1""), all arrive unchanged now.

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -179,7 +179,9 @@
 func writeRequest(l *link, t savorywing.Target, call savorywing.Call) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI("http://" + t.Address + call.Path)
+	// A target that is parsed would be written in another form.
+	req.Header.SetRequestURI(call.Path)
+	req.Header.SetHost(t.Address)
 	req.Header.SetMethod(call.Method)
 	req.Header.Set(HeaderAttemptID, string(call.AttemptID))
 	if call.ContentType != "" {
--- a/request/caller/parse.go
+++ b/request/caller/parse.go
@@ -81,13 +81,13 @@
 		return nil, newBadRequest(fasthttp.StatusBadRequest, backend.HeaderIdempotencyKey, "the key is longer than %d bytes", maxKeyBytes)
 	}
 	var err error
-	switch string(ctx.Path()) {
+	switch path := originalPath(ctx); path {
 	case "/v1/chat/completions":
 		err = parseModel(r, cfg, true)
 	case "/v1/completions":
 		err = parseModel(r, cfg, false)
 	default:
-		err = parseService(r, cfg, string(ctx.Path()))
+		err = parseService(r, cfg, path)
 	}
 	if err != nil {
 		return nil, err
@@ -95,6 +95,9 @@
 	return r, nil
 }
 
+// originalPath returns the path as it was sent, and is sent on. A path without its dots, or decoded, may be another one.
+func originalPath(ctx *fasthttp.RequestCtx) string { return string(ctx.URI().PathOriginal()) }
+
 func parseModel(r *savorywing.Request, cfg *settings.Settings, chat bool) error {
 	if r.Method != fasthttp.MethodPost {
 		return newBadRequest(fasthttp.StatusMethodNotAllowed, "", "use POST")
--- a/request/caller/server.go
+++ b/request/caller/server.go
@@ -97,7 +97,7 @@
 
 func (s *Server) handle(ctx context.Context, rc *fasthttp.RequestCtx) {
 	rc.Response.Header.SetServer(serverName)
-	switch path := string(rc.Path()); path {
+	switch originalPath(rc) {
 	case "/healthz":
 		rc.SetBodyString("ok\n")
 	case "/readyz":
