Fields that the system sets have one line at the server

Cause: Set of fasthttp replaces the first line of a field and leaves the others.

All lines of what the system sets are removed before it is set, in any case and with _ for -. The tests of the class found more of the same kind, with the same mechanism mended: Del moves the last line into the place of the deleted one, so lines of Cookie came in another order; fields named in Connection were forwarded; repeated fields that the system reads were read by their first line and forwarded all; notices of a server were read from their first line only. As the header is rewritten now, a response keeps in mind whether its server closes the connection: before, the announcement was removed first, and the connection kept. At the entrance, a space in a field's name gets 400, and a request with a length and chunks is the last on its connection.

Before: TestSystemFieldsHaveOneLine fails for all five fields ("X-Savorywing-Tenant twice: the server gets ["one" "forged"]"), TestFieldsAreForwardedAsRead, TestForwardedFieldsKeepTheirOrder, TestRepeatedResponseFields, two rows of TestFleetRequestBytes, three of TestRequests and one of TestReuse fail too. The proof fails when switched off.

TestReuse changes the header before the response is closed, as the gateway does.

--- a/cmd/savorywing/fleet_bytes_test.go
+++ b/cmd/savorywing/fleet_bytes_test.go
@@ -216,7 +216,10 @@
 	{name: "no ASCII", method: "GET", target: "/book/look/\xc3\xa4|{}", chunks: -1},
 	{name: "absolute", method: "GET", target: "http://" + fleetHost + "/book/look/x?a=1", chunks: -1},
 	{name: "own fields", method: "POST", target: "/book/look/x", fields: []string{"X-Own: a", "x-own:b", "X-OWN:  c, d ", "X_Own: e", "Empty:", "Accept: */*", "User-Agent: own/1"}, body: "x"},
+	{name: "cookies", method: "POST", target: "/book/look/x", fields: []string{"Cookie: b=2; a=1", "Cookie: c", "Cookie: d=\"x y\";;"}, body: "x"},
 	{name: "forwarding fields", method: "POST", target: "/book/look/x", fields: []string{"X-Forwarded-For: 10.0.0.1", "Via: 1.1 a", "Forwarded: for=b"}, body: "x"},
+	{name: "fields of the connection", method: "POST", target: "/book/look/x", fields: []string{"Connection: keep-alive, X-Hop", "X-Hop: 1", "Keep-Alive: timeout=9", "TE: trailers", "Upgrade: x"}, body: "x",
+		want: map[string][]string{"Connection": nil, "X-Hop": nil, "Keep-Alive": nil, "TE": nil, "Upgrade": nil}},
 }
 
 // exchangeBytes sends the bytes of a request to an entry host and returns the status of the response.
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -189,6 +189,7 @@
 		if status < fasthttp.StatusOK {
 			continue
 		}
+		r.closes = r.Header.ConnectionClose()
 		r.Metadata = c.dialect.ReadResponseMetadata(&r.Header)
 		r.initBody(string(call.Header.Method()) == fasthttp.MethodHead)
 		if call.AttemptID == "" || r.Metadata.AttemptID == call.AttemptID {
--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -28,9 +28,11 @@
 func (echoDialect) ReadCallerMetadata(*fasthttp.RequestHeader) savorywing.CallerMetadata {
 	return savorywing.CallerMetadata{}
 }
-func (echoDialect) WriteBackendMetadata(*fasthttp.RequestHeader, savorywing.BackendMetadata) {}
+func (echoDialect) WriteBackendMetadata(*fasthttp.RequestHeader, savorywing.BackendMetadata) error {
+	return nil
+}
 func (echoDialect) WriteStatusQuery(*fasthttp.RequestHeader, string)                         {}
-func (echoDialect) StripConnectionHeaders(*fasthttp.ResponseHeader)                          {}
+func (echoDialect) StripConnectionHeaders(*fasthttp.ResponseHeader) error { return nil }
 func (echoDialect) WriteErrorHeaders(*fasthttp.ResponseHeader, string)                       {}
 func (echoDialect) ReadDocument([]byte) (*catalogue.Catalogue, error)                        { return nil, nil }
 func (echoDialect) IsReadyCheck(*fasthttp.RequestHeader) bool                                { return false }
@@ -179,6 +181,8 @@
 				if _, err := io.ReadAll(response); err != nil {
 					t.Fatal(err)
 				}
+				// The header is passed on without the fields of this connection, and so changed before the response is closed.
+				response.Header.Del("Connection")
 				response.Close()
 				if i == 0 {
 					time.Sleep(tt.pause)
--- a/connection/engine/response.go
+++ b/connection/engine/response.go
@@ -36,7 +36,9 @@
 	complete bool
 	// hasRemainder reports whether bytes of the response may follow its last chunk.
 	hasRemainder bool
-	closed       bool
+	// closes reports whether the server closes the connection after the response.
+	closes bool
+	closed bool
 }
 
 // Framing is how a response states the end of its body.
@@ -158,7 +160,7 @@
 	}
 	r.closed = true
 	alive := r.stop == nil || r.stop()
-	if !alive || !r.complete || r.hasRemainder || r.link.isLast || r.framing == FramingUntilClose || r.Header.ConnectionClose() || !r.isWritten() {
+	if !alive || !r.complete || r.hasRemainder || r.link.isLast || r.framing == FramingUntilClose || r.closes || !r.isWritten() {
 		_ = r.link.conn.Close()
 		return
 	}
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -369,7 +369,32 @@
 	if errors.As(err, &smallBuffer) || len(x.request.Header.RawHeaders()) > limit {
 		return errHeaderTooLarge
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	return c.checkFields(&x.request.Header)
+}
+
+var (
+	// errFieldName is the error of a field's name with a space, by which servers may know another field.
+	errFieldName  = errors.New("a header field has a space in its name")
+	contentLength = []byte(fasthttp.HeaderContentLength)
+)
+
+// checkFields checks what the parser doesn't. A request with both a length and chunks, which others may read by its length, is the last
+// one on its connection (RFC 9112, section 6.1).
+func (c *conn) checkFields(h *fasthttp.RequestHeader) error {
+	isChunked := h.ContentLength() < 0
+	for line := range bytes.SplitSeq(h.RawHeaders(), []byte("\n")) {
+		name, _, isField := bytes.Cut(line, []byte(":"))
+		if isField && bytes.ContainsAny(name, " \t") {
+			return errFieldName
+		}
+		if isChunked && bytes.EqualFold(name, contentLength) {
+			c.closeAfter = true
+		}
+	}
+	return nil
 }
 
 // growBuffer replaces the reader by one with a larger buffer. What the old one holds is read first. Most callers' headers
--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -122,6 +122,17 @@
 		{"body too large", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n" + strings.Repeat("x", 200), 413, "", true},
 		{"header too large", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n", 431, "", true},
 		{"malformed request", "what is this\r\n\r\n", 400, "", true},
+		{"two hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400, "", true},
+		{"no host", "GET /a HTTP/1.1\r\n\r\n", 400, "", true},
+		{"two lengths", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi", 400, "", true},
+		{"a length that is a list", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2, 2\r\n\r\nhi", 400, "", true},
+		{"a negative length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -2\r\n\r\nhi", 400, "", true},
+		{"a space before the colon", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 2\r\n\r\nhi", 400, "", true},
+		{"a space in a name", "GET /a HTTP/1.1\r\nHost: h\r\nX Own: 1\r\n\r\n", 400, "", true},
+		{"two encodings", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "", true},
+		{"an unknown encoding", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400, "", true},
+		{"length and chunks", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200, "hi\n", true},
+		{"chunks and length", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 40\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200, "hi\n", true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/dialect.go
+++ b/dialect.go
@@ -89,16 +89,18 @@
 type Dialect interface {
 	// ReadCallerMetadata decodes the header of a caller's request.
 	ReadCallerMetadata(h *fasthttp.RequestHeader) CallerMetadata
-	// WriteBackendMetadata turns the header of a caller's request into the one sent to a backend server. It may be
-	// called again on its own result for another attempt.
-	WriteBackendMetadata(h *fasthttp.RequestHeader, m BackendMetadata)
+	// WriteBackendMetadata turns the header of a caller's request into the one sent to a backend server, without the length of the
+	// body. What the system sets has one line then, whatever the caller has sent. It may be called again on its own result for another
+	// attempt. An error means that the header can't be written.
+	WriteBackendMetadata(h *fasthttp.RequestHeader, m BackendMetadata) error
 	// ReadResponseMetadata decodes the header of a backend server's response.
 	ReadResponseMetadata(h *fasthttp.ResponseHeader) ResponseMetadata
 	// WriteStatusQuery makes the header a request for a backend server's status: one that needs no slot, and that every backend
 	// server answers at once.
 	WriteStatusQuery(h *fasthttp.RequestHeader, address string)
-	// StripConnectionHeaders removes the headers that concern only the connection to the backend server.
-	StripConnectionHeaders(h *fasthttp.ResponseHeader)
+	// StripConnectionHeaders removes the headers that concern only the connection to the backend server, and the framing of the
+	// body. An error means that the header can't be passed on.
+	StripConnectionHeaders(h *fasthttp.ResponseHeader) error
 	// WriteErrorHeaders adds the caller's attempt ID to a response that the system itself produces.
 	WriteErrorHeaders(h *fasthttp.ResponseHeader, attemptID string)
 	// ReadDocument decodes a published document, the catalogue of services, routes and organisations. The error states what
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -246,8 +247,12 @@
 	defer cancel(nil)
 	w := r.startWatch(d, cancel)
 	defer w.stop()
+	call, err := r.engineCall(d)
+	if err != nil {
+		return r.sendFailed(ctx, d, fmt.Errorf("%w: %w", engine.ErrNotSent, err))
+	}
 	endWait := g.startWait(d.ID)
-	response, err := g.engines.Do(ctx, r.engineCall(d))
+	response, err := g.engines.Do(ctx, call)
 	endWait()
 	if err != nil {
 		return r.sendFailed(ctx, d, err)
@@ -335,15 +340,18 @@
 	return g.balancer.Accepts(g.clock.Now(), d.ID)
 }
 
-func (r *callerRequest) engineCall(d placement.Decision) engine.Call {
+func (r *callerRequest) engineCall(d placement.Decision) (engine.Call, error) {
 	g := r.gateway
 	now := g.clock.Now()
 	h := &fasthttp.RequestHeader{}
 	httpRequest(r).Header.CopyTo(h)
 	h.SetNoDefaultContentType(true)
-	g.dialect.WriteBackendMetadata(h, savorywing.BackendMetadata{
+	err := g.dialect.WriteBackendMetadata(h, savorywing.BackendMetadata{
 		RemainingTime: r.deadline.Sub(now), Server: d.ID, Organisation: r.organisation, LastEventID: r.lastEventID, Priority: r.priority,
 	})
+	if err != nil {
+		return engine.Call{}, fmt.Errorf("callerRequest.engineCall: %w", err)
+	}
 	body := httpRequest(r).Body()
 	if len(body) > 0 || !h.IsGet() {
 		h.SetContentLength(len(body))
@@ -354,7 +362,7 @@
 	}
 	return engine.Call{Address: d.Address, Header: h, Body: body, AttemptID: r.caller.AttemptID, MaxIdle: idle, HeaderDeadline: r.deadline,
 		MaxPooled: maxPooled(r.service.MaxConnections, int(g.subscription.entryHosts.Load())),
-		Confirm:   func() bool { return g.mayStillSend(d) }}
+		Confirm:   func() bool { return g.mayStillSend(d) }}, nil
 }
 
 // maxPooled returns this host's part of the connections that a server accepts from all hosts together; 0 if it states no
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -202,7 +202,9 @@
 
 func (r *callerRequest) deliver(response *engine.Response, events []byte, end bool) error {
 	if !r.exchange.Started() && (len(events) > 0 || end) {
-		r.gateway.dialect.StripConnectionHeaders(&response.Header)
+		if err := r.gateway.dialect.StripConnectionHeaders(&response.Header); err != nil {
+			return err
+		}
 		if err := r.exchange.Start(&response.Header, -1, events); err != nil {
 			return err
 		}
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -37,7 +37,9 @@
 	if err != nil || !response.Complete() {
 		return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayBuffered: status %d: %w", status, errors.Join(engine.ErrTruncated, err)))
 	}
-	g.dialect.StripConnectionHeaders(&response.Header)
+	if err := g.dialect.StripConnectionHeaders(&response.Header); err != nil {
+		return r.sendFailed(ctx, d, err)
+	}
 	if err := r.exchange.Start(&response.Header, len(body), body); err != nil {
 		return outcomeCallerGone, placement.CallerGone
 	}
@@ -67,7 +69,9 @@
 // relayLarge passes on a response as it arrives; first is the part that has been read already.
 func (r *callerRequest) relayLarge(ctx context.Context, response *engine.Response, d placement.Decision, first []byte) (outcome, placement.Result) {
 	length := response.Length()
-	r.gateway.dialect.StripConnectionHeaders(&response.Header)
+	if err := r.gateway.dialect.StripConnectionHeaders(&response.Header); err != nil {
+		return r.sendFailed(ctx, d, err)
+	}
 	if err := r.exchange.Start(&response.Header, length, first); err != nil {
 		return outcomeCallerGone, placement.CallerGone
 	}
