The readiness check is answered at its own address only

Cause: the callers' address and that of the check were two listeners of one server with one handler, which compared method and path only.

Each listener has a handler of its own. At the callers' address each path belongs to the routes; at the address of the check everything but it gets 404, where callers' requests were served before. savorywing serve answers /healthz and /readyz at the callers' address, as documented; a service with such a prefix could never be reached there and is refused by the settings now.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -32,6 +32,7 @@
 // idle, and ends it then: any other might close it while a request is received. Close is the exception.
 type conn struct {
 	server     *Server
+	handler    Handler
 	conn       net.Conn
 	reader     *bufio.Reader
 	acceptedAt time.Time
@@ -61,8 +62,8 @@
 	closed bool
 }
 
-func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{server: s, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true}
+func newConn(s *Server, nc net.Conn, h Handler) *conn {
+	return &conn{server: s, handler: h, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true}
 }
 
 // close closes the connection from any goroutine.
@@ -304,7 +305,7 @@
 	}
 	if c.tooLate {
 		c.closeAfter = true
-		c.server.handler.Reject(x)
+		c.handler.Reject(x)
 		return x.isReusable()
 	}
 	c.setReadDeadline(time.Time{})
@@ -324,7 +325,7 @@
 		}
 		peeked <- err
 	}()
-	c.server.handler.Serve(ctx, x)
+	c.handler.Serve(ctx, x)
 	return x.isReusable() && (ctx.Err() == nil || errors.Is(context.Cause(ctx), ErrStopping))
 }
 
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -61,9 +61,10 @@
 // WithMaxConns bounds the connections. Further ones get status 503 without being read. The default has no bound.
 func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
 
-// Server serves callers' connections.
+// Server serves callers' connections. Each listener has one handler, to which the requests of its connections are passed.
 type Server struct {
-	clock       savorywing.Clock
+	clock savorywing.Clock
+	// handler is that of listeners without one of their own.
 	handler     Handler
 	log         zerolog.Logger
 	limits      func() Limits
@@ -103,7 +104,10 @@
 }
 
 // Start listens at an address and accepts connections in the background.
-func (s *Server) Start(address string) error {
+func (s *Server) Start(address string) error { return s.StartHandler(address, s.handler) }
+
+// StartHandler is Start with a handler of the address's own.
+func (s *Server) StartHandler(address string, h Handler) error {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: socket.UserTimeout(userTimeout)}
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
@@ -112,17 +116,17 @@
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
-	s.done.Go(func() { s.accept(l) })
+	s.done.Go(func() { s.accept(l, h) })
 	return nil
 }
 
 // accept accepts connections until the listener is closed, or, after BeginClose, until none is left in its queue.
-func (s *Server) accept(l net.Listener) {
+func (s *Server) accept(l net.Listener, h Handler) {
 	for {
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
-			s.add(nc)
+			s.add(nc, h)
 		case errors.Is(err, net.ErrClosed):
 			return
 		case isTimeout(err) && s.closing.Load():
@@ -161,8 +165,8 @@
 }
 
 // add serves a connection, or refuses it if there are too many.
-func (s *Server) add(nc net.Conn) {
-	c := newConn(s, nc)
+func (s *Server) add(nc net.Conn, h Handler) {
+	c := newConn(s, nc, h)
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -178,10 +178,11 @@
 			g.log.Warn().Str("event", "metricsUnavailable").Err(err).Msg("metrics can't be served")
 		}
 	}
-	for _, address := range []string{g.settings().CallerAddress, g.settings().ReadyAddress} {
-		if err := g.server.Start(address); err != nil {
-			return fmt.Errorf("Gateway.Start: %w", err)
-		}
+	if err := g.server.Start(g.settings().CallerAddress); err != nil {
+		return fmt.Errorf("Gateway.Start: %w", err)
+	}
+	if err := g.server.StartHandler(g.settings().ReadyAddress, readiness{g}); err != nil {
+		return fmt.Errorf("Gateway.Start: %w", err)
 	}
 	g.log.Info().Str("event", "started").Str("callers", g.settings().CallerAddress).Msg("the entry host started")
 	return nil
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -81,10 +81,6 @@
 
 // Serve implements ingress.Handler.
 func (g *Gateway) Serve(ctx context.Context, x savorywing.Exchange) {
-	if g.dialect.IsReadyCheck(&x.HTTPRequest().Header) {
-		g.writeReadiness(x)
-		return
-	}
 	g.serve(ctx, g.newRequest(x))
 }
 
@@ -198,14 +194,6 @@
 	return c == nil || g.unconfirmed(c, g.subscription.confirmationAge()) != ""
 }
 
-func (g *Gateway) writeReadiness(x savorywing.Exchange) {
-	if g.isReady() {
-		x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusOK, Reason: "ready"})
-		return
-	}
-	x.WriteError(savorywing.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: "not ready"})
-}
-
 // logProblem begins a log line about a rejected, retried or failed request. It returns nil if there were too many
 // such lines in this second.
 func (g *Gateway) logProblem(event string) *zerolog.Event {
--- a/version/settings/settings_test.go
+++ b/version/settings/settings_test.go
@@ -94,6 +94,7 @@
 		{"negative number of hosts", "models:\n  ledger: {span: -1}\n", "models.ledger.span: must be at least 1 host"},
 		{"freshness above its maximum", "timing:\n  freshness: 8s\n", "b.yaml:2: timing.freshness: must be at most 7s"},
 		{"slow elections", "timing: {election: 3s}\n", "timing.election: must be at most a third of freshness"},
+		{"prefix of the readiness check", "services:\n  s: {prefix: /readyz}\n", `services.s.prefix: "/readyz" covers /readyz, which the daemon answers itself`},
 		{"prefix of the model API", "services:\n  s: {prefix: /v1/x}\n", `services.s.prefix: "/v1/x" must be a path such as /booking, outside /v1`},
 		{"rule without a path", "services:\n  s: {prefix: /s, idempotent: [GET]}\n", `"GET" is not of the form METHOD /path`},
 		{"set twice", "models: {}\nmodels: {}\n", "set twice in one file, first in line 1"},
--- a/version/settings/validate.go
+++ b/version/settings/validate.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// ownPaths are the paths at the callers' address that a daemon answers itself.
+var ownPaths = []string{"/healthz", "/readyz"}
+
+// coversOwnPath returns a path that a daemon answers itself although the prefix is that of a service, or an empty string.
+func coversOwnPath(prefix string) string {
+	for _, path := range ownPaths {
+		if rest, found := strings.CutPrefix(path, prefix); found && (rest == "" || rest[0] == '/') {
+			return path
+		}
+	}
+	return ""
+}
+
 func (s *Settings) validateServices() {
 	prefixes := map[string]string{}
 	for _, name := range sortedKeys(s.Services) {
@@ -165,6 +178,9 @@
 		if !strings.HasPrefix(v.Prefix, "/") || v.Prefix == "/" || strings.HasPrefix(v.Prefix, "/v1") {
 			s.tree.addProblem(field+".prefix", fmt.Sprintf("%q must be a path such as /booking, outside /v1", v.Prefix))
 		}
+		if path := coversOwnPath(v.Prefix); path != "" {
+			s.tree.addProblem(field+".prefix", fmt.Sprintf("%q covers %s, which the daemon answers itself", v.Prefix, path))
+		}
 		if other, taken := prefixes[v.Prefix]; taken {
 			s.tree.addProblem(field+".prefix", "is already the prefix of service "+other)
 		}
