A silent server keeps its request while another one is asked

Cause: an attempt whose server made no progress for 0.2 to 0.45 s was cancelled, and the answer that the server would still have given was thrown away. If the next server was full, refused, failed or was silent too, the caller got nothing.

Now the attempt stays open beside the one at another server, within the same limits. The one that goes on first gets the caller, and the other is ended then. No second attempt is made while no server at all is heard.

Both proofs fail when switched off.

TestStallOnLostPath builds its attempt as the gateway does now; its cases are the same.

--- a/exchange.go
+++ b/exchange.go
@@ -30,7 +30,7 @@
 	return []byte(r.Reason + "\n")
 }
 
-// Exchange is one request and its response. Its methods must be called from one goroutine. Methods that send something
+// Exchange is one request and its response. Its methods must not be called at the same time. Methods that send something
 // return an error if the caller is gone.
 type Exchange interface {
 	// HTTPRequest returns the request, which must not be changed.
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -52,6 +52,8 @@
 	outcomeUnsent
 	// outcomeFailed means that the request may have run, without a complete response.
 	outcomeFailed
+	// outcomeSuperseded means that the caller gets the response of another attempt.
+	outcomeSuperseded
 )
 
 // run makes attempts until the caller has a response or no further attempt is possible.
@@ -61,16 +63,15 @@
 	}
 }
 
-// tryOnce makes the next attempt, and reports whether another one is to follow.
+// tryOnce makes the next attempt, while none is under way, and reports whether another one is to follow.
 func (r *callerRequest) tryOnce(ctx context.Context) bool {
-	g := r.gateway
 	if r.sends > 0 || r.unreachable > 0 {
 		r.awaitDoubt(ctx)
 	}
 	if r.isCutOff() {
 		return r.runForwarded(ctx)
 	}
-	now := g.clock.Now()
+	now := r.gateway.clock.Now()
 	d, reservation := r.reserve(now)
 	if reservation == nil {
 		if r.waitForCapacity(ctx, d) || r.awaitDoubt(ctx) {
@@ -83,51 +84,51 @@
 		r.endUnplaced(ctx, now, d)
 		return false
 	}
-	if r.sends > 0 {
-		g.telemetry.Count("requests", "result", "resent")
-		g.logProblem("resent").Str("request", r.caller.AttemptID).Str("server", d.ID).Int("sends", r.sends).
-			Int64("delivered", r.lastEventID).Bool("mayHaveRun", r.mayHaveRun).Msg("sending a request again")
-	}
-	end, result := r.attempt(ctx, d, reservation)
-	g.mu.Lock()
-	g.balancer.Finish(g.clock.Now(), reservation, result)
-	g.mu.Unlock()
-	return r.conclude(ctx, d, end)
+	r.begin(ctx, d, reservation)
+	return r.awaitAttempts(ctx)
 }
 
-// conclude handles the end of an attempt, and reports whether another one is to follow.
-func (r *callerRequest) conclude(ctx context.Context, d placement.Decision, end outcome) bool {
+// conclude handles the end of the only attempt under way, and reports whether another one is to follow.
+func (r *callerRequest) conclude(ctx context.Context, a *attempt) bool {
 	g := r.gateway
-	switch end {
+	r.count(a)
+	switch a.end {
 	case outcomeDone:
 		return false
 	case outcomeCallerGone:
-		r.endCancelled(ctx, d.ID)
+		r.endCancelled(ctx, a.decision.ID)
 		return false
 	case outcomeUnsent:
-		r.unreachable++
 		if r.unreachable >= maxUnreachable {
 			r.endUnplaced(ctx, g.clock.Now(), placement.Decision{Reason: placement.ReasonNoEndpoint, RetryAfter: unsentRetryAfter})
 			return false
 		}
-	case outcomeNotRun:
-		r.sends++
 	case outcomeFailed:
-		r.mayHaveRun = true
-		r.sends++
 		if !r.route.Retryable() {
 			r.endUnserved(g.clock.Now(), placement.Decision{})
 			return false
 		}
+	case outcomeNotRun, outcomeSuperseded:
 	}
-	r.excluded = append(r.excluded, d.ID)
 	if ctx.Err() != nil {
-		r.endCancelled(ctx, d.ID)
+		r.endCancelled(ctx, a.decision.ID)
 		return false
 	}
 	return true
 }
 
+// count counts an attempt that has ended.
+func (r *callerRequest) count(a *attempt) {
+	r.mayHaveRun = r.mayHaveRun || a.mayHaveRun || a.end == outcomeFailed
+	switch a.end {
+	case outcomeUnsent:
+		r.unreachable++
+	case outcomeNotRun, outcomeFailed, outcomeSuperseded:
+		r.sends++
+	case outcomeDone, outcomeCallerGone:
+	}
+}
+
 // endCancelled ends a request whose context was cancelled. It still gets a response if the host stops; otherwise its connection
 // has ended. The server is empty if the request was at none.
 func (r *callerRequest) endCancelled(ctx context.Context, server string) {
@@ -174,7 +175,7 @@
 		budget.RecordFirstSend(now)
 		g.balancer.RecordDemand(r.placementRequest(now))
 	}
-	if r.deadline.Sub(now) < minAttemptTime || r.sends >= r.route.MaxAttempts {
+	if r.deadline.Sub(now) < minAttemptTime || r.begun() >= r.route.MaxAttempts {
 		return placement.Decision{}, nil
 	}
 	request := r.placementRequest(now)
@@ -182,7 +183,7 @@
 	if d.Reason != placement.ReasonNone {
 		return d, nil
 	}
-	if r.sends > 0 && !r.retryPaid && !budget.Spend(now, g.retryBurst()) {
+	if r.begun() > 0 && !r.retryPaid && !budget.Spend(now, g.retryBurst()) {
 		g.telemetry.Count("refused", "reason", "retryBudget")
 		return placement.Decision{}, nil
 	}
@@ -239,35 +240,30 @@
 	}
 }
 
-// attempt sends the request to one server and relays its response.
-func (r *callerRequest) attempt(ctx context.Context, d placement.Decision, reservation *placement.Reservation) (outcome, placement.Result) {
-	g := r.gateway
-	r.begunAt, r.firstEventAt, r.survived = reservation.SentAt(), time.Time{}, false
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	w := r.startWatch(d, cancel)
-	defer w.stop()
-	call, err := r.engineCall(d)
+// run sends the request to the server and relays its response.
+func (a *attempt) run() (outcome, placement.Result) {
+	r, g := a.request, a.request.gateway
+	call, err := a.engineCall()
 	if err != nil {
-		return r.sendFailed(ctx, d, fmt.Errorf("%w: %w", engine.ErrNotSent, err))
+		return a.fail(fmt.Errorf("%w: %w", engine.ErrNotSent, err))
 	}
-	endWait := g.startWait(d.ID)
-	response, err := g.engines.Do(ctx, call)
+	endWait := g.startWait(a.decision.ID)
+	response, err := g.engines.Do(a.ctx, call)
 	endWait()
 	if err != nil {
-		return r.sendFailed(ctx, d, err)
+		return a.fail(err)
 	}
 	defer response.Close()
-	g.recordAnswer(d.ID)
-	r.recordNotice(d, response.Metadata)
-	r.recordLimit(d, reservation, response)
+	g.recordAnswer(a.decision.ID)
+	r.recordNotice(a.decision, response.Metadata)
+	r.recordLimit(a.decision, a.reservation, response)
 	switch {
 	case response.Metadata.NotRun && response.Header.StatusCode() >= fasthttp.StatusBadRequest:
-		return outcomeNotRun, r.handleNotRun(response, d)
+		return outcomeNotRun, r.handleNotRun(response, a.decision)
 	case r.isStream(response):
-		return r.relayEvents(ctx, response, d, reservation, w)
+		return a.relayEvents(response)
 	}
-	return r.relayBuffered(ctx, response, d, w)
+	return a.relayBuffered(response)
 }
 
 // isStream reports whether a response is a stream of events that a server has made.
@@ -340,17 +336,17 @@
 	return g.balancer.Accepts(g.clock.Now(), d.ID)
 }
 
-func (r *callerRequest) engineCall(d placement.Decision) (engine.Call, error) {
-	g := r.gateway
+func (a *attempt) engineCall() (engine.Call, error) {
+	r, d, g := a.request, a.decision, a.request.gateway
 	now := g.clock.Now()
 	h := &fasthttp.RequestHeader{}
 	httpRequest(r).Header.CopyTo(h)
 	h.SetNoDefaultContentType(true)
 	err := g.dialect.WriteBackendMetadata(h, savorywing.BackendMetadata{
-		RemainingTime: r.deadline.Sub(now), Server: d.ID, Organisation: r.organisation, LastEventID: r.lastEventID, Priority: r.priority,
+		RemainingTime: r.deadline.Sub(now), Server: d.ID, Organisation: r.organisation, LastEventID: a.lastEventID, Priority: r.priority,
 	})
 	if err != nil {
-		return engine.Call{}, fmt.Errorf("callerRequest.engineCall: %w", err)
+		return engine.Call{}, fmt.Errorf("attempt.engineCall: %w", err)
 	}
 	body := httpRequest(r).Body()
 	if len(body) > 0 || !h.IsGet() {
@@ -374,16 +370,22 @@
 	return max(1, maxConnections/max(1, entryHosts))
 }
 
-func (r *callerRequest) sendFailed(ctx context.Context, d placement.Decision, err error) (outcome, placement.Result) {
-	g := r.gateway
-	stalled := errors.Is(context.Cause(ctx), errStalled)
-	if ctx.Err() != nil && !stalled {
-		r.mayHaveRun = r.mayHaveRun || !errors.Is(err, engine.ErrNotSent)
+// fail returns how an attempt ends after an error.
+func (a *attempt) fail(err error) (outcome, placement.Result) {
+	r, d, g := a.request, a.decision, a.request.gateway
+	cause := context.Cause(a.ctx)
+	stalled := errors.Is(cause, errStalled)
+	isSent := !errors.Is(err, engine.ErrNotSent)
+	switch {
+	case errors.Is(cause, errSuperseded) || errors.Is(err, errSuperseded):
+		return a.supersede(isSent)
+	case a.ctx.Err() != nil && !stalled:
+		a.mayHaveRun = isSent
 		return outcomeCallerGone, placement.CallerGone
 	}
 	g.telemetry.Count("requests", "result", "attemptFailed")
 	g.logProblem("attemptFailed").Str("request", r.caller.AttemptID).Str("server", d.ID).Bool("stalled", stalled).
-		Str("organisation", r.organisation).Strs("parts", partNames(r.caller.SharedParts)).Str("digest", strconv.FormatUint(r.identity.Digest, 16)).Int64("delivered", r.lastEventID).
+		Str("organisation", r.organisation).Strs("parts", partNames(r.caller.SharedParts)).Str("digest", strconv.FormatUint(r.identity.Digest, 16)).Int64("delivered", a.lastEventID).
 		Int("load", d.Load).Int("slots", d.Slots).Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Err(err).Msg("an attempt failed")
 	if errors.Is(err, engine.ErrWithheld) {
 		return outcomeUnsent, placement.Shed
@@ -391,13 +393,13 @@
 	if stalled || isPathFailure(err) {
 		g.doubtPaths()
 	}
-	if errors.Is(err, engine.ErrNotSent) {
+	if !isSent {
 		// This is proof that the request hasn't run, also if the attempt was cancelled while it dialled.
 		g.engines.CloseIdle(d.Address)
 		return outcomeUnsent, placement.Unreachable
 	}
 	if !stalled {
-		r.recordLoss(d, err)
+		a.recordLoss(err)
 	}
 	return outcomeFailed, placement.Failed
 }
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -39,26 +38,25 @@
 // relayEvents relays a stream in complete events as they arrive, so that another server can continue after the
 // last one delivered. Bytes without an id are held back until an event with one follows, or the stream ends: they may
 // be no events at all.
-func (r *callerRequest) relayEvents(ctx context.Context, response *engine.Response, d placement.Decision, reservation *placement.Reservation, w *stallWatch) (outcome, placement.Result) {
-	g := r.gateway
+func (a *attempt) relayEvents(response *engine.Response) (outcome, placement.Result) {
+	r, g := a.request, a.request.gateway
 	var pending []byte
 	buf := make([]byte, streamBufferBytes)
-	last := time.Time{}
+	previous, last := time.Time{}, time.Time{}
 	hasEvents := false
 	for {
 		n, err := response.Read(buf)
 		pending = append(pending, buf[:n]...)
-		scan, scanErr := scanEvents(pending, r.lastEventID)
+		scan, scanErr := scanEvents(pending, a.lastEventID)
 		if scanErr == nil && len(pending)-scan.numbered > maxEventBytes {
 			scanErr = errNoEvent
 		}
 		if scan.numbered > 0 {
 			now := g.clock.Now()
-			w.progressed(now)
-			r.recordEvent(now)
-			r.recordEventTimes(now, last)
-			g.recordProgress(reservation, now, last)
-			last, hasEvents = now, true
+			a.watch.progressed(now)
+			a.recordEvent(now)
+			g.recordProgress(a.reservation, now, last)
+			previous, last, hasEvents = last, now, true
 		}
 		end, ended := scan.numbered, errors.Is(err, io.EOF) && scanErr == nil
 		if ended {
@@ -66,25 +64,36 @@
 			if rest := pending[end:]; !isStreamEnd(rest, hasEvents, response.Framing()) {
 				end, ended = scan.numbered, false
 				err = fmt.Errorf("%w after %d bytes of it, framing %s", errNoEventEnd, len(rest), response.Framing())
-			} else if r.exchange.Started() && !hasEvents && !isEmptyStream(response, pending) {
+			} else if r.hasStarted() && !hasEvents && !isEmptyStream(response, pending) {
 				end, ended, err = scan.numbered, false, errNotContinued
 			}
 		}
-		if werr := r.deliver(response, pending[:end], ended); werr != nil {
-			return outcomeCallerGone, placement.CallerGone
+		if end > 0 || ended {
+			werr := a.deliver(func() error {
+				if scan.numbered > 0 {
+					r.recordEventTimes(last, previous)
+				}
+				r.lastEventID = scan.lastID
+				return r.passEvents(response, pending[:end], ended)
+			})
+			if werr != nil {
+				return a.deliverFailed(werr)
+			}
+			// Waiting for the caller isn't the server's silence.
+			a.watch.progressed(g.clock.Now())
 		}
-		r.lastEventID = scan.lastID
+		a.lastEventID = scan.lastID
 		pending = append(pending[:0], pending[end:]...)
 		if scanErr != nil {
-			return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayEvents: %w", scanErr))
+			return a.fail(fmt.Errorf("attempt.relayEvents: %w", scanErr))
 		}
 		if ended {
-			r.recordSurvival(g.clock.Now())
-			r.recordServed(d, response)
+			a.recordSurvival(g.clock.Now())
+			a.recordServed(response)
 			return outcomeDone, placement.Served
 		}
 		if err != nil {
-			return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayEvents: %w", err))
+			return a.fail(fmt.Errorf("attempt.relayEvents: %w", err))
 		}
 	}
 }
@@ -200,7 +209,7 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-func (r *callerRequest) deliver(response *engine.Response, events []byte, end bool) error {
+func (r *callerRequest) passEvents(response *engine.Response, events []byte, end bool) error {
 	if !r.exchange.Started() && (len(events) > 0 || end) {
 		if err := r.gateway.dialect.StripConnectionHeaders(&response.Header); err != nil {
 			return err
@@ -220,6 +229,7 @@
 }
 
 func (g *Gateway) recordProgress(reservation *placement.Reservation, now, last time.Time) {
+	g.heardAt.Store(now.UnixNano())
 	gap := time.Duration(0)
 	if !last.IsZero() {
 		gap = now.Sub(last)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -51,6 +51,8 @@
 	subscription *fleetSubscription
 	catalogue    atomic.Pointer[catalogue.Catalogue]
 	stopping     atomic.Bool
+	// heardAt is when bytes of any server last arrived, in Unix nanoseconds on the gateway's clock.
+	heardAt atomic.Int64
 
 	// mu guards the state on which requests are placed: balancer, observer, budgets, demand, waitEstimator,
 	// reach, answers, doubt, peers and intake.
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -34,37 +34,37 @@
 	return names
 }
 
-// recordEvent records that the current attempt got an event, and, once its server has survived the request, that.
-func (r *callerRequest) recordEvent(now time.Time) {
-	if r.firstEventAt.IsZero() {
-		r.firstEventAt, r.begunAt = now, now
+// recordEvent records that the attempt got an event, and, once its server has survived the request, that.
+func (a *attempt) recordEvent(now time.Time) {
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt, a.begunAt = now, now
 	}
-	if now.Sub(r.firstEventAt) >= quarantine.SurvivalTime {
-		r.recordSurvival(now)
+	if now.Sub(a.firstEventAt) >= quarantine.SurvivalTime {
+		a.recordSurvival(now)
 	}
 }
 
-// recordSurvival records that the server of the current attempt has survived the request.
-func (r *callerRequest) recordSurvival(now time.Time) {
-	if r.survived || r.firstEventAt.IsZero() {
+// recordSurvival records that the server of the attempt has survived the request.
+func (a *attempt) recordSurvival(now time.Time) {
+	if a.survived || a.firstEventAt.IsZero() {
 		return
 	}
-	r.survived = true
-	g := r.gateway
+	a.survived = true
+	g := a.request.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.observer.RecordSurvival(now, r.begunAt, r.identity)
+	g.observer.RecordSurvival(now, a.begunAt, a.request.identity)
 }
 
-// recordLoss records that the connection of an attempt ended before its server had survived the request. The first one
+// recordLoss records that the connection of the attempt ended before its server had survived the request. The first one
 // of a server finds out whether it has ended.
-func (r *callerRequest) recordLoss(d placement.Decision, err error) {
-	if r.survived || !isConnectionEnd(err) {
+func (a *attempt) recordLoss(err error) {
+	if a.survived || !isConnectionEnd(err) {
 		return
 	}
-	g := r.gateway
+	g, d := a.request.gateway, a.decision
 	g.mu.Lock()
-	isNew := g.observer.RecordLoss(g.clock.Now(), d.ID, d.Born, r.identity)
+	isNew := g.observer.RecordLoss(g.clock.Now(), d.ID, d.Born, a.request.identity)
 	g.mu.Unlock()
 	if isNew {
 		go g.resolveLoss(d)
--- /dev/null
+++ b/process/gateway/race_test.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/platform"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/wire"
+)
+
+const (
+	// silence is longer than the time after which a server counts as stalled.
+	silence = 900 * time.Millisecond
+	// pauseMark makes a silentServer pause for silence, and hangMark for good.
+	pauseMark, hangMark = "PAUSE", "HANG"
+)
+
+// silentServers answers the n-th request that its servers get together with the n-th text, in which marks stand for pauses.
+type silentServers struct {
+	t       *testing.T
+	texts   []string
+	arrived atomic.Int64
+	// ended counts the connections that the gateway has closed before their answer was written.
+	ended atomic.Int64
+}
+
+// start starts a server and returns its address.
+func (s *silentServers) start() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (s *silentServers) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if req.Read(r) != nil {
+			return
+		}
+		if (platform.Dialect{}).IsStatusQuery(&req.Header) {
+			if _, err := io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n"); err != nil {
+				return
+			}
+			continue
+		}
+		n := int(s.arrived.Add(1))
+		if n > len(s.texts) || !s.write(c, r, strings.ReplaceAll(s.texts[n-1], "ID", platform.Dialect{}.ReadCallerMetadata(&req.Header).AttemptID)) {
+			return
+		}
+	}
+}
+
+// write writes an answer and reports whether the connection goes on.
+func (s *silentServers) write(c net.Conn, r *bufio.Reader, text string) bool {
+	for text != "" {
+		at, mark := len(text), ""
+		for _, m := range []string{pauseMark, hangMark, "CLOSE"} {
+			if i := strings.Index(text, m); i >= 0 && i < at {
+				at, mark = i, m
+			}
+		}
+		if _, err := io.WriteString(c, text[:at]); err != nil {
+			return false
+		}
+		wait := time.Duration(0)
+		switch mark {
+		case "CLOSE":
+			return false
+		case pauseMark:
+			wait = silence
+		case hangMark:
+			wait = time.Minute
+		}
+		if wait > 0 {
+			_ = c.SetReadDeadline(time.Now().Add(wait))
+			if _, err := r.Peek(1); err == io.EOF {
+				s.ended.Add(1)
+				return false
+			}
+			_ = c.SetReadDeadline(time.Time{})
+		}
+		text = text[at+len(mark):]
+	}
+	return true
+}
+
+// serveSilent lets a gateway serve one request with silent servers.
+func serveSilent(t *testing.T, route catalogue.Route, s *silentServers) (*recordedExchange, time.Duration) {
+	t.Helper()
+	g := newTestGateway(t)
+	g.settings().RetryBurst = 1000
+	var endpoints []wire.Endpoint
+	for n := range route.MaxAttempts {
+		endpoints = append(endpoints, wire.Endpoint{ID: fmt.Sprint("i-", n), Address: s.start(), Service: "s", Slots: 4, Born: 1, Handle: uint64(n) + 1})
+	}
+	g.balancer.UpdateEndpoints(true, endpoints, nil)
+	route.Host, route.Prefix, route.Services = "x.example", "/", []catalogue.WeightedService{{Service: "s", Weight: 1}}
+	c, err := catalogue.New(catalogue.Document{Version: 7, Routes: []catalogue.Route{route}, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.catalogue.Store(c)
+	x := &recordedExchange{arrival: g.clock.Now()}
+	x.request.Header.SetMethod(fasthttp.MethodPost)
+	x.request.Header.SetRequestURI("/x")
+	x.request.Header.SetHost("x.example")
+	x.request.SetBodyString("b")
+	platform.Dialect{}.WriteCallerMetadata(&x.request.Header, savorywing.CallerMetadata{AttemptID: "n1", LastEventID: -1})
+	sentAt := time.Now()
+	g.Serve(context.Background(), x)
+	return x, time.Since(sentAt)
+}
+
+// TestSilentServerKeepsItsRequest guards against answers that are ended, or lost, because their server falls silent for a moment: the
+// request is sent to another server beside it, and the one that goes on first answers.
+func TestSilentServerKeepsItsRequest(t *testing.T) {
+	stream := streamingRoute
+	stream.Timeout, stream.Objective = 4*time.Second, 100*time.Millisecond
+	plain := catalogue.Route{Name: "look", Kind: catalogue.Idempotent, MaxAttempts: 2, Timeout: 4 * time.Second, Objective: 100 * time.Millisecond}
+	once := plain
+	once.Kind = catalogue.NonIdempotent
+	begun := okHead + signedField + eventType + chunkedField
+	whole := begun + chunk(eventRange(0, 3)) + lastChunk
+	half := begun + chunk(eventRange(0, 1))
+	rest := chunk(eventRange(2, 3)) + lastChunk
+	ok := okHead + signedField + "Content-Length: 2\r\n\r\nok"
+	for _, tt := range []struct {
+		name          string
+		route         catalogue.Route
+		first, second string
+		want          string
+		// arrived is the number of requests that reach a server, and isSlow reports whether the answer waits for the first.
+		arrived int64
+		isSlow  bool
+	}{
+		{"a stream, the second refuses", stream, half + pauseMark + rest, rawRefusalHead, eventRange(0, 3), 2, true},
+		{"a stream, the second closes", stream, half + pauseMark + rest, "CLOSE", eventRange(0, 3), 2, true},
+		{"a stream, the second fails", stream, half + pauseMark + rest, "HTTP/1.1 500 Internal Server Error\r\n" + signedField + "Content-Length: 0\r\n\r\n", eventRange(0, 3), 2, true},
+		{"a stream, the second hangs", stream, half + pauseMark + rest, hangMark, eventRange(0, 3), 2, true},
+		{"a stream, the second begins again", stream, half + pauseMark + rest, whole, eventRange(0, 3), 2, true},
+		{"a stream, the second goes on", stream, half + hangMark, begun + rest, eventRange(0, 3), 2, false},
+		{"a stream, the second goes on and the first would too", stream, half + pauseMark + rest, begun + rest, eventRange(0, 3), 2, false},
+		{"a stream, the second goes on slowly", stream, half + hangMark, begun + pauseMark + rest, eventRange(0, 3), 2, true},
+		{"before the first event, the second refuses", stream, pauseMark + whole, rawRefusalHead, eventRange(0, 3), 2, true},
+		{"before the first event, the second hangs", stream, pauseMark + whole, hangMark, eventRange(0, 3), 2, true},
+		{"before the first event, the second answers", stream, hangMark, whole, eventRange(0, 3), 2, false},
+		{"inside the header, the second hangs", stream, okHead + pauseMark + strings.TrimPrefix(whole, okHead), hangMark, eventRange(0, 3), 2, true},
+		{"inside an event, the second hangs", stream, begun + "d\r\nid: 0\nda" + pauseMark + "ta: x\r\n2\r\n\n\n\r\n" + lastChunk, hangMark, "id: 0\ndata: x\n\n", 2, true},
+		{"a repeatable request, the second hangs", plain, pauseMark + ok, hangMark, "ok", 2, true},
+		{"a repeatable request, the second closes", plain, pauseMark + ok, "CLOSE", "ok", 2, true},
+		{"a repeatable request, the second answers", plain, hangMark, ok, "ok", 2, false},
+		{"a repeatable request, the second answers in part", plain, pauseMark + ok, strings.TrimSuffix(ok, "k") + hangMark, "ok", 2, true},
+		{"a request that may run once", once, pauseMark + ok, ok, "ok", 1, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := &silentServers{t: t, texts: []string{tt.first, tt.second}}
+			x, took := serveSilent(t, tt.route, s)
+			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || !x.complete {
+				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), tt.want)
+			}
+			if got := s.arrived.Load(); got != tt.arrived {
+				t.Errorf("%d requests arrived, want %d", got, tt.arrived)
+			}
+			if isSlow := took >= silence; isSlow != tt.isSlow {
+				t.Errorf("answered after %v, want slow: %t", took, tt.isSlow)
+			}
+		})
+	}
+}
+
+// TestLoserOfRaceEnds guards against servers that work on for a caller who has got another one's answer.
+func TestLoserOfRaceEnds(t *testing.T) {
+	ok := okHead + signedField + "Content-Length: 2\r\n\r\nok"
+	route := catalogue.Route{Name: "look", Kind: catalogue.Idempotent, MaxAttempts: 2, Timeout: 4 * time.Second, Objective: 100 * time.Millisecond}
+	s := &silentServers{t: t, texts: []string{hangMark, ok}}
+	if x, _ := serveSilent(t, route, s); x.status != fasthttp.StatusOK {
+		t.Errorf("status %d", x.status)
+	}
+	for range 100 {
+		if s.ended.Load() == 1 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Errorf("%d servers know that nobody waits, want 1", s.ended.Load())
+}
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -48,11 +48,17 @@
 	return g.reach.IsSound()
 }
 
+// hasHeard reports whether any server has sent bytes within a time before now.
+func (g *Gateway) hasHeard(now time.Time, within time.Duration) bool {
+	return now.Sub(time.Unix(0, g.heardAt.Load())) < within
+}
+
 // recordAnswer records that a server has sent bytes of a response.
 func (g *Gateway) recordAnswer(server string) {
+	now := g.clock.Now()
+	g.heardAt.Store(now.UnixNano())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
 	g.reach.RecordResponse(now)
 	g.answers.Record(now, server)
 }
@@ -307,6 +313,7 @@
 			g.answers.RecordQuery(g.clock.Now(), t.ID, errs[i] == nil)
 			g.mu.Unlock()
 			if errs[i] == nil {
+				g.heardAt.Store(g.clock.Now().UnixNano())
 				answered()
 			}
 		})
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -17,34 +16,34 @@
 
 // relayBuffered reads a response to its end before passing it on without its connection headers. relayLarge takes
 // over if the body reaches maxBufferedResponse.
-func (r *callerRequest) relayBuffered(ctx context.Context, response *engine.Response, d placement.Decision, w *stallWatch) (outcome, placement.Result) {
-	g := r.gateway
+func (a *attempt) relayBuffered(response *engine.Response) (outcome, placement.Result) {
+	r, g := a.request, a.request.gateway
 	status, signed := response.Header.StatusCode(), response.Metadata.Signed
 	failed := status >= fasthttp.StatusInternalServerError || !signed
 	// An unsigned success can't be trusted to come from running the request.
 	untrusted := status < fasthttp.StatusMultipleChoices && !signed
-	if untrusted || lacksProof(response) || r.exchange.Started() || (failed && r.mayRetry()) {
+	if untrusted || lacksProof(response) || r.hasStarted() || (failed && a.mayRetry()) {
 		err := response.Drain()
-		return r.sendFailed(ctx, d, errors.Join(fmt.Errorf("callerRequest.relayBuffered: status %d, signed %t, event %d delivered", status, signed, r.lastEventID), err))
+		return a.fail(errors.Join(fmt.Errorf("attempt.relayBuffered: status %d, signed %t, event %d delivered", status, signed, a.lastEventID), err))
 	}
-	r.firstEventAt = g.clock.Now()
+	a.firstEventAt = g.clock.Now()
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
 	if err == nil && len(body) == maxBufferedResponse && signed {
 		// From here on no other server can take over.
-		w.stop()
-		return r.relayLarge(ctx, response, d, body)
+		a.watch.stop()
+		return a.relayLarge(response, body)
 	}
 	if err != nil || !response.Complete() {
-		return r.sendFailed(ctx, d, fmt.Errorf("callerRequest.relayBuffered: status %d: %w", status, errors.Join(engine.ErrTruncated, err)))
+		return a.fail(fmt.Errorf("attempt.relayBuffered: status %d: %w", status, errors.Join(engine.ErrTruncated, err)))
 	}
 	if err := g.dialect.StripConnectionHeaders(&response.Header); err != nil {
-		return r.sendFailed(ctx, d, err)
+		return a.fail(err)
 	}
-	if err := r.exchange.Start(&response.Header, len(body), body); err != nil {
-		return outcomeCallerGone, placement.CallerGone
+	if err := a.deliver(func() error { return r.exchange.Start(&response.Header, len(body), body) }); err != nil {
+		return a.deliverFailed(err)
 	}
-	r.recordSurvival(g.clock.Now())
-	r.recordServed(d, response)
+	a.recordSurvival(g.clock.Now())
+	a.recordServed(response)
 	if failed {
 		return outcomeDone, placement.Failed
 	}
@@ -61,50 +60,55 @@
 	return response.Metadata.NotRun
 }
 
-// mayRetry reports whether another attempt may be made instead of passing a server's failure on to the caller.
-func (r *callerRequest) mayRetry() bool {
-	return r.route.Retryable() && r.sends+1 < r.route.MaxAttempts && r.deadline.Sub(r.gateway.clock.Now()) > minAttemptTime
+// mayRetry reports whether another attempt is under way, or may be made, instead of passing a server's failure on to the caller.
+func (a *attempt) mayRetry() bool {
+	r := a.request
+	r.race.mu.Lock()
+	hasOthers := len(r.race.open) > 1
+	r.race.mu.Unlock()
+	return r.route.Retryable() && (hasOthers || a.number < r.route.MaxAttempts) && r.deadline.Sub(r.gateway.clock.Now()) > minAttemptTime
 }
 
 // relayLarge passes on a response as it arrives; first is the part that has been read already.
-func (r *callerRequest) relayLarge(ctx context.Context, response *engine.Response, d placement.Decision, first []byte) (outcome, placement.Result) {
+func (a *attempt) relayLarge(response *engine.Response, first []byte) (outcome, placement.Result) {
+	r := a.request
 	length := response.Length()
 	if err := r.gateway.dialect.StripConnectionHeaders(&response.Header); err != nil {
-		return r.sendFailed(ctx, d, err)
+		return a.fail(err)
 	}
-	if err := r.exchange.Start(&response.Header, length, first); err != nil {
-		return outcomeCallerGone, placement.CallerGone
+	if err := a.deliver(func() error { return r.exchange.Start(&response.Header, length, first) }); err != nil {
+		return a.deliverFailed(err)
 	}
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := response.Read(buf)
 		if n > 0 {
-			if werr := r.exchange.Write(buf[:n]); werr != nil {
-				return outcomeCallerGone, placement.CallerGone
+			if werr := a.deliver(func() error { return r.exchange.Write(buf[:n]) }); werr != nil {
+				return a.deliverFailed(werr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			r.recordSurvival(r.gateway.clock.Now())
-			if err := r.exchange.Finish(nil); err != nil {
-				return outcomeCallerGone, placement.CallerGone
+			a.recordSurvival(r.gateway.clock.Now())
+			if err := a.deliver(func() error { return r.exchange.Finish(nil) }); err != nil {
+				return a.deliverFailed(err)
 			}
-			r.recordServed(d, response)
+			a.recordServed(response)
 			return outcomeDone, placement.Served
 		}
 		if err != nil {
 			r.exchange.Abort()
-			if ctx.Err() != nil {
+			if a.ctx.Err() != nil {
 				return outcomeCallerGone, placement.CallerGone
 			}
-			r.recordLoss(d, err)
+			a.recordLoss(err)
 			return outcomeDone, placement.Failed
 		}
 	}
 }
 
 // recordServed counts and logs a request that got a server's response.
-func (r *callerRequest) recordServed(d placement.Decision, response *engine.Response) {
-	g := r.gateway
+func (a *attempt) recordServed(response *engine.Response) {
+	r, d, g := a.request, a.decision, a.request.gateway
 	now := g.clock.Now()
 	g.telemetry.Count("requests", "result", "served")
 	if r.firstEvent > 0 {
@@ -120,6 +124,6 @@
 		e = e.Str("receivedBy", r.receivedBy)
 	}
 	e.Str("request", r.caller.AttemptID).Str("route", r.route.Name).Str("server", d.ID).
-		Int("status", response.Header.StatusCode()).Str("framing", string(response.Framing())).Int("sends", r.sends+1).
+		Int("status", response.Header.StatusCode()).Str("framing", string(response.Framing())).Int("sends", a.number).
 		Dur("first", r.firstEvent).Dur("longestGap", r.longestGap).Dur("predicted", d.Predicted).Int("load", d.Load).Int("slots", d.Slots).Dur("after", now.Sub(r.exchange.Arrival())).Msg("served a request")
 }
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -68,15 +68,10 @@
 	firstEvent, longestGap time.Duration
 	// identity is what the request may have in common with others.
 	identity quarantine.Identity
-	// firstEventAt is when the current attempt got its first event, or the header of a response without events; zero before.
-	// survived reports whether its server is known to have survived the request.
-	firstEventAt time.Time
-	survived     bool
-	// begunAt is when the server of the current attempt began the request, as far as known: when the first event arrived, or
-	// else when the request was sent. A response without events may arrive long after its server began.
-	begunAt time.Time
 	// mayHaveRun is set once an attempt may have run and its response was lost.
 	mayHaveRun bool
+	// race has the attempts that are under way.
+	race race
 }
 
 // Serve implements ingress.Handler.
@@ -330,7 +325,7 @@
 func (r *callerRequest) placementRequest(now time.Time) placement.Request {
 	request := placement.Request{
 		Service: r.service.Name, PromptTokens: r.caller.PromptTokens, Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
-		Elapsed: now.Sub(r.exchange.Arrival()) + r.priorWait, Remaining: r.deadline.Sub(now), Excluded: r.excluded, Retry: r.sends > 0,
+		Elapsed: now.Sub(r.exchange.Arrival()) + r.priorWait, Remaining: r.deadline.Sub(now), Excluded: r.excluded, Retry: r.begun() > 0,
 	}
 	if e := r.service.Engine; e != nil {
 		request.Model = r.caller.Model
--- a/process/gateway/watch_test.go
+++ b/process/gateway/watch_test.go
@@ -43,8 +43,9 @@
 			}
 			ctx, cancel := context.WithCancelCause(t.Context())
 			defer cancel(nil)
-			w := r.startWatch(placement.Decision{ID: "s", StallTimeout: timeout}, cancel)
-			defer w.stop()
+			a := &attempt{request: r, decision: placement.Decision{ID: "s", StallTimeout: timeout}, number: 1, ctx: ctx, cancel: cancel}
+			a.startWatch()
+			defer a.watch.stop()
 			time.Sleep(timeout * 3 / 4)
 			if tt.answered {
 				g.recordAnswer("s")
