A new leader knows which servers leave

Cause: reports of servers that stop were applied on the receiving host and on the leader, and passed on to no other control host. Entry hosts dropped what a server states in its answers if it wasn't listed at that moment. Ruled out: the server's own reports (it said leaving each time) and the entry hosts' subscription (they got the new leader's list at once, with the server in it).

The report is acknowledged once all control hosts that can be reached have applied it, within 300 ms. Notices hold for the incarnation that made them, listed or not.

TestNoticeOfUnlistedServer is new for the entry hosts' part; RecordNotice takes the incarnation, which the other tests name too.

--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"savorywing.example/savorywing/connection/controlapi"
@@ -53,7 +54,12 @@
 	return c.submitUrgentReport(ctx, r)
 }
 
-// submitUrgentReport returns once this host and the leader have applied a report.
+// spreadTimeout bounds the time in which the other control hosts are told of a server that stops. One that is frozen must not
+// keep the server from its acknowledgement.
+const spreadTimeout = 300 * time.Millisecond
+
+// submitUrgentReport returns once this host, the leader and all other control hosts that can be reached have applied a report, so
+// that whichever leads next knows what was acknowledged.
 func (c *Controller) submitUrgentReport(ctx context.Context, r wire.Report) error {
 	done := make(chan struct{})
 	if !c.push(reportsEvent{reports: []wire.Report{r}, done: done}) {
@@ -64,9 +70,32 @@
 	case <-ctx.Done():
 		return fmt.Errorf("Controller.takeReport: %w", ctx.Err())
 	}
+	c.spread(ctx, r)
 	return c.forwardToLeader(ctx, r)
 }
 
+// spread returns once the control hosts that can be reached have applied a report, or after spreadTimeout.
+func (c *Controller) spread(ctx context.Context, r wire.Report) {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, host := range c.mesh.Hosts() {
+		if !c.mesh.IsConnected(host) {
+			continue
+		}
+		calls.Go(func() {
+			reply, err := c.mesh.Call(ctx, host, wire.Frame{Reports: []wire.Report{r}})
+			if err == nil && reply.Error != nil {
+				err = errors.New(reply.Error.Reason)
+			}
+			if err != nil {
+				c.log.Info().Str("event", "reportNotSpread").Str("peer", host).Str("server", r.ID).Err(err).Msg("a control host doesn't know yet that a backend server stops")
+			}
+		})
+	}
+	calls.Wait()
+}
+
 // forwardToLeader returns once the leader has applied a report, or with ErrNoQuorum when ctx ends.
 func (c *Controller) forwardToLeader(ctx context.Context, r wire.Report) error {
 	for {
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -288,7 +288,7 @@
 		return
 	}
 	g.mu.Lock()
-	isNew := g.balancer.RecordNotice(g.clock.Now(), d.ID, placement.Notice{Leaving: m.Leaving, ClosedFor: m.ClosedFor})
+	isNew := g.balancer.RecordNotice(g.clock.Now(), d.ID, d.Born, placement.Notice{Leaving: m.Leaving, ClosedFor: m.ClosedFor})
 	g.mu.Unlock()
 	if !isNew {
 		return
--- a/process/placement/notice.go
+++ b/process/placement/notice.go
@@ -29,15 +29,18 @@
 	ClosedFor time.Duration
 }
 
-// RecordNotice applies a notice in a response of an endpoint, and reports whether it states anything new.
-func (b *Balancer) RecordNotice(now time.Time, id string, n Notice) bool {
-	e := b.byID[id]
-	if e == nil || (!n.Leaving && n.ClosedFor <= 0) {
+// RecordNotice applies a notice in a response of one incarnation of a server, and reports whether it states anything new. It holds also if
+// the server isn't listed at the moment, or not any more: a new leader may list it again.
+func (b *Balancer) RecordNotice(now time.Time, id string, born int64, n Notice) bool {
+	if !n.Leaving && n.ClosedFor <= 0 {
 		return false
 	}
 	old := b.notices[id]
-	if old.born != e.Born {
-		old = serverNotice{born: e.Born}
+	if e := b.byID[id]; born < old.born || (e != nil && born < e.Born) {
+		return false
+	}
+	if old.born != born {
+		old = serverNotice{born: born}
 	}
 	next := old
 	next.recordedAt = now
