Tests: heads that break off, and requests late in a planned stop

Requests that are sent until the process is gone, on connections that were said to close, are answered or haven't run (24 callers; 20 ms, 0.9 s and 2.5 s each).

--- a/cmd/savorywing/fleet_bytes_test.go
+++ b/cmd/savorywing/fleet_bytes_test.go
@@ -139,12 +139,18 @@
 	trailer, extension string
 	// want are the fields of which the server gets other values than the caller has sent.
 	want map[string][]string
+	// timeout is how long the caller waits; 0 for 2 s.
+	timeout time.Duration
 }
 
 // encode returns the request.
 func (c bytesCase) encode(id string, d savorywing.EmulatorDialect) []byte {
 	var h fasthttp.RequestHeader
-	d.WriteCallerMetadata(&h, savorywing.CallerMetadata{AttemptID: id, APIKey: fleetKey, Timeout: 2 * time.Second, LastEventID: -1})
+	timeout := c.timeout
+	if timeout == 0 {
+		timeout = 2 * time.Second
+	}
+	d.WriteCallerMetadata(&h, savorywing.CallerMetadata{AttemptID: id, APIKey: fleetKey, Timeout: timeout, LastEventID: -1})
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, c.target, fleetHost)
 	for name, value := range h.All() {
--- a/cmd/savorywing/fleet_takeover_test.go
+++ b/cmd/savorywing/fleet_takeover_test.go
@@ -15,6 +15,8 @@
 type countingServer struct {
 	report   wire.Report
 	requests atomic.Int64
+	// work is called with the attempt ID of each request before it is answered, unless it is nil.
+	work func(id string)
 }
 
 // addCounting starts a server that answers each request, at the address of a plain server of the fleet.
@@ -29,7 +31,11 @@
 			return
 		}
 		s.requests.Add(1)
-		f.dialect.SignResponse(&ctx.Response.Header, f.dialect.ReadCallerMetadata(&ctx.Request.Header).AttemptID, "s")
+		id := f.dialect.ReadCallerMetadata(&ctx.Request.Header).AttemptID
+		if s.work != nil {
+			s.work(id)
+		}
+		f.dialect.SignResponse(&ctx.Response.Header, id, "s")
 		ctx.SetBodyString("ok")
 	}}
 	go func() { _ = server.ListenAndServe(s.report.Address) }()
