reach: a round of mixed results asks further servers

Cause, as traced before: of nine servers the host still reaches two; a round that asks five and finds both shows neither sound nor lost paths, so the state stays, and with three such rounds in a row the cut is noticed after 2.9 s.

A round that reached some servers while others reach some, and that shows neither, asks up to twelve further servers at once. The host of the case then asks all nine: 2 reached here, 7 elsewhere, which is lost.

--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -204,20 +204,32 @@
 	}
 	var others sync.WaitGroup
 	others.Go(func() { r.Elsewhere = g.countElsewhere(missed) })
-	if r.Reached == 0 && known > len(sample) {
-		skip := map[string]bool{}
-		for _, t := range sample {
-			skip[t.ID] = true
-		}
-		wide, _ := g.sample(reach.WideSampleSize, skip)
-		r.Asked += len(wide)
-		r.Reached += len(wide) - len(g.askServers(wide, func() {}))
+	if r.Reached == 0 {
+		p.widen(&r, sample)
 	}
 	others.Wait()
+	if r.IsMixed() {
+		// A few servers of which some are reached tell nothing of the others.
+		r.Elsewhere += g.countElsewhere(p.widen(&r, sample))
+	}
 	p.elsewhere, p.askedAt = r.Elsewhere, g.clock.Now()
 	return r
 }
 
+// widen asks further servers, and returns those that didn't answer.
+func (p *pathRounds) widen(r *reach.Round, sample []placement.Target) []wire.ServerAddress {
+	g := p.gateway
+	skip := map[string]bool{}
+	for _, t := range sample {
+		skip[t.ID] = true
+	}
+	wide, _ := g.sample(reach.WideSampleSize, skip)
+	missed := g.askServers(wide, func() {})
+	r.Asked += len(wide)
+	r.Reached += len(wide) - len(missed)
+	return missed
+}
+
 const (
 	// reachTimeout bounds the time to ask another entry host which servers it reaches.
 	reachTimeout = queryTimeout + 200*time.Millisecond
--- a/process/reach/tracker.go
+++ b/process/reach/tracker.go
@@ -30,6 +30,17 @@
 // showsSoundPaths reports whether servers are reached, and few that aren't are reached by others.
 func (r Round) showsSoundPaths() bool { return r.Reached > 0 && r.Reached >= majority*r.Elsewhere }
 
+// showsLoss reports whether others reach most of the servers that are known to answer anybody.
+func (r Round) showsLoss() bool {
+	return r.Elsewhere > 0 && r.Elsewhere >= min(minLost, r.Known) && r.Elsewhere >= majority*r.Reached
+}
+
+// IsMixed reports whether a round shows neither sound paths nor lost ones, although servers were reached here and by others, and
+// more could be asked.
+func (r Round) IsMixed() bool {
+	return r.Reached > 0 && r.Elsewhere > 0 && r.Asked < r.Known && !r.showsSoundPaths() && !r.showsLoss()
+}
+
 // RulesOutLoss reports whether paths can't be lost by a round that asks some servers, once as many of them have answered.
 func RulesOutLoss(asked, answered int) bool { return asked-answered < majority*answered }
 
@@ -105,7 +116,7 @@
 // judge returns the state by a single round.
 func (t *Tracker) judge(now time.Time, r Round) State {
 	switch {
-	case r.Elsewhere > 0 && r.Elsewhere >= min(minLost, r.Known) && r.Elsewhere >= majority*r.Reached:
+	case r.showsLoss():
 		return Lost
 	case r.showsSoundPaths():
 		return Direct
--- a/process/reach/tracker_test.go
+++ b/process/reach/tracker_test.go
@@ -116,3 +116,33 @@
 		t.Error("want two answers of five to rule out that paths are lost, and not one")
 	}
 }
+
+// TestMixedRound guards against a host that doesn't notice for seconds that it is cut off from all servers but a few, since a round happens to ask
+// those few: such a round asks further servers, of which it then is clear.
+func TestMixedRound(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		round Round
+		want  bool
+		// after is the state by the round with the further servers, and wantState the state.
+		after     Round
+		wantState State
+	}{
+		{"both of the few of nine", Round{9, 5, 2, 3}, true, Round{9, 9, 2, 7}, Lost},
+		{"two of two", Round{2, 2, 1, 1}, false, Round{2, 2, 1, 1}, Direct},
+		{"cut off", Round{60, 5, 1, 4}, false, Round{60, 5, 1, 4}, Lost},
+		{"sound", Round{60, 5, 4, 1}, false, Round{60, 5, 4, 1}, Direct},
+		{"servers that nobody reaches", Round{60, 5, 2, 0}, false, Round{60, 5, 2, 0}, Direct},
+		{"half of the paths", Round{60, 5, 2, 3}, true, Round{60, 17, 8, 9}, Direct},
+	} {
+		if got := tt.round.IsMixed(); got != tt.want {
+			t.Errorf("%s: mixed %v, want %v", tt.name, got, tt.want)
+		}
+		var tr Tracker
+		tr.Begin(time.Unix(100, 0))
+		tr.Conclude(time.Unix(100, 0), tt.after)
+		if got := tr.State(); got != tt.wantState {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.wantState)
+		}
+	}
+}
