--- a/cmd/savorywing/fleet_pause_test.go
+++ b/cmd/savorywing/fleet_pause_test.go
@@ -160,9 +160,9 @@
 	}
 }
 
-// TestFleetDocumentsWhileProcessesPause guards against documents that are confirmed and not in force in time, come back older, or are lost,
-// while real processes stand still for up to two seconds: a leader between the commit and its reply, hosts that confirm with an old leader,
-// and hosts that connect again.
+// TestFleetDocumentsWhileProcessesPause guards against documents that are confirmed and not in force in time, come back
+// older, or are lost, while real processes stand still for up to two seconds: a leader between the commit and its reply,
+// hosts that confirm with an old leader, and hosts that connect again.
 func TestFleetDocumentsWhileProcessesPause(t *testing.T) {
 	program, err := os.Executable()
 	if err != nil {
--- a/cmd/savorywing/fleet_readiness_test.go
+++ b/cmd/savorywing/fleet_readiness_test.go
@@ -36,8 +36,8 @@
 	return resp.StatusCode(), string(resp.Body()), nil
 }
 
-// TestFleetReadinessAtItsOwnAddress guards against a caller's request that the entry host answers itself, since its path is that of the
-// readiness check, and against requests of callers that are served at the address of that check.
+// TestFleetReadinessAtItsOwnAddress guards against a caller's request that the entry host answers itself, since its path
+// is that of the readiness check, and against requests of callers that are served at the address of that check.
 func TestFleetReadinessAtItsOwnAddress(t *testing.T) {
 	f := newFleetEnv(t, 3, 2, 0, withPaths)
 	doc := fleetDocument(2)
--- a/cmd/savorywing/fleet_stop_late_test.go
+++ b/cmd/savorywing/fleet_stop_late_test.go
@@ -96,8 +96,9 @@
 	}
 }
 
-// TestFleetStopLateRequests guards against requests that are taken late in the grace time of a planned stop, passed on, and cut at its end:
-// whatever is taken is answered, and whatever isn't has not run. Callers use open connections until the process is gone.
+// TestFleetStopLateRequests guards against requests that are taken late in the grace time of a planned stop, passed on,
+// and cut at its end: whatever is taken is answered, and whatever isn't has not run. Callers use open connections until
+// the process is gone.
 func TestFleetStopLateRequests(t *testing.T) {
 	for _, takes := range []time.Duration{20 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond} {
 		t.Run(takes.String(), func(t *testing.T) {
--- a/connection/httpheader/remove.go
+++ b/connection/httpheader/remove.go
@@ -13,8 +13,9 @@
 	Read(r *bufio.Reader) error
 }
 
-// Remove removes the fields for which remove returns true, all lines of them, and keeps the order of the others. The methods of fasthttp change
-// the order of lines with the same name when they delete another one. remove gets the name in the case in which the header has it.
+// Remove removes the fields for which remove returns true, all lines of them, and keeps the order of the others. The
+// methods of fasthttp change the order of lines with the same name when they delete another one. remove gets the name in
+// the case in which the header has it.
 func Remove(h header, remove func(name []byte) bool) error {
 	b := h.AppendBytes(nil)
 	kept := make([]byte, 0, len(b))
--- a/connection/ingress/begin_test.go
+++ b/connection/ingress/begin_test.go
@@ -191,7 +191,8 @@
 	}
 }
 
-// TestExpireWhileTimeoutIsSet checks that a connection doesn't read on for a whole time limit if the stop ends as it sets that limit.
+// TestExpireWhileTimeoutIsSet checks that a connection doesn't read on for a whole time limit if the stop ends as it sets
+// that limit.
 func TestExpireWhileTimeoutIsSet(t *testing.T) {
 	s, _ := serveForever(t)
 	c, d := newTestConn(t, s)
@@ -250,8 +251,8 @@
 	}
 }
 
-// TestAnsweredRequestsNotLeft checks that connections whose last response has been sent don't count as requests that are left at the
-// end of a stop.
+// TestAnsweredRequestsNotLeft checks that connections whose last response has been sent don't count as requests that are
+// left at the end of a stop.
 func TestAnsweredRequestsNotLeft(t *testing.T) {
 	tests := []struct {
 		name, request string
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -382,8 +382,8 @@
 	contentLength = []byte(fasthttp.HeaderContentLength)
 )
 
-// checkFields checks what the parser doesn't. A request with both a length and chunks, which others may read by its length, is the last
-// one on its connection (RFC 9112, section 6.1).
+// checkFields checks what the parser doesn't. A request with both a length and chunks, which others may read by its
+// length, is the last one on its connection (RFC 9112, section 6.1).
 func (c *conn) checkFields(h *fasthttp.RequestHeader) error {
 	isChunked := h.ContentLength() < 0
 	for line := range bytes.SplitSeq(h.RawHeaders(), []byte("\n")) {
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -199,8 +199,8 @@
 // InFlight returns the number of requests that are being read or served.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// ReceivedAfterClose returns the number of requests that were received after their connection had been closed, so that their callers
-// got the response with which it was.
+// ReceivedAfterClose returns the number of requests that were received after their connection had been closed, so that
+// their callers got the response with which it was.
 func (s *Server) ReceivedAfterClose() int { return int(s.afterClose.Load()) }
 
 // Drain makes every response that starts from now on the last one on its connection.
--- a/process/disk/folder_test.go
+++ b/process/disk/folder_test.go
@@ -282,8 +282,9 @@
 	}
 }
 
-// TestFolderKeepsSnapshotOfLog guards against a loss of power that keeps the name of a new log and loses that of its snapshot, after which the
-// voter never starts again: the log must get its name only after that of the snapshot was synced.
+// TestFolderKeepsSnapshotOfLog guards against a loss of power that keeps the name of a new log and loses that of its
+// snapshot, after which the voter never starts again: the log must get its name only after that of the snapshot was
+// synced.
 func TestFolderKeepsSnapshotOfLog(t *testing.T) {
 	dir, _ := folderWithRecords(t)
 	f := openLoaded(t, dir)
--- a/process/gateway/cut_head_test.go
+++ b/process/gateway/cut_head_test.go
@@ -11,8 +11,9 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// TestCutHeadIsNoAnswer guards against an answer whose head breaks off and that reaches the caller as a whole one. The head is cut after each of
-// its bytes, and the connection closed, in the first attempt, in a second one, and in one that resumes a stream.
+// TestCutHeadIsNoAnswer guards against an answer whose head breaks off and that reaches the caller as a whole one. The
+// head is cut after each of its bytes, and the connection closed, in the first attempt, in a second one, and in one that
+// resumes a stream.
 func TestCutHeadIsNoAnswer(t *testing.T) {
 	plain := catalogue.Route{Name: "look", Kind: catalogue.Idempotent, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second}
 	once := plain
--- a/process/gateway/race.go
+++ b/process/gateway/race.go
@@ -13,9 +13,9 @@
 // errSuperseded means that the caller gets the response of another attempt.
 var errSuperseded = errors.New("another attempt has responded")
 
-// attempt is one try to get a response from a server. It runs in a goroutine of its own: while its server makes no progress,
-// another attempt may be made beside it, and the caller gets the response of the one that goes on first. A server that falls silent for a moment
-// so costs its callers nothing, and one that hangs for good doesn't keep them.
+// attempt is one try to get a response from a server. It runs in a goroutine of its own: while its server makes no
+// progress, another attempt may be made beside it, and the caller gets the response of the one that goes on first. A
+// server that falls silent for a moment so costs its callers nothing, and one that hangs for good doesn't keep them.
 type attempt struct {
 	request     *callerRequest
 	decision    placement.Decision
@@ -104,8 +104,8 @@
 	}
 }
 
-// hedge makes another attempt beside one whose server makes no progress, if there is another server and a retry budget for it. While no
-// server at all is heard, another attempt would only wait as well, and take the place of another request.
+// hedge makes another attempt beside one whose server makes no progress, if there is another server and a retry budget for
+// it. While no server at all is heard, another attempt would only wait as well, and take the place of another request.
 func (r *callerRequest) hedge(ctx context.Context, a *attempt) {
 	g := r.gateway
 	if !a.isStalled() {
@@ -183,7 +183,8 @@
 	return outcomeCallerGone, placement.CallerGone
 }
 
-// supersede returns how an attempt ends while the caller gets another one's response. Its server has failed only if it made no progress.
+// supersede returns how an attempt ends while the caller gets another one's response. Its server has failed only if it
+// made no progress.
 func (a *attempt) supersede(isSent bool) (outcome, placement.Result) {
 	switch {
 	case !isSent:
--- a/process/gateway/race_test.go
+++ b/process/gateway/race_test.go
@@ -136,8 +136,8 @@
 	return x, time.Since(sentAt)
 }
 
-// TestSilentServerKeepsItsRequest guards against answers that are ended, or lost, because their server falls silent for a moment: the
-// request is sent to another server beside it, and the one that goes on first answers.
+// TestSilentServerKeepsItsRequest guards against answers that are ended, or lost, because their server falls silent for a
+// moment: the request is sent to another server beside it, and the one that goes on first answers.
 func TestSilentServerKeepsItsRequest(t *testing.T) {
 	stream := streamingRoute
 	stream.Timeout, stream.Objective = 4*time.Second, 100*time.Millisecond
--- a/process/gateway/readiness.go
+++ b/process/gateway/readiness.go
@@ -8,8 +8,8 @@
 	"savorywing.example/savorywing"
 )
 
-// readiness serves the address of the readiness check, and nothing else. It is apart from the callers' address, where each path may be
-// that of a service.
+// readiness serves the address of the readiness check, and nothing else. It is apart from the callers' address, where each
+// path may be that of a service.
 type readiness struct {
 	gateway *Gateway
 }
--- a/process/placement/notice.go
+++ b/process/placement/notice.go
@@ -29,8 +29,8 @@
 	ClosedFor time.Duration
 }
 
-// RecordNotice applies a notice in a response of one incarnation of a server, and reports whether it states anything new. It holds also if
-// the server isn't listed at the moment, or not any more: a new leader may list it again.
+// RecordNotice applies a notice in a response of one incarnation of a server, and reports whether it states anything new.
+// It holds also if the server isn't listed at the moment, or not any more: a new leader may list it again.
 func (b *Balancer) RecordNotice(now time.Time, id string, born int64, n Notice) bool {
 	if !n.Leaving && n.ClosedFor <= 0 {
 		return false
--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -79,8 +79,8 @@
 	logClock       logClock
 	// compactionThreshold is the log length, in entries, at which a snapshot replaces the committed entries.
 	compactionThreshold int
-	// compactionBytes is the number of bytes of entries appended to the disk at which a snapshot replaces them, and appendedBytes is that number
-	// since the last snapshot.
+	// compactionBytes is the number of bytes of entries appended to the disk at which a snapshot replaces them, and
+	// appendedBytes is that number since the last snapshot.
 	compactionBytes, appendedBytes int
 	// applied is the index of the last entry, or snapshot, that the machine has applied.
 	applied uint64
@@ -121,7 +121,8 @@
 	return func(n *Node) { n.compactionThreshold = entries }
 }
 
-// WithCompactionBytes sets the size of the log on the disk, in bytes of entries, at which a snapshot replaces the committed entries.
+// WithCompactionBytes sets the size of the log on the disk, in bytes of entries, at which a snapshot replaces the
+// committed entries.
 func WithCompactionBytes(bytes int) Option {
 	return func(n *Node) { n.compactionBytes = bytes }
 }
--- a/process/reach/tracker_test.go
+++ b/process/reach/tracker_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// TestMixedRound guards against a host that doesn't notice for seconds that it is cut off from all servers but a few, since a round happens to ask
-// those few: such a round asks further servers, of which it then is clear.
+// TestMixedRound guards against a host that doesn't notice for seconds that it is cut off from all servers but a few,
+// since a round happens to ask those few: such a round asks further servers, of which it then is clear.
 func TestMixedRound(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
