gateway: relaying without long functions; formatter

Behaviour is the same: the end of a stream is checked, and events are delivered, in functions of their own.

--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -31,11 +31,11 @@
 func (echoDialect) WriteBackendMetadata(*fasthttp.RequestHeader, savorywing.BackendMetadata) error {
 	return nil
 }
-func (echoDialect) WriteStatusQuery(*fasthttp.RequestHeader, string)                         {}
+func (echoDialect) WriteStatusQuery(*fasthttp.RequestHeader, string)      {}
 func (echoDialect) StripConnectionHeaders(*fasthttp.ResponseHeader) error { return nil }
-func (echoDialect) WriteErrorHeaders(*fasthttp.ResponseHeader, string)                       {}
-func (echoDialect) ReadDocument([]byte) (*catalogue.Catalogue, error)                        { return nil, nil }
-func (echoDialect) IsReadyCheck(*fasthttp.RequestHeader) bool                                { return false }
+func (echoDialect) WriteErrorHeaders(*fasthttp.ResponseHeader, string)    {}
+func (echoDialect) ReadDocument([]byte) (*catalogue.Catalogue, error)     { return nil, nil }
+func (echoDialect) IsReadyCheck(*fasthttp.RequestHeader) bool             { return false }
 func (echoDialect) ReadResponseMetadata(h *fasthttp.ResponseHeader) savorywing.ResponseMetadata {
 	return savorywing.ResponseMetadata{AttemptID: string(h.Peek("Number"))}
 }
--- a/process/gateway/events.go
+++ b/process/gateway/events.go
@@ -60,27 +60,19 @@
 		}
 		end, ended := scan.numbered, errors.Is(err, io.EOF) && scanErr == nil
 		if ended {
-			end = scan.complete
-			if rest := pending[end:]; !isStreamEnd(rest, hasEvents, response.Framing()) {
-				end, ended = scan.numbered, false
-				err = fmt.Errorf("%w after %d bytes of it, framing %s", errNoEventEnd, len(rest), response.Framing())
-			} else if r.hasStarted() && !hasEvents && !isEmptyStream(response, pending) {
-				end, ended, err = scan.numbered, false, errNotContinued
+			if err = a.checkStreamEnd(response, pending, scan, hasEvents); err == nil {
+				end = scan.complete
 			}
+			ended = err == nil
 		}
-		if end > 0 || ended {
-			werr := a.deliver(func() error {
-				if scan.numbered > 0 {
-					r.recordEventTimes(last, previous)
-				}
-				r.lastEventID = scan.lastID
-				return r.passEvents(response, pending[:end], ended)
-			})
-			if werr != nil {
-				return a.deliverFailed(werr)
+		werr := a.deliverEvents(response, pending[:end], ended, func() {
+			if scan.numbered > 0 {
+				r.recordEventTimes(last, previous)
 			}
-			// Waiting for the caller isn't the server's silence.
-			a.watch.progressed(g.clock.Now())
+			r.lastEventID = scan.lastID
+		})
+		if werr != nil {
+			return a.deliverFailed(werr)
 		}
 		a.lastEventID = scan.lastID
 		pending = append(pending[:0], pending[end:]...)
@@ -98,6 +90,32 @@
 	}
 }
 
+// checkStreamEnd returns why a stream whose input has ended is not complete, or nil. pending is what isn't passed on yet.
+func (a *attempt) checkStreamEnd(response *engine.Response, pending []byte, scan eventScan, hasEvents bool) error {
+	rest := pending[scan.complete:]
+	switch {
+	case !isStreamEnd(rest, hasEvents, response.Framing()):
+		return fmt.Errorf("%w after %d bytes of it, framing %s", errNoEventEnd, len(rest), response.Framing())
+	case a.request.hasStarted() && !hasEvents && !isEmptyStream(response, pending):
+		return errNotContinued
+	}
+	return nil
+}
+
+// deliverEvents passes events on to the caller, after record was called, if there are any or the stream has ended.
+func (a *attempt) deliverEvents(response *engine.Response, events []byte, ended bool, record func()) error {
+	if len(events) == 0 && !ended {
+		return nil
+	}
+	err := a.deliver(func() error {
+		record()
+		return a.request.passEvents(response, events, ended)
+	})
+	// Waiting for the caller isn't the server's silence.
+	a.watch.progressed(a.request.gateway.clock.Now())
+	return err
+}
+
 // recordEventTimes records the time to the first event and the longest gap, which decide whether a stream is on time.
 // It is called for each read that completed an event or several.
 func (r *callerRequest) recordEventTimes(now, last time.Time) {
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -20,9 +20,7 @@
 	r, g := a.request, a.request.gateway
 	status, signed := response.Header.StatusCode(), response.Metadata.Signed
 	failed := status >= fasthttp.StatusInternalServerError || !signed
-	// An unsigned success can't be trusted to come from running the request.
-	untrusted := status < fasthttp.StatusMultipleChoices && !signed
-	if untrusted || lacksProof(response) || r.hasStarted() || (failed && a.mayRetry()) {
+	if !isTrusted(response) || r.hasStarted() || (failed && a.mayRetry()) {
 		err := response.Drain()
 		return a.fail(errors.Join(fmt.Errorf("attempt.relayBuffered: status %d, signed %t, event %d delivered", status, signed, a.lastEventID), err))
 	}
@@ -50,6 +48,12 @@
 	return outcomeDone, placement.Served
 }
 
+// isTrusted reports whether a response may be passed on. An unsigned success can't be trusted to come from running the request.
+func isTrusted(response *engine.Response) bool {
+	isSuccess := response.Header.StatusCode() < fasthttp.StatusMultipleChoices
+	return (response.Metadata.Signed || !isSuccess) && !lacksProof(response)
+}
+
 // lacksProof reports whether a response contradicts itself, or has a status that callers take for the promise that the request
 // has not run without being a server's proof of it. Such a response isn't passed on.
 func lacksProof(response *engine.Response) bool {
