--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -101,29 +101,41 @@
 	}
 }
 
+// startServer accepts connections and serves each with a function. It returns the address.
+func startServer(t *testing.T, serve func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
 // runScript lets a gateway serve one request with servers that follow a script. The caller has received the events up to
 // lastEventID, which is negative for none.
 func runScript(t *testing.T, route catalogue.Route, s *serverScript, lastEventID int64) *recordedExchange {
+	t.Helper()
+	return serveOne(t, route, lastEventID, s.serve)
+}
+
+// serveOne lets a gateway serve one request with as many servers as the route has attempts.
+func serveOne(t *testing.T, route catalogue.Route, lastEventID int64, serve func(c net.Conn)) *recordedExchange {
 	t.Helper()
 	g := newTestGateway(t)
 	g.settings().RetryBurst = 1000
 	var endpoints []wire.Endpoint
 	for n := range route.MaxAttempts {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go s.serve(c)
-			}
-		}()
-		endpoints = append(endpoints, wire.Endpoint{ID: fmt.Sprint("i-", n), Address: l.Addr().String(), Service: "s", Slots: 4, Born: 1, Handle: uint64(n) + 1})
+		endpoints = append(endpoints, wire.Endpoint{ID: fmt.Sprint("i-", n), Address: startServer(t, serve), Service: "s", Slots: 4, Born: 1, Handle: uint64(n) + 1})
 	}
 	g.balancer.UpdateEndpoints(true, endpoints, nil)
 	route.Host, route.Prefix, route.Services = "x.example", "/", []catalogue.WeightedService{{Service: "s", Weight: 1}}
--- a/process/gateway/race_test.go
+++ b/process/gateway/race_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"context"
-	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -13,10 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/platform"
 	"savorywing.example/savorywing/version/catalogue"
-	"savorywing.example/savorywing/wire"
 )
 
 const (
@@ -28,32 +24,12 @@
 
 // silentServers answers the n-th request that its servers get together with the n-th text, in which marks stand for pauses.
 type silentServers struct {
-	t       *testing.T
 	texts   []string
 	arrived atomic.Int64
 	// ended counts the connections that the gateway has closed before their answer was written.
 	ended atomic.Int64
 }
 
-// start starts a server and returns its address.
-func (s *silentServers) start() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (s *silentServers) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
@@ -109,30 +85,11 @@
 	return true
 }
 
-// serveSilent lets a gateway serve one request with silent servers.
+// serveSilent lets a gateway serve one request with silent servers, and returns how long that took.
 func serveSilent(t *testing.T, route catalogue.Route, s *silentServers) (*recordedExchange, time.Duration) {
 	t.Helper()
-	g := newTestGateway(t)
-	g.settings().RetryBurst = 1000
-	var endpoints []wire.Endpoint
-	for n := range route.MaxAttempts {
-		endpoints = append(endpoints, wire.Endpoint{ID: fmt.Sprint("i-", n), Address: s.start(), Service: "s", Slots: 4, Born: 1, Handle: uint64(n) + 1})
-	}
-	g.balancer.UpdateEndpoints(true, endpoints, nil)
-	route.Host, route.Prefix, route.Services = "x.example", "/", []catalogue.WeightedService{{Service: "s", Weight: 1}}
-	c, err := catalogue.New(catalogue.Document{Version: 7, Routes: []catalogue.Route{route}, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	g.catalogue.Store(c)
-	x := &recordedExchange{arrival: g.clock.Now()}
-	x.request.Header.SetMethod(fasthttp.MethodPost)
-	x.request.Header.SetRequestURI("/x")
-	x.request.Header.SetHost("x.example")
-	x.request.SetBodyString("b")
-	platform.Dialect{}.WriteCallerMetadata(&x.request.Header, savorywing.CallerMetadata{AttemptID: "n1", LastEventID: -1})
 	sentAt := time.Now()
-	g.Serve(context.Background(), x)
+	x := serveOne(t, route, -1, s.serve)
 	return x, time.Since(sentAt)
 }
 
@@ -179,7 +136,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			s := &silentServers{t: t, texts: []string{tt.first, tt.second}}
+			s := &silentServers{texts: []string{tt.first, tt.second}}
 			x, took := serveSilent(t, tt.route, s)
 			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || !x.complete {
 				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), tt.want)
@@ -198,7 +155,7 @@
 func TestLoserOfRaceEnds(t *testing.T) {
 	ok := okHead + signedField + "Content-Length: 2\r\n\r\nok"
 	route := catalogue.Route{Name: "look", Kind: catalogue.Idempotent, MaxAttempts: 2, Timeout: 4 * time.Second, Objective: 100 * time.Millisecond}
-	s := &silentServers{t: t, texts: []string{hangMark, ok}}
+	s := &silentServers{texts: []string{hangMark, ok}}
 	if x, _ := serveSilent(t, route, s); x.status != fasthttp.StatusOK {
 		t.Errorf("status %d", x.status)
 	}
