--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -84,11 +84,7 @@
 			continue
 		}
 		calls.Go(func() {
-			reply, err := c.mesh.Call(ctx, host, wire.Frame{Reports: []wire.Report{r}})
-			if err == nil && reply.Error != nil {
-				err = errors.New(reply.Error.Reason)
-			}
-			if err != nil {
+			if err := c.tell(ctx, host, r); err != nil {
 				c.log.Info().Str("event", "reportNotSpread").Str("peer", host).Str("server", r.ID).Err(err).Msg("a control host doesn't know yet that a backend server stops")
 			}
 		})
@@ -96,6 +92,15 @@
 	calls.Wait()
 }
 
+// tell returns once another control host has applied a report.
+func (c *Controller) tell(ctx context.Context, host string, r wire.Report) error {
+	reply, err := c.mesh.Call(ctx, host, wire.Frame{Reports: []wire.Report{r}})
+	if err == nil && reply.Error != nil {
+		err = errors.New(reply.Error.Reason)
+	}
+	return err
+}
+
 // forwardToLeader returns once the leader has applied a report, or with ErrNoQuorum when ctx ends.
 func (c *Controller) forwardToLeader(ctx context.Context, r wire.Report) error {
 	for {
@@ -107,8 +112,7 @@
 				return nil
 			}
 		case host != "":
-			reply, err := c.mesh.Call(ctx, host, wire.Frame{Reports: []wire.Report{r}})
-			if err == nil && reply.Error == nil {
+			if c.tell(ctx, host, r) == nil {
 				return nil
 			}
 		}
--- a/process/gateway/attempt_test.go
+++ b/process/gateway/attempt_test.go
@@ -66,13 +66,20 @@
 
 func (x *recordedExchange) Abort() { x.complete = false }
 
+const (
+	// silence is longer than the time after which a server counts as stalled.
+	silence = 900 * time.Millisecond
+	// pauseMark makes a server pause for silence, and hangMark for good.
+	pauseMark, hangMark = "PAUSE", "HANG"
+)
+
 // serverScript answers the n-th request that its servers get together with the n-th text. ID in a text stands for the attempt
-// ID, and "CLOSE" at its end closes the connection. Further requests get no answer, and status queries, which don't count, an
-// empty one.
+// ID, marks stand for pauses, and "CLOSE" closes the connection. Further requests get no answer, and status queries, which
+// don't count, an empty one.
 type serverScript struct {
 	texts []string
-	// arrived counts the requests.
-	arrived atomic.Int64
+	// arrived counts the requests, and ended the connections that the gateway has closed in a pause.
+	arrived, ended atomic.Int64
 }
 
 func (s *serverScript) serve(c net.Conn) {
@@ -90,15 +97,44 @@
 			continue
 		}
 		n := int(s.arrived.Add(1))
-		if n > len(s.texts) {
+		if n > len(s.texts) || !s.write(c, r, strings.ReplaceAll(s.texts[n-1], "ID", platform.Dialect{}.ReadCallerMetadata(&req.Header).AttemptID)) {
 			return
 		}
-		text, closes := strings.CutSuffix(s.texts[n-1], "CLOSE")
-		text = strings.ReplaceAll(text, "ID", platform.Dialect{}.ReadCallerMetadata(&req.Header).AttemptID)
-		if _, err := io.WriteString(c, text); err != nil || closes {
-			return
+	}
+}
+
+// write writes an answer and reports whether the connection goes on.
+func (s *serverScript) write(c net.Conn, r *bufio.Reader, text string) bool {
+	for text != "" {
+		at, mark := len(text), ""
+		for _, m := range []string{pauseMark, hangMark, "CLOSE"} {
+			if i := strings.Index(text, m); i >= 0 && i < at {
+				at, mark = i, m
+			}
+		}
+		if _, err := io.WriteString(c, text[:at]); err != nil {
+			return false
+		}
+		wait := time.Duration(0)
+		switch mark {
+		case "CLOSE":
+			return false
+		case pauseMark:
+			wait = silence
+		case hangMark:
+			wait = time.Minute
+		}
+		if wait > 0 {
+			_ = c.SetReadDeadline(time.Now().Add(wait))
+			if _, err := r.Peek(1); err == io.EOF {
+				s.ended.Add(1)
+				return false
+			}
+			_ = c.SetReadDeadline(time.Time{})
 		}
+		text = text[at+len(mark):]
 	}
+	return true
 }
 
 // startServer accepts connections and serves each with a function. It returns the address.
--- a/process/gateway/race_test.go
+++ b/process/gateway/race_test.go
@@ -1,92 +1,17 @@
 package gateway
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"savorywing.example/savorywing/platform"
 	"savorywing.example/savorywing/version/catalogue"
 )
 
-const (
-	// silence is longer than the time after which a server counts as stalled.
-	silence = 900 * time.Millisecond
-	// pauseMark makes a silentServer pause for silence, and hangMark for good.
-	pauseMark, hangMark = "PAUSE", "HANG"
-)
-
-// silentServers answers the n-th request that its servers get together with the n-th text, in which marks stand for pauses.
-type silentServers struct {
-	texts   []string
-	arrived atomic.Int64
-	// ended counts the connections that the gateway has closed before their answer was written.
-	ended atomic.Int64
-}
-
-func (s *silentServers) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	r := bufio.NewReader(c)
-	for {
-		var req fasthttp.Request
-		if req.Read(r) != nil {
-			return
-		}
-		if (platform.Dialect{}).IsStatusQuery(&req.Header) {
-			if _, err := io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n"); err != nil {
-				return
-			}
-			continue
-		}
-		n := int(s.arrived.Add(1))
-		if n > len(s.texts) || !s.write(c, r, strings.ReplaceAll(s.texts[n-1], "ID", platform.Dialect{}.ReadCallerMetadata(&req.Header).AttemptID)) {
-			return
-		}
-	}
-}
-
-// write writes an answer and reports whether the connection goes on.
-func (s *silentServers) write(c net.Conn, r *bufio.Reader, text string) bool {
-	for text != "" {
-		at, mark := len(text), ""
-		for _, m := range []string{pauseMark, hangMark, "CLOSE"} {
-			if i := strings.Index(text, m); i >= 0 && i < at {
-				at, mark = i, m
-			}
-		}
-		if _, err := io.WriteString(c, text[:at]); err != nil {
-			return false
-		}
-		wait := time.Duration(0)
-		switch mark {
-		case "CLOSE":
-			return false
-		case pauseMark:
-			wait = silence
-		case hangMark:
-			wait = time.Minute
-		}
-		if wait > 0 {
-			_ = c.SetReadDeadline(time.Now().Add(wait))
-			if _, err := r.Peek(1); err == io.EOF {
-				s.ended.Add(1)
-				return false
-			}
-			_ = c.SetReadDeadline(time.Time{})
-		}
-		text = text[at+len(mark):]
-	}
-	return true
-}
-
-// serveSilent lets a gateway serve one request with silent servers, and returns how long that took.
-func serveSilent(t *testing.T, route catalogue.Route, s *silentServers) (*recordedExchange, time.Duration) {
+// serveSilent lets a gateway serve one request with servers that follow a script, and returns how long that took.
+func serveSilent(t *testing.T, route catalogue.Route, s *serverScript) (*recordedExchange, time.Duration) {
 	t.Helper()
 	sentAt := time.Now()
 	x := serveOne(t, route, -1, s.serve)
@@ -136,7 +61,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			s := &silentServers{texts: []string{tt.first, tt.second}}
+			s := &serverScript{texts: []string{tt.first, tt.second}}
 			x, took := serveSilent(t, tt.route, s)
 			if x.status != fasthttp.StatusOK || x.body.String() != tt.want || !x.complete {
 				t.Errorf("status %d, complete %v, body %q, want %q", x.status, x.complete, x.body.String(), tt.want)
@@ -155,7 +80,7 @@
 func TestLoserOfRaceEnds(t *testing.T) {
 	ok := okHead + signedField + "Content-Length: 2\r\n\r\nok"
 	route := catalogue.Route{Name: "look", Kind: catalogue.Idempotent, MaxAttempts: 2, Timeout: 4 * time.Second, Objective: 100 * time.Millisecond}
-	s := &silentServers{texts: []string{hangMark, ok}}
+	s := &serverScript{texts: []string{hangMark, ok}}
 	if x, _ := serveSilent(t, route, s); x.status != fasthttp.StatusOK {
 		t.Errorf("status %d", x.status)
 	}
--- a/process/gateway/reach_test.go
+++ b/process/gateway/reach_test.go
@@ -14,29 +14,15 @@
 // serveAnswer accepts connections and sends a text on each, after its first bytes have been read.
 func serveAnswer(t *testing.T, text string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				b := make([]byte, 1024)
-				if _, err := c.Read(b); err != nil || text == "CLOSE" {
-					return
-				}
-				_, _ = c.Write([]byte(text))
-				_, _ = c.Read(b)
-			}()
+	return startServer(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		b := make([]byte, 1024)
+		if _, err := c.Read(b); err != nil || text == "CLOSE" {
+			return
 		}
-	}()
-	return l.Addr().String()
+		_, _ = c.Write([]byte(text))
+		_, _ = c.Read(b)
+	})
 }
 
 // TestOnlyAnswersCount guards against servers that count as reached because something accepts connections at their addresses.
