Requests stay in the regions of their route and organisation

Cause: a document can name the regions in which requests of a route or an organisation may be handled; the lists were ignored, and first attempts, second ones and requests handed to other entry hosts went anywhere. Change: version/residency computes the area of a request from both lists and the regions of data centres, a new setting; placement chooses only servers in it and forwarding only hosts in it. A request that no server may serve is rejected at once with the reason region. Documents without such lists are handled as before.

--- a/process/forwarding/forwarding_test.go
+++ b/process/forwarding/forwarding_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -84,7 +85,7 @@
 	p.Set(start, forwarders("x", "x", "y", "y"))
 	picked := map[string]int{}
 	for range 400 {
-		address, ok := p.Pick(start, nil)
+		address, ok := p.Pick(start, nil, residency.Area{})
 		if !ok {
 			t.Fatal("no host")
 		}
@@ -98,6 +99,19 @@
 	}
 }
 
+func TestPeersPickWithin(t *testing.T) {
+	p := NewPeers("x", 1)
+	p.Set(start, forwarders("x", "y", "z"))
+	p.Avoid(start, "h1", time.Second)
+	area := residency.Map{"x": "north", "y": "south"}.Within([]string{"south"})
+	if got, ok := p.Pick(start, nil, area); !ok || got != "h1" {
+		t.Errorf("picked %q, %v, want h1", got, ok)
+	}
+	if got, ok := p.Pick(start, []string{"h1"}, area); ok {
+		t.Errorf("picked %q, want none", got)
+	}
+}
+
 func TestPeersPick(t *testing.T) {
 	tests := []struct {
 		name string
@@ -124,7 +138,7 @@
 			tt.do(p)
 			var tried []string
 			for {
-				address, ok := p.Pick(start.Add(tt.at), tried)
+				address, ok := p.Pick(start.Add(tt.at), tried, residency.Area{})
 				if !ok {
 					break
 				}
--- a/process/forwarding/peers.go
+++ b/process/forwarding/peers.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -50,12 +51,12 @@
 
 // Pick returns a host to ask, or false if there is none. It compares two hosts at random, since other hosts choose at the
 // same time and all would choose the same one. Of two with as many requests of this host, the one in the same data centre is
-// nearer. Hosts that are to be avoided come last.
-func (p *Peers) Pick(now time.Time, tried []string) (string, bool) {
+// nearer. Hosts that are to be avoided come last, and those outside the area are never returned.
+func (p *Peers) Pick(now time.Time, tried []string, area residency.Area) (string, bool) {
 	var list, avoided []*peerHost
 	for _, h := range p.hosts {
 		switch {
-		case slices.Contains(tried, h.address):
+		case slices.Contains(tried, h.address), !area.Contains(h.dataCentre):
 		case now.Before(h.avoidUntil):
 			avoided = append(avoided, h)
 		default:
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -17,6 +17,7 @@
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
 	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -152,7 +153,7 @@
 	start := g.clock.Now()
 	for len(tried) < maxOffers && g.clock.Now().Sub(start) < maxOfferTime {
 		g.mu.Lock()
-		host, found := g.peers.Pick(g.clock.Now(), tried)
+		host, found := g.peers.Pick(g.clock.Now(), tried, r.forwardArea())
 		g.mu.Unlock()
 		if !found {
 			break
@@ -180,6 +181,16 @@
 	return errNoForwarder
 }
 
+// forwardArea returns where the request may be sent to another entry host. While its route isn't known, that is the region in which
+// the caller has reached this host.
+func (r *callerRequest) forwardArea() residency.Area {
+	if r.route == nil {
+		s := r.gateway.settings()
+		return s.Regions.Around(s.DataCentre)
+	}
+	return r.area
+}
+
 // avoidPeer makes later requests avoid a host for a time that has refused one or didn't answer, and returns the reason.
 func (g *Gateway) avoidPeer(host string, err error) (reason string) {
 	pause := forwarding.UnreachablePause
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -15,6 +15,7 @@
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -276,7 +277,7 @@
 	defer g.mu.Unlock()
 	var hosts []string
 	for range n {
-		host, found := g.peers.Pick(g.clock.Now(), append(hosts, without...))
+		host, found := g.peers.Pick(g.clock.Now(), append(hosts, without...), residency.Area{})
 		if !found {
 			break
 		}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -15,6 +15,7 @@
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
+	"savorywing.example/savorywing/version/residency"
 )
 
 // updateRetryAfter is the minimum Retry-After from a host that lacks the leader's latest update. An election and a
@@ -39,6 +40,8 @@
 	// organisation is empty for public routes.
 	organisation string
 	priority     int
+	// area is where the request may be handled.
+	area residency.Area
 	// deadline is the end of the caller's timeout or of the route's, whichever is first.
 	deadline time.Time
 	// waitUntil is until when the request may wait for updates from the leader.
@@ -264,8 +267,10 @@
 		}
 		r.organisation = o.Name
 		r.priority = priority(o, r.route)
+		r.area = g.settings().Regions.Within(r.route.Regions, o.Regions)
 	} else {
 		r.priority = priority(nil, r.route)
+		r.area = g.settings().Regions.Within(r.route.Regions)
 	}
 	r.service = c.Service(r.route.PickService(rand.Float64()))
 	if r.lastEventID < 0 && r.route.Kind == catalogue.Streaming && r.route.Resumable {
@@ -325,7 +330,7 @@
 func (r *callerRequest) placementRequest(now time.Time) placement.Request {
 	request := placement.Request{
 		Service: r.service.Name, PromptTokens: r.caller.PromptTokens, Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
-		Elapsed: now.Sub(r.exchange.Arrival()) + r.priorWait, Remaining: r.deadline.Sub(now), Excluded: r.excluded, Retry: r.begun() > 0,
+		Elapsed: now.Sub(r.exchange.Arrival()) + r.priorWait, Remaining: r.deadline.Sub(now), Area: r.area, Excluded: r.excluded, Retry: r.begun() > 0,
 	}
 	if e := r.service.Engine; e != nil {
 		request.Model = r.caller.Model
--- a/process/placement/balancer_test.go
+++ b/process/placement/balancer_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -29,6 +30,19 @@
 	return b
 }
 
+// locate puts the groups into data centres.
+func locate(b *Balancer, dataCentres ...string) {
+	list := groups(len(dataCentres))
+	for i := range list {
+		list[i].DataCentre = dataCentres[i]
+	}
+	b.UpdateEndpoints(true, list, nil)
+}
+
+func area(regions ...string) residency.Area {
+	return residency.Map{"x": "north", "y": "south"}.Within(regions)
+}
+
 func TestPick(t *testing.T) {
 	now := time.Unix(1000, 0)
 	fill := func(b *Balancer, id string, n int) {
@@ -49,6 +63,11 @@
 		{"all are full", func(b *Balancer) { fill(b, "g0", 40); fill(b, "g1", 40) }, nil, ReasonFull, ""},
 		{"all are full, but it is a retry", func(b *Balancer) { fill(b, "g0", 40); fill(b, "g1", 40) }, func(req *Request) { req.Retry = true }, ReasonNone, ""},
 		{"one is excluded", func(*Balancer) {}, func(req *Request) { req.Excluded = []string{"g0"} }, ReasonNone, "g0"},
+		{"one is in another region", func(b *Balancer) { locate(b, "x", "y") }, func(req *Request) { req.Area = area("south") }, ReasonNone, "g0"},
+		{"in another region, also a retry", func(b *Balancer) { locate(b, "x", "y"); fill(b, "g1", 40) }, func(req *Request) { req.Area, req.Retry = area("south"), true }, ReasonNone, "g0"},
+		{"full in its region", func(b *Balancer) { locate(b, "x", "y"); fill(b, "g1", 40) }, func(req *Request) { req.Area = area("south") }, ReasonFull, ""},
+		{"none is in its region", func(b *Balancer) { locate(b, "x", "x") }, func(req *Request) { req.Area = area("south") }, ReasonRegion, ""},
+		{"a data centre without a region", func(b *Balancer) { locate(b, "x", "z") }, func(req *Request) { req.Area = area("south") }, ReasonRegion, ""},
 		{"all excluded", func(*Balancer) {}, func(req *Request) { req.Excluded = []string{"g0", "g1"} }, ReasonFull, ""},
 		{"prompts of other hosts wait", func(b *Balancer) {
 			b.SetLoads(now, []fleet.Load{{Handle: 1, InFlight: 5, WaitingTokens: 30000}}, 9)
--- a/process/placement/notice.go
+++ b/process/placement/notice.go
@@ -84,7 +84,7 @@
 	for _, e := range b.pools[req.key()] {
 		n := b.notices[e.ID]
 		closedFor := n.closedUntil.Sub(now)
-		if n.born != e.Born || n.leaving || closedFor <= 0 {
+		if n.born != e.Born || n.leaving || closedFor <= 0 || !req.Area.Contains(e.DataCentre) {
 			continue
 		}
 		if earliest == 0 || closedFor < earliest {
--- a/process/placement/permit.go
+++ b/process/placement/permit.go
@@ -43,7 +43,7 @@
 // isLimited reports whether a server that could take a request lacks only a permit.
 func (b *Balancer) isLimited(now time.Time, req Request) bool {
 	for _, e := range b.pools[req.key()] {
-		if !isExcluded(req, e.ID) && b.accepts(now, e) && !b.permits.Allows(now, e.ID, e.Born) {
+		if mayServe(req, e) && b.accepts(now, e) && !b.permits.Allows(now, e.ID, e.Born) {
 			return true
 		}
 	}
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"savorywing.example/savorywing/process/quota"
+	"savorywing.example/savorywing/version/residency"
 )
 
 // Request describes a request to be placed on an endpoint.
@@ -22,6 +23,8 @@
 	MaxEventGap time.Duration
 	// Remaining is the time after which no response is of use to the caller.
 	Remaining time.Duration
+	// Area is where the request may be handled.
+	Area residency.Area
 	// Excluded lists the IDs of endpoints that must not be chosen again.
 	Excluded []string
 	// Retry reports whether the request was already sent elsewhere, so that rejecting it now would lose it.
@@ -94,6 +97,8 @@
 	ReasonFull Reason = "full"
 	// ReasonLimited means that the servers take no further request at this moment by their own limits.
 	ReasonLimited Reason = "limited"
+	// ReasonRegion means that no endpoint is in a region where the request may be handled.
+	ReasonRegion Reason = "region"
 	// ReasonCutOff means that this host reaches no servers, and no other entry host takes the request.
 	ReasonCutOff Reason = "cutOff"
 	// ReasonQuarantined means that servers crash on a part of the request's prompt.
@@ -215,7 +220,7 @@
 	list := b.pools[req.key()]
 	var suspect []*endpoint
 	for _, e := range list {
-		if isExcluded(req, e.ID) || !b.accepts(now, e) || !b.permits.Allows(now, e.ID, e.Born) {
+		if !mayServe(req, e) || !b.accepts(now, e) || !b.permits.Allows(now, e.ID, e.Born) {
 			continue
 		}
 		stalled := e.isStalled(now, b.stallTimeout(e)) || (e.remoteStalled && e.load() > 0)
@@ -239,6 +244,11 @@
 	return usable, len(list)
 }
 
+// mayServe reports whether a request may be sent to an endpoint at all.
+func mayServe(req Request, e *endpoint) bool {
+	return !isExcluded(req, e.ID) && req.Area.Contains(e.DataCentre)
+}
+
 func isExcluded(req Request, id string) bool {
 	for _, excluded := range req.Excluded {
 		if excluded == id {
@@ -362,6 +372,9 @@
 	if poolSize > 0 {
 		d.Reason = ReasonFull
 	}
+	if req.Area.IsRestricted() && !b.hasServer(req) {
+		d.Reason = ReasonRegion
+	}
 	if b.isLimited(now, req) {
 		d.Reason, d.RetryAfter = ReasonLimited, b.jitter(max(minRetryAfter, b.permits.UntilNext(now, req.pool())))
 	}
@@ -371,6 +384,16 @@
 	return d
 }
 
+// hasServer reports whether an endpoint of the pool may serve the request, whatever its state.
+func (b *Balancer) hasServer(req Request) bool {
+	for _, e := range b.pools[req.key()] {
+		if req.Area.Contains(e.DataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
 // rejectFull rejects a request because of overload. RetryAfter is the predicted time until the queue ahead of the
 // caller is served, with jitter, so that callers don't retry at the same moment.
 func (b *Balancer) rejectFull(list []*endpoint, s scoredEndpoint) Decision {
--- a/version/catalogue/catalogue.go
+++ b/version/catalogue/catalogue.go
@@ -59,6 +59,8 @@
 	Public bool
 	// Resumable streams may be continued by another backend server after the last delivered event.
 	Resumable bool
+	// Regions are those in which requests may be handled; empty for all.
+	Regions []string
 }
 
 // Retryable reports whether a request of the route may be run again from its beginning.
@@ -135,6 +137,8 @@
 	// Priority orders requests before the route's priority does; 0 is the most urgent. It is set if HasPriority is.
 	Priority    int
 	HasPriority bool
+	// Regions are those in which the organisation's requests may be handled; empty for all.
+	Regions []string
 }
 
 // Limits bound a caller's requests and connection.
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -15,6 +15,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -42,6 +43,8 @@
 	Name       string `yaml:"name"`
 	IP         string `yaml:"ip"`
 	DataCentre string `yaml:"dataCentre"`
+	// Regions holds the region of each data centre. A document can restrict requests to regions.
+	Regions residency.Map `yaml:"regions"`
 	// CallerAddress is the address on which an entry host accepts callers' connections.
 	CallerAddress string `yaml:"callerAddress"`
 	// ReadyAddress is the address on which an entry host serves its readiness check.
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -10,6 +10,7 @@
 name: entry-1
 ip: 10.0.0.1
 dataCentre: a
+regions: {"a":"north","b":"south"}
 callerAddress: 10.0.0.1:8080
 readyAddress: 10.0.0.1:8081
 peerPorts: [7340,7355]
@@ -30,49 +31,49 @@
 	if got := s.SeedPeerAddresses(); len(got) != 2 || got[0] != "10.0.0.7:7340" {
 		t.Errorf("seeds: %v", got)
 	}
-	if s.VoterCount() != 5 || s.KeyRevocationMs != 4000 || s.DrainMs != 2000 || s.PeerAddress() != "10.0.0.1:7340" {
+	if s.VoterCount() != 5 || s.KeyRevocationMs != 4000 || s.DrainMs != 2000 || s.PeerAddress() != "10.0.0.1:7340" || s.Regions["b"] != "south" {
 		t.Errorf("settings: %+v", s)
 	}
 }
 
 func TestParseRejects(t *testing.T) {
 	tests := []struct{ name, old, new, want string }{
-		{"unknown field", "token: secret", "tokn: secret", "line 10"},
-		{"wrong type", "memoryMB: 206", "memoryMB: much", "line 12"},
+		{"unknown field", "token: secret", "tokn: secret", "line 11"},
+		{"wrong type", "memoryMB: 206", "memoryMB: much", "line 13"},
 		{"no IP address", "ip: 10.0.0.1", "ip: somewhere", "line 3: ip"},
 		{"unknown role", "role: entry", "role: both", "line 1: role"},
 		{"no seeds", "seeds: [10.0.0.7:8229,10.0.0.8:8229]", "seeds: []", "seeds"},
-		{"no token", "token: secret", "token: ''", "line 10: token"},
-		{"an empty accepted token", "token: secret", "token: secret\nacceptedTokens: ['']", "line 11: acceptedTokens"},
+		{"no token", "token: secret", "token: ''", "line 11: token"},
+		{"an empty accepted token", "token: secret", "token: secret\nacceptedTokens: ['']", "line 12: acceptedTokens"},
 		{"entry host without a caller address", "callerAddress: 10.0.0.1:8080", "", "callerAddress"},
 		{"control host without a data folder", "role: entry", "role: control\ncontrolAddress: 10.0.0.1:8229", "dataDir"},
 		{"address without a port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1", "10.0.0.1"},
-		{"address with port 0", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:0", "line 6: readyAddress"},
-		{"address with port 70000", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:70000", "line 6: readyAddress"},
-		{"address with port -1", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:-1", "line 6: readyAddress"},
-		{"address with a word as its port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:http", "line 6: readyAddress"},
-		{"address with a word as its host", "callerAddress: 10.0.0.1:8080", "callerAddress: nowhere:8080", "line 5: callerAddress"},
-		{"peer port 0", "[7340,7355]", "[0]", "line 7: peerPorts"},
-		{"peer port -1", "[7340,7355]", "[7340,-1]", "line 7: peerPorts"},
-		{"peer port 70000", "[7340,7355]", "[70000]", "line 7: peerPorts"},
-		{"peer port beyond 64 bits", "[7340,7355]", "[18446744073709551616]", "line 7"},
-		{"peer port twice", "[7340,7355]", "[7340,7340]", "line 7: peerPorts"},
-		{"metrics port 70000", "lostDisks: 2", "metricsPort: 70000", "line 11: metricsPort"},
-		{"metrics port -1", "lostDisks: 2", "metricsPort: -1", "line 11: metricsPort"},
-		{"no valid seed", "[10.0.0.7:8229,10.0.0.8:8229]", "[nowhere:1,'10.0.0.7',10.0.0.7:70000]", "line 8: seeds"},
-		{"seeds of another type", "[10.0.0.7:8229,10.0.0.8:8229]", "{a: b}", "line 8"},
-		{"negative losses", "lostDisks: 2", "lostDisks: -1", "line 11: lostDisks"},
-		{"huge losses", "lostDisks: 2", "lostDisks: 9223372036854775807", "line 11: lostDisks"},
-		{"negative memory", "memoryMB: 206", "memoryMB: -1", "line 12: memoryMB"},
-		{"huge memory", "memoryMB: 206", "memoryMB: 9223372036854775807", "line 12: memoryMB"},
-		{"capacity that is no number", "lostDisks: 2", "cpuShare: .nan", "line 11: cpuShare"},
-		{"infinite capacity", "lostDisks: 2", "linkMbps: .inf", "line 11: linkMbps"},
-		{"negative time", "revokeMs: 4000", "revokeMs: -4000", "line 13: limits"},
-		{"huge time", "revokeMs: 4000", "reportEveryMs: 9223372036854775807", "line 13: limits"},
-		{"time that is no number", "revokeMs: 4000", "graceSeconds: .nan", "line 13: limits"},
-		{"infinite time", "revokeMs: 4000", "retryWindowSeconds: .inf", "line 13: limits"},
-		{"negative ratio", "revokeMs: 4000", "retryShare: -0.1", "line 13: limits"},
-		{"same field twice", "lostDisks: 2", "lostDisks: 2\nlostDisks: 3", "line 12"},
+		{"address with port 0", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:0", "line 7: readyAddress"},
+		{"address with port 70000", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:70000", "line 7: readyAddress"},
+		{"address with port -1", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:-1", "line 7: readyAddress"},
+		{"address with a word as its port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:http", "line 7: readyAddress"},
+		{"address with a word as its host", "callerAddress: 10.0.0.1:8080", "callerAddress: nowhere:8080", "line 6: callerAddress"},
+		{"peer port 0", "[7340,7355]", "[0]", "line 8: peerPorts"},
+		{"peer port -1", "[7340,7355]", "[7340,-1]", "line 8: peerPorts"},
+		{"peer port 70000", "[7340,7355]", "[70000]", "line 8: peerPorts"},
+		{"peer port beyond 64 bits", "[7340,7355]", "[18446744073709551616]", "line 8"},
+		{"peer port twice", "[7340,7355]", "[7340,7340]", "line 8: peerPorts"},
+		{"metrics port 70000", "lostDisks: 2", "metricsPort: 70000", "line 12: metricsPort"},
+		{"metrics port -1", "lostDisks: 2", "metricsPort: -1", "line 12: metricsPort"},
+		{"no valid seed", "[10.0.0.7:8229,10.0.0.8:8229]", "[nowhere:1,'10.0.0.7',10.0.0.7:70000]", "line 9: seeds"},
+		{"seeds of another type", "[10.0.0.7:8229,10.0.0.8:8229]", "{a: b}", "line 9"},
+		{"negative losses", "lostDisks: 2", "lostDisks: -1", "line 12: lostDisks"},
+		{"huge losses", "lostDisks: 2", "lostDisks: 9223372036854775807", "line 12: lostDisks"},
+		{"negative memory", "memoryMB: 206", "memoryMB: -1", "line 13: memoryMB"},
+		{"huge memory", "memoryMB: 206", "memoryMB: 9223372036854775807", "line 13: memoryMB"},
+		{"capacity that is no number", "lostDisks: 2", "cpuShare: .nan", "line 12: cpuShare"},
+		{"infinite capacity", "lostDisks: 2", "linkMbps: .inf", "line 12: linkMbps"},
+		{"negative time", "revokeMs: 4000", "revokeMs: -4000", "line 14: limits"},
+		{"huge time", "revokeMs: 4000", "reportEveryMs: 9223372036854775807", "line 14: limits"},
+		{"time that is no number", "revokeMs: 4000", "graceSeconds: .nan", "line 14: limits"},
+		{"infinite time", "revokeMs: 4000", "retryWindowSeconds: .inf", "line 14: limits"},
+		{"negative ratio", "revokeMs: 4000", "retryShare: -0.1", "line 14: limits"},
+		{"same field twice", "lostDisks: 2", "lostDisks: 2\nlostDisks: 3", "line 13"},
 		{"deep nesting", "[7340,7355]", strings.Repeat("[", 20000), ""},
 		{"not UTF-8", "name: entry-1", "name: \xff\xfe", ""},
 		{"aliases that expand", "name: entry-1", "name: &a [x]\nseeds: [*a,*a]", ""},
