--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -30,8 +30,9 @@
 	lowestMicroseconds  = 1
 	highestMicroseconds = int64(time.Minute / time.Microsecond)
 	significantFigures  = 2
-	// Scrapers send short requests without a body.
+	// Scrapers send short requests without a body, and further pages take short bodies.
 	maxHeaderBytes = 4 << 10
+	maxBodyBytes   = 64 << 10
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	stopTimeout    = 500 * time.Millisecond
@@ -44,6 +45,9 @@
 	set  *metrics.Set
 	http *ingress.Server
 
+	// pages holds handlers of further paths.
+	pages map[string]fasthttp.RequestHandler
+
 	mu         sync.Mutex
 	histograms map[key]*hdrhistogram.Histogram
 }
@@ -52,8 +56,8 @@
 
 // New returns empty telemetry.
 func New(clock savorywing.Clock, log zerolog.Logger) *Telemetry {
-	t := &Telemetry{set: metrics.NewSet(), histograms: map[key]*hdrhistogram.Histogram{}}
-	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	t := &Telemetry{set: metrics.NewSet(), histograms: map[key]*hdrhistogram.Histogram{}, pages: map[string]fasthttp.RequestHandler{}}
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	t.http = ingress.New(clock, ingress.NewRequestHandler(t.handle, t.handle), func() ingress.Limits { return limits }, log)
 	return t
 }
@@ -68,6 +72,9 @@
 	t.set.GetOrCreateGauge("savorywing_"+name, read)
 }
 
+// Handle serves a further path. It must be called before Start.
+func (t *Telemetry) Handle(path string, page fasthttp.RequestHandler) { t.pages[path] = page }
+
 // Observe records a duration in the histogram of a label's value.
 func (t *Telemetry) Observe(name, label, value string, d time.Duration) {
 	t.mu.Lock()
@@ -158,6 +165,10 @@
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(ctx)
 	default:
+		if page := t.pages[string(ctx.Path())]; page != nil {
+			page(ctx)
+			return
+		}
 		ctx.Error("no such page", fasthttp.StatusNotFound)
 	}
 }
