Evacuation of data centres: orders in the replicated log, obeyed by entry hosts and formation

Change: process/evacuation holds the set of evacuated data centres and decides which orders can be proposed. Placement leaves out servers of evacuated data centres, also just before a request is sent. Formation closes their groups once their requests have ended and uses none of their servers. Settings: dataCentres, evacuateMs. Control hosts announce the format of the log that they know, so that no order is accepted beside one that would lose it.

--- a/cmd/savorywing/client.go
+++ b/cmd/savorywing/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
@@ -11,6 +12,13 @@
 	"savorywing.example/savorywing/version/settings"
 )
 
+// errNoControl means that a command needs control hosts.
+var errNoControl = errors.New("--control names no control host")
+
+func addControlFlag(cmd *cobra.Command, control *[]string) {
+	cmd.Flags().StringSliceVar(control, "control", nil, "control addresses (host:port) of control hosts of a fleet")
+}
+
 const defaultOperators = "127.0.0.1:9180"
 
 // clientFlags are the flags of the commands that call a running daemon.
--- a/cmd/savorywing/main.go
+++ b/cmd/savorywing/main.go
@@ -47,7 +47,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newServe(), newRun(), newDev(), newCheck(), newExplain(), newApply(), newConfig(), newStatus(), newGroups(), newHosts(), newDrain(), newBench(), newSoak(), newVersion())
+	root.AddCommand(newServe(), newRun(), newDev(), newCheck(), newExplain(), newApply(), newConfig(), newStatus(), newGroups(), newHosts(), newDrain(), newEvacuate(), newBench(), newSoak(), newVersion())
 	return root
 }
 
--- a/cmd/savorywing/status.go
+++ b/cmd/savorywing/status.go
@@ -9,7 +9,9 @@
 
 	"github.com/spf13/cobra"
 
+	"savorywing.example/savorywing/connection/controlapi"
 	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/platform"
 	"savorywing.example/savorywing/process/metrics"
 )
 
@@ -24,20 +26,48 @@
 
 func newStatus() *cobra.Command {
 	f := &clientFlags{}
+	var control []string
 	cmd := &cobra.Command{
 		Use:     "status",
 		Short:   "Shows one daemon's state, alarms and histograms",
 		Long:    statusHelp,
-		Example: "  savorywing status --operators 127.0.0.1:9180",
+		Example: "  savorywing status --operators 127.0.0.1:9180\n  savorywing status --control 10.0.0.1:8229,10.0.0.2:8229",
 		Args:    usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if len(control) > 0 {
+				return printControlStatus(cmd, f, control)
+			}
 			return getAndPrint(cmd, f, operator.PathStatus, printStatus)
 		},
 	}
 	f.add(cmd)
+	addControlFlag(cmd, &control)
 	return cmd
 }
 
+// printControlStatus prints the status of the first control host of a fleet that answers.
+func printControlStatus(cmd *cobra.Command, f *clientFlags, control []string) error {
+	s, err := controlapi.NewClient(platform.Dialect{}, control).Status()
+	if err != nil {
+		return err
+	}
+	w := cmd.OutOrStdout()
+	if f.json {
+		return printJSON(w, s)
+	}
+	fmt.Fprintf(w, "control host %s, leading: %t; leader %s of term %d\n", s.Host, s.Leading, s.Leader, s.Term)
+	fmt.Fprintf(w, "document %d; members %s\n", s.Document, strings.Join(s.Members, ", "))
+	if s.LogFailure != "" {
+		fmt.Fprintln(w, "ALARM diskFailed:", s.LogFailure)
+	}
+	if len(s.Evacuated) == 0 {
+		fmt.Fprintln(w, "no data centre is evacuated")
+		return nil
+	}
+	fmt.Fprintf(w, "evacuated: %s (since log entry %d)\n", strings.Join(s.Evacuated, ", "), s.EvacuatedAt)
+	return nil
+}
+
 func printStatus(w io.Writer, s operator.Status) {
 	fmt.Fprintf(w, "host %s (%s), up %.0f s\n", s.Host, strings.Join(s.Roles, ", "), s.UptimeSeconds)
 	fmt.Fprintf(w, "configuration %d, confirmed: %t; leader %s; %d requests in flight\n", s.Configuration, s.IsFresh, s.Leader, s.InFlight)
--- /dev/null
+++ b/connection/controlapi/client.go
@@ -0,0 +1,90 @@
+package controlapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/wire"
+)
+
+const (
+	// callTimeout is how long a client waits for one control host before it calls the next one.
+	callTimeout = time.Second
+	// retryInterval is the pause before a client calls the same control host again.
+	retryInterval = 200 * time.Millisecond
+)
+
+// ErrRefused means that a control host has refused an order for good.
+var ErrRefused = errors.New("the order was refused")
+
+// Client calls the control hosts of a deployment.
+type Client struct {
+	dialect   savorywing.ControlDialect
+	addresses []string
+}
+
+// NewClient returns a client for the control addresses of one or more control hosts, which it calls in turn.
+func NewClient(dialect savorywing.ControlDialect, addresses []string) *Client {
+	return &Client{dialect: dialect, addresses: addresses}
+}
+
+// Evacuate begins the evacuation of a data centre, or finishes it, and returns once a control host has acknowledged the order. The error
+// wraps ErrRefused if the order can't be obeyed, and the error of ctx if none acknowledged it before ctx ended: the order may then
+// take effect or not.
+func (c *Client) Evacuate(ctx context.Context, order wire.Evacuate) error {
+	var last error
+	for i := 0; ; i++ {
+		status, body, err := c.call(c.addresses[i%len(c.addresses)], func(h *fasthttp.RequestHeader) { c.dialect.WriteEvacuation(h, order) })
+		switch {
+		case err != nil:
+			last = err
+		case status == fasthttp.StatusOK:
+			return nil
+		case status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError:
+			return fmt.Errorf("Client.Evacuate: %w: %s", ErrRefused, body)
+		default:
+			last = fmt.Errorf("status %d: %s", status, body)
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("Client.Evacuate: %w: %w", ctx.Err(), last)
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// Status returns the status of the first control host that answers.
+func (c *Client) Status() (Status, error) {
+	var s Status
+	var last error
+	for _, address := range c.addresses {
+		status, body, err := c.call(address, func(h *fasthttp.RequestHeader) { h.SetRequestURI(PathStatus) })
+		if err == nil && status != fasthttp.StatusOK {
+			err = fmt.Errorf("%s: status %d: %s", address, status, body)
+		}
+		if err == nil {
+			return s, json.Unmarshal(body, &s)
+		}
+		last = err
+	}
+	return s, fmt.Errorf("Client.Status: %w", last)
+}
+
+func (c *Client) call(address string, write func(h *fasthttp.RequestHeader)) (int, []byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	write(&req.Header)
+	req.URI().SetScheme("http")
+	req.URI().SetHost(address)
+	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
+		return 0, nil, fmt.Errorf("%s: %w", address, err)
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -30,6 +30,10 @@
 	ErrInvalidDocument = errors.New("the document is invalid")
 	// ErrInvalidReport means that a report or a withdrawal is not valid.
 	ErrInvalidReport = errors.New("the report is invalid")
+	// ErrInvalidDataCentre means that the name of a data centre is not valid.
+	ErrInvalidDataCentre = errors.New("the name of the data centre is invalid")
+	// ErrUnknownDataCentre means that there is no data centre of a name.
+	ErrUnknownDataCentre = errors.New("the data centre is unknown")
 	// ErrNoQuorum means that this host reaches no majority of control hosts, so its state may be stale. Another control
 	// host may be able to serve the call.
 	ErrNoQuorum = errors.New("no majority of control hosts answers")
@@ -46,6 +50,10 @@
 	PublishDocument(ctx context.Context, document []byte) error
 	// ReadDocument returns the newest document, as confirmed by a majority after the call started.
 	ReadDocument(ctx context.Context) ([]byte, error)
+	// Evacuate begins the evacuation of a data centre, or finishes it. An order that changes nothing is acknowledged as well.
+	Evacuate(ctx context.Context, order wire.Evacuate) error
+	// Status returns what this host knows of the control hosts and of the replicated state.
+	Status() Status
 }
 
 // Server serves the control address.
@@ -101,6 +109,10 @@
 }
 
 func (s *Server) handle(_ context.Context, r *fasthttp.RequestCtx) {
+	if r.IsGet() && string(r.Path()) == PathStatus {
+		s.writeStatus(r)
+		return
+	}
 	call := s.dialect.ReadControlRequest(r.Method(), r.Path())
 	switch call.Operation {
 	case savorywing.ControlReport:
@@ -123,6 +135,11 @@
 		}
 		r.SetContentType("application/json")
 		r.SetBody(b)
+	case savorywing.ControlBeginEvacuation, savorywing.ControlFinishEvacuation:
+		order := wire.Evacuate{DataCentre: call.DataCentre, On: call.Operation == savorywing.ControlBeginEvacuation}
+		if err := s.handler.Evacuate(s.ctx, order); err != nil {
+			s.writeError(r, err)
+		}
 	default:
 		r.Error("no such call", fasthttp.StatusNotFound)
 	}
@@ -162,8 +179,11 @@
 
 func (s *Server) writeError(r *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusServiceUnavailable
-	if errors.Is(err, ErrInvalidDocument) || errors.Is(err, ErrInvalidReport) {
+	switch {
+	case errors.Is(err, ErrInvalidDocument), errors.Is(err, ErrInvalidReport), errors.Is(err, ErrInvalidDataCentre):
 		status = fasthttp.StatusBadRequest
+	case errors.Is(err, ErrUnknownDataCentre):
+		status = fasthttp.StatusNotFound
 	}
 	r.Error(err.Error(), status)
 }
--- a/connection/controlapi/stop_test.go
+++ b/connection/controlapi/stop_test.go
@@ -45,6 +45,7 @@
 
 // countingHandler commits documents after a delay, unless the call is cancelled.
 type countingHandler struct {
+	Handler
 	delay time.Duration
 
 	mu        sync.Mutex
--- a/dialect.go
+++ b/dialect.go
@@ -185,6 +185,8 @@
 	CheckDocument(b []byte) (*catalogue.Catalogue, error)
 	// ReadDocument decodes a document that this or an earlier version has accepted.
 	ReadDocument(b []byte) (*catalogue.Catalogue, error)
+	// WriteEvacuation makes the header an operator's order to evacuate a data centre, or to finish that.
+	WriteEvacuation(h *fasthttp.RequestHeader, order wire.Evacuate)
 	// WriteOrder encodes an order as the header and body of a request; it returns the body.
 	WriteOrder(o FleetOrder, h *fasthttp.RequestHeader) []byte
 	// ReadOrderReply returns the outcome of an order from the HTTP status of the backend server's reply.
@@ -201,6 +203,8 @@
 	ControlWithdraw
 	ControlPublish
 	ControlRead
+	ControlBeginEvacuation
+	ControlFinishEvacuation
 )
 
 // ControlRequest is a decoded call to a control host.
@@ -208,4 +212,6 @@
 	Operation ControlOperation
 	// Server is the backend server's id; set for ControlReport and ControlWithdraw.
 	Server string
+	// DataCentre is the name of a data centre; set for ControlBeginEvacuation and ControlFinishEvacuation.
+	DataCentre string
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -17,6 +17,7 @@
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/disk"
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/forwarding"
@@ -104,6 +105,10 @@
 	quarantine *quarantine.Tracker
 	// limits divides the request limits of servers among the entry hosts.
 	limits *quota.Allocator
+	// evacuated holds the evacuated data centres as of the last look at the log.
+	evacuated *evacuation.Set
+	// startedAt is when the host was made.
+	startedAt time.Time
 	// forwarders lists the entry hosts that take requests of others.
 	forwarders *forwarding.Directory
 	// waiting holds the channels of callers that wait until the entry hosts have been notified.
@@ -155,6 +160,7 @@
 		daemons: map[string]time.Time{}, invalidReports: logging.NewRepeats(clock.Boottime{}),
 		reconciler: formation.New(reconcilerConfig(s)),
 	}
+	c.startedAt = c.clock.Now()
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.engines = engine.New(c.clock, dialect)
 	if err := c.assemble(); err != nil {
@@ -244,6 +250,7 @@
 		return 0
 	})
 	c.telemetry.Gauge("log_outages", func() float64 { return float64(c.node.Status().Outages) })
+	c.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(c.node.Status().Evacuated.Names())) })
 	c.telemetry.Gauge("log_commit_index", func() float64 { return float64(c.node.Status().CommitIndex) })
 	return nil
 }
@@ -369,6 +376,22 @@
 // Members returns the members of the replicated log as known to this host.
 func (c *Controller) Members() []wire.Member { return c.node.Status().Members.Members }
 
+// Status returns what this host knows of the control hosts and of the replicated state.
+func (c *Controller) Status() controlapi.Status {
+	s := c.node.Status()
+	out := controlapi.Status{
+		Host: c.settings.Name, Leader: quorum.HostOf(s.Leader), Leading: c.node.HasLease(), Term: s.Term, Members: []string{},
+		Evacuated: append([]string{}, s.Evacuated.Names()...), EvacuatedAt: s.Evacuated.Revision(), LogFailure: s.FailureReason,
+	}
+	for _, m := range s.Members.Members {
+		out.Members = append(out.Members, m.ID)
+	}
+	if s.Published != nil {
+		out.Document = s.Published.Version
+	}
+	return out
+}
+
 // IsLeader reports whether this host leads the control hosts.
 func (c *Controller) IsLeader() bool { return c.node.HasLease() }
 
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -36,7 +36,7 @@
 	c.totals.Expire(now, entryTimeout)
 	c.forwarders.Expire(now, entryTimeout)
 	in := formation.Input{
-		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(),
+		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(), Evacuated: c.evacuated,
 		FirstStart: c.settings.FirstStart && !c.hasSeenRequests,
 	}
 	for _, o := range c.reconciler.Step(now, in) {
@@ -60,7 +60,7 @@
 
 func (c *Controller) logSummary(now time.Time, in formation.Input) {
 	s := c.reconciler.Summary(now, in)
-	e := c.log.Info().Str("event", "fleet").Int("free", s.Free).Int("loading", s.Loading).Int("lost", s.Lost).Int("entries", len(c.entryHosts))
+	e := c.log.Info().Str("event", "fleet").Int("free", s.Free).Int("loading", s.Loading).Int("lost", s.Lost).Int("evacuated", s.Evacuated).Int("entries", len(c.entryHosts))
 	for model, m := range s.Models {
 		e = e.Dict(model, zerolog.Dict().Int("open", m.Open).Int("forming", m.Forming).Int("ending", m.Ending).
 			Float64("need", m.DemandRatio).Float64("demand", in.Demand[model]))
@@ -148,7 +148,7 @@
 func (c *Controller) changesSince(revision uint64) *wire.FleetUpdate {
 	u := &wire.FleetUpdate{Term: c.term, Revision: c.endpoints.revision, Leader: c.settings.PeerAddress()}
 	u.Endpoints, u.Removed, u.Full = c.endpoints.since(revision)
-	u.Quarantine = c.quarantine.List(c.clock.Now())
+	u.Quarantine, u.Evacuations = c.quarantine.List(c.clock.Now()), c.evacuated.Wire()
 	if u.Full {
 		u.Controls = c.controlHosts()
 	}
@@ -234,11 +234,13 @@
 	for _, d := range u.Demand {
 		c.hasSeenRequests = c.hasSeenRequests || d.Requests > 0
 	}
-	if status := c.node.Status(); status.Published != nil {
+	status := c.node.Status()
+	if status.Published != nil {
 		if d := c.document.Load(); d == nil || d.version < status.Published.Version {
 			c.decodeDocument(status.Published)
 		}
 	}
+	c.updateEvacuated(now, status.Evacuated)
 	// The lease is checked after everything that the update contains has been read.
 	if c.node.HasLease() {
 		c.reply(host, e)
--- /dev/null
+++ b/process/controller/evacuation.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"savorywing.example/savorywing/connection/controlapi"
+	"savorywing.example/savorywing/process/evacuation"
+	"savorywing.example/savorywing/process/quorum"
+	"savorywing.example/savorywing/wire"
+)
+
+// evacuateTimeout bounds an order to evacuate a data centre. It is shorter than the second after which operators send an order again, so
+// that none is proposed after its operator may have gone on to the next one.
+const evacuateTimeout = 900 * time.Millisecond
+
+// errRejected means that the leader's version doesn't know the command.
+var errRejected = errors.New("the leader rejected the command")
+
+// Evacuate commits an order to evacuate a data centre, or to finish that. It returns ErrUnknownDataCentre if there is none of that name,
+// ErrInvalidDataCentre if the name can't be one, and ErrNoQuorum if the order was not committed in time or can't be accepted yet.
+func (c *Controller) Evacuate(ctx context.Context, order wire.Evacuate) error {
+	if err := order.Validate(); err != nil {
+		return fmt.Errorf("Controller.Evacuate: %w: %w", controlapi.ErrInvalidDataCentre, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, evacuateTimeout)
+	defer cancel()
+	start := c.clock.Now()
+	err := c.checkEvacuation(ctx, order)
+	if err == nil {
+		err = c.proposeEvacuation(ctx, order)
+	}
+	result := "accepted"
+	if err != nil {
+		result = "refused"
+	}
+	c.telemetry.Count("evacuation_orders", "result", result)
+	c.log.Info().Str("event", "evacuationOrdered").Str("dataCentre", order.DataCentre).Bool("on", order.On).
+		Dur("took", c.clock.Now().Sub(start)).Err(err).Msg("an operator's order for a data centre")
+	if err != nil {
+		return fmt.Errorf("Controller.Evacuate: %w", err)
+	}
+	return nil
+}
+
+func (c *Controller) proposeEvacuation(ctx context.Context, order wire.Evacuate) error {
+	r, err := c.propose(ctx, wire.Command{Evacuate: &order})
+	if err == nil && !r.Accepted {
+		err = fmt.Errorf("%w: %s", errRejected, r.Reason)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", controlapi.ErrNoQuorum, err)
+	}
+	return nil
+}
+
+// checkEvacuation returns why an order can't be proposed, by what the event loop knows.
+func (c *Controller) checkEvacuation(ctx context.Context, order wire.Evacuate) error {
+	result := make(chan error, 1)
+	if !c.push(evacuationEvent{order: order, result: result}) {
+		return fmt.Errorf("%w: the queue is full", controlapi.ErrNoQuorum)
+	}
+	select {
+	case err := <-result:
+		if errors.Is(err, evacuation.ErrUnknown) {
+			return fmt.Errorf("%w: %w", controlapi.ErrUnknownDataCentre, err)
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", controlapi.ErrNoQuorum, err)
+		}
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", controlapi.ErrNoQuorum, ctx.Err())
+	}
+}
+
+// evacuationView returns what this host knows as an order arrives.
+func (c *Controller) evacuationView(now time.Time) evacuation.View {
+	v := evacuation.View{
+		Evacuated: c.evacuated, IsKnown: c.knowsDataCentre,
+		Complete: len(c.settings.DataCentres) > 0 || now.Sub(c.startedAt) > reconcilerConfig(c.settings).TakeoverDelay,
+	}
+	for _, m := range c.node.Status().Members.Members {
+		// A member that was last heard of long ago has ended, or comes back with whatever version is installed then.
+		if p, known := c.presence[quorum.HostOf(m.ID)]; known && now.Sub(p.soundAt) < serverRetention {
+			v.Formats = append(v.Formats, p.presence.LogFormat)
+		}
+	}
+	return v
+}
+
+// knowsDataCentre reports whether a data centre is named in the settings, or by a server or a daemon.
+func (c *Controller) knowsDataCentre(name string) bool {
+	if name == c.settings.DataCentre || slices.Contains(c.settings.DataCentres, name) {
+		return true
+	}
+	for _, s := range c.table.Servers() {
+		if s.Report().DataCentre == name {
+			return true
+		}
+	}
+	for _, host := range c.mesh.InboundHosts() {
+		if c.mesh.DataCentreOf(host) == name {
+			return true
+		}
+	}
+	return false
+}
+
+// updateEvacuated applies the evacuated data centres of the replicated log. A leader tells the entry hosts of a change at once.
+func (c *Controller) updateEvacuated(now time.Time, s *evacuation.Set) {
+	if s == c.evacuated {
+		return
+	}
+	changed := s.Revision() != c.evacuated.Revision()
+	c.evacuated = s
+	if !changed {
+		return
+	}
+	c.changed = true
+	c.log.Warn().Str("event", "evacuationsInForce").Strs("dataCentres", s.Names()).Uint64("revision", s.Revision()).Uint64("term", c.term).
+		Bool("leading", c.leading).Msg("the evacuated data centres have changed")
+	if c.leading {
+		c.pushToAll(now)
+	}
+}
--- a/process/controller/frames.go
+++ b/process/controller/frames.go
@@ -27,6 +27,11 @@
 		// leaving names the server's incarnation if the response says that it is leaving.
 		leaving []wire.ServerIncarnation
 	}
+	// evacuationEvent asks whether an order can be proposed; result, which has room for it, receives the answer.
+	evacuationEvent struct {
+		order  wire.Evacuate
+		result chan<- error
+	}
 )
 
 // reportEvent is one report that nobody waits for.
@@ -36,9 +41,10 @@
 	direct bool
 }
 
-func (reportsEvent) isEvent()  {}
-func (presenceEvent) isEvent() {}
-func (outcomeEvent) isEvent()  {}
+func (reportsEvent) isEvent()    {}
+func (presenceEvent) isEvent()   {}
+func (outcomeEvent) isEvent()    {}
+func (evacuationEvent) isEvent() {}
 
 // frameHandler handles the frames that other daemons send.
 type frameHandler struct {
--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
 )
@@ -30,6 +31,7 @@
 	status := c.node.Status()
 	return wire.Frame{Presence: &wire.Presence{
 		ID: status.ID, ControlAddress: c.settings.ControlAddress, Peers: c.controlHosts(), DiskFailed: status.FailureReason != "",
+		LogFormat: evacuation.LogFormat,
 	}}
 }
 
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/quarantine"
@@ -135,6 +136,8 @@
 		c.reconciler.RecordOutcome(c.clock.Now(), e.order, e.outcome)
 		c.applyLeaving(e.leaving)
 		c.changed = true
+	case evacuationEvent:
+		e.result <- evacuation.Check(c.evacuationView(c.clock.Now()), e.order)
 	}
 }
 
@@ -229,6 +232,7 @@
 // updateLeadership applies changes of the leader, the term and the lease.
 func (c *Controller) updateLeadership(now time.Time) {
 	status := c.node.Status()
+	c.updateEvacuated(now, status.Evacuated)
 	leading := status.Role == quorum.Leader && now.Before(status.LeaseUntil)
 	if leading != c.leading || status.Term != c.term {
 		c.log.Info().Str("event", "leadership").Bool("leading", leading).Uint64("term", status.Term).Str("leader", status.Leader).Msg("leadership changed")
--- a/process/formation/advance.go
+++ b/process/formation/advance.go
@@ -79,6 +79,9 @@
 		// Orders that an earlier leader sent to its members may still be executed, so it must not be opened now.
 		return true
 	}
+	if rc.endsByEvacuation(now, in, g) {
+		return true
+	}
 	for rank := range size {
 		if rc.isMemberUnavailable(now, in, g, rank) {
 			return true
--- a/process/formation/plan.go
+++ b/process/formation/plan.go
@@ -74,7 +74,7 @@
 func (rc *Reconciler) capacity(in Input, e *catalogue.Engine) map[string]float64 {
 	out := map[string]float64{}
 	for _, g := range rc.groups {
-		if m := findModel(in.Catalogue, g.model); m != nil && !g.ending {
+		if m := findModel(in.Catalogue, g.model); m != nil && !g.ending && !rc.isEvacuated(g) {
 			out[g.model] += groupCapacity(in, e, m)
 		}
 	}
@@ -148,7 +148,7 @@
 		}
 	}
 	r := e.Report()
-	return !rc.unplaced[r.ID] && !rc.isLost(now, e.Server) && !r.Leaving && rc.orders[r.ID] == nil && !now.Before(rc.quarantinedUntil[r.ID]) &&
+	return !rc.unplaced[r.ID] && !rc.evacuated.Covers(r.DataCentre) && !rc.isLost(now, e.Server) && !r.Leaving && rc.orders[r.ID] == nil && !now.Before(rc.quarantinedUntil[r.ID]) &&
 		!rc.mayReceiveStaleOrder(now, e.Server)
 }
 
--- a/process/formation/rebalance.go
+++ b/process/formation/rebalance.go
@@ -108,7 +108,7 @@
 	byDomain, open := map[string][]*group{}, map[string]int{}
 	for _, g := range p.reconciler.index.groups {
 		head := p.reconciler.member(g, 0)
-		if membership := membershipOf(head, g); !g.ending && !g.removed && !used[g.members[0]] && g.model != m.Name && membership != nil && membership.State == fleet.StateOpen {
+		if membership := membershipOf(head, g); !g.ending && !g.removed && !p.reconciler.isEvacuated(g) && !used[g.members[0]] && g.model != m.Name && membership != nil && membership.State == fleet.StateOpen {
 			if r := head.Report(); r.Service == service {
 				byDomain[r.Domain] = append(byDomain[r.Domain], g)
 				open[g.model]++
--- a/process/formation/reconciler.go
+++ b/process/formation/reconciler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/wire"
@@ -67,6 +68,8 @@
 	Demand map[string]float64
 	// Progress has an entry for each head with requests in flight: whether any entry host sees them make progress.
 	Progress map[string]bool
+	// Evacuated holds the data centres whose servers are in no group; nil for none.
+	Evacuated *evacuation.Set
 	// FirstStart reports whether the whole system was started for the first time and has received no request yet.
 	FirstStart bool
 }
@@ -104,6 +107,9 @@
 	lastModels map[string]cachedModel
 	// reservations holds the servers of groups that a swap replaces, by id.
 	reservations map[string]reservation
+	// evacuated holds the evacuated data centres as of the last step, and evacuatedSince when each was first seen.
+	evacuated      *evacuation.Set
+	evacuatedSince map[string]time.Time
 	// quarantinedUntil holds the time until which a server that has rejected an order receives no further ones.
 	quarantinedUntil map[string]time.Time
 	// lastUnanswered is when each server last left an order unanswered.
@@ -165,6 +171,8 @@
 	headReleased bool
 	// removed is set once the group is no longer kept.
 	removed bool
+	// busyAt is when requests were last seen in flight at its head while the head's data centre was evacuated.
+	busyAt time.Time
 	// fresh is set during the observation in which the group is first seen.
 	fresh bool
 	// servers holds the members' servers by rank, nil for unknown ones; it is valid while resolved is set.
@@ -179,7 +187,8 @@
 	cfg.Defaults()
 	return &Reconciler{
 		cfg: cfg, groups: map[string]*group{}, pendingJoins: map[string]bool{}, orders: map[string]*pendingOrder{}, lastModels: map[string]cachedModel{}, seen: map[string]bool{}, quarantinedUntil: map[string]time.Time{},
-		reservations: map[string]reservation{}, unplaced: map[string]bool{},
+		evacuatedSince: map[string]time.Time{},
+		reservations:   map[string]reservation{}, unplaced: map[string]bool{},
 		lastUnanswered: map[string]time.Time{}, maxDomainHosts: map[string]int{},
 	}
 }
@@ -232,6 +241,7 @@
 	}
 	in.FirstStart = in.FirstStart && rc.noPriorOrders
 	rc.observe(now, in)
+	rc.observeEvacuated(now, in.Evacuated)
 	var orders []savorywing.FleetOrder
 	for _, g := range rc.index.groups {
 		orders = append(orders, rc.advance(now, in, g)...)
--- a/process/formation/reconciler_test.go
+++ b/process/formation/reconciler_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/wire"
@@ -84,6 +85,10 @@
 	lastServer int
 	// demand is the demand for each model, in slots.
 	demand map[string]float64
+	// evacuated holds the evacuated data centres. Each fabric domain is a data centre of its own, of the same name.
+	evacuated *evacuation.Set
+	// quietAt is when the last request ends in evacuated data centres.
+	quietAt time.Time
 	// stepInterval is the time between two steps if it is longer than simStep; lastStep is how long the last one took.
 	stepInterval, lastStep time.Duration
 	// onOrders is called for each order, if it is set.
@@ -159,7 +164,7 @@
 			s.runTimers(v)
 		}
 	}
-	in := Input{Table: s.table, Catalogue: s.catalogue, Term: s.term, Demand: map[string]float64{}, Progress: s.progress(), FirstStart: !s.served}
+	in := Input{Table: s.table, Catalogue: s.catalogue, Term: s.term, Demand: map[string]float64{}, Progress: s.progress(), Evacuated: s.evacuated, FirstStart: !s.served}
 	if s.served {
 		in.Demand = s.demand
 	}
@@ -189,7 +194,7 @@
 func (s *sim) progress() map[string]bool {
 	out := map[string]bool{}
 	for _, v := range s.servers {
-		if s.served && v.state == fleet.StateOpen && v.rank == 0 {
+		if s.served && v.state == fleet.StateOpen && v.rank == 0 && (!s.evacuated.Covers(v.domain) || s.now.Before(s.quietAt)) {
 			out[v.id] = !v.dead && !s.lacksMember(v)
 		}
 	}
@@ -253,7 +258,7 @@
 
 func (s *sim) report(v *simServer) {
 	v.sequence++
-	r := wire.Report{ID: v.id, Born: v.startTime, Sequence: v.sequence, Service: "engines", Address: v.address, Engine: true, Domain: v.domain, Slots: 17}
+	r := wire.Report{ID: v.id, Born: v.startTime, Sequence: v.sequence, Service: "engines", Address: v.address, Engine: true, Domain: v.domain, DataCentre: v.domain, Slots: 17}
 	if v.staged != "" {
 		r.Staged = []string{v.staged}
 	}
--- a/process/formation/stage.go
+++ b/process/formation/stage.go
@@ -194,7 +194,7 @@
 		}
 		for rank := range g.members {
 			s := p.reconciler.member(g, rank)
-			if isMember(s, g) && !s.Report().Leaving && !p.reconciler.isSuspect(p.now, s) {
+			if isMember(s, g) && !s.Report().Leaving && !p.reconciler.evacuated.Covers(s.Report().DataCentre) && !p.reconciler.isSuspect(p.now, s) {
 				p.returning[hostCount{s.Report().Domain, g.model}]++
 			}
 		}
--- a/process/formation/summary.go
+++ b/process/formation/summary.go
@@ -20,8 +20,9 @@
 // Summary counts groups and servers by state, for logs and metrics.
 type Summary struct {
 	Models map[string]ModelSummary
-	// Free servers can join a group now, Loading ones are staging weights, Lost ones are silent or leaving.
-	Free, Loading, Lost int
+	// Free servers can join a group now, Loading ones are staging weights, Lost ones are silent or leaving, Evacuated ones are in an
+	// evacuated data centre.
+	Free, Loading, Lost, Evacuated int
 	// Domains describes, for each fabric domain, how many of its servers are grouped, free, loading and leaving, by
 	// model.
 	Domains map[string]string
@@ -70,6 +71,8 @@
 		case !r.Engine || server.Dead():
 		case rc.isLost(now, server) || r.Leaving:
 			s.Lost++
+		case rc.evacuated.Covers(r.DataCentre):
+			s.Evacuated++
 		case o != nil && o.order.Action == savorywing.ActionStage:
 			s.Loading++
 		case rc.isFree(now, server):
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -159,6 +159,9 @@
 // now. The decision's reason is set if the balancer rejected the request, which may be placed after a later update.
 func (r *callerRequest) reserve(now time.Time) (placement.Decision, *placement.Reservation) {
 	g := r.gateway
+	if g.isEvacuationUnconfirmed() {
+		return evacuationUnconfirmed(), nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if retryAfter, blocked := g.observer.Blocked(now, r.identity); blocked {
@@ -331,6 +334,9 @@
 
 // mayStillSend reports whether the server of a decision still accepts requests from this host.
 func (g *Gateway) mayStillSend(d placement.Decision) bool {
+	if g.isEvacuationUnconfirmed() {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.balancer.Accepts(g.clock.Now(), d.ID)
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -279,6 +279,7 @@
 	g := s.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.applyEvacuations(u)
 	if changed {
 		g.balancer.UpdateEndpoints(u.Full, u.Endpoints, u.Removed)
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/placement"
@@ -50,7 +51,9 @@
 	engines      *engine.Client
 	subscription *fleetSubscription
 	catalogue    atomic.Pointer[catalogue.Catalogue]
-	stopping     atomic.Bool
+	// evacuated holds the evacuated data centres; nil before the first order.
+	evacuated atomic.Pointer[evacuation.Set]
+	stopping  atomic.Bool
 	// heardAt is when bytes of any server last arrived, in Unix nanoseconds on the gateway's clock.
 	heardAt atomic.Int64
 
@@ -119,6 +122,7 @@
 	g.telemetry.Gauge("busy", func() float64 { return float64(g.server.InFlight()) })
 	g.telemetry.Gauge("engine_connections_opened", func() float64 { return float64(g.engines.ConnectionsOpened()) })
 	g.telemetry.Gauge("document_age_seconds", func() float64 { return g.subscription.confirmationAge().Seconds() })
+	g.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(g.evacuated.Load().Names())) })
 	g.telemetry.Gauge("path_state", func() float64 { return float64(g.pathState()) })
 	g.telemetry.Gauge("forwarded_in_flight", func() float64 { return float64(g.forwardedInFlight()) })
 	g.ctx, g.cancel = context.WithCancel(context.Background())
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -233,6 +233,8 @@
 		return "keysUnconfirmed"
 	case age > instance.Milliseconds(s.ConfigPropagationMs):
 		return "documentUnconfirmed"
+	case s.EvacuationMs > 0 && age > instance.Milliseconds(s.EvacuationMs):
+		return "evacuationUnconfirmed"
 	}
 	return ""
 }
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/wire"
@@ -46,8 +47,11 @@
 	cfg    Config
 	random *rand.Rand
 	byID   map[string]*endpoint
-	// pools holds the endpoints of each service and model, sorted by ID.
-	pools map[endpointKey][]*endpoint
+	// pools holds the endpoints of each service and model, sorted by ID, other than those in evacuated data centres, of which
+	// evacuatedPools has the keys.
+	pools          map[endpointKey][]*endpoint
+	evacuated      *evacuation.Set
+	evacuatedPools map[endpointKey]bool
 	// byHandle holds the endpoints by the handles that the leader assigned.
 	byHandle   map[uint64]*endpoint
 	entryHosts int
@@ -118,10 +122,14 @@
 
 // rebuildIndex rebuilds pools and byHandle from byID.
 func (b *Balancer) rebuildIndex() {
-	b.pools, b.byHandle = map[endpointKey][]*endpoint{}, map[uint64]*endpoint{}
+	b.pools, b.byHandle, b.evacuatedPools = map[endpointKey][]*endpoint{}, map[uint64]*endpoint{}, map[endpointKey]bool{}
 	for _, e := range b.byID {
 		b.byHandle[e.Handle] = e
 		k := endpointKey{e.Service, e.Model}
+		if b.evacuated.Covers(e.DataCentre) {
+			b.evacuatedPools[k] = true
+			continue
+		}
 		b.pools[k] = append(b.pools[k], e)
 	}
 	for _, list := range b.pools {
--- a/process/placement/notice.go
+++ b/process/placement/notice.go
@@ -52,10 +52,10 @@
 	return next.leaving != old.leaving || next.closedUntil != old.closedUntil
 }
 
-// Accepts reports whether an endpoint is known, and has not stated that it wants no requests now.
+// Accepts reports whether an endpoint is known, is in no evacuated data centre and has not stated that it wants no requests now.
 func (b *Balancer) Accepts(now time.Time, id string) bool {
 	e := b.byID[id]
-	return e != nil && b.accepts(now, e)
+	return e != nil && !b.evacuated.Covers(e.DataCentre) && b.accepts(now, e)
 }
 
 func (b *Balancer) accepts(now time.Time, e *endpoint) bool {
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -98,6 +98,10 @@
 	ReasonCutOff Reason = "cutOff"
 	// ReasonQuarantined means that servers crash on a part of the request's prompt.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonEvacuated means that all servers that could run the request are in evacuated data centres.
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonUnconfirmed means that this host can't confirm what the leader knows.
+	ReasonUnconfirmed Reason = "unconfirmed"
 	// ReasonStopping means that this host stops.
 	ReasonStopping Reason = "stopping"
 )
@@ -359,8 +363,11 @@
 // pool have closed themselves, the caller is asked to retry when the first of them opens again.
 func (b *Balancer) rejectEmpty(now time.Time, req Request, poolSize int) Decision {
 	d := Decision{Reason: ReasonNoEndpoint, RetryAfter: b.jitter(2 * minRetryAfter)}
-	if poolSize > 0 {
+	switch {
+	case poolSize > 0:
 		d.Reason = ReasonFull
+	case b.evacuatedPools[req.key()]:
+		d.Reason, d.RetryAfter = ReasonEvacuated, b.jitter(evacuatedRetryAfter)
 	}
 	if b.isLimited(now, req) {
 		d.Reason, d.RetryAfter = ReasonLimited, b.jitter(max(minRetryAfter, b.permits.UntilNext(now, req.pool())))
--- a/process/placement/sample.go
+++ b/process/placement/sample.go
@@ -20,14 +20,24 @@
 	}
 }
 
-// Sample returns up to n endpoints at random, without those that skip holds by ID.
+// Sample returns up to n endpoints at random, without those that skip holds by ID. Servers of evacuated data centres, which may be
+// stopped, are among them only if there are too few others.
 func (b *Balancer) Sample(n int, skip map[string]bool) []Target {
-	var list []Target
+	var list, evacuated []Target
 	for _, e := range b.byID {
-		if !skip[e.ID] {
-			list = append(list, Target{e.ID, e.Address})
+		switch t := (Target{e.ID, e.Address}); {
+		case skip[e.ID]:
+		case b.evacuated.Covers(e.DataCentre):
+			evacuated = append(evacuated, t)
+		default:
+			list = append(list, t)
 		}
 	}
-	b.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	shuffle := func(l []Target) { b.random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] }) }
+	shuffle(list)
+	if len(list) < n {
+		shuffle(evacuated)
+		list = append(list, evacuated...)
+	}
 	return list[:min(n, len(list))]
 }
--- a/process/quorum/status.go
+++ b/process/quorum/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -22,6 +23,8 @@
 	ClaimCount int
 	// Published is the newest accepted document; nil before the first.
 	Published *wire.Publish
+	// Evacuated holds the evacuated data centres; nil before the first order.
+	Evacuated *evacuation.Set
 	// LeaseUntil is when the leader's lease expires unless it is renewed; zero without a lease.
 	LeaseUntil time.Time
 	// LeadingSince is when the node became leader; zero while it does not lead.
@@ -55,7 +58,7 @@
 	if old := n.status.Load(); old != nil && old.Published != nil && published != nil && old.Published.Version == published.Version {
 		published = old.Published
 	}
-	status := &Status{History: history, Published: published,
+	status := &Status{History: history, Published: published, Evacuated: n.machine.Evacuated(),
 		ID: n.core.ID(), Role: n.core.Role(), Term: n.core.Term(), Leader: n.core.LeaderID(), CommitIndex: n.core.CommitIndex(),
 		LogLength: n.core.LogLength(), Members: n.core.Members(), Table: n.publishedTable,
 		ConfigurationNumber: n.machine.Configuration().Number, ClaimCount: n.machine.ClaimCount(),
--- a/process/state/machine.go
+++ b/process/state/machine.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sort"
 
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/wire"
 	"savorywing.example/savorywing/wire/codec"
 )
@@ -47,6 +48,7 @@
 	configuration    wire.Configuration
 	// published is the accepted document with the highest version.
 	published wire.Publish
+	evacuated *evacuation.Set
 	changes   map[string]wire.Result
 	// changeOrder lists change IDs, oldest first, at most maxRememberedChanges.
 	changeOrder []string
@@ -95,6 +97,8 @@
 		return m.settle(*c.Settle)
 	case c.Publish != nil:
 		return m.publish(*c.Publish)
+	case c.Evacuate != nil:
+		return m.evacuate(index, *c.Evacuate)
 	case c.Barrier:
 		return wire.Result{Accepted: true, Published: m.Published()}
 	}
@@ -142,6 +146,18 @@
 	return wire.Result{Accepted: true}
 }
 
+// evacuate applies an operator's order for a data centre. A resent one changes nothing and gets the same result.
+func (m *Machine) evacuate(index uint64, o wire.Evacuate) wire.Result {
+	if o.DataCentre == "" {
+		return rejected(ReasonMalformed)
+	}
+	m.evacuated = m.evacuated.Apply(index, o)
+	return wire.Result{Accepted: true}
+}
+
+// Evacuated returns the evacuated data centres.
+func (m *Machine) Evacuated() *evacuation.Set { return m.evacuated }
+
 // Published returns the document with the highest version, or nil before the first.
 func (m *Machine) Published() *wire.Publish {
 	if m.published.Version == 0 {
@@ -194,7 +210,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	table := m.Table()
 	c := m.configuration
-	s := wire.State{Table: &table, Configuration: &c, At: m.lastCommandTime, Fence: m.lastFencingToken, Published: m.Published()}
+	s := wire.State{Table: &table, Configuration: &c, At: m.lastCommandTime, Fence: m.lastFencingToken, Published: m.Published(), Evacuations: m.evacuated.Wire()}
 	for _, id := range m.changeOrder {
 		r := m.changes[id]
 		s.Changes = append(s.Changes, wire.ChangeRecord{ChangeID: id, Result: &r})
@@ -228,6 +244,7 @@
 	if s.Published != nil {
 		m.published = *s.Published
 	}
+	m.evacuated = evacuation.Restore(s.Evacuations)
 	for _, c := range s.Changes {
 		if c.Result != nil {
 			m.recordChange(c.ChangeID, *c.Result)
--- a/process/state/machine_test.go
+++ b/process/state/machine_test.go
@@ -265,3 +265,34 @@
 func BenchmarkClaim100(b *testing.B)   { benchmarkClaim(b, 100) }
 func BenchmarkClaim1000(b *testing.B)  { benchmarkClaim(b, 1000) }
 func BenchmarkClaim10000(b *testing.B) { benchmarkClaim(b, 10_000) }
+
+// TestEvacuationKept checks that evacuations survive a snapshot, and that a snapshot of a version without them can be read.
+func TestEvacuationKept(t *testing.T) {
+	m := New()
+	for i, c := range []wire.Evacuate{{DataCentre: "a", On: true}, {DataCentre: "b", On: true}, {DataCentre: "a"}, {DataCentre: "b", On: true}} {
+		if r := m.Apply(uint64(i+1), wire.Command{Evacuate: &c}); !r.Accepted {
+			t.Errorf("order %d was rejected: %s", i, r.Reason)
+		}
+	}
+	b, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := Restore(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := restored.Evacuated(); !s.Covers("b") || s.Covers("a") || s.Revision() != 3 {
+		t.Errorf("restored %v of revision %d", s.Names(), s.Revision())
+	}
+	if r := m.Apply(5, wire.Command{Evacuate: &wire.Evacuate{On: true}}); r.Accepted {
+		t.Error("an order without a data centre was accepted")
+	}
+	b, err = New().Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if old, err := Restore(b); err != nil || old.Evacuated() != nil {
+		t.Errorf("got %v, %v without evacuations", old, err)
+	}
+}
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -42,6 +42,8 @@
 	Name       string `yaml:"name"`
 	IP         string `yaml:"ip"`
 	DataCentre string `yaml:"dataCentre"`
+	// DataCentres names all data centres of the deployment; empty if the settings don't say.
+	DataCentres []string `yaml:"dataCentres"`
 	// CallerAddress is the address on which an entry host accepts callers' connections.
 	CallerAddress string `yaml:"callerAddress"`
 	// ReadyAddress is the address on which an entry host serves its readiness check.
@@ -86,6 +88,9 @@
 	KeyRevocationMs int64 `yaml:"revokeMs"`
 	// ConfigPropagationMs is how long a change of the configuration may take to be in force on all hosts.
 	ConfigPropagationMs int64 `yaml:"configMs"`
+	// EvacuationMs is how long after an order to evacuate a data centre requests may still be sent there; 0 if the deployment
+	// sets no bound.
+	EvacuationMs int64 `yaml:"evacuateMs"`
 	// MemberLossTimeoutMs is how long a group continues to serve without a lost member.
 	MemberLossTimeoutMs int64 `yaml:"stallMs"`
 	// Within RetryWindowSeconds, all hosts together may send RetryRatio retries per request, and RetryBurst retries more.
@@ -261,6 +266,9 @@
 			return fmt.Errorf("%w: %v s", ErrRange, seconds)
 		}
 	}
+	if l.EvacuationMs < 0 || l.EvacuationMs > maxMilliseconds {
+		return fmt.Errorf("%w: %d ms", ErrRange, l.EvacuationMs)
+	}
 	if !isWithin(l.RetryRatio, 0, maxCapacity) || !isWithin(l.RetryBurst, 0, maxCapacity) {
 		return fmt.Errorf("%w: retries", ErrRange)
 	}
--- a/wire/types.go
+++ b/wire/types.go
@@ -184,6 +184,9 @@
 	// Drain corresponds to the JSON schema field "drain".
 	Drain *DrainHost `json:"drain,omitempty,omitzero"`
 
+	// Evacuate corresponds to the JSON schema field "evacuate".
+	Evacuate *Evacuate `json:"evacuate,omitempty,omitzero"`
+
 	// Free corresponds to the JSON schema field "free".
 	Free *FreeHost `json:"free,omitempty,omitzero"`
 
@@ -330,6 +333,24 @@
 	Term uint64 `json:"term"`
 }
 
+// Evacuate begins the evacuation of a data centre, or finishes it.
+type Evacuate struct {
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+
+	// Whether the data centre is evacuated from now on.
+	On bool `json:"on"`
+}
+
+// Evacuations is the complete set of evacuated data centres.
+type Evacuations struct {
+	// Sorted by name.
+	DataCentres []string `json:"dataCentres"`
+
+	// Log index of the last change.
+	Revision uint64 `json:"revision"`
+}
+
 // FleetUpdate updates an entry host to a revision of the leader's fleet state.
 type FleetUpdate struct {
 	// Peer addresses of the control hosts.
@@ -348,6 +369,9 @@
 	// Number of entry hosts that have reported their usage lately.
 	Entries int `json:"entries"`
 
+	// Absent before the first evacuation.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero"`
+
 	// Revision of forwarders; 0 if the update does not contain them.
 	ForwarderRevision uint64 `json:"forwarderRevision"`
 
@@ -871,6 +895,10 @@
 	// ID of the host's disk.
 	ID string `json:"id"`
 
+	// Newest format of the log's commands that the host knows; 0 without evacuations,
+	// 1 with them.
+	LogFormat int `json:"logFormat"`
+
 	// Peer addresses of the control hosts that the host knows.
 	Peers []string `json:"peers"`
 }
@@ -1130,6 +1158,9 @@
 	// Configuration corresponds to the JSON schema field "configuration".
 	Configuration *Configuration `json:"configuration,omitempty,omitzero"`
 
+	// Absent before the first evacuation.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero"`
+
 	// The highest fencing token issued so far.
 	Fence uint64 `json:"fence"`
 
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -108,6 +108,11 @@
 		checkRange("slots", r.Slots, 0, maxSlots), checkRange("cold time", r.ColdMs, 0, maxColdMs), r.checkStaged(), group)
 }
 
+// Validate checks an order to evacuate a data centre. The error wraps ErrInvalid.
+func (e *Evacuate) Validate() error {
+	return firstError("Evacuate.Validate", checkName("data centre", e.DataCentre))
+}
+
 // checkDomain checks the domain, without which a server is no engine and has no group.
 func (r *Report) checkDomain() error {
 	if r.Engine {
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -64,9 +64,17 @@
 		keepValid("permit", &u.Permits, (*PermitGrant).Validate),
 		keepValid("forwarder", &u.Forwarders, (*Forwarder).Validate),
 		keepValid("quarantined part", &u.Quarantine, (*QuarantinedPart).Validate),
+		u.Evacuations.removeInvalid(),
 	)
 }
 
+func (e *Evacuations) removeInvalid() error {
+	if e == nil {
+		return nil
+	}
+	return keepValid("evacuated data centre", &e.DataCentres, func(s *string) error { return checkName("data centre", *s) })
+}
+
 // removeInvalidControls also bounds the control hosts, each of which is dialled for ever.
 func (u *FleetUpdate) removeInvalidControls() error {
 	err := keepValid("control host", &u.Controls, func(s *string) error { return CheckAddress(*s) })
