--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -90,6 +90,8 @@
 	paths, peerPaths []*standin.Path
 	// wrapDialer returns the dialer to backend servers of hosts that have paths; nil for the path itself.
 	wrapDialer func(path savorywing.Dialer) savorywing.Dialer
+	// evacuationMs is the bound on evacuations; 0 for none.
+	evacuationMs int64
 	// dataCentre returns the data centre of an entry host; nil for "a".
 	dataCentre func(entry int) string
 }
@@ -172,6 +174,7 @@
 		s.ControlAddress = fmt.Sprintf("%s:%d", ip, f.port+1)
 	}
 	s.ReportIntervalMs, s.MemberLossTimeoutMs, s.GraceSeconds = 200, 700, 5
+	s.EvacuationMs = f.evacuationMs
 	if f.retryBurst > 0 {
 		s.RetryBurst = f.retryBurst
 	}
--- a/cmd/savorywing/status.go
+++ b/cmd/savorywing/status.go
@@ -60,11 +60,11 @@
 	if s.LogFailure != "" {
 		fmt.Fprintln(w, "ALARM diskFailed:", s.LogFailure)
 	}
-	if len(s.Evacuated) == 0 {
-		fmt.Fprintln(w, "no data centre is evacuated")
-		return nil
+	evacuated := "none"
+	if len(s.Evacuated) > 0 {
+		evacuated = strings.Join(s.Evacuated, ", ")
 	}
-	fmt.Fprintf(w, "evacuated: %s (since log entry %d)\n", strings.Join(s.Evacuated, ", "), s.EvacuatedAt)
+	fmt.Fprintf(w, "evacuated: %s; last change in log entry %d; confirmed: %t\n", evacuated, s.EvacuatedAt, s.Confirmed)
 	return nil
 }
 
--- a/connection/controlapi/client.go
+++ b/connection/controlapi/client.go
@@ -59,21 +59,31 @@
 	}
 }
 
-// Status returns the status of the first control host that answers.
+// Status returns the first confirmed status of a control host, or, if there is none, any other one.
 func (c *Client) Status() (Status, error) {
-	var s Status
-	var last error
+	var best Status
+	var errs []error
 	for _, address := range c.addresses {
 		status, body, err := c.call(address, func(h *fasthttp.RequestHeader) { h.SetRequestURI(PathStatus) })
 		if err == nil && status != fasthttp.StatusOK {
 			err = fmt.Errorf("%s: status %d: %s", address, status, body)
 		}
+		var s Status
 		if err == nil {
-			return s, json.Unmarshal(body, &s)
+			err = json.Unmarshal(body, &s)
+		}
+		if err != nil {
+			errs = append(errs, err)
+			continue
 		}
-		last = err
+		if best = s; s.Confirmed {
+			return s, nil
+		}
+	}
+	if len(errs) == len(c.addresses) {
+		return best, fmt.Errorf("Client.Status: %w", errors.Join(errs...))
 	}
-	return s, fmt.Errorf("Client.Status: %w", last)
+	return best, nil
 }
 
 func (c *Client) call(address string, write func(h *fasthttp.RequestHeader)) (int, []byte, error) {
--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -53,7 +53,7 @@
 	// Evacuate begins the evacuation of a data centre, or finishes it. An order that changes nothing is acknowledged as well.
 	Evacuate(ctx context.Context, order wire.Evacuate) error
 	// Status returns what this host knows of the control hosts and of the replicated state.
-	Status() Status
+	Status(ctx context.Context) Status
 }
 
 // Server serves the control address.
--- a/connection/controlapi/status.go
+++ b/connection/controlapi/status.go
@@ -20,6 +20,8 @@
 	Members []string `json:"members"`
 	// Document is the version of the newest document; 0 before the first.
 	Document uint64 `json:"document"`
+	// Confirmed reports whether a majority has confirmed Evacuated since the call began.
+	Confirmed bool `json:"confirmed"`
 	// Evacuated lists the evacuated data centres, and EvacuatedAt is the log index of the last change.
 	Evacuated   []string `json:"evacuated"`
 	EvacuatedAt uint64   `json:"evacuatedAt"`
@@ -28,7 +30,7 @@
 }
 
 func (s *Server) writeStatus(r *fasthttp.RequestCtx) {
-	b, err := json.Marshal(s.handler.Status())
+	b, err := json.Marshal(s.handler.Status(s.ctx))
 	if err != nil {
 		r.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -376,22 +376,6 @@
 // Members returns the members of the replicated log as known to this host.
 func (c *Controller) Members() []wire.Member { return c.node.Status().Members.Members }
 
-// Status returns what this host knows of the control hosts and of the replicated state.
-func (c *Controller) Status() controlapi.Status {
-	s := c.node.Status()
-	out := controlapi.Status{
-		Host: c.settings.Name, Leader: quorum.HostOf(s.Leader), Leading: c.node.HasLease(), Term: s.Term, Members: []string{},
-		Evacuated: append([]string{}, s.Evacuated.Names()...), EvacuatedAt: s.Evacuated.Revision(), LogFailure: s.FailureReason,
-	}
-	for _, m := range s.Members.Members {
-		out.Members = append(out.Members, m.ID)
-	}
-	if s.Published != nil {
-		out.Document = s.Published.Version
-	}
-	return out
-}
-
 // IsLeader reports whether this host leads the control hosts.
 func (c *Controller) IsLeader() bool { return c.node.HasLease() }
 
--- a/process/controller/evacuation.go
+++ b/process/controller/evacuation.go
@@ -110,6 +110,30 @@
 	return false
 }
 
+// Status returns what this host knows of the control hosts and of the replicated state. Unless the leader confirms the evacuated data
+// centres in time, they are those that this host knows of.
+func (c *Controller) Status(ctx context.Context) controlapi.Status {
+	ctx, cancel := context.WithTimeout(ctx, evacuateTimeout)
+	defer cancel()
+	r, err := c.propose(ctx, wire.Command{Barrier: true})
+	s := c.node.Status()
+	evacuated := s.Evacuated
+	if err == nil {
+		evacuated = evacuated.Newer(r.Evacuations)
+	}
+	out := controlapi.Status{
+		Host: c.settings.Name, Leader: quorum.HostOf(s.Leader), Leading: c.node.HasLease(), Term: s.Term, Members: []string{}, Confirmed: err == nil,
+		Evacuated: append([]string{}, evacuated.Names()...), EvacuatedAt: evacuated.Revision(), LogFailure: s.FailureReason,
+	}
+	for _, m := range s.Members.Members {
+		out.Members = append(out.Members, m.ID)
+	}
+	if s.Published != nil {
+		out.Document = s.Published.Version
+	}
+	return out
+}
+
 // updateEvacuated applies the evacuated data centres of the replicated log. A leader tells the entry hosts of a change at once.
 func (c *Controller) updateEvacuated(now time.Time, s *evacuation.Set) {
 	if s == c.evacuated {
--- a/process/formation/summary.go
+++ b/process/formation/summary.go
@@ -99,6 +99,8 @@
 			state, model = "loading ", o.order.Model
 		case r.Leaving:
 			state = "leaving "
+		case rc.evacuated.Covers(r.DataCentre):
+			state = "evacuated "
 		case rc.isFree(now, s):
 			state = "free "
 		}
--- a/process/state/machine.go
+++ b/process/state/machine.go
@@ -100,7 +100,7 @@
 	case c.Evacuate != nil:
 		return m.evacuate(index, *c.Evacuate)
 	case c.Barrier:
-		return wire.Result{Accepted: true, Published: m.Published()}
+		return wire.Result{Accepted: true, Published: m.Published(), Evacuations: m.evacuated.Wire()}
 	}
 	return rejected(ReasonMalformed)
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -1043,6 +1043,9 @@
 	// Configuration corresponds to the JSON schema field "configuration".
 	Configuration *Configuration `json:"configuration,omitempty,omitzero"`
 
+	// Result of a barrier; absent before the first evacuation.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero"`
+
 	// Fence corresponds to the JSON schema field "fence".
 	Fence uint64 `json:"fence"`
 
