--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -123,6 +123,9 @@
 	}
 	r.faultsUntil = time.Now().Add(cfg.FaultDuration)
 	var stops sync.WaitGroup
+	if !cfg.Serve {
+		stops.Go(r.runEvacuations)
+	}
 	stops.Go(r.runPlannedStops)
 	r.injectFaults()
 	stops.Wait()
@@ -177,9 +180,9 @@
 	for i := range min(3, r.cfg.Control) {
 		seeds = append(seeds, r.controlAddress(i))
 	}
-	shared := fmt.Sprintf("dataCentre: a\npeerPorts: [%d]\nseeds: [%s]\ntoken: soak\nlostDisks: %d\nmemoryMB: 256\n"+
-		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, graceSeconds: %g}\n",
-		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, gracePeriod.Seconds())
+	shared := fmt.Sprintf("dataCentre: a\ndataCentres: [a, b]\npeerPorts: [%d]\nseeds: [%s]\ntoken: soak\nlostDisks: %d\nmemoryMB: 256\n"+
+		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, evacuateMs: %d, graceSeconds: %g}\n",
+		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, evacuationBound.Milliseconds(), gracePeriod.Seconds())
 	for i := range r.cfg.Control {
 		dir := filepath.Join(r.cfg.Dir, fmt.Sprintf("control-%d", i))
 		r.processes = append(r.processes, &process{name: fmt.Sprintf("control-%d", i), binary: r.cfg.Binary, dir: dir, control: true,
@@ -234,7 +237,7 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", r.cfg.Subnet, 2+n/200, 10+n%200)
 	relayed := net.JoinHostPort(ip, "18000")
 	s, err := r.fleet.Add(fleet.ServerConfig{ID: fmt.Sprintf("s-%03d", n), Service: service, Address: ip + ":0", Advertised: relayed,
-		DataCentre: "a", FabricDomain: domain, Slots: 8, Engine: service == engineService})
+		DataCentre: dataCentreOf(domain, n), FabricDomain: domain, Slots: 8, Engine: service == engineService})
 	if err != nil {
 		return err
 	}
--- a/connection/controlapi/client.go
+++ b/connection/controlapi/client.go
@@ -25,12 +25,12 @@
 
 // Client calls the control hosts of a deployment.
 type Client struct {
-	dialect   savorywing.ControlDialect
+	dialect   savorywing.OperatorDialect
 	addresses []string
 }
 
 // NewClient returns a client for the control addresses of one or more control hosts, which it calls in turn.
-func NewClient(dialect savorywing.ControlDialect, addresses []string) *Client {
+func NewClient(dialect savorywing.OperatorDialect, addresses []string) *Client {
 	return &Client{dialect: dialect, addresses: addresses}
 }
 
--- a/dialect.go
+++ b/dialect.go
@@ -185,8 +185,6 @@
 	CheckDocument(b []byte) (*catalogue.Catalogue, error)
 	// ReadDocument decodes a document that this or an earlier version has accepted.
 	ReadDocument(b []byte) (*catalogue.Catalogue, error)
-	// WriteEvacuation makes the header an operator's order to evacuate a data centre, or to finish that.
-	WriteEvacuation(h *fasthttp.RequestHeader, order wire.Evacuate)
 	// WriteOrder encodes an order as the header and body of a request; it returns the body.
 	WriteOrder(o FleetOrder, h *fasthttp.RequestHeader) []byte
 	// ReadOrderReply returns the outcome of an order from the HTTP status of the backend server's reply.
--- a/emulator.go
+++ b/emulator.go
@@ -9,9 +9,16 @@
 	"savorywing.example/savorywing/wire"
 )
 
+// OperatorDialect writes the calls of operators to the control hosts.
+type OperatorDialect interface {
+	// WriteEvacuation makes the header of a request an order to evacuate a data centre, or to finish that.
+	WriteEvacuation(h *fasthttp.RequestHeader, order wire.Evacuate)
+}
+
 // EmulatorDialect is the counterpart of Dialect and ControlDialect, used by emulated callers, operators and backend
 // servers.
 type EmulatorDialect interface {
+	OperatorDialect
 	// WriteCallerMetadata sets the header of a caller's request.
 	WriteCallerMetadata(h *fasthttp.RequestHeader, c CallerMetadata)
 	// ReadBackendMetadata decodes what the system added to a request to a backend server.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -47,13 +47,23 @@
 	lethalBody                    string
 	lethal                        map[savorywing.PromptPart]bool
 	lethalArrivals, lethalCrashes []time.Time
+	// evacuated holds since when no request may arrive at the servers of a data centre.
+	evacuated map[string]time.Time
 	// everReady holds "id group epoch" of every member that was ever ready.
 	everReady map[string]bool
 }
 
 // New returns a fleet without servers.
 func New(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, servers: map[string]*Server{}, runCounts: map[string]int{}, everReady: map[string]bool{}}
+	return &Fleet{cfg: cfg, servers: map[string]*Server{}, runCounts: map[string]int{}, everReady: map[string]bool{}, evacuated: map[string]time.Time{}}
+}
+
+// SetEvacuated makes each request that arrives at a server of a data centre after a time violate an invariant, or, if the time is zero, no
+// longer.
+func (f *Fleet) SetEvacuated(dataCentre string, since time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated[dataCentre] = since
 }
 
 // Violations returns descriptions of the violated invariants.
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -61,6 +61,9 @@
 	f.mu.Lock()
 	faults := s.faults
 	s.arrivals = append(s.arrivals, now)
+	if since := f.evacuated[s.DataCentre]; !since.IsZero() && now.After(since) {
+		f.recordViolation("request %s arrived at %s %v after no more may arrive in the evacuated data centre %s", attemptID, s.id, now.Sub(since), s.DataCentre)
+	}
 	if !s.noticeSince.IsZero() && now.Sub(s.noticeSince) > noticeGrace {
 		s.unwanted++
 	}
