Evacuations beside older versions, and settings only where a deployment has a bound

Cause: an older control host that isn't a member of the log yet could become one and lose an order; settings files with the new fields can't be read by older daemons; permits were granted for servers that get no requests. TestFleetUpgrade checks that no evacuation is acknowledged between two versions, and that one is afterwards.

--- a/cmd/savorywing/fleet_upgrade_test.go
+++ b/cmd/savorywing/fleet_upgrade_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -14,6 +15,8 @@
 	"go.yaml.in/yaml/v3"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/controlapi"
+	"savorywing.example/savorywing/wire"
 )
 
 // envPrevious is the environment variable with the path of an earlier version's program.
@@ -96,9 +99,12 @@
 				callers.Go(func() { f.callThroughUpgrade(stop, i, &replaced[i], &served, &failed) })
 			}
 			controls := func() {
-				for _, d := range f.controlProcesses {
+				for i, d := range f.controlProcesses {
 					f.replace(d)
 					time.Sleep(1500 * time.Millisecond)
+					if i+1 < len(f.controlProcesses) {
+						f.checkNotEvacuated(i)
+					}
 				}
 			}
 			entries := func() {
@@ -127,6 +133,12 @@
 			if after := f.readDocument(); after == before {
 				t.Error("the document that was accepted in the middle of the upgrade is lost")
 			}
+			f.evacuate("a", true)
+			f.eventually("rejections", func() bool {
+				return f.send(0, "/book/look/x", "", fleetKey, nil).status == fasthttp.StatusServiceUnavailable
+			})
+			f.evacuate("a", false)
+			f.waitServing()
 			t.Logf("%d requests were served, %d were not", served.Load(), failed.Load())
 			if n := failed.Load(); n > 0 {
 				t.Errorf("%d requests at hosts that were not being replaced failed, want 0", n)
@@ -135,6 +147,17 @@
 	}
 }
 
+// checkNotEvacuated checks that a control host that has been replaced acknowledges no evacuation while others haven't been: they would
+// lose it.
+func (f *fleetEnv) checkNotEvacuated(control int) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := controlapi.NewClient(f.dialect, f.seeds[control:control+1]).Evacuate(ctx, wire.Evacuate{DataCentre: "a", On: true}); err == nil {
+		f.t.Error("an evacuation was acknowledged beside control hosts that would lose it")
+	}
+}
+
 // callThroughUpgrade sends requests to one entry host until stop is closed. Those around its own replacement don't count.
 func (f *fleetEnv) callThroughUpgrade(stop <-chan struct{}, entry int, replaced *atomic.Bool, served, failed *atomic.Int64) {
 	for n := 0; ; n++ {
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -279,7 +279,8 @@
 	if err := c.api.Start(c.settings.ControlAddress); err != nil {
 		return fmt.Errorf("Controller.Start: %w", err)
 	}
-	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).Msg("the control host started")
+	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).
+		Strs("dataCentres", c.settings.DataCentres).Msg("the control host started")
 	return nil
 }
 
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -179,7 +179,7 @@
 		u.Limits, u.LimitRevision = c.limits.List(c.clock.Now()), c.limits.Revision()
 	}
 	c.addForwarders(host, e, u)
-	u.Permits = c.limits.Grant(c.clock.Now(), e.usage.PermitRequests, c.endpoints.endpoint)
+	u.Permits = c.limits.Grant(c.clock.Now(), e.usage.PermitRequests, c.grantable)
 	u.Probes = c.quarantine.Probes(c.clock.Now(), e.usage.TurnedAway)
 	c.recordSent(host, e, c.mesh.Push(host, wire.Frame{Fleet: u}))
 }
--- a/process/controller/evacuation.go
+++ b/process/controller/evacuation.go
@@ -83,15 +83,21 @@
 		Evacuated: c.evacuated, IsKnown: c.knowsDataCentre,
 		Complete: len(c.settings.DataCentres) > 0 || now.Sub(c.startedAt) > reconcilerConfig(c.settings).TakeoverDelay,
 	}
-	for _, m := range c.node.Status().Members.Members {
-		// A member that was last heard of long ago has ended, or comes back with whatever version is installed then.
-		if p, known := c.presence[quorum.HostOf(m.ID)]; known && now.Sub(p.soundAt) < serverRetention {
+	for _, p := range c.presence {
+		// A host that was last heard of long ago has ended, or comes back with whatever version is installed then.
+		if now.Sub(p.soundAt) < serverRetention {
 			v.Formats = append(v.Formats, p.presence.LogFormat)
 		}
 	}
 	return v
 }
 
+// grantable returns an endpoint for which requests can be permitted.
+func (c *Controller) grantable(id string) (wire.Endpoint, bool) {
+	e, known := c.endpoints.endpoint(id)
+	return e, known && !c.evacuated.Covers(e.DataCentre)
+}
+
 // knowsDataCentre reports whether a data centre is named in the settings, or by a server or a daemon.
 func (c *Controller) knowsDataCentre(name string) bool {
 	if name == c.settings.DataCentre || slices.Contains(c.settings.DataCentres, name) {
--- /dev/null
+++ b/process/controller/evacuation_test.go
@@ -0,0 +1,51 @@
+package controller
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"savorywing.example/savorywing/process/evacuation"
+	"savorywing.example/savorywing/version/instance"
+	"savorywing.example/savorywing/wire"
+)
+
+// TestEvacuationView checks when a host takes itself to know all data centres, and which other hosts' versions hold an order up.
+func TestEvacuationView(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name     string
+		settings []string
+		uptime   time.Duration
+		silence  time.Duration
+		complete bool
+		formats  []int
+	}{
+		{"just started", nil, time.Second, 0, false, []int{0}},
+		{"just started, with names in the settings", []string{"a"}, time.Second, 0, true, []int{0}},
+		{"up for long", nil, time.Minute, 0, true, []int{0}},
+		{"beside a host that has ended", nil, time.Minute, 2 * serverRetention, true, nil},
+	} {
+		c := &Controller{settings: &instance.Settings{DataCentres: tt.settings}, startedAt: now.Add(-tt.uptime), presence: map[string]peerPresence{"old": {soundAt: now.Add(-tt.silence)}}}
+		c.settings.Defaults()
+		if v := c.evacuationView(now); v.Complete != tt.complete || !slices.Equal(v.Formats, tt.formats) {
+			t.Errorf("%s: got %v, %v", tt.name, v.Complete, v.Formats)
+		}
+	}
+}
+
+// TestEvacuatedLoggedOnce guards against lines for sets that are equal, such as one that was restored from a snapshot.
+func TestEvacuatedLoggedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	c := &Controller{log: zerolog.New(&lines)}
+	for range 3 {
+		c.updateEvacuated(time.Unix(1000, 0), evacuation.Restore(&wire.Evacuations{Revision: 7, DataCentres: []string{"a"}}))
+	}
+	if n := strings.Count(lines.String(), "evacuationsInForce"); n != 1 || !c.changed {
+		t.Errorf("logged %d times, want once; a step is due: %v", n, c.changed)
+	}
+}
--- a/process/evacuation/evacuation_test.go
+++ b/process/evacuation/evacuation_test.go
@@ -82,7 +82,7 @@
 		{"unknown to a host that has just started", begin("x"), false, nil, ErrUnsure},
 		{"finish of an unknown one", finish("x"), true, nil, ErrUnknown},
 		{"evacuated, and nothing there makes itself known", finish("gone"), true, nil, nil},
-		{"beside an older version", begin("a"), true, []int{LogFormat, 0}, ErrOldMember},
+		{"beside an older version", begin("a"), true, []int{LogFormat, 0}, ErrOldHost},
 	} {
 		v := View{
 			Evacuated: (*Set)(nil).Apply(1, begin("gone")), IsKnown: func(name string) bool { return name == "a" }, Complete: tt.complete, Formats: tt.formats,
--- a/process/evacuation/order.go
+++ b/process/evacuation/order.go
@@ -12,8 +12,8 @@
 	ErrUnknown = errors.New("no data centre of this name is known")
 	// ErrUnsure means that this host may not have heard of the data centre yet.
 	ErrUnsure = errors.New("this host doesn't know all data centres yet")
-	// ErrOldMember means that a member of the log would lose the order.
-	ErrOldMember = errors.New("a control host runs a version without evacuations")
+	// ErrOldHost means that a control host would lose the order.
+	ErrOldHost = errors.New("a control host runs a version without evacuations")
 )
 
 // View is what a control host knows when it receives an order.
@@ -23,7 +23,7 @@
 	IsKnown func(name string) bool
 	// Complete reports whether this host has had the time to hear of each data centre.
 	Complete bool
-	// Formats are the formats of the log that its members have announced lately.
+	// Formats are the formats of the log that other control hosts have announced lately.
 	Formats []int
 }
 
@@ -32,7 +32,7 @@
 func Check(v View, o wire.Evacuate) error {
 	for _, format := range v.Formats {
 		if format < LogFormat {
-			return ErrOldMember
+			return ErrOldHost
 		}
 	}
 	switch {
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -43,7 +43,7 @@
 	IP         string `yaml:"ip"`
 	DataCentre string `yaml:"dataCentre"`
 	// DataCentres names all data centres of the deployment; empty if the settings don't say.
-	DataCentres []string `yaml:"dataCentres"`
+	DataCentres []string `yaml:"dataCentres,omitempty"`
 	// CallerAddress is the address on which an entry host accepts callers' connections.
 	CallerAddress string `yaml:"callerAddress"`
 	// ReadyAddress is the address on which an entry host serves its readiness check.
@@ -90,7 +90,7 @@
 	ConfigPropagationMs int64 `yaml:"configMs"`
 	// EvacuationMs is how long after an order to evacuate a data centre requests may still be sent there; 0 if the deployment
 	// sets no bound.
-	EvacuationMs int64 `yaml:"evacuateMs"`
+	EvacuationMs int64 `yaml:"evacuateMs,omitempty"`
 	// MemberLossTimeoutMs is how long a group continues to serve without a lost member.
 	MemberLossTimeoutMs int64 `yaml:"stallMs"`
 	// Within RetryWindowSeconds, all hosts together may send RetryRatio retries per request, and RetryBurst retries more.
@@ -189,6 +189,9 @@
 	if slices.Contains(s.AcceptedTokens, "") {
 		return fieldError{"acceptedTokens", ErrMissing}
 	}
+	if slices.Contains(s.DataCentres, "") {
+		return fieldError{"dataCentres", ErrMissing}
+	}
 	if err := s.validateNumbers(); err != nil {
 		return err
 	}
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -35,6 +35,17 @@
 	}
 }
 
+func TestParseEvacuation(t *testing.T) {
+	s, err := Parse([]byte(example))
+	if err != nil || s.EvacuationMs != 0 || s.DataCentres != nil {
+		t.Errorf("without a bound: %v, %d ms, %v", err, s.EvacuationMs, s.DataCentres)
+	}
+	s, err = Parse([]byte(example + "  evacuateMs: 5000\ndataCentres: [a,b]\n"))
+	if err != nil || s.EvacuationMs != 5000 || !slices.Equal(s.DataCentres, []string{"a", "b"}) {
+		t.Errorf("got %v, %+v", err, s)
+	}
+}
+
 func TestParseRejects(t *testing.T) {
 	tests := []struct{ name, old, new, want string }{
 		{"unknown field", "token: secret", "tokn: secret", "line 10"},
@@ -71,6 +82,8 @@
 		{"huge time", "revokeMs: 4000", "reportEveryMs: 9223372036854775807", "line 13: limits"},
 		{"time that is no number", "revokeMs: 4000", "graceSeconds: .nan", "line 13: limits"},
 		{"infinite time", "revokeMs: 4000", "retryWindowSeconds: .inf", "line 13: limits"},
+		{"negative bound of evacuations", "revokeMs: 4000", "evacuateMs: -1", "line 13: limits"},
+		{"data centre without a name", "dataCentre: a", "dataCentre: a\ndataCentres: [a, '']", "line 5: dataCentres"},
 		{"negative ratio", "revokeMs: 4000", "retryShare: -0.1", "line 13: limits"},
 		{"same field twice", "lostDisks: 2", "lostDisks: 2\nlostDisks: 3", "line 12"},
 		{"deep nesting", "[7340,7355]", strings.Repeat("[", 20000), ""},
