controller: how many requests are left in evacuated data centres; the test loses a disk

Cause: an operator couldn't see when an evacuated data centre is empty; updates sorted the set anew each time. Change: the leader counts the requests in flight there, in its line 'fleet' and a metric. A set keeps its names sorted. The test of an evacuation through kills also loses a disk, and orders are given with a control host down.

--- a/cmd/savorywing/fleet_evacuation_test.go
+++ b/cmd/savorywing/fleet_evacuation_test.go
@@ -87,8 +87,8 @@
 }
 
 // TestFleetEvacuation evacuates a data centre under load. Once the bound has passed after the acknowledgement, no request may reach a server
-// there, although the leader is killed, a server there has just started, an entry host has just started and all daemons are killed, until the
-// evacuation is finished.
+// there, although the leader is killed, a server there has just started, an entry host has just started, and all daemons are killed and one disk is
+// lost, until the evacuation is finished.
 func TestFleetEvacuation(t *testing.T) {
 	f := newEvacuationEnv(t)
 	stop := make(chan struct{})
@@ -116,6 +116,9 @@
 		killed.Go(d.kill)
 	}
 	killed.Wait()
+	if err := os.RemoveAll(f.controlProcesses[0].dataDir); err != nil {
+		t.Fatal(err)
+	}
 	for _, d := range append(f.controlProcesses, f.entryProcesses...) {
 		f.startDaemon(d, "", false)
 	}
@@ -151,9 +154,11 @@
 	f.startDaemon(d, "", false)
 }
 
-// TestFleetAllEvacuated checks what callers get while all data centres are evacuated, and what operators get for orders that can't be obeyed.
+// TestFleetAllEvacuated checks, with a control host lost, what callers get while all data centres are evacuated, and what operators get for
+// orders that can't be obeyed.
 func TestFleetAllEvacuated(t *testing.T) {
 	f := newEvacuationEnv(t)
+	f.controlProcesses[0].kill()
 	for _, dataCentre := range []string{"a", emptied} {
 		f.evacuate(dataCentre, true)
 	}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -107,6 +107,8 @@
 	limits *quota.Allocator
 	// evacuated holds the evacuated data centres as of the last look at the log.
 	evacuated *evacuation.Set
+	// evacuatedRequests is the number of requests in flight in evacuated data centres, as this host knew when it led.
+	evacuatedRequests atomic.Int64
 	// startedAt is when the host was made.
 	startedAt time.Time
 	// forwarders lists the entry hosts that take requests of others.
@@ -251,6 +253,12 @@
 	})
 	c.telemetry.Gauge("log_outages", func() float64 { return float64(c.node.Status().Outages) })
 	c.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(c.node.Status().Evacuated.Names())) })
+	c.telemetry.Gauge("evacuated_requests", func() float64 {
+		if c.node.HasLease() {
+			return float64(c.evacuatedRequests.Load())
+		}
+		return 0
+	})
 	c.telemetry.Gauge("log_commit_index", func() float64 { return float64(c.node.Status().CommitIndex) })
 	return nil
 }
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -60,7 +60,8 @@
 
 func (c *Controller) logSummary(now time.Time, in formation.Input) {
 	s := c.reconciler.Summary(now, in)
-	e := c.log.Info().Str("event", "fleet").Int("free", s.Free).Int("loading", s.Loading).Int("lost", s.Lost).Int("evacuated", s.Evacuated).Int("entries", len(c.entryHosts))
+	e := c.log.Info().Str("event", "fleet").Int("free", s.Free).Int("loading", s.Loading).Int("lost", s.Lost).Int("evacuated", s.Evacuated).
+		Int("evacuatedRequests", c.countEvacuatedRequests()).Int("entries", len(c.entryHosts))
 	for model, m := range s.Models {
 		e = e.Dict(model, zerolog.Dict().Int("open", m.Open).Int("forming", m.Forming).Int("ending", m.Ending).
 			Float64("need", m.DemandRatio).Float64("demand", in.Demand[model]))
--- a/process/controller/evacuation.go
+++ b/process/controller/evacuation.go
@@ -92,6 +92,18 @@
 	return v
 }
 
+// countEvacuatedRequests returns how many requests are in flight in evacuated data centres, which the metric shows from then on.
+func (c *Controller) countEvacuatedRequests() int {
+	n := 0
+	for id, load := range c.totals.Loads {
+		if e, known := c.endpoints.endpoint(id); known && c.evacuated.Covers(e.DataCentre) {
+			n += load.InFlight
+		}
+	}
+	c.evacuatedRequests.Store(int64(n))
+	return n
+}
+
 // grantable returns an endpoint for which requests can be permitted.
 func (c *Controller) grantable(id string) (wire.Endpoint, bool) {
 	e, known := c.endpoints.endpoint(id)
--- a/process/evacuation/set.go
+++ b/process/evacuation/set.go
@@ -3,7 +3,6 @@
 package evacuation
 
 import (
-	"maps"
 	"slices"
 
 	"savorywing.example/savorywing/wire"
@@ -19,7 +18,8 @@
 	// revision is the log index of the last change. It orders all sets of a deployment. Of several changes in one entry, only the
 	// result is visible to others.
 	revision uint64
-	names    map[string]bool
+	// names lists the data centres, sorted and each once.
+	names []string
 }
 
 // Restore returns the set that a snapshot holds.
@@ -27,11 +27,9 @@
 	if w == nil {
 		return nil
 	}
-	s := &Set{revision: w.Revision, names: make(map[string]bool, len(w.DataCentres))}
-	for _, name := range w.DataCentres {
-		s.names[name] = true
-	}
-	return s
+	names := slices.Clone(w.DataCentres)
+	slices.Sort(names)
+	return &Set{revision: w.Revision, names: slices.Compact(names)}
 }
 
 // Apply returns the set after the order in the log entry with an index: the same one if the order has no effect.
@@ -39,16 +37,13 @@
 	if s.Covers(o.DataCentre) == o.On {
 		return s
 	}
-	next := &Set{revision: index, names: map[string]bool{}}
-	if s != nil {
-		maps.Copy(next.names, s.names)
-	}
-	if o.On {
-		next.names[o.DataCentre] = true
+	names := slices.Clone(s.Names())
+	if at, found := slices.BinarySearch(names, o.DataCentre); found {
+		names = slices.Delete(names, at, at+1)
 	} else {
-		delete(next.names, o.DataCentre)
+		names = slices.Insert(names, at, o.DataCentre)
 	}
-	return next
+	return &Set{revision: index, names: names}
 }
 
 // Newer returns the set that another daemon states if it is newer than s, which is returned otherwise.
@@ -68,14 +63,14 @@
 }
 
 // Covers reports whether a data centre is evacuated.
-func (s *Set) Covers(name string) bool { return s != nil && s.names[name] }
+func (s *Set) Covers(name string) bool { return s != nil && slices.Contains(s.names, name) }
 
-// Names returns the evacuated data centres, sorted.
+// Names returns the evacuated data centres, sorted. The list must not be modified.
 func (s *Set) Names() []string {
 	if s == nil {
 		return nil
 	}
-	return slices.Sorted(maps.Keys(s.names))
+	return s.names
 }
 
 // Wire returns the set as it is stored and sent, nil before the first order.
@@ -83,5 +78,5 @@
 	if s == nil {
 		return nil
 	}
-	return &wire.Evacuations{Revision: s.revision, DataCentres: s.Names()}
+	return &wire.Evacuations{Revision: s.revision, DataCentres: s.names}
 }
