--- a/cmd/savorywing/fleet_evacuation_test.go
+++ b/cmd/savorywing/fleet_evacuation_test.go
@@ -200,3 +200,28 @@
 		t.Errorf("the status after the command:\n%s", out.String())
 	}
 }
+
+// TestFleetEvacuationUnheard guards against an entry host that loses its paths to the control hosts just before an evacuation, and goes on sending
+// requests to the data centre as long as it may go on with its document.
+func TestFleetEvacuationUnheard(t *testing.T) {
+	f := newFleetEnv(t, 3, 1, 10, withPaths, func(f *fleetEnv) { f.evacuationMs = testEvacuationMs })
+	f.addServer(standin.ServerConfig{ID: "emptied-plain", Service: fleetPlainService, Slots: 6,
+		Address: fmt.Sprintf("127.%d.%d.%d:0", processOctet(), (f.port-21000)/10, 190), DataCentre: emptied})
+	f.waitServing()
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer close(stop)
+	callers.Go(func() { f.callThroughKills(stop, 0, "/book/look/x") })
+	start := time.Now()
+	f.eventually("requests in the data centre", func() bool { return f.arrivalsIn(emptied, start) > 5 })
+	f.peerPaths[0].Set(standin.CutSilent)
+	f.evacuate(emptied, true)
+	inForce := time.Now().Add(testEvacuationMs * time.Millisecond)
+	time.Sleep(time.Until(inForce.Add(time.Second)))
+	f.peerPaths[0].Set(standin.NoCut)
+	f.waitServing()
+	if n := f.arrivalsIn(emptied, inForce); n > 0 {
+		t.Errorf("%d requests reached the evacuated data centre", n)
+	}
+}
--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -174,7 +174,10 @@
 		s.ControlAddress = fmt.Sprintf("%s:%d", ip, f.port+1)
 	}
 	s.ReportIntervalMs, s.MemberLossTimeoutMs, s.GraceSeconds = 200, 700, 5
-	s.EvacuationMs = f.evacuationMs
+	if f.evacuationMs > 0 {
+		// The bound of documents must not hide that of evacuations.
+		s.EvacuationMs, s.ConfigPropagationMs = f.evacuationMs, 3*f.evacuationMs
+	}
 	if f.retryBurst > 0 {
 		s.RetryBurst = f.retryBurst
 	}
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -339,8 +339,8 @@
 	g.log.Info().Str("event", "documentInForce").Uint64("version", u.Version).Msg("a new document is in force")
 }
 
-// confirm records that the leader, under its lease, knew of nothing newer than the document in force here when it
-// answered the usage report sent at u.Echo.
+// confirm records that the leader, under its lease, knew of nothing newer than the document in force here, and of no other
+// evacuated data centres than this update states, when it answered the usage report sent at u.Echo.
 func (s *fleetSubscription) confirm(u wire.FleetUpdate) {
 	if u.Echo == 0 {
 		return
