Cold servers get permits: no more in any second than document and settings allow

The document's rate and the settings' bound are read. A server that turns cold between two updates starts with a debt. A host out of touch uses an equal share of what the bound leaves. Services without a rate are served as before.

Tests: process/quota replays 3 to 126 hosts with lost leaders, hosts cut off, stopped and restarted, and messages held up for 1 and 2 s; the sum over every sliding second is asserted, and the use.

--- a/process/controller/endpoint_log.go
+++ b/process/controller/endpoint_log.go
@@ -88,7 +88,7 @@
 
 func sameEndpoint(a, b wire.Endpoint) bool {
 	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && a.Model == b.Model && a.Group == b.Group &&
-		a.Epoch == b.Epoch && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Silent == b.Silent && (a.ColdMs > 0) == (b.ColdMs > 0)
+		a.Epoch == b.Epoch && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Silent == b.Silent && (a.ColdMs > 0) == (b.ColdMs > 0) && a.ColdShare == b.ColdShare
 }
 
 // loadsByHandle returns the loads of the endpoints that still exist, with their handles in place of their IDs.
--- a/process/controller/endpoint_log_test.go
+++ b/process/controller/endpoint_log_test.go
@@ -85,6 +85,30 @@
 	}
 }
 
+// TestColdEndpoints checks that the hosts are told at once of a server that turns cold, and with it of the bound.
+func TestColdEndpoints(t *testing.T) {
+	l := newEndpointLog()
+	e := wire.Endpoint{ID: "a", Service: "s", ColdShare: 5}
+	l.refresh([]wire.Endpoint{e})
+	for _, tt := range []struct {
+		name            string
+		change          func(e *wire.Endpoint)
+		changed, urgent bool
+	}{
+		{"turns cold", func(e *wire.Endpoint) { e.ColdMs = 3000 }, true, true},
+		{"is cold for less", func(e *wire.Endpoint) { e.ColdMs = 2000 }, false, false},
+		{"another bound", func(e *wire.Endpoint) { e.ColdShare = 6 }, true, true},
+		{"turns warm", func(e *wire.Endpoint) { e.ColdMs = 0 }, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.change(&e)
+			if changed, urgent := l.refresh([]wire.Endpoint{e}); changed != tt.changed || urgent != tt.urgent {
+				t.Errorf("changed %v, urgent %v", changed, urgent)
+			}
+		})
+	}
+}
+
 // TestEndpointLogBound checks that a host which lacks more changes than the log holds gets the whole list.
 func TestEndpointLogBound(t *testing.T) {
 	l := newEndpointLog()
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -108,6 +108,7 @@
 		return
 	}
 	list := slices.DeleteFunc(c.table.Endpoints(now, c.silentAfter(), c.reconciler.ModelOf), func(e wire.Endpoint) bool { return c.isDaemon(e.Address) })
+	c.boundCold(now, list)
 	changed, urgent := c.endpoints.refresh(list)
 	if !changed || !urgent {
 		return
--- a/process/fleet/endpoints.go
+++ b/process/fleet/endpoints.go
@@ -25,7 +25,7 @@
 		}
 		e := wire.Endpoint{
 			ID: r.ID, Born: r.Born, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Slots: r.Slots,
-			ColdMs: r.ColdMs, Silent: now.Sub(s.lastReportAt) > silentAfter,
+			ColdMs: (s.coldFor(now) + time.Millisecond - 1).Milliseconds(), Silent: now.Sub(s.lastReportAt) > silentAfter,
 		}
 		if r.Engine {
 			model, known := modelOf(s)
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -30,6 +30,8 @@
 	report wire.Report
 	// lastReportAt is when the newest report, or the withdrawal, arrived. It never decreases.
 	lastReportAt time.Time
+	// coldUntil is when the server stops being cold by its newest report, and assumedColdUntil what AssumeCold has set.
+	coldUntil, assumedColdUntil time.Time
 	// restartedAt is when this incarnation was first reported; zero if no earlier one under the same id was known.
 	restartedAt time.Time
 	// changedAt is the table's revision at the last change of the reported state other than the load.
@@ -117,7 +119,7 @@
 	if old == nil || old.report.Born != r.Born || old.report.Domain != r.Domain || old.report.Engine != r.Engine {
 		t.generation++
 	}
-	s.report, s.lastReportAt = r, now
+	s.report, s.lastReportAt, s.coldUntil = r, now, now.Add(time.Duration(r.ColdMs)*time.Millisecond)
 	t.byAddress[r.Address] = r.ID
 	if changed {
 		t.revision++
@@ -185,6 +187,26 @@
 	return true
 }
 
+// AssumeCold takes the servers of a data centre for cold for a time, whatever they report until then: reports that were on their
+// way may be older than the event that has made them cold.
+func (t *Table) AssumeCold(now time.Time, dataCentre string, d time.Duration) {
+	for _, s := range t.servers {
+		if s.report.DataCentre == dataCentre {
+			s.assumedColdUntil = now.Add(d)
+		}
+	}
+	t.revision++
+}
+
+// coldFor returns how much longer a server is cold.
+func (s *Server) coldFor(now time.Time) time.Duration {
+	until := s.coldUntil
+	if s.assumedColdUntil.After(until) {
+		until = s.assumedColdUntil
+	}
+	return max(0, until.Sub(now))
+}
+
 // Expire removes servers that have sent no report for longer than keep.
 func (t *Table) Expire(now time.Time, keep time.Duration) {
 	for id, s := range t.servers {
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -115,3 +115,40 @@
 		t.Error("the next incarnation counts as leaving")
 	}
 }
+
+// TestColdFor checks how long a server counts as cold, by its reports and beyond them.
+func TestColdFor(t *testing.T) {
+	start := time.Unix(100, 0)
+	table := NewTable()
+	r := report("a", 1, 1, "x:1")
+	r.ColdMs, r.DataCentre = 3000, "d"
+	apply := func(at time.Duration, coldMs int64) {
+		r.Sequence++
+		r.ColdMs = coldMs
+		if _, err := table.Apply(start.Add(at), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, tt := range []struct {
+		name string
+		do   func()
+		at   time.Duration
+		want int64
+	}{
+		{"stated", func() { apply(0, 3000) }, 0, 3000},
+		{"no report since", func() {}, 2 * time.Second, 1000},
+		{"over without a report", func() {}, 4 * time.Second, 0},
+		{"cold again", func() { apply(5*time.Second, 500) }, 5 * time.Second, 500},
+		{"warm by a report", func() { apply(5100*time.Millisecond, 0) }, 5100 * time.Millisecond, 0},
+		{"another data centre is assumed cold", func() { table.AssumeCold(start.Add(6*time.Second), "e", time.Second) }, 6 * time.Second, 0},
+		{"its data centre is assumed cold", func() { table.AssumeCold(start.Add(6*time.Second), "d", 1500*time.Millisecond) }, 6 * time.Second, 1500},
+		{"a report that may be older", func() { apply(6100*time.Millisecond, 0) }, 6100 * time.Millisecond, 1400},
+		{"later", func() {}, 8 * time.Second, 0},
+	} {
+		tt.do()
+		list := table.Endpoints(start.Add(tt.at), time.Minute, nil)
+		if len(list) != 1 || list[0].ColdMs != tt.want {
+			t.Errorf("%s: %+v, want %d ms", tt.name, list, tt.want)
+		}
+	}
+}
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -329,11 +329,12 @@
 	g.subscription.wakeUp()
 }
 
-// mayStillSend reports whether the server of a decision still accepts requests from this host.
-func (g *Gateway) mayStillSend(d placement.Decision) bool {
+// mayStillSend reports whether the server of a reservation still accepts requests from this host, and a permit that it needs is
+// still valid.
+func (g *Gateway) mayStillSend(reservation *placement.Reservation) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.Accepts(g.clock.Now(), d.ID)
+	return g.balancer.MaySend(g.clock.Now(), reservation)
 }
 
 func (a *attempt) engineCall() (engine.Call, error) {
@@ -358,7 +359,7 @@
 	}
 	return engine.Call{Address: d.Address, Header: h, Body: body, AttemptID: r.caller.AttemptID, MaxIdle: idle, HeaderDeadline: r.deadline,
 		MaxPooled: maxPooled(r.service.MaxConnections, int(g.subscription.entryHosts.Load())),
-		Confirm:   func() bool { return g.mayStillSend(d) }}, nil
+		Confirm:   func() bool { return g.mayStillSend(a.reservation) }}, nil
 }
 
 // maxPooled returns this host's part of the connections that a server accepts from all hosts together; 0 if it states no
--- a/process/placement/permit.go
+++ b/process/placement/permit.go
@@ -60,6 +60,17 @@
 	return b.bestOf(usable, req, func(e *endpoint) bool { return b.permits.IsUnconfirmed(e.ID, e.Born) })
 }
 
+// cold returns a cold server for which there is a permit, which would expire soon.
+func (b *Balancer) cold(usable []*endpoint, req Request) (scoredEndpoint, bool) {
+	e, found := b.bestOf(usable, req, func(e *endpoint) bool { return b.permits.IsCold(e.ID, e.Born) })
+	return e, found && !exceedsGap(e, req)
+}
+
+// MaySend reports whether a request that was counted by Start, and hasn't been sent yet, may still be sent.
+func (b *Balancer) MaySend(now time.Time, res *Reservation) bool {
+	return b.Accepts(now, res.ID) && b.permits.MaySend(now, res.ID, res.born, res.permitExpiry)
+}
+
 // permitted returns the best server for which there is a permit. The permit stands for the host's part of its capacity, so
 // no budget applies.
 func (b *Balancer) permitted(usable []*endpoint, req Request) (scoredEndpoint, bool) {
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -142,6 +142,9 @@
 	if e, found := b.unconfirmed(usable, req); found {
 		return b.decide(e)
 	}
+	if e, found := b.cold(usable, req); found {
+		return b.decide(e)
+	}
 	if req.Engine != nil && !req.Retry && !b.hasBudget(now, usable, req) {
 		if e, found := b.permitted(usable, req); found {
 			return b.decide(e)
--- a/process/quota/allocator.go
+++ b/process/quota/allocator.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -10,6 +11,10 @@
 // Allocator is the leader's knowledge of servers' limits. It grants permits to the entry hosts.
 type Allocator struct {
 	limits map[string]*allocation
+	// cold holds the endpoints of services that bound what cold servers get.
+	cold map[string]*coldBucket
+	// hasEndpoints reports whether a list of the endpoints has been taken over.
+	hasEndpoints bool
 	// revision increases when the hosts are to be told of changes; 0 is the revision of a host that has no list. Changes that
 	// aren't urgent wait for nextRevision, since each host is sent the whole list.
 	revision     uint64
@@ -43,7 +48,9 @@
 }
 
 // NewAllocator returns an Allocator without limits.
-func NewAllocator() *Allocator { return &Allocator{limits: map[string]*allocation{}, revision: 1} }
+func NewAllocator() *Allocator {
+	return &Allocator{limits: map[string]*allocation{}, cold: map[string]*coldBucket{}, revision: 1}
+}
 
 func (a *allocation) inForce() bool { return a.statedAt.After(a.endedAt) }
 
@@ -161,12 +168,12 @@
 		g := wire.PermitGrant{Service: r.Service, Model: r.Model}
 		pool := t.pool(now, r, endpoint)
 		for range min(maxGrant, r.Waiting) {
-			if !take(pool, &g, func(a *allocation) bool { return a.tokens >= 1 }) {
+			if !take(pool, &g, func(b *buckets) bool { return b.has(1) }) {
 				break
 			}
 		}
 		for range min(maxGrant, r.Ahead) {
-			if !take(pool, &g, func(a *allocation) bool { return a.tokens >= 1+a.reserved(now) }) {
+			if !take(pool, &g, func(b *buckets) bool { return b.has(1 + b.reserved(now)) }) {
 				break
 			}
 		}
@@ -176,43 +183,123 @@
 	return out
 }
 
-// pool returns the limits in force of the servers for which permits are asked, with refilled buckets.
-func (t *Allocator) pool(now time.Time, r wire.PermitRequest, endpoint func(id string) (wire.Endpoint, bool)) map[string]*allocation {
-	pool := map[string]*allocation{}
+// buckets are those of a server from which a permit takes a token: of its limit, of the time in which it is cold, or both.
+type buckets struct {
+	limit *allocation
+	cold  *coldBucket
+}
+
+// tokens returns the number of requests that may be permitted.
+func (b *buckets) tokens() float64 {
+	n := math.Inf(1)
+	if b.limit != nil {
+		n = b.limit.tokens
+	}
+	if b.cold != nil {
+		n = min(n, b.cold.tokens)
+	}
+	return n
+}
+
+func (b *buckets) has(n float64) bool { return b.tokens() >= n }
+
+func (b *buckets) reserved(now time.Time) float64 {
+	n := 0.0
+	if b.limit != nil {
+		n = b.limit.reserved(now)
+	}
+	if b.cold != nil {
+		n = max(n, b.cold.reserved(now))
+	}
+	return n
+}
+
+func (b *buckets) take() {
+	if b.limit != nil {
+		b.limit.tokens--
+	}
+	if b.cold != nil {
+		b.cold.tokens--
+	}
+}
+
+// wait returns the time until a further request may be permitted.
+func (b *buckets) wait() time.Duration {
+	wait := time.Duration(0)
+	if b.limit != nil {
+		wait = refillTime(1-b.limit.tokens, b.limit.perSecond)
+	}
+	if b.cold != nil {
+		wait = max(wait, refillTime(1-b.cold.tokens, b.cold.rate))
+	}
+	return wait
+}
+
+func refillTime(tokens, perSecond float64) time.Duration {
+	return time.Duration(max(0, tokens) / rateOf(perSecond) * float64(time.Second))
+}
+
+// pool returns the buckets, refilled, of the servers for which permits are asked.
+func (t *Allocator) pool(now time.Time, r wire.PermitRequest, endpoint func(id string) (wire.Endpoint, bool)) map[string]*buckets {
+	pool := map[string]*buckets{}
+	of := func(id string, born int64) *buckets {
+		e, known := endpoint(id)
+		if !known || e.Born != born || e.Service != r.Service || e.Model != r.Model {
+			return nil
+		}
+		if pool[id] == nil {
+			pool[id] = &buckets{}
+		}
+		return pool[id]
+	}
 	for id, a := range t.limits {
-		if e, known := endpoint(id); known && a.inForce() && e.Born == a.born && e.Service == r.Service && e.Model == r.Model {
+		if !a.inForce() {
+			continue
+		}
+		if b := of(id, a.born); b != nil {
 			a.refill(now)
 			if r.Waiting > 0 {
 				a.awaitedAt = now
 			}
-			pool[id] = a
+			b.limit = a
+		}
+	}
+	for id, c := range t.cold {
+		if !c.cold {
+			continue
+		}
+		if b := of(id, c.born); b != nil {
+			c.refill(now)
+			if r.Waiting > 0 {
+				c.awaitedAt = now
+			}
+			b.cold = c
 		}
 	}
 	return pool
 }
 
 // take takes a token of the server with the most tokens among those that allow it, and reports whether there is one.
-func take(pool map[string]*allocation, g *wire.PermitGrant, allows func(a *allocation) bool) bool {
+func take(pool map[string]*buckets, g *wire.PermitGrant, allows func(b *buckets) bool) bool {
 	best := ""
-	for id, a := range pool {
-		if allows(a) && (best == "" || a.tokens > pool[best].tokens) {
+	for id, b := range pool {
+		if allows(b) && (best == "" || b.tokens() > pool[best].tokens()) {
 			best = id
 		}
 	}
 	if best == "" {
 		return false
 	}
-	pool[best].tokens--
+	pool[best].take()
 	g.Servers = append(g.Servers, best)
 	return true
 }
 
 // untilNextToken returns the time until a server can take a further request, rounded up to a millisecond.
-func untilNextToken(pool map[string]*allocation) time.Duration {
+func untilNextToken(pool map[string]*buckets) time.Duration {
 	shortest := time.Duration(-1)
-	for _, a := range pool {
-		wait := time.Duration(max(0, 1-a.tokens) / rateOf(a.perSecond) * float64(time.Second))
-		if shortest < 0 || wait < shortest {
+	for _, b := range pool {
+		if wait := b.wait(); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
--- /dev/null
+++ b/process/quota/cold_test.go
@@ -0,0 +1,539 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"savorywing.example/savorywing/wire"
+)
+
+// coldFleet is a leader, entry hosts and servers that become cold, with simulated time and messages that take time. Reports,
+// updates and requests are held up as the test wants.
+type coldFleet struct {
+	now    time.Time
+	random *rand.Rand
+	bound  ColdBound
+	leader *Allocator
+	term   uint64
+	hosts  []*coldHost
+	// coldUntil holds each server's state; the leader knows it after reportDelay, as knownUntil.
+	coldUntil, knownUntil map[string]time.Time
+	servers               []string
+	messages              []message
+	requests              map[string][]sending
+	cut, frozen           map[int]bool
+	// perSecond is the rate of all callers, and skew lets the first host have all of them.
+	perSecond float64
+	oneHost   bool
+	// delay returns how long a message or request that is sent now is on its way.
+	delay    func() time.Duration
+	unserved int
+}
+
+type coldHost struct {
+	*Holder
+	nextReport, nextRequest, busyUntil time.Time
+	waiting                            []time.Time
+}
+
+type message struct {
+	at    time.Time
+	apply func()
+}
+
+type sending struct{ sentAt, arrivedAt time.Time }
+
+const (
+	coldTick       = 4 * time.Millisecond
+	coldReport     = 160 * time.Millisecond
+	coldWait       = 50 * time.Millisecond
+	serverReport   = 1200 * time.Millisecond
+	usualDelay     = 2 * time.Millisecond
+	testColdTime   = 3 * time.Second
+	testColdServer = "server-0"
+)
+
+var testBound = ColdBound{PerSecond: 17, Overage: 1.5, Slack: 5}
+
+func newColdFleet(hosts, servers int, perSecond float64, seed uint64) *coldFleet {
+	f := &coldFleet{
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), bound: testBound, leader: NewAllocator(), term: 1,
+		coldUntil: map[string]time.Time{}, knownUntil: map[string]time.Time{}, requests: map[string][]sending{}, cut: map[int]bool{}, frozen: map[int]bool{},
+		perSecond: perSecond, delay: func() time.Duration { return usualDelay },
+	}
+	for i := range hosts {
+		f.hosts = append(f.hosts, &coldHost{Holder: NewHolder(seed*1000 + uint64(i)), nextReport: f.now.Add(f.upTo(coldReport))})
+	}
+	for i := range servers {
+		f.servers = append(f.servers, fmt.Sprintf("server-%d", i))
+	}
+	return f
+}
+
+func (f *coldFleet) upTo(d time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(d) + 1))
+}
+
+// become lets servers become cold; the leader hears of it after a time.
+func (f *coldFleet) become(unknownFor time.Duration, servers ...string) {
+	for _, id := range servers {
+		until := f.now.Add(testColdTime)
+		f.coldUntil[id] = until
+		f.messages = append(f.messages, message{f.now.Add(unknownFor), func() { f.knownUntil[id] = until }})
+	}
+}
+
+func (f *coldFleet) endpoints() []wire.Endpoint {
+	var list []wire.Endpoint
+	for _, id := range f.servers {
+		left := max(0, f.knownUntil[id].Sub(f.now)).Milliseconds()
+		list = append(list, wire.Endpoint{ID: id, Born: 1, Service: "s", ColdMs: left, ColdShare: f.bound.Share()})
+	}
+	return list
+}
+
+func (f *coldFleet) endpoint(id string) (wire.Endpoint, bool) {
+	for _, e := range f.endpoints() {
+		if e.ID == id {
+			return e, true
+		}
+	}
+	return wire.Endpoint{}, false
+}
+
+// send delivers a message, after those that were sent to the host before.
+func (f *coldFleet) send(h *coldHost, apply func()) {
+	at := f.now.Add(f.delay())
+	if at.Before(h.busyUntil) {
+		at = h.busyUntil
+	}
+	h.busyUntil = at
+	f.messages = append(f.messages, message{at, apply})
+}
+
+func (f *coldFleet) isCut(i int) bool { return f.leader == nil || f.cut[i] || f.frozen[i] }
+
+// report lets a host report to the leader, whose answer arrives later.
+func (f *coldFleet) report(i int) {
+	h := f.hosts[i]
+	h.nextReport = f.now.Add(coldReport)
+	u := wire.Usage{SentAt: f.now.UnixNano()}
+	h.Report(f.now, &u, func(string, int64) (Pool, bool) { return testPool, true })
+	if f.isCut(i) {
+		return
+	}
+	f.send(h, func() {
+		if f.isCut(i) {
+			return
+		}
+		f.send(h, f.answer(i, wire.FleetUpdate{
+			Term: f.term, Echo: u.SentAt, Entries: len(f.hosts), Full: true, Endpoints: f.endpoints(),
+			Permits: f.leader.Grant(f.now, u.PermitRequests, f.endpoint),
+		}))
+	})
+}
+
+// answer returns the arrival of an update. A host that is stopped handles it once it goes on.
+func (f *coldFleet) answer(i int, u wire.FleetUpdate) func() {
+	var apply func()
+	apply = func() {
+		if f.frozen[i] {
+			f.messages = append(f.messages, message{f.now.Add(coldTick), apply})
+			return
+		}
+		f.hosts[i].Apply(f.now, u)
+	}
+	return apply
+}
+
+// lead lets the leader take over the endpoints and tell the hosts of changes.
+func (f *coldFleet) lead() {
+	if f.leader == nil {
+		return
+	}
+	list := f.endpoints()
+	if len(f.leader.SetEndpoints(f.now, list, func(string) ColdBound { return f.bound })) == 0 {
+		return
+	}
+	for i, h := range f.hosts {
+		if !f.isCut(i) {
+			f.send(h, f.answer(i, wire.FleetUpdate{Term: f.term, Full: true, Endpoints: list}))
+		}
+	}
+}
+
+// place sends a request of a host, to a cold server first, and reports whether a server takes it.
+func (f *coldFleet) place(h *coldHost) bool {
+	var usable []string
+	for _, id := range f.servers {
+		switch {
+		case !h.Allows(f.now, id, 1):
+		case h.IsCold(id, 1):
+			f.transmit(h, id)
+			return true
+		default:
+			usable = append(usable, id)
+		}
+	}
+	if len(usable) == 0 {
+		return false
+	}
+	f.transmit(h, usable[f.random.IntN(len(usable))])
+	return true
+}
+
+func (f *coldFleet) transmit(h *coldHost, id string) {
+	if expiry := h.Use(f.now, id, 1); h.MaySend(f.now, id, 1, expiry) {
+		f.requests[id] = append(f.requests[id], sending{f.now, f.now.Add(f.delay())})
+	}
+}
+
+// serve lets a host place its callers' requests; those without a server wait a little for a permit.
+func (f *coldFleet) serve(i int) {
+	h := f.hosts[i]
+	rate := f.perSecond / float64(len(f.hosts))
+	if f.oneHost {
+		rate = 0
+		if i == 0 {
+			rate = f.perSecond
+		}
+	}
+	for rate > 0 && !f.now.Before(h.nextRequest) {
+		if !h.nextRequest.IsZero() {
+			h.waiting = append(h.waiting, f.now)
+			h.RecordDemand(testPool)
+		}
+		h.nextRequest = f.now.Add(time.Duration(f.random.ExpFloat64() / rate * float64(time.Second)))
+	}
+	var left []time.Time
+	for _, since := range h.waiting {
+		switch {
+		case f.place(h):
+		case f.now.Sub(since) > coldWait:
+			f.unserved++
+		default:
+			left = append(left, since)
+		}
+	}
+	h.waiting = left
+	h.Await(testPool, len(left)-h.demand(testPool).waiting)
+	if len(left) > 0 && h.MayAsk(f.now, testPool) && f.now.Add(coldReport-coldWait/2).After(h.nextReport) {
+		h.nextReport = f.now
+	}
+}
+
+func (f *coldFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(coldTick) {
+		due, rest := []message(nil), []message(nil)
+		for _, m := range f.messages {
+			if m.at.After(f.now) {
+				rest = append(rest, m)
+			} else {
+				due = append(due, m)
+			}
+		}
+		f.messages = rest
+		for _, m := range due {
+			m.apply()
+		}
+		f.lead()
+		for i, h := range f.hosts {
+			if f.frozen[i] {
+				continue
+			}
+			if !f.now.Before(h.nextReport) {
+				f.report(i)
+			}
+			f.serve(i)
+		}
+	}
+}
+
+// most returns the largest number of a server's requests that were both sent and received within one second after a time.
+func (f *coldFleet) most(id string, after, before time.Time) int {
+	var list []sending
+	for _, r := range f.requests[id] {
+		if r.sentAt.After(after) && r.arrivedAt.Before(before) {
+			list = append(list, r)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].sentAt.Before(list[j].sentAt) })
+	most := 0
+	for i, first := range list {
+		n := 0
+		for _, r := range list[i:] {
+			if r.arrivedAt.Sub(first.sentAt) <= time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// arrivals returns the largest number of requests that a server received within one second after a time, whenever they were sent.
+func (f *coldFleet) arrivals(id string, after time.Time) int {
+	var list []time.Time
+	for _, r := range f.requests[id] {
+		if r.sentAt.After(after) {
+			list = append(list, r.arrivedAt)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Before(list[j]) })
+	most, first := 0, 0
+	for i, at := range list {
+		for at.Sub(list[first]) > time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (f *coldFleet) count(id string, after, before time.Time) int {
+	n := 0
+	for _, r := range f.requests[id] {
+		if r.sentAt.After(after) && r.sentAt.Before(before) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestColdBound checks that a cold server gets no more in any second than its bound, from all hosts together, and is used,
+// under each load and failure that the case names.
+func TestColdBound(t *testing.T) {
+	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	for _, tt := range []struct {
+		name           string
+		hosts, servers int
+		perSecond      float64
+		// during is what happens in the 3 s in which the first server, or more of them, are cold.
+		during func(f *coldFleet)
+		// use is the smallest mean rate while it is cold, as a fraction of the document's rate.
+		use float64
+	}{
+		{"one starts among many", 126, 30, 420, func(f *coldFleet) {
+			f.servers = append(f.servers, "new")
+			f.become(0, "new")
+			f.become(0, testColdServer)
+			f.run(testColdTime)
+		}, 0.4},
+		{"one turns cold between two of its reports", 126, 31, 420, func(f *coldFleet) {
+			f.become(serverReport, testColdServer)
+			f.run(testColdTime)
+		}, 0.4},
+		{"a third turns cold at once", 126, 30, 420, func(f *coldFleet) {
+			f.become(seconds(0.3), f.servers[:10]...)
+			f.run(testColdTime)
+		}, 0.4},
+		{"all are cold, far more callers than they bear", 126, 4, 600, func(f *coldFleet) {
+			f.become(0, f.servers...)
+			f.run(testColdTime)
+		}, 0.7},
+		{"one host has all callers", 126, 4, 300, func(f *coldFleet) {
+			f.oneHost = true
+			f.become(0, f.servers...)
+			f.run(testColdTime)
+		}, 0.5},
+		{"three hosts", 3, 4, 60, func(f *coldFleet) {
+			f.become(0, testColdServer)
+			f.run(testColdTime)
+		}, 0.5},
+		{"the leader is lost, another follows", 126, 30, 420, func(f *coldFleet) {
+			f.become(0, testColdServer)
+			f.run(seconds(0.9))
+			f.leader = nil
+			f.run(seconds(1))
+			f.leader, f.term = NewAllocator(), 2
+			f.run(seconds(1.1))
+		}, 0.1},
+		{"the leader is lost before one turns cold", 126, 30, 420, func(f *coldFleet) {
+			f.leader = nil
+			f.run(seconds(2.5))
+			f.become(0, testColdServer)
+			f.run(testColdTime)
+		}, 0.1},
+		{"a new leader after each second", 126, 4, 600, func(f *coldFleet) {
+			f.become(0, f.servers...)
+			for range 3 {
+				f.run(seconds(1))
+				f.leader, f.term = NewAllocator(), f.term+1
+			}
+		}, 0.2},
+		{"half of the hosts are cut off before", 126, 30, 420, func(f *coldFleet) {
+			for i := range 63 {
+				f.cut[i] = true
+			}
+			f.run(seconds(2.5))
+			f.become(0, testColdServer)
+			f.run(testColdTime)
+		}, 0.4},
+		{"hosts are cut off while it is cold", 126, 30, 420, func(f *coldFleet) {
+			f.become(0, testColdServer)
+			f.run(seconds(1))
+			for i := range 42 {
+				f.cut[i] = true
+			}
+			f.run(seconds(2))
+		}, 0.4},
+		{"stopped hosts go on with what they held", 126, 30, 420, func(f *coldFleet) {
+			f.become(0, f.servers[:10]...)
+			for n := range 3 {
+				f.frozen = map[int]bool{}
+				for i := range 40 {
+					f.frozen[40*n+i] = true
+				}
+				f.run(seconds(1))
+			}
+		}, 0.25},
+		{"hosts start again", 126, 4, 600, func(f *coldFleet) {
+			f.become(0, f.servers...)
+			for i := range 100 {
+				f.hosts[i].Holder = NewHolder(uint64(7000 + i))
+				f.run(seconds(0.03))
+			}
+		}, 0.5},
+		{"updates take up to a second", 126, 30, 420, func(f *coldFleet) {
+			f.delay = func() time.Duration { return f.upTo(time.Second) }
+			f.become(0, f.servers[:10]...)
+			f.run(testColdTime)
+		}, 0},
+		{"messages are held up for two seconds and come at once", 126, 30, 420, func(f *coldFleet) {
+			release := f.now.Add(seconds(2))
+			f.delay = func() time.Duration { return max(usualDelay, release.Sub(f.now)) }
+			f.become(0, f.servers[:10]...)
+			f.run(testColdTime)
+		}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				f := newColdFleet(tt.hosts, tt.servers, tt.perSecond, seed+1)
+				f.run(seconds(1.2))
+				tt.during(f)
+				to := f.now
+				f.delay = func() time.Duration { return usualDelay }
+				allowed := testBound.PerSecond*testBound.Overage + testBound.Slack
+				for id, until := range f.coldUntil {
+					if most := f.most(id, until.Add(-testColdTime), until); float64(most) > allowed {
+						t.Errorf("seed %d: %s got %d requests in a second, want at most %v", seed, id, most, allowed)
+					}
+					start := until.Add(-testColdTime)
+					if got := float64(f.count(id, start, to)) / min(to.Sub(start), testColdTime).Seconds(); got < tt.use*testBound.PerSecond {
+						t.Errorf("seed %d: %s got %.1f requests a second while it was cold, want at least %.1f", seed, id, got, tt.use*testBound.PerSecond)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestColdDelayedRequests checks that what a cold server receives within one second stays within its bound although requests are
+// on their way for different times, up to 200 ms.
+func TestColdDelayedRequests(t *testing.T) {
+	f := newColdFleet(126, 4, 600, 1)
+	f.run(2 * time.Second)
+	f.become(0, f.servers...)
+	f.run(100 * time.Millisecond)
+	after := f.now
+	// Requests that are sent in one period of 200 ms arrive together.
+	f.delay = func() time.Duration {
+		return 200*time.Millisecond - time.Duration(f.now.UnixNano())%(200*time.Millisecond)
+	}
+	f.run(2500 * time.Millisecond)
+	for _, id := range f.servers {
+		if n := f.arrivals(id, after); float64(n) > 30.5 {
+			t.Errorf("%s received %d requests in a second, want at most 30.5", id, n)
+		}
+	}
+}
+
+// TestColdPlan checks that burst and rate keep within the bound in any second in which all permits that may be used are, and that the
+// rate is never above the document's.
+func TestColdPlan(t *testing.T) {
+	for _, c := range []ColdBound{
+		testBound, {PerSecond: 25, Overage: 1.5, Slack: 5}, {PerSecond: 17, Overage: 1}, {PerSecond: 1, Overage: 1}, {PerSecond: 0.3, Overage: 1}, {PerSecond: 500, Overage: 1.1},
+		{PerSecond: 3, Overage: 2, Slack: 100}, {PerSecond: 100, Overage: 1, Slack: 50},
+	} {
+		burst, rate := c.plan()
+		used := int(burst + rate*(1+coldValidity.Seconds()))
+		if float64(used) > c.PerSecond*c.Overage+c.Slack || rate > c.PerSecond {
+			t.Errorf("%+v: a burst of %v and %v a second, so up to %d in a second", c, burst, rate, used)
+		}
+		if half := burst + rate*(1+coldValidity.Seconds()) + outOfTouchRatio*c.Share(); half > c.PerSecond*c.Overage+c.Slack+1 {
+			t.Errorf("%+v: %v in a second if half of the hosts lack a leader", c, half)
+		}
+	}
+}
+
+// TestColdAtStart checks that servers which start before traffic, and those of services without a bound, need no permits.
+func TestColdAtStart(t *testing.T) {
+	f := newColdFleet(3, 2, 100, 1)
+	f.run(time.Second)
+	if f.unserved != 0 {
+		t.Errorf("%d requests unserved although no server is cold", f.unserved)
+	}
+	h := NewHolder(1)
+	h.Apply(f.now, wire.FleetUpdate{Term: 1, Echo: 1, Entries: 3, Full: true, Endpoints: []wire.Endpoint{{ID: "a", Born: 1, Service: "s", ColdMs: 3000}}})
+	if !h.Allows(f.now, "a", 1) || !h.Allows(f.now.Add(time.Hour), "a", 1) {
+		t.Error("a cold server of a service without a bound needs permits")
+	}
+}
+
+// TestColdMaySend checks what holds a request back between its choice and its sending.
+func TestColdMaySend(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cold := wire.Endpoint{ID: "a", Born: 1, Service: "s", ColdMs: 3000, ColdShare: 5}
+	warm, restarted := cold, cold
+	warm.ColdMs, restarted.Born = 0, 2
+	for _, tt := range []struct {
+		name   string
+		before wire.Endpoint
+		after  wire.Endpoint
+		later  time.Duration
+		want   bool
+	}{
+		{"at once", cold, cold, time.Millisecond, true},
+		{"its permit has expired", cold, cold, coldValidity, false},
+		{"it has turned cold", warm, cold, time.Millisecond, false},
+		{"it has turned warm", cold, warm, time.Second, true},
+		{"it has started again", cold, restarted, time.Millisecond, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := NewHolder(1)
+			h.Report(now, &wire.Usage{SentAt: 7}, func(string, int64) (Pool, bool) { return testPool, true })
+			h.Apply(now, wire.FleetUpdate{
+				Term: 1, Echo: 7, Entries: 3, Full: true, Endpoints: []wire.Endpoint{tt.before}, Permits: []wire.PermitGrant{{Service: "s", Servers: []string{"a"}}},
+			})
+			expiry := h.Use(now, "a", 1)
+			h.Apply(now, wire.FleetUpdate{Term: 1, Echo: 7, Entries: 3, Full: true, Endpoints: []wire.Endpoint{tt.after}})
+			if got := h.MaySend(now.Add(tt.later), "a", 1, expiry); got != tt.want {
+				t.Errorf("%v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestColdAndLimited checks that a permit for a server that is cold and has a limit takes a token of both.
+func TestColdAndLimited(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewAllocator()
+	e := wire.Endpoint{ID: "a", Born: 1, Service: "s", ColdMs: 3000}
+	l.SetEndpoints(now, nil, nil)
+	l.SetEndpoints(now, []wire.Endpoint{e}, func(string) ColdBound { return testBound })
+	l.Record(now, []wire.ServerLimit{{ID: "a", Born: 1, PerSecond: 1}})
+	granted := 0
+	for range 100 {
+		now = now.Add(30 * time.Millisecond)
+		l.Record(now, []wire.ServerLimit{{ID: "a", Born: 1, PerSecond: 1}})
+		for _, g := range l.Grant(now, []wire.PermitRequest{{Service: "s", Waiting: 5}}, func(string) (wire.Endpoint, bool) { return e, true }) {
+			granted += len(g.Servers)
+		}
+	}
+	if granted > 5 || granted < 2 {
+		t.Errorf("%d permits in 3 s for a limit of 1 a second, want 2 to 5", granted)
+	}
+}
--- a/process/quota/holder.go
+++ b/process/quota/holder.go
@@ -15,7 +15,11 @@
 type Holder struct {
 	random *rand.Rand
 	limits map[string]*limit
-	pools  map[Pool]*poolDemand
+	// cold holds the endpoints of services that bound what cold servers get.
+	cold  map[string]*coldServer
+	pools map[Pool]*poolDemand
+	// sent lists the last usage reports, oldest first.
+	sent []sentReport
 	// term and revision are those of the leader's list that was applied last.
 	term, revision uint64
 	// answeredAt is when the leader last answered a usage report.
@@ -64,7 +68,7 @@
 
 // NewHolder returns a Holder that knows of no limit.
 func NewHolder(seed uint64) *Holder {
-	return &Holder{random: rand.New(rand.NewPCG(seed, seed+1)), limits: map[string]*limit{}, pools: map[Pool]*poolDemand{}, entryHosts: 1}
+	return &Holder{random: rand.New(rand.NewPCG(seed, seed+1)), limits: map[string]*limit{}, cold: map[string]*coldServer{}, pools: map[Pool]*poolDemand{}, entryHosts: 1}
 }
 
 // Response is what a response of a server says about its limit.
@@ -118,6 +122,13 @@
 
 // Allows reports whether this host may send a request to a server now.
 func (h *Holder) Allows(now time.Time, server string, born int64) bool {
+	if c := h.bounded(now, server, born); c != nil {
+		h.refreshCold(now, c)
+		if len(c.permits) == 0 || c.cold {
+			// A permit for a cold server is also one of its limit.
+			return len(c.permits) > 0
+		}
+	}
 	l := h.inForce(server, born)
 	if l == nil {
 		return true
@@ -132,8 +143,10 @@
 	return l != nil && l.unconfirmed
 }
 
-// IsLimited reports whether a server has a limit.
-func (h *Holder) IsLimited(server string, born int64) bool { return h.inForce(server, born) != nil }
+// IsLimited reports whether a server has a limit, or is cold and takes requests with permits only.
+func (h *Holder) IsLimited(server string, born int64) bool {
+	return h.inForce(server, born) != nil || h.IsCold(server, born)
+}
 
 // inForce returns the limit of one incarnation of a server, or nil if it has none.
 func (h *Holder) inForce(server string, born int64) *limit {
@@ -148,6 +161,22 @@
 
 // Use uses up a permit for a request that is sent, and returns when the permit expires; zero if none was needed.
 func (h *Holder) Use(now time.Time, server string, born int64) time.Time {
+	if c := h.bounded(now, server, born); c != nil {
+		h.refreshCold(now, c)
+		if len(c.permits) == 0 {
+			return time.Time{}
+		}
+		expiry := c.permits[0]
+		c.permits = c.permits[1:]
+		if !c.cold {
+			h.useLimit(now, server, born)
+		}
+		return expiry
+	}
+	return h.useLimit(now, server, born)
+}
+
+func (h *Holder) useLimit(now time.Time, server string, born int64) time.Time {
 	l := h.inForce(server, born)
 	if l == nil {
 		return time.Time{}
@@ -163,17 +192,25 @@
 
 // Return gives back a permit that Use returned, for a request that was not sent after all.
 func (h *Holder) Return(server string, born int64, expiry time.Time) {
+	if c := h.cold[server]; c != nil && h.IsCold(server, born) && !expiry.IsZero() {
+		c.permits = returned(c.permits, expiry)
+		return
+	}
 	if l := h.inForce(server, born); l != nil && !expiry.IsZero() {
-		l.permits = append(l.permits, expiry)
-		sort.Slice(l.permits, func(i, j int) bool { return l.permits[i].Before(l.permits[j]) })
+		l.permits = returned(l.permits, expiry)
 	}
 }
 
+// returned returns permits with one more, earliest first.
+func returned(permits []time.Time, expiry time.Time) []time.Time {
+	permits = append(permits, expiry)
+	sort.Slice(permits, func(i, j int) bool { return permits[i].Before(permits[j]) })
+	return permits
+}
+
 // refresh drops expired permits, and makes new ones while there is no leader to ask.
 func (h *Holder) refresh(now time.Time, l *limit) {
-	for len(l.permits) > 0 && !now.Before(l.permits[0]) {
-		l.permits = l.permits[1:]
-	}
+	l.permits = dropExpired(now, l.permits)
 	if !h.lacksLeader(now) {
 		return
 	}
@@ -221,6 +258,7 @@
 // one incarnation of a server, if it is an endpoint.
 func (h *Holder) Report(now time.Time, u *wire.Usage, pool func(server string, born int64) (Pool, bool)) {
 	u.LimitRevision = h.revision
+	h.recordSent(now, u.SentAt)
 	interval := min(now.Sub(h.reportedAt), rateTime)
 	h.reportedAt = now
 	for _, d := range h.pools {
@@ -229,30 +267,45 @@
 			d.requests = 0
 		}
 	}
-	held, unconfirmed := map[Pool]int{}, map[Pool]bool{}
+	held, early := map[Pool]int{}, map[Pool]bool{}
+	for id, c := range h.cold {
+		if p, known := pool(id, c.born); known && c.cold {
+			h.refreshCold(now, c)
+			held[p] += len(c.permits)
+			early[p] = h.demand(p).rate*coldValidity.Seconds() >= minColdAhead
+		}
+	}
 	for id, l := range h.limits {
 		if l.pending {
 			u.Limits = append(u.Limits, l.report(now, id))
 			l.sentAt = u.SentAt
 		}
-		if p, known := pool(id, l.born); known && !l.ended {
+		if p, known := pool(id, l.born); known && !l.ended && !h.IsCold(id, l.born) {
 			h.refresh(now, l)
 			held[p] += len(l.permits)
-			unconfirmed[p] = unconfirmed[p] || l.unconfirmed
+			early[p] = early[p] || l.unconfirmed
 		}
 	}
+	u.PermitRequests = append(u.PermitRequests, h.permitRequests(held, early, interval)...)
+	sort.Slice(u.Limits, func(i, j int) bool { return u.Limits[i].ID < u.Limits[j].ID })
+}
+
+// permitRequests returns the permits that this host needs beside those that it holds for each pool. early holds the pools for
+// which it asks ahead of fewer requests than usual.
+func (h *Holder) permitRequests(held map[Pool]int, early map[Pool]bool, interval time.Duration) []wire.PermitRequest {
+	var out []wire.PermitRequest
 	for p, n := range held {
 		d := h.demand(p)
 		r := wire.PermitRequest{Service: p.Service, Model: p.Model, Waiting: max(0, d.waiting-n)}
 		// Where requests are rare, a permit would probably expire unused.
-		if d.rate*permitValidity.Seconds() >= 1 || unconfirmed[p] {
+		if d.rate*permitValidity.Seconds() >= 1 || early[p] {
 			r.Ahead = max(0, h.round(d.rate*interval.Seconds())-max(0, n-d.waiting))
 		}
 		if r.Waiting > 0 || r.Ahead > 0 {
-			u.PermitRequests = append(u.PermitRequests, r)
+			out = append(out, r)
 		}
 	}
-	sort.Slice(u.Limits, func(i, j int) bool { return u.Limits[i].ID < u.Limits[j].ID })
+	return out
 }
 
 func (l *limit) report(now time.Time, id string) wire.ServerLimit {
@@ -291,13 +344,27 @@
 			}
 		}
 	}
+	h.applyEndpoints(now, u)
 	if u.LimitRevision != 0 {
 		h.revision = u.LimitRevision
 		h.applyList(now, u.Limits)
 	}
+	h.applyPermits(now, u)
+}
+
+// applyPermits keeps the permits of an update.
+func (h *Holder) applyPermits(now time.Time, u wire.FleetUpdate) {
+	reportedAt, isRemembered := h.sentAt(u.Echo)
 	for _, g := range u.Permits {
 		h.demand(Pool{g.Service, g.Model}).nextAt = now.Add(time.Duration(g.WaitMs) * time.Millisecond)
 		for _, server := range g.Servers {
+			if c := h.cold[server]; c != nil && c.cold {
+				// A report that isn't remembered is older than its permits last.
+				if isRemembered {
+					c.permits = returned(c.permits, reportedAt.Add(coldValidity))
+				}
+				continue
+			}
 			if l := h.limits[server]; l != nil && !l.ended {
 				l.permits = append(l.permits, now.Add(permitValidity))
 			}
--- a/version/catalogue/bounds.go
+++ b/version/catalogue/bounds.go
@@ -103,6 +103,8 @@
 		b.problem("service", ErrNoName)
 	}
 	bound(b, where+"connections", &s.MaxConnections, 0, maxCount)
+	bound(b, where+"cold time", &s.ColdTime, 0, maxDuration)
+	bound(b, where+"requests a second while cold", &s.ColdPerSecond, 0, maxRate)
 	e := s.Engine
 	if e == nil {
 		return
--- a/version/catalogue/bounds_test.go
+++ b/version/catalogue/bounds_test.go
@@ -67,6 +67,9 @@
 		{"share negative", func(d *Document) { d.Services[1].Engine.Models[0].InitialShare = -0.5 }, ErrOutOfRange},
 		{"time factor negative", func(d *Document) { d.Services[1].Engine.Models[0].TimeFactor = -1 }, ErrOutOfRange},
 		{"time factor infinite", func(d *Document) { d.Services[1].Engine.Models[0].TimeFactor = math.Inf(1) }, ErrOutOfRange},
+		{"cold time negative", func(d *Document) { d.Services[1].ColdTime = -1 }, ErrOutOfRange},
+		{"rate while cold negative", func(d *Document) { d.Services[1].ColdPerSecond = -1 }, ErrOutOfRange},
+		{"rate while cold NaN", func(d *Document) { d.Services[1].ColdPerSecond = math.NaN() }, ErrOutOfRange},
 		{"time to load negative", func(d *Document) { d.Services[1].Engine.Models[0].ColdLoadTime = -1 }, ErrOutOfRange},
 	}
 	for _, tt := range tests {
--- a/version/catalogue/catalogue.go
+++ b/version/catalogue/catalogue.go
@@ -124,6 +124,10 @@
 	HealthPath string
 	// MaxConnections bounds the connections of all callers to one backend server.
 	MaxConnections int
+	// ColdTime is how long a server that starts during traffic is cold, and ColdPerSecond the number of requests per second that
+	// a cold one takes from all entry hosts together; 0 if it isn't limited.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -92,6 +92,10 @@
 	RetryRatio         float64 `yaml:"retryShare"`
 	RetryWindowSeconds float64 `yaml:"retryWindowSeconds"`
 	RetryBurst         float64 `yaml:"retrySlack"`
+	// In any second, all hosts together may send ColdOverage times the rate of its service to a cold server, and ColdSlack
+	// requests more.
+	ColdOverage float64 `yaml:"coldOverage"`
+	ColdSlack   float64 `yaml:"coldSlack"`
 }
 
 // Load reads and checks a settings file. Errors state the file, and the line and field where they are known.
@@ -146,6 +150,7 @@
 		value float64
 	}{
 		{&s.GraceSeconds, 8}, {&s.RetryRatio, 0.2}, {&s.RetryWindowSeconds, 10}, {&s.RetryBurst, 10},
+		{&s.ColdOverage, 1},
 	}
 	for _, n := range floats {
 		if *n.field == 0 {
@@ -264,6 +269,9 @@
 	if !isWithin(l.RetryRatio, 0, maxCapacity) || !isWithin(l.RetryBurst, 0, maxCapacity) {
 		return fmt.Errorf("%w: retries", ErrRange)
 	}
+	if !isWithin(l.ColdOverage, 0, maxCapacity) || !isWithin(l.ColdSlack, 0, maxCapacity) {
+		return fmt.Errorf("%w: requests to cold servers", ErrRange)
+	}
 	return nil
 }
 
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -52,6 +52,8 @@
 		{"address with port -1", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:-1", "line 6: readyAddress"},
 		{"address with a word as its port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:http", "line 6: readyAddress"},
 		{"address with a word as its host", "callerAddress: 10.0.0.1:8080", "callerAddress: nowhere:8080", "line 5: callerAddress"},
+		{"overage of cold servers negative", "revokeMs: 4000", "coldOverage: -1", "limits: "},
+		{"slack of cold servers NaN", "revokeMs: 4000", "coldSlack: .nan", "limits: "},
 		{"peer port 0", "[7340,7355]", "[0]", "line 7: peerPorts"},
 		{"peer port -1", "[7340,7355]", "[7340,-1]", "line 7: peerPorts"},
 		{"peer port 70000", "[7340,7355]", "[70000]", "line 7: peerPorts"},
--- a/wire/types.go
+++ b/wire/types.go
@@ -269,6 +269,11 @@
 	// ColdMs corresponds to the JSON schema field "coldMs".
 	ColdMs int64 `json:"coldMs"`
 
+	// Requests per second that the entry hosts which hear from no leader may send
+	// together. It is set if a bound applies while the server is cold: requests then
+	// need permits.
+	ColdShare float64 `json:"coldShare,omitempty,omitzero"`
+
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre"`
 
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -127,7 +127,8 @@
 func (e *Endpoint) Validate() error {
 	return firstError("Endpoint.Validate", checkID(e.ID), CheckAddress(e.Address), checkName("service", e.Service),
 		checkText("model", e.Model), checkText("data centre", e.DataCentre), checkText("group", e.Group),
-		checkRange("slots", e.Slots, 0, maxSlots), checkRange("cold time", e.ColdMs, 0, maxColdMs), checkRange("start time", e.Born, 0, maxUnixMs))
+		checkRange("slots", e.Slots, 0, maxSlots), checkRange("cold time", e.ColdMs, 0, maxColdMs), checkRate(e.ColdShare),
+		checkRange("start time", e.Born, 0, maxUnixMs))
 }
 
 // Validate checks the parts of an update other than its lists. The error wraps ErrInvalid.
@@ -147,14 +148,17 @@
 
 // Validate checks a limit. The error wraps ErrInvalid.
 func (l *ServerLimit) Validate() error {
-	var rate error
-	if math.IsNaN(l.PerSecond) || l.PerSecond < 0 || l.PerSecond > maxRate {
-		rate = fmt.Errorf("rate: %w: %v", ErrInvalid, l.PerSecond)
-	}
-	return firstError("ServerLimit.Validate", checkID(l.ID), rate, checkRange("start time", l.Born, 0, maxUnixMs),
+	return firstError("ServerLimit.Validate", checkID(l.ID), checkRate(l.PerSecond), checkRange("start time", l.Born, 0, maxUnixMs),
 		checkRange("age", l.AgeMs, minAgeMs, maxAgeMs))
 }
 
+func checkRate(perSecond float64) error {
+	if math.IsNaN(perSecond) || perSecond < 0 || perSecond > maxRate {
+		return fmt.Errorf("rate: %w: %v", ErrInvalid, perSecond)
+	}
+	return nil
+}
+
 // Validate checks a request for permits. The error wraps ErrInvalid.
 func (r *PermitRequest) Validate() error {
 	return firstError("PermitRequest.Validate", checkName("service", r.Service), checkText("model", r.Model),
--- a/wire/validate_frame_test.go
+++ b/wire/validate_frame_test.go
@@ -45,7 +45,7 @@
 		}}, Frame{Raft: []RaftMessage{{Index: 3, Entries: []Entry{{Index: 4}, {Index: 5}}}}}},
 		{"endpoints", Frame{Fleet: &FleetUpdate{Term: 1, Endpoints: []Endpoint{
 			endpoint(func(e *Endpoint) { e.Address = "nowhere" }), endpoint(func(*Endpoint) {}), endpoint(func(e *Endpoint) { e.Slots = -1 }),
-			endpoint(func(e *Endpoint) { e.Slots = huge }), endpoint(func(e *Endpoint) { e.ColdMs = math.MinInt64 }), endpoint(func(e *Endpoint) { e.ID = "" }),
+			endpoint(func(e *Endpoint) { e.Slots = huge }), endpoint(func(e *Endpoint) { e.ColdMs = math.MinInt64 }), endpoint(func(e *Endpoint) { e.ColdShare = math.NaN() }), endpoint(func(e *Endpoint) { e.ID = "" }),
 		}}}, Frame{Fleet: &FleetUpdate{Term: 1, Endpoints: []Endpoint{endpoint(func(*Endpoint) {})}}}},
 		{"other lists of an update", Frame{Fleet: &FleetUpdate{
 			Controls:   []string{"", addr, "10.0.0.9"},
