Servers that have just started or returned get few requests first

A head that opens has no requests in flight, so the draw by headroom gives it more than any other, whether it keeps up or not. The leader now keeps it on pace (process/pace): a quarter of the slots first, then what its answers, reported by all hosts, show. It rides on the loads of usage reports and on the endpoints of updates. It applies to services whose document states how long a started server is cold.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -21,6 +21,7 @@
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/logging"
+	"savorywing.example/savorywing/process/pace"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
@@ -104,6 +105,8 @@
 	quarantine *quarantine.Tracker
 	// limits divides the request limits of servers among the entry hosts.
 	limits *quota.Allocator
+	// paces holds the servers that have just started or returned; nil until this host leads.
+	paces *pace.Tracker
 	// forwarders lists the entry hosts that take requests of others.
 	forwarders *forwarding.Directory
 	// waiting holds the channels of callers that wait until the entry hosts have been notified.
--- a/process/controller/endpoint_log.go
+++ b/process/controller/endpoint_log.go
@@ -49,7 +49,10 @@
 		if known && sameEndpoint(old, e) {
 			continue
 		}
-		urgent = urgent || known
+		// A server's pace may wait for the hosts' next reports.
+		paced := old
+		paced.PaceSlots = e.PaceSlots
+		urgent = urgent || (known && !sameEndpoint(paced, e))
 		changed = true
 		l.current[e.ID] = e
 		l.record(next, e.ID)
@@ -88,7 +91,7 @@
 
 func sameEndpoint(a, b wire.Endpoint) bool {
 	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && a.Model == b.Model && a.Group == b.Group &&
-		a.Epoch == b.Epoch && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Silent == b.Silent && (a.ColdMs > 0) == (b.ColdMs > 0) && a.ColdShare == b.ColdShare
+		a.Epoch == b.Epoch && a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Silent == b.Silent && (a.ColdMs > 0) == (b.ColdMs > 0) && a.ColdShare == b.ColdShare && a.PaceSlots == b.PaceSlots
 }
 
 // loadsByHandle returns the loads of the endpoints that still exist, with their handles in place of their IDs.
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -109,6 +109,7 @@
 	}
 	list := slices.DeleteFunc(c.table.Endpoints(now, c.silentAfter(), c.reconciler.ModelOf), func(e wire.Endpoint) bool { return c.isDaemon(e.Address) })
 	c.boundCold(now, list)
+	c.pace(now, list)
 	changed, urgent := c.endpoints.refresh(list)
 	if !changed || !urgent {
 		return
@@ -232,6 +233,7 @@
 	c.applyLeaving(u.Leaving)
 	c.recordLosses(now, host, u)
 	c.recordLimits(now, u)
+	c.recordPace(now, u)
 	for _, d := range u.Demand {
 		c.hasSeenRequests = c.hasSeenRequests || d.Requests > 0
 	}
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -6,6 +6,7 @@
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/forwarding"
+	"savorywing.example/savorywing/process/pace"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/quota"
@@ -256,6 +257,7 @@
 		return
 	}
 	c.toldTerm, c.quarantine, c.limits = term, quarantine.NewTracker(now), quota.NewAllocator()
+	c.paces = pace.NewTracker()
 }
 
 // announceLeader sends the leader's host to the entry hosts that are connected to this one.
--- a/process/fleet/totals.go
+++ b/process/fleet/totals.go
@@ -82,10 +82,21 @@
 // Loads calls yield with the ID and the load of each endpoint that a host reports; the loads have no handles.
 func (t *Totals) Loads(yield func(id string, l Load) bool) {
 	for id, sum := range t.byID {
-		// A host whose requests all wait for a slot may see no progress where another host does.
-		l := Load{InFlight: sum.inFlight, WaitingTokens: sum.waitingTokens, Stalled: sum.stalled > 0 && sum.moved == 0, Progressed: sum.moved > 0}
-		if !yield(id, l) {
+		if !yield(id, sum.load()) {
 			return
 		}
 	}
 }
+
+// Load returns the load of an endpoint, which is zero if no host reports it.
+func (t *Totals) Load(id string) Load {
+	if sum := t.byID[id]; sum != nil {
+		return sum.load()
+	}
+	return Load{}
+}
+
+func (t *total) load() Load {
+	// A host whose requests all wait for a slot may see no progress where another host does.
+	return Load{InFlight: t.inFlight, WaitingTokens: t.waitingTokens, Stalled: t.stalled > 0 && t.moved == 0, Progressed: t.moved > 0}
+}
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -155,8 +155,10 @@
 	var out []wire.EndpointLoad
 	for _, e := range b.byID {
 		e.reported, e.reportedWaiting = e.localInFlight, e.localWaiting
-		if e.localInFlight > 0 {
-			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.localInFlight, WaitingTokens: e.localWaiting, Stalled: e.isStalled(now, b.stallTimeout(e)), Moved: e.progressed})
+		if e.localInFlight > 0 || e.pace != (paceSample{}) {
+			l := wire.EndpointLoad{ID: e.ID, InFlight: e.localInFlight, WaitingTokens: e.localWaiting, Stalled: e.isStalled(now, b.stallTimeout(e)), Moved: e.progressed}
+			e.takePace(&l)
+			out = append(out, l)
 		}
 		e.progressed = false
 	}
@@ -196,8 +198,11 @@
 	sent   time.Time
 	// engineTime is the predicted time to the first event without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
-	key        endpointKey
-	started    bool
+	// predicted is the predicted time to the first event, and passTime the engine's time of a pass at the load when the request was
+	// counted; 0 if there is no engine.
+	predicted, passTime time.Duration
+	key                 endpointKey
+	started             bool
 	// permitExpiry is when the permit that the request has used up expires; zero if it needed none.
 	permitExpiry time.Time
 	born         int64
@@ -208,7 +213,7 @@
 
 // Start counts a request that is sent to the endpoint of a decision.
 func (b *Balancer) Start(now time.Time, d Decision, req Request) *Reservation {
-	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, key: req.key()}
+	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, predicted: d.Predicted, key: req.key()}
 	if s := b.budgets[res.key]; s != nil {
 		s.tokens--
 	}
@@ -216,6 +221,9 @@
 	if e == nil {
 		return res
 	}
+	if req.Engine != nil {
+		res.passTime = req.Engine.PassTime(0, min(e.load()+1, e.slots()))
+	}
 	res.born, res.permitExpiry = e.Born, b.permits.Use(now, e.ID, e.Born)
 	if e.localInFlight == 0 {
 		e.progressAt, e.longestPredicted = now, 0
@@ -234,6 +242,7 @@
 	}
 	e.progressAt, e.progressed = now, true
 	if gap > 0 {
+		e.observe(gap, b.expectedGap(res))
 		updateMean(&e.gap, gap)
 		mean := b.gaps[res.key]
 		updateMean(&mean, gap)
@@ -242,6 +251,7 @@
 	if !res.started {
 		res.started = true
 		e.started++
+		e.observe(now.Sub(res.sent), res.predicted)
 		e.localWaiting = max(0, e.localWaiting-res.tokens)
 		b.recordFirstEvent(res, now.Sub(res.sent))
 	}
@@ -307,8 +317,12 @@
 	} else {
 		e.localWaiting = max(0, e.localWaiting-res.tokens)
 	}
+	e.observeEnd(r)
 	switch r {
 	case Served:
+		if res.passTime == 0 {
+			e.observe(now.Sub(res.sent), b.occupancies[res.key])
+		}
 		e.recordOutcome(now, false)
 		updateMean(&e.occupancy, now.Sub(res.sent))
 		occupancy := b.occupancies[res.key]
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -42,6 +42,8 @@
 	ejectedUntil time.Time
 	// ejections is the number of ejections since the last success.
 	ejections int
+	// pace is what was observed since the last usage report, for a server on pace.
+	pace paceSample
 	// gap is the moving average of the time between two events of a stream, or of the time of a complete plain response.
 	gap time.Duration
 	// occupancy is the moving average of the time that a request occupies its slot.
@@ -80,7 +82,13 @@
 	return tokens
 }
 
-func (e *endpoint) slots() int { return max(1, e.Slots) }
+// slots returns how many requests all hosts may have in flight there: the server's slots, or fewer while it is on pace.
+func (e *endpoint) slots() int {
+	if e.PaceSlots > 0 {
+		return max(1, min(e.Slots, e.PaceSlots))
+	}
+	return max(1, e.Slots)
+}
 
 // isStalled reports whether requests are in flight and none has made progress for longer than timeout. If no request
 // has received an event yet, they may all be queued, so the predicted time to the first event is added. An endpoint
--- a/wire/types.go
+++ b/wire/types.go
@@ -292,6 +292,10 @@
 	// Empty for a plain service.
 	Model string `json:"model"`
 
+	// Requests that all entry hosts together may have in flight while the server is
+	// on pace; 0 if it isn't. Entry hosts then report how it answers.
+	PaceSlots int `json:"paceSlots,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
@@ -313,9 +317,22 @@
 	// A response from the endpoint has made progress since the last usage report.
 	Moved bool `json:"moved"`
 
+	// Requests that were rejected or have failed since the last report.
+	Refused int `json:"refused,omitempty,omitzero"`
+
+	// Requests that have ended well since the last report.
+	Served int `json:"served,omitempty,omitzero"`
+
+	// Sum of those times, each divided by the expected time.
+	Slowness float64 `json:"slowness,omitempty,omitzero"`
+
 	// Requests are in flight at the endpoint and none has made progress lately.
 	Stalled bool `json:"stalled"`
 
+	// Number of times of events and answers since the last report. This part, and the
+	// next three, are set for endpoints on pace.
+	Times int `json:"times,omitempty,omitzero"`
+
 	// Prompt tokens of requests in flight that have not received an event yet.
 	WaitingTokens int `json:"waitingTokens"`
 }
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -127,7 +127,7 @@
 func (e *Endpoint) Validate() error {
 	return firstError("Endpoint.Validate", checkID(e.ID), CheckAddress(e.Address), checkName("service", e.Service),
 		checkText("model", e.Model), checkText("data centre", e.DataCentre), checkText("group", e.Group),
-		checkRange("slots", e.Slots, 0, maxSlots), checkRange("cold time", e.ColdMs, 0, maxColdMs), checkRate(e.ColdShare),
+		checkRange("slots", e.Slots, 0, maxSlots), checkRange("cold time", e.ColdMs, 0, maxColdMs), checkRate(e.ColdShare), checkRange("slots on pace", e.PaceSlots, 0, maxSlots),
 		checkRange("start time", e.Born, 0, maxUnixMs))
 }
 
@@ -143,7 +143,8 @@
 // Validate checks a load. The error wraps ErrInvalid.
 func (l *EndpointLoad) Validate() error {
 	return firstError("EndpointLoad.Validate", checkID(l.ID), checkRange("in flight", l.InFlight, 0, maxRequests),
-		checkRange("waiting tokens", l.WaitingTokens, 0, maxTokens))
+		checkRange("waiting tokens", l.WaitingTokens, 0, maxTokens), checkRange("times", l.Times, 0, maxRequests), checkRate(l.Slowness),
+		checkRange("served", l.Served, 0, maxRequests), checkRange("refused", l.Refused, 0, maxRequests))
 }
 
 // Validate checks a limit. The error wraps ErrInvalid.
