--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -17,6 +17,7 @@
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/disk"
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/forwarding"
@@ -107,6 +108,10 @@
 	limits *quota.Allocator
 	// paces holds the servers that have just started or returned; nil until this host leads.
 	paces *pace.Tracker
+	// evacuated holds the evacuated data centres as of the last look at the log.
+	evacuated *evacuation.Set
+	// startedAt is when the host was made.
+	startedAt time.Time
 	// forwarders lists the entry hosts that take requests of others.
 	forwarders *forwarding.Directory
 	// waiting holds the channels of callers that wait until the entry hosts have been notified.
@@ -158,6 +163,7 @@
 		daemons: map[string]time.Time{}, invalidReports: logging.NewRepeats(clock.Boottime{}),
 		reconciler: formation.New(reconcilerConfig(s)),
 	}
+	c.startedAt = c.clock.Now()
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.engines = engine.New(c.clock, dialect)
 	if err := c.assemble(); err != nil {
@@ -247,6 +253,7 @@
 		return 0
 	})
 	c.telemetry.Gauge("log_outages", func() float64 { return float64(c.node.Status().Outages) })
+	c.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(c.node.Status().Evacuated.Names())) })
 	c.telemetry.Gauge("log_commit_index", func() float64 { return float64(c.node.Status().CommitIndex) })
 	return nil
 }
@@ -275,7 +282,8 @@
 	if err := c.api.Start(c.settings.ControlAddress); err != nil {
 		return fmt.Errorf("Controller.Start: %w", err)
 	}
-	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).Msg("the control host started")
+	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).
+		Strs("dataCentres", c.settings.DataCentres).Msg("the control host started")
 	return nil
 }
 
