What callers may hold is bounded by the process's memory

Cause: each request could make a daemon hold as much as the limit of a body, allocated at its announcement, whatever the process had; connections were bounded by the descriptors only, also those that send nothing.

Change: process/budget decides, without input or output, which connections of a process may hold how much and who is turned away; connection/ingress asks it before each buffer of a body or of a large header. A body still being received ends first whose bytes times age are largest, with 503 and Retry-After; of too many connections the one whose own time would end first. None that is served is turned away. Bodies are read by a reader of our own, since the library's allocates what is announced; FuzzReadBody compares the two. Plain responses that are held count too; without room they are passed on as they arrive. The same for serve, operators, control hosts and metrics, whose listener had no bound at all for bodies; a request on the daemons' own listener has at most 1 KiB of body.

TestMaxConns expected a new connection to be refused while others are idle: now an idle one ends instead, and the test has both cases.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,12 @@
 LINTER_VERSION := v2.12.2
 GOPLS := $(BIN)/gopls
 GOPLS_VERSION := v0.21.0
-PURE := ./connection/announcement/... ./request/attempt/... ./process/admission/... ./process/disk/... ./process/group/... \
+PURE := ./connection/announcement/... ./request/attempt/... ./process/admission/... ./process/budget/... ./process/disk/... ./process/group/... \
 	./process/fleet/... ./process/forwarding/... ./process/lease/... ./process/placement/... ./process/planner/... ./process/quarantine/... ./process/quorum/... ./process/reach/... ./process/retry/... ./process/router/... \
 	./process/state/... ./process/straggler/... ./version/...
 
 # Fuzz targets as package:name. go test runs one at a time.
-FUZZ := connection/ingress:FuzzReadRequest platform:FuzzReadCallerMetadata platform:FuzzReadResponseMetadata platform:FuzzReadReport \
+FUZZ := connection/ingress:FuzzReadRequest connection/ingress:FuzzReadBody platform:FuzzReadCallerMetadata platform:FuzzReadResponseMetadata platform:FuzzReadReport \
 	platform:FuzzReadDocument process/disk:FuzzDecodeFrames process/fleet:FuzzUnpackLoads process/gateway:FuzzScanEvents \
 	process/quorum:FuzzStep process/state:FuzzRestore \
 	request/attempt:FuzzParseFrame version/instance:FuzzParse version/settings:FuzzParse wire/codec:FuzzCheckJSON wire/codec:FuzzDecodeFrame
--- a/cmd/savorywing/fleet_bodies_test.go
+++ b/cmd/savorywing/fleet_bodies_test.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// checkDescriptors checks that a process has no more descriptors than it may use.
+func (p *process) checkDescriptors() {
+	p.t.Helper()
+	if n := p.descriptors(); n > crowdDescriptors {
+		p.t.Errorf("%d descriptors, %d allowed", n, crowdDescriptors)
+	}
+}
+
 // checkSize checks that a process runs and stays within a memory.
 func (p *process) checkSize(maxMB int) {
 	p.t.Helper()
@@ -241,6 +249,19 @@
 	}
 }
 
+// TestFleetPeerBodiesThatNeverEnd is TestFleetBodiesThatNeverEnd for the listener to which other daemons connect.
+func TestFleetPeerBodiesThatNeverEnd(t *testing.T) {
+	f := newCrowdedFleet(t)
+	p, _ := f.start(t)
+	for _, tt := range endlessBodies[:crowdsOfOthers] {
+		head := fmt.Appendf(nil, "POST /savorywing/v1/peer HTTP/1.1\r\nHost: x\r\n%s\r\n\r\n", tt.framing)
+		startCrowd(t, fmt.Sprintf("%s:%d", f.entryIP(f.entry), f.port), crowdCallers, func(c net.Conn) { writeAll(c, append([][]byte{head}, tt.parts()...)...) })
+		f.awaitAnswer()
+		t.Log(tt.name)
+		p.checkSize(crowdMemoryMB)
+	}
+}
+
 // TestFleetBodyAlone guards against bounds that refuse a single body within the limits.
 func TestFleetBodyAlone(t *testing.T) {
 	f := newCrowdedFleet(t)
@@ -270,9 +291,7 @@
 			startCrowd(t, address, crowdConns, func(c net.Conn) { writeAll(c, []byte(tt.sent)) })
 			f.awaitAnswer()
 			p.checkSize(crowdMemoryMB)
-			if n := p.descriptors(); n > crowdDescriptors {
-				t.Errorf("%d descriptors, %d allowed", n, crowdDescriptors)
-			}
+			p.checkDescriptors()
 		})
 	}
 }
@@ -295,6 +314,7 @@
 		}
 	})
 	p.settle()
+	p.checkDescriptors()
 	for _, server := range f.fleet.PlainServers() {
 		server.SetFaults(standin.Faults{})
 	}
--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -63,11 +63,11 @@
 }
 
 // New returns a server. Start makes it listen.
-func New(clock savorywing.Clock, dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger) *Server {
+func New(clock savorywing.Clock, dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger, opts ...ingress.Option) *Server {
 	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
-	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log)
+	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log, opts...)
 	return s
 }
 
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/socket"
+	"savorywing.example/savorywing/process/budget"
 )
 
 const (
@@ -23,6 +25,10 @@
 	lingerTimeout = 300 * time.Millisecond
 	// firstRequestTime is how long a new connection may wait for its first request while the server stops.
 	firstRequestTime = 200 * time.Millisecond
+	// noTimeout stands for no timeout where a time is needed.
+	noTimeout = time.Hour
+	// headerCopies is how often a header that has a buffer of its own is held: there and by the parser.
+	headerCopies = 2
 )
 
 // errHeaderTooLarge replaces the parser's error, which quotes the header and so the caller's key.
@@ -36,8 +42,14 @@
 	conn       net.Conn
 	reader     *bufio.Reader
 	acceptedAt time.Time
-	// refused reports whether the connection is one too many.
-	refused bool
+	// share is what the connection holds of the server's memory, and bodyBytes the part of it that ends with the request.
+	share     *budget.Share
+	bodyBytes atomic.Int64
+	// receiveBy is when the current request must have been received, by the system's clock.
+	receiveBy time.Time
+	// interrupted is closed when the connection must end, also if it waits for room.
+	interrupted   chan struct{}
+	interruptOnce sync.Once
 	// used reports whether the connection has carried a request.
 	used bool
 	// tooLate reports whether the current request is rejected. It is late as of the beginning of the request.
@@ -60,16 +72,34 @@
 	lingering bool
 	// closed reports whether the server has closed the connection.
 	closed bool
+	// turnedAway reports whether the connection ends since there is no room for it.
+	turnedAway bool
 }
 
 func newConn(s *Server, nc net.Conn, h Handler) *conn {
-	return &conn{server: s, handler: h, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true}
+	return &conn{
+		server: s, handler: h, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true,
+		share: &budget.Share{}, interrupted: make(chan struct{}),
+	}
+}
+
+// requestDeadline returns when a connection ends by itself that may take a time for its request; 0 for any time.
+func (c *conn) requestDeadline(timeout time.Duration) time.Time {
+	return c.server.clock.Now().Add(orNoTimeout(timeout))
+}
+
+func orNoTimeout(d time.Duration) time.Duration {
+	if d <= 0 {
+		return noTimeout
+	}
+	return d
 }
 
 // close closes the connection from any goroutine.
 func (c *conn) close() {
 	c.mu.Lock()
 	c.closed = true
+	c.interrupt()
 	c.mu.Unlock()
 	_ = c.conn.Close()
 }
@@ -113,6 +143,7 @@
 		c.cancel(ErrStopping)
 		return true
 	}
+	c.interrupt()
 	c.setReadDeadline(time.Now())
 	return !c.waiting && !c.lingering
 }
@@ -120,13 +151,13 @@
 // setReadDeadline sets the deadline for all reads. A connection on which it fails has been closed, so that they fail as well.
 func (c *conn) setReadDeadline(t time.Time) { _ = c.conn.SetReadDeadline(t) }
 
-// setReadTimeout bounds the time of the reads that follow; 0 for no bound. An expired connection has no time left.
+// setReadTimeout bounds the time of the reads that follow; 0 for no bound. A connection that is expired or turned away has no time left.
 func (c *conn) setReadTimeout(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	deadline := time.Time{}
 	switch {
-	case c.expired:
+	case c.expired || c.turnedAway:
 		deadline = time.Now()
 	case d > 0:
 		deadline = time.Now().Add(d)
@@ -160,7 +191,7 @@
 	}
 }
 
-// fullRetryAfter is the Retry-After of connections that are refused since there are too many.
+// fullRetryAfter is the Retry-After of connections for which there is no room.
 const fullRetryAfter = time.Second
 
 // refuse ends a connection without reading from it.
@@ -190,9 +221,10 @@
 	if !c.used {
 		timeout = c.server.limits().HeaderTimeout
 	}
+	c.server.memory.wait(c, c.requestDeadline(timeout))
 	c.startWaiting(timeout)
 	err := c.awaitByte()
-	if isTimeout(err) {
+	if isTimeout(err) && !c.isTurnedAway() {
 		err = c.lookAgain()
 	}
 	c.endWaiting()
@@ -219,6 +251,9 @@
 	if c.server.closing.Load() {
 		deadline = c.stopDeadline()
 	}
+	if c.turnedAway {
+		deadline = time.Now()
+	}
 	c.setReadDeadline(deadline)
 }
 
@@ -298,8 +333,16 @@
 	if c.tooLate {
 		read = c.readHeader
 	}
+	defer c.releaseBody()
+	c.receiveBy = time.Now().Add(orNoTimeout(limits.HeaderTimeout))
+	c.server.memory.receive(c, c.requestDeadline(limits.HeaderTimeout))
 	c.setReadTimeout(limits.HeaderTimeout)
-	if err := read(x, limits); err != nil {
+	err := read(x, limits)
+	if err == nil && !c.server.memory.serve(c) {
+		err = errTurnedAway
+	}
+	if err != nil {
+		c.releaseBody()
 		c.rejectUnreadable(x, err)
 		return false
 	}
@@ -329,6 +372,32 @@
 	return x.isReusable() && (ctx.Err() == nil || errors.Is(context.Cause(ctx), ErrStopping))
 }
 
+// growBody lets the request hold n bytes more until it ends, or until shrinkBody.
+func (c *conn) growBody(n int) error {
+	if err := c.server.memory.grow(c, n, c.receiveBy); err != nil {
+		return err
+	}
+	c.bodyBytes.Add(int64(n))
+	return nil
+}
+
+// growBodyCalm is growBody for bytes that haven't arrived yet, and reports whether there is plenty of room.
+func (c *conn) growBodyCalm(n int) bool {
+	if !c.server.memory.growCalm(c, n) {
+		return false
+	}
+	c.bodyBytes.Add(int64(n))
+	return true
+}
+
+func (c *conn) shrinkBody(n int) {
+	c.server.memory.shrink(c, n)
+	c.bodyBytes.Add(-int64(n))
+}
+
+// releaseBody gives back what the request holds of the server's memory. Its body isn't needed any more.
+func (c *conn) releaseBody() { c.shrinkBody(int(c.bodyBytes.Load())) }
+
 // setCancel sets what cancels the request that is served.
 func (c *conn) setCancel(cancel context.CancelCauseFunc) {
 	c.mu.Lock()
@@ -348,10 +417,22 @@
 			return err
 		}
 	}
+	if n := x.request.Header.ContentLength(); n == 0 || n < contentLengthChunked {
+		return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes, false)
+	}
 	// A body is read as it is, whatever its type: a form would be taken apart and written anew.
-	return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes, false)
+	r := bodyReader{reader: c.reader, max: limits.MaxBodyBytes, grow: c.growBody, growCalm: c.growBodyCalm, shrink: c.shrinkBody}
+	body, err := r.read(&x.request.Header)
+	if err != nil {
+		return err
+	}
+	x.request.SetBodyRaw(body)
+	return nil
 }
 
+// contentLengthChunked is what fasthttp returns as the content length of chunked bodies.
+const contentLengthChunked = -1
+
 // readHeader reads a header of at most MaxHeaderBytes, or readBufferBytes if there is no limit. The parser leaves one that
 // doesn't fit into the buffer unread.
 func (c *conn) readHeader(x *Exchange, limits Limits) error {
@@ -401,6 +482,9 @@
 // growBuffer replaces the reader by one with a larger buffer. What the old one holds is read first. Most callers' headers
 // fit into the small buffer that a connection begins with.
 func (c *conn) growBuffer(size int) error {
+	if err := c.server.memory.grow(c, headerCopies*size, c.receiveBy); err != nil {
+		return err
+	}
 	b, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
 		return err
@@ -417,6 +501,9 @@
 	switch {
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET):
 		return
+	case errors.Is(err, errTurnedAway) || (isTimeout(err) && c.isTurnedAway()):
+		c.endWith(x, savorywing.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: errTurnedAway.Error() + ": notRun", RetryAfter: fullRetryAfter})
+		return
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status, reason = fasthttp.StatusRequestEntityTooLarge, "the request body exceeds the limit"
 	case errors.Is(err, errHeaderTooLarge):
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -61,7 +61,16 @@
 	}
 }
 
-// Start implements savorywing.Exchange. It makes one write; with a negative length the body is sent with chunked transfer
+// Hold lets the request hold n bytes more until it ends, such as for a response, and reports whether the host has room.
+func (x *Exchange) Hold(n int) bool {
+	if !x.server.memory.tryGrow(x.conn, n) {
+		return false
+	}
+	x.conn.bodyBytes.Add(int64(n))
+	return true
+}
+
+// Start implements savorywing.Exchange. It makes one write unless the first bytes of a body are many; with a negative length the body is sent with chunked transfer
 // encoding.
 func (x *Exchange) Start(h *fasthttp.ResponseHeader, length int, first []byte) error {
 	if x.started {
@@ -80,14 +89,24 @@
 	} else {
 		h.SetContentLength(length)
 	}
+	rest := []byte(nil)
+	if !x.chunked && len(first) > maxCopiedBytes {
+		first, rest = first[:maxCopiedBytes], first[maxCopiedBytes:]
+	}
 	b := h.AppendBytes(make([]byte, 0, headerSizeHint+len(first)))
 	if x.request.Header.IsHead() {
 		x.bodyDone = true
 		return x.write(b)
 	}
-	return x.write(x.appendBody(b, first))
+	if err := x.write(x.appendBody(b, first)); err != nil || len(rest) == 0 {
+		return err
+	}
+	return x.Write(rest)
 }
 
+// maxCopiedBytes bounds the bytes of a body that are copied so that they can be written with the header.
+const maxCopiedBytes = 16 << 10
+
 // headerSizeHint is the usual size of a response header, in bytes.
 const headerSizeHint = 512
 
--- a/connection/ingress/fuzz_test.go
+++ b/connection/ingress/fuzz_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"testing"
@@ -28,7 +27,7 @@
 		}()
 		limits := Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: time.Second}
 		s := New(clock.System{}, handlerFunc(echo), func() Limits { return limits }, zerolog.Nop())
-		c := &conn{server: s, conn: server, reader: bufio.NewReaderSize(server, readBufferBytes)}
+		c := newConn(s, server, s.handler)
 		x := &Exchange{conn: c, server: s}
 		if err := c.readRequest(x, limits); err != nil {
 			return
--- /dev/null
+++ b/connection/ingress/memory.go
@@ -0,0 +1,203 @@
+package ingress
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/budget"
+)
+
+// errTurnedAway means that the connection must end, since the process has no room for what all its connections hold.
+var errTurnedAway = errors.New("this host has no room for the request")
+
+// Memory bounds what the connections of one or several servers hold together. It is safe for concurrent use.
+type Memory struct {
+	clock savorywing.Clock
+
+	mu     sync.Mutex
+	budget *budget.Budget
+	conns  map[*budget.Share]*conn
+	// changed is closed and replaced when a share has shrunk.
+	changed chan struct{}
+	// turnedAway counts the connections that were turned away, refused or dropped.
+	turnedAway int
+}
+
+// NewMemory returns a memory for connections within limits.
+func NewMemory(clock savorywing.Clock, l budget.Limits) *Memory {
+	return &Memory{clock: clock, budget: budget.New(l), conns: map[*budget.Share]*conn{}, changed: make(chan struct{})}
+}
+
+// Usage is the state of a Memory.
+type Usage struct {
+	// Bytes of Limits.Bytes are held, by Conns of Limits.MaxConns connections.
+	Bytes, Conns int
+	Limits       budget.Limits
+	// TurnedAway is the number of connections that were turned away since the start.
+	TurnedAway int
+}
+
+// Usage returns what is held.
+func (m *Memory) Usage() Usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Usage{Bytes: m.budget.Used(), Conns: m.budget.Conns(), Limits: m.budget.Limits(), TurnedAway: m.turnedAway}
+}
+
+// open admits a connection, and turns another one away for it if there are too many.
+func (m *Memory) open(c *conn, endsAt time.Time) budget.Admission {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	share, away, admission := m.budget.Open(endsAt)
+	if away != nil {
+		m.turnAway(away)
+	}
+	if admission != budget.Admitted {
+		m.turnedAway++
+	}
+	if share != nil {
+		c.share = share
+		m.conns[share] = c
+	}
+	return admission
+}
+
+// turnAway ends the connection of a share.
+func (m *Memory) turnAway(s *budget.Share) {
+	m.turnedAway++
+	m.conns[s].turnAway(s.Held())
+}
+
+// close ends the share of a connection.
+func (m *Memory) close(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.share == nil {
+		return
+	}
+	m.budget.Close(c.share)
+	delete(m.conns, c.share)
+	m.signal()
+}
+
+func (m *Memory) signal() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// wait, receive and serve record the state of a connection. They report false if it is turned away.
+func (m *Memory) wait(c *conn, endsAt time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Wait(c.share, endsAt)
+}
+
+func (m *Memory) receive(c *conn, endsAt time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Receive(c.share, m.clock.Now(), endsAt)
+}
+
+func (m *Memory) serve(c *conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Serve(c.share)
+}
+
+// grow lets a connection hold n bytes more, if need be once others that are turned away hold less. The error is errTurnedAway
+// if there is no room, and that of a read at its deadline or on a closed connection otherwise.
+func (m *Memory) grow(c *conn, n int, deadline time.Time) error {
+	var timer *time.Timer
+	for {
+		m.mu.Lock()
+		verdict, away := m.budget.Grow(m.clock.Now(), c.share, n)
+		changed := m.changed
+		for _, s := range away {
+			m.turnAway(s)
+		}
+		m.mu.Unlock()
+		switch verdict {
+		case budget.Granted:
+			return nil
+		case budget.TurnedAway:
+			return errTurnedAway
+		case budget.Awaiting:
+		}
+		if timer == nil {
+			timer = time.NewTimer(time.Until(deadline))
+			defer timer.Stop()
+		}
+		select {
+		case <-changed:
+		case <-c.interrupted:
+			if err := c.interruptCause(); err != nil {
+				return err
+			}
+		case <-timer.C:
+			return os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// growCalm lets a connection hold n bytes more that haven't arrived yet, and reports whether there is plenty of room.
+func (m *Memory) growCalm(c *conn, n int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.GrowCalm(c.share, n)
+}
+
+// tryGrow lets a connection whose request is served hold n bytes more, and reports whether there is room.
+func (m *Memory) tryGrow(c *conn, n int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.TryGrow(c.share, n)
+}
+
+// shrink gives n bytes of a connection back.
+func (m *Memory) shrink(c *conn, n int) {
+	if n == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Shrink(c.share, n)
+	m.signal()
+}
+
+// turnAway ends the connection, which holds some bytes, from any goroutine. It reads until its own goroutine notices.
+func (c *conn) turnAway(held int) {
+	c.server.turnedAwayLog.Info().Str("event", "turnedAway").Stringer("address", c.conn.RemoteAddr()).Int("bytes", held).
+		Msg("a connection ends since this host has no room for what its callers send")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turnedAway = true
+	c.interrupt()
+	c.setReadDeadline(time.Now())
+}
+
+// interrupt wakes up the connection if it waits for room; c.mu is held.
+func (c *conn) interrupt() { c.interruptOnce.Do(func() { close(c.interrupted) }) }
+
+// interruptCause returns why the connection was interrupted.
+func (c *conn) interruptCause() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return net.ErrClosed
+	case c.turnedAway:
+		return errTurnedAway
+	}
+	return os.ErrDeadlineExceeded
+}
+
+// isTurnedAway reports whether the connection must end since there is no room for it.
+func (c *conn) isTurnedAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.turnedAway
+}
--- a/connection/ingress/request_handler_test.go
+++ b/connection/ingress/request_handler_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/clock"
 )
 
@@ -190,34 +191,60 @@
 	return c, resp
 }
 
-// TestMaxConns checks that connections above the bound get a response, and that others take their place once some have ended,
-// also while more are refused.
+// eventually polls until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("condition did not hold in time: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestMaxConns checks that of connections above the bound one without a request ends, that a new one gets a response if all
+// are served, and that others take their place once some have ended, also while more are refused.
 func TestMaxConns(t *testing.T) {
 	format := func(h *fasthttp.ResponseHeader, r savorywing.ErrorResponse) []byte {
 		h.SetStatusCode(r.Status)
 		return []byte("formatted: " + r.Reason)
 	}
-	_, address := serveRequests(t, WithMaxConns(2), WithErrorFormat(format))
-	first, resp := echoOnce(t, address)
-	if resp.StatusCode() != fasthttp.StatusOK {
-		t.Fatalf("status %d, want 200", resp.StatusCode())
+	memory := NewMemory(clock.System{}, budget.Limits{MaxConns: 2})
+	release := make(chan struct{})
+	blocked := NewRequestHandler(func(ctx context.Context, r *fasthttp.RequestCtx) {
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+	}, nil)
+	s, address := serveRequests(t, WithMemory(memory), WithErrorFormat(format))
+	if err := s.StartHandler("127.0.0.1:0", blocked); err != nil {
+		t.Fatal(err)
 	}
-	if _, resp := echoOnce(t, address); resp.StatusCode() != fasthttp.StatusOK {
-		t.Fatalf("status %d, want 200", resp.StatusCode())
+	busy := s.listeners[1].Addr().String()
+	for range 2 {
+		if _, resp := echoOnce(t, address); resp.StatusCode() != fasthttp.StatusOK {
+			t.Fatalf("status %d, want 200", resp.StatusCode())
+		}
+	}
+	var served []net.Conn
+	for range 2 {
+		c, _ := dial(t, busy)
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		served = append(served, c)
+		eventually(t, "the request is served instead of an idle connection", func() bool { return s.InFlight() == len(served) })
 	}
 	const want = "formatted: too many connections: notRun"
 	if _, resp := echoOnce(t, address); resp.StatusCode() != fasthttp.StatusServiceUnavailable || string(resp.Body()) != want || !resp.ConnectionClose() {
 		t.Errorf("got status %d, %q, want 503, %q", resp.StatusCode(), resp.Body(), want)
 	}
-	_ = first.Close()
-	deadline := time.Now().Add(5 * time.Second)
-	for {
-		if _, resp := echoOnce(t, address); resp.StatusCode() == fasthttp.StatusOK {
-			return
-		}
-		if time.Now().After(deadline) {
-			t.Fatal("no connection was accepted after one had ended")
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	_ = served[0].Close()
+	eventually(t, "a connection is accepted after one has ended", func() bool {
+		_, resp := echoOnce(t, address)
+		return resp.StatusCode() == fasthttp.StatusOK
+	})
+	close(release)
 }
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -14,6 +14,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/socket"
+	"savorywing.example/savorywing/process/budget"
 )
 
 const (
@@ -26,6 +27,9 @@
 	acceptRetryDelay = 20 * time.Millisecond
 	// handshakeTime is how long a listener that is being closed still waits for handshakes that have begun.
 	handshakeTime = 20 * time.Millisecond
+	// turnedAwayLines is the number of log lines in turnedAwayPeriod about connections for which there is no room.
+	turnedAwayLines  = 10
+	turnedAwayPeriod = 10 * time.Second
 )
 
 // ExpireTime is how long requests that are cancelled at the end of a stop have for their response.
@@ -58,8 +62,9 @@
 // WithErrorFormat sets the format of the server's own error responses. The default is that of savorywing.ErrorResponse.
 func WithErrorFormat(f ErrorFormat) Option { return func(s *Server) { s.errorFormat = f } }
 
-// WithMaxConns bounds the connections. Further ones get status 503 without being read. The default has no bound.
-func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
+// WithMemory bounds what the server's connections hold, together with those of the other servers that have m. The default has
+// no bounds.
+func WithMemory(m *Memory) Option { return func(s *Server) { s.memory = m } }
 
 // Server serves callers' connections. Each listener has one handler, to which the requests of its connections are passed.
 type Server struct {
@@ -69,14 +74,13 @@
 	log         zerolog.Logger
 	limits      func() Limits
 	errorFormat ErrorFormat
-	// maxConns is the bound of served, or 0 for none.
-	maxConns int
+	memory      *Memory
+	// turnedAwayLog limits the log lines about connections for which there is no room.
+	turnedAwayLog zerolog.Logger
 
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]bool
-	// served is the number of connections in conns that are not refused.
-	served int
 	// closed reports whether Close was called, so that connections that are accepted afterwards are closed at once.
 	closed bool
 	// expired reports whether expire was called, also for connections that are accepted afterwards.
@@ -92,7 +96,10 @@
 
 // New returns a server without listeners. limits is called for each request.
 func New(clock savorywing.Clock, handler Handler, limits func() Limits, log zerolog.Logger, opts ...Option) *Server {
-	s := &Server{clock: clock, handler: handler, limits: limits, log: log, errorFormat: encodeError, conns: map[*conn]bool{}}
+	s := &Server{
+		clock: clock, handler: handler, limits: limits, log: log, errorFormat: encodeError, conns: map[*conn]bool{}, memory: NewMemory(clock, budget.Limits{}),
+		turnedAwayLog: log.Sample(&zerolog.BurstSampler{Burst: turnedAwayLines, Period: turnedAwayPeriod}),
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -164,7 +171,7 @@
 	return d.SetDeadline(t)
 }
 
-// add serves a connection, or refuses it if there are too many.
+// add serves a connection, or ends it if there are too many.
 func (s *Server) add(nc net.Conn, h Handler) {
 	c := newConn(s, nc, h)
 	s.mu.Lock()
@@ -174,13 +181,15 @@
 		return
 	}
 	c.expired = s.expired
-	c.refused = s.maxConns > 0 && s.served >= s.maxConns
-	s.conns[c] = true
-	if !c.refused {
-		s.served++
+	admission := s.memory.open(c, c.requestDeadline(s.limits().HeaderTimeout))
+	if admission == budget.Dropped {
+		s.mu.Unlock()
+		_ = nc.Close()
+		return
 	}
+	s.conns[c] = true
 	s.mu.Unlock()
-	if c.refused {
+	if admission == budget.Refused {
 		s.done.Go(c.refuse)
 		return
 	}
@@ -188,12 +197,10 @@
 }
 
 func (s *Server) removeConn(c *conn) {
+	s.memory.close(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	if !c.refused {
-		s.served--
-	}
 }
 
 // InFlight returns the number of requests that are being read or served.
--- a/connection/operator/server.go
+++ b/connection/operator/server.go
@@ -53,11 +53,12 @@
 }
 
 // New returns a server. Start makes it listen.
-func New(clock savorywing.Clock, token string, ops Operations, log zerolog.Logger) *Server {
+func New(clock savorywing.Clock, token string, ops Operations, log zerolog.Logger, opts ...ingress.Option) *Server {
 	s := &Server{token: token, ops: ops, log: log}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: commandTimeout, IdleTimeout: idleTimeout}
-	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log, ingress.WithErrorFormat(formatError))
+	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log,
+		append(opts, ingress.WithErrorFormat(formatError))...)
 	return s
 }
 
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -41,6 +41,8 @@
 	// dialTimeout is below 1 s, the time after which TCP retransmits a lost SYN.
 	dialTimeout = 400 * time.Millisecond
 	stopTimeout = 1 * time.Second
+	// maxRequestBytes bounds the body of a request to open a connection, which has none.
+	maxRequestBytes = 1 << 10
 )
 
 // Errors of calls to other daemons.
@@ -129,7 +131,7 @@
 	}
 	// With KeepHijackedConns, serveConn closes the connections itself. Without it, closing one has no effect while it
 	// is being read.
-	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout, Logger: &m.log, KeepHijackedConns: true}
+	m.http = &fasthttp.Server{Handler: m.upgrade, ReadTimeout: dialTimeout, MaxRequestBodySize: maxRequestBytes, Logger: &m.log, KeepHijackedConns: true}
 	m.refusals = log.Sample(&zerolog.BurstSampler{Burst: refusalLines, Period: time.Minute})
 	m.SetTokens(cfg.Tokens)
 	for host, address := range cfg.Peers {
--- /dev/null
+++ b/process/budget/doc.go
@@ -0,0 +1,65 @@
+// Package budget decides which connections of a process may hold how many bytes, and which are turned away when the process has
+// no room for more. It bounds what callers can make a process hold by the process's own memory and descriptors.
+//
+// A connection's share grows while a request is received and is kept while it is served. It is pure: connections, bytes and time
+// in, decisions out.
+package budget
+
+import "time"
+
+const (
+	// bodyFraction is the fraction of the memory for bodies, headers and responses that are held.
+	bodyFraction = 0.2
+	// smallBytes is the size, in bytes, up to which shares may use the whole budget; larger ones leave smallFraction of it.
+	smallBytes    = 64 << 10
+	smallFraction = 0.25
+	// calmFraction is the fraction of the budget that bytes may use that haven't arrived yet.
+	calmFraction = 0.5
+	// leavingFraction bounds the number of connections that are being turned away, relative to MaxConns, unless they are fewer than
+	// minLeaving.
+	leavingFraction = 0.25
+	minLeaving      = 8
+	// youngest is added to the age of a share, so that of those that have just begun the largest counts most.
+	youngest = time.Millisecond
+)
+
+// Fractions of memory and descriptors for connections.
+const (
+	entryDescriptors, controlDescriptors = 0.4, 0.75
+	entryMemory, controlMemory           = 0.125, 0.25
+	// entryConnBytes and controlConnBytes are what a connection takes that carries no request.
+	entryConnBytes, controlConnBytes = 32 << 10, 16 << 10
+)
+
+// serveCopies is how often a process of savorywing serve holds a body: as it was received and as it is sent on.
+const serveCopies = 2
+
+// Limits are what the connections of a process may hold together.
+type Limits struct {
+	// Bytes bounds what is received and held, and MaxConns the connections; 0 for no bound.
+	Bytes, MaxConns int
+}
+
+// EntryLimits returns the limits of a process that serves callers, with a memory in bytes and a number of descriptors; 0 for an
+// unknown one.
+func EntryLimits(memory, descriptors int) Limits {
+	return newLimits(memory, descriptors, entryDescriptors, entryMemory/entryConnBytes)
+}
+
+// ControlLimits is EntryLimits for a control host, whose many callers are idle most of the time.
+func ControlLimits(memory, descriptors int) Limits {
+	return newLimits(memory, descriptors, controlDescriptors, controlMemory/controlConnBytes)
+}
+
+// ServeLimits returns the limits of a process of savorywing serve, whose requests are held in several forms.
+func ServeLimits(memory, maxConns int) Limits {
+	return Limits{Bytes: int(bodyFraction * float64(memory) / serveCopies), MaxConns: maxConns}
+}
+
+func newLimits(memory, descriptors int, descriptorFraction, connsPerByte float64) Limits {
+	l := Limits{Bytes: int(bodyFraction * float64(memory)), MaxConns: int(connsPerByte * float64(memory))}
+	if n := int(descriptorFraction * float64(descriptors)); n > 0 && (l.MaxConns == 0 || n < l.MaxConns) {
+		l.MaxConns = n
+	}
+	return l
+}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -14,7 +14,9 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/controlapi"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/fleet"
@@ -226,8 +228,10 @@
 	if n := folder.TornBytes(); n > 0 {
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
-	c.api = controlapi.New(c.clock, c.dialect, c, c.log)
+	memory := ingress.NewMemory(c.clock, budget.ControlLimits(c.settings.MemoryMB<<20, c.settings.MaxDescriptors))
+	c.api = controlapi.New(c.clock, c.dialect, c, c.log, ingress.WithMemory(memory))
 	c.telemetry = telemetry.New(c.clock, c.log)
+	c.telemetry.WatchMemory(memory)
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
 			return 1
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -12,8 +12,10 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/backend"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/connection/operator"
 	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/entry"
 	"savorywing.example/savorywing/process/logging"
@@ -55,6 +57,8 @@
 	entry      *entry.Server
 	callers    *caller.Server
 	operator   *operator.Server
+	// memory bounds what the connections of callers and operators hold together.
+	memory *ingress.Memory
 
 	// announcements queues the announcements that backend servers push, for forwardAnnouncements.
 	announcements *queue.Queue[wire.Announcement]
@@ -95,6 +99,7 @@
 	if d.registry, err = registry.New(d.clock, d.settings); err != nil {
 		return err
 	}
+	d.memory = ingress.NewMemory(d.clock, budget.ServeLimits(hostMemory(), maxConns))
 	d.backend = backend.New(d.clock)
 	d.pollClient = backend.New(d.clock)
 	d.control = backend.NewControlClient(d.pollClient, d.settings.Timing.PollInterval)
@@ -116,7 +121,7 @@
 			return err
 		}
 	}
-	d.operator = operator.New(d.clock, token, &operations{daemon: d}, d.log)
+	d.operator = operator.New(d.clock, token, &operations{daemon: d}, d.log, ingress.WithMemory(d.memory))
 	d.metrics.Publish(metricsNamespace + "." + d.settings.Daemon.Host)
 	return nil
 }
@@ -160,7 +165,7 @@
 	}
 	owner := fmt.Sprintf("%s/%d", d.settings.Daemon.Host, d.bootID)
 	d.entry = entry.New(d.clock, d.registry, d.backend, d.proposer, d.metrics, d.pool, d.log, entry.WithOwner(owner), entry.WithHostIndex(d.hostIndex))
-	d.callers = caller.New(d.clock, d.registry, d.entry, keys, d, d.log)
+	d.callers = caller.New(d.clock, d.registry, d.entry, keys, d, d.log, ingress.WithMemory(d.memory))
 	return nil
 }
 
--- /dev/null
+++ b/process/daemon/memory.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"math"
+	"runtime/debug"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxConns bounds the connections of callers and operators.
+	maxConns = 4096
+	// collectorFraction is the part of a process's memory that its operator states as the limit of Go's collector (GOMEMLIMIT).
+	collectorFraction = 0.6
+	// unknownMemory is assumed where the host doesn't state its memory, in bytes.
+	unknownMemory = 1 << 30
+)
+
+// hostMemory returns the memory that the process may use, in bytes: that for which GOMEMLIMIT is set, or else the host's.
+func hostMemory() int {
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return int(float64(limit) / collectorFraction)
+	}
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return unknownMemory
+	}
+	return int(info.Totalram) * int(info.Unit)
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"savorywing.example/savorywing/connection/forward"
 	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/logging"
@@ -128,7 +129,9 @@
 		opt(g)
 	}
 	g.subscription = newFleetSubscription(g)
-	g.server = ingress.New(g.clock, g, g.limits, log)
+	memory := ingress.NewMemory(g.clock, budget.EntryLimits(s.MemoryMB<<20, s.MaxDescriptors))
+	g.telemetry.WatchMemory(memory)
+	g.server = ingress.New(g.clock, g, g.limits, log, ingress.WithMemory(memory))
 	var err error
 	if g.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true), ants.WithDisablePurge(true)); err != nil {
 		return nil, fmt.Errorf("gateway.New: %w", err)
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -14,6 +14,55 @@
 // maxBufferedResponse is the largest response that is read completely before any of it is passed on, in bytes.
 const maxBufferedResponse = 256 << 10
 
+// errNoRoom means that a response is larger than what may be held of it.
+var errNoRoom = errors.New("the response is too large to be held")
+
+// minBufferedBytes is the size of the first buffer of a response without a stated length.
+const minBufferedBytes = 1 << 10
+
+// holder is an exchange that bounds what its request holds.
+type holder interface {
+	// Hold lets the request hold n bytes more until it ends, and reports whether there is room.
+	Hold(n int) bool
+}
+
+// readBuffered reads a response, and reports whether there may be more of it: it is larger than maxBufferedResponse, or the host
+// has no room for it. Only a signed one may be passed on before it is complete.
+func (r *callerRequest) readBuffered(response *engine.Response) (body []byte, hasMore bool, err error) {
+	body, hasMore, err = r.readHeld(response)
+	if err == nil && hasMore && !response.Metadata.Signed {
+		err = errNoRoom
+	}
+	return body, hasMore, err
+}
+
+// readHeld reads as much of a response as may be held.
+func (r *callerRequest) readHeld(response *engine.Response) (body []byte, hasMore bool, err error) {
+	h, hasBound := r.exchange.(holder)
+	size := minBufferedBytes
+	if n := response.Length(); n >= 0 {
+		size = n + 1 // the byte more is for the read that returns the end
+	}
+	for len(body) < maxBufferedResponse {
+		if len(body) == cap(body) {
+			size = min(max(size, 2*cap(body)), maxBufferedResponse)
+			if hasBound && !h.Hold(size) {
+				return body, true, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := response.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, false, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+	return body, !response.Complete(), nil
+}
+
 // relayBuffered reads a response to its end before passing it on without its connection headers. relayLarge takes
 // over if the body reaches maxBufferedResponse.
 func (a *attempt) relayBuffered(response *engine.Response) (outcome, placement.Result) {
@@ -25,8 +74,8 @@
 		return a.fail(errors.Join(fmt.Errorf("attempt.relayBuffered: status %d, signed %t, event %d delivered", status, signed, a.lastEventID), err))
 	}
 	a.firstEventAt = g.clock.Now()
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponse))
-	if err == nil && len(body) == maxBufferedResponse && signed {
+	body, hasMore, err := r.readBuffered(response)
+	if err == nil && hasMore {
 		// From here on no other server can take over.
 		a.watch.stop()
 		return a.relayLarge(response, body)
--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -20,6 +20,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/ingress"
+	"savorywing.example/savorywing/process/budget"
 )
 
 const (
@@ -30,8 +31,10 @@
 	lowestMicroseconds  = 1
 	highestMicroseconds = int64(time.Minute / time.Microsecond)
 	significantFigures  = 2
-	// Scrapers send short requests without a body.
+	// Scrapers are few and send short requests without a body.
+	maxConns       = 64
 	maxHeaderBytes = 4 << 10
+	maxBodyBytes   = 4 << 10
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	stopTimeout    = 500 * time.Millisecond
@@ -53,8 +56,9 @@
 // New returns empty telemetry.
 func New(clock savorywing.Clock, log zerolog.Logger) *Telemetry {
 	t := &Telemetry{set: metrics.NewSet(), histograms: map[key]*hdrhistogram.Histogram{}}
-	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	t.http = ingress.New(clock, ingress.NewRequestHandler(t.handle, t.handle), func() ingress.Limits { return limits }, log)
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	t.http = ingress.New(clock, ingress.NewRequestHandler(t.handle, t.handle), func() ingress.Limits { return limits }, log,
+		ingress.WithMemory(ingress.NewMemory(clock, budget.Limits{MaxConns: maxConns})))
 	return t
 }
 
@@ -68,6 +72,19 @@
 	t.set.GetOrCreateGauge("savorywing_"+name, read)
 }
 
+// WatchMemory registers the metrics of what the daemon's connections hold.
+func (t *Telemetry) WatchMemory(m *ingress.Memory) {
+	for name, read := range map[string]func(u ingress.Usage) int{
+		"held_bytes":      func(u ingress.Usage) int { return u.Bytes },
+		"max_held_bytes":  func(u ingress.Usage) int { return u.Limits.Bytes },
+		"connections":     func(u ingress.Usage) int { return u.Conns },
+		"max_connections": func(u ingress.Usage) int { return u.Limits.MaxConns },
+		"turned_away":     func(u ingress.Usage) int { return u.TurnedAway },
+	} {
+		t.Gauge(name, func() float64 { return float64(read(m.Usage())) })
+	}
+}
+
 // Observe records a duration in the histogram of a label's value.
 func (t *Telemetry) Observe(name, label, value string, d time.Duration) {
 	t.mu.Lock()
--- a/request/caller/parse.go
+++ b/request/caller/parse.go
@@ -69,14 +69,14 @@
 
 // parse converts an authenticated HTTP request into a Request.
 func parse(ctx *fasthttp.RequestCtx, cfg *settings.Settings, key settings.APIKey, now time.Time) (*savorywing.Request, error) {
+	if len(ctx.PostBody()) > int(cfg.Limits.MaxBody) {
+		return nil, newBadRequest(fasthttp.StatusRequestEntityTooLarge, "", "the body is larger than %d bytes", cfg.Limits.MaxBody)
+	}
 	r := &savorywing.Request{
 		ID: savorywing.NewID(), Organisation: key.Organisation, Class: key.Class,
 		Method: string(ctx.Method()), Path: string(ctx.RequestURI()), ContentType: string(ctx.Request.Header.ContentType()),
 		Body: append([]byte(nil), ctx.PostBody()...), IdempotencyKey: string(ctx.Request.Header.Peek(backend.HeaderIdempotencyKey)), Arrival: now,
 	}
-	if len(r.Body) > int(cfg.Limits.MaxBody) {
-		return nil, newBadRequest(fasthttp.StatusRequestEntityTooLarge, "", "the body is larger than %d bytes", cfg.Limits.MaxBody)
-	}
 	if len(r.IdempotencyKey) > maxKeyBytes {
 		return nil, newBadRequest(fasthttp.StatusBadRequest, backend.HeaderIdempotencyKey, "the key is longer than %d bytes", maxKeyBytes)
 	}
--- a/request/caller/server.go
+++ b/request/caller/server.go
@@ -28,7 +28,6 @@
 const (
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
-	maxConns       = 4096
 	maxHeaderBytes = 16 << 10
 	// bodyReadFactor is the multiple of the largest allowed body that is still read, so that the sender of a
 	// larger one gets an error response.
@@ -57,9 +56,9 @@
 }
 
 // New returns a Server; Start runs it.
-func New(clock savorywing.Clock, r *registry.Registry, e *entry.Server, keys settings.Keys, a AnnouncementHandler, log zerolog.Logger) *Server {
+func New(clock savorywing.Clock, r *registry.Registry, e *entry.Server, keys settings.Keys, a AnnouncementHandler, log zerolog.Logger, opts ...ingress.Option) *Server {
 	s := &Server{clock: clock, registry: r, entry: e, keys: keys, announce: a, log: log, refusals: logging.NewRepeats(clock)}
-	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), s.limits, log, ingress.WithErrorFormat(formatError), ingress.WithMaxConns(maxConns))
+	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), s.limits, log, append(opts, ingress.WithErrorFormat(formatError))...)
 	return s
 }
 
@@ -250,7 +249,7 @@
 	case fasthttp.StatusRequestTimeout:
 		detail.Code, detail.Message = string(savorywing.CodeUnknown), "no request was received on this connection in time"
 	case fasthttp.StatusServiceUnavailable:
-		detail.Code, detail.Message = string(savorywing.CodeUnknown), "this entry host has too many connections and received no request on this one"
+		detail.Code, detail.Message = string(savorywing.CodeUnknown), "this entry host has no room for more connections or requests, and did not run this one"
 	}
 	text, err := json.Marshal(entry.ErrorBody{Error: detail})
 	if err != nil {
