Groups get a warm head where cold servers are limited

Cause: a group's head gets all its requests, and where the document limits the requests to cold servers, a group of warm servers with a cold head serves as few as the head alone. Members were chosen by their latest report only, which is often that of a server that has just started. Change: cold servers are the last choice as members, and a cold one is head only if all are cold, for services whose document states a rate for cold servers.

--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -198,6 +198,9 @@
 	t.revision++
 }
 
+// IsCold reports whether a server is cold.
+func (s *Server) IsCold(now time.Time) bool { return s.coldFor(now) > 0 }
+
 // coldFor returns how much longer a server is cold.
 func (s *Server) coldFor(now time.Time) time.Duration {
 	until := s.coldUntil
--- a/process/formation/plan.go
+++ b/process/formation/plan.go
@@ -35,7 +35,7 @@
 
 func (rc *Reconciler) planService(now time.Time, in Input, service *catalogue.Service) []savorywing.FleetOrder {
 	p := &planning{
-		reconciler: rc, now: now, in: in, engine: service.Engine, capacity: rc.capacity(in, service.Engine),
+		reconciler: rc, now: now, in: in, engine: service.Engine, capacity: rc.capacity(in, service.Engine), limitsCold: service.ColdPerSecond > 0,
 	}
 	p.countLoading()
 	p.countReturning()
@@ -162,6 +162,8 @@
 	in         Input
 	engine     *catalogue.Engine
 	capacity   map[string]float64
+	// limitsCold reports whether cold servers of the service get few requests.
+	limitsCold bool
 	// loading and returning count the hosts that load a model's weights, and the members of ending groups that will be
 	// free soon.
 	loading, returning map[hostCount]int
@@ -330,8 +332,16 @@
 	if len(eligible) < m.HostsPerGroup || m.HostsPerGroup == 0 {
 		return nil
 	}
-	// The server with the most recent report is the least likely to be lost already.
-	sort.SliceStable(eligible, func(i, j int) bool { return eligible[i].LastReportAt().After(eligible[j].LastReportAt()) })
+	// The server with the most recent report is the least likely to be lost already. The first one is the head, which gets the group's
+	// requests, so a cold one would leave the whole group idle.
+	sort.SliceStable(eligible, func(i, j int) bool {
+		if p.limitsCold {
+			if a, b := eligible[i].IsCold(p.now), eligible[j].IsCold(p.now); a != b {
+				return b
+			}
+		}
+		return eligible[i].LastReportAt().After(eligible[j].LastReportAt())
+	})
 	return eligible[:m.HostsPerGroup]
 }
 
