--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -14,7 +14,9 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/controlapi"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/evacuation"
@@ -22,6 +24,7 @@
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/logging"
+	"savorywing.example/savorywing/process/pace"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
@@ -105,6 +108,8 @@
 	quarantine *quarantine.Tracker
 	// limits divides the request limits of servers among the entry hosts.
 	limits *quota.Allocator
+	// paces holds the servers that have just started or returned; nil until this host leads.
+	paces *pace.Tracker
 	// evacuated holds the evacuated data centres as of the last look at the log.
 	evacuated *evacuation.Set
 	// evacuatedRequests is the number of requests in flight in evacuated data centres, as this host knew when it led.
@@ -234,8 +239,10 @@
 	if n := folder.TornBytes(); n > 0 {
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
-	c.api = controlapi.New(c.clock, c.dialect, c, c.log)
+	memory := ingress.NewMemory(c.clock, budget.ControlLimits(c.settings.MemoryMB<<20, c.settings.MaxDescriptors))
+	c.api = controlapi.New(c.clock, c.dialect, c, c.log, ingress.WithMemory(memory))
 	c.telemetry = telemetry.New(c.clock, c.log)
+	c.telemetry.WatchMemory(memory)
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
 			return 1
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -36,7 +36,8 @@
 			if (reservation != nil) != tt.sent || (!tt.sent && (d.Reason != placement.ReasonUnconfirmed || d.RetryAfter <= 0)) {
 				t.Errorf("placed: %v, %+v", reservation != nil, d)
 			}
-			if got := g.mayStillSend(placement.Decision{ID: "s"}); got != tt.sent {
+			earlier := g.balancer.Start(g.clock.Now(), placement.Decision{ID: "s"}, r.placementRequest(g.clock.Now()))
+			if got := g.mayStillSend(earlier); got != tt.sent {
 				t.Errorf("sent once a connection is open: %v, want %v", got, tt.sent)
 			}
 		})
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -12,11 +12,13 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing/connection/forward"
+	"savorywing.example/savorywing/connection/httpheader"
 	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
 	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -152,7 +154,7 @@
 	start := g.clock.Now()
 	for len(tried) < maxOffers && g.clock.Now().Sub(start) < maxOfferTime {
 		g.mu.Lock()
-		host, found := g.peers.Pick(g.clock.Now(), tried)
+		host, found := g.peers.Pick(g.clock.Now(), tried, r.forwardArea())
 		g.mu.Unlock()
 		if !found {
 			break
@@ -180,6 +182,16 @@
 	return errNoForwarder
 }
 
+// forwardArea returns where the request may be sent to another entry host. While its route isn't known, that is the region in which
+// the caller has reached this host.
+func (r *callerRequest) forwardArea() residency.Area {
+	if r.route == nil {
+		s := r.gateway.settings()
+		return s.Regions.Around(s.DataCentre)
+	}
+	return r.area
+}
+
 // avoidPeer makes later requests avoid a host for a time that has refused one or didn't answer, and returns the reason.
 func (g *Gateway) avoidPeer(host string, err error) (reason string) {
 	pause := forwarding.UnreachablePause
@@ -306,7 +318,8 @@
 	r := f.request
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
-	if err := h.Read(bufio.NewReaderSize(bytes.NewReader(part.Header), len(part.Header))); err != nil || r.exchange.Started() {
+	err := httpheader.ReadResponse(&h, bufio.NewReaderSize(bytes.NewReader(part.Header), len(part.Header)))
+	if err != nil || r.exchange.Started() || h.StatusCode() < fasthttp.StatusOK {
 		return fmt.Errorf("%w: %w", errForwardLost, errors.Join(errors.New("an unexpected header"), err))
 	}
 	h.SetNoDefaultContentType(true)
--- a/version/catalogue/catalogue.go
+++ b/version/catalogue/catalogue.go
@@ -59,6 +59,8 @@
 	Public bool
 	// Resumable streams may be continued by another backend server after the last delivered event.
 	Resumable bool
+	// Regions are those in which requests may be handled; empty for all.
+	Regions []string
 }
 
 // Retryable reports whether a request of the route may be run again from its beginning.
@@ -124,6 +126,10 @@
 	HealthPath string
 	// MaxConnections bounds the connections of all callers to one backend server.
 	MaxConnections int
+	// ColdTime is how long a server that starts during traffic is cold, and ColdPerSecond the number of requests per second that
+	// a cold one takes from all entry hosts together; 0 if it isn't limited.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -135,6 +141,8 @@
 	// Priority orders requests before the route's priority does; 0 is the most urgent. It is set if HasPriority is.
 	Priority    int
 	HasPriority bool
+	// Regions are those in which the organisation's requests may be handled; empty for all.
+	Regions []string
 }
 
 // Limits bound a caller's requests and connection.
