overload: shares of full pools, late requests last, callers return when the overload may be over

Cause: each caller was told to return within 0.5 s, into the same burst, where it took a slot from one that could have been in time, who was told to return. Hosts could also save up eight requests each: 1,000 with 126 hosts, beyond what the servers can queue.

Change: process/overload has the decision. A host's share of a full pool is bounded by 200 ms of its part, or two requests. Late requests are sent only once none is rejected that could be in time. Rejected callers are told a time in the last third of what they keep to, each host spreading those it has told. A large prompt that is late anywhere doesn't count as a caller that has waited. Without updates, differences between the groups no longer count after four missed ones, and requests are drawn evenly.

--- a/bench/policy/overload.go
+++ b/bench/policy/overload.go
@@ -78,7 +78,14 @@
 	// newCall draws the next call, and callsPerSecond is their rate.
 	newCall        func(r *overloadRun) *overloadCall
 	callsPerSecond float64
-	score          overloadScore
+	// rate is the rate by the time since the start, if it changes.
+	rate func(elapsed time.Duration) float64
+	// returnsOnce makes each rejected caller return once, after a third of the time that it has left at most.
+	returnsOnce bool
+	// silentFrom and silentTo bound the time since the start in which no reports are exchanged.
+	silentFrom, silentTo time.Duration
+	start                time.Time
+	score                overloadScore
 }
 
 type overloadCall struct {
@@ -92,6 +99,8 @@
 	// maxGap for the pauses between events, 0 for any.
 	promptTokens, outputTokens int
 	objective, maxGap          time.Duration
+	// timeout is the caller's timeout; 0 means overloadTimeout.
+	timeout time.Duration
 	// lastEvent is when the response's newest event arrived, longestGap the longest pause between two.
 	lastEvent  time.Time
 	longestGap time.Duration
@@ -101,7 +110,11 @@
 
 // overloadScore counts the callers, their first events within and past the objective, and the callers whose last
 // attempt was rejected.
-type overloadScore struct{ callers, inTime, late, rejected int }
+type overloadScore struct {
+	callers, inTime, late, rejected int
+	// rejections counts all rejections, and longestQueue is the most requests that waited at one group.
+	rejections, longestQueue int
+}
 
 func (s overloadScore) fraction(n int) float64 { return float64(n) / float64(max(1, s.callers)) }
 
@@ -128,9 +141,13 @@
 
 func (r *overloadRun) request(call *overloadCall) placement.Request {
 	elapsed := r.now.Sub(call.arrival)
+	timeout := call.timeout
+	if timeout == 0 {
+		timeout = overloadTimeout
+	}
 	return placement.Request{
 		Service: "engines", Model: "model", PromptTokens: call.promptTokens, Engine: r.engine, Objective: call.objective, Elapsed: elapsed,
-		MaxEventGap: call.maxGap, Remaining: overloadTimeout - elapsed, Retry: call.lostAt != "", Excluded: []string{call.lostAt},
+		MaxEventGap: call.maxGap, Remaining: timeout - elapsed, Retry: call.lostAt != "", Excluded: []string{call.lostAt},
 	}
 }
 
@@ -140,14 +157,16 @@
 
 // simulate runs the simulation for length and returns the score of the calls that arrived after the warm-up.
 func (r *overloadRun) simulate(length time.Duration) overloadScore {
-	perStep := r.callsPerSecond * overloadStep.Seconds()
-	start := r.now
-	for r.now.Sub(start) < length {
+	r.start = r.now
+	for r.now.Sub(r.start) < length {
 		r.now = r.now.Add(overloadStep)
-		if r.now.Sub(start) < overloadWarmUp {
+		if r.now.Sub(r.start) < overloadWarmUp {
 			r.score = overloadScore{}
 		}
-		for range poisson(r.random, perStep) {
+		if r.rate != nil {
+			r.callsPerSecond = r.rate(r.now.Sub(r.start))
+		}
+		for range poisson(r.random, r.callsPerSecond*overloadStep.Seconds()) {
 			r.score.callers++
 			r.submit(r.newCall(r))
 		}
@@ -191,6 +210,10 @@
 		r.retrying = append(r.retrying, call)
 		return
 	}
+	r.score.rejections++
+	if r.returnsOnce {
+		d.RetryAfter = min(d.RetryAfter, time.Duration(maxHonoured*float64(req.Remaining))-1)
+	}
 	if call.retryAt.IsZero() && d.RetryAfter < req.Remaining/3 {
 		call.retryAt = r.now.Add(d.RetryAfter)
 		r.retrying = append(r.retrying, call)
@@ -242,6 +265,9 @@
 
 // exchangeReports renews the report of each host whose interval has passed, and gives it the last reports of all hosts.
 func (r *overloadRun) exchangeReports() {
+	if elapsed := r.now.Sub(r.start); elapsed >= r.silentFrom && elapsed < r.silentTo {
+		return
+	}
 	var due []int
 	for i := range r.balancers {
 		if !r.now.Before(r.nextReport[i]) {
--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -18,6 +18,7 @@
 		{"retries", Retries},
 		{"placement", Placement},
 		{"prompts", Prompts},
+		{"bursts", Bursts},
 	}
 	const length = 6 * time.Second
 	for _, tt := range tests {
@@ -82,3 +83,31 @@
 		})
 	}
 }
+
+// TestBursts replays callers that compete for too little capacity for some seconds. More of them must be served in time than
+// by the other decisions, and nearly as many as with perfect knowledge. No group may get more than it can queue, also without
+// a leader, whose sums are then as old as the gap.
+func TestBursts(t *testing.T) {
+	const (
+		length = 20 * time.Second
+		// minOfPerfect is the lowest accepted ratio to perfect knowledge.
+		minOfPerfect = 0.85
+	)
+	for _, load := range burstLoads {
+		t.Run(load.name, func(t *testing.T) {
+			var inTime []float64
+			for i, p := range burstPolicies {
+				s := runBurst(1, load, i, length)
+				inTime = append(inTime, s.fraction(s.inTime))
+				t.Logf("%s: in time %.3f, late %.3f, rejected %.3f, longest queue %d", p.name, inTime[i], s.fraction(s.late), s.fraction(s.rejected), s.longestQueue)
+				if i == 0 && s.longestQueue > load.slots {
+					t.Errorf("%d requests waited at one group of %d slots", s.longestQueue, load.slots)
+				}
+			}
+			perfect := inTime[len(inTime)-1]
+			if inTime[0] < inTime[1] || inTime[0] < inTime[2] || inTime[0] < minOfPerfect*perfect {
+				t.Errorf("%.3f in time, want at least the %.3f and %.3f of the others and %.2f times %.3f", inTime[0], inTime[1], inTime[2], minOfPerfect, perfect)
+			}
+		})
+	}
+}
--- a/bench/policy/prefill.go
+++ b/bench/policy/prefill.go
@@ -175,6 +175,7 @@
 		c.prompt -= n
 		tokens += n
 	}
+	r.score.longestQueue = max(r.score.longestQueue, len(g.queue))
 	if len(g.running) > 0 {
 		g.passEnd = r.now.Add(r.engine.PassTime(float64(tokens), decoding))
 	}
--- a/cmd/savorywing/bench.go
+++ b/cmd/savorywing/bench.go
@@ -23,6 +23,7 @@
 		newBenchPolicy("planning", "Compares policies that plan groups while hosts fail", 0, policy.Planning),
 		newBenchPolicy("placement", "Compares policies that place requests while entry hosts receive each other's load with a delay", 14*time.Second, policy.Placement),
 		newBenchPolicy("prompts", "Compares policies that place requests with long prompts", 30*time.Second, policy.Prompts),
+		newBenchPolicy("bursts", "Compares what entry hosts do while callers compete for too little capacity", 20*time.Second, policy.Bursts),
 		newBenchPolicy("retries", "Compares retry policies while a fabric domain fails", 120*time.Second, policy.Retries),
 	)
 	return cmd
--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -180,6 +180,7 @@
 	}
 	request := r.placementRequest(now)
 	d := g.balancer.Pick(now, request)
+	r.recordOverload(d)
 	if d.Reason != placement.ReasonNone {
 		return d, nil
 	}
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -214,7 +214,7 @@
 	g.telemetry.Count("refused", "reason", reason)
 	e := g.logProblem("refused").Str("request", r.caller.AttemptID).Int("status", status).Str("reason", reason).
 		Dur("after", g.clock.Now().Sub(r.exchange.Arrival())).Dur("retryAfter", retryAfter).Int("sends", r.sends).
-		Dur("viewAge", g.subscription.confirmationAge())
+		Dur("viewAge", g.subscription.confirmationAge()).Dur("priorWait", r.priorWait)
 	if r.route != nil {
 		e = e.Str("route", r.route.Name).Str("model", r.caller.Model)
 	}
@@ -224,6 +224,18 @@
 	}})
 }
 
+// recordOverload counts the requests of callers that have returned, and logs the beginning of an overload.
+func (r *callerRequest) recordOverload(d placement.Decision) {
+	g := r.gateway
+	if r.priorWait > 0 && r.begun() == 0 {
+		g.telemetry.Count("returned", "result", map[bool]string{true: "placed", false: "notPlaced"}[d.Reason == placement.ReasonNone])
+	}
+	if d.OverloadBegan {
+		g.log.Info().Str("event", "poolOverloaded").Str("service", r.service.Name).Str("model", r.caller.Model).Int("load", d.Load).Int("slots", d.Slots).
+			Int("hosts", g.balancer.EntryHosts()).Dur("viewAge", g.subscription.confirmationAge()).Msg("requests that could be in time are rejected for want of free slots")
+	}
+}
+
 // unconfirmed returns the reason for which requests can't be handled by a document that was last confirmed as the newest
 // an age ago, or an empty string. A newer one may have changed any route or key since.
 func (g *Gateway) unconfirmed(c *catalogue.Catalogue, age time.Duration) string {
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/process/overload"
 	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/wire"
 )
@@ -57,8 +58,8 @@
 	gaps map[endpointKey]time.Duration
 	// occupancies is the moving average of the time that a request occupies its slot, by key.
 	occupancies map[endpointKey]time.Duration
-	// budgets holds the send budget of this host for each full pool.
-	budgets map[endpointKey]*sendBudget
+	// shares holds this host's part of the capacity of each pool.
+	shares map[endpointKey]*overload.Share
 	// permits holds servers' request limits and the permits for requests to them.
 	permits *quota.Holder
 	// notices holds what servers have stated about themselves, by ID.
@@ -67,6 +68,8 @@
 	// arrived.
 	interval  time.Duration
 	updatedAt time.Time
+	// isLevelled reports whether the other hosts' loads have been levelled since the last update.
+	isLevelled bool
 }
 
 // endpointKey identifies a pool: the endpoints that serve a model of a service.
@@ -79,7 +82,7 @@
 	}
 	return &Balancer{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
-		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, budgets: map[endpointKey]*sendBudget{},
+		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, shares: map[endpointKey]*overload.Share{},
 		notices: map[string]serverNotice{}, permits: quota.NewHolder(cfg.Seed),
 	}
 }
@@ -171,7 +174,7 @@
 	if !b.updatedAt.IsZero() {
 		updateMean(&b.interval, min(now.Sub(b.updatedAt), maxInterval))
 	}
-	b.updatedAt = now
+	b.updatedAt, b.isLevelled = now, false
 	b.expireNotices(now)
 	for _, e := range b.byID {
 		e.remoteInFlight, e.remoteWaiting, e.remoteStalled, e.entryHosts = 0, 0, false, b.entryHosts
@@ -209,8 +212,8 @@
 // Start counts a request that is sent to the endpoint of a decision.
 func (b *Balancer) Start(now time.Time, d Decision, req Request) *Reservation {
 	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, key: req.key()}
-	if s := b.budgets[res.key]; s != nil {
-		s.tokens--
+	if s := b.shares[res.key]; s != nil {
+		s.RecordSent()
 	}
 	e := b.byID[d.ID]
 	if e == nil {
--- a/process/placement/draw.go
+++ b/process/placement/draw.go
@@ -1,32 +1,20 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"savorywing.example/savorywing/process/overload"
+)
 
 // Every entry host receives the sums of all hosts' requests only a few times a second. If each sent its requests to
 // the groups that the latest sums show as least loaded, all would choose the same ones. If each filled all free slots of these, they
 // would be overloaded until the next update. So a group is drawn at random, weighted by its headroom, and while a pool
 // is full, each host sends no more than its fraction of the slots that become free.
 
-// sendBudget is a token bucket: the requests that this host may still send to a full pool.
-type sendBudget struct {
-	tokens float64
-	at     time.Time
-}
-
 const (
-	// fullFraction is the utilisation of a pool's slots from which budgets apply. Below it, the random choice leaves
-	// free slots in most groups.
-	fullFraction = 0.8
 	// targetFraction is the fraction of its slots that a group is filled to. In a group that is always full, requests
 	// that are sent there at the same time by chance have to wait.
 	targetFraction = 0.95
-	// lateTokens is the number of tokens that must be left for a request that can't meet its objective any more: it
-	// takes only the budget that requests that can meet theirs don't use.
-	lateTokens = 0.75 * budgetBurst
-	// budgetBurst is the number of requests that a host may send at once after it has sent none for a while.
-	budgetBurst = 8.0
-	// freeSlotIntervals is the number of update intervals over which the free slots of a full pool are handed out.
-	freeSlotIntervals = 3.0
 	// defaultInterval is the assumed time between two updates of the leader until two have arrived; maxInterval bounds
 	// each sample.
 	defaultInterval = 200 * time.Millisecond
@@ -50,6 +38,31 @@
 	return targetFraction*float64(e.slots()) - float64(e.load()) + released
 }
 
+// staleIntervals is the number of missed updates from which the differences between the groups in the last one no longer count, and
+// minStale the shortest time for that.
+const (
+	staleIntervals = 4
+	minStale       = 400 * time.Millisecond
+)
+
+// levelStale spreads the other hosts' requests in each pool evenly over its slots if the last update is old. Without updates, all
+// hosts would go on to choose the groups that were empty at the last one.
+func (b *Balancer) levelStale(now time.Time) {
+	if b.isLevelled || b.updatedAt.IsZero() || now.Sub(b.updatedAt) < max(minStale, staleIntervals*b.updateInterval()) {
+		return
+	}
+	b.isLevelled = true
+	for _, list := range b.pools {
+		inFlight, waiting, slots := 0, 0, 0
+		for _, e := range list {
+			inFlight, waiting, slots = inFlight+e.remoteInFlight, waiting+e.remoteWaiting, slots+e.slots()
+		}
+		for _, e := range list {
+			e.remoteInFlight, e.remoteWaiting = inFlight*e.slots()/slots, waiting*e.slots()/slots
+		}
+	}
+}
+
 // occupancyOf returns how long a request with this key occupies its slot.
 func (b *Balancer) occupancyOf(req Request) time.Duration {
 	if occupancy := b.occupancies[req.key()]; occupancy > 0 {
@@ -74,40 +87,32 @@
 	return list[len(list)-1]
 }
 
-// hasBudget reports whether this host may send one more request to a pool. It refills the budget; Start takes a token
-// for each request sent.
-func (b *Balancer) hasBudget(now time.Time, list []*endpoint, req Request) bool {
+// mayLoad reports whether this host may send one more request to a pool.
+func (b *Balancer) mayLoad(now time.Time, list []*endpoint, req Request) bool {
 	occupancy := b.occupancyOf(req)
-	load, slots, released := 0, 0, 0.0
+	c := overload.Capacity{Hosts: b.EntryHosts(), Interval: b.updateInterval()}
 	for _, e := range list {
-		load += e.load()
-		slots += e.slots()
-		released += float64(min(e.load(), e.slots())) / occupancy.Seconds()
-	}
-	k := req.key()
-	if float64(load) < fullFraction*float64(slots) {
-		delete(b.budgets, k)
-		return true
+		c.Load += e.load()
+		c.Slots += e.slots()
+		c.Released += float64(min(e.load(), e.slots())) / occupancy.Seconds()
 	}
-	// Free slots are handed out over several intervals: the leader's update is old and doesn't contain what all hosts
-	// have sent since.
-	free := targetFraction*float64(slots) - float64(load)
-	perSecond := max(0, released+free/(freeSlotIntervals*b.updateInterval().Seconds())) / float64(b.EntryHosts())
-	capacity := max(budgetBurst, free/float64(b.EntryHosts()))
-	s := b.budgets[k]
+	return b.share(req.key()).Allow(now, c, b.missesObjective(req))
+}
+
+func (b *Balancer) share(k endpointKey) *overload.Share {
+	s := b.shares[k]
 	if s == nil {
-		s = &sendBudget{tokens: capacity / 2, at: now}
-		b.budgets[k] = s
+		s = overload.NewShare(b.random)
+		b.shares[k] = s
 	}
-	s.tokens = min(capacity, s.tokens+perSecond*now.Sub(s.at).Seconds())
-	s.at = now
-	if b.missesObjective(req) {
-		return s.tokens >= lateTokens
-	}
-	return s.tokens >= 1
+	return s
 }
 
-// missesObjective reports whether a retried request can't meet its objective any more at any endpoint.
+// waitedFraction is the fraction of the objective from which a caller counts as one that has waited. Below it, a request that
+// misses its objective is just a large one.
+const waitedFraction = 0.25
+
+// missesObjective reports whether the request of a caller that has waited can't meet its objective any more at any endpoint.
 func (b *Balancer) missesObjective(req Request) bool {
-	return req.Elapsed > 0 && req.Elapsed+b.idleFirstEvent(req) > req.Objective
+	return req.Elapsed > time.Duration(waitedFraction*float64(req.Objective)) && req.Elapsed+b.idleFirstEvent(req) > req.Objective
 }
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -121,6 +121,8 @@
 	StallTimeout time.Duration
 	// AwaitPermit reports, for a rejection, that the leader may permit a request to a server that has a limit.
 	AwaitPermit bool
+	// OverloadBegan reports, for a rejection, that it is the first in an overload of the pool.
+	OverloadBegan bool
 	// engineTime is Predicted without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
 }
@@ -135,6 +137,7 @@
 }
 
 func (b *Balancer) pick(now time.Time, req Request) Decision {
+	b.levelStale(now)
 	usable, poolSize := b.usable(now, req)
 	if len(usable) == 0 {
 		return b.rejectEmpty(now, req, poolSize)
@@ -142,17 +145,17 @@
 	if e, found := b.unconfirmed(usable, req); found {
 		return b.decide(e)
 	}
-	if req.Engine != nil && !req.Retry && !b.hasBudget(now, usable, req) {
+	if req.Engine != nil && !req.Retry && !b.mayLoad(now, usable, req) {
 		if e, found := b.permitted(usable, req); found {
 			return b.decide(e)
 		}
-		return b.rejectFull(usable, b.best(usable, req))
+		return b.rejectFull(now, usable, b.best(usable, req), req)
 	}
 	best := b.choose(usable, req)
 	if !b.fits(best, req) || exceedsGap(best, req) {
 		best = b.best(usable, req)
 		if !b.fits(best, req) {
-			return b.rejectFull(usable, best)
+			return b.rejectFull(now, usable, best, req)
 		}
 	}
 	return b.decide(best)
@@ -372,9 +375,14 @@
 }
 
 // rejectFull rejects a request because of overload. RetryAfter is the predicted time until the queue ahead of the
-// caller is served, with jitter, so that callers don't retry at the same moment.
-func (b *Balancer) rejectFull(list []*endpoint, s scoredEndpoint) Decision {
+// caller is served, with jitter, so that callers don't retry at the same moment. Where the pool's capacity is shared out, callers
+// return when the overload may be over.
+func (b *Balancer) rejectFull(now time.Time, list []*endpoint, s scoredEndpoint, req Request) Decision {
 	d := Decision{Reason: ReasonFull, RetryAfter: b.jitter(max(minRetryAfter, s.predicted)), Predicted: s.predicted}
+	if req.Engine != nil {
+		share := b.share(req.key())
+		d.RetryAfter, d.OverloadBegan = share.RetryAfter(now, req.Remaining), share.OverloadedAt().Equal(now)
+	}
 	for _, e := range list {
 		d.Load += e.load()
 		d.Slots += e.slots()
