--- a/process/quota/cold.go
+++ b/process/quota/cold.go
@@ -17,11 +17,11 @@
 
 const (
 	// coldValidity is how long a permit for a cold server may be used, from when the host sent the report that asked for it.
-	coldValidity = 350 * time.Millisecond
+	coldValidity = 450 * time.Millisecond
 	// maxColdBurst bounds the bucket of a cold server, in requests.
 	maxColdBurst = 2.0
 	// coldNotice is the time for which a server that was warm until now gets no permits: hosts that don't know yet send to it.
-	coldNotice = 500 * time.Millisecond
+	coldNotice = 250 * time.Millisecond
 	// coldRetention is how long a server's bucket is kept that is no endpoint: longer than what was sent there counts.
 	coldRetention = 2 * time.Second
 	// minColdAhead is the number of requests that a host must expect within coldValidity to ask for permits ahead of them.
