placement: tests for cold servers and servers on pace

Which server is chosen with and without a permit, that a cap holds, and what a usage report says of a server on pace. Run: process/placement, 20 times.

--- a/process/placement/permit_test.go
+++ b/process/placement/permit_test.go
@@ -26,6 +26,16 @@
 		}
 		b.ApplyLimits(start, wire.FleetUpdate{Term: 1, Echo: 1, Entries: 1})
 	}
+	cold := func(b *Balancer, servers ...string) {
+		u := wire.FleetUpdate{Term: 1, Echo: 1, Entries: 1}
+		for _, id := range servers {
+			e := b.byID[id].Endpoint
+			e.ColdMs, e.ColdShare = 3000, 5
+			u.Endpoints = append(u.Endpoints, e)
+		}
+		b.ReportLimits(start, &wire.Usage{SentAt: 1})
+		b.ApplyLimits(start, u)
+	}
 	for _, tt := range []struct {
 		name  string
 		setup func(b *Balancer)
@@ -59,6 +69,13 @@
 				b.Start(start, Decision{ID: "g1"}, Request{})
 			}
 		}, false, []Reason{ReasonNone, ReasonFull}, "g1", false},
+		{"one cold", func(b *Balancer) { cold(b, "g0") }, false, []Reason{ReasonNone, ReasonNone, ReasonNone}, "g0", false},
+		{"all cold", func(b *Balancer) { cold(b, "g0", "g1") }, false, []Reason{ReasonLimited}, "", true},
+		{"all cold, sent again", func(b *Balancer) { cold(b, "g0", "g1") }, true, []Reason{ReasonLimited}, "", true},
+		{"two permits for a cold server", func(b *Balancer) {
+			cold(b, "g0")
+			b.ApplyLimits(start, grant(0, "g0", "g0"))
+		}, false, []Reason{ReasonNone, ReasonNone}, "g1", false},
 		{"the limit may have ended", func(b *Balancer) {
 			b.ApplyLimits(start, wire.FleetUpdate{
 				Term: 1, Echo: 1, Entries: 1, LimitRevision: 1, Permits: grant(0, "g0").Permits,
