pace: a server whose reports alone are missing hasn't returned

Change: a silent server counts as stalled only while no requests are in flight there. Measured: TestPaceBegins has the case, which fails without the change by construction of its old condition; tests of process/{pace,controller, quota,placement} pass.

--- a/process/controller/pace.go
+++ b/process/controller/pace.go
@@ -21,7 +21,7 @@
 		}
 		load := c.totals.Load(e.ID)
 		servers = append(servers, pace.Server{
-			ID: e.ID, Born: e.Born, Epoch: e.Epoch, Slots: e.Slots, Cold: e.ColdMs > 0, Stalled: e.Silent || load.Stalled, InFlight: load.InFlight,
+			ID: e.ID, Born: e.Born, Epoch: e.Epoch, Slots: e.Slots, Cold: e.ColdMs > 0, Stalled: load.Stalled, Silent: e.Silent, InFlight: load.InFlight,
 		})
 	}
 	c.logPace(c.paces.Sync(now, servers, c.hasSeenRequests))
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -54,12 +54,16 @@
 	Slots int
 	// Cold reports whether it says that it is cold.
 	Cold bool
-	// Stalled reports whether no host sees progress there, or it sends no reports.
-	Stalled bool
+	// Stalled reports whether no host sees progress there, and Silent whether it sends no reports.
+	Stalled, Silent bool
 	// InFlight is the number of all hosts' requests there.
 	InFlight int
 }
 
+// isStalled reports whether nothing moves at the server, as far as is known. One that serves requests without its reports arriving is
+// well: the leader is cut off from it, and may be from many at once.
+func (s Server) isStalled() bool { return s.Stalled || (s.Silent && s.InFlight == 0) }
+
 // Sample is what an entry host has observed of a server since its last report.
 type Sample struct {
 	ID string
@@ -135,9 +139,9 @@
 			t.servers[s.ID] = old
 			begins = t.isSynced || s.Cold
 		} else {
-			begins = !s.Stalled && old.server.Stalled && now.Sub(old.stalledAt) >= minStall
+			begins = !s.isStalled() && old.server.isStalled() && now.Sub(old.stalledAt) >= minStall
 		}
-		if s.Stalled && !old.server.Stalled {
+		if s.isStalled() && !old.server.isStalled() {
 			old.stalledAt = now
 		}
 		old.server = s
--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -194,13 +194,14 @@
 	list := func(cold bool, born int64) []Server {
 		return []Server{{ID: "a", Born: born, Slots: 30, Cold: cold}, {ID: "b", Born: 1, Slots: 30}}
 	}
-	stall := func(p *Tracker, d time.Duration) {
+	halt := func(p *Tracker, d time.Duration, change func(s *Server)) {
 		l := list(false, 1)
 		p.Sync(now, l, true)
-		l[0].Stalled = true
+		change(&l[0])
 		p.Sync(now, l, true)
 		p.Sync(now.Add(d), list(false, 1), true)
 	}
+	stall := func(p *Tracker, d time.Duration) { halt(p, d, func(s *Server) { s.Stalled = true }) }
 	for _, tt := range []struct {
 		name string
 		do   func(p *Tracker)
@@ -213,6 +214,8 @@
 		{"new before there are requests", func(p *Tracker) { p.Sync(now, nil, false); p.Sync(now, list(true, 1), false) }, 0},
 		{"stalled for a moment", func(p *Tracker) { stall(p, 300*time.Millisecond) }, 0},
 		{"stalled", func(p *Tracker) { stall(p, 2*time.Second) }, 8},
+		{"silent without requests", func(p *Tracker) { halt(p, 2*time.Second, func(s *Server) { s.Silent = true }) }, 8},
+		{"silent, but requests go on", func(p *Tracker) { halt(p, 2*time.Second, func(s *Server) { s.Silent, s.InFlight = true, 3 }) }, 0},
 		{"removed", func(p *Tracker) { p.Sync(now, list(true, 1), true); p.Sync(now, nil, true) }, 0},
 		{"no answers for a long time", func(p *Tracker) { p.Sync(now, list(true, 1), true); p.Step(now.Add(maxTime + time.Second)) }, 0},
 	} {
