--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -28,6 +28,8 @@
 // Server is one incarnation of a backend server.
 type Server struct {
 	report wire.Report
+	// wholeSequence is the number of the last report that wasn't a repeated one. It is at most report.Sequence.
+	wholeSequence uint64
 	// lastReportAt is when the newest report, or the withdrawal, arrived. It never decreases.
 	lastReportAt time.Time
 	// restartedAt is when this incarnation was first reported; zero if no earlier one under the same id was known.
@@ -117,7 +119,7 @@
 	if old == nil || old.report.Born != r.Born || old.report.Domain != r.Domain || old.report.Engine != r.Engine {
 		t.generation++
 	}
-	s.report, s.lastReportAt = r, now
+	s.report, s.wholeSequence, s.lastReportAt = r, r.Sequence, now
 	t.byAddress[r.Address] = r.ID
 	if changed {
 		t.revision++
--- a/process/queue/mailbox.go
+++ b/process/queue/mailbox.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// Len returns the number of values that wait.
+func (m *Mailbox[K, V]) Len() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.order)
+}
+
 // Counts returns how many values a newer one has replaced, and for how many there was no room.
 func (m *Mailbox[K, V]) Counts() (replaced, rejected uint64) {
 	m.mu.Lock()
--- a/wire/types.go
+++ b/wire/types.go
@@ -369,6 +369,11 @@
 	// Requests in flight summed over all entry hosts, by handle; see fleet.PackLoads.
 	Loads []byte `json:"loads"`
 
+	// Compressed list of endpoints that a full update begins with, for a host that
+	// takes it. The endpoints replace theirs, and the removed ones are not part of
+	// it.
+	Packed []byte `json:"packed"`
+
 	// Permits granted to this host.
 	Permits []PermitGrant `json:"permits,omitempty,omitzero"`
 
@@ -539,6 +544,9 @@
 	// ReachQuery corresponds to the JSON schema field "reachQuery".
 	ReachQuery *ReachQuery `json:"reachQuery,omitempty,omitzero"`
 
+	// Reports without a change, for a control host that takes them.
+	Repeats []RepeatedReport `json:"repeats,omitempty,omitzero"`
+
 	// Reply corresponds to the JSON schema field "reply".
 	Reply bool `json:"reply"`
 
@@ -873,6 +881,9 @@
 
 	// Peer addresses of the control hosts that the host knows.
 	Peers []string `json:"peers"`
+
+	// Whether the host takes repeated reports.
+	TakesRepeats bool `json:"takesRepeats"`
 }
 
 // Propose sends a command to the leader.
@@ -956,6 +967,21 @@
 	WithinMs int64 `json:"withinMs"`
 }
 
+// RepeatedReport is a report that says the same as the server's last whole one.
+type RepeatedReport struct {
+	// Start time of the process, in milliseconds since 1970.
+	Born int64 `json:"born"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Number of the last whole report.
+	Of uint64 `json:"of"`
+
+	// Number of the report.
+	Sequence uint64 `json:"sequence"`
+}
+
 // Report is a backend server's report of its own state.
 type Report struct {
 	// Address corresponds to the JSON schema field "address".
@@ -1213,6 +1239,9 @@
 	// have survived.
 	Survivals []Survival `json:"survivals,omitempty,omitzero"`
 
+	// Whether the host takes packed endpoints.
+	TakesPacked bool `json:"takesPacked"`
+
 	// Term corresponds to the JSON schema field "term".
 	Term uint64 `json:"term"`
 
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -32,6 +32,7 @@
 func (f *Frame) RemoveInvalid() error {
 	errs := []error{
 		keepValid("report", &f.Reports, (*Report).Validate),
+		keepValid("repeated report", &f.Repeats, (*RepeatedReport).Validate),
 		keepValid("announcement", &f.Announcements, (*Announcement).Validate),
 		keepValid("message of the log", &f.Raft, (*RaftMessage).Validate),
 		removePart("presence", &f.Presence, (*Presence).Validate),
@@ -204,6 +205,12 @@
 	return firstError("Presence.Validate", checkID(p.ID))
 }
 
+// Validate checks a repeated report. The error wraps ErrInvalid.
+func (r *RepeatedReport) Validate() error {
+	return firstError("RepeatedReport.Validate", checkID(r.ID), checkRange("sequence", r.Sequence, 0, maxSequence),
+		checkRange("start time", r.Born, 0, maxUnixMs))
+}
+
 // Validate checks the start of a connection. The error wraps ErrInvalid.
 func (h *Hello) Validate() error {
 	return firstError("Hello.Validate", checkName("host", h.Host), checkText("data centre", h.DataCentre))
