ingress, controlapi: idle connections make room for new ones

With a bound, the control interface refused or, without one, ran out of descriptors while connections that nobody used stayed open for 30 s. Above the bound the connection that has been idle for longest ends with 408 now; the idle time is the caller's to set.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -48,8 +48,10 @@
 	peeked chan error
 
 	mu sync.Mutex
-	// waiting reports whether the connection waits for the first byte of a request.
-	waiting bool
+	// waiting reports whether the connection waits for the first byte of a request, since waitingSince. ending is set once it
+	// has been chosen to end instead.
+	waiting, ending bool
+	waitingSince    time.Time
 	// late reports whether the connection had a request when the server began to close connections, so that requests that begin
 	// afterwards are rejected.
 	late bool
@@ -95,6 +97,25 @@
 	c.setReadDeadline(c.stopDeadline())
 }
 
+// idleSince returns since when the connection waits for another request, or false if it doesn't.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waitingSince, c.waiting && !c.ending && !c.waitingSince.IsZero()
+}
+
+// endIfIdle wakes the connection up so that it ends if it still waits for a request, and reports whether it did.
+func (c *conn) endIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || c.ending {
+		return false
+	}
+	c.ending = true
+	c.setReadDeadline(time.Now())
+	return true
+}
+
 // stopDeadline returns how long a request may be waited for while the server stops. The caller of a new connection is about
 // to send its first one.
 func (c *conn) stopDeadline() time.Time {
@@ -211,7 +232,7 @@
 func (c *conn) startWaiting(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.waiting, c.ending, c.waitingSince = true, false, time.Now()
 	deadline := time.Time{}
 	if timeout > 0 {
 		deadline = time.Now().Add(timeout)
--- a/connection/ingress/request_handler_test.go
+++ b/connection/ingress/request_handler_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -221,3 +222,25 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// TestIdleConnectionEnded checks that above the bound the connection that has been idle for longest ends, with a status that
+// says that nothing was run, and that a new one is refused only if none is idle.
+func TestIdleConnectionEnded(t *testing.T) {
+	_, address := serveRequests(t, WithMaxConns(2), WithIdleEnded())
+	first, _ := echoOnce(t, address)
+	time.Sleep(20 * time.Millisecond)
+	second, _ := echoOnce(t, address)
+	if _, resp := echoOnce(t, address); resp.StatusCode() != fasthttp.StatusOK {
+		t.Fatalf("status %d above the bound, want 200", resp.StatusCode())
+	}
+	var resp fasthttp.Response
+	if err := resp.Read(bufio.NewReader(first)); err != nil || resp.StatusCode() != fasthttp.StatusRequestTimeout || !resp.ConnectionClose() {
+		t.Errorf("the first connection: status %d, %v, want 408", resp.StatusCode(), err)
+	}
+	if _, err := io.WriteString(second, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"); err != nil {
+		t.Fatal(err)
+	}
+	if err := resp.Read(bufio.NewReader(second)); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		t.Errorf("the second connection: status %d, %v, want 200", resp.StatusCode(), err)
+	}
+}
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -61,6 +61,9 @@
 // WithMaxConns bounds the connections. Further ones get status 503 without being read. The default has no bound.
 func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
 
+// WithIdleEnded makes the bound of WithMaxConns end the connection that has been idle for longest, rather than refuse the new one.
+func WithIdleEnded() Option { return func(s *Server) { s.endsIdle = true } }
+
 // Server serves callers' connections. Each listener has one handler, to which the requests of its connections are passed.
 type Server struct {
 	clock savorywing.Clock
@@ -71,6 +74,8 @@
 	errorFormat ErrorFormat
 	// maxConns is the bound of served, or 0 for none.
 	maxConns int
+	// endsIdle reports whether idle connections are ended beyond maxConns.
+	endsIdle bool
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -174,7 +179,7 @@
 		return
 	}
 	c.expired = s.expired
-	c.refused = s.maxConns > 0 && s.served >= s.maxConns
+	c.refused = s.maxConns > 0 && s.served >= s.maxConns && !s.endIdlest()
 	s.conns[c] = true
 	if !c.refused {
 		s.served++
@@ -187,6 +192,24 @@
 	s.done.Go(c.serve)
 }
 
+// endingFraction is the part of maxConns, one in so many, by which connections that end may exceed it.
+const endingFraction = 10
+
+// endIdlest ends the connection that has been idle for longest, and reports whether there was one. The caller holds mu.
+func (s *Server) endIdlest() bool {
+	if !s.endsIdle || s.served >= s.maxConns+max(1, s.maxConns/endingFraction) {
+		return false
+	}
+	var idlest *conn
+	var since time.Time
+	for c := range s.conns {
+		if t, idle := c.idleSince(); idle && (idlest == nil || t.Before(since)) {
+			idlest, since = c, t
+		}
+	}
+	return idlest != nil && idlest.endIfIdle()
+}
+
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
