controller: servers report to all control hosts, orders wait, full updates are packed

Servers report to a control host of their data centre; unchanged reports travel in short form; connections and orders in flight are bounded by the descriptors, orders wait by server; all endpoints are packed once for all hosts.

--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -24,7 +24,7 @@
 
 var errNoLeader = errors.New("no leader is known")
 
-// HandleReport applies a backend server's report and returns the control address of the leader if that is another host.
+// HandleReport applies a backend server's report and returns the control address for its later reports.
 // A report that the server is leaving is acknowledged only after the leader, and through it the entry hosts, have been
 // notified.
 func (c *Controller) HandleReport(ctx context.Context, r wire.Report) (string, error) {
@@ -37,10 +37,7 @@
 	} else if err := c.submitUrgentReport(ctx, r); err != nil {
 		return "", err
 	}
-	if address := c.leaderControl.Load(); address != nil && *address != c.settings.ControlAddress {
-		return *address, nil
-	}
-	return "", nil
+	return c.reportAddress(r), nil
 }
 
 // HandleWithdrawal deregisters a backend server that ends.
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -16,6 +16,7 @@
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/descriptors"
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
@@ -25,6 +26,7 @@
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/quota"
+	"savorywing.example/savorywing/process/reporting"
 	"savorywing.example/savorywing/process/telemetry"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
@@ -73,13 +75,22 @@
 	engines  *engine.Client
 	urgent   *queue.Queue[event]
 	// reports holds the newest waiting report of each server, usage that of each entry host.
-	reports   *queue.Mailbox[string, reportEvent]
-	usage     *queue.Mailbox[string, wire.Usage]
+	reports *queue.Mailbox[string, reportEvent]
+	repeats *queue.Mailbox[string, wire.RepeatedReport]
+	usage   *queue.Mailbox[string, wire.Usage]
+	// orders holds the newest waiting order to each server, and budget bounds those in flight.
+	orders *queue.Mailbox[string, queuedOrder]
+	budget descriptors.Budget
+	// mayOrder reports whether this host may still send the orders of a term.
+	mayOrder  func(term uint64) bool
 	telemetry *telemetry.Telemetry
 	// document is the newest accepted document that this host has decoded.
 	document atomic.Pointer[decodedDocument]
 	// leaderControl is the address at which the leader receives reports; empty while it is not known.
 	leaderControl atomic.Pointer[string]
+	// directory tells where servers report to, and cutOff that this host doesn't reach the leader.
+	directory atomic.Pointer[reporting.Directory]
+	cutOff    atomic.Bool
 
 	// The fields below are used by the goroutine of run only.
 	table      *fleet.Table
@@ -87,9 +98,10 @@
 	entryHosts map[string]*entryHostState
 	presence   map[string]peerPresence
 	// daemons holds when each address of a daemon of the system was last stated.
-	daemons        map[string]time.Time
-	pendingReports []wire.Report
-	flushAt        time.Time
+	daemons map[string]time.Time
+	// outbox holds the reports for the other control hosts, of which those in lacking need more than the new ones.
+	outbox  *reporting.Outbox
+	lacking map[string]bool
 	// endpoints holds the endpoints last sent to entry hosts, with the revision at which each one was changed or removed.
 	endpoints endpointLog
 	// nextPush is when the next changes of endpoints may be pushed to the entry hosts.
@@ -144,6 +156,8 @@
 	presence wire.Presence
 	// soundAt is when the host last announced itself as able to take part in the log; zero before.
 	soundAt time.Time
+	// seenAt is when the host last announced itself.
+	seenAt time.Time
 }
 
 // New returns a control host, which Start runs.
@@ -151,12 +165,15 @@
 	c := &Controller{
 		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, urgent: queue.New[event](urgentQueueSize),
 		reports: queue.NewMailbox[string, reportEvent](maxWaitingReports), usage: queue.NewMailbox[string, wire.Usage](maxWaitingUsage),
+		repeats: queue.NewMailbox[string, wire.RepeatedReport](maxWaitingReports), outbox: reporting.NewOutbox(instance.Milliseconds(s.ReportIntervalMs)), lacking: map[string]bool{},
+		orders: queue.NewMailbox[string, queuedOrder](maxWaitingOrders), budget: descriptors.ForControl(s.MaxDescriptors),
 		table: fleet.NewTable(), totals: fleet.NewTotals(), endpoints: newEndpointLog(), entryHosts: map[string]*entryHostState{}, presence: map[string]peerPresence{},
 		daemons: map[string]time.Time{}, invalidReports: logging.NewRepeats(clock.Boottime{}),
 		reconciler: formation.New(reconcilerConfig(s)),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.engines = engine.New(c.clock, dialect)
+	c.mayOrder = c.leadsTerm
 	if err := c.assemble(); err != nil {
 		c.cancel()
 		return nil, fmt.Errorf("controller.New: %w", err)
@@ -166,9 +183,9 @@
 
 const (
 	// A server is lost after two missed reports, or after one missed report if its group makes no progress. The margins
-	// allow for the network delay.
-	reportTimeoutMargin  = 200 * time.Millisecond
-	suspectTimeoutMargin = 100 * time.Millisecond
+	// allow for the network delay and for the time at the control host that gets the report.
+	reportTimeoutMargin  = 200*time.Millisecond + reporting.MaxDelay
+	suspectTimeoutMargin = 100*time.Millisecond + reporting.MaxDelay
 	// minReportTimeout and minSuspectTimeout are lower bounds for short report intervals. They are longer than the pauses
 	// of a busy machine.
 	minReportTimeout  = 1500 * time.Millisecond
@@ -196,6 +213,17 @@
 	return max(minReportTimeout, time.Duration(silentReportIntervals*float64(instance.Milliseconds(c.settings.ReportIntervalMs))))
 }
 
+const (
+	// idleReportIntervals is the number of report intervals without a call after which a connection is ended.
+	idleReportIntervals = 3
+	minCallIdleTime     = 5 * time.Second
+)
+
+// callIdleTime returns how long the connection of a backend server or an operator may be idle.
+func callIdleTime(s *instance.Settings) time.Duration {
+	return max(minCallIdleTime, idleReportIntervals*instance.Milliseconds(s.ReportIntervalMs))
+}
+
 // stallMargin allows for clocks that run at different speeds. StallTimeout counts from the arrival of a report, which is
 // later than the event that it reports.
 const stallMargin = 400 * time.Millisecond
@@ -226,7 +254,7 @@
 	if n := folder.TornBytes(); n > 0 {
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
-	c.api = controlapi.New(c.clock, c.dialect, c, c.log)
+	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMaxConns(c.budget.MaxCalls), controlapi.WithIdleTimeout(callIdleTime(c.settings)))
 	c.telemetry = telemetry.New(c.clock, c.log)
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
@@ -237,6 +265,7 @@
 	c.telemetry.Gauge("reports_replaced", func() float64 { replaced, _ := c.reports.Counts(); return float64(replaced) })
 	c.telemetry.Gauge("usage_replaced", func() float64 { replaced, _ := c.usage.Counts(); return float64(replaced) })
 	c.telemetry.Gauge("events_dropped", func() float64 { return float64(c.dropped()) })
+	c.telemetry.Gauge("orders_waiting", func() float64 { return float64(c.orders.Len()) })
 	c.telemetry.Gauge("log_out", func() float64 {
 		if c.node.Status().FailureReason != "" {
 			return 1
@@ -259,11 +288,8 @@
 	}
 	c.ensureMembers()
 	c.mesh.Start()
-	c.done.Add(1)
-	go func() {
-		defer c.done.Done()
-		c.run()
-	}()
+	c.done.Go(c.run)
+	c.done.Go(c.sendOrders)
 	if s := c.settings; s.MetricsPort > 0 {
 		if err := c.telemetry.Start(s.MetricsAddress()); err != nil {
 			c.log.Warn().Str("event", "metricsUnavailable").Err(err).Msg("metrics can't be served")
--- a/process/controller/endpoint_log.go
+++ b/process/controller/endpoint_log.go
@@ -20,6 +20,9 @@
 	droppedRevision uint64
 	// handles maps the IDs of all endpoints seen in this leader's term to their handles; a handle is not reused.
 	handles map[string]uint64
+	// packed holds the endpoints of packedRevision; nil if they have not been packed yet.
+	packed         []byte
+	packedRevision uint64
 }
 
 // endpointChange is the revision at which an endpoint was added, changed or removed.
@@ -109,10 +112,34 @@
 	return e, known
 }
 
+// maxUnpacked is the number of changes since the endpoints were packed from which they are packed anew.
+const maxUnpacked = 32
+
+// full returns all endpoints: those of an earlier revision, packed, and the changes made since.
+func (l *endpointLog) full() (packed []byte, changed []wire.Endpoint, removed []string, err error) {
+	if l.packed != nil && l.packedRevision >= l.droppedRevision {
+		changed, removed, _ = l.since(l.packedRevision)
+		if len(changed)+len(removed) <= maxUnpacked {
+			return l.packed, changed, removed, nil
+		}
+	}
+	all, _, _ := l.since(0)
+	if l.packed, err = fleet.PackEndpoints(all); err != nil {
+		return nil, nil, nil, err
+	}
+	l.packedRevision = l.revision
+	return l.packed, nil, nil, nil
+}
+
+// reaches reports whether the log holds all changes after a revision.
+func (l *endpointLog) reaches(revision uint64) bool {
+	return revision != 0 && revision >= l.droppedRevision
+}
+
 // since returns the endpoints that were changed or removed after a revision, sorted by ID. If the log doesn't reach
 // back to the revision, full is set, and the endpoints are all.
 func (l *endpointLog) since(revision uint64) (endpoints []wire.Endpoint, removed []string, full bool) {
-	if revision == 0 || revision < l.droppedRevision {
+	if !l.reaches(revision) {
 		for _, e := range l.current {
 			endpoints = append(endpoints, e)
 		}
--- a/process/controller/endpoint_log_test.go
+++ b/process/controller/endpoint_log_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"testing"
 
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -103,3 +104,47 @@
 		t.Errorf("%d changes are kept", len(l.changes))
 	}
 }
+
+// TestFullUpdate checks that a host which begins with a full update ends with the leader's endpoints, at whatever revision they
+// were packed, and that few changes don't pack them anew.
+func TestFullUpdate(t *testing.T) {
+	l := newEndpointLog()
+	current := map[string]wire.Endpoint{}
+	list := func() []wire.Endpoint {
+		out := make([]wire.Endpoint, 0, len(current))
+		for _, e := range current {
+			out = append(out, e)
+		}
+		return out
+	}
+	packedAgain := 0
+	last := uint64(0)
+	for step := range 300 {
+		id := fmt.Sprint("i-", step%170)
+		if _, known := current[id]; known && step%3 == 0 {
+			delete(current, id)
+		} else {
+			current[id] = wire.Endpoint{ID: id, Born: int64(step), Address: "10.0.0.9:80", Service: "s", Slots: 8}
+		}
+		l.refresh(list())
+		packed, changed, removed, err := l.full()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l.packedRevision != last {
+			packedAgain, last = packedAgain+1, l.packedRevision
+		}
+		got, err := fleet.UnpackEndpoints(packed, changed, removed)
+		if err != nil || len(got) != len(current) {
+			t.Fatalf("step %d: %d endpoints, want %d; %v", step, len(got), len(current), err)
+		}
+		for _, e := range got {
+			if e.Born != current[e.ID].Born || e.Handle != l.handles[e.ID] {
+				t.Fatalf("step %d: %+v, want %+v", step, e, current[e.ID])
+			}
+		}
+	}
+	if packedAgain > 300/maxUnpacked+1 {
+		t.Errorf("packed %d times for 300 changes", packedAgain)
+	}
+}
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
@@ -72,31 +71,6 @@
 	e.Dict("domains", domains).Msg("summary of the fleet")
 }
 
-// submitOrder sends an order from a goroutine of the pool; its outcome arrives as an event.
-func (c *Controller) submitOrder(o savorywing.FleetOrder) {
-	c.log.Info().Str("event", "orderSent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
-		Str("model", o.Model).Strs("members", o.Members).Uint64("fence", o.FencingToken).Msg("sending an order")
-	born := int64(0)
-	if s := c.table.Server(o.Server); s != nil {
-		born = s.Report().Born
-	}
-	err := c.pool.Submit(func() {
-		// The lease is checked again, since the task may have waited while this host was suspended.
-		if !c.node.HasLease() {
-			return
-		}
-		outcome, leaving := c.sendOrder(o)
-		e := outcomeEvent{order: o, outcome: outcome}
-		if leaving {
-			e.leaving = []wire.ServerIncarnation{{ID: o.Server, Born: born}}
-		}
-		c.push(e)
-	})
-	if err != nil {
-		c.log.Warn().Str("event", "orderDropped").Str("server", o.Server).Err(err).Msg("dropped an order")
-	}
-}
-
 // minPushInterval is the minimum time between two pushes of changed endpoints, other than those that a server waits for.
 const minPushInterval = 50 * time.Millisecond
 
@@ -119,19 +93,24 @@
 // pushToAll sends each entry host the changes that it lacks.
 func (c *Controller) pushToAll(now time.Time) {
 	// Hosts that lack the same changes are sent the same bytes.
-	encoded := map[uint64]peer.EncodedFrame{}
+	type state struct {
+		revision    uint64
+		takesPacked bool
+	}
+	encoded := map[state]peer.EncodedFrame{}
 	for host, e := range c.entryHosts {
 		if now.Sub(e.lastReportAt) >= entryTimeout {
 			continue
 		}
-		frame := encoded[e.sentRevision]
+		held := state{e.sentRevision, e.usage.TakesPacked}
+		frame := encoded[held]
 		if frame == nil {
 			var err error
-			if frame, err = peer.Encode(wire.Frame{Fleet: c.changesSince(e.sentRevision)}); err != nil {
+			if frame, err = peer.Encode(wire.Frame{Fleet: c.changesSince(held.revision, held.takesPacked)}); err != nil {
 				c.log.Error().Str("event", "updateLost").Err(err).Msg("an update can't be encoded")
 				return
 			}
-			encoded[e.sentRevision] = frame
+			encoded[held] = frame
 		}
 		c.recordSent(host, e, c.mesh.PushEncoded(host, frame))
 	}
@@ -144,10 +123,19 @@
 }
 
 // changesSince returns an update with the changes of the endpoints after a revision, or all endpoints if it is 0 or too
-// old.
-func (c *Controller) changesSince(revision uint64) *wire.FleetUpdate {
+// old. For a host that takes them, these are packed.
+func (c *Controller) changesSince(revision uint64, takesPacked bool) *wire.FleetUpdate {
 	u := &wire.FleetUpdate{Term: c.term, Revision: c.endpoints.revision, Leader: c.settings.PeerAddress()}
-	u.Endpoints, u.Removed, u.Full = c.endpoints.since(revision)
+	u.Full = !c.endpoints.reaches(revision)
+	if u.Full && takesPacked {
+		var err error
+		if u.Packed, u.Endpoints, u.Removed, err = c.endpoints.full(); err != nil {
+			c.log.Error().Str("event", "endpointsUnpacked").Err(err).Msg("endpoints can't be packed and are sent as they are")
+		}
+	}
+	if len(u.Packed) == 0 {
+		u.Endpoints, u.Removed, _ = c.endpoints.since(revision)
+	}
 	u.Quarantine = c.quarantine.List(c.clock.Now())
 	if u.Full {
 		u.Controls = c.controlHosts()
@@ -169,7 +157,7 @@
 
 // reply answers an entry host's usage report with the changes that it lacks, the newest document and the loads.
 func (c *Controller) reply(host string, e *entryHostState) {
-	u := c.changesSince(e.sentRevision)
+	u := c.changesSince(e.sentRevision, e.usage.TakesPacked)
 	u.Echo = e.usage.SentAt
 	if d := c.document.Load(); d != nil && e.usage.Version < d.version {
 		u.Document = d.packed
--- a/process/controller/frames.go
+++ b/process/controller/frames.go
@@ -21,7 +21,9 @@
 		from     string
 		presence wire.Presence
 	}
-	outcomeEvent struct {
+	// connectionEvent says that the connection to another control host was opened or lost.
+	connectionEvent struct{ host string }
+	outcomeEvent    struct {
 		order   savorywing.FleetOrder
 		outcome savorywing.OrderOutcome
 		// leaving names the server's incarnation if the response says that it is leaving.
@@ -36,9 +38,10 @@
 	direct bool
 }
 
-func (reportsEvent) isEvent()  {}
-func (presenceEvent) isEvent() {}
-func (outcomeEvent) isEvent()  {}
+func (reportsEvent) isEvent()    {}
+func (presenceEvent) isEvent()   {}
+func (connectionEvent) isEvent() {}
+func (outcomeEvent) isEvent()    {}
 
 // frameHandler handles the frames that other daemons send.
 type frameHandler struct {
@@ -58,6 +61,9 @@
 		}
 		c.reports.Put(r.ID, reportEvent{report: r})
 	}
+	for _, r := range frame.Repeats {
+		c.repeats.Put(r.ID, r)
+	}
 	if frame.Usage != nil {
 		c.usage.Put(from, *frame.Usage)
 	}
@@ -108,9 +114,11 @@
 func (f *frameHandler) HandleConnected(host string) {
 	f.controller.log.Info().Str("event", "peerConnected").Str("peer", host).Msg("connected to a peer")
 	f.controller.sendPresenceTo(host)
+	f.controller.push(connectionEvent{host})
 }
 
 // HandleDisconnected logs that the connection to a daemon was lost.
 func (f *frameHandler) HandleDisconnected(host string) {
 	f.controller.log.Warn().Str("event", "peerLost").Str("peer", host).Msg("lost the connection to a peer")
+	f.controller.push(connectionEvent{host})
 }
--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -17,6 +17,7 @@
 		// An unreachable host gets the next announcement.
 		_ = c.mesh.Send(host, frame)
 	}
+	c.updateDirectory(now)
 	c.ensureMembers()
 	c.recordDaemon(c.settings.ListenAddresses()...)
 	maps.DeleteFunc(c.daemons, func(address string, _ time.Time) bool { return !c.isDaemon(address) })
@@ -29,7 +30,7 @@
 func (c *Controller) presenceFrame() wire.Frame {
 	status := c.node.Status()
 	return wire.Frame{Presence: &wire.Presence{
-		ID: status.ID, ControlAddress: c.settings.ControlAddress, Peers: c.controlHosts(), DiskFailed: status.FailureReason != "",
+		ID: status.ID, ControlAddress: c.settings.ControlAddress, Peers: c.controlHosts(), DiskFailed: status.FailureReason != "", TakesRepeats: true,
 	}}
 }
 
@@ -59,7 +60,7 @@
 	if p.DiskFailed {
 		soundAt = old.soundAt
 	}
-	return peerPresence{presence: p, soundAt: soundAt}
+	return peerPresence{presence: p, soundAt: soundAt, seenAt: now}
 }
 
 // desiredVoters returns the control hosts that should be members of the log, each with the ID of its disk. Hosts are added
--- a/process/controller/orders.go
+++ b/process/controller/orders.go
@@ -4,14 +4,84 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/wire"
 )
 
+// maxWaitingOrders bounds the servers whose newest order waits to be sent.
+const maxWaitingOrders = 8192
+
+// queuedOrder is an order that waits to be sent to one incarnation of a server.
+type queuedOrder struct {
+	order savorywing.FleetOrder
+	born  int64
+}
+
+// submitOrder queues an order for sendOrders; its outcome arrives as an event. It replaces one that still waits for the server.
+func (c *Controller) submitOrder(o savorywing.FleetOrder) {
+	c.log.Info().Str("event", "orderSent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
+		Str("model", o.Model).Strs("members", o.Members).Uint64("fence", o.FencingToken).Msg("sending an order")
+	q := queuedOrder{order: o}
+	if s := c.table.Server(o.Server); s != nil {
+		q.born = s.Report().Born
+	}
+	if !c.orders.Put(o.Server, q) {
+		c.log.Warn().Str("event", "orderDropped").Str("server", o.Server).Msg("dropped an order, since too many are waiting")
+	}
+}
+
+// sendOrders sends queued orders, as many at once as the budget of descriptors allows, until the control host stops.
+func (c *Controller) sendOrders() {
+	free := make(chan struct{}, c.budget.MaxOrders)
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.orders.Ready():
+		}
+		for c.orders.Len() > 0 {
+			select {
+			case <-c.ctx.Done():
+				return
+			case free <- struct{}{}:
+			}
+			_, list := c.orders.Take(1)
+			sending.Go(func() {
+				for _, q := range list {
+					c.sendQueued(q)
+				}
+				<-free
+			})
+		}
+	}
+}
+
+// sendQueued sends an order, unless this host has lost its lease, or began another term, since the order was planned.
+func (c *Controller) sendQueued(q queuedOrder) {
+	if !c.mayOrder(q.order.FencingToken) {
+		return
+	}
+	outcome, leaving := c.sendOrder(q.order)
+	e := outcomeEvent{order: q.order, outcome: outcome}
+	if leaving {
+		e.leaving = []wire.ServerIncarnation{{ID: q.order.Server, Born: q.born}}
+	}
+	c.push(e)
+}
+
+// leadsTerm reports whether this host holds the lease of a term.
+func (c *Controller) leadsTerm(term uint64) bool {
+	return c.node.HasLease() && c.node.Status().Term == term
+}
+
 // orderTimeout bounds the wait for the response to an order.
 const orderTimeout = 1 * time.Second
 
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/quarantine"
@@ -17,8 +16,6 @@
 const (
 	// presenceInterval is how often control hosts announce their presence to each other.
 	presenceInterval = 500 * time.Millisecond
-	// flushInterval bounds how long an unchanged report waits before it is forwarded.
-	flushInterval = 100 * time.Millisecond
 	// serverRetention is how long a silent backend server stays in the table.
 	serverRetention = 60 * time.Second
 	// replaceVoterAfter is how long a voter must be silent before another host may replace it.
@@ -38,6 +35,7 @@
 		case first := <-c.urgent.Out():
 			c.handleUrgent(first)
 		case <-c.reports.Ready():
+		case <-c.repeats.Ready():
 		case <-c.usage.Ready():
 		case <-timer.C:
 		}
@@ -59,7 +57,8 @@
 		}
 		c.step(now)
 		c.flushReports(now)
-		timer.Reset(c.untilNextStep(c.clock.Now()))
+		now = c.clock.Now()
+		timer.Reset(min(c.untilNextStep(now), c.outbox.UntilDue(now)))
 	}
 }
 
@@ -101,14 +100,6 @@
 	}
 }
 
-// handleReports applies waiting reports.
-func (c *Controller) handleReports() {
-	_, events := c.reports.Take(maxEventBatch)
-	for _, e := range events {
-		c.applyReport(e.report, e.direct)
-	}
-}
-
 // handleWaitingUsage answers waiting usage reports.
 func (c *Controller) handleWaitingUsage() {
 	hosts, reports := c.usage.Take(maxEventBatch)
@@ -128,6 +119,9 @@
 		}
 	case presenceEvent:
 		c.handlePresence(e.from, e.presence)
+	case connectionEvent:
+		c.lacking[e.host] = true
+		c.updateDirectory(c.clock.Now())
 	case outcomeEvent:
 		c.log.Info().Str("event", "orderAnswered").Str("action", e.order.Action.String()).Str("server", e.order.Server).
 			Str("group", e.order.Group).Str("outcome", e.outcome.String()).Msg("outcome of an order")
@@ -162,70 +156,6 @@
 	c.loggedDropped = dropped
 }
 
-// applyReport applies one report and forwards it if it came directly from the backend server.
-func (c *Controller) applyReport(r wire.Report, direct bool) {
-	now := c.clock.Now()
-	if r.Gone && r.Service == "" {
-		if c.table.Withdraw(now, r.ID) {
-			c.log.Info().Str("event", "serverWithdrawn").Str("server", r.ID).Msg("a backend server deregistered")
-			c.changed = true
-			c.pendingReports, c.flushAt = append(c.pendingReports, r), now
-		}
-		return
-	}
-	if c.isDaemon(r.Address) {
-		if allowed, omitted := c.invalidReports.Allow(r.ID); allowed {
-			c.log.Warn().Str("event", "reportIgnored").Str("server", r.ID).Str("address", r.Address).Uint64("omitted", omitted).Msg("ignored a report with the address of a daemon")
-		}
-		return
-	}
-	changed, err := c.table.Apply(now, r)
-	if err != nil {
-		c.telemetry.Count("reports_ignored", "reason", err.Error())
-		c.log.Debug().Str("event", "reportIgnored").Str("server", r.ID).Int64("born", r.Born).Uint64("sequence", r.Sequence).Err(err).Msg("ignored a report")
-		return
-	}
-	if changed {
-		c.logServer(r)
-		c.changed = true
-	}
-	if !direct {
-		return
-	}
-	c.pendingReports = append(c.pendingReports, r)
-	if changed {
-		c.flushAt = now
-	} else if c.flushAt.IsZero() {
-		c.flushAt = now.Add(flushInterval)
-	}
-}
-
-func (c *Controller) logServer(r wire.Report) {
-	e := c.log.Info().Str("event", "serverChanged").Str("server", r.ID).Str("service", r.Service).Int64("born", r.Born).
-		Uint64("sequence", r.Sequence).Bool("leaving", r.Leaving).Strs("staged", r.Staged)
-	if g := r.Group; g != nil {
-		e = e.Str("group", g.Name).Int("rank", g.Rank).Str("state", g.State)
-	}
-	e.Msg("a backend server changed its state")
-}
-
-// flushReports forwards pending reports to the other control hosts, so that each of them can take over as leader.
-func (c *Controller) flushReports(now time.Time) {
-	if len(c.pendingReports) == 0 || now.Before(c.flushAt) {
-		return
-	}
-	encoded, err := peer.Encode(wire.Frame{Reports: c.pendingReports})
-	c.pendingReports, c.flushAt = nil, time.Time{}
-	if err != nil {
-		c.log.Error().Str("event", "reportsUnsent").Err(err).Msg("reports can't be encoded")
-		return
-	}
-	for _, host := range c.mesh.Hosts() {
-		// An unreachable control host is sent the next report.
-		_ = c.mesh.SendEncoded(host, encoded)
-	}
-}
-
 // updateLeadership applies changes of the leader, the term and the lease.
 func (c *Controller) updateLeadership(now time.Time) {
 	status := c.node.Status()
@@ -245,6 +175,7 @@
 	if status.Leader != c.lastLeader {
 		c.lastLeader = status.Leader
 		c.announceLeader(quorum.HostOf(status.Leader))
+		c.updateDirectory(now)
 	}
 	c.decodeDocument(status.Published)
 }
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -126,7 +126,7 @@
 		return true
 	}
 	s.mu.Lock()
-	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version, ForwarderRevision: s.forwarderRevision}
+	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version, ForwarderRevision: s.forwarderRevision, TakesPacked: true}
 	s.mu.Unlock()
 	u.ForwardProtocol, u.Addresses = g.forwardProtocol(), g.settings().ListenAddresses()
 	g.mu.Lock()
@@ -244,6 +244,9 @@
 // ignored.
 func (s *fleetSubscription) apply(u wire.FleetUpdate) {
 	g := s.gateway
+	if !s.unpack(&u) {
+		return
+	}
 	s.mu.Lock()
 	if u.Term < s.term || (u.Term > s.term && !u.Full) || (u.Term == s.term && !u.Full && u.Revision < s.revision) {
 		s.mu.Unlock()
@@ -273,6 +276,20 @@
 	}
 }
 
+// unpack unpacks the endpoints of an update, and returns false if they can't be decoded.
+func (s *fleetSubscription) unpack(u *wire.FleetUpdate) bool {
+	if len(u.Packed) == 0 {
+		return true
+	}
+	list, err := fleet.UnpackEndpoints(u.Packed, u.Endpoints, u.Removed)
+	if err != nil {
+		s.gateway.log.Error().Str("event", "endpointsUnreadable").Uint64("term", u.Term).Err(err).Msg("the leader's endpoints can't be decoded")
+		return false
+	}
+	u.Endpoints, u.Removed = list, nil
+	return true
+}
+
 // applyState applies what requests are placed by, and reports whether the leader lists parts of prompts for the first time
 // of which survivals are known here.
 func (s *fleetSubscription) applyState(u wire.FleetUpdate, changed bool) bool {
