--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -213,7 +213,7 @@
 		s.gateway.mesh.AddHost(host, host)
 	}
 	s.followLeader(u.Leader)
-	if from != u.Leader || u.Term == 0 {
+	if from != u.Leader || u.Term == 0 || !s.unpack(u) {
 		return
 	}
 	s.apply(*u)
@@ -244,9 +244,6 @@
 // ignored.
 func (s *fleetSubscription) apply(u wire.FleetUpdate) {
 	g := s.gateway
-	if !s.unpack(&u) {
-		return
-	}
 	s.mu.Lock()
 	if u.Term < s.term || (u.Term > s.term && !u.Full) || (u.Term == s.term && !u.Full && u.Revision < s.revision) {
 		s.mu.Unlock()
