--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -12,6 +12,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/ingress"
+	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/wire"
 )
@@ -20,8 +21,9 @@
 	maxHeaderBytes = 4 << 10
 	maxBodyBytes   = 16 << 20
 	readTimeout    = 5 * time.Second
-	idleTimeout    = 30 * time.Second
-	stopTimeout    = 500 * time.Millisecond
+	// defaultIdleTimeout applies unless WithIdleTimeout sets another.
+	defaultIdleTimeout = 30 * time.Second
+	stopTimeout        = 500 * time.Millisecond
 )
 
 // Errors that a Handler returns.
@@ -30,6 +32,10 @@
 	ErrInvalidDocument = errors.New("the document is invalid")
 	// ErrInvalidReport means that a report or a withdrawal is not valid.
 	ErrInvalidReport = errors.New("the report is invalid")
+	// ErrInvalidDataCentre means that the name of a data centre is not valid.
+	ErrInvalidDataCentre = errors.New("the name of the data centre is invalid")
+	// ErrUnknownDataCentre means that there is no data centre of a name.
+	ErrUnknownDataCentre = errors.New("the data centre is unknown")
 	// ErrNoQuorum means that this host reaches no majority of control hosts, so its state may be stale. Another control
 	// host may be able to serve the call.
 	ErrNoQuorum = errors.New("no majority of control hosts answers")
@@ -46,6 +52,10 @@
 	PublishDocument(ctx context.Context, document []byte) error
 	// ReadDocument returns the newest document, as confirmed by a majority after the call started.
 	ReadDocument(ctx context.Context) ([]byte, error)
+	// Evacuate begins the evacuation of a data centre, or finishes it. An order that changes nothing is acknowledged as well.
+	Evacuate(ctx context.Context, order wire.Evacuate) error
+	// Status returns what this host knows of the control hosts and of the replicated state.
+	Status(ctx context.Context) Status
 }
 
 // Server serves the control address.
@@ -56,18 +66,33 @@
 	// refusals limits the log lines about each sender of refused reports, which sends one after the other.
 	refusals *logging.Repeats
 	http     *ingress.Server
+	// memory bounds what the connections hold.
+	memory      *ingress.Memory
+	idleTimeout time.Duration
 	// ctx is that of all calls. A call goes on when its caller disconnects: a backend server that ends may not wait for the
 	// acknowledgement of its withdrawal.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
+// Option sets an optional part of a Server.
+type Option func(*Server)
+
+// WithMemory bounds what the server's connections hold. The default has no bounds.
+func WithMemory(m *ingress.Memory) Option { return func(s *Server) { s.memory = m } }
+
+// WithIdleTimeout sets how long a connection may be idle.
+func WithIdleTimeout(d time.Duration) Option { return func(s *Server) { s.idleTimeout = d } }
+
 // New returns a server. Start makes it listen.
-func New(clock savorywing.Clock, dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger) *Server {
-	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock)}
+func New(clock savorywing.Clock, dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger, opts ...Option) *Server {
+	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock), idleTimeout: defaultIdleTimeout, memory: ingress.NewMemory(clock, budget.Limits{})}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
-	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log)
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: s.idleTimeout}
+	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log, ingress.WithMemory(s.memory))
 	return s
 }
 
@@ -101,6 +126,10 @@
 }
 
 func (s *Server) handle(_ context.Context, r *fasthttp.RequestCtx) {
+	if r.IsGet() && string(r.Path()) == PathStatus {
+		s.writeStatus(r)
+		return
+	}
 	call := s.dialect.ReadControlRequest(r.Method(), r.Path())
 	switch call.Operation {
 	case savorywing.ControlReport:
@@ -123,6 +152,11 @@
 		}
 		r.SetContentType("application/json")
 		r.SetBody(b)
+	case savorywing.ControlBeginEvacuation, savorywing.ControlFinishEvacuation:
+		order := wire.Evacuate{DataCentre: call.DataCentre, On: call.Operation == savorywing.ControlBeginEvacuation}
+		if err := s.handler.Evacuate(s.ctx, order); err != nil {
+			s.writeError(r, err)
+		}
 	default:
 		r.Error("no such call", fasthttp.StatusNotFound)
 	}
@@ -162,8 +196,11 @@
 
 func (s *Server) writeError(r *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusServiceUnavailable
-	if errors.Is(err, ErrInvalidDocument) || errors.Is(err, ErrInvalidReport) {
+	switch {
+	case errors.Is(err, ErrInvalidDocument), errors.Is(err, ErrInvalidReport), errors.Is(err, ErrInvalidDataCentre):
 		status = fasthttp.StatusBadRequest
+	case errors.Is(err, ErrUnknownDataCentre):
+		status = fasthttp.StatusNotFound
 	}
 	r.Error(err.Error(), status)
 }
--- a/dialect.go
+++ b/dialect.go
@@ -201,6 +201,8 @@
 	ControlWithdraw
 	ControlPublish
 	ControlRead
+	ControlBeginEvacuation
+	ControlFinishEvacuation
 )
 
 // ControlRequest is a decoded call to a control host.
@@ -208,4 +210,6 @@
 	Operation ControlOperation
 	// Server is the backend server's id; set for ControlReport and ControlWithdraw.
 	Server string
+	// DataCentre is the name of a data centre; set for ControlBeginEvacuation and ControlFinishEvacuation.
+	DataCentre string
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -14,17 +14,23 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/controlapi"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/descriptors"
 	"savorywing.example/savorywing/process/disk"
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/logging"
+	"savorywing.example/savorywing/process/pace"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/quota"
+	"savorywing.example/savorywing/process/reporting"
 	"savorywing.example/savorywing/process/telemetry"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/version/instance"
@@ -73,13 +79,22 @@
 	engines  *engine.Client
 	urgent   *queue.Queue[event]
 	// reports holds the newest waiting report of each server, usage that of each entry host.
-	reports   *queue.Mailbox[string, reportEvent]
-	usage     *queue.Mailbox[string, wire.Usage]
+	reports *queue.Mailbox[string, reportEvent]
+	repeats *queue.Mailbox[string, wire.RepeatedReport]
+	usage   *queue.Mailbox[string, wire.Usage]
+	// orders holds the newest waiting order to each server, and budget bounds those in flight.
+	orders *queue.Mailbox[string, queuedOrder]
+	budget descriptors.Budget
+	// mayOrder reports whether this host may still send the orders of a term.
+	mayOrder  func(term uint64) bool
 	telemetry *telemetry.Telemetry
 	// document is the newest accepted document that this host has decoded.
 	document atomic.Pointer[decodedDocument]
 	// leaderControl is the address at which the leader receives reports; empty while it is not known.
 	leaderControl atomic.Pointer[string]
+	// directory tells where servers report to, and cutOff that this host doesn't reach the leader.
+	directory atomic.Pointer[reporting.Directory]
+	cutOff    atomic.Bool
 
 	// The fields below are used by the goroutine of run only.
 	table      *fleet.Table
@@ -87,9 +102,10 @@
 	entryHosts map[string]*entryHostState
 	presence   map[string]peerPresence
 	// daemons holds when each address of a daemon of the system was last stated.
-	daemons        map[string]time.Time
-	pendingReports []wire.Report
-	flushAt        time.Time
+	daemons map[string]time.Time
+	// outbox holds the reports for the other control hosts, of which those in lacking need more than the new ones.
+	outbox  *reporting.Outbox
+	lacking map[string]bool
 	// endpoints holds the endpoints last sent to entry hosts, with the revision at which each one was changed or removed.
 	endpoints endpointLog
 	// nextPush is when the next changes of endpoints may be pushed to the entry hosts.
@@ -104,6 +120,14 @@
 	quarantine *quarantine.Tracker
 	// limits divides the request limits of servers among the entry hosts.
 	limits *quota.Allocator
+	// paces holds the servers that have just started or returned; nil until this host leads.
+	paces *pace.Tracker
+	// evacuated holds the evacuated data centres as of the last look at the log.
+	evacuated *evacuation.Set
+	// evacuatedRequests is the number of requests in flight in evacuated data centres, as this host knew when it led.
+	evacuatedRequests atomic.Int64
+	// startedAt is when the host was made.
+	startedAt time.Time
 	// forwarders lists the entry hosts that take requests of others.
 	forwarders *forwarding.Directory
 	// waiting holds the channels of callers that wait until the entry hosts have been notified.
@@ -144,6 +168,8 @@
 	presence wire.Presence
 	// soundAt is when the host last announced itself as able to take part in the log; zero before.
 	soundAt time.Time
+	// seenAt is when the host last announced itself.
+	seenAt time.Time
 }
 
 // New returns a control host, which Start runs.
@@ -151,12 +177,16 @@
 	c := &Controller{
 		settings: s, clock: clock.Boottime{}, log: log, dialect: dialect, urgent: queue.New[event](urgentQueueSize),
 		reports: queue.NewMailbox[string, reportEvent](maxWaitingReports), usage: queue.NewMailbox[string, wire.Usage](maxWaitingUsage),
+		repeats: queue.NewMailbox[string, wire.RepeatedReport](maxWaitingReports), outbox: reporting.NewOutbox(instance.Milliseconds(s.ReportIntervalMs)), lacking: map[string]bool{},
+		orders: queue.NewMailbox[string, queuedOrder](maxWaitingOrders), budget: descriptors.ForControl(s.MaxDescriptors),
 		table: fleet.NewTable(), totals: fleet.NewTotals(), endpoints: newEndpointLog(), entryHosts: map[string]*entryHostState{}, presence: map[string]peerPresence{},
 		daemons: map[string]time.Time{}, invalidReports: logging.NewRepeats(clock.Boottime{}),
 		reconciler: formation.New(reconcilerConfig(s)),
 	}
+	c.startedAt = c.clock.Now()
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.engines = engine.New(c.clock, dialect)
+	c.mayOrder = c.leadsTerm
 	if err := c.assemble(); err != nil {
 		c.cancel()
 		return nil, fmt.Errorf("controller.New: %w", err)
@@ -166,9 +196,9 @@
 
 const (
 	// A server is lost after two missed reports, or after one missed report if its group makes no progress. The margins
-	// allow for the network delay.
-	reportTimeoutMargin  = 200 * time.Millisecond
-	suspectTimeoutMargin = 100 * time.Millisecond
+	// allow for the network delay and for the time at the control host that gets the report.
+	reportTimeoutMargin  = 200*time.Millisecond + reporting.MaxDelay
+	suspectTimeoutMargin = 100*time.Millisecond + reporting.MaxDelay
 	// minReportTimeout and minSuspectTimeout are lower bounds for short report intervals. They are longer than the pauses
 	// of a busy machine.
 	minReportTimeout  = 1500 * time.Millisecond
@@ -196,6 +226,26 @@
 	return max(minReportTimeout, time.Duration(silentReportIntervals*float64(instance.Milliseconds(c.settings.ReportIntervalMs))))
 }
 
+const (
+	// idleReportIntervals is the number of report intervals without a call after which a connection is ended.
+	idleReportIntervals = 3
+	minCallIdleTime     = 5 * time.Second
+)
+
+// callLimits returns what the connections of backend servers and operators may hold.
+func callLimits(s *instance.Settings, d descriptors.Budget) budget.Limits {
+	l := budget.ControlLimits(s.MemoryMB<<20, s.MaxDescriptors)
+	if d.MaxCalls > 0 {
+		l.MaxConns = min(l.MaxConns, d.MaxCalls)
+	}
+	return l
+}
+
+// callIdleTime returns how long the connection of a backend server or an operator may be idle.
+func callIdleTime(s *instance.Settings) time.Duration {
+	return max(minCallIdleTime, idleReportIntervals*instance.Milliseconds(s.ReportIntervalMs))
+}
+
 // stallMargin allows for clocks that run at different speeds. StallTimeout counts from the arrival of a report, which is
 // later than the event that it reports.
 const stallMargin = 400 * time.Millisecond
@@ -226,8 +276,10 @@
 	if n := folder.TornBytes(); n > 0 {
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
-	c.api = controlapi.New(c.clock, c.dialect, c, c.log)
+	memory := ingress.NewMemory(c.clock, callLimits(c.settings, c.budget))
+	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMemory(memory), controlapi.WithIdleTimeout(callIdleTime(c.settings)))
 	c.telemetry = telemetry.New(c.clock, c.log)
+	c.telemetry.WatchMemory(memory)
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
 			return 1
@@ -237,6 +289,7 @@
 	c.telemetry.Gauge("reports_replaced", func() float64 { replaced, _ := c.reports.Counts(); return float64(replaced) })
 	c.telemetry.Gauge("usage_replaced", func() float64 { replaced, _ := c.usage.Counts(); return float64(replaced) })
 	c.telemetry.Gauge("events_dropped", func() float64 { return float64(c.dropped()) })
+	c.telemetry.Gauge("orders_waiting", func() float64 { return float64(c.orders.Len()) })
 	c.telemetry.Gauge("log_out", func() float64 {
 		if c.node.Status().FailureReason != "" {
 			return 1
@@ -244,6 +297,13 @@
 		return 0
 	})
 	c.telemetry.Gauge("log_outages", func() float64 { return float64(c.node.Status().Outages) })
+	c.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(c.node.Status().Evacuated.Names())) })
+	c.telemetry.Gauge("evacuated_requests", func() float64 {
+		if c.node.HasLease() {
+			return float64(c.evacuatedRequests.Load())
+		}
+		return 0
+	})
 	c.telemetry.Gauge("log_commit_index", func() float64 { return float64(c.node.Status().CommitIndex) })
 	return nil
 }
@@ -259,11 +319,8 @@
 	}
 	c.ensureMembers()
 	c.mesh.Start()
-	c.done.Add(1)
-	go func() {
-		defer c.done.Done()
-		c.run()
-	}()
+	c.done.Go(c.run)
+	c.done.Go(c.sendOrders)
 	if s := c.settings; s.MetricsPort > 0 {
 		if err := c.telemetry.Start(s.MetricsAddress()); err != nil {
 			c.log.Warn().Str("event", "metricsUnavailable").Err(err).Msg("metrics can't be served")
@@ -272,7 +329,8 @@
 	if err := c.api.Start(c.settings.ControlAddress); err != nil {
 		return fmt.Errorf("Controller.Start: %w", err)
 	}
-	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).Msg("the control host started")
+	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).
+		Strs("dataCentres", c.settings.DataCentres).Msg("the control host started")
 	return nil
 }
 
--- a/process/controller/endpoint_log_test.go
+++ b/process/controller/endpoint_log_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"testing"
 
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -85,6 +86,30 @@
 	}
 }
 
+// TestColdEndpoints checks that the hosts are told at once of a server that turns cold, and with it of the bound.
+func TestColdEndpoints(t *testing.T) {
+	l := newEndpointLog()
+	e := wire.Endpoint{ID: "a", Service: "s", ColdShare: 5}
+	l.refresh([]wire.Endpoint{e})
+	for _, tt := range []struct {
+		name            string
+		change          func(e *wire.Endpoint)
+		changed, urgent bool
+	}{
+		{"turns cold", func(e *wire.Endpoint) { e.ColdMs = 3000 }, true, true},
+		{"is cold for less", func(e *wire.Endpoint) { e.ColdMs = 2000 }, false, false},
+		{"another bound", func(e *wire.Endpoint) { e.ColdShare = 6 }, true, true},
+		{"turns warm", func(e *wire.Endpoint) { e.ColdMs = 0 }, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.change(&e)
+			if changed, urgent := l.refresh([]wire.Endpoint{e}); changed != tt.changed || urgent != tt.urgent {
+				t.Errorf("changed %v, urgent %v", changed, urgent)
+			}
+		})
+	}
+}
+
 // TestEndpointLogBound checks that a host which lacks more changes than the log holds gets the whole list.
 func TestEndpointLogBound(t *testing.T) {
 	l := newEndpointLog()
@@ -103,3 +128,47 @@
 		t.Errorf("%d changes are kept", len(l.changes))
 	}
 }
+
+// TestFullUpdate checks that a host which begins with a full update ends with the leader's endpoints, at whatever revision they
+// were packed, and that few changes don't pack them anew.
+func TestFullUpdate(t *testing.T) {
+	l := newEndpointLog()
+	current := map[string]wire.Endpoint{}
+	list := func() []wire.Endpoint {
+		out := make([]wire.Endpoint, 0, len(current))
+		for _, e := range current {
+			out = append(out, e)
+		}
+		return out
+	}
+	packedAgain := 0
+	last := uint64(0)
+	for step := range 300 {
+		id := fmt.Sprint("i-", step%170)
+		if _, known := current[id]; known && step%3 == 0 {
+			delete(current, id)
+		} else {
+			current[id] = wire.Endpoint{ID: id, Born: int64(step), Address: "10.0.0.9:80", Service: "s", Slots: 8}
+		}
+		l.refresh(list())
+		packed, changed, removed, err := l.full()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l.packedRevision != last {
+			packedAgain, last = packedAgain+1, l.packedRevision
+		}
+		got, err := fleet.UnpackEndpoints(packed, changed, removed)
+		if err != nil || len(got) != len(current) {
+			t.Fatalf("step %d: %d endpoints, want %d; %v", step, len(got), len(current), err)
+		}
+		for _, e := range got {
+			if e.Born != current[e.ID].Born || e.Handle != l.handles[e.ID] {
+				t.Fatalf("step %d: %+v, want %+v", step, e, current[e.ID])
+			}
+		}
+	}
+	if packedAgain > 300/maxUnpacked+1 {
+		t.Errorf("packed %d times for 300 changes", packedAgain)
+	}
+}
--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
@@ -36,7 +35,7 @@
 	c.totals.Expire(now, entryTimeout)
 	c.forwarders.Expire(now, entryTimeout)
 	in := formation.Input{
-		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(),
+		Table: c.table, Catalogue: document.catalogue, Term: c.term, Demand: c.demand(now), Progress: c.progress(), Evacuated: c.evacuated,
 		FirstStart: c.settings.FirstStart && !c.hasSeenRequests,
 	}
 	for _, o := range c.reconciler.Step(now, in) {
@@ -60,7 +59,8 @@
 
 func (c *Controller) logSummary(now time.Time, in formation.Input) {
 	s := c.reconciler.Summary(now, in)
-	e := c.log.Info().Str("event", "fleet").Int("free", s.Free).Int("loading", s.Loading).Int("lost", s.Lost).Int("entries", len(c.entryHosts))
+	e := c.log.Info().Str("event", "fleet").Int("free", s.Free).Int("loading", s.Loading).Int("lost", s.Lost).Int("evacuated", s.Evacuated).
+		Int("evacuatedRequests", c.countEvacuatedRequests()).Int("entries", len(c.entryHosts))
 	for model, m := range s.Models {
 		e = e.Dict(model, zerolog.Dict().Int("open", m.Open).Int("forming", m.Forming).Int("ending", m.Ending).
 			Float64("need", m.DemandRatio).Float64("demand", in.Demand[model]))
@@ -72,31 +72,6 @@
 	e.Dict("domains", domains).Msg("summary of the fleet")
 }
 
-// submitOrder sends an order from a goroutine of the pool; its outcome arrives as an event.
-func (c *Controller) submitOrder(o savorywing.FleetOrder) {
-	c.log.Info().Str("event", "orderSent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
-		Str("model", o.Model).Strs("members", o.Members).Uint64("fence", o.FencingToken).Msg("sending an order")
-	born := int64(0)
-	if s := c.table.Server(o.Server); s != nil {
-		born = s.Report().Born
-	}
-	err := c.pool.Submit(func() {
-		// The lease is checked again, since the task may have waited while this host was suspended.
-		if !c.node.HasLease() {
-			return
-		}
-		outcome, leaving := c.sendOrder(o)
-		e := outcomeEvent{order: o, outcome: outcome}
-		if leaving {
-			e.leaving = []wire.ServerIncarnation{{ID: o.Server, Born: born}}
-		}
-		c.push(e)
-	})
-	if err != nil {
-		c.log.Warn().Str("event", "orderDropped").Str("server", o.Server).Err(err).Msg("dropped an order")
-	}
-}
-
 // minPushInterval is the minimum time between two pushes of changed endpoints, other than those that a server waits for.
 const minPushInterval = 50 * time.Millisecond
 
@@ -108,6 +83,8 @@
 		return
 	}
 	list := slices.DeleteFunc(c.table.Endpoints(now, c.silentAfter(), c.reconciler.ModelOf), func(e wire.Endpoint) bool { return c.isDaemon(e.Address) })
+	c.boundCold(now, list)
+	c.pace(now, list)
 	changed, urgent := c.endpoints.refresh(list)
 	if !changed || !urgent {
 		return
@@ -119,19 +96,24 @@
 // pushToAll sends each entry host the changes that it lacks.
 func (c *Controller) pushToAll(now time.Time) {
 	// Hosts that lack the same changes are sent the same bytes.
-	encoded := map[uint64]peer.EncodedFrame{}
+	type state struct {
+		revision    uint64
+		takesPacked bool
+	}
+	encoded := map[state]peer.EncodedFrame{}
 	for host, e := range c.entryHosts {
 		if now.Sub(e.lastReportAt) >= entryTimeout {
 			continue
 		}
-		frame := encoded[e.sentRevision]
+		held := state{e.sentRevision, e.usage.TakesPacked}
+		frame := encoded[held]
 		if frame == nil {
 			var err error
-			if frame, err = peer.Encode(wire.Frame{Fleet: c.changesSince(e.sentRevision)}); err != nil {
+			if frame, err = peer.Encode(wire.Frame{Fleet: c.changesSince(held.revision, held.takesPacked)}); err != nil {
 				c.log.Error().Str("event", "updateLost").Err(err).Msg("an update can't be encoded")
 				return
 			}
-			encoded[e.sentRevision] = frame
+			encoded[held] = frame
 		}
 		c.recordSent(host, e, c.mesh.PushEncoded(host, frame))
 	}
@@ -144,11 +126,20 @@
 }
 
 // changesSince returns an update with the changes of the endpoints after a revision, or all endpoints if it is 0 or too
-// old.
-func (c *Controller) changesSince(revision uint64) *wire.FleetUpdate {
+// old. For a host that takes them, these are packed.
+func (c *Controller) changesSince(revision uint64, takesPacked bool) *wire.FleetUpdate {
 	u := &wire.FleetUpdate{Term: c.term, Revision: c.endpoints.revision, Leader: c.settings.PeerAddress()}
-	u.Endpoints, u.Removed, u.Full = c.endpoints.since(revision)
-	u.Quarantine = c.quarantine.List(c.clock.Now())
+	u.Full = !c.endpoints.reaches(revision)
+	if u.Full && takesPacked {
+		var err error
+		if u.Packed, u.Endpoints, u.Removed, err = c.endpoints.full(); err != nil {
+			c.log.Error().Str("event", "endpointsUnpacked").Err(err).Msg("endpoints can't be packed and are sent as they are")
+		}
+	}
+	if len(u.Packed) == 0 {
+		u.Endpoints, u.Removed, _ = c.endpoints.since(revision)
+	}
+	u.Quarantine, u.Evacuations = c.quarantine.List(c.clock.Now()), c.evacuated.Wire()
 	if u.Full {
 		u.Controls = c.controlHosts()
 	}
@@ -169,7 +160,7 @@
 
 // reply answers an entry host's usage report with the changes that it lacks, the newest document and the loads.
 func (c *Controller) reply(host string, e *entryHostState) {
-	u := c.changesSince(e.sentRevision)
+	u := c.changesSince(e.sentRevision, e.usage.TakesPacked)
 	u.Echo = e.usage.SentAt
 	if d := c.document.Load(); d != nil && e.usage.Version < d.version {
 		u.Document = d.packed
@@ -179,7 +170,7 @@
 		u.Limits, u.LimitRevision = c.limits.List(c.clock.Now()), c.limits.Revision()
 	}
 	c.addForwarders(host, e, u)
-	u.Permits = c.limits.Grant(c.clock.Now(), e.usage.PermitRequests, c.endpoints.endpoint)
+	u.Permits = c.limits.Grant(c.clock.Now(), e.usage.PermitRequests, c.grantable)
 	u.Probes = c.quarantine.Probes(c.clock.Now(), e.usage.TurnedAway)
 	c.recordSent(host, e, c.mesh.Push(host, wire.Frame{Fleet: u}))
 }
@@ -231,14 +222,17 @@
 	c.applyLeaving(u.Leaving)
 	c.recordLosses(now, host, u)
 	c.recordLimits(now, u)
+	c.recordPace(now, u)
 	for _, d := range u.Demand {
 		c.hasSeenRequests = c.hasSeenRequests || d.Requests > 0
 	}
-	if status := c.node.Status(); status.Published != nil {
+	status := c.node.Status()
+	if status.Published != nil {
 		if d := c.document.Load(); d == nil || d.version < status.Published.Version {
 			c.decodeDocument(status.Published)
 		}
 	}
+	c.updateEvacuated(now, status.Evacuated)
 	// The lease is checked after everything that the update contains has been read.
 	if c.node.HasLease() {
 		c.reply(host, e)
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -126,7 +126,7 @@
 		return true
 	}
 	s.mu.Lock()
-	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version, ForwarderRevision: s.forwarderRevision}
+	u := wire.Usage{SentAt: now.UnixNano(), Term: s.term, Revision: s.revision, Version: s.version, ForwarderRevision: s.forwarderRevision, TakesPacked: true}
 	s.mu.Unlock()
 	u.ForwardProtocol, u.Addresses = g.forwardProtocol(), g.settings().ListenAddresses()
 	g.mu.Lock()
@@ -244,20 +244,13 @@
 // ignored.
 func (s *fleetSubscription) apply(u wire.FleetUpdate) {
 	g := s.gateway
-	s.mu.Lock()
-	if u.Term < s.term || (u.Term > s.term && !u.Full) || (u.Term == s.term && !u.Full && u.Revision < s.revision) {
-		s.mu.Unlock()
+	if !s.unpack(&u) {
 		return
 	}
-	changed := u.Full || u.Revision > s.revision
-	if u.Full && u.Term != s.term {
-		s.fullUpdateAt = g.clock.Now()
-	}
-	s.term, s.revision = u.Term, u.Revision
-	if u.ForwarderRevision != 0 {
-		s.forwarderRevision = u.ForwarderRevision
+	changed, isCurrent := s.advance(u)
+	if !isCurrent {
+		return
 	}
-	s.mu.Unlock()
 	if s.applyState(u, changed) {
 		// The leader waits for what is known here of parts of prompts.
 		s.wakeUp()
@@ -273,12 +266,46 @@
 	}
 }
 
+// advance takes over an update's term and revisions, and reports whether the endpoints have changed. It returns false for an update that
+// must not be applied.
+func (s *fleetSubscription) advance(u wire.FleetUpdate) (changed, isCurrent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u.Term < s.term || (u.Term > s.term && !u.Full) || (u.Term == s.term && !u.Full && u.Revision < s.revision) {
+		return false, false
+	}
+	changed = u.Full || u.Revision > s.revision
+	if u.Full && u.Term != s.term {
+		s.fullUpdateAt = s.gateway.clock.Now()
+	}
+	s.term, s.revision = u.Term, u.Revision
+	if u.ForwarderRevision != 0 {
+		s.forwarderRevision = u.ForwarderRevision
+	}
+	return changed, true
+}
+
+// unpack unpacks the endpoints of an update, and returns false if they can't be decoded.
+func (s *fleetSubscription) unpack(u *wire.FleetUpdate) bool {
+	if len(u.Packed) == 0 {
+		return true
+	}
+	list, err := fleet.UnpackEndpoints(u.Packed, u.Endpoints, u.Removed)
+	if err != nil {
+		s.gateway.log.Error().Str("event", "endpointsUnreadable").Uint64("term", u.Term).Err(err).Msg("the leader's endpoints can't be decoded")
+		return false
+	}
+	u.Endpoints, u.Removed = list, nil
+	return true
+}
+
 // applyState applies what requests are placed by, and reports whether the leader lists parts of prompts for the first time
 // of which survivals are known here.
 func (s *fleetSubscription) applyState(u wire.FleetUpdate, changed bool) bool {
 	g := s.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.applyEvacuations(u)
 	if changed {
 		g.balancer.UpdateEndpoints(u.Full, u.Endpoints, u.Removed)
 	}
@@ -338,8 +365,8 @@
 	g.log.Info().Str("event", "documentInForce").Uint64("version", u.Version).Msg("a new document is in force")
 }
 
-// confirm records that the leader, under its lease, knew of nothing newer than the document in force here when it
-// answered the usage report sent at u.Echo.
+// confirm records that the leader, under its lease, knew of nothing newer than the document in force here, and of no other
+// evacuated data centres than this update states, when it answered the usage report sent at u.Echo.
 func (s *fleetSubscription) confirm(u wire.FleetUpdate) {
 	if u.Echo == 0 {
 		return
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -5,7 +5,9 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
+	"savorywing.example/savorywing/process/overload"
 	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/wire"
 )
@@ -43,11 +45,16 @@
 
 // Balancer is the load-balancing state of one entry host.
 type Balancer struct {
-	cfg    Config
+	cfg Config
+	// random draws from source.
 	random *rand.Rand
+	source *rand.PCG
 	byID   map[string]*endpoint
-	// pools holds the endpoints of each service and model, sorted by ID.
-	pools map[endpointKey][]*endpoint
+	// pools holds the endpoints of each service and model, sorted by ID, other than those in evacuated data centres, of which
+	// evacuatedPools has the keys.
+	pools          map[endpointKey][]*endpoint
+	evacuated      *evacuation.Set
+	evacuatedPools map[endpointKey]bool
 	// byHandle holds the endpoints by the handles that the leader assigned.
 	byHandle   map[uint64]*endpoint
 	entryHosts int
@@ -57,8 +64,8 @@
 	gaps map[endpointKey]time.Duration
 	// occupancies is the moving average of the time that a request occupies its slot, by key.
 	occupancies map[endpointKey]time.Duration
-	// budgets holds the send budget of this host for each full pool.
-	budgets map[endpointKey]*sendBudget
+	// shares holds this host's part of the capacity of each pool.
+	shares map[endpointKey]*overload.Share
 	// permits holds servers' request limits and the permits for requests to them.
 	permits *quota.Holder
 	// notices holds what servers have stated about themselves, by ID.
@@ -67,6 +74,8 @@
 	// arrived.
 	interval  time.Duration
 	updatedAt time.Time
+	// isLevelled reports whether the other hosts' loads have been levelled since the last update.
+	isLevelled bool
 }
 
 // endpointKey identifies a pool: the endpoints that serve a model of a service.
@@ -77,9 +86,10 @@
 	if cfg.StallTimeout == 0 {
 		cfg.StallTimeout = defaultStallTimeout
 	}
+	source := rand.NewPCG(cfg.Seed, cfg.Seed)
 	return &Balancer{
-		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
-		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, budgets: map[endpointKey]*sendBudget{},
+		cfg: cfg, random: rand.New(source), source: source, byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
+		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, shares: map[endpointKey]*overload.Share{},
 		notices: map[string]serverNotice{}, permits: quota.NewHolder(cfg.Seed),
 	}
 }
@@ -118,10 +128,14 @@
 
 // rebuildIndex rebuilds pools and byHandle from byID.
 func (b *Balancer) rebuildIndex() {
-	b.pools, b.byHandle = map[endpointKey][]*endpoint{}, map[uint64]*endpoint{}
+	b.pools, b.byHandle, b.evacuatedPools = map[endpointKey][]*endpoint{}, map[uint64]*endpoint{}, map[endpointKey]bool{}
 	for _, e := range b.byID {
 		b.byHandle[e.Handle] = e
 		k := endpointKey{e.Service, e.Model}
+		if b.evacuated.Covers(e.DataCentre) {
+			b.evacuatedPools[k] = true
+			continue
+		}
 		b.pools[k] = append(b.pools[k], e)
 	}
 	for _, list := range b.pools {
@@ -155,8 +169,10 @@
 	var out []wire.EndpointLoad
 	for _, e := range b.byID {
 		e.reported, e.reportedWaiting = e.localInFlight, e.localWaiting
-		if e.localInFlight > 0 {
-			out = append(out, wire.EndpointLoad{ID: e.ID, InFlight: e.localInFlight, WaitingTokens: e.localWaiting, Stalled: e.isStalled(now, b.stallTimeout(e)), Moved: e.progressed})
+		if e.localInFlight > 0 || e.pace != (paceSample{}) {
+			l := wire.EndpointLoad{ID: e.ID, InFlight: e.localInFlight, WaitingTokens: e.localWaiting, Stalled: e.isStalled(now, b.stallTimeout(e)), Moved: e.progressed}
+			e.takePace(&l)
+			out = append(out, l)
 		}
 		e.progressed = false
 	}
@@ -171,7 +187,7 @@
 	if !b.updatedAt.IsZero() {
 		updateMean(&b.interval, min(now.Sub(b.updatedAt), maxInterval))
 	}
-	b.updatedAt = now
+	b.updatedAt, b.isLevelled = now, false
 	b.expireNotices(now)
 	for _, e := range b.byID {
 		e.remoteInFlight, e.remoteWaiting, e.remoteStalled, e.entryHosts = 0, 0, false, b.entryHosts
@@ -196,8 +212,11 @@
 	sent   time.Time
 	// engineTime is the predicted time to the first event without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
-	key        endpointKey
-	started    bool
+	// predicted is the predicted time to the first event, and passTime the engine's time of a pass at the load when the request was
+	// counted; 0 if there is no engine.
+	predicted, passTime time.Duration
+	key                 endpointKey
+	started             bool
 	// permitExpiry is when the permit that the request has used up expires; zero if it needed none.
 	permitExpiry time.Time
 	born         int64
@@ -208,14 +227,17 @@
 
 // Start counts a request that is sent to the endpoint of a decision.
 func (b *Balancer) Start(now time.Time, d Decision, req Request) *Reservation {
-	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, key: req.key()}
-	if s := b.budgets[res.key]; s != nil {
-		s.tokens--
+	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, predicted: d.Predicted, key: req.key()}
+	if s := b.shares[res.key]; s != nil {
+		s.RecordSent()
 	}
 	e := b.byID[d.ID]
 	if e == nil {
 		return res
 	}
+	if req.Engine != nil {
+		res.passTime = req.Engine.PassTime(0, min(e.load()+1, e.slots()))
+	}
 	res.born, res.permitExpiry = e.Born, b.permits.Use(now, e.ID, e.Born)
 	if e.localInFlight == 0 {
 		e.progressAt, e.longestPredicted = now, 0
@@ -234,6 +256,7 @@
 	}
 	e.progressAt, e.progressed = now, true
 	if gap > 0 {
+		e.observe(gap, b.expectedGap(res))
 		updateMean(&e.gap, gap)
 		mean := b.gaps[res.key]
 		updateMean(&mean, gap)
@@ -242,6 +265,7 @@
 	if !res.started {
 		res.started = true
 		e.started++
+		e.observe(now.Sub(res.sent), res.predicted)
 		e.localWaiting = max(0, e.localWaiting-res.tokens)
 		b.recordFirstEvent(res, now.Sub(res.sent))
 	}
@@ -307,8 +331,12 @@
 	} else {
 		e.localWaiting = max(0, e.localWaiting-res.tokens)
 	}
+	e.observeEnd(r)
 	switch r {
 	case Served:
+		if res.passTime == 0 {
+			e.observe(now.Sub(res.sent), b.occupancies[res.key])
+		}
 		e.recordOutcome(now, false)
 		updateMean(&e.occupancy, now.Sub(res.sent))
 		occupancy := b.occupancies[res.key]
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -103,6 +103,10 @@
 	ReasonCutOff Reason = "cutOff"
 	// ReasonQuarantined means that servers crash on a part of the request's prompt.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonEvacuated means that all servers that could run the request are in evacuated data centres.
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonUnconfirmed means that this host can't confirm what the leader knows.
+	ReasonUnconfirmed Reason = "unconfirmed"
 	// ReasonStopping means that this host stops.
 	ReasonStopping Reason = "stopping"
 )
@@ -126,6 +130,8 @@
 	StallTimeout time.Duration
 	// AwaitPermit reports, for a rejection, that the leader may permit a request to a server that has a limit.
 	AwaitPermit bool
+	// OverloadBegan reports, for a rejection, that it is the first in an overload of the pool.
+	OverloadBegan bool
 	// engineTime is Predicted without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
 }
@@ -140,6 +146,7 @@
 }
 
 func (b *Balancer) pick(now time.Time, req Request) Decision {
+	b.levelStale(now)
 	usable, poolSize := b.usable(now, req)
 	if len(usable) == 0 {
 		return b.rejectEmpty(now, req, poolSize)
@@ -147,17 +154,20 @@
 	if e, found := b.unconfirmed(usable, req); found {
 		return b.decide(e)
 	}
-	if req.Engine != nil && !req.Retry && !b.hasBudget(now, usable, req) {
+	if e, found := b.cold(usable, req); found {
+		return b.decide(e)
+	}
+	if req.Engine != nil && !req.Retry && !b.mayLoad(now, usable, req) {
 		if e, found := b.permitted(usable, req); found {
 			return b.decide(e)
 		}
-		return b.rejectFull(usable, b.best(usable, req))
+		return b.rejectFull(now, usable, b.best(usable, req), req)
 	}
 	best := b.choose(usable, req)
 	if !b.fits(best, req) || exceedsGap(best, req) {
 		best = b.best(usable, req)
 		if !b.fits(best, req) {
-			return b.rejectFull(usable, best)
+			return b.rejectFull(now, usable, best, req)
 		}
 	}
 	return b.decide(best)
@@ -220,15 +230,13 @@
 	list := b.pools[req.key()]
 	var suspect []*endpoint
 	for _, e := range list {
-		if !mayServe(req, e) || !b.accepts(now, e) || !b.permits.Allows(now, e.ID, e.Born) {
-			continue
-		}
-		stalled := e.isStalled(now, b.stallTimeout(e)) || (e.remoteStalled && e.load() > 0)
-		if now.Before(e.ejectedUntil) || stalled || e.Silent {
+		switch b.exclusion(now, req, e) {
+		case notExcluded:
+			usable = append(usable, e)
+		case ejected, stalled, stalledElsewhere, silent:
 			suspect = append(suspect, e)
-			continue
+		case triedBefore, outsideArea, closed, lacksPermit:
 		}
-		usable = append(usable, e)
 	}
 	// Silent or remotely stalled endpoints are excluded only while at least half of the pool is usable.
 	if len(usable)*2 < len(list) {
@@ -244,6 +252,46 @@
 	return usable, len(list)
 }
 
+// exclusion is why an endpoint isn't chosen for a request.
+type exclusion string
+
+// The first group excludes an endpoint, the second one does so while enough others are left.
+const (
+	notExcluded exclusion = ""
+	triedBefore exclusion = "tried before"
+	outsideArea exclusion = "outside the request's regions"
+	closed      exclusion = "leaving, or closed for a time"
+	lacksPermit exclusion = "no permit: cold, or limited"
+
+	ejected          exclusion = "ejected after failures"
+	stalled          exclusion = "stalled"
+	stalledElsewhere exclusion = "stalled for other hosts"
+	silent           exclusion = "sends no reports"
+)
+
+// exclusion returns why an endpoint of the request's pool isn't chosen, or notExcluded.
+func (b *Balancer) exclusion(now time.Time, req Request, e *endpoint) exclusion {
+	switch {
+	case isExcluded(req, e.ID):
+		return triedBefore
+	case !req.Area.Contains(e.DataCentre):
+		return outsideArea
+	case !b.accepts(now, e):
+		return closed
+	case !b.permits.Allows(now, e.ID, e.Born):
+		return lacksPermit
+	case now.Before(e.ejectedUntil):
+		return ejected
+	case e.isStalled(now, b.stallTimeout(e)):
+		return stalled
+	case e.remoteStalled && e.load() > 0:
+		return stalledElsewhere
+	case e.Silent:
+		return silent
+	}
+	return notExcluded
+}
+
 // mayServe reports whether a request may be sent to an endpoint at all.
 func mayServe(req Request, e *endpoint) bool {
 	return !isExcluded(req, e.ID) && req.Area.Contains(e.DataCentre)
@@ -369,8 +417,11 @@
 // pool have closed themselves, the caller is asked to retry when the first of them opens again.
 func (b *Balancer) rejectEmpty(now time.Time, req Request, poolSize int) Decision {
 	d := Decision{Reason: ReasonNoEndpoint, RetryAfter: b.jitter(2 * minRetryAfter)}
-	if poolSize > 0 {
+	switch {
+	case poolSize > 0:
 		d.Reason = ReasonFull
+	case b.evacuatedPools[req.key()]:
+		d.Reason, d.RetryAfter = ReasonEvacuated, b.jitter(evacuatedRetryAfter)
 	}
 	if req.Area.IsRestricted() && !b.hasServer(req) {
 		d.Reason = ReasonRegion
@@ -395,9 +446,14 @@
 }
 
 // rejectFull rejects a request because of overload. RetryAfter is the predicted time until the queue ahead of the
-// caller is served, with jitter, so that callers don't retry at the same moment.
-func (b *Balancer) rejectFull(list []*endpoint, s scoredEndpoint) Decision {
+// caller is served, with jitter, so that callers don't retry at the same moment. Where the pool's capacity is shared out, callers
+// return when the overload may be over.
+func (b *Balancer) rejectFull(now time.Time, list []*endpoint, s scoredEndpoint, req Request) Decision {
 	d := Decision{Reason: ReasonFull, RetryAfter: b.jitter(max(minRetryAfter, s.predicted)), Predicted: s.predicted}
+	if req.Engine != nil {
+		share := b.share(req.key())
+		d.RetryAfter, d.OverloadBegan = share.RetryAfter(now, req.Remaining), share.OverloadedAt().Equal(now)
+	}
 	for _, e := range list {
 		d.Load += e.load()
 		d.Slots += e.slots()
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -10,7 +10,6 @@
 name: entry-1
 ip: 10.0.0.1
 dataCentre: a
-regions: {"a":"north","b":"south"}
 callerAddress: 10.0.0.1:8080
 readyAddress: 10.0.0.1:8081
 peerPorts: [7340,7355]
@@ -24,7 +23,7 @@
 `
 
 func TestParse(t *testing.T) {
-	s, err := Parse([]byte(example))
+	s, err := Parse([]byte(strings.Replace(example, "limits:", `regions: {"a":"north","b":"south"}`+"\nlimits:", 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,44 +35,59 @@
 	}
 }
 
+func TestParseEvacuation(t *testing.T) {
+	s, err := Parse([]byte(example))
+	if err != nil || s.EvacuationMs != 0 || s.DataCentres != nil {
+		t.Errorf("without a bound: %v, %d ms, %v", err, s.EvacuationMs, s.DataCentres)
+	}
+	s, err = Parse([]byte(example + "  evacuateMs: 5000\ndataCentres: [a,b]\n"))
+	if err != nil || s.EvacuationMs != 5000 || !slices.Equal(s.DataCentres, []string{"a", "b"}) {
+		t.Errorf("got %v, %+v", err, s)
+	}
+}
+
 func TestParseRejects(t *testing.T) {
 	tests := []struct{ name, old, new, want string }{
-		{"unknown field", "token: secret", "tokn: secret", "line 11"},
-		{"wrong type", "memoryMB: 206", "memoryMB: much", "line 13"},
+		{"unknown field", "token: secret", "tokn: secret", "line 10"},
+		{"wrong type", "memoryMB: 206", "memoryMB: much", "line 12"},
 		{"no IP address", "ip: 10.0.0.1", "ip: somewhere", "line 3: ip"},
 		{"unknown role", "role: entry", "role: both", "line 1: role"},
 		{"no seeds", "seeds: [10.0.0.7:8229,10.0.0.8:8229]", "seeds: []", "seeds"},
-		{"no token", "token: secret", "token: ''", "line 11: token"},
-		{"an empty accepted token", "token: secret", "token: secret\nacceptedTokens: ['']", "line 12: acceptedTokens"},
+		{"no token", "token: secret", "token: ''", "line 10: token"},
+		{"an empty accepted token", "token: secret", "token: secret\nacceptedTokens: ['']", "line 11: acceptedTokens"},
 		{"entry host without a caller address", "callerAddress: 10.0.0.1:8080", "", "callerAddress"},
 		{"control host without a data folder", "role: entry", "role: control\ncontrolAddress: 10.0.0.1:8229", "dataDir"},
 		{"address without a port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1", "10.0.0.1"},
-		{"address with port 0", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:0", "line 7: readyAddress"},
-		{"address with port 70000", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:70000", "line 7: readyAddress"},
-		{"address with port -1", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:-1", "line 7: readyAddress"},
-		{"address with a word as its port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:http", "line 7: readyAddress"},
-		{"address with a word as its host", "callerAddress: 10.0.0.1:8080", "callerAddress: nowhere:8080", "line 6: callerAddress"},
-		{"peer port 0", "[7340,7355]", "[0]", "line 8: peerPorts"},
-		{"peer port -1", "[7340,7355]", "[7340,-1]", "line 8: peerPorts"},
-		{"peer port 70000", "[7340,7355]", "[70000]", "line 8: peerPorts"},
-		{"peer port beyond 64 bits", "[7340,7355]", "[18446744073709551616]", "line 8"},
-		{"peer port twice", "[7340,7355]", "[7340,7340]", "line 8: peerPorts"},
-		{"metrics port 70000", "lostDisks: 2", "metricsPort: 70000", "line 12: metricsPort"},
-		{"metrics port -1", "lostDisks: 2", "metricsPort: -1", "line 12: metricsPort"},
-		{"no valid seed", "[10.0.0.7:8229,10.0.0.8:8229]", "[nowhere:1,'10.0.0.7',10.0.0.7:70000]", "line 9: seeds"},
-		{"seeds of another type", "[10.0.0.7:8229,10.0.0.8:8229]", "{a: b}", "line 9"},
-		{"negative losses", "lostDisks: 2", "lostDisks: -1", "line 12: lostDisks"},
-		{"huge losses", "lostDisks: 2", "lostDisks: 9223372036854775807", "line 12: lostDisks"},
-		{"negative memory", "memoryMB: 206", "memoryMB: -1", "line 13: memoryMB"},
-		{"huge memory", "memoryMB: 206", "memoryMB: 9223372036854775807", "line 13: memoryMB"},
-		{"capacity that is no number", "lostDisks: 2", "cpuShare: .nan", "line 12: cpuShare"},
-		{"infinite capacity", "lostDisks: 2", "linkMbps: .inf", "line 12: linkMbps"},
-		{"negative time", "revokeMs: 4000", "revokeMs: -4000", "line 14: limits"},
-		{"huge time", "revokeMs: 4000", "reportEveryMs: 9223372036854775807", "line 14: limits"},
-		{"time that is no number", "revokeMs: 4000", "graceSeconds: .nan", "line 14: limits"},
-		{"infinite time", "revokeMs: 4000", "retryWindowSeconds: .inf", "line 14: limits"},
-		{"negative ratio", "revokeMs: 4000", "retryShare: -0.1", "line 14: limits"},
-		{"same field twice", "lostDisks: 2", "lostDisks: 2\nlostDisks: 3", "line 13"},
+		{"address with port 0", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:0", "line 6: readyAddress"},
+		{"address with port 70000", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:70000", "line 6: readyAddress"},
+		{"address with port -1", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:-1", "line 6: readyAddress"},
+		{"address with a word as its port", "readyAddress: 10.0.0.1:8081", "readyAddress: 10.0.0.1:http", "line 6: readyAddress"},
+		{"address with a word as its host", "callerAddress: 10.0.0.1:8080", "callerAddress: nowhere:8080", "line 5: callerAddress"},
+		{"overage of cold servers negative", "revokeMs: 4000", "coldOverage: -1", "limits: "},
+		{"slack of cold servers NaN", "revokeMs: 4000", "coldSlack: .nan", "limits: "},
+		{"peer port 0", "[7340,7355]", "[0]", "line 7: peerPorts"},
+		{"peer port -1", "[7340,7355]", "[7340,-1]", "line 7: peerPorts"},
+		{"peer port 70000", "[7340,7355]", "[70000]", "line 7: peerPorts"},
+		{"peer port beyond 64 bits", "[7340,7355]", "[18446744073709551616]", "line 7"},
+		{"peer port twice", "[7340,7355]", "[7340,7340]", "line 7: peerPorts"},
+		{"metrics port 70000", "lostDisks: 2", "metricsPort: 70000", "line 11: metricsPort"},
+		{"metrics port -1", "lostDisks: 2", "metricsPort: -1", "line 11: metricsPort"},
+		{"no valid seed", "[10.0.0.7:8229,10.0.0.8:8229]", "[nowhere:1,'10.0.0.7',10.0.0.7:70000]", "line 8: seeds"},
+		{"seeds of another type", "[10.0.0.7:8229,10.0.0.8:8229]", "{a: b}", "line 8"},
+		{"negative losses", "lostDisks: 2", "lostDisks: -1", "line 11: lostDisks"},
+		{"huge losses", "lostDisks: 2", "lostDisks: 9223372036854775807", "line 11: lostDisks"},
+		{"negative memory", "memoryMB: 206", "memoryMB: -1", "line 12: memoryMB"},
+		{"huge memory", "memoryMB: 206", "memoryMB: 9223372036854775807", "line 12: memoryMB"},
+		{"capacity that is no number", "lostDisks: 2", "cpuShare: .nan", "line 11: cpuShare"},
+		{"infinite capacity", "lostDisks: 2", "linkMbps: .inf", "line 11: linkMbps"},
+		{"negative time", "revokeMs: 4000", "revokeMs: -4000", "line 13: limits"},
+		{"huge time", "revokeMs: 4000", "reportEveryMs: 9223372036854775807", "line 13: limits"},
+		{"time that is no number", "revokeMs: 4000", "graceSeconds: .nan", "line 13: limits"},
+		{"infinite time", "revokeMs: 4000", "retryWindowSeconds: .inf", "line 13: limits"},
+		{"negative bound of evacuations", "revokeMs: 4000", "evacuateMs: -1", "line 13: limits"},
+		{"data centre without a name", "dataCentre: a", "dataCentre: a\ndataCentres: [a, '']", "line 5: dataCentres"},
+		{"negative ratio", "revokeMs: 4000", "retryShare: -0.1", "line 13: limits"},
+		{"same field twice", "lostDisks: 2", "lostDisks: 2\nlostDisks: 3", "line 12"},
 		{"deep nesting", "[7340,7355]", strings.Repeat("[", 20000), ""},
 		{"not UTF-8", "name: entry-1", "name: \xff\xfe", ""},
 		{"aliases that expand", "name: entry-1", "name: &a [x]\nseeds: [*a,*a]", ""},
--- a/wire/types.go
+++ b/wire/types.go
@@ -184,6 +184,9 @@
 	// Drain corresponds to the JSON schema field "drain".
 	Drain *DrainHost `json:"drain,omitempty,omitzero"`
 
+	// Evacuate corresponds to the JSON schema field "evacuate".
+	Evacuate *Evacuate `json:"evacuate,omitempty,omitzero"`
+
 	// Free corresponds to the JSON schema field "free".
 	Free *FreeHost `json:"free,omitempty,omitzero"`
 
@@ -269,6 +272,11 @@
 	// ColdMs corresponds to the JSON schema field "coldMs".
 	ColdMs int64 `json:"coldMs"`
 
+	// Requests per second that the entry hosts which hear from no leader may send
+	// together. It is set if a bound applies while the server is cold: requests then
+	// need permits.
+	ColdShare float64 `json:"coldShare,omitempty,omitzero"`
+
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre"`
 
@@ -287,6 +295,10 @@
 	// Empty for a plain service.
 	Model string `json:"model"`
 
+	// Requests that all entry hosts together may have in flight while the server is
+	// on pace; 0 if it isn't. Entry hosts then report how it answers.
+	PaceSlots int `json:"paceSlots,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
@@ -308,9 +320,22 @@
 	// A response from the endpoint has made progress since the last usage report.
 	Moved bool `json:"moved"`
 
+	// Requests that were rejected or have failed since the last report.
+	Refused int `json:"refused,omitempty,omitzero"`
+
+	// Requests that have ended well since the last report.
+	Served int `json:"served,omitempty,omitzero"`
+
+	// Sum of those times, each divided by the expected time.
+	Slowness float64 `json:"slowness,omitempty,omitzero"`
+
 	// Requests are in flight at the endpoint and none has made progress lately.
 	Stalled bool `json:"stalled"`
 
+	// Number of times of events and answers since the last report. This part, and the
+	// next three, are set for endpoints on pace.
+	Times int `json:"times,omitempty,omitzero"`
+
 	// Prompt tokens of requests in flight that have not received an event yet.
 	WaitingTokens int `json:"waitingTokens"`
 }
@@ -330,6 +355,24 @@
 	Term uint64 `json:"term"`
 }
 
+// Evacuate begins the evacuation of a data centre, or finishes it.
+type Evacuate struct {
+	// DataCentre corresponds to the JSON schema field "dataCentre".
+	DataCentre string `json:"dataCentre"`
+
+	// Whether the data centre is evacuated from now on.
+	On bool `json:"on"`
+}
+
+// Evacuations is the complete set of evacuated data centres.
+type Evacuations struct {
+	// Sorted by name.
+	DataCentres []string `json:"dataCentres"`
+
+	// Log index of the last change.
+	Revision uint64 `json:"revision"`
+}
+
 // FleetUpdate updates an entry host to a revision of the leader's fleet state.
 type FleetUpdate struct {
 	// Peer addresses of the control hosts.
@@ -348,6 +391,9 @@
 	// Number of entry hosts that have reported their usage lately.
 	Entries int `json:"entries"`
 
+	// Absent before the first evacuation.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero"`
+
 	// Revision of forwarders; 0 if the update does not contain them.
 	ForwarderRevision uint64 `json:"forwarderRevision"`
 
@@ -369,6 +415,11 @@
 	// Requests in flight summed over all entry hosts, by handle; see fleet.PackLoads.
 	Loads []byte `json:"loads"`
 
+	// Compressed list of endpoints that a full update begins with, for a host that
+	// takes it. The endpoints replace theirs, and the removed ones are not part of
+	// it.
+	Packed []byte `json:"packed"`
+
 	// Permits granted to this host.
 	Permits []PermitGrant `json:"permits,omitempty,omitzero"`
 
@@ -539,6 +590,9 @@
 	// ReachQuery corresponds to the JSON schema field "reachQuery".
 	ReachQuery *ReachQuery `json:"reachQuery,omitempty,omitzero"`
 
+	// Reports without a change, for a control host that takes them.
+	Repeats []RepeatedReport `json:"repeats,omitempty,omitzero"`
+
 	// Reply corresponds to the JSON schema field "reply".
 	Reply bool `json:"reply"`
 
@@ -871,8 +925,15 @@
 	// ID of the host's disk.
 	ID string `json:"id"`
 
+	// Newest format of the log's commands that the host knows; 0 without evacuations,
+	// 1 with them.
+	LogFormat int `json:"logFormat"`
+
 	// Peer addresses of the control hosts that the host knows.
 	Peers []string `json:"peers"`
+
+	// Whether the host takes repeated reports.
+	TakesRepeats bool `json:"takesRepeats"`
 }
 
 // Propose sends a command to the leader.
@@ -956,6 +1017,21 @@
 	WithinMs int64 `json:"withinMs"`
 }
 
+// RepeatedReport is a report that says the same as the server's last whole one.
+type RepeatedReport struct {
+	// Start time of the process, in milliseconds since 1970.
+	Born int64 `json:"born"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Number of the last whole report.
+	Of uint64 `json:"of"`
+
+	// Number of the report.
+	Sequence uint64 `json:"sequence"`
+}
+
 // Report is a backend server's report of its own state.
 type Report struct {
 	// Address corresponds to the JSON schema field "address".
@@ -1015,6 +1091,9 @@
 	// Configuration corresponds to the JSON schema field "configuration".
 	Configuration *Configuration `json:"configuration,omitempty,omitzero"`
 
+	// Result of a barrier; absent before the first evacuation.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero"`
+
 	// Fence corresponds to the JSON schema field "fence".
 	Fence uint64 `json:"fence"`
 
@@ -1130,6 +1209,9 @@
 	// Configuration corresponds to the JSON schema field "configuration".
 	Configuration *Configuration `json:"configuration,omitempty,omitzero"`
 
+	// Absent before the first evacuation.
+	Evacuations *Evacuations `json:"evacuations,omitempty,omitzero"`
+
 	// The highest fencing token issued so far.
 	Fence uint64 `json:"fence"`
 
@@ -1213,6 +1295,9 @@
 	// have survived.
 	Survivals []Survival `json:"survivals,omitempty,omitzero"`
 
+	// Whether the host takes packed endpoints.
+	TakesPacked bool `json:"takesPacked"`
+
 	// Term corresponds to the JSON schema field "term".
 	Term uint64 `json:"term"`
 
--- a/wire/validate_frame.go
+++ b/wire/validate_frame.go
@@ -32,6 +32,7 @@
 func (f *Frame) RemoveInvalid() error {
 	errs := []error{
 		keepValid("report", &f.Reports, (*Report).Validate),
+		keepValid("repeated report", &f.Repeats, (*RepeatedReport).Validate),
 		keepValid("announcement", &f.Announcements, (*Announcement).Validate),
 		keepValid("message of the log", &f.Raft, (*RaftMessage).Validate),
 		removePart("presence", &f.Presence, (*Presence).Validate),
@@ -64,9 +65,17 @@
 		keepValid("permit", &u.Permits, (*PermitGrant).Validate),
 		keepValid("forwarder", &u.Forwarders, (*Forwarder).Validate),
 		keepValid("quarantined part", &u.Quarantine, (*QuarantinedPart).Validate),
+		u.Evacuations.removeInvalid(),
 	)
 }
 
+func (e *Evacuations) removeInvalid() error {
+	if e == nil {
+		return nil
+	}
+	return keepValid("evacuated data centre", &e.DataCentres, func(s *string) error { return checkName("data centre", *s) })
+}
+
 // removeInvalidControls also bounds the control hosts, each of which is dialled for ever.
 func (u *FleetUpdate) removeInvalidControls() error {
 	err := keepValid("control host", &u.Controls, func(s *string) error { return CheckAddress(*s) })
@@ -127,7 +136,8 @@
 func (e *Endpoint) Validate() error {
 	return firstError("Endpoint.Validate", checkID(e.ID), CheckAddress(e.Address), checkName("service", e.Service),
 		checkText("model", e.Model), checkText("data centre", e.DataCentre), checkText("group", e.Group),
-		checkRange("slots", e.Slots, 0, maxSlots), checkRange("cold time", e.ColdMs, 0, maxColdMs), checkRange("start time", e.Born, 0, maxUnixMs))
+		checkRange("slots", e.Slots, 0, maxSlots), checkRange("cold time", e.ColdMs, 0, maxColdMs), checkRate(e.ColdShare), checkRange("slots on pace", e.PaceSlots, 0, maxSlots),
+		checkRange("start time", e.Born, 0, maxUnixMs))
 }
 
 // Validate checks the parts of an update other than its lists. The error wraps ErrInvalid.
@@ -142,19 +152,23 @@
 // Validate checks a load. The error wraps ErrInvalid.
 func (l *EndpointLoad) Validate() error {
 	return firstError("EndpointLoad.Validate", checkID(l.ID), checkRange("in flight", l.InFlight, 0, maxRequests),
-		checkRange("waiting tokens", l.WaitingTokens, 0, maxTokens))
+		checkRange("waiting tokens", l.WaitingTokens, 0, maxTokens), checkRange("times", l.Times, 0, maxRequests), checkRate(l.Slowness),
+		checkRange("served", l.Served, 0, maxRequests), checkRange("refused", l.Refused, 0, maxRequests))
 }
 
 // Validate checks a limit. The error wraps ErrInvalid.
 func (l *ServerLimit) Validate() error {
-	var rate error
-	if math.IsNaN(l.PerSecond) || l.PerSecond < 0 || l.PerSecond > maxRate {
-		rate = fmt.Errorf("rate: %w: %v", ErrInvalid, l.PerSecond)
-	}
-	return firstError("ServerLimit.Validate", checkID(l.ID), rate, checkRange("start time", l.Born, 0, maxUnixMs),
+	return firstError("ServerLimit.Validate", checkID(l.ID), checkRate(l.PerSecond), checkRange("start time", l.Born, 0, maxUnixMs),
 		checkRange("age", l.AgeMs, minAgeMs, maxAgeMs))
 }
 
+func checkRate(perSecond float64) error {
+	if math.IsNaN(perSecond) || perSecond < 0 || perSecond > maxRate {
+		return fmt.Errorf("rate: %w: %v", ErrInvalid, perSecond)
+	}
+	return nil
+}
+
 // Validate checks a request for permits. The error wraps ErrInvalid.
 func (r *PermitRequest) Validate() error {
 	return firstError("PermitRequest.Validate", checkName("service", r.Service), checkText("model", r.Model),
@@ -204,6 +218,12 @@
 	return firstError("Presence.Validate", checkID(p.ID))
 }
 
+// Validate checks a repeated report. The error wraps ErrInvalid.
+func (r *RepeatedReport) Validate() error {
+	return firstError("RepeatedReport.Validate", checkID(r.ID), checkRange("sequence", r.Sequence, 0, maxSequence),
+		checkRange("start time", r.Born, 0, maxUnixMs))
+}
+
 // Validate checks the start of a connection. The error wraps ErrInvalid.
 func (h *Hello) Validate() error {
 	return firstError("Hello.Validate", checkName("host", h.Host), checkText("data centre", h.DataCentre))
