serve: responses that are held count against the budget

Cause: a service's response of up to 16 MiB is held until it is complete and its caller has read it, whatever the host has.

No test with processes covers large responses of services.

--- a/connection/ingress/request_handler.go
+++ b/connection/ingress/request_handler.go
@@ -35,11 +35,21 @@
 // Reject implements Handler.
 func (h requestHandler) Reject(x savorywing.Exchange) { respond(context.Background(), x, h.reject) }
 
+// holdKey is the key of a request's Exchange.Hold among the values of its fasthttp.RequestCtx.
+type holdKey struct{}
+
+// Hold returns the Exchange.Hold of a request that a RequestHandler serves; nil without a bound.
+func Hold(r *fasthttp.RequestCtx) func(n int) bool {
+	hold, _ := r.UserValue(holdKey{}).(func(n int) bool)
+	return hold
+}
+
 func respond(ctx context.Context, x savorywing.Exchange, handle RequestHandler) {
 	var r fasthttp.RequestCtx
 	r.Init2(nil, httplog.Discard{}, true)
 	if c, ok := x.(*Exchange); ok {
 		r.SetRemoteAddr(c.conn.conn.RemoteAddr())
+		r.SetUserValue(holdKey{}, c.Hold)
 	}
 	x.HTTPRequest().Header.CopyTo(&r.Request.Header)
 	r.Request.SetBodyRaw(x.HTTPRequest().Body())
--- a/connection/operator/types.go
+++ b/connection/operator/types.go
@@ -22,6 +22,17 @@
 	Histograms    []metrics.Row  `json:"histograms"`
 	Alarms        []string       `json:"alarms"`
 	Control       ControlTraffic `json:"control"`
+	Held          HeldStatus     `json:"held"`
+}
+
+// HeldStatus is what callers and operators make this daemon hold, and its bounds.
+type HeldStatus struct {
+	Bytes          int `json:"bytes"`
+	MaxBytes       int `json:"maxBytes"`
+	Connections    int `json:"connections"`
+	MaxConnections int `json:"maxConnections"`
+	// TurnedAway is the number of connections that were turned away since the start.
+	TurnedAway int `json:"turnedAway"`
 }
 
 // ControlTraffic is the control traffic of this daemon since its start, in bytes.
--- a/process/daemon/operations.go
+++ b/process/daemon/operations.go
@@ -32,6 +32,8 @@
 		Configuration: d.registry.VersionNumbers().Configuration, IsFresh: d.registry.IsFresh(), Histograms: d.metrics.Rows(),
 	}
 	s.Control.Peers = d.mesh.Traffic()
+	u := d.memory.Usage()
+	s.Held = operator.HeldStatus{Bytes: u.Bytes, MaxBytes: u.Limits.Bytes, Connections: u.Conns, MaxConnections: u.Limits.MaxConns, TurnedAway: u.TurnedAway}
 	s.Control.PollsSent, s.Control.PollsReceived = d.pollClient.Traffic()
 	if host := d.leader.Load(); host != nil {
 		s.Leader = *host
--- a/process/entry/session.go
+++ b/process/entry/session.go
@@ -228,7 +228,7 @@
 		_ = response.Stream.Close()
 		return savorywing.Response{}, savorywing.NewRequestError(savorywing.CodeNotRun, response.Status, "the backend server refused")
 	}
-	body, err := io.ReadAll(response.Stream)
+	body, err := readHeld(response.Stream, s.request.Hold)
 	_ = response.Stream.Close()
 	if err != nil {
 		return savorywing.Response{}, savorywing.NewRequestError(savorywing.CodeUnknown, statusTimeout, "the answer could not be finished", savorywing.WithCause(err))
@@ -239,6 +239,34 @@
 	return savorywing.Response{Status: response.Status, ContentType: response.ContentType, Body: body}, nil
 }
 
+// errNoRoom means that this host has no room for a response.
+var errNoRoom = errors.New("no room for the response")
+
+// minResponseBytes is the size of the first buffer of a response.
+const minResponseBytes = 1 << 10
+
+// readHeld reads a response to its end. hold reports whether there is room for n bytes more; it is nil without a bound.
+func readHeld(r io.Reader, hold func(n int) bool) ([]byte, error) {
+	var b []byte
+	for {
+		if len(b) == cap(b) {
+			size := max(minResponseBytes, 2*cap(b))
+			if hold != nil && !hold(size) {
+				return nil, errNoRoom
+			}
+			b = append(make([]byte, 0, size), b...)
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			return b, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // generate opens a model's response and waits for its first token until the caller's deadline.
 func (s *session) generate(request context.Context, g grant, attemptID savorywing.ID) (savorywing.Response, error) {
 	ctx, cancel := context.WithDeadline(request, s.request.ResponseDeadline())
--- a/request.go
+++ b/request.go
@@ -30,6 +30,9 @@
 	PrefixDigest uint64
 	Arrival      time.Time
 	Timeouts     deadline.Timeouts
+	// Hold lets the request hold n bytes more until it ends, such as for its response, and reports whether the host has room.
+	// It is nil without a bound.
+	Hold func(n int) bool
 }
 
 // Queue returns the name of the queue in which the request waits.
--- a/request/caller/parse.go
+++ b/request/caller/parse.go
@@ -11,6 +11,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/backend"
+	"savorywing.example/savorywing/connection/ingress"
 	"savorywing.example/savorywing/process/router"
 	"savorywing.example/savorywing/version/settings"
 )
@@ -76,6 +77,7 @@
 		ID: savorywing.NewID(), Organisation: key.Organisation, Class: key.Class,
 		Method: string(ctx.Method()), Path: string(ctx.RequestURI()), ContentType: string(ctx.Request.Header.ContentType()),
 		Body: append([]byte(nil), ctx.PostBody()...), IdempotencyKey: string(ctx.Request.Header.Peek(backend.HeaderIdempotencyKey)), Arrival: now,
+		Hold: ingress.Hold(ctx),
 	}
 	if len(r.IdempotencyKey) > maxKeyBytes {
 		return nil, newBadRequest(fasthttp.StatusBadRequest, backend.HeaderIdempotencyKey, "the key is longer than %d bytes", maxKeyBytes)
