ingress: TestDrain without a window of time

Cause: it failed once in a run of the package at a load average of 35, "Connection: close" missing: the request was answered 100 ms after it began, and the stop came later than that.

Change: the request is answered once the stop has begun and the idle connection has ended.

--- a/connection/ingress/server_test.go
+++ b/connection/ingress/server_test.go
@@ -255,8 +255,10 @@
 // TestDrain checks that a planned stop completes the requests in flight and closes idle connections, with a response for a
 // request that may be on its way.
 func TestDrain(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
 	s, address := serve(t, func(ctx context.Context, x savorywing.Exchange) {
-		time.Sleep(100 * time.Millisecond)
+		close(began)
+		<-release
 		echo(ctx, x)
 	})
 	busy, r := dial(t, address)
@@ -265,7 +267,7 @@
 	if _, err := io.WriteString(busy, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(30 * time.Millisecond)
+	<-began
 	s.Drain()
 	s.BeginClose()
 	var resp fasthttp.Response
@@ -275,6 +277,7 @@
 	if _, err := ir.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("idle connection: got error %v, want its end", err)
 	}
+	close(release)
 	if err := resp.Read(r); err != nil || string(resp.Body()) != "hi\n" || !resp.ConnectionClose() {
 		t.Errorf("body %q, error %v, Connection: close %v", resp.Body(), err, resp.ConnectionClose())
 	}
