soak: servers that start cold, with their bound checked from what they receive

Plain servers start every 2.5 s while faults are injected, and engines that replace lost ones are cold as well. No cold server may receive more than 5 requests in a second (rate 2, overage 1.5, slack 2), other than around faults of its link.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -176,7 +176,7 @@
 		domain := s.FabricDomain
 		s.Kill()
 		r.scheduleRepair(d, func() {
-			if err := r.addServer(engineService, domain); err != nil {
+			if err := r.addServer(engineService, domain, coldTime); err != nil {
 				r.recordViolation("%v", err)
 			}
 		})
@@ -218,6 +218,8 @@
 	r.mu.Lock()
 	rel := r.relays[r.random.IntN(len(r.relays))]
 	r.mu.Unlock()
+	from := time.Now()
+	defer func() { r.recordDisturbed(rel.target, span{from, from.Add(d)}) }()
 	names := map[mode]string{delay: "delayed", stalled: "silent", oneWay: "partitioned in one direction"}
 	if r.random.IntN(4) == 0 {
 		r.recordFault("connections to %s are reset", rel.target)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -45,7 +45,9 @@
 	// Crossing counts the requests that were sent on connections of hosts during their planned stops, all of which must be
 	// answered.
 	Crossing int64
-	Faults   []string
+	// Cold counts the requests that cold servers received.
+	Cold   int
+	Faults []string
 }
 
 const (
@@ -85,6 +87,13 @@
 	violations []string
 	faults     []string
 	servers    []*fleet.Server
+	// coldServers are those that startCold has started, behind coldRelays.
+	coldServers []*fleet.Server
+	coldRelays  []*relay
+	// cold counts the requests that cold servers received.
+	cold int
+	// disturbed holds when links to servers were faulty, by the server's address.
+	disturbed map[string][]span
 	// controlsDown counts the control processes with a fault that is not repaired yet.
 	controlsDown                  int
 	acked                         atomic.Uint64
@@ -96,7 +105,7 @@
 
 // Run runs the soak with one seed. It returns an error if the daemons or the fleet can't be started.
 func Run(cfg Config) (Result, error) {
-	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now()}
+	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now(), disturbed: map[string][]span{}}
 	defer r.close()
 	assemble := r.assemble
 	r.protocol = fleetProtocol{r}
@@ -124,6 +133,9 @@
 	r.faultsUntil = time.Now().Add(cfg.FaultDuration)
 	var stops sync.WaitGroup
 	stops.Go(r.runPlannedStops)
+	if !cfg.Serve {
+		stops.Go(r.startCold)
+	}
 	r.injectFaults()
 	stops.Wait()
 	r.repairs.Wait()
@@ -135,6 +147,7 @@
 	}
 	if !cfg.Serve {
 		r.checkRead("at the end")
+		r.checkCold()
 	}
 	return r.result(), nil
 }
@@ -148,7 +161,7 @@
 	}
 	return Result{
 		Violations: violations, Faults: r.faults,
-		Served: r.served.Load(), Rejected: r.rejected.Load(), Failed: r.failedCalls.Load(), Crossing: r.crossing.Load(),
+		Served: r.served.Load(), Rejected: r.rejected.Load(), Failed: r.failedCalls.Load(), Crossing: r.crossing.Load(), Cold: r.cold,
 	}
 }
 
@@ -178,8 +191,9 @@
 		seeds = append(seeds, r.controlAddress(i))
 	}
 	shared := fmt.Sprintf("dataCentre: a\npeerPorts: [%d]\nseeds: [%s]\ntoken: soak\nlostDisks: %d\nmemoryMB: 256\n"+
-		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, graceSeconds: %g}\n",
-		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, gracePeriod.Seconds())
+		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, graceSeconds: %g, coldOverage: %g, coldSlack: %g}\n",
+		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, gracePeriod.Seconds(),
+		coldOverage, coldSlack)
 	for i := range r.cfg.Control {
 		dir := filepath.Join(r.cfg.Dir, fmt.Sprintf("control-%d", i))
 		r.processes = append(r.processes, &process{name: fmt.Sprintf("control-%d", i), binary: r.cfg.Binary, dir: dir, control: true,
@@ -210,12 +224,12 @@
 		Engine: *doc.Services[0].Engine, MemberLossTimeout: memberLossTimeout, PlainServiceTime: 5 * time.Millisecond,
 	})
 	for i := range r.cfg.Engines {
-		if err := r.addServer(engineService, fmt.Sprintf("d%d", i/10)); err != nil {
+		if err := r.addServer(engineService, fmt.Sprintf("d%d", i/10), 0); err != nil {
 			return err
 		}
 	}
 	for range 3 {
-		if err := r.addServer(plainService, ""); err != nil {
+		if err := r.addServer(plainService, "", 0); err != nil {
 			return err
 		}
 	}
@@ -225,8 +239,8 @@
 	return nil
 }
 
-// addServer starts an emulated server behind its own relay. The server advertises the relay's address.
-func (r *run) addServer(service, domain string) error {
+// addServer starts an emulated server behind its own relay, which is cold for a time. The server advertises the relay's address.
+func (r *run) addServer(service, domain string, coldFor time.Duration) error {
 	r.mu.Lock()
 	n := r.nextServer
 	r.nextServer++
@@ -234,7 +248,7 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", r.cfg.Subnet, 2+n/200, 10+n%200)
 	relayed := net.JoinHostPort(ip, "18000")
 	s, err := r.fleet.Add(fleet.ServerConfig{ID: fmt.Sprintf("s-%03d", n), Service: service, Address: ip + ":0", Advertised: relayed,
-		DataCentre: "a", FabricDomain: domain, Slots: 8, Engine: service == engineService})
+		DataCentre: "a", FabricDomain: domain, Slots: 8, Engine: service == engineService, ColdFor: coldFor})
 	if err != nil {
 		return err
 	}
@@ -244,6 +258,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if service == plainService && coldFor > 0 {
+		// Seeds keep their sequence of draws from the other servers.
+		r.coldServers, r.coldRelays = append(r.coldServers, s), append(r.coldRelays, rel)
+		return nil
+	}
 	r.servers = append(r.servers, s)
 	r.relays = append(r.relays, rel)
 	return nil
@@ -262,7 +281,7 @@
 		// The run is over, and its process ends soon.
 		_ = s.Stop()
 	}
-	for _, rel := range r.relays {
+	for _, rel := range append(r.relays, r.coldRelays...) {
 		rel.close()
 	}
 }
@@ -312,7 +331,7 @@
 			{Name: "book", Host: callerHost, Prefix: "/book/", Kind: catalogue.NonIdempotent, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond,
 				Services: weighted(plainService), MaxAttempts: 2},
 		},
-		Services:      []catalogue.Service{{Name: engineService, HealthPath: "/h", Engine: &engine}, {Name: plainService, HealthPath: "/h"}},
+		Services:      []catalogue.Service{{Name: engineService, HealthPath: "/h", ColdTime: coldTime, ColdPerSecond: coldPerSecond, Engine: &engine}, {Name: plainService, HealthPath: "/h", ColdTime: coldTime, ColdPerSecond: coldPerSecond}},
 		Organisations: []catalogue.Organisation{{Name: "one", Keys: []string{apiKey}}},
 		Limits:        catalogue.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second},
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -57,7 +57,7 @@
 			t.Log(f)
 		}
 	}
-	t.Logf("seed %d: %d faults, %d served, %d rejected, %d failed, %d during planned stops", seed, len(r.Faults), r.Served, r.Rejected, r.Failed, r.Crossing)
+	t.Logf("seed %d: %d faults, %d served, %d rejected, %d failed, %d during planned stops, %d to cold servers", seed, len(r.Faults), r.Served, r.Rejected, r.Failed, r.Crossing, r.Cold)
 }
 
 // TestSoak runs the listed seeds against the real daemons.
--- a/cmd/savorywing/soak.go
+++ b/cmd/savorywing/soak.go
@@ -71,8 +71,8 @@
 		return false, fmt.Errorf("soak: seed %d: %w", cfg.Seed, err)
 	}
 	out := cmd.OutOrStdout()
-	if _, err := fmt.Fprintf(out, "seed %d: %d faults, %d served, %d refused, %d failed, %d during planned stops, %d violations\n",
-		cfg.Seed, len(r.Faults), r.Served, r.Rejected, r.Failed, r.Crossing, len(r.Violations)); err != nil {
+	if _, err := fmt.Fprintf(out, "seed %d: %d faults, %d served, %d refused, %d failed, %d during planned stops, %d to cold servers, %d violations\n",
+		cfg.Seed, len(r.Faults), r.Served, r.Rejected, r.Failed, r.Crossing, r.Cold, len(r.Violations)); err != nil {
 		return false, err
 	}
 	if len(r.Violations) == 0 {
--- a/standin/fleet/requests.go
+++ b/standin/fleet/requests.go
@@ -43,6 +43,7 @@
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	s.recordColdArrival(time.Now())
 	if s.isClosed(ctx, attemptID) || s.isEndless(ctx, attemptID) || s.isRefused(ctx, attemptID) || s.isNotResumed(ctx, attemptID, metadata) {
 		return
 	}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -38,6 +38,8 @@
 	Slots      int
 	// Engine is true for a model engine and false for a plain service.
 	Engine bool
+	// ColdFor is how long the server is cold after its start.
+	ColdFor time.Duration
 }
 
 // Faults are the faults injected into a server.
@@ -149,6 +151,8 @@
 	unwanted int
 	// arrivals holds when requests arrived since the faults were last set.
 	arrivals []time.Time
+	// coldArrivals holds when requests arrived while the server was cold.
+	coldArrivals []time.Time
 	// refusals holds the last refusal of each connection whose next request is to be run, by the connection's number.
 	// hasRefused reports whether the next request on any other connection is to be run.
 	refusals   map[uint64][]byte
@@ -179,6 +183,26 @@
 	return append([]time.Time(nil), s.arrivals...)
 }
 
+// ColdArrivals returns when requests arrived while the server was cold, without those that were meant for another server.
+func (s *Server) ColdArrivals() []time.Time {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return append([]time.Time(nil), s.coldArrivals...)
+}
+
+// coldLeft returns how much longer the server is cold; the caller holds the fleet's mutex.
+func (s *Server) coldLeft(now time.Time) time.Duration {
+	return max(0, time.UnixMilli(s.startTime).Add(s.ColdFor).Sub(now))
+}
+
+func (s *Server) recordColdArrival(now time.Time) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if s.coldLeft(now) > 0 {
+		s.coldArrivals = append(s.coldArrivals, now)
+	}
+}
+
 // Add starts a server and its reports.
 func (f *Fleet) Add(cfg ServerConfig) (*Server, error) {
 	listener, err := net.Listen("tcp", cfg.Address)
@@ -332,6 +356,7 @@
 	r := wire.Report{
 		ID: s.id, Born: s.startTime, Sequence: s.sequence, Service: s.Service, Address: s.Advertised, DataCentre: s.DataCentre,
 		Release: "v1", Slots: s.Slots, Leaving: s.leaving, Engine: s.Engine, Domain: s.FabricDomain,
+		ColdMs: s.coldLeft(time.Now()).Milliseconds(),
 	}
 	if s.staged != "" {
 		r.Staged = []string{s.staged}
