--- a/bench/soak/cold.go
+++ b/bench/soak/cold.go
@@ -10,10 +10,10 @@
 // coldPerSecond and coldSlack requests to one of them: coldMost.
 const (
 	coldTime      = 4 * time.Second
-	coldPerSecond = 2.0
+	coldPerSecond = 1.0
 	coldOverage   = 1.5
-	coldSlack     = 2.0
-	coldMost      = 5
+	coldSlack     = 0.5
+	coldMost      = 2
 )
 
 // coldInterval is the time between the starts of two plain servers.
