where: explain where a request would go now

Cause: operators who see rejections or an uneven load can't tell what an entry host would do with a given request, but by sending one. Change: savorywing where asks an entry host's metrics listener, with the digest of the token between daemons. The host takes the steps of a request on a copy of its balancer: route and key, blocked parts, the choice itself. Not tried against a fleet of processes.

--- a/cmd/savorywing/where.go
+++ b/cmd/savorywing/where.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/version/instance"
 )
 
@@ -100,7 +101,7 @@
 	if _, _, err := net.SplitHostPort(address); err != nil {
 		return nil, usageError{fmt.Errorf("--address: %w", err)}
 	}
-	return operator.NewClient(address, s.Token), nil
+	return operator.NewClient(address, peer.TokenDigest(s.Token)), nil
 }
 
 func printWhere(w io.Writer, a operator.WhereAnswer) {
--- a/connection/operator/server.go
+++ b/connection/operator/server.go
@@ -101,24 +101,29 @@
 
 // reject responds to a call that comes too late.
 func (s *Server) reject(_ context.Context, ctx *fasthttp.RequestCtx) {
-	reply(ctx, fasthttp.StatusServiceUnavailable, ErrorBody{Error: "the daemon is stopping: the call was not run"})
+	Reply(ctx, fasthttp.StatusServiceUnavailable, ErrorBody{Error: "the daemon is stopping: the call was not run"})
+}
+
+// BearerToken returns the token that a call states, if it states one.
+func BearerToken(ctx *fasthttp.RequestCtx) (token string, found bool) {
+	return strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
 }
 
 func (s *Server) handle(_ context.Context, ctx *fasthttp.RequestCtx) {
-	token, found := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	token, found := BearerToken(ctx)
 	if !found || subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
-		reply(ctx, fasthttp.StatusUnauthorized, ErrorBody{Error: "the operators' token is missing or wrong"})
+		Reply(ctx, fasthttp.StatusUnauthorized, ErrorBody{Error: "the operators' token is missing or wrong"})
 		return
 	}
 	switch string(ctx.Path()) {
 	case PathStatus:
-		reply(ctx, fasthttp.StatusOK, s.ops.Status())
+		Reply(ctx, fasthttp.StatusOK, s.ops.Status())
 	case PathGroups:
-		reply(ctx, fasthttp.StatusOK, s.ops.Groups())
+		Reply(ctx, fasthttp.StatusOK, s.ops.Groups())
 	case PathHosts:
-		reply(ctx, fasthttp.StatusOK, s.ops.Hosts())
+		Reply(ctx, fasthttp.StatusOK, s.ops.Hosts())
 	case PathHistory:
-		reply(ctx, fasthttp.StatusOK, s.ops.History())
+		Reply(ctx, fasthttp.StatusOK, s.ops.History())
 	case PathConfiguration:
 		s.handleConfiguration(ctx)
 	case PathDrain:
@@ -126,7 +131,7 @@
 	case PathMetrics:
 		expvarhandler.ExpvarHandler(ctx)
 	default:
-		reply(ctx, fasthttp.StatusNotFound, ErrorBody{Error: "there is nothing at " + string(ctx.Path())})
+		Reply(ctx, fasthttp.StatusNotFound, ErrorBody{Error: "there is nothing at " + string(ctx.Path())})
 	}
 }
 
@@ -134,10 +139,10 @@
 	if ctx.IsGet() {
 		c, err := s.ops.Configuration()
 		if err != nil {
-			reply(ctx, fasthttp.StatusInternalServerError, ErrorBody{Error: err.Error()})
+			Reply(ctx, fasthttp.StatusInternalServerError, ErrorBody{Error: err.Error()})
 			return
 		}
-		reply(ctx, fasthttp.StatusOK, c)
+		Reply(ctx, fasthttp.StatusOK, c)
 		return
 	}
 	var c wire.ChangeConfiguration
@@ -153,7 +158,7 @@
 // and 503 if its outcome is unknown.
 func (s *Server) command(ctx *fasthttp.RequestCtx, v any, run func(context.Context) (wire.Result, error)) {
 	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
-		reply(ctx, fasthttp.StatusBadRequest, ErrorBody{Error: err.Error()})
+		Reply(ctx, fasthttp.StatusBadRequest, ErrorBody{Error: err.Error()})
 		return
 	}
 	commandCtx, cancel := context.WithTimeout(s.ctx, commandTimeout)
@@ -161,15 +166,16 @@
 	r, err := run(commandCtx)
 	switch {
 	case err != nil:
-		reply(ctx, fasthttp.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
+		Reply(ctx, fasthttp.StatusServiceUnavailable, ErrorBody{Error: err.Error()})
 	case !r.Accepted:
-		reply(ctx, fasthttp.StatusConflict, r)
+		Reply(ctx, fasthttp.StatusConflict, r)
 	default:
-		reply(ctx, fasthttp.StatusOK, r)
+		Reply(ctx, fasthttp.StatusOK, r)
 	}
 }
 
-func reply(ctx *fasthttp.RequestCtx, status int, v any) {
+// Reply writes a JSON response.
+func Reply(ctx *fasthttp.RequestCtx, status int, v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
--- a/connection/peer/token.go
+++ b/connection/peer/token.go
@@ -32,6 +32,12 @@
 	m.tokens.Store(d)
 }
 
+// TokenDigest returns what is stated of a token where it must not be sent itself.
+func TokenDigest(token string) string { return tokenDigest(token) }
+
+// AcceptsDigest reports whether a digest is that of a token in force.
+func (m *Mesh) AcceptsDigest(digest string) bool { return m.tokens.Load().accept([]byte(digest)) }
+
 func tokenDigest(token string) string {
 	sum := sha256.Sum256([]byte("peer:" + token))
 	return hex.EncodeToString(sum[:])
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"savorywing.example/savorywing/connection/engine"
 	"savorywing.example/savorywing/connection/forward"
 	"savorywing.example/savorywing/connection/ingress"
+	"savorywing.example/savorywing/connection/operator"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/clock"
@@ -126,6 +127,7 @@
 	g.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(g.evacuated.Load().Names())) })
 	g.telemetry.Gauge("path_state", func() float64 { return float64(g.pathState()) })
 	g.telemetry.Gauge("forwarded_in_flight", func() float64 { return float64(g.forwardedInFlight()) })
+	g.telemetry.Handle(operator.PathWhere, g.handleWhere)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.expiring, g.expireForwarded = context.WithCancelCause(context.Background())
 	g.engines = engine.New(g.clock, dialect)
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -256,28 +256,40 @@
 
 // admit finds the request's route and organisation, and rejects the request if there is none.
 func (r *callerRequest) admit() bool {
+	if rejected := r.resolve(); rejected != nil {
+		r.refuse(rejected.status, rejected.reason, rejected.retryAfter)
+		return false
+	}
+	return true
+}
+
+// refusal is the final response to a request for which there is no route, key or document.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// resolve finds the request's route and organisation, and what follows from them. It returns why the request must be rejected, or nil.
+func (r *callerRequest) resolve() *refusal {
 	g := r.gateway
 	c := g.catalogue.Load()
 	age := g.subscription.confirmationAge()
 	if c == nil {
-		r.refuse(fasthttp.StatusServiceUnavailable, "noDocument", jitteredRetryAfter())
-		return false
+		return &refusal{fasthttp.StatusServiceUnavailable, "noDocument", jitteredRetryAfter()}
 	}
 	if reason := g.unconfirmed(c, age); reason != "" {
-		r.refuse(fasthttp.StatusServiceUnavailable, reason, jitteredRetryAfter())
-		return false
+		return &refusal{fasthttp.StatusServiceUnavailable, reason, jitteredRetryAfter()}
 	}
 	uri := httpRequest(r).URI()
 	r.route = c.Route(string(httpRequest(r).Header.Host()), string(uri.PathOriginal()))
 	if r.route == nil {
-		r.refuse(fasthttp.StatusNotFound, "noRoute", 0)
-		return false
+		return &refusal{fasthttp.StatusNotFound, "noRoute", 0}
 	}
 	if c.RequiresKey() && !r.route.Public {
 		o := c.Organisation(r.caller.APIKey)
 		if o == nil {
-			r.refuse(fasthttp.StatusUnauthorized, "unknownKey", 0)
-			return false
+			return &refusal{fasthttp.StatusUnauthorized, "unknownKey", 0}
 		}
 		r.organisation = o.Name
 		r.priority = priority(o, r.route)
@@ -308,7 +320,7 @@
 	if e := r.service.Engine; e != nil && e.PrefillRate > 0 {
 		r.prefillTime = time.Duration(float64(r.caller.PromptTokens)/e.PrefillRate*float64(time.Second)) + e.StepTime
 	}
-	return true
+	return nil
 }
 
 // boundTokens bounds a stated number of tokens by what a group can hold, so that no caller can raise the demand that is
--- /dev/null
+++ b/process/gateway/where_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing/connection/operator"
+	"savorywing.example/savorywing/connection/peer"
+	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/version/catalogue"
+	"savorywing.example/savorywing/wire"
+)
+
+// whereGateway has two servers, of which one sends no reports.
+func whereGateway(t *testing.T) *Gateway {
+	t.Helper()
+	g := newTestGateway(t)
+	g.mesh.SetTokens(peer.Tokens{Sent: "secret"})
+	g.balancer.UpdateEndpoints(true, []wire.Endpoint{
+		{ID: "i-1", Address: "127.0.0.1:1", Service: "s", Slots: 4, Born: 1, Handle: 1}, {ID: "i-2", Address: "127.0.0.1:2", Service: "s", Slots: 4, Born: 1, Handle: 2, Silent: true},
+		{ID: "i-3", Address: "127.0.0.1:3", Service: "s", Slots: 4, Born: 1, Handle: 3},
+	}, nil)
+	g.balancer.RecordNotice(g.clock.Now(), "i-3", 1, placement.Notice{Leaving: true})
+	c, err := catalogue.New(catalogue.Document{Version: 7, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}, {Name: "none", HealthPath: "/healthz"}},
+		Routes: []catalogue.Route{
+			{Name: "r", Host: "x.example", Prefix: "/r/", Services: []catalogue.WeightedService{{Service: "s", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
+			{Name: "empty", Host: "x.example", Prefix: "/empty/", Services: []catalogue.WeightedService{{Service: "none", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
+		},
+		Organisations: []catalogue.Organisation{{Name: "o", Keys: []string{"k"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.catalogue.Store(c)
+	return g
+}
+
+func TestWhere(t *testing.T) {
+	for _, tt := range []struct {
+		name                    string
+		query                   operator.WhereQuery
+		verdict, server, reason string
+		status                  int
+	}{
+		{"by path and key", operator.WhereQuery{Host: "x.example", Path: "/r/a", Key: "k"}, operator.VerdictSent, "i-1", "", 0},
+		{"by names", operator.WhereQuery{Route: "r", Organisation: "o"}, operator.VerdictSent, "i-1", "", 0},
+		{"unknown key", operator.WhereQuery{Route: "r", Key: "z"}, operator.VerdictRejected, "", "unknownKey", fasthttp.StatusUnauthorized},
+		{"unknown path", operator.WhereQuery{Host: "x.example", Path: "/z", Key: "k"}, operator.VerdictRejected, "", "noRoute", fasthttp.StatusNotFound},
+		{"no server", operator.WhereQuery{Route: "empty", Key: "k"}, operator.VerdictRejected, "", string(placement.ReasonNoEndpoint), fasthttp.StatusServiceUnavailable},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := whereGateway(t)
+			before := usageText(g)
+			a, err := g.where(tt.query)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if a.Verdict != tt.verdict || a.Server != tt.server || a.Reason != tt.reason || a.Status != tt.status || a.DocumentVersion != 7 {
+				t.Errorf("got %+v", a)
+			}
+			if tt.verdict == operator.VerdictSent {
+				want := [][]string{nil, {"sends no reports"}, {"leaving, or closed for a time"}}
+				var got [][]string
+				for _, c := range a.Candidates {
+					got = append(got, c.Excluded)
+				}
+				if !reflect.DeepEqual(got, want) {
+					t.Errorf("excluded %v, want %v", got, want)
+				}
+			}
+			if after := usageText(g); after != before {
+				t.Errorf("usage %s, want %s as before", after, before)
+			}
+		})
+	}
+	if _, err := whereGateway(t).where(operator.WhereQuery{Route: "z"}); err == nil {
+		t.Error("an unknown route is accepted")
+	}
+}
+
+// usageText returns what the gateway would report to the leader.
+func usageText(g *Gateway) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return fmt.Sprint(g.balancer.Usage(g.clock.Now()), len(g.demand), len(g.budgets))
+}
+
+// TestWhereNeedsToken checks that only callers with the token between daemons get an answer.
+func TestWhereNeedsToken(t *testing.T) {
+	g := whereGateway(t)
+	for token, want := range map[string]int{
+		"": fasthttp.StatusUnauthorized, "secret": fasthttp.StatusUnauthorized, peer.TokenDigest("secret"): fasthttp.StatusOK,
+	} {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+token)
+		ctx.Request.SetBodyString(`{"route":"r","key":"k"}`)
+		g.handleWhere(ctx)
+		if got := ctx.Response.StatusCode(); got != want {
+			t.Errorf("token %q: status %d, want %d", token, got, want)
+		}
+	}
+}
--- a/process/quarantine/observer.go
+++ b/process/quarantine/observer.go
@@ -104,6 +104,16 @@
 // Blocked reports whether a request is to be rejected because of itself or a part of its prompt, and the time after which one like
 // it may be tried. RecordSend has to be called for a request that is sent.
 func (o *Observer) Blocked(now time.Time, p Identity) (retryAfter time.Duration, blocked bool) {
+	return o.check(now, p, func(key wire.PartKey) { o.turnedAway[key] = now })
+}
+
+// IsBlocked is Blocked for a request that doesn't exist: it records nothing.
+func (o *Observer) IsBlocked(now time.Time, p Identity) (retryAfter time.Duration, blocked bool) {
+	return o.check(now, p, func(wire.PartKey) {})
+}
+
+// check calls found for each listed key of a request.
+func (o *Observer) check(now time.Time, p Identity, found func(key wire.PartKey)) (retryAfter time.Duration, blocked bool) {
 	if len(o.listed) == 0 {
 		return 0, false
 	}
@@ -112,7 +122,7 @@
 		if !listed {
 			continue
 		}
-		o.turnedAway[key] = now
+		found(key)
 		blocked = blocked || !now.Before(o.probes[key])
 		retryAfter = max(retryAfter, o.listed[key].retryAt.Sub(now), minRetryAfter)
 	}
--- a/version/catalogue/catalogue.go
+++ b/version/catalogue/catalogue.go
@@ -264,6 +264,26 @@
 // Organisation returns the organisation that an API key belongs to, or nil.
 func (c *Catalogue) Organisation(key string) *Organisation { return c.byKey[key] }
 
+// RouteNamed returns the route of a name, or nil.
+func (c *Catalogue) RouteNamed(name string) *Route {
+	for i := range c.document.Routes {
+		if c.document.Routes[i].Name == name {
+			return &c.document.Routes[i]
+		}
+	}
+	return nil
+}
+
+// OrganisationNamed returns the organisation of a name, or nil.
+func (c *Catalogue) OrganisationNamed(name string) *Organisation {
+	for i := range c.document.Organisations {
+		if c.document.Organisations[i].Name == name {
+			return &c.document.Organisations[i]
+		}
+	}
+	return nil
+}
+
 // Route returns the route of the host with the longest prefix of the path, or nil. A port in host is ignored unless
 // a route's host has it.
 func (c *Catalogue) Route(host, path string) *Route {
