--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -20,7 +20,7 @@
 		switch {
 		case status == fasthttp.StatusOK:
 			return true
-		case status >= 400 && status < 500:
+		case status >= 400 && status < 500 && status != fasthttp.StatusRequestTimeout:
 			r.recordViolation("a valid document of version %d was rejected with status %d", doc.Version, status)
 			return false
 		}
--- a/connection/controlapi/client.go
+++ b/connection/controlapi/client.go
@@ -46,7 +46,7 @@
 			last = err
 		case status == fasthttp.StatusOK:
 			return nil
-		case status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError:
+		case isFinal(status):
 			return fmt.Errorf("Client.Evacuate: %w: %s", ErrRefused, body)
 		default:
 			last = fmt.Errorf("status %d: %s", status, body)
@@ -59,6 +59,12 @@
 	}
 }
 
+// isFinal reports whether no other control host would answer otherwise. One that stops answers 408 to a call that crosses its close.
+func isFinal(status int) bool {
+	return status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError &&
+		status != fasthttp.StatusRequestTimeout && status != fasthttp.StatusTooManyRequests
+}
+
 // Status returns the first confirmed status of a control host, or, if there is none, any other one.
 func (c *Client) Status() (Status, error) {
 	var best Status
