An order to evacuate ends with its caller, and isn't proposed by a host that was suspended

Cause: found by reading: a host that stood still for seconds could propose an order after its operator had given it to another host, and a later one after that. Timers don't count suspension, and an order was carried on when its caller had gone.

--- a/connection/controlapi/client_test.go
+++ b/connection/controlapi/client_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing/platform"
+	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -40,3 +42,41 @@
 		}
 	}
 }
+
+// waitingHandler holds orders up until their context ends.
+type waitingHandler struct {
+	Handler
+	begun, ended chan struct{}
+}
+
+func (h waitingHandler) Evacuate(ctx context.Context, _ wire.Evacuate) error {
+	close(h.begun)
+	<-ctx.Done()
+	close(h.ended)
+	return ctx.Err()
+}
+
+// TestOrderEndsWithItsCaller guards against an order that takes effect after its operator has given it to another host, and perhaps a later
+// one after that.
+func TestOrderEndsWithItsCaller(t *testing.T) {
+	h := waitingHandler{begun: make(chan struct{}), ended: make(chan struct{})}
+	address := freeAddress(t)
+	s := New(clock.Boottime{}, platform.Dialect{}, h, zerolog.Nop())
+	if err := s.Start(address); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var req fasthttp.Request
+	platform.Dialect{}.WriteEvacuation(&req.Header, wire.Evacuate{DataCentre: "a", On: true})
+	req.SetHost("h")
+	if _, err := req.WriteTo(c); err != nil {
+		t.Fatal(err)
+	}
+	<-h.begun
+	_ = c.Close()
+	<-h.ended
+}
--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -64,7 +64,7 @@
 	// refusals limits the log lines about each sender of refused reports, which sends one after the other.
 	refusals *logging.Repeats
 	http     *ingress.Server
-	// ctx is that of all calls. A call goes on when its caller disconnects: a backend server that ends may not wait for the
+	// ctx is that of all calls other than orders to evacuate a data centre. A call goes on when its caller disconnects: a backend server that ends may not wait for the
 	// acknowledgement of its withdrawal.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -108,7 +108,7 @@
 	s.http.Close()
 }
 
-func (s *Server) handle(_ context.Context, r *fasthttp.RequestCtx) {
+func (s *Server) handle(caller context.Context, r *fasthttp.RequestCtx) {
 	if r.IsGet() && string(r.Path()) == PathStatus {
 		s.writeStatus(r)
 		return
@@ -137,7 +137,11 @@
 		r.SetBody(b)
 	case savorywing.ControlBeginEvacuation, savorywing.ControlFinishEvacuation:
 		order := wire.Evacuate{DataCentre: call.DataCentre, On: call.Operation == savorywing.ControlBeginEvacuation}
-		if err := s.handler.Evacuate(s.ctx, order); err != nil {
+		// An order whose operator has gone on must not take effect after a later one.
+		ctx, cancel := context.WithCancel(caller)
+		defer cancel()
+		defer context.AfterFunc(s.ctx, cancel)()
+		if err := s.handler.Evacuate(ctx, order); err != nil {
 			s.writeError(r, err)
 		}
 	default:
--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -164,8 +164,14 @@
 // propose sends a command to the leader, on whichever host it is, and retries until it is answered or ctx ends. The
 // commands that are proposed here are idempotent.
 func (c *Controller) propose(ctx context.Context, command wire.Command) (wire.Result, error) {
+	return c.proposeUntil(ctx, time.Time{}, command)
+}
+
+// proposeUntil is propose that proposes nothing after a time, unless it is zero: ctx may end later than that by the clock if this
+// host was suspended.
+func (c *Controller) proposeUntil(ctx context.Context, until time.Time, command wire.Command) (wire.Result, error) {
 	last := errNoLeader
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && (until.IsZero() || c.clock.Now().Before(until)) {
 		r, err := c.tryPropose(ctx, command)
 		if err == nil {
 			return r, nil
--- a/process/controller/evacuation.go
+++ b/process/controller/evacuation.go
@@ -31,7 +31,7 @@
 	start := c.clock.Now()
 	err := c.checkEvacuation(ctx, order)
 	if err == nil {
-		err = c.proposeEvacuation(ctx, order)
+		err = c.proposeEvacuation(ctx, start.Add(evacuateTimeout), order)
 	}
 	result := "accepted"
 	if err != nil {
@@ -46,8 +46,8 @@
 	return nil
 }
 
-func (c *Controller) proposeEvacuation(ctx context.Context, order wire.Evacuate) error {
-	r, err := c.propose(ctx, wire.Command{Evacuate: &order})
+func (c *Controller) proposeEvacuation(ctx context.Context, until time.Time, order wire.Evacuate) error {
+	r, err := c.proposeUntil(ctx, until, wire.Command{Evacuate: &order})
 	if err == nil && !r.Accepted {
 		err = fmt.Errorf("%w: %s", errRejected, r.Reason)
 	}
--- a/process/controller/evacuation_test.go
+++ b/process/controller/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"slices"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
@@ -49,3 +51,12 @@
 		t.Errorf("logged %d times, want once; a step is due: %v", n, c.changed)
 	}
 }
+
+// TestNothingProposedLate guards against an order that a host proposes after it was suspended, in which time its operator has gone on.
+func TestNothingProposedLate(t *testing.T) {
+	c := &Controller{clock: clock.Boottime{}}
+	// A proposal would need a node.
+	if _, err := c.proposeUntil(context.Background(), c.clock.Now(), wire.Command{}); err == nil {
+		t.Error("an order was proposed after its time")
+	}
+}
