controlapi: an order that got 408 is sent again

Cause: a client of the control hosts gave an order up as refused for good at each status from 400 to 499. Since connections are bounded, a control host without room ends one with 408 and the promise that its request was not run, as it did at its timeouts: "savorywing evacuate" then ended with "the order was refused", though the next host would have obeyed.

Change: 408 leads to the next host, as 503 does.

Measured: TestEvacuateTriesOtherHosts fails before ("status 408: the order was refused") and passes after.

--- a/connection/controlapi/client.go
+++ b/connection/controlapi/client.go
@@ -46,7 +46,7 @@
 			last = err
 		case status == fasthttp.StatusOK:
 			return nil
-		case status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError:
+		case isRefusal(status):
 			return fmt.Errorf("Client.Evacuate: %w: %s", ErrRefused, body)
 		default:
 			last = fmt.Errorf("status %d: %s", status, body)
@@ -59,6 +59,12 @@
 	}
 }
 
+// isRefusal reports whether no control host would obey an order that got a status. One that got 408, since a host had no room for the
+// connection or received the order too late, was not run, and may be sent again.
+func isRefusal(status int) bool {
+	return status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError && status != fasthttp.StatusRequestTimeout
+}
+
 // Status returns the first confirmed status of a control host, or, if there is none, any other one.
 func (c *Client) Status() (Status, error) {
 	var best Status
