evacuation: a late copy doesn't undo a later order

But what it has sent to the leader stays in the connection: a link that heals within 2.5 s (connection/peer readTimeout) delivers it. Meanwhile the operator may have got the same order acknowledged through another host, and its opposite after it. The late copy then evacuated the data centre again, or sent requests into one whose evacuation was acknowledged.

Change: the host that takes an order adds the revision of the evacuated data centres that it knows (new optional part follows). The replicated state rejects an order that would change another set, with the newest one, which the host follows at once while its operator waits. Orders without the part hold as before.

--- a/process/controller/evacuation.go
+++ b/process/controller/evacuation.go
@@ -10,6 +10,7 @@
 	"savorywing.example/savorywing/connection/controlapi"
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/quorum"
+	"savorywing.example/savorywing/process/state"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -46,8 +47,17 @@
 	return nil
 }
 
+// proposeEvacuation proposes an order that follows the newest set which this host knows of, and, while its operator waits, follows newer
+// ones. A copy on its way to the leader that is delivered later has no effect after another order.
 func (c *Controller) proposeEvacuation(ctx context.Context, order wire.Evacuate) error {
+	follows := c.node.Status().Evacuated.Revision()
+	order.Follows = &follows
 	r, err := c.propose(ctx, wire.Command{Evacuate: &order})
+	for err == nil && r.Reason == state.ReasonSuperseded {
+		newest := evacuation.Restore(r.Evacuations).Revision()
+		order.Follows = &newest
+		r, err = c.propose(ctx, wire.Command{Evacuate: &order})
+	}
 	if err == nil && !r.Accepted {
 		err = fmt.Errorf("%w: %s", errRejected, r.Reason)
 	}
--- a/process/evacuation/set.go
+++ b/process/evacuation/set.go
@@ -46,6 +46,12 @@
 	return &Set{revision: index, names: names}
 }
 
+// IsSuperseded reports whether an order would change the set although it follows another one, so that it may be a copy that was held up
+// on its way until a later order had been obeyed.
+func (s *Set) IsSuperseded(o wire.Evacuate) bool {
+	return o.Follows != nil && *o.Follows != s.Revision() && s.Covers(o.DataCentre) != o.On
+}
+
 // Newer returns the set that another daemon states if it is newer than s, which is returned otherwise.
 func (s *Set) Newer(w *wire.Evacuations) *Set {
 	if w == nil || w.Revision <= s.Revision() {
--- a/process/state/machine.go
+++ b/process/state/machine.go
@@ -16,6 +16,7 @@
 const (
 	ReasonConflict       = "another change took this number"
 	ReasonMalformed      = "the command has no part"
+	ReasonSuperseded     = "a later order has changed the evacuated data centres"
 	ReasonNotFree        = "the host is not free at that fencing number"
 	ReasonExists         = "the group exists"
 	ReasonWrongPhase     = "no group with that fencing number is in the phase"
@@ -146,11 +147,15 @@
 	return wire.Result{Accepted: true}
 }
 
-// evacuate applies an operator's order for a data centre. A resent one changes nothing and gets the same result.
+// evacuate applies an operator's order for a data centre. A resent one changes nothing and gets the same result. The result of one that
+// follows another set than the newest has the newest.
 func (m *Machine) evacuate(index uint64, o wire.Evacuate) wire.Result {
 	if o.DataCentre == "" {
 		return rejected(ReasonMalformed)
 	}
+	if m.evacuated.IsSuperseded(o) {
+		return wire.Result{Reason: ReasonSuperseded, Evacuations: m.evacuated.Wire()}
+	}
 	m.evacuated = m.evacuated.Apply(index, o)
 	return wire.Result{Accepted: true}
 }
--- a/process/state/machine_test.go
+++ b/process/state/machine_test.go
@@ -296,3 +296,32 @@
 		t.Errorf("got %v, %v without evacuations", old, err)
 	}
 }
+
+// TestEvacuationLateCopy checks that a copy of an order that is held up on its way to the leader has no effect once a later order has
+// been obeyed, and that one which arrives late without such an order is accepted like a resent one.
+func TestEvacuationLateCopy(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		m, first := New(), uint64(0)
+		if !on {
+			m.Apply(1, wire.Command{Evacuate: &wire.Evacuate{DataCentre: "a", On: true, Follows: &first}})
+		}
+		before := m.Evacuated().Revision()
+		late := wire.Command{Evacuate: &wire.Evacuate{DataCentre: "a", On: on, Follows: &before}}
+		for index := range uint64(2) {
+			if r := m.Apply(index+2, late); !r.Accepted || m.Evacuated().Covers("a") != on {
+				t.Fatalf("on %t: the order, copy %d: %v, evacuated %v", on, index, r, m.Evacuated().Names())
+			}
+		}
+		follows := m.Evacuated().Revision()
+		m.Apply(4, wire.Command{Evacuate: &wire.Evacuate{DataCentre: "a", On: !on, Follows: &follows}})
+		r := m.Apply(5, late)
+		if r.Accepted || r.Reason != ReasonSuperseded || m.Evacuated().Covers("a") == on {
+			t.Fatalf("on %t: the late copy: %v, evacuated %v", on, r, m.Evacuated().Names())
+		}
+		// A host whose operator still waits follows the set of the rejection.
+		newest := r.Evacuations.Revision
+		if r := m.Apply(6, wire.Command{Evacuate: &wire.Evacuate{DataCentre: "a", On: on, Follows: &newest}}); !r.Accepted || m.Evacuated().Covers("a") != on {
+			t.Errorf("on %t: a new order after it: %v, evacuated %v", on, r, m.Evacuated().Names())
+		}
+	}
+}
--- a/wire/types.go
+++ b/wire/types.go
@@ -360,6 +360,10 @@
 	// DataCentre corresponds to the JSON schema field "dataCentre".
 	DataCentre string `json:"dataCentre"`
 
+	// Revision of the set that the order may change; absent if any. It keeps a copy
+	// that arrives late from undoing a later order.
+	Follows *uint64 `json:"follows,omitempty,omitzero"`
+
 	// Whether the data centre is evacuated from now on.
 	On bool `json:"on"`
 }
