budget: nobody is turned away in vain

Cause: a body that asked for more than the budget had left turned away the others that were still received, one after the other, and then itself if what was served held the rest. The others lost their requests though nobody got the room. Under a load of large requests that are served, each newcomer ended all bodies that were being received.

Change: where turning all others away wouldn't make room, only the asker is turned away. A body larger than the bound by itself goes on as before, as it is read once it is the only large one.

--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -121,8 +121,14 @@
 		b.hold(s, n)
 		return Granted, nil
 	}
+	bound := b.bound(s.held + n)
+	if s.held+n <= bound && b.used-b.bytesLeaving-b.receivedByOthers(s)+n > bound {
+		// What is served leaves no room, whoever else is turned away.
+		b.turnAway(s)
+		return TurnedAway, []*Share{s}
+	}
 	var away []*Share
-	for b.used-b.bytesLeaving+n > b.bound(s.held+n) {
+	for b.used-b.bytesLeaving+n > bound {
 		heaviest := b.heaviest(now, s, n)
 		if heaviest == nil || heaviest == s {
 			b.turnAway(s)
@@ -213,6 +219,17 @@
 	return first
 }
 
+// receivedByOthers returns the bytes of the shares other than asker that can be turned away.
+func (b *Budget) receivedByOthers(asker *Share) int {
+	n := 0
+	for s := range b.shares {
+		if s != asker && s.state <= receiving {
+			n += s.held
+		}
+	}
+	return n
+}
+
 // heaviest returns the share whose bytes times age are most, of those that can be turned away; nil if there is none. asker
 // counts with the n bytes that it asks for.
 func (b *Budget) heaviest(now time.Time, asker *Share, n int) *Share {
