controlapi: idle connections end after 30 s, as before

TestFleetReportOfOwnAddress failed: a caller that reuses a connection without looking took the 408 with which it had been ended after 5 s for the answer to its next report. Connections end earlier only where their room is needed.

--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -20,9 +20,8 @@
 	maxHeaderBytes = 4 << 10
 	maxBodyBytes   = 16 << 20
 	readTimeout    = 5 * time.Second
-	// defaultIdleTimeout applies unless WithIdleTimeout sets another.
-	defaultIdleTimeout = 30 * time.Second
-	stopTimeout        = 500 * time.Millisecond
+	idleTimeout    = 30 * time.Second
+	stopTimeout    = 500 * time.Millisecond
 )
 
 // Errors that a Handler returns.
@@ -58,8 +57,7 @@
 	refusals *logging.Repeats
 	http     *ingress.Server
 	// maxConns bounds the connections; 0 for no bound.
-	maxConns    int
-	idleTimeout time.Duration
+	maxConns int
 	// ctx is that of all calls. A call goes on when its caller disconnects: a backend server that ends may not wait for the
 	// acknowledgement of its withdrawal.
 	ctx    context.Context
@@ -72,17 +70,14 @@
 // WithMaxConns bounds the connections; 0 for no bound. Beyond it, the one that has been idle for longest is ended.
 func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
 
-// WithIdleTimeout sets how long a connection may be idle.
-func WithIdleTimeout(d time.Duration) Option { return func(s *Server) { s.idleTimeout = d } }
-
 // New returns a server. Start makes it listen.
 func New(clock savorywing.Clock, dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger, opts ...Option) *Server {
-	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock), idleTimeout: defaultIdleTimeout}
+	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock)}
 	for _, opt := range opts {
 		opt(s)
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: s.idleTimeout}
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
 	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log,
 		ingress.WithMaxConns(s.maxConns), ingress.WithIdleEnded())
 	return s
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -213,17 +213,6 @@
 	return max(minReportTimeout, time.Duration(silentReportIntervals*float64(instance.Milliseconds(c.settings.ReportIntervalMs))))
 }
 
-const (
-	// idleReportIntervals is the number of report intervals without a call after which a connection is ended.
-	idleReportIntervals = 3
-	minCallIdleTime     = 5 * time.Second
-)
-
-// callIdleTime returns how long the connection of a backend server or an operator may be idle.
-func callIdleTime(s *instance.Settings) time.Duration {
-	return max(minCallIdleTime, idleReportIntervals*instance.Milliseconds(s.ReportIntervalMs))
-}
-
 // stallMargin allows for clocks that run at different speeds. StallTimeout counts from the arrival of a report, which is
 // later than the event that it reports.
 const stallMargin = 400 * time.Millisecond
@@ -254,7 +243,7 @@
 	if n := folder.TornBytes(); n > 0 {
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
-	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMaxConns(c.budget.MaxCalls), controlapi.WithIdleTimeout(callIdleTime(c.settings)))
+	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMaxConns(c.budget.MaxCalls))
 	c.telemetry = telemetry.New(c.clock, c.log)
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
