--- a/process/formation/scale_test.go
+++ b/process/formation/scale_test.go
@@ -81,7 +81,7 @@
 
 // BenchmarkStep measures the leader's planning step at several sizes of the fleet, with the same losses.
 func BenchmarkStep(b *testing.B) {
-	for _, engines := range []int{57, 190, 760, 2100} {
+	for _, engines := range []int{57, 190, 760, 2100, 3000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			t := &testing.T{}
 			for b.Loop() {
