--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -21,9 +21,8 @@
 	maxHeaderBytes = 4 << 10
 	maxBodyBytes   = 16 << 20
 	readTimeout    = 5 * time.Second
-	// defaultIdleTimeout applies unless WithIdleTimeout sets another.
-	defaultIdleTimeout = 30 * time.Second
-	stopTimeout        = 500 * time.Millisecond
+	idleTimeout    = 30 * time.Second
+	stopTimeout    = 500 * time.Millisecond
 )
 
 // Errors that a Handler returns.
@@ -67,8 +66,7 @@
 	refusals *logging.Repeats
 	http     *ingress.Server
 	// memory bounds what the connections hold.
-	memory      *ingress.Memory
-	idleTimeout time.Duration
+	memory *ingress.Memory
 	// ctx is that of all calls other than orders to evacuate a data centre. A call goes on when its caller disconnects: a backend server that ends may not wait for the
 	// acknowledgement of its withdrawal.
 	ctx    context.Context
@@ -81,17 +79,14 @@
 // WithMemory bounds what the server's connections hold. The default has no bounds.
 func WithMemory(m *ingress.Memory) Option { return func(s *Server) { s.memory = m } }
 
-// WithIdleTimeout sets how long a connection may be idle.
-func WithIdleTimeout(d time.Duration) Option { return func(s *Server) { s.idleTimeout = d } }
-
 // New returns a server. Start makes it listen.
 func New(clock savorywing.Clock, dialect savorywing.ControlDialect, handler Handler, log zerolog.Logger, opts ...Option) *Server {
-	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock), idleTimeout: defaultIdleTimeout, memory: ingress.NewMemory(clock, budget.Limits{})}
+	s := &Server{dialect: dialect, handler: handler, log: log, refusals: logging.NewRepeats(clock), memory: ingress.NewMemory(clock, budget.Limits{})}
 	for _, opt := range opts {
 		opt(s)
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: s.idleTimeout}
+	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
 	s.http = ingress.New(clock, ingress.NewRequestHandler(s.handle, s.reject), func() ingress.Limits { return limits }, log, ingress.WithMemory(s.memory))
 	return s
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -226,12 +226,6 @@
 	return max(minReportTimeout, time.Duration(silentReportIntervals*float64(instance.Milliseconds(c.settings.ReportIntervalMs))))
 }
 
-const (
-	// idleReportIntervals is the number of report intervals without a call after which a connection is ended.
-	idleReportIntervals = 3
-	minCallIdleTime     = 5 * time.Second
-)
-
 // callLimits returns what the connections of backend servers and operators may hold.
 func callLimits(s *instance.Settings, d descriptors.Budget) budget.Limits {
 	l := budget.ControlLimits(s.MemoryMB<<20, s.MaxDescriptors)
@@ -241,11 +235,6 @@
 	return l
 }
 
-// callIdleTime returns how long the connection of a backend server or an operator may be idle.
-func callIdleTime(s *instance.Settings) time.Duration {
-	return max(minCallIdleTime, idleReportIntervals*instance.Milliseconds(s.ReportIntervalMs))
-}
-
 // stallMargin allows for clocks that run at different speeds. StallTimeout counts from the arrival of a report, which is
 // later than the event that it reports.
 const stallMargin = 400 * time.Millisecond
@@ -277,7 +266,7 @@
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
 	memory := ingress.NewMemory(c.clock, callLimits(c.settings, c.budget))
-	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMemory(memory), controlapi.WithIdleTimeout(callIdleTime(c.settings)))
+	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMemory(memory))
 	c.telemetry = telemetry.New(c.clock, c.log)
 	c.telemetry.WatchMemory(memory)
 	c.telemetry.Gauge("leading", func() float64 {
