--- a/process/overload/share_test.go
+++ b/process/overload/share_test.go
@@ -58,7 +58,11 @@
 			t.Fatal("a late request was sent while one that could be in time was rejected")
 		}
 	}
-	now = now.Add(overloadMemory + time.Millisecond)
+	now = now.Add(overloadMemory / 2)
+	if s.Allow(now, c, true) {
+		t.Error("a late request was sent in a pause between others")
+	}
+	now = now.Add(overloadMemory/2 + time.Millisecond)
 	if !s.Allow(now, c, true) {
 		t.Error("a late request was rejected after the overload")
 	}
