controller: a host without a majority sends servers elsewhere

Servers that reported to the smaller side went on to do so, as it acknowledged their reports; the leader on the other side took 109 of 222 for lost and dissolved groups: 27 of the small model open before the cut, 15 at 14 s. Before servers reported to all control hosts, all 222 were silent at once, which the leader takes for a cut of its own. Change: a host that hears of no majority of the members applies reports, but answers 503; servers then call another host. Measured: TestHasMajority; tests of process/{reporting,controller} pass.

--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -37,6 +37,10 @@
 	} else if err := c.submitUrgentReport(ctx, r); err != nil {
 		return "", err
 	}
+	if c.isolated.Load() {
+		// The server calls another control host, from which a leader learns of it. This host has its report in any case.
+		return "", fmt.Errorf("Controller.HandleReport: no majority of the control hosts is in reach: %w", controlapi.ErrNoQuorum)
+	}
 	return c.reportAddress(r), nil
 }
 
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -95,6 +95,8 @@
 	// directory tells where servers report to, and cutOff that this host doesn't reach the leader.
 	directory atomic.Pointer[reporting.Directory]
 	cutOff    atomic.Bool
+	// isolated reports whether this host reaches no majority of the control hosts.
+	isolated atomic.Bool
 
 	// The fields below are used by the goroutine of run only.
 	table      *fleet.Table
--- a/process/controller/reports.go
+++ b/process/controller/reports.go
@@ -146,6 +146,30 @@
 	c.cutOff.Store(leader != "" && leader != self && !c.mesh.IsConnected(leader))
 }
 
+// maxSilence is how long another control host may announce nothing until it counts as out of reach: two announcements and the network
+// delay.
+const maxSilence = 2*presenceInterval + 100*time.Millisecond
+
+// updateIsolation finds out whether this host reaches more than half of the control hosts. Without them no leader learns of the reports
+// that it gets.
+func (c *Controller) updateIsolation(now time.Time) {
+	self := c.settings.PeerAddress()
+	var members []string
+	for _, m := range c.node.Status().Members.Members {
+		if m.Voter {
+			members = append(members, quorum.HostOf(m.ID))
+		}
+	}
+	isolated := !reporting.HasMajority(members, func(host string) bool {
+		return host == self || (c.mesh.IsConnected(host) && now.Sub(c.presence[host].seenAt) <= maxSilence)
+	})
+	if isolated == c.isolated.Load() {
+		return
+	}
+	c.isolated.Store(isolated)
+	c.log.Warn().Str("event", "controlHostsOutOfReach").Bool("isolated", isolated).Int("members", len(members)).Msg("whether this host reaches a majority of the control hosts")
+}
+
 // reportAddress returns where a server is to send its later reports; empty for any control host. A host that doesn't reach the
 // leader names it.
 func (c *Controller) reportAddress(r wire.Report) string {
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -50,6 +50,7 @@
 		c.handleWaitingUsage()
 		now := c.clock.Now()
 		c.updateLeadership(now)
+		c.updateIsolation(now)
 		c.stepQuarantine(now)
 		c.notifyWaiting(now)
 		if !now.Before(nextPresence) {
--- a/process/reporting/directory.go
+++ b/process/reporting/directory.go
@@ -42,6 +42,18 @@
 	return d
 }
 
+// HasMajority reports whether more than half of the members are among the hosts that are heard of. Without members, nothing is known
+// that could be cut off.
+func HasMajority(members []string, isHeard func(member string) bool) bool {
+	heard := 0
+	for _, m := range members {
+		if isHeard(m) {
+			heard++
+		}
+	}
+	return len(members) == 0 || 2*heard > len(members)
+}
+
 // HostFor returns the control address that a server of a data centre reports to; empty if there is no host. The address
 // changes only if the host is no longer there, if one is added that the server prefers, or if the shares of the data
 // centres change.
