Servers of a data centre that is taken back count as cold at first

Cause: servers may have become cold shortly before an evacuation is finished, and say so with their next reports only, up to 1.2 s later. Until then entry hosts sent them what warm servers get. Change: once a data centre isn't evacuated any more, its servers count as cold until a report of theirs must have come; entry hosts hear of that with the data centre. Further evacuations are still pushed at once. Measured: TestTakenBackIsCold fails without the call, which nothing made before; tests of process/controller pass.

--- a/process/controller/evacuation.go
+++ b/process/controller/evacuation.go
@@ -11,6 +11,7 @@
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/process/state"
+	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -162,20 +163,31 @@
 	return out
 }
 
-// updateEvacuated applies the evacuated data centres of the replicated log. A leader tells the entry hosts of a change at once.
+// coldReportMargin is added to the interval of reports until the servers of a data centre that is taken back say themselves whether they
+// are cold.
+const coldReportMargin = 300 * time.Millisecond
+
+// updateEvacuated applies the evacuated data centres of the replicated log. A leader tells the entry hosts of a further one at once. Servers
+// of one that is taken back may have become cold meanwhile, so they count as cold until their next reports, and hosts hear of both in the next step.
 func (c *Controller) updateEvacuated(now time.Time, s *evacuation.Set) {
 	if s == c.evacuated {
 		return
 	}
-	changed := s.Revision() != c.evacuated.Revision()
+	old := c.evacuated
 	c.evacuated = s
-	if !changed {
+	if s.Revision() == old.Revision() {
 		return
 	}
 	c.changed = true
+	for _, name := range old.Names() {
+		if !s.Covers(name) {
+			c.table.AssumeCold(now, name, instance.Milliseconds(c.settings.ReportIntervalMs)+coldReportMargin)
+		}
+	}
+	isFurther := slices.ContainsFunc(s.Names(), func(name string) bool { return !old.Covers(name) })
 	c.log.Warn().Str("event", "evacuationsInForce").Strs("dataCentres", s.Names()).Uint64("revision", s.Revision()).Uint64("term", c.term).
 		Bool("leading", c.leading).Msg("the evacuated data centres have changed")
-	if c.leading {
+	if c.leading && isFurther {
 		c.pushToAll(now)
 	}
 }
--- a/process/controller/evacuation_test.go
+++ b/process/controller/evacuation_test.go
@@ -12,6 +12,7 @@
 
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/evacuation"
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/instance"
 	"savorywing.example/savorywing/wire"
 )
@@ -52,6 +53,27 @@
 	}
 }
 
+// TestTakenBackIsCold guards against servers of a data centre that get the requests of warm ones before they have said that they are cold.
+func TestTakenBackIsCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := &Controller{settings: &instance.Settings{}, table: fleet.NewTable()}
+	c.settings.Defaults()
+	for _, dataCentre := range []string{"a", "b"} {
+		r := wire.Report{ID: "i-" + dataCentre, Sequence: 1, Service: "s", Address: dataCentre + ":1", DataCentre: dataCentre}
+		if _, err := c.table.Apply(now, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.updateEvacuated(now, evacuation.Restore(&wire.Evacuations{Revision: 7, DataCentres: []string{"a"}}))
+	if c.table.Server("i-a").IsCold(now) {
+		t.Error("a server counts as cold as its data centre is evacuated")
+	}
+	c.updateEvacuated(now, evacuation.Restore(&wire.Evacuations{Revision: 9}))
+	if !c.table.Server("i-a").IsCold(now.Add(instance.Milliseconds(c.settings.ReportIntervalMs))) || c.table.Server("i-b").IsCold(now) {
+		t.Error("only the servers of the data centre that is taken back count as cold, until their next reports")
+	}
+}
+
 // TestNothingProposedLate guards against an order that a host proposes after it was suspended, in which time its operator has gone on.
 func TestNothingProposedLate(t *testing.T) {
 	c := &Controller{clock: clock.Boottime{}}
