--- a/process/reporting/outbox.go
+++ b/process/reporting/outbox.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// changeDelay is how long a changed report waits for others, so that a burst of changes travels together.
+	// changeDelay is the minimum time between two batches of changed reports, so that a burst of changes travels together.
 	changeDelay = 10 * time.Millisecond
 	// MaxDelay is how long a report waits for others at most, so that all of one host's travel together.
 	MaxDelay = 25 * time.Millisecond
@@ -29,6 +29,15 @@
 	repeats  []wire.RepeatedReport
 	// dueAt is when the waiting reports are due; zero without any.
 	dueAt time.Time
+	// takenAt is when the last batch was taken.
+	takenAt time.Time
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // reported is what a host knows of a server that reports to it.
@@ -50,7 +59,7 @@
 	o.servers[r.ID] = &reported{report: r, wholeSequence: r.Sequence, wholeAt: now, lastAt: now}
 	o.whole = append(o.whole, r)
 	if changed {
-		o.setDue(now.Add(changeDelay))
+		o.setDue(later(now, o.takenAt.Add(changeDelay)))
 	}
 	o.setDue(now.Add(MaxDelay))
 }
@@ -104,7 +113,7 @@
 		return Batch{}, false
 	}
 	b := Batch{Whole: o.whole, Repeats: o.repeats}
-	o.whole, o.repeats, o.dueAt = nil, nil, time.Time{}
+	o.whole, o.repeats, o.dueAt, o.takenAt = nil, nil, time.Time{}, now
 	return b, true
 }
 
