placement: a share for each area of a pool

Cause: a host had one share for a pool, whatever servers a request may be handled at. Requests that may go anywhere found the pool not full and reset the share; those restricted to a region whose servers were full got a new one each time, with a new random part and no token taken for what was sent. Change: a share belongs to a pool and an area. A request that is sent takes a token of each share that its server is part of.

--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -7,7 +7,6 @@
 
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
-	"savorywing.example/savorywing/process/overload"
 	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/wire"
 )
@@ -64,8 +63,8 @@
 	gaps map[endpointKey]time.Duration
 	// occupancies is the moving average of the time that a request occupies its slot, by key.
 	occupancies map[endpointKey]time.Duration
-	// shares holds this host's part of the capacity of each pool.
-	shares map[endpointKey]*overload.Share
+	// shares holds this host's part of the capacity of each pool, and of its servers in each area.
+	shares map[shareKey]*poolShare
 	// permits holds servers' request limits and the permits for requests to them.
 	permits *quota.Holder
 	// notices holds what servers have stated about themselves, by ID.
@@ -89,7 +88,7 @@
 	source := rand.NewPCG(cfg.Seed, cfg.Seed)
 	return &Balancer{
 		cfg: cfg, random: rand.New(source), source: source, byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
-		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, shares: map[endpointKey]*overload.Share{},
+		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, shares: map[shareKey]*poolShare{},
 		notices: map[string]serverNotice{}, permits: quota.NewHolder(cfg.Seed),
 	}
 }
@@ -228,13 +227,11 @@
 // Start counts a request that is sent to the endpoint of a decision.
 func (b *Balancer) Start(now time.Time, d Decision, req Request) *Reservation {
 	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, predicted: d.Predicted, key: req.key()}
-	if s := b.shares[res.key]; s != nil {
-		s.RecordSent()
-	}
 	e := b.byID[d.ID]
 	if e == nil {
 		return res
 	}
+	b.recordSent(e)
 	if req.Engine != nil {
 		res.passTime = req.Engine.PassTime(0, min(e.load()+1, e.slots()))
 	}
--- a/process/placement/draw.go
+++ b/process/placement/draw.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savorywing.example/savorywing/process/overload"
+	"savorywing.example/savorywing/version/residency"
 )
 
 // Every entry host receives the sums of all hosts' requests only a few times a second. If each sent its requests to
@@ -96,18 +97,41 @@
 		c.Slots += e.slots()
 		c.Released += float64(min(e.load(), e.slots())) / occupancy.Seconds()
 	}
-	return b.share(req.key()).Allow(now, c, b.missesObjective(req))
+	return b.share(req).Allow(now, c, b.missesObjective(req))
 }
 
-func (b *Balancer) share(k endpointKey) *overload.Share {
+// shareKey identifies a pool's servers in an area. These can be full while others of the pool aren't.
+type shareKey struct {
+	endpointKey
+	area string
+}
+
+// poolShare is the share of a pool's servers in an area.
+type poolShare struct {
+	*overload.Share
+	area residency.Area
+}
+
+func (b *Balancer) share(req Request) *poolShare {
+	k := shareKey{req.key(), req.Area.Key()}
 	s := b.shares[k]
 	if s == nil {
-		s = overload.NewShare(b.random)
+		s = &poolShare{Share: overload.NewShare(b.random)}
 		b.shares[k] = s
 	}
+	s.area = req.Area
 	return s
 }
 
+// recordSent counts a request to a server in all shares of its pool that the server is part of.
+func (b *Balancer) recordSent(e *endpoint) {
+	for k, s := range b.shares {
+		if k.service == e.Service && k.model == e.Model && s.area.Contains(e.DataCentre) {
+			s.RecordSent()
+		}
+	}
+}
+
 // waitedFraction is the fraction of the objective from which a caller counts as one that has waited. Below it, a request that
 // misses its objective is just a large one.
 const waitedFraction = 0.25
--- /dev/null
+++ b/process/placement/draw_test.go
@@ -0,0 +1,57 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"savorywing.example/savorywing/process/fleet"
+)
+
+// TestShareOfArea checks that callers who are restricted to a region get no more and no less than the slots that become free there
+// while others, whose requests the rest of the pool takes, ask as often.
+func TestShareOfArea(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		load     int
+		others   bool
+		min, max int
+	}{
+		// Half of 16 slots in 1.5 s is 5.3 a second.
+		{"alone", 16, false, 15, 25},
+		{"with others", 16, true, 15, 25},
+		{"full, with others", 17, true, 12, 22},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b, now, sent, restrictedSent := newBalancer(4), time.Unix(1000, 0), 0, 0
+			locate(b, "x", "x", "x", "y")
+			restricted, other := chatRequest(), chatRequest()
+			restricted.Area, other.Area = area("south"), area()
+			ask := func(req Request) {
+				d := b.Pick(now, req)
+				if d.Reason != ReasonNone {
+					return
+				}
+				if d.ID == "g3" {
+					sent++
+				}
+				if req.Area.IsRestricted() {
+					restrictedSent++
+				}
+				b.Finish(now, b.Start(now, d, req), CallerGone)
+			}
+			for i := range 400 {
+				now = now.Add(10 * time.Millisecond)
+				if i%10 == 0 {
+					b.SetLoads(now, []fleet.Load{{Handle: 4, InFlight: tt.load}}, 2)
+				}
+				ask(restricted)
+				if tt.others {
+					ask(other)
+				}
+			}
+			if sent < tt.min || sent > tt.max || restrictedSent == 0 {
+				t.Errorf("%d requests sent to the region in 4 s, %d of them restricted to it, want %d to %d", sent, restrictedSent, tt.min, tt.max)
+			}
+		})
+	}
+}
--- a/process/placement/explain.go
+++ b/process/placement/explain.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"sort"
 	"time"
-
-	"savorywing.example/savorywing/process/overload"
 )
 
 // Candidate is an endpoint of a request's service and model, as this host sees it.
@@ -62,9 +60,9 @@
 		c.byID[id] = &copied
 	}
 	c.rebuildIndex()
-	c.shares = make(map[endpointKey]*overload.Share, len(b.shares))
+	c.shares = make(map[shareKey]*poolShare, len(b.shares))
 	for k, s := range b.shares {
-		c.shares[k] = s.Clone(c.random)
+		c.shares[k] = &poolShare{Share: s.Clone(c.random), area: s.area}
 	}
 	c.notices, c.permits = maps.Clone(b.notices), b.permits.Clone()
 	return &c
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -451,7 +451,7 @@
 func (b *Balancer) rejectFull(now time.Time, list []*endpoint, s scoredEndpoint, req Request) Decision {
 	d := Decision{Reason: ReasonFull, RetryAfter: b.jitter(max(minRetryAfter, s.predicted)), Predicted: s.predicted}
 	if req.Engine != nil {
-		share := b.share(req.key())
+		share := b.share(req)
 		d.RetryAfter, d.OverloadBegan = share.RetryAfter(now, req.Remaining), share.OverloadedAt().Equal(now)
 	}
 	for _, e := range list {
--- a/version/residency/residency.go
+++ b/version/residency/residency.go
@@ -1,7 +1,10 @@
 // Package residency decides in which regions a request may be handled. It has no state and no I/O.
 package residency
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Map is the region of each data centre. Data centres without an entry are in no known region.
 type Map map[string]string
@@ -44,6 +47,14 @@
 // IsRestricted reports whether there are regions in which the request may not be handled.
 func (a Area) IsRestricted() bool { return a.restricted }
 
+// Key identifies an area among those of one map; it is empty for everywhere.
+func (a Area) Key() string {
+	if !a.restricted {
+		return ""
+	}
+	return "in:" + strings.Join(a.allowed, ",")
+}
+
 // Contains reports whether a request may be handled in a data centre. One whose region isn't known is in no restricted area.
 func (a Area) Contains(dataCentre string) bool {
 	if !a.restricted {
