pace: servers that a new leader hears of late haven't just started

Cause: only the first list of a new leader held servers that count as running before. A control host that has just started leads with an empty table, and hears of requests before the servers' reports, so each healthy server that reported later got a quarter of its slots.

--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -193,7 +193,7 @@
 		return
 	}
 	c.toldTerm, c.quarantine, c.limits = term, quarantine.NewTracker(now), quota.NewAllocator()
-	c.paces = pace.NewTracker()
+	c.paces = pace.NewTracker(c.silentAfter())
 }
 
 // announceLeader sends the leader's host to the entry hosts that are connected to this one.
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -77,8 +77,10 @@
 // Tracker holds the servers on pace.
 type Tracker struct {
 	servers map[string]*state
-	// isSynced reports whether a list of servers has been taken over.
-	isSynced bool
+	// knownAfter is the time after the first list by which every server that runs has reported.
+	knownAfter time.Duration
+	// syncedAt is when the first list of servers was taken over; zero before.
+	syncedAt time.Time
 }
 
 // state is what is known of one incarnation of a server.
@@ -122,22 +124,27 @@
 	SinceLast, SinceStart  time.Duration
 }
 
-// NewTracker returns a Tracker without servers.
-func NewTracker() *Tracker { return &Tracker{servers: map[string]*state{}} }
+// NewTracker returns a Tracker without servers. knownAfter is the time by which a server that runs has reported to a new leader.
+func NewTracker(knownAfter time.Duration) *Tracker {
+	return &Tracker{servers: map[string]*state{}, knownAfter: knownAfter}
+}
 
-// Sync takes over the list of the servers, and returns those whose pace begins. In its first list, a new leader paces only those
-// that are cold: the others may have served for long. No pace begins while there is no traffic.
+// Sync takes over the list of the servers, and returns those whose pace begins. Of the servers that it finds until all have reported, a
+// new leader paces only those that are cold: the others may have served for long. No pace begins while there is no traffic.
 func (t *Tracker) Sync(now time.Time, list []Server, traffic bool) []Change {
 	var changes []Change
+	if t.syncedAt.IsZero() {
+		t.syncedAt = now
+	}
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
 		old := t.servers[s.ID]
 		begins := false
 		if old == nil || old.server.Born != s.Born || old.server.Epoch != s.Epoch {
+			begins = t.hasStarted(now, s)
 			old = &state{}
 			t.servers[s.ID] = old
-			begins = t.isSynced || s.Cold
 		} else {
 			begins = !s.isStalled() && old.server.isStalled() && now.Sub(old.stalledAt) >= minStall
 		}
@@ -155,10 +162,14 @@
 			delete(t.servers, id)
 		}
 	}
-	t.isSynced = true
 	return changes
 }
 
+// hasStarted reports whether a server that isn't known, or not this incarnation of it, has started since this leader leads.
+func (t *Tracker) hasStarted(now time.Time, s Server) bool {
+	return s.Cold || t.servers[s.ID] != nil || now.Sub(t.syncedAt) >= t.knownAfter
+}
+
 func (s *state) begin(now time.Time) Change {
 	s.startedAt, s.hasFallen, s.hasRefused, s.good, s.takes, s.probe = now, false, false, 0, 0, 0
 	return s.set(now, s.start())
