overload: a bound on when callers with much time are told to return

Beyond the ledger's 25.6 s, it was neither bounded nor spread: all callers with 10 min left that were rejected at one moment were told the same 50 ms. Change: at most 76.65 s of the remaining time count, so the whole span lies in the ledger. Measured, for 200 callers rejected at one moment: with 10 min left, told 132.00 to 132.05 s before, and 16.87 to 24.50 s now; with 6 s, 1.32 to 1.90 s as before. TestRetryAfterBounds fails without the change.

--- a/process/overload/returns.go
+++ b/process/overload/returns.go
@@ -23,11 +23,14 @@
 	latestReturn   = 0.32
 	// minReturn bounds the time that a caller with little time left is told.
 	minReturn = 250 * time.Millisecond
+	// maxRemaining bounds the remaining time that counts: an overload is over long before, and the ring holds the whole span.
+	maxRemaining = time.Duration(returnSlots-1) * slotTime * 3
 )
 
 // next returns the time in which the fewest callers are expected.
 func (r *returns) next(now time.Time, remaining time.Duration, random *rand.Rand) time.Duration {
 	r.expire(now)
+	remaining = min(remaining, maxRemaining)
 	first := now.Add(max(minReturn, time.Duration(earliestReturn*float64(remaining))))
 	last := now.Add(max(minReturn, time.Duration(latestReturn*float64(remaining))))
 	from, to := slotOf(first), min(slotOf(last), r.from+returnSlots-1)
--- a/process/overload/share_test.go
+++ b/process/overload/share_test.go
@@ -106,3 +106,27 @@
 		}
 	}
 }
+
+// TestRetryAfterBounds checks that callers are told a bounded time whatever they wait, and that those rejected together don't return
+// together.
+func TestRetryAfterBounds(t *testing.T) {
+	for _, tt := range []struct {
+		remaining, min, max time.Duration
+	}{
+		{-time.Second, 250 * time.Millisecond, 300 * time.Millisecond},
+		{6 * time.Second, 1320 * time.Millisecond, 1970 * time.Millisecond},
+		{10 * time.Minute, 10 * time.Second, 30 * time.Second},
+		{24 * time.Hour, 10 * time.Second, 30 * time.Second},
+	} {
+		s, now, atOnce := newShare(1), time.Unix(1000, 0), map[time.Duration]int{}
+		for range 200 {
+			d := s.RetryAfter(now, tt.remaining)
+			if atOnce[d/time.Second]++; d < tt.min || d > tt.max {
+				t.Fatalf("%v left: told %v, want %v to %v", tt.remaining, d, tt.min, tt.max)
+			}
+		}
+		if tt.remaining > time.Minute && len(atOnce) < 5 {
+			t.Errorf("%v left: told in %d different seconds", tt.remaining, len(atOnce))
+		}
+	}
+}
