placement: levelling the loads of an old update loses no request

Cause: each group's part of the other hosts' requests was rounded down, so up to one request for each group was lost from the sum while there is no leader, and the shares handed out the missing ones again and again as free slots. Change: each group gets its part of what is left. Measured (TestLevelStale, 28 groups of 17 slots): of 13, 40, 148 and 445 requests in flight, 0, 28, 140 and 420 were counted before, all of them now.

--- a/process/placement/draw.go
+++ b/process/placement/draw.go
@@ -58,8 +58,11 @@
 		for _, e := range list {
 			inFlight, waiting, slots = inFlight+e.remoteInFlight, waiting+e.remoteWaiting, slots+e.slots()
 		}
+		// Each gets its part of what is left, so that rounding loses none.
 		for _, e := range list {
-			e.remoteInFlight, e.remoteWaiting = inFlight*e.slots()/slots, waiting*e.slots()/slots
+			n := e.slots()
+			e.remoteInFlight, e.remoteWaiting = inFlight*n/slots, waiting*n/slots
+			inFlight, waiting, slots = inFlight-e.remoteInFlight, waiting-e.remoteWaiting, slots-n
 		}
 	}
 }
--- a/process/placement/draw_test.go
+++ b/process/placement/draw_test.go
@@ -55,3 +55,26 @@
 		})
 	}
 }
+
+// TestLevelStale checks that a host that gets no updates goes on to count all requests of the other hosts.
+func TestLevelStale(t *testing.T) {
+	for _, inFlight := range []int{0, 1, 5, 16} {
+		b, now, total := newBalancer(28), time.Unix(1000, 0), 0
+		var loads []fleet.Load
+		for i := range 27 {
+			n := min(17, inFlight+i%2)
+			total += n
+			loads = append(loads, fleet.Load{Handle: uint64(i + 1), InFlight: n, WaitingTokens: 100 * n})
+		}
+		b.SetLoads(now, loads, 24)
+		b.levelStale(now.Add(time.Minute))
+		got, waiting, least, most := 0, 0, 17, 0
+		for _, e := range b.byID {
+			got, waiting = got+e.load(), waiting+e.waitingTokens()
+			least, most = min(least, e.load()), max(most, e.load())
+		}
+		if got != total || waiting != 100*total || most-least > 1 {
+			t.Errorf("%d in flight and %d tokens waiting, %d to %d at a group, want %d and %d, evenly spread", got, waiting, least, most, total, 100*total)
+		}
+	}
+}
