placement: a host isn't alone because a new leader has heard of no other yet

Cause: a new leader counts the entry hosts as they report, and its first answers say 1, 2, ... hosts. A host's share of a full pool, and what it sends by itself to a cold or limited server if that leader is lost too, are parts by that number: each host could take the whole. Change: fewer hosts than before count once the leader has reported them for 1 s; more count at once. Measured (TestHostsOfNewLeader): after answers with 24, 1, 20 and 24 hosts, 100 ms apart, the host counts 24 throughout (before: 24, 1, 20, 24), and 23 after a second of 23.

--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -55,8 +55,10 @@
 	evacuated      *evacuation.Set
 	evacuatedPools map[endpointKey]bool
 	// byHandle holds the endpoints by the handles that the leader assigned.
-	byHandle   map[uint64]*endpoint
+	byHandle map[uint64]*endpoint
+	// entryHosts is the number of entry hosts; fewerSince is since when the leader has reported fewer, zero if it doesn't.
 	entryHosts int
+	fewerSince time.Time
 	// overhead is the part of the time to the first event that the engine's performance model doesn't explain.
 	overhead map[endpointKey]time.Duration
 	// gaps is the moving average of the time between two events, by key.
@@ -182,7 +184,7 @@
 // SetLoads applies the leader's sums over all entry hosts, which include what Usage last returned here.
 // entryHosts is the number of entry hosts.
 func (b *Balancer) SetLoads(now time.Time, loads []fleet.Load, entryHosts int) {
-	b.entryHosts = max(1, entryHosts)
+	b.setEntryHosts(now, max(1, entryHosts))
 	if !b.updatedAt.IsZero() {
 		updateMean(&b.interval, min(now.Sub(b.updatedAt), maxInterval))
 	}
@@ -201,6 +203,20 @@
 	}
 }
 
+// fewerHostsAfter is how long the leader must report fewer hosts until these count: longer than all take to report to a new leader.
+const fewerHostsAfter = time.Second
+
+func (b *Balancer) setEntryHosts(now time.Time, n int) {
+	switch {
+	case n >= b.entryHosts:
+		b.entryHosts, b.fewerSince = n, time.Time{}
+	case b.fewerSince.IsZero():
+		b.fewerSince = now
+	case now.Sub(b.fewerSince) >= fewerHostsAfter:
+		b.entryHosts, b.fewerSince = n, time.Time{}
+	}
+}
+
 // EntryHosts returns the number of entry hosts that share the endpoints.
 func (b *Balancer) EntryHosts() int { return max(1, b.entryHosts) }
 
--- a/process/placement/draw_test.go
+++ b/process/placement/draw_test.go
@@ -78,3 +78,22 @@
 		}
 	}
 }
+
+// TestHostsOfNewLeader checks that a host doesn't take itself for the only one when a new leader has heard of no other yet, and that its
+// part of what a server may get grows once others are gone.
+func TestHostsOfNewLeader(t *testing.T) {
+	b, now := newBalancer(1), time.Unix(1000, 0)
+	for _, tt := range []struct {
+		after          time.Duration
+		reported, want int
+	}{
+		{0, 24, 24}, {100 * time.Millisecond, 1, 24}, {100 * time.Millisecond, 20, 24}, {100 * time.Millisecond, 24, 24}, {900 * time.Millisecond, 23, 24},
+		{500 * time.Millisecond, 23, 24}, {600 * time.Millisecond, 23, 23}, {0, 30, 30},
+	} {
+		now = now.Add(tt.after)
+		b.SetLoads(now, nil, tt.reported)
+		if got := b.EntryHosts(); got != tt.want {
+			t.Errorf("%v: %d hosts after an update with %d, want %d", now.Sub(time.Unix(1000, 0)), got, tt.reported, tt.want)
+		}
+	}
+}
--- a/process/placement/permit.go
+++ b/process/placement/permit.go
@@ -16,8 +16,11 @@
 	return b.permits.RecordResponse(now, r)
 }
 
-// ApplyLimits applies the limits and permits in a leader's update, after its endpoints.
-func (b *Balancer) ApplyLimits(now time.Time, u wire.FleetUpdate) { b.permits.Apply(now, u) }
+// ApplyLimits applies the limits and permits in a leader's update, after its endpoints and loads.
+func (b *Balancer) ApplyLimits(now time.Time, u wire.FleetUpdate) {
+	u.Entries = max(u.Entries, b.EntryHosts())
+	b.permits.Apply(now, u)
+}
 
 // ReportLimits adds limits, and requests for permits, to the report to the leader.
 func (b *Balancer) ReportLimits(now time.Time, u *wire.Usage) {
