--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -7,7 +7,6 @@
 
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
-	"savorywing.example/savorywing/process/overload"
 	"savorywing.example/savorywing/process/quota"
 	"savorywing.example/savorywing/wire"
 )
@@ -56,16 +55,18 @@
 	evacuated      *evacuation.Set
 	evacuatedPools map[endpointKey]bool
 	// byHandle holds the endpoints by the handles that the leader assigned.
-	byHandle   map[uint64]*endpoint
+	byHandle map[uint64]*endpoint
+	// entryHosts is the number of entry hosts; fewerSince is since when the leader has reported fewer, zero if it doesn't.
 	entryHosts int
+	fewerSince time.Time
 	// overhead is the part of the time to the first event that the engine's performance model doesn't explain.
 	overhead map[endpointKey]time.Duration
 	// gaps is the moving average of the time between two events, by key.
 	gaps map[endpointKey]time.Duration
 	// occupancies is the moving average of the time that a request occupies its slot, by key.
 	occupancies map[endpointKey]time.Duration
-	// shares holds this host's part of the capacity of each pool.
-	shares map[endpointKey]*overload.Share
+	// shares holds this host's part of the capacity of each pool, and of its servers in each area.
+	shares map[shareKey]*poolShare
 	// permits holds servers' request limits and the permits for requests to them.
 	permits *quota.Holder
 	// notices holds what servers have stated about themselves, by ID.
@@ -89,7 +90,7 @@
 	source := rand.NewPCG(cfg.Seed, cfg.Seed)
 	return &Balancer{
 		cfg: cfg, random: rand.New(source), source: source, byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
-		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, shares: map[endpointKey]*overload.Share{},
+		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, shares: map[shareKey]*poolShare{},
 		notices: map[string]serverNotice{}, permits: quota.NewHolder(cfg.Seed),
 	}
 }
@@ -183,7 +184,7 @@
 // SetLoads applies the leader's sums over all entry hosts, which include what Usage last returned here.
 // entryHosts is the number of entry hosts.
 func (b *Balancer) SetLoads(now time.Time, loads []fleet.Load, entryHosts int) {
-	b.entryHosts = max(1, entryHosts)
+	b.setEntryHosts(now, max(1, entryHosts))
 	if !b.updatedAt.IsZero() {
 		updateMean(&b.interval, min(now.Sub(b.updatedAt), maxInterval))
 	}
@@ -202,6 +203,20 @@
 	}
 }
 
+// fewerHostsAfter is how long the leader must report fewer hosts until these count: longer than all take to report to a new leader.
+const fewerHostsAfter = time.Second
+
+func (b *Balancer) setEntryHosts(now time.Time, n int) {
+	switch {
+	case n >= b.entryHosts:
+		b.entryHosts, b.fewerSince = n, time.Time{}
+	case b.fewerSince.IsZero():
+		b.fewerSince = now
+	case now.Sub(b.fewerSince) >= fewerHostsAfter:
+		b.entryHosts, b.fewerSince = n, time.Time{}
+	}
+}
+
 // EntryHosts returns the number of entry hosts that share the endpoints.
 func (b *Balancer) EntryHosts() int { return max(1, b.entryHosts) }
 
@@ -228,13 +243,11 @@
 // Start counts a request that is sent to the endpoint of a decision.
 func (b *Balancer) Start(now time.Time, d Decision, req Request) *Reservation {
 	res := &Reservation{ID: d.ID, tokens: req.PromptTokens, sent: now, engineTime: d.engineTime, predicted: d.Predicted, key: req.key()}
-	if s := b.shares[res.key]; s != nil {
-		s.RecordSent()
-	}
 	e := b.byID[d.ID]
 	if e == nil {
 		return res
 	}
+	b.recordSent(e)
 	if req.Engine != nil {
 		res.passTime = req.Engine.PassTime(0, min(e.load()+1, e.slots()))
 	}
