controller: a waiting report isn't replaced by an older one

Since servers report to all control hosts, a host gets a server's reports both from the server and from the host that it reported to before, and a host that connects is sent the last reports of all servers. The mailboxes kept the value that arrived last: an older report that another host sent on replaced the server's own one, which was acknowledged, and then neither this host nor any other learned of it until the next report. Repeated reports of two hosts had the same fault.

The mailboxes of reports keep the newer one by incarnation and number; of equal ones, that of the server, which this host sends on.

--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	if !isUrgent(r) {
-		if !c.reports.Put(r.ID, reportEvent{report: r, direct: true}) {
+		if !c.putReport(reportEvent{report: r, direct: true}) {
 			return "", fmt.Errorf("Controller.HandleReport: too many reports are waiting: %w", controlapi.ErrNoQuorum)
 		}
 	} else if err := c.submitUrgentReport(ctx, r); err != nil {
--- a/process/controller/frames.go
+++ b/process/controller/frames.go
@@ -43,6 +43,24 @@
 	direct bool
 }
 
+// replaces reports whether an event makes a waiting one of the same server obsolete. One that a control host has sent on may be older
+// than what the server has told this host since, and must not keep that from the other hosts.
+func (e reportEvent) replaces(waiting reportEvent) bool {
+	r, old := e.report, waiting.report
+	switch {
+	case r.Born != old.Born:
+		return r.Born > old.Born
+	case r.Sequence != old.Sequence:
+		return r.Sequence > old.Sequence
+	}
+	return e.direct
+}
+
+// putReport queues a report that nobody waits for, unless a newer one of its server waits, and reports whether there was room.
+func (c *Controller) putReport(e reportEvent) bool {
+	return c.reports.PutNewer(e.report.ID, e, reportEvent.replaces)
+}
+
 func (reportsEvent) isEvent()    {}
 func (presenceEvent) isEvent()   {}
 func (connectionEvent) isEvent() {}
@@ -65,10 +83,12 @@
 			c.push(reportsEvent{reports: []wire.Report{r}})
 			continue
 		}
-		c.reports.Put(r.ID, reportEvent{report: r})
+		c.putReport(reportEvent{report: r})
 	}
 	for _, r := range frame.Repeats {
-		c.repeats.Put(r.ID, r)
+		c.repeats.PutNewer(r.ID, r, func(r, waiting wire.RepeatedReport) bool {
+			return r.Born > waiting.Born || (r.Born == waiting.Born && r.Sequence > waiting.Sequence)
+		})
 	}
 	if frame.Usage != nil {
 		c.usage.Put(from, *frame.Usage)
--- a/process/queue/mailbox.go
+++ b/process/queue/mailbox.go
@@ -12,7 +12,7 @@
 	values   map[K]V
 	// order lists the keys of values, the one that has waited for longest first.
 	order []K
-	// replaced and rejected count the values that a newer one has replaced, and those for which there was no room; they
+	// replaced and rejected count the values that another one of their key made obsolete, and those for which there was no room; they
 	// never decrease.
 	replaced, rejected uint64
 }
@@ -24,10 +24,18 @@
 
 // Put adds a value, or replaces the waiting one of its key, and reports whether there was room for it. It never blocks.
 func (m *Mailbox[K, V]) Put(key K, v V) bool {
+	return m.PutNewer(key, v, func(_, _ V) bool { return true })
+}
+
+// PutNewer is Put for values that may arrive out of order: a waiting one stays unless v replaces it.
+func (m *Mailbox[K, V]) PutNewer(key K, v V, replaces func(v, waiting V) bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, waiting := m.values[key]; waiting {
+	if old, waiting := m.values[key]; waiting {
 		m.replaced++
+		if !replaces(v, old) {
+			return true
+		}
 		m.values[key] = v
 		return true
 	}
@@ -76,7 +84,7 @@
 	return len(m.order)
 }
 
-// Counts returns how many values a newer one has replaced, and for how many there was no room.
+// Counts returns how many values another one of their key made obsolete, and for how many there was no room.
 func (m *Mailbox[K, V]) Counts() (replaced, rejected uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
