--- a/process/gateway/where_test.go
+++ b/process/gateway/where_test.go
@@ -15,19 +15,21 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// whereGateway has two servers, of which one sends no reports.
+// whereGateway has two services with two servers each: at one of them, a server sends no reports, at the other, one is leaving. Half of
+// each pool is usable, so that the others are never drawn.
 func whereGateway(t *testing.T) *Gateway {
 	t.Helper()
 	g := newTestGateway(t)
 	g.mesh.SetTokens(peer.Tokens{Sent: "secret"})
 	g.balancer.UpdateEndpoints(true, []wire.Endpoint{
 		{ID: "i-1", Address: "127.0.0.1:1", Service: "s", Slots: 4, Born: 1, Handle: 1}, {ID: "i-2", Address: "127.0.0.1:2", Service: "s", Slots: 4, Born: 1, Handle: 2, Silent: true},
-		{ID: "i-3", Address: "127.0.0.1:3", Service: "s", Slots: 4, Born: 1, Handle: 3},
+		{ID: "i-3", Address: "127.0.0.1:3", Service: "t", Slots: 4, Born: 1, Handle: 3}, {ID: "i-4", Address: "127.0.0.1:4", Service: "t", Slots: 4, Born: 1, Handle: 4},
 	}, nil)
 	g.balancer.RecordNotice(g.clock.Now(), "i-3", 1, placement.Notice{Leaving: true})
-	c, err := catalogue.New(catalogue.Document{Version: 7, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}, {Name: "none", HealthPath: "/healthz"}},
+	c, err := catalogue.New(catalogue.Document{Version: 7, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}, {Name: "t", HealthPath: "/healthz"}, {Name: "none", HealthPath: "/healthz"}},
 		Routes: []catalogue.Route{
 			{Name: "r", Host: "x.example", Prefix: "/r/", Services: []catalogue.WeightedService{{Service: "s", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
+			{Name: "leaving", Host: "x.example", Prefix: "/leaving/", Services: []catalogue.WeightedService{{Service: "t", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
 			{Name: "empty", Host: "x.example", Prefix: "/empty/", Services: []catalogue.WeightedService{{Service: "none", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
 		},
 		Organisations: []catalogue.Organisation{{Name: "o", Keys: []string{"k"}}}})
@@ -47,6 +49,7 @@
 	}{
 		{"by path and key", operator.WhereQuery{Host: "x.example", Path: "/r/a", Key: "k"}, operator.VerdictSent, "i-1", "", 0},
 		{"by names", operator.WhereQuery{Route: "r", Organisation: "o"}, operator.VerdictSent, "i-1", "", 0},
+		{"beside a leaving server", operator.WhereQuery{Route: "leaving", Key: "k"}, operator.VerdictSent, "i-4", "", 0},
 		{"unknown key", operator.WhereQuery{Route: "r", Key: "z"}, operator.VerdictRejected, "", "unknownKey", fasthttp.StatusUnauthorized},
 		{"unknown path", operator.WhereQuery{Host: "x.example", Path: "/z", Key: "k"}, operator.VerdictRejected, "", "noRoute", fasthttp.StatusNotFound},
 		{"no server", operator.WhereQuery{Route: "empty", Key: "k"}, operator.VerdictRejected, "", string(placement.ReasonNoEndpoint), fasthttp.StatusServiceUnavailable},
@@ -62,10 +65,13 @@
 				t.Errorf("got %+v", a)
 			}
 			if tt.verdict == operator.VerdictSent {
-				want := [][]string{nil, {"sends no reports"}, {"leaving, or closed for a time"}}
-				var got [][]string
+				want := map[string][]string{"i-1": nil, "i-2": {"sends no reports"}}
+				if tt.server == "i-4" {
+					want = map[string][]string{"i-3": {"leaving, or closed for a time"}, "i-4": nil}
+				}
+				got := map[string][]string{}
 				for _, c := range a.Candidates {
-					got = append(got, c.Excluded)
+					got[c.Server] = c.Excluded
 				}
 				if !reflect.DeepEqual(got, want) {
 					t.Errorf("excluded %v, want %v", got, want)
