where: a caller that has waited elsewhere counts as one

A request's host estimates from its stated timeout how long its caller has waited before, and a late one gets only what others leave of a full pool. `where` left that out, so that with `--timeout-ms` it could say `sent` where the host would reject. It takes the same estimate now, by a look that teaches the estimator nothing (WaitEstimator.Estimate, which PriorWait uses too).

--- a/process/gateway/where.go
+++ b/process/gateway/where.go
@@ -105,6 +105,7 @@
 func (g *Gateway) explain(now time.Time, r *callerRequest, a *operator.WhereAnswer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	r.priorWait = g.waitEstimator.Estimate(r.route.Name, r.caller.Timeout)
 	d, candidates := g.balancer.Explain(now, r.placementRequest(now))
 	for _, c := range candidates {
 		w := operator.WhereCandidate{
--- a/process/gateway/where_test.go
+++ b/process/gateway/where_test.go
@@ -110,3 +110,26 @@
 		}
 	}
 }
+
+// TestWhereCountsPriorWait asks about a caller that states less than the others do, and so has waited elsewhere: its request is late, and
+// gets only what others leave of a full pool. The questions themselves teach nothing.
+func TestWhereCountsPriorWait(t *testing.T) {
+	g := whereGateway(t)
+	r, err := g.describe(g.clock.Now(), operator.WhereQuery{Route: "r", Key: "k", TimeoutMs: 800})
+	if err != nil || r.resolve() != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		g.waitEstimator.PriorWait("r", 2*time.Second)
+	}
+	for range 30 {
+		a := operator.WhereAnswer{}
+		g.explain(g.clock.Now(), r, &a)
+		if r.priorWait != 1200*time.Millisecond {
+			t.Fatalf("waited %v, want 1.2s", r.priorWait)
+		}
+	}
+	if got := g.waitEstimator.PriorWait("r", 800*time.Millisecond); got != 1200*time.Millisecond {
+		t.Errorf("waited %v after the questions, want 1.2s", got)
+	}
+}
--- a/process/placement/estimator.go
+++ b/process/placement/estimator.go
@@ -33,21 +33,31 @@
 	return &WaitEstimator{routes: map[string]*majority{}, spreads: map[string]*spread{}}
 }
 
+// Estimate returns what PriorWait would return, without learning from the caller.
+func (e *WaitEstimator) Estimate(route string, remaining time.Duration) time.Duration {
+	m, s := e.routes[route], e.spreads[route]
+	if remaining <= 0 || m == nil {
+		return 0
+	}
+	if counted := *m; counted.add(remaining) {
+		return max(0, counted.candidate-remaining)
+	}
+	return s.priorWait(remaining)
+}
+
 // PriorWait returns how long a caller that states the timeout remaining has already waited, or 0 if that isn't known.
 func (e *WaitEstimator) PriorWait(route string, remaining time.Duration) time.Duration {
 	if remaining <= 0 {
 		return 0
 	}
+	wait := e.Estimate(route, remaining)
 	m, s := e.routes[route], e.spreads[route]
 	if m == nil {
 		m, s = &majority{candidate: remaining}, &spread{}
 		e.routes[route], e.spreads[route] = m, s
 	}
-	wait := s.priorWait(remaining)
+	m.add(remaining)
 	s.add(remaining)
-	if m.add(remaining) {
-		wait = max(0, m.candidate-remaining)
-	}
 	return wait
 }
 
