--- a/process/gateway/where.go
+++ b/process/gateway/where.go
@@ -53,6 +53,10 @@
 		return a, nil
 	}
 	a.Route, a.Organisation, a.Service, a.Priority = r.route.Name, r.organisation, r.service.Name, r.priority
+	if r.deadline.Sub(now) < minAttemptTime {
+		a.Verdict, a.Status, a.Reason = operator.VerdictRejected, fasthttp.StatusServiceUnavailable, "outOfTime"
+		return a, nil
+	}
 	if r.isCutOff() {
 		a.Verdict, a.Reason = operator.VerdictForwarded, "this host reaches no servers"
 		return a, nil
@@ -101,6 +105,7 @@
 func (g *Gateway) explain(now time.Time, r *callerRequest, a *operator.WhereAnswer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	r.priorWait = g.waitEstimator.Estimate(r.route.Name, r.caller.Timeout)
 	d, candidates := g.balancer.Explain(now, r.placementRequest(now))
 	for _, c := range candidates {
 		w := operator.WhereCandidate{
--- a/process/gateway/where_test.go
+++ b/process/gateway/where_test.go
@@ -15,19 +15,21 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// whereGateway has two servers, of which one sends no reports.
+// whereGateway has two services with two servers each: at one of them, a server sends no reports, at the other, one is leaving. Half of
+// each pool is usable, so that the others are never drawn.
 func whereGateway(t *testing.T) *Gateway {
 	t.Helper()
 	g := newTestGateway(t)
 	g.mesh.SetTokens(peer.Tokens{Sent: "secret"})
 	g.balancer.UpdateEndpoints(true, []wire.Endpoint{
 		{ID: "i-1", Address: "127.0.0.1:1", Service: "s", Slots: 4, Born: 1, Handle: 1}, {ID: "i-2", Address: "127.0.0.1:2", Service: "s", Slots: 4, Born: 1, Handle: 2, Silent: true},
-		{ID: "i-3", Address: "127.0.0.1:3", Service: "s", Slots: 4, Born: 1, Handle: 3},
+		{ID: "i-3", Address: "127.0.0.1:3", Service: "t", Slots: 4, Born: 1, Handle: 3}, {ID: "i-4", Address: "127.0.0.1:4", Service: "t", Slots: 4, Born: 1, Handle: 4},
 	}, nil)
 	g.balancer.RecordNotice(g.clock.Now(), "i-3", 1, placement.Notice{Leaving: true})
-	c, err := catalogue.New(catalogue.Document{Version: 7, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}, {Name: "none", HealthPath: "/healthz"}},
+	c, err := catalogue.New(catalogue.Document{Version: 7, Services: []catalogue.Service{{Name: "s", HealthPath: "/healthz"}, {Name: "t", HealthPath: "/healthz"}, {Name: "none", HealthPath: "/healthz"}},
 		Routes: []catalogue.Route{
 			{Name: "r", Host: "x.example", Prefix: "/r/", Services: []catalogue.WeightedService{{Service: "s", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
+			{Name: "leaving", Host: "x.example", Prefix: "/leaving/", Services: []catalogue.WeightedService{{Service: "t", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
 			{Name: "empty", Host: "x.example", Prefix: "/empty/", Services: []catalogue.WeightedService{{Service: "none", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: time.Second},
 		},
 		Organisations: []catalogue.Organisation{{Name: "o", Keys: []string{"k"}}}})
@@ -47,8 +49,10 @@
 	}{
 		{"by path and key", operator.WhereQuery{Host: "x.example", Path: "/r/a", Key: "k"}, operator.VerdictSent, "i-1", "", 0},
 		{"by names", operator.WhereQuery{Route: "r", Organisation: "o"}, operator.VerdictSent, "i-1", "", 0},
+		{"beside a leaving server", operator.WhereQuery{Route: "leaving", Key: "k"}, operator.VerdictSent, "i-4", "", 0},
 		{"unknown key", operator.WhereQuery{Route: "r", Key: "z"}, operator.VerdictRejected, "", "unknownKey", fasthttp.StatusUnauthorized},
 		{"unknown path", operator.WhereQuery{Host: "x.example", Path: "/z", Key: "k"}, operator.VerdictRejected, "", "noRoute", fasthttp.StatusNotFound},
+		{"no time for an attempt", operator.WhereQuery{Route: "r", Key: "k", TimeoutMs: 20}, operator.VerdictRejected, "", "outOfTime", fasthttp.StatusServiceUnavailable},
 		{"no server", operator.WhereQuery{Route: "empty", Key: "k"}, operator.VerdictRejected, "", string(placement.ReasonNoEndpoint), fasthttp.StatusServiceUnavailable},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -62,10 +66,13 @@
 				t.Errorf("got %+v", a)
 			}
 			if tt.verdict == operator.VerdictSent {
-				want := [][]string{nil, {"sends no reports"}, {"leaving, or closed for a time"}}
-				var got [][]string
+				want := map[string][]string{"i-1": nil, "i-2": {"sends no reports"}}
+				if tt.server == "i-4" {
+					want = map[string][]string{"i-3": {"leaving, or closed for a time"}, "i-4": nil}
+				}
+				got := map[string][]string{}
 				for _, c := range a.Candidates {
-					got = append(got, c.Excluded)
+					got[c.Server] = c.Excluded
 				}
 				if !reflect.DeepEqual(got, want) {
 					t.Errorf("excluded %v, want %v", got, want)
@@ -103,3 +110,26 @@
 		}
 	}
 }
+
+// TestWhereCountsPriorWait asks about a caller that states less than the others do, and so has waited elsewhere: its request is late, and
+// gets only what others leave of a full pool. The questions themselves teach nothing.
+func TestWhereCountsPriorWait(t *testing.T) {
+	g := whereGateway(t)
+	r, err := g.describe(g.clock.Now(), operator.WhereQuery{Route: "r", Key: "k", TimeoutMs: 800})
+	if err != nil || r.resolve() != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		g.waitEstimator.PriorWait("r", 2*time.Second)
+	}
+	for range 30 {
+		a := operator.WhereAnswer{}
+		g.explain(g.clock.Now(), r, &a)
+		if r.priorWait != 1200*time.Millisecond {
+			t.Fatalf("waited %v, want 1.2s", r.priorWait)
+		}
+	}
+	if got := g.waitEstimator.PriorWait("r", 800*time.Millisecond); got != 1200*time.Millisecond {
+		t.Errorf("waited %v after the questions, want 1.2s", got)
+	}
+}
