gateway: a test's closed port stays closed

TestRefusedOrSilent closed a listener and took its address for one that refuses connections, but the listeners that it opened next, one of which is silent, could get the port: it failed in 6 of 1,500 runs and once in six runs of the package. Its errors in 5 more failures of 2,500 runs were responses that ended with the time limit, so the connections were accepted.

The address is now that of a connection that is open during the test, which refuses others. 5,000 runs of the case and one of the package pass; what is checked is the same.

--- a/process/gateway/reach_test.go
+++ b/process/gateway/reach_test.go
@@ -91,8 +91,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	closed := l.Addr().String()
-	_ = l.Close()
+	defer func() { _ = l.Close() }()
+	// The port of a connection refuses others, and no listener can get it meanwhile.
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	closed := conn.LocalAddr().String()
 	tests := []struct {
 		name, address string
 		want          bool
