--- a/connection/peer/token.go
+++ b/connection/peer/token.go
@@ -25,24 +25,22 @@
 
 // SetTokens replaces the tokens. Open connections stay open.
 func (m *Mesh) SetTokens(t Tokens) {
-	d := &tokenDigests{sent: tokenDigest(t.Sent), accepted: [][]byte{[]byte(tokenDigest(t.Sent))}}
+	d := &tokenDigests{sent: TokenDigest(t.Sent), accepted: [][]byte{[]byte(TokenDigest(t.Sent))}}
 	for _, token := range t.AlsoAccepted {
-		d.accepted = append(d.accepted, []byte(tokenDigest(token)))
+		d.accepted = append(d.accepted, []byte(TokenDigest(token)))
 	}
 	m.tokens.Store(d)
 }
 
 // TokenDigest returns what is stated of a token where it must not be sent itself.
-func TokenDigest(token string) string { return tokenDigest(token) }
-
-// AcceptsDigest reports whether a digest is that of a token in force.
-func (m *Mesh) AcceptsDigest(digest string) bool { return m.tokens.Load().accept([]byte(digest)) }
-
-func tokenDigest(token string) string {
+func TokenDigest(token string) string {
 	sum := sha256.Sum256([]byte("peer:" + token))
 	return hex.EncodeToString(sum[:])
 }
 
+// AcceptsDigest reports whether a digest is that of a token in force.
+func (m *Mesh) AcceptsDigest(digest string) bool { return m.tokens.Load().accept([]byte(digest)) }
+
 // accept reports whether a digest is that of an accepted token.
 func (d *tokenDigests) accept(digest []byte) bool {
 	ok := 0
