quorum: the status shows the end of a lease before callers get its error

Cause: a member whose write failed answered waiting callers with ErrOutage before it published its status, so a caller could still read 'leader' with a lease for some microseconds. Change: the status is published first, at an outage and at a lost leadership.

--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -434,10 +434,10 @@
 	if n.outage == nil {
 		n.compact()
 	}
+	n.publish()
 	if n.core.Role() != Leader {
 		n.failPending(ErrLeadershipLost)
 	}
-	n.publish()
 }
 
 func (n *Node) execute(e Effects) {
--- a/process/quorum/outage.go
+++ b/process/quorum/outage.go
@@ -40,6 +40,8 @@
 	n.log.Error().Str("event", "outageBegan").Err(cause).Str("role", n.core.Role().String()).Uint64("term", n.core.Term()).Uint64("commit", n.core.CommitIndex()).
 		Msg("writing to the disk failed; this member takes no part in the replicated log until its state is written anew")
 	n.core.StepDown(now)
+	// Whoever gets the error must not read a status with the lease any more.
+	n.publish()
 	n.failPending(fmt.Errorf("%w: %w", ErrOutage, cause))
 }
 
