settings: regions names the data centres; dataCentres goes

Cause: two settings named the same data centres, dataCentres (for evacuations) and regions (for where a request may be handled). Change: an evacuation takes the names from regions. Measured: tests of version/instance, process/controller and platform pass.

--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -193,7 +193,7 @@
 	for i := range min(3, r.cfg.Control) {
 		seeds = append(seeds, r.controlAddress(i))
 	}
-	shared := fmt.Sprintf("dataCentre: a\ndataCentres: [a, b]\npeerPorts: [%d]\nseeds: [%s]\ntoken: soak\nlostDisks: %d\nmemoryMB: 256\n"+
+	shared := fmt.Sprintf("dataCentre: a\nregions: {a: here, b: here}\npeerPorts: [%d]\nseeds: [%s]\ntoken: soak\nlostDisks: %d\nmemoryMB: 256\n"+
 		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, evacuateMs: %d, graceSeconds: %g, coldOverage: %g, coldSlack: %g}\n",
 		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, evacuationBound.Milliseconds(), gracePeriod.Seconds(),
 		coldOverage, coldSlack)
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -321,7 +321,7 @@
 		return fmt.Errorf("Controller.Start: %w", err)
 	}
 	c.log.Info().Str("event", "started").Str("peer", c.settings.PeerAddress()).Bool("firstStart", c.settings.FirstStart).
-		Strs("dataCentres", c.settings.DataCentres).Msg("the control host started")
+		Int("dataCentres", len(c.settings.Regions)).Msg("the control host started")
 	return nil
 }
 
--- a/process/controller/evacuation.go
+++ b/process/controller/evacuation.go
@@ -92,7 +92,7 @@
 func (c *Controller) evacuationView(now time.Time) evacuation.View {
 	v := evacuation.View{
 		Evacuated: c.evacuated, IsKnown: c.knowsDataCentre,
-		Complete: len(c.settings.DataCentres) > 0 || now.Sub(c.startedAt) > reconcilerConfig(c.settings).TakeoverDelay,
+		Complete: len(c.settings.Regions) > 0 || now.Sub(c.startedAt) > reconcilerConfig(c.settings).TakeoverDelay,
 	}
 	for _, p := range c.presence {
 		// A host that was last heard of long ago has ended, or comes back with whatever version is installed then.
@@ -123,7 +123,7 @@
 
 // knowsDataCentre reports whether a data centre is named in the settings, or by a server or a daemon.
 func (c *Controller) knowsDataCentre(name string) bool {
-	if name == c.settings.DataCentre || slices.Contains(c.settings.DataCentres, name) {
+	if _, named := c.settings.Regions[name]; named || name == c.settings.DataCentre {
 		return true
 	}
 	for _, s := range c.table.Servers() {
--- a/process/controller/evacuation_test.go
+++ b/process/controller/evacuation_test.go
@@ -14,6 +14,7 @@
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/instance"
+	"savorywing.example/savorywing/version/residency"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -22,18 +23,18 @@
 	now := time.Unix(1000, 0)
 	for _, tt := range []struct {
 		name     string
-		settings []string
+		settings residency.Map
 		uptime   time.Duration
 		silence  time.Duration
 		complete bool
 		formats  []int
 	}{
 		{"just started", nil, time.Second, 0, false, []int{0}},
-		{"just started, with names in the settings", []string{"a"}, time.Second, 0, true, []int{0}},
+		{"just started, with names in the settings", residency.Map{"a": "here"}, time.Second, 0, true, []int{0}},
 		{"up for long", nil, time.Minute, 0, true, []int{0}},
 		{"beside a host that has ended", nil, time.Minute, 2 * serverRetention, true, nil},
 	} {
-		c := &Controller{settings: &instance.Settings{DataCentres: tt.settings}, startedAt: now.Add(-tt.uptime), presence: map[string]peerPresence{"old": {soundAt: now.Add(-tt.silence)}}}
+		c := &Controller{settings: &instance.Settings{Regions: tt.settings}, startedAt: now.Add(-tt.uptime), presence: map[string]peerPresence{"old": {soundAt: now.Add(-tt.silence)}}}
 		c.settings.Defaults()
 		if v := c.evacuationView(now); v.Complete != tt.complete || !slices.Equal(v.Formats, tt.formats) {
 			t.Errorf("%s: got %v, %v", tt.name, v.Complete, v.Formats)
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -43,10 +43,9 @@
 	Name       string `yaml:"name"`
 	IP         string `yaml:"ip"`
 	DataCentre string `yaml:"dataCentre"`
-	// Regions holds the region of each data centre. A document can restrict requests to regions.
+	// Regions holds the region of each data centre of the deployment. A document can restrict requests to regions. If it is empty,
+	// the settings don't say which data centres there are.
 	Regions residency.Map `yaml:"regions"`
-	// DataCentres names all data centres of the deployment; empty if the settings don't say.
-	DataCentres []string `yaml:"dataCentres,omitempty"`
 	// CallerAddress is the address on which an entry host accepts callers' connections.
 	CallerAddress string `yaml:"callerAddress"`
 	// ReadyAddress is the address on which an entry host serves its readiness check.
@@ -197,8 +196,8 @@
 	if slices.Contains(s.AcceptedTokens, "") {
 		return fieldError{"acceptedTokens", ErrMissing}
 	}
-	if slices.Contains(s.DataCentres, "") {
-		return fieldError{"dataCentres", ErrMissing}
+	if _, nameless := s.Regions[""]; nameless {
+		return fieldError{"regions", ErrMissing}
 	}
 	if err := s.validateNumbers(); err != nil {
 		return err
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -37,11 +37,11 @@
 
 func TestParseEvacuation(t *testing.T) {
 	s, err := Parse([]byte(example))
-	if err != nil || s.EvacuationMs != 0 || s.DataCentres != nil {
-		t.Errorf("without a bound: %v, %d ms, %v", err, s.EvacuationMs, s.DataCentres)
+	if err != nil || s.EvacuationMs != 0 {
+		t.Errorf("without a bound: %v, %d ms", err, s.EvacuationMs)
 	}
-	s, err = Parse([]byte(example + "  evacuateMs: 5000\ndataCentres: [a,b]\n"))
-	if err != nil || s.EvacuationMs != 5000 || !slices.Equal(s.DataCentres, []string{"a", "b"}) {
+	s, err = Parse([]byte(example + "  evacuateMs: 5000\n"))
+	if err != nil || s.EvacuationMs != 5000 {
 		t.Errorf("got %v, %+v", err, s)
 	}
 }
@@ -54,6 +54,7 @@
 		{"unknown role", "role: entry", "role: both", "line 1: role"},
 		{"no seeds", "seeds: [10.0.0.7:8229,10.0.0.8:8229]", "seeds: []", "seeds"},
 		{"no token", "token: secret", "token: ''", "line 10: token"},
+		{"a data centre without a name", "token: secret", "token: secret\nregions: {'': north}", "line 11: regions"},
 		{"an empty accepted token", "token: secret", "token: secret\nacceptedTokens: ['']", "line 11: acceptedTokens"},
 		{"entry host without a caller address", "callerAddress: 10.0.0.1:8080", "", "callerAddress"},
 		{"control host without a data folder", "role: entry", "role: control\ncontrolAddress: 10.0.0.1:8229", "dataDir"},
@@ -85,7 +86,6 @@
 		{"time that is no number", "revokeMs: 4000", "graceSeconds: .nan", "line 13: limits"},
 		{"infinite time", "revokeMs: 4000", "retryWindowSeconds: .inf", "line 13: limits"},
 		{"negative bound of evacuations", "revokeMs: 4000", "evacuateMs: -1", "line 13: limits"},
-		{"data centre without a name", "dataCentre: a", "dataCentre: a\ndataCentres: [a, '']", "line 5: dataCentres"},
 		{"negative ratio", "revokeMs: 4000", "retryShare: -0.1", "line 13: limits"},
 		{"same field twice", "lostDisks: 2", "lostDisks: 2\nlostDisks: 3", "line 12"},
 		{"deep nesting", "[7340,7355]", strings.Repeat("[", 20000), ""},
