Two tests wait for what happened, not for a time

Without the sleep the first fails with the same line ('committed up to 1 ... want 70'); an election during the test was ruled out (a pause of 2.5 s before the last message changes nothing). The second's notRun is right for a request that comes after the stop has begun. Change: they wait until the messages are handled, and until the requests are in flight.

--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -45,6 +45,13 @@
 	return served
 }
 
+// awaitInFlight waits until n requests are in flight.
+func (f *fixture) awaitInFlight(n int) {
+	for f.server.InFlight() < n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func within(served <-chan *savorywing.RequestError, d time.Duration) *savorywing.RequestError {
 	select {
 	case err := <-served:
@@ -129,7 +136,7 @@
 			for range 12 {
 				served = append(served, f.serveInBackground(context.Background(), f.request("")))
 			}
-			time.Sleep(50 * time.Millisecond)
+			f.awaitInFlight(12)
 			drained := make(chan error, 1)
 			go func() { drained <- f.server.Drain(context.Background()) }()
 			time.Sleep(20 * time.Millisecond)
@@ -142,7 +149,7 @@
 		Convey("a request whose claim is being committed is served and its claim settled", func() {
 			f.server.log = delayedLog{f.log}
 			served := f.serveInBackground(context.Background(), f.request("key"))
-			time.Sleep(50 * time.Millisecond)
+			f.awaitInFlight(1)
 			So(f.server.Drain(context.Background()), ShouldBeNil)
 			So(within(served, time.Second), ShouldBeNil)
 			So(f.claimState("key"), ShouldEqual, state.ClaimDone)
--- a/process/quorum/invalid_test.go
+++ b/process/quorum/invalid_test.go
@@ -157,7 +157,10 @@
 	}
 	send := func(index uint64, data []byte) {
 		n.Step([]wire.RaftMessage{{Kind: kindSnapshot, From: "b/1", To: id, Term: 1, Snapshot: &wire.Snapshot{Index: index, Term: 1, Data: data}}})
-		time.Sleep(200 * time.Millisecond)
+		// Batches of events are handled in order. The second answer comes after the messages' effects.
+		for range 2 {
+			n.TransferLeadership(context.Background())
+		}
 	}
 	send(50, []byte("snapshot"))
 	send(60, good[:len(good)-1])
