forward: what another host sends is bounded by its offer and counts against the host's memory

Cause: a host read frames of up to 64 MiB from whoever holds the fleet's token, before any offer and whatever the offer stated; its sizes counted in process/forwarding only.

Change: a frame without an accepted offer has at most 64 KiB. An offer over the largest legal body with its header is refused as tooLarge; one whose frame doesn't fit into process/budget, twice until it is decoded, as busy, both before a byte of it is read. The buffer grows with what arrives, and a frame beyond its offer is declined as not run, and the rest not held.

--- a/connection/forward/conn.go
+++ b/connection/forward/conn.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -21,22 +24,48 @@
 // keepAlive detects a lost peer within 5 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: 1 * time.Second, Count: 3}
 
+const (
+	// MaxQuestion is more than the bytes of any frame to which a host answers, other than an announced request.
+	MaxQuestion = 64 << 10
+	// firstPiece is the size of the first buffer for a frame, in bytes.
+	firstPiece = 512
+)
+
+// ErrTooLarge means that a frame has more bytes than the connection takes. The rest of it isn't read.
+var ErrTooLarge = errors.New("a frame is larger than expected")
+
 // Conn is a connection between two entry hosts. Send may be called from several goroutines, Receive from one.
 type Conn struct {
 	ws      *websocket.Conn
 	writeMu sync.Mutex
+	// maxFrame is the largest frame that is received, in bytes, and expected that of the next one if it is more.
+	maxFrame int
+	expected atomic.Int64
 }
 
+// Option is an option of a Conn.
+type Option func(*Conn)
+
+// WithMaxFrame bounds the frames that are received, in bytes, unless Expect allows more.
+func WithMaxFrame(n int) Option { return func(c *Conn) { c.maxFrame = n } }
+
 // NewConn returns a connection on an open WebSocket.
-func NewConn(ws *websocket.Conn) *Conn {
+func NewConn(ws *websocket.Conn, opts ...Option) *Conn {
 	ws.SetReadLimit(codec.MaxFrame)
 	if tcp, ok := ws.NetConn().(*net.TCPConn); ok {
 		// Without keep-alive the connection works all the same.
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
-	return &Conn{ws: ws}
+	c := &Conn{ws: ws, maxFrame: codec.MaxFrame}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
+// Expect lets the next frame have n bytes. It must be called before the other side is asked for that frame.
+func (c *Conn) Expect(n int) { c.expected.Store(int64(n)) }
+
 // Send sends a frame. After an error, the other side has not received the whole frame, and the connection can't be used.
 func (c *Conn) Send(f wire.Frame) error {
 	b, err := codec.Encode(f)
@@ -63,7 +92,7 @@
 	if err := c.ws.SetReadDeadline(deadline); err != nil {
 		return wire.Frame{}, fmt.Errorf("Conn.Receive: %w", err)
 	}
-	_, b, err := c.ws.ReadMessage()
+	b, err := c.read()
 	if err != nil {
 		return wire.Frame{}, fmt.Errorf("Conn.Receive: %w", err)
 	}
@@ -77,5 +106,41 @@
 	return f, nil
 }
 
+// read reads the next frame into a buffer that grows with the bytes that have arrived.
+func (c *Conn) read() ([]byte, error) {
+	_, r, err := c.ws.NextReader()
+	if err != nil {
+		return nil, err
+	}
+	limit := max(c.maxFrame, int(c.expected.Swap(0)))
+	b := make([]byte, 0, firstPiece)
+	for {
+		if len(b) == cap(b) {
+			grown := make([]byte, len(b), min(2*cap(b), limit+1))
+			copy(grown, b)
+			b = grown
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case len(b) > limit:
+			return nil, ErrTooLarge
+		case errors.Is(err, io.EOF):
+			return b, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// Discard reads until the other side closes the connection, or for a time, so that a reset doesn't destroy what was sent last.
+func (c *Conn) Discard(timeout time.Duration) {
+	if err := c.ws.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return
+	}
+	// An error means that the connection has ended, or that the time is over.
+	_, _ = io.Copy(io.Discard, c.ws.NetConn())
+}
+
 // Close closes the connection at once.
 func (c *Conn) Close() error { return c.ws.Close() }
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -330,7 +330,7 @@
 	defer func() { _ = c.Close() }()
 	if m.track(c) {
 		defer m.untrack(c)
-		m.cfg.Forward(m.ctx, forward.NewConn(c))
+		m.cfg.Forward(m.ctx, forward.NewConn(c, forward.WithMaxFrame(forward.MaxQuestion)))
 	}
 }
 
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -149,6 +149,20 @@
 	return true
 }
 
+// Announce returns a share for a request of n bytes that another host announces on a connection that isn't counted here, or nil
+// if most of the budget isn't free and it wouldn't be the only large one. It counts as served, and must be closed by Close.
+func (b *Budget) Announce(n int) *Share {
+	s := &Share{state: serving}
+	if b.GrowCalm(s, n) {
+		return s
+	}
+	if n <= smallBytes || b.large > 0 {
+		return nil
+	}
+	b.hold(s, n)
+	return s
+}
+
 // TryGrow is Grow for a share that is served: nobody is turned away for it. It reports false for any other share.
 func (b *Budget) TryGrow(s *Share, n int) bool {
 	if s.state != serving || (b.limits.Bytes > 0 && b.used+n > b.bound(s.held+n)) {
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -199,7 +199,7 @@
 	var refused forward.RefusedError
 	if errors.As(err, &refused) {
 		reason = refused.Reason
-		if reason == refusedBusy {
+		if reason == refusedBusy || reason == refusedTooLarge {
 			pause = forwarding.BusyPause
 		}
 	}
--- a/process/gateway/forward_test.go
+++ b/process/gateway/forward_test.go
@@ -154,7 +154,7 @@
 					time.AfterFunc(tt.wait/2, cancel)
 				}
 				// offerTo has accepted the offer.
-				if err := taker.awaitRequest(ctx, c, wire.ForwardOffer{}, frames); err != nil && !errors.Is(err, errNoRequest) {
+				if err := taker.awaitRequest(ctx, c, wire.ForwardOffer{}, taker.memory.Announce(1), frames); err != nil && !errors.Is(err, errNoRequest) {
 					t.Errorf("awaiting the request: %v", err)
 				}
 			})
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -50,6 +50,7 @@
 	pool         *ants.Pool
 	mesh         *peer.Mesh
 	server       *ingress.Server
+	memory       *ingress.Memory
 	engines      *engine.Client
 	subscription *fleetSubscription
 	catalogue    atomic.Pointer[catalogue.Catalogue]
@@ -135,9 +136,9 @@
 		opt(g)
 	}
 	g.subscription = newFleetSubscription(g)
-	memory := ingress.NewMemory(g.clock, budget.EntryLimits(s.MemoryMB<<20, s.MaxDescriptors))
-	g.telemetry.WatchMemory(memory)
-	g.server = ingress.New(g.clock, g, g.limits, log, ingress.WithMemory(memory))
+	g.memory = ingress.NewMemory(g.clock, budget.EntryLimits(s.MemoryMB<<20, s.MaxDescriptors))
+	g.telemetry.WatchMemory(g.memory)
+	g.server = ingress.New(g.clock, g, g.limits, log, ingress.WithMemory(g.memory))
 	var err error
 	if g.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true), ants.WithDisablePurge(true)); err != nil {
 		return nil, fmt.Errorf("gateway.New: %w", err)
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -15,6 +15,7 @@
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/reach"
 	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/wire/codec"
 )
 
 // Reasons for which a host takes no request of another one.
@@ -24,11 +25,39 @@
 	refusedDocument = "olderDocument"
 	refusedBusy     = "busy"
 	refusedLate     = "late"
+	refusedTooLarge = "tooLarge"
 )
 
 // requestTimeout bounds the time between the acceptance of an offer and the request.
 const requestTimeout = 1 * time.Second
 
+const (
+	// frameOverhead is how many bytes the frame of a request may have beyond its body and its header: its encoding and trailers.
+	frameOverhead = 16 << 10
+	// frameCopies is how often the frame of a request is held while it is decoded, or moved to a larger buffer.
+	frameCopies = 2
+	// frameDiscardTime is how long the rest of a frame is read that is refused.
+	frameDiscardTime = 300 * time.Millisecond
+)
+
+// maxForwardedBytes returns the largest body and header that a caller may send, and what a header has of it.
+func (g *Gateway) maxForwardedBytes() (whole, header int) {
+	l := g.limits()
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = fallbackHeaderBytes
+	}
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = codec.MaxFrame
+	}
+	return min(codec.MaxFrame-frameOverhead, l.MaxBodyBytes+l.MaxHeaderBytes), l.MaxHeaderBytes
+}
+
+// maxFrame returns the largest frame of a request whose offer states some bytes. The request line isn't stated.
+func (g *Gateway) maxFrame(stated int) int {
+	whole, header := g.maxForwardedBytes()
+	return min(whole, stated+header) + frameOverhead
+}
+
 // forwardProtocol returns the version of the protocol by which this host takes requests of others; 0 if it takes none now.
 func (g *Gateway) forwardProtocol() uint64 {
 	if g.stopping.Load() || !g.hasSoundPaths() || g.lacksUpdate() {
@@ -48,6 +77,9 @@
 		defer cancel(ingress.ErrCallerGone)
 		for {
 			f, err := c.Receive(0)
+			if errors.Is(err, forward.ErrTooLarge) {
+				cancel(forward.ErrTooLarge)
+			}
 			if err != nil {
 				return
 			}
@@ -61,6 +93,10 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if errors.Is(context.Cause(ctx), forward.ErrTooLarge) {
+				g.logProblem("forwardBroken").Err(forward.ErrTooLarge).Msg("ended a connection of another entry host")
+				c.Discard(frameDiscardTime)
+			}
 			return
 		case f := <-frames:
 			if err := g.handleForward(ctx, c, f, frames); err != nil {
@@ -85,33 +121,48 @@
 func (g *Gateway) handleOffer(ctx context.Context, c *forward.Conn, offer wire.ForwardOffer, frames <-chan wire.Frame) error {
 	reason := g.admitOffer(offer)
 	if reason != "" {
-		g.telemetry.Count("forward_offers", "result", reason)
-		return c.Send(wire.Frame{ForwardReply: &wire.ForwardReply{Reason: reason}})
+		return g.refuseOffer(c, reason)
 	}
 	defer g.releaseOffer(offer)
+	size := g.maxFrame(offer.Bytes)
+	room := g.memory.Announce(frameCopies * size)
+	if room == nil {
+		return g.refuseOffer(c, refusedBusy)
+	}
+	defer room.End()
 	g.telemetry.Count("forward_offers", "result", "accepted")
+	c.Expect(size)
 	if err := c.Send(wire.Frame{ForwardReply: &wire.ForwardReply{}}); err != nil {
 		return err
 	}
-	return g.awaitRequest(ctx, c, offer, frames)
+	return g.awaitRequest(ctx, c, offer, room, frames)
 }
 
-// awaitRequest waits for the request of an accepted offer, and serves it.
-func (g *Gateway) awaitRequest(ctx context.Context, c *forward.Conn, offer wire.ForwardOffer, frames <-chan wire.Frame) error {
+func (g *Gateway) refuseOffer(c *forward.Conn, reason string) error {
+	g.telemetry.Count("forward_offers", "result", reason)
+	return c.Send(wire.Frame{ForwardReply: &wire.ForwardReply{Reason: reason}})
+}
+
+// awaitRequest waits for the request of an accepted offer, for which there is room, and serves it.
+func (g *Gateway) awaitRequest(ctx context.Context, c *forward.Conn, offer wire.ForwardOffer, room *ingress.Announcement, frames <-chan wire.Frame) error {
 	timer := time.NewTimer(requestTimeout)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		if err := declineLate(c); err != nil && !errors.Is(context.Cause(ctx), ingress.ErrCallerGone) {
+		if errors.Is(context.Cause(ctx), forward.ErrTooLarge) {
+			return decline(c, refusedTooLarge)
+		}
+		if err := decline(c, refusedLate); err != nil && !errors.Is(context.Cause(ctx), ingress.ErrCallerGone) {
 			return err
 		}
 		return nil
 	case <-timer.C:
-		return errors.Join(errNoRequest, declineLate(c))
+		return errors.Join(errNoRequest, decline(c, refusedLate))
 	case f := <-frames:
 		if f.ForwardedRequest == nil {
 			return errors.New("Gateway.awaitRequest: an unexpected frame")
 		}
+		room.Keep(len(f.ForwardedRequest.Body) + len(f.ForwardedRequest.Header))
 		return g.serveRequest(ctx, c, offer.Host, *f.ForwardedRequest)
 	}
 }
@@ -119,9 +170,9 @@
 // errNoRequest means that no request followed an accepted offer in time.
 var errNoRequest = errors.New("no request followed an accepted offer")
 
-// declineLate hands back the request of an accepted offer that may still arrive, since the connection ends before it is read.
-func declineLate(c *forward.Conn) error {
-	return c.Send(wire.Frame{ForwardedPart: &wire.ForwardedPart{Declined: refusedLate, End: true}})
+// decline hands back the request of an accepted offer that may still arrive, since the connection ends before it is read.
+func decline(c *forward.Conn, reason string) error {
+	return c.Send(wire.Frame{ForwardedPart: &wire.ForwardedPart{Declined: reason, End: true}})
 }
 
 // admitOffer returns why this host doesn't take a request, or an empty string. The document must not be older than that of
@@ -135,6 +186,9 @@
 	case g.lacksUpdate() || g.subscription.documentVersion() < offer.Version:
 		return refusedDocument
 	}
+	if whole, _ := g.maxForwardedBytes(); offer.Bytes > whole {
+		return refusedTooLarge
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.intake.Admit(g.clock.Now(), offer.Bytes) {
