gateway: a request of another host waits for the round too, and is handed back if this host is cut off as well

Change: it waits like this host's own. If the paths are lost, it is handed back: as not run if no attempt was made here, else, if it may be repeated, by ending the connection after a single attempt, which the first host counts. A stalled attempt of it ends as one of this host's own, and none is made beside it while the paths are in doubt.

--- a/process/gateway/attempt.go
+++ b/process/gateway/attempt.go
@@ -71,6 +71,10 @@
 	if r.isCutOff() {
 		return r.runForwarded(ctx)
 	}
+	if way := r.handBack(); way != handBackNone {
+		r.endHandedBack(way)
+		return false
+	}
 	now := r.gateway.clock.Now()
 	d, reservation := r.reserve(now)
 	if reservation == nil {
--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -223,6 +223,10 @@
 	alive := stop()
 	g.mu.Lock()
 	g.peers.End(host)
+	if alive && (errors.Is(err, errDeclined) || errors.Is(err, errForwardLost)) {
+		// It may be cut off as well, and know it or not.
+		g.peers.Avoid(g.clock.Now(), host, forwarding.UnreachablePause)
+	}
 	g.mu.Unlock()
 	result := "served"
 	switch {
--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -219,7 +219,7 @@
 	x.request.SetBodyRaw(f.Body)
 	r := g.newRequest(x)
 	r.forwarded, r.receivedBy, r.sends, r.mayHaveRun, r.counted, r.lastEventID = true, from, f.Sends, f.MayHaveRun, f.Counted, f.LastEventID
-	r.retryPaid = f.RetryPaid
+	r.retryPaid, r.sendsBefore = f.RetryPaid, f.Sends
 	stop := x.showWork()
 	g.serve(ctx, r)
 	stop()
--- a/process/gateway/race.go
+++ b/process/gateway/race.go
@@ -113,12 +113,12 @@
 	}
 	g.doubtPaths()
 	switch {
-	case r.isCutOff():
+	case r.isCutOff() || (r.handBack() != handBackNone && r.begun() == r.sendsBefore+1):
 		for _, a := range r.race.open {
 			a.cancel(errStalled)
 		}
 		return
-	case g.isInDoubt() && r.mayAskOthers(), r.begun() >= r.route.MaxAttempts, !g.hasHeard(g.clock.Now(), a.watch.timeout/2):
+	case g.isInDoubt() && (r.forwarded || r.mayAskOthers()), r.begun() >= r.route.MaxAttempts, !g.hasHeard(g.clock.Now(), a.watch.timeout/2):
 		return
 	}
 	if d, reservation := r.reserve(g.clock.Now()); reservation != nil {
--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -118,19 +118,19 @@
 // maxDoubtWait bounds how long a request waits for the end of a round.
 const maxDoubtWait = queryTimeout + reachTimeout
 
-// awaitDoubt waits while it is open whether this host's paths are lost, and reports whether they are. Attempts that are made
-// meanwhile would be lost as well.
+// awaitDoubt waits while it is open whether this host's paths are lost, and reports whether another host must serve the request
+// since they are. Attempts that are made meanwhile would be lost as well.
 func (r *callerRequest) awaitDoubt(ctx context.Context) bool {
 	g := r.gateway
 	g.mu.Lock()
 	doubt := g.doubt
 	g.mu.Unlock()
 	remaining := r.deadline.Sub(g.clock.Now()) - minAttemptTime
-	if doubt == nil || !r.mayAskOthers() || remaining <= 0 {
+	if doubt == nil || remaining <= 0 || !(r.forwarded || r.mayAskOthers()) {
 		return false
 	}
 	awaitUpdate(ctx, doubt, min(remaining, maxDoubtWait))
-	return r.isCutOff()
+	return r.isCutOff() || r.handBack() != handBackNone
 }
 
 // doubtIfSilent starts a round if requests have waited at most servers for silenceTimeout.
--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -53,8 +53,10 @@
 	priorWait time.Duration
 	excluded  []string
 	// forwarded reports whether another entry host has received the request, and receivedBy its peer address.
-	forwarded  bool
-	receivedBy string
+	forwarded bool
+	// sendsBefore is the number of attempts that other hosts had made when this one got the request.
+	sendsBefore int
+	receivedBy  string
 	// unreachable counts the servers to which the request could not be sent.
 	unreachable int
 	sends       int
--- a/process/gateway/watch.go
+++ b/process/gateway/watch.go
@@ -5,6 +5,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"savorywing.example/savorywing/process/reach"
 )
 
 var errStalled = errors.New("the server makes no progress")
@@ -83,10 +85,10 @@
 // isLost reports whether the path to the server is known to be lost. What other hosts see of the server says nothing about the
 // response then.
 func (w *stallWatch) isLost(now time.Time) bool {
-	if !w.attempt.request.isCutOff() {
+	g := w.attempt.request.gateway
+	if g.pathState() == reach.Direct {
 		return false
 	}
-	g := w.attempt.request.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return !g.answers.HasAnswered(now, w.attempt.decision.ID, w.timeout)
