budget: process/descriptors alone decides how many connections a control host takes

Cause: two bounds, 0.75 of the descriptors in process/budget and 0.6 less 250 in process/descriptors, of which the lower held.

Change: ControlLimits takes the number from process/descriptors.

--- a/process/budget/doc.go
+++ b/process/budget/doc.go
@@ -23,10 +23,10 @@
 	youngest = time.Millisecond
 )
 
-// Fractions of memory and descriptors for connections.
+// Fractions of memory and descriptors for connections. process/descriptors divides the descriptors of a control host.
 const (
-	entryDescriptors, controlDescriptors = 0.4, 0.75
-	entryMemory, controlMemory           = 0.125, 0.25
+	entryDescriptors           = 0.4
+	entryMemory, controlMemory = 0.125, 0.25
 	// entryConnBytes and controlConnBytes are what a connection takes that carries no request.
 	entryConnBytes, controlConnBytes = 32 << 10, 16 << 10
 )
@@ -43,12 +43,13 @@
 // EntryLimits returns the limits of a process that serves callers, with a memory in bytes and a number of descriptors; 0 for an
 // unknown one.
 func EntryLimits(memory, descriptors int) Limits {
-	return newLimits(memory, descriptors, entryDescriptors, entryMemory/entryConnBytes)
+	return newLimits(memory, int(entryDescriptors*float64(descriptors)), entryMemory/entryConnBytes)
 }
 
-// ControlLimits is EntryLimits for a control host, whose many callers are idle most of the time.
-func ControlLimits(memory, descriptors int) Limits {
-	return newLimits(memory, descriptors, controlDescriptors, controlMemory/controlConnBytes)
+// ControlLimits returns the limits of a control host with a memory in bytes, whose many callers are idle most of the time, and may
+// have so many connections; 0 for no bound.
+func ControlLimits(memory, maxConns int) Limits {
+	return newLimits(memory, maxConns, controlMemory/controlConnBytes)
 }
 
 // ServeLimits returns the limits of a process of savorywing serve, whose requests are held in several forms.
@@ -56,10 +57,10 @@
 	return Limits{Bytes: int(bodyFraction * float64(memory) / serveCopies), MaxConns: maxConns}
 }
 
-func newLimits(memory, descriptors int, descriptorFraction, connsPerByte float64) Limits {
+func newLimits(memory, maxConns int, connsPerByte float64) Limits {
 	l := Limits{Bytes: int(bodyFraction * float64(memory)), MaxConns: int(connsPerByte * float64(memory))}
-	if n := int(descriptorFraction * float64(descriptors)); n > 0 && (l.MaxConns == 0 || n < l.MaxConns) {
-		l.MaxConns = n
+	if maxConns > 0 && (l.MaxConns == 0 || maxConns < l.MaxConns) {
+		l.MaxConns = maxConns
 	}
 	return l
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -228,15 +228,6 @@
 	return max(minReportTimeout, time.Duration(silentReportIntervals*float64(instance.Milliseconds(c.settings.ReportIntervalMs))))
 }
 
-// callLimits returns what the connections of backend servers and operators may hold.
-func callLimits(s *instance.Settings, d descriptors.Budget) budget.Limits {
-	l := budget.ControlLimits(s.MemoryMB<<20, s.MaxDescriptors)
-	if d.MaxCalls > 0 {
-		l.MaxConns = min(l.MaxConns, d.MaxCalls)
-	}
-	return l
-}
-
 // stallMargin allows for clocks that run at different speeds. StallTimeout counts from the arrival of a report, which is
 // later than the event that it reports.
 const stallMargin = 400 * time.Millisecond
@@ -267,7 +258,7 @@
 	if n := folder.TornBytes(); n > 0 {
 		c.log.Warn().Str("event", "logTorn").Int("bytes", n).Msg("removed an incomplete last record from the log")
 	}
-	memory := ingress.NewMemory(c.clock, callLimits(c.settings, c.budget))
+	memory := ingress.NewMemory(c.clock, budget.ControlLimits(c.settings.MemoryMB<<20, c.budget.MaxCalls))
 	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMemory(memory))
 	c.telemetry = telemetry.New(c.clock, c.log)
 	c.telemetry.WatchMemory(memory)
