placement: what is placed on a group stays below its memory

Cause: one request is limited to a group's whole memory (KVTokens), but nothing limited the sum: two suffice to exceed it.

Change: a request that needs more than a slot's part counts as several, in this host's load and in what it reports, so that the loads as they are carry it to all hosts. A group that would get more than its slots' parts is excluded, and none queues there beside large requests. While no request needs more than a slot's part, and where the memory isn't known, placement is as before.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -362,6 +362,7 @@
 	}
 	if e := r.service.Engine; e != nil {
 		request.Model = r.caller.Model
+		request.MemoryTokens, request.GroupTokens = r.memoryTokens(e), e.KVTokens
 		request.Engine = &placement.EngineProfile{ChunkTokens: e.PrefillChunk, PrefillRate: e.PrefillRate, StepsPerPass: e.StepsPerPass, StepTime: e.StepTime, StepTimePerRequest: e.TimePerRequest, TimeFactor: 1}
 		if m := e.Model(request.Model); m != nil {
 			request.Engine.TimeFactor = m.TimeFactor
@@ -370,6 +371,15 @@
 	return request
 }
 
+// memoryTokens returns the most that the request needs of a group's memory. Without a stated bound on its output, that is the usual one.
+func (r *callerRequest) memoryTokens(e *catalogue.Engine) int {
+	output := r.caller.MaxOutputTokens
+	if output <= 0 {
+		output = int(e.MeanOutputTokens)
+	}
+	return boundTokens(r.caller.PromptTokens+output, e)
+}
+
 // workMs estimates how long the request occupies a slot of a group at time factor 1, in milliseconds. While a
 // prompt is prefilled, the requests in all slots wait.
 func (r *callerRequest) workMs() uint64 {
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -75,6 +75,8 @@
 	// arrived.
 	interval  time.Duration
 	updatedAt time.Time
+	// largeUntil is until when large requests are expected, by key.
+	largeUntil map[endpointKey]time.Time
 	// isLevelled reports whether the other hosts' loads have been levelled since the last update.
 	isLevelled bool
 }
@@ -91,7 +93,7 @@
 	return &Balancer{
 		cfg: cfg, random: rand.New(source), source: source, byID: map[string]*endpoint{}, pools: map[endpointKey][]*endpoint{},
 		overhead: map[endpointKey]time.Duration{}, gaps: map[endpointKey]time.Duration{}, occupancies: map[endpointKey]time.Duration{}, shares: map[shareKey]*poolShare{},
-		notices: map[string]serverNotice{}, permits: quota.NewHolder(cfg.Seed),
+		notices: map[string]serverNotice{}, permits: quota.NewHolder(cfg.Seed), largeUntil: map[endpointKey]time.Time{},
 	}
 }
 
@@ -117,7 +119,7 @@
 		if old == nil || old.Born != e.Born || old.Epoch != e.Epoch {
 			next := &endpoint{Endpoint: e, entryHosts: b.EntryHosts()}
 			if old != nil {
-				next.localInFlight, next.localWaiting, next.started = old.localInFlight, old.localWaiting, old.started
+				next.localInFlight, next.localWaiting, next.localExtra, next.started = old.localInFlight, old.localWaiting, old.localExtra, old.started
 			}
 			b.byID[e.ID] = next
 			continue
@@ -169,9 +171,9 @@
 func (b *Balancer) Usage(now time.Time) []wire.EndpointLoad {
 	var out []wire.EndpointLoad
 	for _, e := range b.byID {
-		e.reported, e.reportedWaiting = e.localInFlight, e.localWaiting
+		e.reported, e.reportedExtra, e.reportedWaiting = e.localInFlight, e.localExtra, e.localWaiting
 		if e.localInFlight > 0 || e.pace != (paceSample{}) {
-			l := wire.EndpointLoad{ID: e.ID, InFlight: e.localInFlight, WaitingTokens: e.localWaiting, Stalled: e.isStalled(now, b.stallTimeout(e)), Moved: e.progressed}
+			l := wire.EndpointLoad{ID: e.ID, InFlight: e.localInFlight + e.localExtra, WaitingTokens: e.localWaiting, Stalled: e.isStalled(now, b.stallTimeout(e)), Moved: e.progressed}
 			e.takePace(&l)
 			out = append(out, l)
 		}
@@ -196,7 +198,7 @@
 	}
 	for _, load := range loads {
 		if e := b.byHandle[load.Handle]; e != nil {
-			e.remoteInFlight = max(0, load.InFlight-e.reported)
+			e.remoteInFlight = max(0, load.InFlight-e.reported-e.reportedExtra)
 			e.remoteWaiting = max(0, load.WaitingTokens-e.reportedWaiting)
 			e.remoteStalled, e.remoteProgressed = load.Stalled, load.Progressed
 		}
@@ -224,7 +226,9 @@
 type Reservation struct {
 	ID     string
 	tokens int
-	sent   time.Time
+	// extra is what the request needs of the endpoint's memory beyond a slot's part, in slots' parts.
+	extra int
+	sent  time.Time
 	// engineTime is the predicted time to the first event without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
 	// predicted is the predicted time to the first event, and passTime the engine's time of a pass at the load when the request was
@@ -257,6 +261,7 @@
 	}
 	e.localInFlight++
 	e.localWaiting += res.tokens
+	res.extra = b.holdMemory(now, e, req)
 	e.longestPredicted = max(e.longestPredicted, d.Predicted)
 	return res
 }
@@ -339,6 +344,7 @@
 		return
 	}
 	e.localInFlight = max(0, e.localInFlight-1)
+	e.localExtra = max(0, e.localExtra-res.extra)
 	if res.started {
 		e.started = max(0, e.started-1)
 	} else {
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -15,6 +15,9 @@
 	remoteInFlight int
 	// localWaiting and remoteWaiting are the prompt tokens of requests that have not received an event yet.
 	localWaiting, remoteWaiting int
+	// localExtra is what this host's requests in flight need of the group's memory beyond a part for each, in slots' parts, and
+	// reportedExtra the value that the leader's total contains; neither is ever negative.
+	localExtra, reportedExtra int
 	// reportedWaiting is the value of localWaiting that the leader's total contains.
 	reportedWaiting int
 	// remoteStalled reports whether, by the leader's latest update, no entry host sees progress there.
@@ -61,7 +64,9 @@
 	maxEjection       = 16 * time.Second
 )
 
-func (e *endpoint) load() int { return e.localInFlight + e.remoteInFlight + e.unreported() }
+func (e *endpoint) load() int {
+	return e.localInFlight + e.localExtra + e.remoteInFlight + e.unreported()
+}
 
 // expectedGrowth is the number of requests beyond the last reported count that is normal at one entry host.
 const expectedGrowth = 1
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -14,6 +14,8 @@
 	Model   string
 	// PromptTokens is the number of tokens to prefill before the first event.
 	PromptTokens int
+	// MemoryTokens is the most that the request needs of a group's memory, and GroupTokens what a group has, in tokens; 0 if it isn't known.
+	MemoryTokens, GroupTokens int
 	// Engine is the performance model of the engines; nil for plain services.
 	Engine *EngineProfile
 	// Objective is the time within which the response or the first event is on time. Elapsed is the time since the
@@ -235,7 +237,7 @@
 			usable = append(usable, e)
 		case ejected, stalled, stalledElsewhere, silent:
 			suspect = append(suspect, e)
-		case triedBefore, outsideArea, closed, lacksPermit:
+		case triedBefore, outsideArea, closed, lacksPermit, lacksMemory:
 		}
 	}
 	// Silent or remotely stalled endpoints are excluded only while at least half of the pool is usable.
@@ -262,6 +264,7 @@
 	outsideArea exclusion = "outside the request's regions"
 	closed      exclusion = "leaving, or closed for a time"
 	lacksPermit exclusion = "no permit: cold, or limited"
+	lacksMemory exclusion = "its memory may be exceeded"
 
 	ejected          exclusion = "ejected after failures"
 	stalled          exclusion = "stalled"
@@ -280,6 +283,8 @@
 		return closed
 	case !b.permits.Allows(now, e.ID, e.Born):
 		return lacksPermit
+	case b.exceedsMemory(now, req, e):
+		return lacksMemory
 	case now.Before(e.ejectedUntil):
 		return ejected
 	case e.isStalled(now, b.stallTimeout(e)):
