--- a/process/gateway/forward.go
+++ b/process/gateway/forward.go
@@ -199,7 +199,7 @@
 	var refused forward.RefusedError
 	if errors.As(err, &refused) {
 		reason = refused.Reason
-		if reason == refusedBusy {
+		if reason == refusedBusy || reason == refusedTooLarge {
 			pause = forwarding.BusyPause
 		}
 	}
@@ -223,6 +223,10 @@
 	alive := stop()
 	g.mu.Lock()
 	g.peers.End(host)
+	if alive && (errors.Is(err, errDeclined) || errors.Is(err, errForwardLost)) {
+		// It may be cut off as well, and know it or not.
+		g.peers.Avoid(g.clock.Now(), host, forwarding.UnreachablePause)
+	}
 	g.mu.Unlock()
 	result := "served"
 	switch {
