pace: plain responses count in judgements

Cause: a judgement waits for three compared times or refused requests, and no times are compared of plain responses. A server of a plain service that had just started kept a quarter of its slots until the pace ended after 30 s, however well it answered. Change: where no times are compared, requests that ended well count.

--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -16,7 +16,8 @@
 	// still to requests of before.
 	judgeInterval = 250 * time.Millisecond
 	settleTime    = 150 * time.Millisecond
-	// minTimes is the number of compared times and refused requests that a judgement needs.
+	// minTimes is the number of compared times and refused requests that a judgement needs. Where no times are compared, as of plain
+	// responses, served requests count instead.
 	minTimes = 3
 	// A cap rises to provenFactor times the number of requests that were in flight at most.
 	provenFactor = 2.0
@@ -215,7 +216,7 @@
 			changes = append(changes, s.set(now, 0))
 			continue
 		}
-		if now.Sub(s.changedAt) < judgeInterval || s.times+s.refused < minTimes {
+		if now.Sub(s.changedAt) < judgeInterval || max(s.times, s.served)+s.refused < minTimes {
 			continue
 		}
 		before := s.cap
--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -16,6 +16,8 @@
 	speed      func(after time.Duration) float64
 	slowAlways bool
 	fails      bool
+	// untimed lets hosts compare no times, as for plain responses.
+	untimed bool
 	// left is the work of each request in flight, in seconds at full speed.
 	left []float64
 	// known is the number in flight that hosts know, which is up to two reports old.
@@ -69,7 +71,7 @@
 	var left []float64
 	for _, w := range s.left {
 		// An event each 50 ms of work.
-		if math.Floor(w/0.05) != math.Floor((w-simTick.Seconds()/slowness)/0.05) {
+		if !s.untimed && math.Floor(w/0.05) != math.Floor((w-simTick.Seconds()/slowness)/0.05) {
 			s.times++
 			s.slowness += slowness
 		}
@@ -145,23 +147,25 @@
 		speed      func(time.Duration) float64
 		slowAlways bool
 		fails      bool
+		untimed    bool
 		wellAt     time.Duration
 		// least and most bound the requests served later, as a fraction of those without a pace.
 		least, most float64
 	}{
-		{"well at once", 1, always(1), false, false, 0, 0.8, 1.2},
-		{"takes a quarter for 3 s after its start", 1, until(3*time.Second, 0.25), false, false, 3 * time.Second, 0.8, 1.2},
-		{"slow for 3 s after its start", 1, until(3*time.Second, 0.25), true, false, 3 * time.Second, 0.8, 1.2},
-		{"recovers in a second", 1, until(time.Second, 0.3), true, false, time.Second, 0.8, 1.2},
-		{"takes a third for good", 1, always(1. / 3), false, false, 0, 0.8, 1.2},
-		{"slow for good", 1, always(1. / 3), true, false, 0, 0.1, 0.6},
-		{"thirty start together, slow for 2 s", 30, until(2*time.Second, 0.3), true, false, 2 * time.Second, 0.8, 1.2},
-		{"thirty start together, take a third for 2 s", 30, until(2*time.Second, 0.3), false, false, 2 * time.Second, 0.8, 1.2},
-		{"answers fast but wrongly", 1, always(1), false, true, 0, 0, 0.7},
+		{"well at once", 1, always(1), false, false, false, 0, 0.8, 1.2},
+		{"well at once, plain responses", 1, always(1), false, false, true, 0, 0.8, 1.2},
+		{"takes a quarter for 3 s after its start", 1, until(3*time.Second, 0.25), false, false, false, 3 * time.Second, 0.8, 1.2},
+		{"slow for 3 s after its start", 1, until(3*time.Second, 0.25), true, false, false, 3 * time.Second, 0.8, 1.2},
+		{"recovers in a second", 1, until(time.Second, 0.3), true, false, false, time.Second, 0.8, 1.2},
+		{"takes a third for good", 1, always(1. / 3), false, false, false, 0, 0.8, 1.2},
+		{"slow for good", 1, always(1. / 3), true, false, false, 0, 0.1, 0.6},
+		{"thirty start together, slow for 2 s", 30, until(2*time.Second, 0.3), true, false, false, 2 * time.Second, 0.8, 1.2},
+		{"thirty start together, take a third for 2 s", 30, until(2*time.Second, 0.3), false, false, false, 2 * time.Second, 0.8, 1.2},
+		{"answers fast but wrongly", 1, always(1), false, true, false, 0, 0, 0.7},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			start := func(id string) *backend {
-				return &backend{id: id, speed: tt.speed, slowAlways: tt.slowAlways, fails: tt.fails, known: make([]int, simKnown), capKnown: make([]int, simKnown/2)}
+				return &backend{id: id, speed: tt.speed, slowAlways: tt.slowAlways, fails: tt.fails, untimed: tt.untimed, known: make([]int, simKnown), capKnown: make([]int, simKnown/2)}
 			}
 			for seed := range uint64(6) {
 				servers, before := play(seed, tt.servers, true, start, tt.wellAt+2*time.Second)
