where: what a host without a confirmed document does; tried on real processes

Cause: tried against processes, and read against Gateway.serve. A request at a host whose document isn't confirmed is offered to other entry hosts, and 'where' said that it is rejected; a host without any path to servers rejects with cutOff, and 'where' said that it forwards. Ages that aren't known were 0 ms or 292 years. The metrics address of a control host gave 'unexpected status 404'. Change: the answer takes the same branches, says 'no document', has -1 for unknown ages, and names an address that isn't an entry host's.

--- a/cmd/savorywing/fleet_evacuation_test.go
+++ b/cmd/savorywing/fleet_evacuation_test.go
@@ -54,13 +54,13 @@
 }
 
 // newEvacuationEnv starts a fleet of processes with backend servers in two data centres.
-func newEvacuationEnv(t *testing.T) *fleetEnv {
+func newEvacuationEnv(t *testing.T, opts ...func(f *fleetEnv)) *fleetEnv {
 	t.Helper()
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := newFleetEnv(t, 3, 2, 10, func(f *fleetEnv) { f.program, f.evacuationMs = program, testEvacuationMs })
+	f := newFleetEnv(t, 3, 2, 10, append(opts, func(f *fleetEnv) { f.program, f.evacuationMs = program, testEvacuationMs })...)
 	for i := range 10 {
 		f.addServer(standin.ServerConfig{ID: fmt.Sprintf("emptied-%d", i), Service: fleetEngineService, Engine: true, Slots: 8,
 			Address: fmt.Sprintf("127.%d.%d.%d:0", processOctet(), (f.port-21000)/10, 170+i), DataCentre: emptied, FabricDomain: "far"})
--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -92,6 +92,8 @@
 	wrapDialer func(path savorywing.Dialer) savorywing.Dialer
 	// evacuationMs is the bound on evacuations; 0 for none.
 	evacuationMs int64
+	// hasMetrics makes all daemons serve metrics at metricsAddress.
+	hasMetrics bool
 	// dataCentre returns the data centre of an entry host; nil for "a".
 	dataCentre func(entry int) string
 }
@@ -178,6 +180,9 @@
 		// The bound of documents must not hide that of evacuations.
 		s.EvacuationMs, s.ConfigPropagationMs = f.evacuationMs, 3*f.evacuationMs
 	}
+	if f.hasMetrics {
+		s.MetricsPort = f.port + 4
+	}
 	if f.retryBurst > 0 {
 		s.RetryBurst = f.retryBurst
 	}
--- a/cmd/savorywing/where.go
+++ b/cmd/savorywing/where.go
@@ -105,7 +105,11 @@
 }
 
 func printWhere(w io.Writer, a operator.WhereAnswer) {
-	fmt.Fprintf(w, "entry host %s, document %d, confirmed %d ms ago\n", a.EntryHost, a.DocumentVersion, a.ConfirmedMsAgo)
+	if a.DocumentVersion == 0 {
+		fmt.Fprintf(w, "entry host %s, no document\n", a.EntryHost)
+	} else {
+		fmt.Fprintf(w, "entry host %s, document %d, confirmed %d ms ago\n", a.EntryHost, a.DocumentVersion, a.ConfirmedMsAgo)
+	}
 	if a.Route != "" {
 		fmt.Fprintf(w, "route %s, service %s, organisation %s, priority %d\n", a.Route, a.Service, orNone(a.Organisation), a.Priority)
 	}
--- a/connection/operator/where.go
+++ b/connection/operator/where.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"github.com/valyala/fasthttp"
 )
 
+// errNotEntryHost means that another program answers, or a daemon of another role.
+var errNotEntryHost = errors.New("this isn't the metrics address of an entry host")
+
 // PathWhere is the path of an entry host's metrics listener at which it explains where a request would go.
 const PathWhere = "/where"
 
@@ -31,7 +35,8 @@
 type WhereAnswer struct {
 	// EntryHost is the host that answers.
 	EntryHost string `json:"entryHost"`
-	// DocumentVersion is the version of the document in force, confirmed as the newest ConfirmedMsAgo milliseconds ago.
+	// DocumentVersion is the version of the document in force, confirmed as the newest ConfirmedMsAgo milliseconds ago; 0 and -1 without a
+	// document.
 	DocumentVersion uint64 `json:"documentVersion"`
 	ConfirmedMsAgo  int64  `json:"confirmedMsAgo"`
 	Route           string `json:"route,omitempty"`
@@ -57,7 +62,8 @@
 	VerdictRejected  = "rejected"
 )
 
-// WhereCandidate is a server as the entry host sees it. Load counts requests of all hosts; those of others are LoadAgeMs old.
+// WhereCandidate is a server as the entry host sees it. Load counts requests of all hosts; those of others are LoadAgeMs old, or unknown if
+// that is -1.
 type WhereCandidate struct {
 	Server        string `json:"server"`
 	Address       string `json:"address"`
@@ -82,11 +88,14 @@
 	if err != nil {
 		return a, fmt.Errorf("Client.Where: no answer of an entry host at %s: %w", c.address, err)
 	}
+	if status == fasthttp.StatusNotFound {
+		return a, fmt.Errorf("Client.Where: %w: %s", errNotEntryHost, c.address)
+	}
 	if status != fasthttp.StatusOK {
 		return a, fmt.Errorf("Client.Where: %w", statusError(status, body))
 	}
 	if err := json.Unmarshal(body, &a); err != nil {
-		return a, fmt.Errorf("Client.Where: %s isn't an entry host's metrics address: %w", c.address, err)
+		return a, fmt.Errorf("Client.Where: %w: %s: %w", errNotEntryHost, c.address, err)
 	}
 	return a, nil
 }
--- a/process/gateway/where.go
+++ b/process/gateway/where.go
@@ -11,6 +11,7 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/operator"
 	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/reach"
 )
 
 // handleWhere answers an operator's question where a request would go.
@@ -37,8 +38,10 @@
 func (g *Gateway) where(q operator.WhereQuery) (operator.WhereAnswer, error) {
 	now := g.clock.Now()
 	a := operator.WhereAnswer{
-		EntryHost: g.settings().Name, DocumentVersion: g.subscription.documentVersion(), ConfirmedMsAgo: g.subscription.confirmationAge().Milliseconds(),
-		Candidates: []operator.WhereCandidate{},
+		EntryHost: g.settings().Name, DocumentVersion: g.subscription.documentVersion(), ConfirmedMsAgo: -1, Candidates: []operator.WhereCandidate{},
+	}
+	if a.DocumentVersion > 0 {
+		a.ConfirmedMsAgo = g.subscription.confirmationAge().Milliseconds()
 	}
 	r, err := g.describe(now, q)
 	if err != nil {
@@ -48,6 +51,10 @@
 		a.Verdict, a.Reason = operator.VerdictWaits, "the host awaits the leader's first update"
 		return a, nil
 	}
+	if g.lacksUpdate() && r.hasForwarders() {
+		a.Verdict, a.Reason = operator.VerdictForwarded, "this host lacks a confirmed document"
+		return a, nil
+	}
 	if rejected := r.resolve(); rejected != nil {
 		a.Verdict, a.Status, a.Reason, a.RetryAfterMs = operator.VerdictRejected, rejected.status, rejected.reason, rejected.retryAfter.Milliseconds()
 		return a, nil
@@ -57,6 +64,11 @@
 		a.Verdict, a.Status, a.Reason = operator.VerdictRejected, fasthttp.StatusServiceUnavailable, "outOfTime"
 		return a, nil
 	}
+	if r.isCutOff() && !r.hasForwarders() {
+		a.Verdict, a.Status, a.Reason = operator.VerdictRejected, fasthttp.StatusServiceUnavailable, string(placement.ReasonCutOff)
+		a.RetryAfterMs = jitteredForwardRetryAfter().Milliseconds()
+		return a, nil
+	}
 	if r.isCutOff() {
 		a.Verdict, a.Reason = operator.VerdictForwarded, "this host reaches no servers"
 		return a, nil
@@ -65,6 +77,11 @@
 	return a, nil
 }
 
+// hasForwarders reports whether the request would be offered to other entry hosts if this one can't handle it.
+func (r *callerRequest) hasForwarders() bool {
+	return r.mayAskOthers() && r.gateway.pathState() != reach.Isolated
+}
+
 // describe returns the request that a question is about.
 func (g *Gateway) describe(now time.Time, q operator.WhereQuery) (*callerRequest, error) {
 	caller := savorywing.CallerMetadata{
@@ -110,7 +127,7 @@
 	for _, c := range candidates {
 		w := operator.WhereCandidate{
 			Server: c.ID, Address: c.Address, DataCentre: c.DataCentre, Load: c.Load, Slots: c.Slots, WaitingTokens: c.WaitingTokens,
-			LoadAgeMs: c.LoadAge.Milliseconds(), PredictedMs: c.Predicted.Milliseconds(),
+			LoadAgeMs: loadAgeMs(c.LoadAge), PredictedMs: c.Predicted.Milliseconds(),
 		}
 		if c.Excluded != "" {
 			w.Excluded = []string{c.Excluded}
@@ -132,6 +149,14 @@
 	}
 }
 
+// loadAgeMs returns an age in milliseconds; -1 if no loads have been received.
+func loadAgeMs(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // describedExchange is the exchange of a request that isn't sent. Nothing is written to it.
 type describedExchange struct {
 	savorywing.Exchange
--- a/process/gateway/where_test.go
+++ b/process/gateway/where_test.go
@@ -11,6 +11,7 @@
 	"savorywing.example/savorywing/connection/operator"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/placement"
+	"savorywing.example/savorywing/process/reach"
 	"savorywing.example/savorywing/version/catalogue"
 	"savorywing.example/savorywing/wire"
 )
@@ -88,6 +89,44 @@
 	}
 }
 
+// TestWhereForwards checks that the answer says when a request would be offered to other entry hosts.
+func TestWhereForwards(t *testing.T) {
+	unconfirmed := func(g *Gateway) { g.subscription.confirmedAt = g.clock.Now().Add(-time.Minute) }
+	settled := func(g *Gateway) { g.subscription.startedAt = g.clock.Now().Add(-time.Minute) }
+	withPeer := func(g *Gateway) { g.peers.Set(g.clock.Now(), []wire.Forwarder{{Address: "127.0.0.1:1"}}) }
+	paths := func(r reach.Round) func(g *Gateway) {
+		return func(g *Gateway) {
+			g.reach.Begin(g.clock.Now())
+			g.reach.Conclude(g.clock.Now(), r)
+		}
+	}
+	lost, isolated := paths(reach.Round{Known: 60, Asked: 5, Elsewhere: 5}), paths(reach.Round{Known: 60, Asked: 60})
+	for _, tt := range []struct {
+		name    string
+		prepare []func(g *Gateway)
+		verdict string
+		reason  string
+	}{
+		{"unconfirmed, with other hosts", []func(g *Gateway){unconfirmed, settled, withPeer}, operator.VerdictForwarded, "this host lacks a confirmed document"},
+		{"unconfirmed, alone", []func(g *Gateway){unconfirmed, settled}, operator.VerdictRejected, "keysUnconfirmed"},
+		{"unconfirmed and isolated", []func(g *Gateway){unconfirmed, settled, withPeer, isolated}, operator.VerdictRejected, "keysUnconfirmed"},
+		{"unconfirmed, just started", []func(g *Gateway){unconfirmed, withPeer}, operator.VerdictWaits, "the host awaits the leader's first update"},
+		{"cut off, with other hosts", []func(g *Gateway){lost, withPeer}, operator.VerdictForwarded, "this host reaches no servers"},
+		{"cut off, alone", []func(g *Gateway){lost}, operator.VerdictRejected, "cutOff"},
+		{"isolated", []func(g *Gateway){isolated, withPeer}, operator.VerdictRejected, "cutOff"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := whereGateway(t)
+			for _, prepare := range tt.prepare {
+				prepare(g)
+			}
+			if a, err := g.where(operator.WhereQuery{Route: "r", Key: "k"}); err != nil || a.Verdict != tt.verdict || a.Reason != tt.reason {
+				t.Errorf("got %+v, error %v", a, err)
+			}
+		})
+	}
+}
+
 // usageText returns what the gateway would report to the leader.
 func usageText(g *Gateway) string {
 	g.mu.Lock()
