Setting pace: which servers get few requests first

Cause: only services whose document states a cold time were paced; a deployment without one had no way to ask for it, and one with it no way to go without. Change: setting pace of the control hosts: cold (default, as before), all, or none. Measured: TestPaces, TestParseRejects.

--- a/process/controller/pace.go
+++ b/process/controller/pace.go
@@ -7,8 +7,8 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// pace sets how many requests servers that have just started or returned may have in flight, where the document states how long
-// their service's servers are cold.
+// pace sets how many requests servers that have just started or returned may have in flight, where the settings and the document
+// ask for it.
 func (c *Controller) pace(now time.Time, list []wire.Endpoint) {
 	d := c.document.Load()
 	if d == nil {
@@ -16,7 +16,7 @@
 	}
 	var servers []pace.Server
 	for _, e := range list {
-		if s := d.catalogue.Service(e.Service); s == nil || s.ColdTime <= 0 {
+		if s := d.catalogue.Service(e.Service); s == nil || !c.settings.Paces(s.ColdTime) {
 			continue
 		}
 		load := c.totals.Load(e.ID)
--- a/version/instance/settings.go
+++ b/version/instance/settings.go
@@ -24,6 +24,7 @@
 	ErrMissing = errors.New("a value is missing")
 	ErrRange   = errors.New("a value is out of range")
 	ErrRole    = errors.New("the role must be entry or control")
+	ErrPace    = errors.New("the pace must be cold, all or none")
 )
 
 // Upper bounds of numbers.
@@ -76,7 +77,22 @@
 	CPUShare       float64 `yaml:"cpuShare"`
 	LinkMbps       float64 `yaml:"linkMbps"`
 	MaxDescriptors int     `yaml:"maxDescriptors"`
-	Limits         `yaml:"limits"`
+	// Pace is PaceCold, PaceAll or PaceNone; PaceCold if it is empty.
+	Pace   string `yaml:"pace,omitempty"`
+	Limits `yaml:"limits"`
+}
+
+// Values of Settings.Pace: which servers get few requests first when they have just started or returned.
+const (
+	// PaceCold stands for those of services whose document states how long a started server is cold.
+	PaceCold = "cold"
+	PaceAll  = "all"
+	PaceNone = "none"
+)
+
+// Paces reports whether the servers of a service are paced whose document states this time for cold servers.
+func (s *Settings) Paces(coldTime time.Duration) bool {
+	return s.Pace == PaceAll || (s.Pace != PaceNone && coldTime > 0)
 }
 
 // Limits are the times and ratios that a deployment sets. The name of a time ends with its unit.
@@ -200,6 +216,11 @@
 	if slices.Contains(s.DataCentres, "") {
 		return fieldError{"dataCentres", ErrMissing}
 	}
+	switch s.Pace {
+	case "", PaceCold, PaceAll, PaceNone:
+	default:
+		return fieldError{"pace", fmt.Errorf("%w: %q", ErrPace, s.Pace)}
+	}
 	if err := s.validateNumbers(); err != nil {
 		return err
 	}
--- a/version/instance/settings_test.go
+++ b/version/instance/settings_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 const example = `role: entry
@@ -46,6 +47,26 @@
 	}
 }
 
+func TestPaces(t *testing.T) {
+	for _, tt := range []struct {
+		line     string
+		coldTime time.Duration
+		want     bool
+	}{
+		{"", 0, false},
+		{"", time.Second, true},
+		{"pace: cold\n", 0, false},
+		{"pace: cold\n", time.Second, true},
+		{"pace: all\n", 0, true},
+		{"pace: none\n", time.Second, false},
+	} {
+		s, err := Parse([]byte(example + tt.line))
+		if err != nil || s.Paces(tt.coldTime) != tt.want {
+			t.Errorf("%q, cold for %v: paced %t, want %t; error %v", tt.line, tt.coldTime, !tt.want, tt.want, err)
+		}
+	}
+}
+
 func TestParseRejects(t *testing.T) {
 	tests := []struct{ name, old, new, want string }{
 		{"unknown field", "token: secret", "tokn: secret", "line 10"},
@@ -65,6 +86,7 @@
 		{"address with a word as its host", "callerAddress: 10.0.0.1:8080", "callerAddress: nowhere:8080", "line 5: callerAddress"},
 		{"overage of cold servers negative", "revokeMs: 4000", "coldOverage: -1", "limits: "},
 		{"slack of cold servers NaN", "revokeMs: 4000", "coldSlack: .nan", "limits: "},
+		{"unknown pace", "lostDisks: 2", "pace: slow", "line 11: pace"},
 		{"peer port 0", "[7340,7355]", "[0]", "line 7: peerPorts"},
 		{"peer port -1", "[7340,7355]", "[7340,-1]", "line 7: peerPorts"},
 		{"peer port 70000", "[7340,7355]", "[70000]", "line 7: peerPorts"},
