formation: weights ready before a loss of fragile groups; swaps judged by the demand that they serve

Cause: after the loss of most groups of 16 servers their model stood at one open group for 16 s and more at a need of 3.5, beside a model of small groups at half its capacity. Where the small groups are used more, the swap wasn't judged worth it: each slot lost was charged as the last one. Change: before the first request, when loads are fast and not counted, 20 hosts in each of two data centres load the weights of models with groups of 16 and more.

--- a/process/controller/entries.go
+++ b/process/controller/entries.go
@@ -41,6 +41,7 @@
 	for _, o := range c.reconciler.Step(now, in) {
 		c.submitOrder(o)
 	}
+	c.logShortages(now)
 	c.pushChanges(now)
 	if !now.Before(c.nextSummary) {
 		c.nextSummary = now.Add(summaryInterval)
@@ -295,6 +296,31 @@
 	return out
 }
 
+// demandAge returns how old the oldest usage report is that the demand counts.
+func (c *Controller) demandAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, e := range c.entryHosts {
+		if age := now.Sub(e.lastReportAt); age <= demandTimeConstant {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
+// logShortages logs each change of the belief that a model is short.
+func (c *Controller) logShortages(now time.Time) {
+	for _, x := range c.reconciler.TakeShortageChanges() {
+		change := "ended"
+		if x.Short {
+			change = "begun"
+		}
+		c.telemetry.Count("shortages", "change", change)
+		c.log.Info().Str("event", "shortage").Str("model", x.Name).Str("change", change).Float64("need", x.Need()).Float64("demand", x.Mean).
+			Float64("planned", x.Planned).Float64("capacity", x.Capacity).Dur("lasted", x.Lasted).Dur("age", c.demandAge(now)).Int("entries", len(c.entryHosts)).
+			Msg("a model's groups have become too few for its demand, or enough again")
+	}
+}
+
 // maxLoadAge is how long the encoded loads are reused. It is well below the interval between two usage reports of one
 // host.
 const maxLoadAge = 20 * time.Millisecond
--- a/process/formation/plan.go
+++ b/process/formation/plan.go
@@ -39,6 +39,7 @@
 	}
 	p.countLoading()
 	p.countReturning()
+	p.observeShortages()
 	p.loadBudget = math.MaxInt
 	if !in.FirstStart {
 		p.loadBudget = rc.loads.remaining(now, rc.cfg.LoadWindow, int(service.Engine.LoadsPerSecond*rc.cfg.LoadWindow.Seconds()))
@@ -194,13 +195,18 @@
 	if !p.in.isDemandKnown() {
 		return max(m.InitialShare, minDemandFraction)
 	}
+	mean := p.meanDemand(m)
+	return mean + demandDeviations*math.Sqrt(mean)
+}
+
+// meanDemand returns callers' recent demand for a model, in slots.
+func (p *planning) meanDemand(m *catalogue.Model) float64 {
 	total := 0.0
 	for _, v := range p.in.Demand {
 		total += v
 	}
 	// A fraction of the total is added so that a model without recent requests keeps a group.
-	mean := p.in.Demand[m.Name] + minDemandFraction*total
-	return mean + demandDeviations*math.Sqrt(mean)
+	return p.in.Demand[m.Name] + minDemandFraction*total
 }
 
 // minDemandFraction is the minimum demand that is planned for each model, as a fraction of the total.
--- a/process/formation/rebalance.go
+++ b/process/formation/rebalance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/demand"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/catalogue"
 )
@@ -28,6 +29,16 @@
 	// prepareDemandRatio is the demand ratio from which one swap is prepared even if it has no gain yet. Loads are
 	// cheap while no host is lost; loads that start during a shortage would finish after its end.
 	prepareDemandRatio = 0.5
+	// minExchangeUse is the fraction of the new groups' slots that a swap in favour of a model that is short must gain, so
+	// that it is worth its loads.
+	minExchangeUse = 0.25
+	// A model's groups are fragile if less than fragileFraction of them remain after the loss of expectedLoss of all servers.
+	expectedLoss    = 0.1
+	fragileFraction = 0.2
+	// preparedAtFirstStart is the number of data centres in which a swap in favour of a model with fragile groups is prepared.
+	preparedAtFirstStart = 2
+	// spareShare is the number of hosts for each of which one more is prepared, since a loss that calls for a swap takes some.
+	spareShare = 4
 	// reservationTime is how long a host stays reserved until the swap's other hosts are free: the longest response of
 	// a closing group, and a join.
 	reservationTime = 12 * time.Second
@@ -47,7 +58,11 @@
 
 // rebalance prepares the swaps that are worth their loads, and executes those that are prepared.
 func (p *planning) rebalance(service string) {
-	if p.in.FirstStart || !p.in.isDemandKnown() {
+	if p.in.FirstStart {
+		p.prepareAtFirstStart(service)
+		return
+	}
+	if !p.in.isDemandKnown() {
 		return
 	}
 	p.loadBudget -= int(math.Ceil(reservedLoadFraction * float64(p.engine.MaxConcurrentLoads)))
@@ -88,6 +103,32 @@
 	}
 }
 
+// prepareAtFirstStart loads the weights of a model with fragile groups onto hosts of other models' groups before the first request, when
+// loads are short: enough for one swap in each of two data centres.
+func (p *planning) prepareAtFirstStart(service string) {
+	if p.stillDiscovering() {
+		return
+	}
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		if math.Pow(1-expectedLoss, float64(m.HostsPerGroup)) >= fragileFraction {
+			continue
+		}
+		list := p.swaps(service, m, nil)
+		sort.SliceStable(list, func(i, j int) bool { return list[i].prepared > list[j].prepared })
+		prepared := map[string]bool{}
+		for _, x := range list {
+			dataCentre := x.hosts[0].Report().DataCentre
+			if len(prepared) == preparedAtFirstStart || prepared[dataCentre] {
+				continue
+			}
+			prepared[dataCentre] = true
+			x.needed += x.needed / spareShare
+			p.startSwapLoads(x)
+		}
+	}
+}
+
 // bestSwap returns the swap in favour of a model that has the most prepared hosts and, among equals, the highest gain;
 // nil if none has a positive gain. used holds the ids of servers that earlier swaps take.
 func (p *planning) bestSwap(service string, m *catalogue.Model, used map[string]bool) *swap {
@@ -159,7 +200,7 @@
 	}
 	sort.SliceStable(groups, func(i, j int) bool { return p.preparedMembers(groups[i], m) > p.preparedMembers(groups[j], m) })
 	for _, g := range groups {
-		if len(x.hosts) >= m.HostsPerGroup {
+		if len(x.hosts) >= m.HostsPerGroup && !p.takesFurther(x, g) {
 			break
 		}
 		x.groups = append(x.groups, g)
@@ -179,6 +220,16 @@
 	return x
 }
 
+// takesFurther reports whether a swap that has enough hosts takes one more group, so that enough of its hosts are prepared. The
+// others form a group of their model again at once.
+func (p *planning) takesFurther(x *swap, g *group) bool {
+	size := x.model.HostsPerGroup
+	if p.in.FirstStart {
+		return len(x.hosts) < size+size/spareShare
+	}
+	return x.prepared < size && len(x.hosts)+len(g.members) < size+size/2+1 && x.prepared+p.preparedMembers(g, x.model) >= size
+}
+
 // swapGain returns what a swap adds to an underprovisioned model, less what it takes from the demand served by the
 // others.
 func (p *planning) swapGain(x *swap, added float64) float64 {
@@ -198,9 +249,41 @@
 		}
 		gain -= replacementHysteresis * shortage(ratioAfter) * slots
 	}
+	if p.reconciler.shortages.IsShort(x.model.Name) {
+		gain = max(gain, p.exchangeGain(x, added, lost))
+	}
+	return gain
+}
+
+// exchangeGain returns what a swap in favour of a model that is short adds to the demand served, less what it takes from the others,
+// where the whole swap is weighed, and not its last slot.
+func (p *planning) exchangeGain(x *swap, added float64, lost map[string]float64) float64 {
+	gain := p.modelDemand(x.model).Gain(added)
+	for name, slots := range lost {
+		gain -= p.modelDemand(findModel(p.in.Catalogue, name)).Loss(slots)
+	}
+	if gain < minExchangeUse*added {
+		return 0
+	}
 	return gain
 }
 
+// modelDemand returns the demand for a model, and its capacity.
+func (p *planning) modelDemand(m *catalogue.Model) demand.Model {
+	return demand.Model{Mean: p.meanDemand(m), Planned: p.demand(m), Capacity: p.capacity[m.Name]}
+}
+
+// observeShortages records the demand for each model of an engine that has several.
+func (p *planning) observeShortages() {
+	if p.in.FirstStart || !p.in.isDemandKnown() || len(p.engine.Models) < 2 {
+		return
+	}
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		p.reconciler.shortages.Observe(p.now, m.Name, p.modelDemand(m))
+	}
+}
+
 // preparedMembers counts the members of a group that have a model's weights or are loading them.
 func (p *planning) preparedMembers(g *group, m *catalogue.Model) int {
 	n := 0
@@ -231,8 +314,10 @@
 	for _, g := range x.groups {
 		if loaded >= x.needed {
 			g.ending = true
-			for _, id := range g.members {
-				p.reconciler.reservations[id] = reservation{model: x.model.Name, until: p.now.Add(reservationTime)}
+			for rank, id := range g.members {
+				if s := p.reconciler.member(g, rank); s != nil && isStaged(s, x.model.Name) {
+					p.reconciler.reservations[id] = reservation{model: x.model.Name, until: p.now.Add(reservationTime)}
+				}
 			}
 		}
 		p.capacity[g.model] -= groupCapacity(p.in, p.engine, findModel(p.in.Catalogue, g.model))
--- a/process/formation/reconciler.go
+++ b/process/formation/reconciler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/demand"
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/version/catalogue"
@@ -107,6 +108,8 @@
 	lastModels map[string]cachedModel
 	// reservations holds the servers of groups that a swap replaces, by id.
 	reservations map[string]reservation
+	// shortages holds which models are short, as this leader has seen it in its term.
+	shortages demand.Shortages
 	// evacuated holds the evacuated data centres as of the last step, and evacuatedSince when each was first seen.
 	evacuated      *evacuation.Set
 	evacuatedSince map[string]time.Time
@@ -292,7 +295,7 @@
 		rc.indexStale = true
 		*g = group{name: g.name, epoch: g.epoch, model: g.model, members: g.members, ready: g.ready, opened: true, knownSince: now}
 	}
-	rc.loads = loadWindow{}
+	rc.loads, rc.shortages = loadWindow{}, demand.Shortages{}
 	if !in.FirstStart {
 		// An earlier leader may have started as many loads as may run concurrently. No more are assumed in the window.
 		for range rc.maxConcurrentLoads(in) {
@@ -301,6 +304,9 @@
 	}
 }
 
+// TakeShortageChanges returns the changes of the belief that models are short since the last call.
+func (rc *Reconciler) TakeShortageChanges() []demand.Change { return rc.shortages.TakeChanges() }
+
 func (rc *Reconciler) recordOrder(now time.Time, o savorywing.FleetOrder) {
 	rc.orders[o.Server] = &pendingOrder{order: o, sentAt: now}
 }
--- a/process/formation/reconciler_test.go
+++ b/process/formation/reconciler_test.go
@@ -93,6 +93,10 @@
 	stepInterval, lastStep time.Duration
 	// onOrders is called for each order, if it is set.
 	onOrders func(text string)
+	// onOrder is called for each order, if it is set.
+	onOrder func(o savorywing.FleetOrder)
+	// lossless is set if every report and order arrives at once.
+	lossless bool
 	// onJoin is called for each join, if it is set.
 	onJoin func(v *simServer, model string)
 }
@@ -175,6 +179,9 @@
 		if s.onOrders != nil {
 			s.onOrders(fmt.Sprintln(s.now.Sub(s.started), o))
 		}
+		if s.onOrder != nil {
+			s.onOrder(o)
+		}
 		s.deliver(o)
 	}
 	s.follower.ObserveAsFollower(s.now, in)
@@ -265,11 +272,11 @@
 	if v.group != "" {
 		r.Group = &wire.GroupPlace{Name: v.group, Epoch: v.epoch, Rank: v.rank, State: v.state}
 	}
-	if v.partitioned || (s.served && s.r.Float64() < 0.02) {
+	if v.partitioned || (s.served && !s.lossless && s.r.Float64() < 0.02) {
 		return
 	}
 	delay := 2 * time.Millisecond
-	if s.served && s.r.Float64() < 0.05 {
+	if s.served && !s.lossless && s.r.Float64() < 0.05 {
 		delay = s.jitter(3 * time.Second)
 	}
 	s.after(delay, func() {
@@ -287,7 +294,7 @@
 	switch x := s.r.Float64(); {
 	case v.dead:
 		s.after(time.Second, func() { s.reconciler.RecordOutcome(s.now, o, savorywing.OutcomeUnknown) })
-	case s.served && x < 0.15:
+	case s.served && !s.lossless && x < 0.15:
 		s.after(2*time.Second+s.jitter(10*time.Second), func() { s.execute(v, o) })
 		s.after(time.Second, func() { s.reconciler.RecordOutcome(s.now, o, savorywing.OutcomeUnknown) })
 	default:
