--- a/process/gateway/reach.go
+++ b/process/gateway/reach.go
@@ -126,7 +126,7 @@
 	doubt := g.doubt
 	g.mu.Unlock()
 	remaining := r.deadline.Sub(g.clock.Now()) - minAttemptTime
-	if doubt == nil || remaining <= 0 || !(r.forwarded || r.mayAskOthers()) {
+	if doubt == nil || remaining <= 0 || (!r.forwarded && !r.mayAskOthers()) {
 		return false
 	}
 	awaitUpdate(ctx, doubt, min(remaining, maxDoubtWait))
