savorywing: test slow readers of savorywing serve with a real process

Cause: what serve holds for callers who don't read had a unit test only.

Change: TestServeResponsesThatNobodyReads, with 100 callers of responses of 1 MiB; the stand-in's plain responses may have a size.

Seen in readHeld: replaced buffers stay counted.

--- a/cmd/savorywing/fleet_bodies_test.go
+++ b/cmd/savorywing/fleet_bodies_test.go
@@ -14,6 +14,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/operator"
+	standinserver "savorywing.example/savorywing/standin"
 	standin "savorywing.example/savorywing/standin/fleet"
 )
 
@@ -350,6 +351,25 @@
 	}
 }
 
+// TestServeResponsesThatNobodyReads is TestFleetResponsesThatNobodyReads for the callers of savorywing serve, which passes on no
+// response of a service before it is complete.
+func TestServeResponsesThatNobodyReads(t *testing.T) {
+	t.Setenv("GOMEMLIMIT", "82MiB")
+	s := newSystem(t, 1)
+	t.Setenv("GOMEMLIMIT", "")
+	s.standin(standinserver.Config{Host: "booking-1", Kind: savorywing.KindService, Service: "booking", BodyBytes: 1 << 20})
+	s.waitReady()
+	head := fmt.Appendf(nil, "GET /booking/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
+	w := startCrowd(t, s.callers[0], crowdCallers, func(c net.Conn) {
+		if tcp, ok := c.(*net.TCPConn); ok && tcp.SetReadBuffer(slowReaderBuffer) == nil {
+			writeAll(c, head)
+		}
+	})
+	s.daemons[0].checkSize(crowdMemoryMB)
+	w.close()
+	s.eventually("an ordinary request", func() bool { return s.send(0, "GET", "/booking/x", "", "").status == fasthttp.StatusOK })
+}
+
 // crowdsOfOthers is the number of endlessBodies that are sent to others than entry hosts of a fleet.
 const crowdsOfOthers = 4
 
--- a/standin/handle.go
+++ b/standin/handle.go
@@ -162,7 +162,7 @@
 	s.acquireSlot()
 	defer s.releaseSlot()
 	time.Sleep(s.cfg.FirstToken)
-	s.writeJSON(ctx, plainResponse{Path: path, Body: string(ctx.PostBody()), Host: s.cfg.Host})
+	s.writeJSON(ctx, plainResponse{Path: path, Body: string(ctx.PostBody()) + strings.Repeat("x", s.cfg.BodyBytes), Host: s.cfg.Host})
 	if f.WrongAttempt {
 		ctx.Response.Header.Set(backend.HeaderAttemptID, "another")
 	}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -32,6 +32,8 @@
 	TokenTime        time.Duration
 	LoadTime         time.Duration
 	AnnounceInterval time.Duration
+	// BodyBytes is the size of what plain responses hold beside the request's body.
+	BodyBytes int
 	// EntryHosts are the addresses of the entry hosts that callers reach through the balancer. Announcements go to
 	// them in rotation.
 	EntryHosts []string
