serve: responses are read as there is room, and count once

Cause: TestServeResponsesThatNobodyReads with responses of 4 MiB failed (peak 140 MB of 136, and a single response was lost for want of room). fasthttp reads a response of a stated length whole, up to 16 MiB, with its header, before any budget counts it; and each buffer that a growing response replaced stayed counted until the request ended. The test had been made smaller (1 MiB) to pass. Change: the body is left to its stream; it is read in pieces that count once; replaced buffers are given back, also where plain responses of entry hosts are read. The test has its 4 MiB again.

--- a/cmd/savorywing/fleet_bodies_test.go
+++ b/cmd/savorywing/fleet_bodies_test.go
@@ -357,7 +357,7 @@
 	t.Setenv("GOMEMLIMIT", "82MiB")
 	s := newSystem(t, 1)
 	t.Setenv("GOMEMLIMIT", "")
-	s.standin(standinserver.Config{Host: "booking-1", Kind: savorywing.KindService, Service: "booking", BodyBytes: 1 << 20})
+	s.standin(standinserver.Config{Host: "booking-1", Kind: savorywing.KindService, Service: "booking", BodyBytes: 4 << 20})
 	s.waitReady()
 	head := fmt.Appendf(nil, "GET /booking/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
 	w := startCrowd(t, s.callers[0], crowdCallers, func(c net.Conn) {
--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -158,7 +158,11 @@
 // maxInformational bounds the informational responses that are skipped before one response.
 const maxInformational = 4
 
-// readResponse reads the header of a response, and the beginning of its body, after those of informational responses.
+// maxReadAhead is the size in bytes from which the body of a response is left to its stream. fasthttp reads smaller ones with the header,
+// before the caller can tell whether there is room for them.
+const maxReadAhead = 1
+
+// readResponse reads the header of a response after those of informational responses.
 func readResponse(l *link, resp *fasthttp.Response) error {
 	for range maxInformational {
 		if err := httpheader.ReadResponse(&resp.Header, l.reader); err != nil {
@@ -170,7 +174,7 @@
 		case hasNoBody(status):
 			return nil
 		case status >= fasthttp.StatusOK:
-			return resp.ReadBody(l.reader, maxResponseBytes)
+			return resp.ReadBody(l.reader, maxReadAhead)
 		}
 	}
 	return errNoResponse
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -61,8 +61,13 @@
 	}
 }
 
-// Hold lets the request hold n bytes more until it ends, such as for a response, and reports whether the host has room.
+// Hold lets the request hold n bytes more until it ends, such as for a response, and reports whether the host has room. It takes back -n
+// bytes if n is negative.
 func (x *Exchange) Hold(n int) bool {
+	if n < 0 {
+		x.conn.shrinkBody(-n)
+		return true
+	}
 	if !x.server.memory.tryGrow(x.conn, n) {
 		return false
 	}
--- a/process/entry/session.go
+++ b/process/entry/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -242,29 +243,49 @@
 // errNoRoom means that this host has no room for a response.
 var errNoRoom = errors.New("no room for the response")
 
-// minResponseBytes is the size of the first buffer of a response.
-const minResponseBytes = 1 << 10
+// minPieceBytes and maxPieceBytes bound the sizes of the buffers that a response is read into.
+const minPieceBytes, maxPieceBytes = 1 << 10, 256 << 10
 
-// readHeld reads a response to its end. hold reports whether there is room for n bytes more; it is nil without a bound.
+// readHeld reads a response to its end. hold reports whether there is room for n bytes more, and takes back -n bytes; it is nil without
+// a bound. The response is read in pieces, so that what is held grows with what has arrived and each byte counts once until the end.
 func readHeld(r io.Reader, hold func(n int) bool) ([]byte, error) {
-	var b []byte
+	if hold == nil {
+		hold = func(int) bool { return true }
+	}
+	var pieces [][]byte
+	var piece []byte
+	total, held := 0, 0
+	defer func() { hold(-held) }()
 	for {
-		if len(b) == cap(b) {
-			size := max(minResponseBytes, 2*cap(b))
-			if hold != nil && !hold(size) {
+		if len(piece) == cap(piece) {
+			size := min(max(minPieceBytes, total), maxPieceBytes)
+			if !hold(size) {
 				return nil, errNoRoom
 			}
-			b = append(make([]byte, 0, size), b...)
+			held += size
+			if len(piece) > 0 {
+				pieces = append(pieces, piece)
+			}
+			piece = make([]byte, 0, size)
 		}
-		n, err := r.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
+		n, err := r.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+n]
+		total += n
 		if errors.Is(err, io.EOF) {
-			return b, nil
+			break
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
+	if len(pieces) == 0 {
+		held = 0
+		return piece, nil
+	}
+	if !hold(total) {
+		return nil, errNoRoom
+	}
+	return slices.Concat(append(pieces, piece)...), nil
 }
 
 // generate opens a model's response and waits for its first token until the caller's deadline.
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -22,7 +22,7 @@
 
 // holder is an exchange that bounds what its request holds.
 type holder interface {
-	// Hold lets the request hold n bytes more until it ends, and reports whether there is room.
+	// Hold lets the request hold n bytes more until it ends, and reports whether there is room. It takes back -n bytes if n is negative.
 	Hold(n int) bool
 }
 
@@ -49,7 +49,11 @@
 			if hasBound && !h.Hold(size) {
 				return body, true, nil
 			}
+			replaced := cap(body)
 			body = append(make([]byte, 0, size), body...)
+			if hasBound {
+				h.Hold(-replaced)
+			}
 		}
 		n, err := response.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
