overload: less urgent requests and organisations beyond their share yield in a full pool

Cause: from 0.8 of a pool's slots on, hosts sent who came first. The order of process/admission is that of another entry host; of the priority only the server's queue knew, after the rejection.

Change: overload.Claim says who asks. A request yields, that is it gets tokens only from the upper half of the host's bucket, if a more urgent one was rejected in the last 4 s, unless its priority is sent less than half as often as all, or if its organisation was sent more than its max-min share while others were rejected. Where all priorities and organisations are equal, nothing changes.

--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -357,6 +357,7 @@
 	request := placement.Request{
 		Service: r.service.Name, PromptTokens: r.caller.PromptTokens, Objective: r.route.Objective, MaxEventGap: r.route.GapObjective,
 		Elapsed: now.Sub(r.exchange.Arrival()) + r.priorWait, Remaining: r.deadline.Sub(now), Area: r.area, Excluded: r.excluded, Retry: r.begun() > 0,
+		Priority: r.priority, Organisation: r.organisation,
 	}
 	if e := r.service.Engine; e != nil {
 		request.Model = r.caller.Model
--- a/process/overload/share.go
+++ b/process/overload/share.go
@@ -33,6 +33,7 @@
 	// overloadedAt is when the overload began in which that was.
 	overloadedAt time.Time
 	returns      returns
+	claims       claims
 }
 
 const (
@@ -57,28 +58,32 @@
 )
 
 // NewShare returns the share of a host; the random numbers spread what many hosts do.
-func NewShare(random *rand.Rand) *Share { return &Share{random: random} }
+func NewShare(random *rand.Rand) *Share { return &Share{random: random, claims: newClaims()} }
 
 // Clone returns a copy that draws from other random numbers.
 func (s *Share) Clone(random *rand.Rand) *Share {
 	c := *s
-	c.random = random
+	c.random, c.claims = random, s.claims.clone()
 	return &c
 }
 
-// Allow reports whether the host may send one more request to the pool. late reports whether the request has missed its objective.
-// A late request gets only what those that can be in time leave free: in an overload, each slot that it took would make another
-// caller late.
-func (s *Share) Allow(now time.Time, c Capacity, late bool) bool {
+// Allow reports whether the host may send one more request to the pool. A late request gets only what those that can be in time leave
+// free: in an overload, each slot that it took would make another caller late. So does one that is less urgent than others that are
+// rejected, or whose organisation has had its share.
+func (s *Share) Allow(now time.Time, c Capacity, claim Claim) bool {
 	if float64(c.Load) < fullFraction*float64(c.Slots) {
 		s.at = time.Time{}
 		return true
 	}
 	s.refill(now, c)
 	switch {
-	case late:
+	case claim.Late:
 		return s.tokens >= lateFraction*s.capacity && now.Sub(s.rejectedAt) > overloadMemory
+	case s.claims.yields(now, claim):
+		// Half of the bucket is kept for the others; if all were, tokens would be lost where these ask seldom.
+		return s.tokens >= (1+s.capacity)/2
 	case s.tokens < 1:
+		s.claims.recordRejected(now, claim)
 		if now.Sub(s.rejectedAt) > overloadMemory {
 			s.overloadedAt = now
 		}
@@ -105,9 +110,10 @@
 }
 
 // RecordSent takes a token for a request that was sent to the pool.
-func (s *Share) RecordSent() {
+func (s *Share) RecordSent(now time.Time, claim Claim) {
 	if !s.at.IsZero() {
 		s.tokens--
+		s.claims.recordSent(now, claim)
 	}
 }
 
--- a/process/overload/share_test.go
+++ b/process/overload/share_test.go
@@ -32,8 +32,8 @@
 				c := Capacity{Load: tt.load, Slots: slots, Released: released, Hosts: tt.hosts, Interval: 100 * time.Millisecond}
 				for range 50 {
 					now = now.Add(20 * time.Millisecond)
-					if s.Allow(now, c, tt.late) {
-						s.RecordSent()
+					if s.Allow(now, c, Claim{Late: tt.late}) {
+						s.RecordSent(now, Claim{})
 						sent++
 					}
 				}
@@ -51,19 +51,19 @@
 	c := Capacity{Load: 456, Slots: 480, Released: 400, Hosts: 24, Interval: 100 * time.Millisecond}
 	for range 200 {
 		now = now.Add(10 * time.Millisecond)
-		if s.Allow(now, c, false) {
-			s.RecordSent()
+		if s.Allow(now, c, Claim{}) {
+			s.RecordSent(now, Claim{})
 		}
-		if s.Allow(now, c, true) {
+		if s.Allow(now, c, Claim{Late: true}) {
 			t.Fatal("a late request was sent while one that could be in time was rejected")
 		}
 	}
 	now = now.Add(overloadMemory / 2)
-	if s.Allow(now, c, true) {
+	if s.Allow(now, c, Claim{Late: true}) {
 		t.Error("a late request was sent in a pause between others")
 	}
 	now = now.Add(overloadMemory/2 + time.Millisecond)
-	if !s.Allow(now, c, true) {
+	if !s.Allow(now, c, Claim{Late: true}) {
 		t.Error("a late request was rejected after the overload")
 	}
 }
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -247,7 +247,7 @@
 	if e == nil {
 		return res
 	}
-	b.recordSent(e)
+	b.recordSent(now, e, req)
 	if req.Engine != nil {
 		res.passTime = req.Engine.PassTime(0, min(e.load()+1, e.slots()))
 	}
--- a/process/placement/draw.go
+++ b/process/placement/draw.go
@@ -100,7 +100,7 @@
 		c.Slots += e.slots()
 		c.Released += float64(min(e.load(), e.slots())) / occupancy.Seconds()
 	}
-	return b.share(req).Allow(now, c, b.missesObjective(req))
+	return b.share(req).Allow(now, c, b.claim(req))
 }
 
 // shareKey identifies a pool's servers in an area. These can be full while others of the pool aren't.
@@ -127,14 +127,18 @@
 }
 
 // recordSent counts a request to a server in all shares of its pool that the server is part of.
-func (b *Balancer) recordSent(e *endpoint) {
+func (b *Balancer) recordSent(now time.Time, e *endpoint, req Request) {
 	for k, s := range b.shares {
 		if k.service == e.Service && k.model == e.Model && s.area.Contains(e.DataCentre) {
-			s.RecordSent()
+			s.RecordSent(now, overload.Claim{Priority: req.Priority, Organisation: req.Organisation})
 		}
 	}
 }
 
+func (b *Balancer) claim(req Request) overload.Claim {
+	return overload.Claim{Late: b.missesObjective(req), Priority: req.Priority, Organisation: req.Organisation}
+}
+
 // waitedFraction is the fraction of the objective from which a caller counts as one that has waited. Below it, a request that
 // misses its objective is just a large one.
 const waitedFraction = 0.25
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -23,6 +23,9 @@
 	MaxEventGap time.Duration
 	// Remaining is the time after which no response is of use to the caller.
 	Remaining time.Duration
+	// Priority ranks the request among others of a full pool; 0 is the most urgent. Organisation is whose it is, empty if unknown.
+	Priority     int
+	Organisation string
 	// Area is where the request may be handled.
 	Area residency.Area
 	// Excluded lists the IDs of endpoints that must not be chosen again.
