--- a/process/overload/claims_test.go
+++ b/process/overload/claims_test.go
@@ -47,10 +47,7 @@
 			if inBurst {
 				rate = k.burst
 			}
-			for mean := rate * slots / occupancy.Seconds() * step.Seconds(); mean > 0; mean-- {
-				if random.Float64() >= mean {
-					continue
-				}
+			for range arrivals(random, rate*slots/occupancy.Seconds()*step.Seconds()) {
 				s, claim := shares[random.IntN(hosts)], k.Claim
 				if !ordered {
 					claim = Claim{}
@@ -76,6 +73,17 @@
 	return sent, sum / all
 }
 
+// arrivals returns a random number of requests with the given mean.
+func arrivals(random *rand.Rand, mean float64) int {
+	n := 0
+	for ; mean > 0; mean-- {
+		if random.Float64() < mean {
+			n++
+		}
+	}
+	return n
+}
+
 // TestOrder replays bursts of 1.6 times the capacity. Who comes first is sent clearly more often than without an order, nobody is
 // starved, equal ones are sent as before, and about as many in all.
 func TestOrder(t *testing.T) {
