--- a/process/gateway/serve.go
+++ b/process/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -227,12 +228,15 @@
 	}})
 }
 
-// recordOverload counts the requests of callers that have returned, and logs the beginning of an overload.
+// recordOverload counts the requests of callers that have returned and those that others come before, and logs the beginning of an overload.
 func (r *callerRequest) recordOverload(d placement.Decision) {
 	g := r.gateway
 	if r.priorWait > 0 && r.begun() == 0 {
 		g.telemetry.Count("returned", "result", map[bool]string{true: "placed", false: "notPlaced"}[d.Reason == placement.ReasonNone])
 	}
+	if d.Yielded {
+		g.telemetry.Count("yielded", "priority", strconv.Itoa(r.priority))
+	}
 	if d.OverloadBegan {
 		g.log.Info().Str("event", "poolOverloaded").Str("service", r.service.Name).Str("model", r.caller.Model).Int("load", d.Load).Int("slots", d.Slots).
 			Int("hosts", g.balancer.EntryHosts()).Dur("viewAge", g.subscription.confirmationAge()).Msg("requests that could be in time are rejected for want of free slots")
--- a/process/overload/share.go
+++ b/process/overload/share.go
@@ -32,8 +32,10 @@
 	rejectedAt time.Time
 	// overloadedAt is when the overload began in which that was.
 	overloadedAt time.Time
-	returns      returns
-	claims       claims
+	// yieldedAt is when a request was last rejected since others come first.
+	yieldedAt time.Time
+	returns   returns
+	claims    claims
 }
 
 const (
@@ -81,7 +83,11 @@
 		return s.tokens >= lateFraction*s.capacity && now.Sub(s.rejectedAt) > overloadMemory
 	case s.claims.yields(now, claim):
 		// Half of the bucket is kept for the others; if all were, tokens would be lost where these ask seldom.
-		return s.tokens >= (1+s.capacity)/2
+		if s.tokens >= (1+s.capacity)/2 {
+			return true
+		}
+		s.yieldedAt = now
+		return false
 	case s.tokens < 1:
 		s.claims.recordRejected(now, claim)
 		if now.Sub(s.rejectedAt) > overloadMemory {
@@ -96,6 +102,9 @@
 // OverloadedAt returns when the pool's current overload, or its last one, began; zero if there was none.
 func (s *Share) OverloadedAt() time.Time { return s.overloadedAt }
 
+// YieldedAt returns when a request was last rejected since more urgent ones, or other organisations, come first; zero if none was.
+func (s *Share) YieldedAt() time.Time { return s.yieldedAt }
+
 func (s *Share) refill(now time.Time, c Capacity) {
 	free := targetFraction*float64(c.Slots) - float64(c.Load)
 	perSecond := max(0, c.Released+free/(freeSlotIntervals*c.Interval.Seconds())) / float64(c.Hosts)
--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -135,6 +135,8 @@
 	AwaitPermit bool
 	// OverloadBegan reports, for a rejection, that it is the first in an overload of the pool.
 	OverloadBegan bool
+	// Yielded reports, for a rejection, that more urgent requests, or those of other organisations, come first.
+	Yielded bool
 	// engineTime is Predicted without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
 }
@@ -456,6 +458,7 @@
 	if req.Engine != nil {
 		share := b.share(req)
 		d.RetryAfter, d.OverloadBegan = share.RetryAfter(now, req.Remaining), share.OverloadedAt().Equal(now)
+		d.Yielded = share.YieldedAt().Equal(now)
 	}
 	for _, e := range list {
 		d.Load += e.load()
