overload: a test of claims that fade

Cause: nothing checked that an order ends after an overload, or that Explain's copy of a share has counts of its own.

--- a/process/overload/claims_test.go
+++ b/process/overload/claims_test.go
@@ -124,3 +124,37 @@
 		})
 	}
 }
+
+// TestClaimsFade checks that an order ends after an overload, also when the clock was set back, and that a copy has counts of its own.
+func TestClaimsFade(t *testing.T) {
+	now := time.Unix(1000, 0)
+	urgent, other := Claim{Priority: 0}, Claim{Priority: 1}
+	for _, tt := range []struct {
+		name  string
+		later time.Duration
+		want  bool
+	}{
+		{"at once", 0, true}, {"in a pause", claimMemory / 2, true}, {"after the overload", claimMemory + time.Second, false}, {"an hour later", time.Hour, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newClaims()
+			for range 20 {
+				for _, claim := range []Claim{urgent, other} {
+					c.yields(now, claim)
+					c.recordSent(now, claim)
+				}
+			}
+			copied := c.clone()
+			c.recordRejected(now, urgent)
+			if got := c.yields(now.Add(tt.later), other); got != tt.want {
+				t.Errorf("yields is %v, want %v", got, tt.want)
+			}
+			if copied.yields(now, other) {
+				t.Error("the copy has the rejection of the original")
+			}
+			if c.yields(now.Add(-time.Minute), urgent) {
+				t.Error("the most urgent one yields after the clock was set back")
+			}
+		})
+	}
+}
