--- a/process/placement/pick.go
+++ b/process/placement/pick.go
@@ -25,6 +25,9 @@
 	MaxEventGap time.Duration
 	// Remaining is the time after which no response is of use to the caller.
 	Remaining time.Duration
+	// Priority ranks the request among others of a full pool; 0 is the most urgent. Organisation is whose it is, empty if unknown.
+	Priority     int
+	Organisation string
 	// Area is where the request may be handled.
 	Area residency.Area
 	// Excluded lists the IDs of endpoints that must not be chosen again.
@@ -134,6 +137,8 @@
 	AwaitPermit bool
 	// OverloadBegan reports, for a rejection, that it is the first in an overload of the pool.
 	OverloadBegan bool
+	// Yielded reports, for a rejection, that more urgent requests, or those of other organisations, come first.
+	Yielded bool
 	// engineTime is Predicted without the wait for a slot and the pool's fixed overhead.
 	engineTime time.Duration
 }
@@ -458,6 +463,7 @@
 	if req.Engine != nil {
 		share := b.share(req)
 		d.RetryAfter, d.OverloadBegan = share.RetryAfter(now, req.Remaining), share.OverloadedAt().Equal(now)
+		d.Yielded = share.YieldedAt().Equal(now)
 	}
 	for _, e := range list {
 		d.Load += e.load()
