pace: a few late events beside a long prompt aren't a slow server

Cause: a fall needed three compared times, each weighing up to tenfold. Change: a fall by slowness needs twelve times, and waits for them; one time weighs threefold at most. The first line of a pace no longer says that 292 years were observed.

--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -19,6 +19,9 @@
 	// minTimes is the number of compared times and refused requests that a judgement needs. Where no times are compared, as of plain
 	// responses, served requests count instead.
 	minTimes = 3
+	// minLateTimes is the number of compared times that a fall needs: of two or three requests in flight, a long prompt beside them holds up an
+	// event each, which of a few times is a large part.
+	minLateTimes = 12
 	// A cap rises to provenFactor times the number of requests that were in flight at most.
 	provenFactor = 2.0
 	// Answers count as in time up to inTime times the expected time, and as late from tooLate times.
@@ -182,6 +185,9 @@
 
 // set sets the cap and begins a new time of observation; 0 ends the pace.
 func (s *state) set(now time.Time, n int) Change {
+	if s.changedAt.IsZero() {
+		s.changedAt = now
+	}
 	c := Change{
 		ID: s.server.ID, Born: s.server.Born, Slots: s.slots(), Times: s.times, Served: s.served, Refused: s.refused, Slowness: s.meanSlowness(), Peak: s.peak,
 		SinceLast: now.Sub(s.changedAt), SinceStart: now.Sub(s.startedAt),
@@ -216,7 +222,7 @@
 			changes = append(changes, s.set(now, 0))
 			continue
 		}
-		if now.Sub(s.changedAt) < judgeInterval || max(s.times, s.served)+s.refused < minTimes {
+		if now.Sub(s.changedAt) < judgeInterval || !s.isJudged() {
 			continue
 		}
 		before := s.cap
@@ -227,12 +233,24 @@
 	return changes
 }
 
+// isJudged reports whether enough was observed for a judgement.
+func (s *state) isJudged() bool {
+	if s.meanSlowness() > tooLate && !s.isRefusing() {
+		return s.times >= minLateTimes
+	}
+	return max(s.times, s.served)+s.refused >= minTimes
+}
+
+// isRefusing reports whether too many requests were rejected or failed.
+func (s *state) isRefusing() bool {
+	return float64(s.refused) > maxRefused*float64(s.refused+s.served)
+}
+
 // next returns the cap that follows from what was observed; 0 if the pace ends.
 func (s *state) next(now time.Time) int {
 	slowness := s.meanSlowness()
-	refused := float64(s.refused) > maxRefused*float64(s.refused+s.served)
 	switch {
-	case refused:
+	case s.isRefusing():
 		s.hasFallen, s.hasRefused, s.good = true, true, 0
 		return max(s.start(), int(minFall*float64(s.cap)))
 	case slowness > tooLate && s.server.InFlight > s.cap:
--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -18,6 +18,10 @@
 	fails      bool
 	// untimed lets hosts compare no times, as for plain responses.
 	untimed bool
+	// prompts is the mean time between two long prompts, which hold up the next event of all requests to sixfold; 0 for none.
+	prompts time.Duration
+	// demand is the number of requests per second while it is known to be empty; simDemand if it is 0.
+	demand float64
 	// left is the work of each request in flight, in seconds at full speed.
 	left []float64
 	// known is the number in flight that hosts know, which is up to two reports old.
@@ -37,6 +41,8 @@
 	simSlots  = 30
 	simTime   = 15 * time.Second
 	simReport = 160 * time.Millisecond
+	// simMaxSlowness is the bound of each time that hosts report.
+	simMaxSlowness = 3.0
 	// simKnown is the age, in ticks, of what hosts know of the load: two reports.
 	simKnown = 32
 	// maxFlooded is the longest time for which a server may have twice what it can take: a judgement, two reports, and until it has
@@ -53,7 +59,11 @@
 // step lets a tick pass: hosts send by what they know, and the server works.
 func (s *backend) step(r *rand.Rand, after time.Duration) {
 	free := float64(s.capKnown[0]-s.known[0]) / simSlots
-	for n := simDemand * max(0, free) * simTick.Seconds(); n > 0; n-- {
+	demand := s.demand
+	if demand == 0 {
+		demand = simDemand
+	}
+	for n := demand * max(0, free) * simTick.Seconds(); n > 0; n-- {
 		if r.Float64() < n {
 			s.left = append(s.left, 0.5+r.Float64())
 		}
@@ -68,12 +78,17 @@
 	} else {
 		s.flooding = 0
 	}
+	if s.prompts > 0 && r.Float64() < simTick.Seconds()/s.prompts.Seconds() {
+		// Each request has one event that comes late.
+		s.times += len(s.left)
+		s.slowness += min(simMaxSlowness, 6) * float64(len(s.left))
+	}
 	var left []float64
 	for _, w := range s.left {
 		// An event each 50 ms of work.
 		if !s.untimed && math.Floor(w/0.05) != math.Floor((w-simTick.Seconds()/slowness)/0.05) {
 			s.times++
-			s.slowness += slowness
+			s.slowness += min(simMaxSlowness, slowness)
 		}
 		if w -= simTick.Seconds() / slowness; w > 0 {
 			left = append(left, w)
@@ -192,6 +207,19 @@
 	}
 }
 
+// TestPaceBesideLongPrompts checks that a server that is well isn't taken for slow by few times: with two or three requests in flight, a long
+// prompt holds up an event of each now and then.
+func TestPaceBesideLongPrompts(t *testing.T) {
+	for seed := range uint64(20) {
+		servers, _ := play(seed, 1, true, func(id string) *backend {
+			return &backend{id: id, speed: func(time.Duration) float64 { return 1 }, prompts: 700 * time.Millisecond, demand: 3, known: make([]int, simKnown), capKnown: make([]int, simKnown/2)}
+		}, 0)
+		if s := servers[0]; s.falls > 0 {
+			t.Errorf("seed %d: the cap fell %d times", seed, s.falls)
+		}
+	}
+}
+
 // TestPaceBegins checks which servers begin on pace.
 func TestPaceBegins(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/process/placement/pace.go
+++ b/process/placement/pace.go
@@ -19,8 +19,8 @@
 // that is slow together must not be its own measure.
 const maxGapRatio = 1.5
 
-// maxSlowness bounds the weight of one time.
-const maxSlowness = 10.0
+// maxSlowness bounds the weight of one time, so that an event that a long prompt beside it holds up isn't most of a mean.
+const maxSlowness = 3.0
 
 // observe records a time and the expected one.
 func (e *endpoint) observe(elapsed, expected time.Duration) {
