placement: a pool that is short of room counts paced servers with all their slots

Cause: a host takes a pool for full by the slots of its servers, and those on pace counted with their caps. In a burst in which groups return, each took 22 of its 30 slots from the pool for a second or two, and hosts rejected and put off callers for a want of room that wasn't there. Change: the share of a pool counts each server with its own slots; the cap still steers the draw and the predicted wait at the server. Measured: TestShortPoolBesidePace rejects before and not now.

--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -43,6 +43,8 @@
 	simReport = 160 * time.Millisecond
 	// simMaxSlowness is the bound of each time that hosts report.
 	simMaxSlowness = 3.0
+	// simLeast is the fraction of its slots that a server may have in flight, twice, however few it can take.
+	simLeast = 0.25
 	// simKnown is the age, in ticks, of what hosts know of the load: two reports.
 	simKnown = 32
 	// maxFlooded is the longest time for which a server may have twice what it can take: a judgement, two reports, and until it has
@@ -72,7 +74,7 @@
 	if s.slowAlways {
 		slowness = 1 / s.speed(after)
 	}
-	if float64(len(s.left)) > 2*max(s.take(after), simSlots*startFraction) {
+	if float64(len(s.left)) > 2*max(s.take(after), simSlots*simLeast) {
 		s.flooding += simTick
 		s.flooded = max(s.flooded, s.flooding)
 	} else {
--- a/process/placement/draw.go
+++ b/process/placement/draw.go
@@ -91,14 +91,15 @@
 	return list[len(list)-1]
 }
 
-// mayLoad reports whether this host may send one more request to a pool.
+// mayLoad reports whether this host may send one more request to a pool. Servers on pace count with all of their slots: most of them are
+// well, and a pool that is short of room mustn't reject for the second in which they show it.
 func (b *Balancer) mayLoad(now time.Time, list []*endpoint, req Request) bool {
 	occupancy := b.occupancyOf(req)
 	c := overload.Capacity{Hosts: b.EntryHosts(), Interval: b.updateInterval()}
 	for _, e := range list {
 		c.Load += e.load()
-		c.Slots += e.slots()
-		c.Released += float64(min(e.load(), e.slots())) / occupancy.Seconds()
+		c.Slots += max(1, e.Slots)
+		c.Released += float64(min(e.load(), max(1, e.Slots))) / occupancy.Seconds()
 	}
 	return b.share(req).Allow(now, c, b.missesObjective(req))
 }
--- a/process/placement/pace_test.go
+++ b/process/placement/pace_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -42,3 +43,31 @@
 		}
 	}
 }
+
+// TestShortPoolBesidePace replays the return of ten of 27 groups in a burst, which has three quarters of the slots of all in use: the slots that
+// they lack while they are on pace are no reason for this host to reject requests.
+func TestShortPoolBesidePace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := groups(27)
+	for i := range 10 {
+		list[i].PaceSlots = max(1, list[i].Slots/4)
+	}
+	b := New(Config{Seed: 1})
+	b.UpdateEndpoints(true, list, nil)
+	var loads []fleet.Load
+	for i, e := range list {
+		load := fleet.Load{Handle: e.Handle, InFlight: e.Slots * 9 / 10}
+		if i < 10 {
+			load.InFlight = e.PaceSlots - 1
+		}
+		loads = append(loads, load)
+	}
+	req := chatRequest()
+	for range 40 {
+		b.SetLoads(now, loads, 126)
+		if d := b.Pick(now, req); d.Reason != ReasonNone {
+			t.Fatalf("rejected: %+v", d)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+}
