formation: more spare hosts for fragile groups

Change: a domain keeps as many spares for each group of 16 and more as it is expected to lose with a tenth of all servers (two), not one. Tests of process/formation, controller and demand pass, make lint reports nothing.

--- a/process/formation/rebalance.go
+++ b/process/formation/rebalance.go
@@ -111,7 +111,7 @@
 	}
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
-		if math.Pow(1-expectedLoss, float64(m.HostsPerGroup)) >= fragileFraction {
+		if !isFragile(m) {
 			continue
 		}
 		list := p.swaps(service, m, nil)
@@ -129,6 +129,11 @@
 	}
 }
 
+// isFragile reports whether a model's groups are so large that most of them break when servers are lost.
+func isFragile(m *catalogue.Model) bool {
+	return math.Pow(1-expectedLoss, float64(m.HostsPerGroup)) < fragileFraction
+}
+
 // bestSwap returns the swap in favour of a model that has the most prepared hosts and, among equals, the highest gain;
 // nil if none has a positive gain. used holds the ids of servers that earlier swaps take.
 func (p *planning) bestSwap(service string, m *catalogue.Model, used map[string]bool) *swap {
--- a/process/formation/stage.go
+++ b/process/formation/stage.go
@@ -155,7 +155,8 @@
 // is present.
 const absentHostWeight = 0.6
 
-// wantedSpares returns how many hosts of a domain should be on standby for a model.
+// wantedSpares returns how many hosts of a domain should be on standby for a model: one for each group, or as many as
+// a fragile one is expected to lose.
 func (p *planning) wantedSpares(d *domain, m *catalogue.Model) int {
 	groups := 0
 	for _, g := range p.groupsIn(d) {
@@ -166,6 +167,9 @@
 	if m.HostsPerGroup <= pairSize {
 		return min(1, groups)
 	}
+	if isFragile(m) {
+		return groups * int(math.Ceil(expectedLoss*float64(m.HostsPerGroup)))
+	}
 	return groups
 }
 
