placement: a new leader's sums count the hosts that they lack

Cause: a new leader hears of the entry hosts one after another. Its first sums lacked the requests of the others, so a full pool looked free to the hosts that were answered first.

Change: each reply has stated how many hosts its sums cover. While these are fewer than the host knows, the missing ones count with their part of the last whole sums, for at most 1 s, as with the number of hosts. The pools of connections and the interval between reports go by the known number of hosts as well.

--- a/bench/policy/burst.go
+++ b/bench/policy/burst.go
@@ -14,7 +14,7 @@
 	overloadFleet
 	// peak is the offered load in the burst, in capacities.
 	peak float64
-	// silentFrom and silentTo bound the time in which no host receives reports.
+	// silentFrom and silentTo bound the time in which no host receives reports, since there is no leader.
 	silentFrom, silentTo time.Duration
 }
 
@@ -32,6 +32,7 @@
 	{overloadFleet: overloadFleet{"24 hosts", 24, 16, 34, 64 * time.Millisecond}, peak: 1.6},
 	{overloadFleet: overloadFleet{"126 hosts", 126, 27, 30, 166 * time.Millisecond}, peak: 1.6},
 	{overloadFleet: overloadFleet{"126 hosts, no leader for 3 s", 126, 27, 30, 166 * time.Millisecond}, peak: 1.6, silentFrom: 8 * time.Second, silentTo: 11 * time.Second},
+	{overloadFleet: overloadFleet{"126 hosts, new leader", 126, 27, 30, 166 * time.Millisecond}, peak: 1.6, silentFrom: 10 * time.Second, silentTo: 10500 * time.Millisecond},
 }
 
 var burstEngine = &placement.EngineProfile{ChunkTokens: 2048, PrefillRate: 46000, StepsPerPass: 5, StepTime: 6070 * time.Microsecond, StepTimePerRequest: 241 * time.Microsecond, TimeFactor: 0.6}
--- a/bench/policy/overload.go
+++ b/bench/policy/overload.go
@@ -68,8 +68,9 @@
 	balancers  []*placement.Balancer
 	policies   []placementPolicy
 	nextReport []time.Time
-	// lastReported holds each host's last report of its own requests.
+	// lastReported holds each host's last report of its own requests, and unheard the hosts without one to the current leader.
 	lastReported       [][]wire.EndpointLoad
+	unheard            map[int]bool
 	endpoints          []wire.Endpoint
 	handles            map[string]uint64
 	inFlight, retrying []*overloadCall
@@ -82,7 +83,8 @@
 	rate func(elapsed time.Duration) float64
 	// returnsOnce makes each rejected caller return once, after a third of the time that it has left at most.
 	returnsOnce bool
-	// silentFrom and silentTo bound the time since the start in which no reports are exchanged.
+	// silentFrom and silentTo bound the time since the start in which no reports are exchanged. The leader after that knows
+	// no host's requests.
 	silentFrom, silentTo time.Duration
 	start                time.Time
 	score                overloadScore
@@ -266,12 +268,14 @@
 // exchangeReports renews the report of each host whose interval has passed, and gives it the last reports of all hosts.
 func (r *overloadRun) exchangeReports() {
 	if elapsed := r.now.Sub(r.start); elapsed >= r.silentFrom && elapsed < r.silentTo {
+		r.loseLeader()
 		return
 	}
 	var due []int
 	for i := range r.balancers {
 		if !r.now.Before(r.nextReport[i]) {
 			due = append(due, i)
+			delete(r.unheard, i)
 			r.lastReported[i] = r.balancers[i].Usage(r.now)
 			r.nextReport[i] = r.now.Add(r.reportInterval)
 		}
@@ -292,11 +296,23 @@
 	}
 	sort.Slice(sums, func(i, j int) bool { return sums[i].Handle < sums[j].Handle })
 	for _, i := range due {
-		r.balancers[i].SetLoads(r.now, sums, r.hosts)
+		r.balancers[i].SetLoads(r.now, sums, r.hosts-len(r.unheard))
 		r.policies[i].receive(totals)
 	}
 }
 
+// loseLeader makes the hosts report to a leader that has heard of none of them, one after another from silentTo on.
+func (r *overloadRun) loseLeader() {
+	if r.unheard != nil {
+		return
+	}
+	r.unheard = map[int]bool{}
+	for i := range r.balancers {
+		r.unheard[i], r.lastReported[i] = true, nil
+		r.nextReport[i] = r.start.Add(r.silentTo + time.Duration(r.random.Int64N(int64(r.reportInterval))))
+	}
+}
+
 // byCapacity is the policy in production: placement.Balancer.
 type byCapacity struct{ balancer *placement.Balancer }
 
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -36,7 +36,7 @@
 type fleetSubscription struct {
 	gateway *Gateway
 	wake    chan struct{}
-	// entryHosts is the number of entry hosts that report to the leader.
+	// entryHosts is the number of entry hosts. A new leader's first answers, which count those it has heard of, don't lower it.
 	entryHosts atomic.Int64
 
 	mu     sync.Mutex
@@ -328,7 +328,7 @@
 		return
 	}
 	g.balancer.SetLoads(g.clock.Now(), loads, u.Entries)
-	s.entryHosts.Store(int64(u.Entries))
+	s.entryHosts.Store(int64(g.balancer.EntryHosts()))
 }
 
 func (s *fleetSubscription) applyDocument(u wire.FleetUpdate) {
--- a/process/placement/balancer.go
+++ b/process/placement/balancer.go
@@ -77,6 +77,8 @@
 	updatedAt time.Time
 	// isLevelled reports whether the other hosts' loads have been levelled since the last update.
 	isLevelled bool
+	// isPartial reports whether the last sums lacked hosts.
+	isPartial bool
 }
 
 // endpointKey identifies a pool: the endpoints that serve a model of a service.
@@ -182,7 +184,7 @@
 }
 
 // SetLoads applies the leader's sums over all entry hosts, which include what Usage last returned here.
-// entryHosts is the number of entry hosts.
+// entryHosts is the number of hosts in the sums, this one included.
 func (b *Balancer) SetLoads(now time.Time, loads []fleet.Load, entryHosts int) {
 	b.setEntryHosts(now, max(1, entryHosts))
 	if !b.updatedAt.IsZero() {
@@ -190,14 +192,16 @@
 	}
 	b.updatedAt, b.isLevelled = now, false
 	b.expireNotices(now)
+	missing := b.recordCoverage(max(1, entryHosts))
 	for _, e := range b.byID {
-		e.remoteInFlight, e.remoteWaiting, e.remoteStalled, e.entryHosts = 0, 0, false, b.entryHosts
+		e.remoteInFlight, e.remoteWaiting = e.assumed(missing)
+		e.remoteStalled, e.entryHosts = false, b.entryHosts
 		e.remoteProgressed, e.remoteUpdatedAt = false, now
 	}
 	for _, load := range loads {
 		if e := b.byHandle[load.Handle]; e != nil {
-			e.remoteInFlight = max(0, load.InFlight-e.reported)
-			e.remoteWaiting = max(0, load.WaitingTokens-e.reportedWaiting)
+			e.remoteInFlight += max(0, load.InFlight-e.reported)
+			e.remoteWaiting += max(0, load.WaitingTokens-e.reportedWaiting)
 			e.remoteStalled, e.remoteProgressed = load.Stalled, load.Progressed
 		}
 	}
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -15,6 +15,8 @@
 	remoteInFlight int
 	// localWaiting and remoteWaiting are the prompt tokens of requests that have not received an event yet.
 	localWaiting, remoteWaiting int
+	// wholeInFlight and wholeWaiting are remoteInFlight and remoteWaiting as of before the sums lacked hosts; never negative.
+	wholeInFlight, wholeWaiting int
 	// reportedWaiting is the value of localWaiting that the leader's total contains.
 	reportedWaiting int
 	// remoteStalled reports whether, by the leader's latest update, no entry host sees progress there.
