--- a/bench/policy/burst.go
+++ b/bench/policy/burst.go
@@ -16,7 +16,7 @@
 	burstKind
 	// usual and peak are the offered loads outside of the burst and in it, in capacities.
 	usual, peak float64
-	// silentFrom and silentTo bound the time in which no host receives reports.
+	// silentFrom and silentTo bound the time in which no host receives reports, since there is no leader.
 	silentFrom, silentTo time.Duration
 }
 
@@ -50,6 +50,10 @@
 			overloadFleet: overloadFleet{"126 hosts, no leader for 3 s", 126, 27, 30, 166 * time.Millisecond}, burstKind: shortPrompts, usual: usualLoad, peak: 1.6,
 			silentFrom: 8 * time.Second, silentTo: 11 * time.Second,
 		},
+		{
+			overloadFleet: overloadFleet{"126 hosts, new leader", 126, 27, 30, 166 * time.Millisecond}, burstKind: shortPrompts, usual: usualLoad, peak: 1.6,
+			silentFrom: 10 * time.Second, silentTo: 10500 * time.Millisecond,
+		},
 	}
 	promptBurstLoads = []burstLoad{
 		{overloadFleet: overloadFleet{"18 hosts, long prompts", 18, 4, 26, 60 * time.Millisecond}, burstKind: longPrompts, usual: usualLoad, peak: 1.6},
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -18,6 +18,8 @@
 	// localExtra is what this host's requests in flight need of the group's memory beyond a part for each, in slots' parts, and
 	// reportedExtra the value that the leader's total contains; neither is ever negative.
 	localExtra, reportedExtra int
+	// wholeInFlight and wholeWaiting are remoteInFlight and remoteWaiting as of before the sums lacked hosts; never negative.
+	wholeInFlight, wholeWaiting int
 	// reportedWaiting is the value of localWaiting that the leader's total contains.
 	reportedWaiting int
 	// remoteStalled reports whether, by the leader's latest update, no entry host sees progress there.
