controlapi: a client's responses are read like all others

Cause: controlapi.Client read responses by fasthttp's client, to which a status of 000 is 200: an evacuation that a control host in trouble answered so counted as acknowledged. operator.Client had the code that was needed. Change: httpheader.Call is that code, and both clients use it. The check of the status line no longer has a search of its own. Measured: TestStatusThatIsNone of connection/controlapi fails before ('an order was acknowledged with status 000') and passes now, with the tests of connection/{controlapi,operator,httpheader} and those of cmd/savorywing for evacuations, status and where.

--- a/connection/controlapi/client.go
+++ b/connection/controlapi/client.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/httpheader"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -18,6 +19,8 @@
 	callTimeout = time.Second
 	// retryInterval is the pause before a client calls the same control host again.
 	retryInterval = 200 * time.Millisecond
+	// maxResponseBytes bounds the body of a response.
+	maxResponseBytes = 1 << 20
 )
 
 // ErrRefused means that a control host has refused an order for good.
@@ -93,14 +96,13 @@
 }
 
 func (c *Client) call(address string, write func(h *fasthttp.RequestHeader)) (int, []byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
+	var req fasthttp.Request
 	write(&req.Header)
 	req.URI().SetScheme("http")
 	req.URI().SetHost(address)
-	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
+	resp, err := httpheader.Call(address, &req, callTimeout, callTimeout, maxResponseBytes)
+	if err != nil {
 		return 0, nil, fmt.Errorf("%s: %w", address, err)
 	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+	return resp.StatusCode(), resp.Body(), nil
 }
--- a/connection/controlapi/client_test.go
+++ b/connection/controlapi/client_test.go
@@ -1,8 +1,10 @@
 package controlapi
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -80,3 +82,30 @@
 	_ = c.Close()
 	<-h.ended
 }
+
+// TestStatusThatIsNone guards against an order that counts as acknowledged by a response whose status is none.
+func TestStatusThatIsNone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var req fasthttp.Request
+			if req.Read(bufio.NewReader(c)) == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			_ = c.Close()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	if err := NewClient(platform.Dialect{}, []string{l.Addr().String()}).Evacuate(ctx, wire.Evacuate{DataCentre: "a", On: true}); err == nil {
+		t.Error("an order was acknowledged with status 000")
+	}
+}
--- a/connection/httpheader/remove.go
+++ b/connection/httpheader/remove.go
@@ -1,5 +1,5 @@
-// Package httpheader reads headers of responses, and changes headers of HTTP messages that are passed on, without changing what is
-// left of them.
+// Package httpheader reads headers of responses, makes single calls by them, and changes headers of HTTP messages that are passed
+// on, without changing what is left of them.
 package httpheader
 
 import (
--- a/connection/httpheader/status.go
+++ b/connection/httpheader/status.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -25,7 +26,7 @@
 		if err != nil {
 			return h.Read(r)
 		}
-		if !contains(allowed, b[i]) {
+		if strings.IndexByte(allowed, b[i]) < 0 {
 			return fmt.Errorf("%w: %.*q", ErrStatusLine, maxQuoted, b)
 		}
 	}
@@ -35,15 +36,6 @@
 // maxQuoted is the largest part of an invalid status line that its error quotes, in bytes.
 const maxQuoted = 32
 
-func contains(allowed string, b byte) bool {
-	for i := range len(allowed) {
-		if allowed[i] == b {
-			return true
-		}
-	}
-	return false
-}
-
 // skipEmptyLines discards empty lines before a response. Some servers send one after a body.
 func skipEmptyLines(r *bufio.Reader) error {
 	for {
--- a/connection/operator/client.go
+++ b/connection/operator/client.go
@@ -1,11 +1,9 @@
 package operator
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -87,29 +85,10 @@
 	req.SetRequestURI("http://" + c.address + path)
 	req.Header.SetMethod(method)
 	req.Header.Set("Authorization", "Bearer "+c.token)
-	req.Header.SetConnectionClose()
 	req.SetBody(body)
-	conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
+	resp, err := httpheader.Call(c.address, &req, dialTimeout, dialTimeout+callTimeout, maxResponseBytes)
 	if err != nil {
 		return 0, nil, err
 	}
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
-		return 0, nil, err
-	}
-	if _, err := req.WriteTo(conn); err != nil {
-		return 0, nil, err
-	}
-	var resp fasthttp.Response
-	r := bufio.NewReader(conn)
-	if err := httpheader.ReadResponse(&resp.Header, r); err != nil {
-		return 0, nil, err
-	}
-	if resp.StatusCode() < fasthttp.StatusOK {
-		return 0, nil, fmt.Errorf("unexpected status %d", resp.StatusCode())
-	}
-	if err := resp.ReadBody(r, maxResponseBytes); err != nil {
-		return 0, nil, err
-	}
 	return resp.StatusCode(), resp.Body(), nil
 }
