One copy of maps of state for trial decisions

Cause: quota.Holder, overload.claims and placement.Balancer each copied maps of pointers in a loop of their own. Change: process/clone.Values serves the three.

--- a/process/overload/claims.go
+++ b/process/overload/claims.go
@@ -1,10 +1,11 @@
 package overload
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"savorywing.example/savorywing/process/clone"
 )
 
 // Claim is who asks for a slot of a full pool.
@@ -57,16 +58,7 @@
 
 func (c *claims) clone() claims {
 	copied := *c
-	copied.byPriority, copied.byOrganisation = cloneCounts(c.byPriority), cloneCounts(c.byOrganisation)
-	return copied
-}
-
-func cloneCounts[K comparable](m map[K]*claimCount) map[K]*claimCount {
-	copied := maps.Clone(m)
-	for k, count := range copied {
-		v := *count
-		copied[k] = &v
-	}
+	copied.byPriority, copied.byOrganisation = clone.Values(c.byPriority), clone.Values(c.byOrganisation)
 	return copied
 }
 
--- a/process/placement/explain.go
+++ b/process/placement/explain.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"savorywing.example/savorywing/process/clone"
 )
 
 // Candidate is an endpoint of a request's service and model, as this host sees it.
@@ -54,11 +56,7 @@
 	c := *b
 	source := *b.source
 	c.source, c.random = &source, rand.New(&source)
-	c.byID = make(map[string]*endpoint, len(b.byID))
-	for id, e := range b.byID {
-		copied := *e
-		c.byID[id] = &copied
-	}
+	c.byID = clone.Values(b.byID)
 	c.rebuildIndex()
 	c.shares = make(map[shareKey]*poolShare, len(b.shares))
 	for k, s := range b.shares {
--- a/process/quota/holder.go
+++ b/process/quota/holder.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/clone"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -80,7 +81,7 @@
 	c := *h
 	source := *h.source
 	c.source, c.random = &source, rand.New(&source)
-	c.limits, c.cold, c.pools = cloneAll(h.limits), cloneAll(h.cold), cloneAll(h.pools)
+	c.limits, c.cold, c.pools = clone.Values(h.limits), clone.Values(h.cold), clone.Values(h.pools)
 	for _, l := range c.limits {
 		l.permits = slices.Clone(l.permits)
 	}
@@ -91,15 +92,6 @@
 	return &c
 }
 
-func cloneAll[K comparable, V any](m map[K]*V) map[K]*V {
-	out := make(map[K]*V, len(m))
-	for k, v := range m {
-		copied := *v
-		out[k] = &copied
-	}
-	return out
-}
-
 // Response is what a response of a server says about its limit.
 type Response struct {
 	Server string
