clock.Latest in place of three ways to the later time

Cause: formation, reporting and fleet each compared times in code of their own. Change: clock.Latest serves them. Measured: tests of process/{formation,reporting,fleet,controller} pass.

--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -205,11 +206,7 @@
 
 // coldFor returns how much longer a server is cold.
 func (s *Server) coldFor(now time.Time) time.Duration {
-	until := s.coldUntil
-	if s.assumedColdUntil.After(until) {
-		until = s.assumedColdUntil
-	}
-	return max(0, until.Sub(now))
+	return max(0, clock.Latest(s.coldUntil, s.assumedColdUntil).Sub(now))
 }
 
 // Expire removes servers that have sent no report for longer than keep.
--- a/process/formation/evacuation.go
+++ b/process/formation/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/evacuation"
 )
 
@@ -46,7 +47,7 @@
 			g.busyAt = now
 		}
 		since := rc.evacuatedSince[rc.member(g, 0).Report().DataCentre]
-		return !now.Before(latest(g.busyAt, g.knownSince, since).Add(quietTime))
+		return !now.Before(clock.Latest(g.busyAt, g.knownSince, since).Add(quietTime))
 	}
 	for rank := range g.members {
 		if s := rc.member(g, rank); s != nil && rc.evacuated.Covers(s.Report().DataCentre) {
@@ -55,14 +56,3 @@
 	}
 	return false
 }
-
-// latest returns the latest of several times.
-func latest(times ...time.Time) time.Time {
-	var out time.Time
-	for _, t := range times {
-		if t.After(out) {
-			out = t
-		}
-	}
-	return out
-}
--- a/process/reporting/outbox.go
+++ b/process/reporting/outbox.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -33,13 +34,6 @@
 	takenAt time.Time
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // reported is what a host knows of a server that reports to it.
 type reported struct {
 	// report is the last one, with the number of the last whole one at the time wholeAt in wholeSequence.
@@ -59,7 +53,7 @@
 	o.servers[r.ID] = &reported{report: r, wholeSequence: r.Sequence, wholeAt: now, lastAt: now}
 	o.whole = append(o.whole, r)
 	if changed {
-		o.setDue(later(now, o.takenAt.Add(changeDelay)))
+		o.setDue(clock.Latest(now, o.takenAt.Add(changeDelay)))
 	}
 	o.setDue(now.Add(MaxDelay))
 }
