placement, budget, ingress, where: what was written twice

Cause: a server's own slots, the rejection in an answer of where, and turning a share away were spelled out at each place; Memory.wait and receive returned what nobody read. Measured: tests of process/{placement,budget,gateway} and connection pass.

--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -67,8 +67,8 @@
 	http     *ingress.Server
 	// memory bounds what the connections hold.
 	memory *ingress.Memory
-	// ctx is that of all calls other than orders to evacuate a data centre. A call goes on when its caller disconnects: a backend server that ends may not wait for the
-	// acknowledgement of its withdrawal.
+	// ctx is that of all calls other than orders to evacuate a data centre. A call goes on when its caller disconnects: a backend
+	// server that ends may not wait for the acknowledgement of its withdrawal.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -75,8 +75,8 @@
 	return true
 }
 
-// Start implements savorywing.Exchange. It makes one write unless the first bytes of a body are many; with a negative length the body is sent with chunked transfer
-// encoding.
+// Start implements savorywing.Exchange. It makes one write unless the first bytes of a body are many. With a negative length the
+// body is sent with chunked transfer encoding.
 func (x *Exchange) Start(h *fasthttp.ResponseHeader, length int, first []byte) error {
 	if x.started {
 		return errors.New("Exchange.Start: a response was already started")
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -89,19 +89,20 @@
 	m.changed = make(chan struct{})
 }
 
-// wait, receive and serve record the state of a connection. They report false if it is turned away.
-func (m *Memory) wait(c *conn, endsAt time.Time) bool {
+// wait, receive and serve record the state of a connection. Its reads fail once it is turned away.
+func (m *Memory) wait(c *conn, endsAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.budget.Wait(c.share, endsAt)
+	m.budget.Wait(c.share, endsAt)
 }
 
-func (m *Memory) receive(c *conn, endsAt time.Time) bool {
+func (m *Memory) receive(c *conn, endsAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.budget.Receive(c.share, m.clock.Now(), endsAt)
+	m.budget.Receive(c.share, m.clock.Now(), endsAt)
 }
 
+// serve reports false if the connection is turned away.
 func (m *Memory) serve(c *conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -69,8 +69,8 @@
 			return nil, nil, Dropped
 		}
 		if away = b.firstToEnd(); away == nil {
-			a, s.state = Refused, turnedAway
-			b.leaving++
+			a = Refused
+			b.turnAway(s)
 		} else {
 			b.turnAway(away)
 		}
--- a/process/gateway/where.go
+++ b/process/gateway/where.go
@@ -56,17 +56,16 @@
 		return a, nil
 	}
 	if rejected := r.resolve(); rejected != nil {
-		a.Verdict, a.Status, a.Reason, a.RetryAfterMs = operator.VerdictRejected, rejected.status, rejected.reason, rejected.retryAfter.Milliseconds()
+		reject(&a, rejected.status, rejected.reason, rejected.retryAfter)
 		return a, nil
 	}
 	a.Route, a.Organisation, a.Service, a.Priority = r.route.Name, r.organisation, r.service.Name, r.priority
 	if r.deadline.Sub(now) < minAttemptTime {
-		a.Verdict, a.Status, a.Reason = operator.VerdictRejected, fasthttp.StatusServiceUnavailable, "outOfTime"
+		reject(&a, fasthttp.StatusServiceUnavailable, "outOfTime", 0)
 		return a, nil
 	}
 	if r.isCutOff() && !r.hasForwarders() {
-		a.Verdict, a.Status, a.Reason = operator.VerdictRejected, fasthttp.StatusServiceUnavailable, string(placement.ReasonCutOff)
-		a.RetryAfterMs = jitteredForwardRetryAfter().Milliseconds()
+		reject(&a, fasthttp.StatusServiceUnavailable, string(placement.ReasonCutOff), jitteredForwardRetryAfter())
 		return a, nil
 	}
 	if r.isCutOff() {
@@ -77,6 +76,10 @@
 	return a, nil
 }
 
+func reject(a *operator.WhereAnswer, status int, reason string, retryAfter time.Duration) {
+	a.Verdict, a.Status, a.Reason, a.RetryAfterMs = operator.VerdictRejected, status, reason, retryAfter.Milliseconds()
+}
+
 // hasForwarders reports whether the request would be offered to other entry hosts if this one can't handle it.
 func (r *callerRequest) hasForwarders() bool {
 	return r.mayAskOthers() && r.gateway.pathState() != reach.Isolated
@@ -145,7 +148,7 @@
 	case d.AwaitPermit:
 		a.Verdict, a.Reason = operator.VerdictWaits, "for a permit of the leader"
 	default:
-		a.Verdict, a.Status, a.Reason, a.RetryAfterMs = operator.VerdictRejected, fasthttp.StatusServiceUnavailable, string(d.Reason), d.RetryAfter.Milliseconds()
+		reject(a, fasthttp.StatusServiceUnavailable, string(d.Reason), d.RetryAfter)
 	}
 }
 
--- a/process/placement/draw.go
+++ b/process/placement/draw.go
@@ -98,8 +98,8 @@
 	c := overload.Capacity{Hosts: b.EntryHosts(), Interval: b.updateInterval()}
 	for _, e := range list {
 		c.Load += e.load()
-		c.Slots += max(1, e.Slots)
-		c.Released += float64(min(e.load(), max(1, e.Slots))) / occupancy.Seconds()
+		c.Slots += e.ownSlots()
+		c.Released += float64(min(e.load(), e.ownSlots())) / occupancy.Seconds()
 	}
 	return b.share(req).Allow(now, c, b.claim(req))
 }
--- a/process/placement/endpoint.go
+++ b/process/placement/endpoint.go
@@ -92,11 +92,14 @@
 // slots returns how many requests all hosts may have in flight there: the server's slots, or fewer while it is on pace.
 func (e *endpoint) slots() int {
 	if e.PaceSlots > 0 {
-		return max(1, min(e.Slots, e.PaceSlots))
+		return min(e.ownSlots(), e.PaceSlots)
 	}
-	return max(1, e.Slots)
+	return e.ownSlots()
 }
 
+// ownSlots returns how many requests the server runs at once, on pace or not.
+func (e *endpoint) ownSlots() int { return max(1, e.Slots) }
+
 // isStalled reports whether requests are in flight and none has made progress for longer than timeout. If no request
 // has received an event yet, they may all be queued, so the predicted time to the first event is added. An endpoint
 // that other hosts have recently seen making progress is not stalled.
--- a/process/placement/memory.go
+++ b/process/placement/memory.go
@@ -10,7 +10,7 @@
 	if req.GroupTokens <= 0 {
 		return 1
 	}
-	return max(1, (req.MemoryTokens*max(1, e.Slots)+req.GroupTokens-1)/req.GroupTokens)
+	return max(1, (req.MemoryTokens*e.ownSlots()+req.GroupTokens-1)/req.GroupTokens)
 }
 
 // exceedsMemory reports whether the requests at a group may need more memory than it has, with another request. As long as all are
@@ -21,7 +21,7 @@
 	if n == 1 && !now.Before(b.largeUntil[req.key()]) {
 		return false
 	}
-	return e.load()+n > max(1, e.Slots)
+	return e.load()+n > e.ownSlots()
 }
 
 // holdMemory counts what a request needs beyond a slot's part, and returns it.
