gateway: tests of forwarding share their server and client

Cause: newTaker repeated the listener, upgrade and client of offerTo. Change: serveForwards and forwardClient. The assertions are unchanged. Measured: the tests of process/gateway pass.

--- a/process/gateway/forward_test.go
+++ b/process/gateway/forward_test.go
@@ -14,8 +14,8 @@
 	"savorywing.example/savorywing/wire"
 )
 
-// offerTo returns a session with a host that has accepted an offer, and that serves what follows with a function.
-func offerTo(t *testing.T, g *Gateway, serve func(c *forward.Conn)) *forward.Session {
+// serveForwards serves the connections of other entry hosts with a function, and returns the address.
+func serveForwards(t *testing.T, serve func(c *forward.Conn), opts ...forward.Option) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -25,17 +25,20 @@
 	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		u := websocket.FastHTTPUpgrader{}
 		if err := u.Upgrade(ctx, func(ws *websocket.Conn) {
-			c := forward.NewConn(ws)
-			if _, err := c.Receive(time.Second); err == nil && c.Send(wire.Frame{ForwardReply: &wire.ForwardReply{}}) == nil {
-				serve(c)
-			}
+			c := forward.NewConn(ws, opts...)
+			serve(c)
 			_ = c.Close()
 		}); err != nil {
 			t.Error(err)
 		}
 	}}
 	go func() { _ = s.Serve(l) }()
-	client := forward.NewClient(g.clock, func(ctx context.Context, address string) (*forward.Conn, error) {
+	return l.Addr().String()
+}
+
+// forwardClient returns a host's client of others.
+func forwardClient(g *Gateway) *forward.Client {
+	return forward.NewClient(g.clock, func(ctx context.Context, address string) (*forward.Conn, error) {
 		ws, resp, err := websocket.DefaultDialer.DialContext(ctx, "ws://"+address+forward.Path, nil)
 		if err != nil {
 			return nil, err
@@ -43,7 +46,17 @@
 		_ = resp.Body.Close()
 		return forward.NewConn(ws), nil
 	})
-	session, err := client.Offer(context.Background(), l.Addr().String(), time.Second, wire.ForwardOffer{Host: "h"})
+}
+
+// offerTo returns a session with a host that has accepted an offer, and that serves what follows with a function.
+func offerTo(t *testing.T, g *Gateway, serve func(c *forward.Conn)) *forward.Session {
+	t.Helper()
+	address := serveForwards(t, func(c *forward.Conn) {
+		if _, err := c.Receive(time.Second); err == nil && c.Send(wire.Frame{ForwardReply: &wire.ForwardReply{}}) == nil {
+			serve(c)
+		}
+	})
+	session, err := forwardClient(g).Offer(context.Background(), address, time.Second, wire.ForwardOffer{Host: "h"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/process/gateway/intake_frames_test.go
+++ b/process/gateway/intake_frames_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"testing"
 	"time"
 
-	"github.com/fasthttp/websocket"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -34,31 +32,10 @@
 	}
 	g.catalogue.Store(doc)
 	g.subscription.version, g.subscription.confirmedAt = 7, g.clock.Now()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
-		u := websocket.FastHTTPUpgrader{}
-		if err := u.Upgrade(ctx, func(ws *websocket.Conn) {
-			g.serveForwarded(context.Background(), forward.NewConn(ws, forward.WithMaxFrame(forward.MaxQuestion)))
-			_ = ws.Close()
-		}); err != nil {
-			t.Error(err)
-		}
-	}}
-	go func() { _ = server.Serve(l) }()
-	client := forward.NewClient(g.clock, func(ctx context.Context, address string) (*forward.Conn, error) {
-		ws, resp, err := websocket.DefaultDialer.DialContext(ctx, "ws://"+address+forward.Path, nil)
-		if err != nil {
-			return nil, err
-		}
-		_ = resp.Body.Close()
-		return forward.NewConn(ws), nil
-	})
+	address := serveForwards(t, func(c *forward.Conn) { g.serveForwarded(context.Background(), c) }, forward.WithMaxFrame(forward.MaxQuestion))
+	client := forwardClient(g)
 	return g, func(bytes int) (*forward.Session, error) {
-		s, err := client.Offer(context.Background(), l.Addr().String(), 5*time.Second, wire.ForwardOffer{Host: "h", Version: 7, Bytes: bytes})
+		s, err := client.Offer(context.Background(), address, 5*time.Second, wire.ForwardOffer{Host: "h", Version: 7, Bytes: bytes})
 		if err == nil {
 			t.Cleanup(s.Close)
 		}
