ingress, engine, backend: sockets' buffers count against the memory

What callers saw: a host of 72 MB (limits lowered by the test) with 300 callers who come back as soon as they are turned away used up to 511 MB as the pages count it and would have been killed: 435 MB written to callers who read nothing and not yet taken by them, or up to 150 MB received and not yet read. Cause: no socket had a size for its buffers, so the kernel let each grow to megabytes, and process/budget counted only what had been read. Change: budget.Limits states the buffers of each socket, from a quarter of the memory divided among as many connections as it admits. Listeners and dialers set them before the handshake, since the first window is offered there. A connection with a long body or response gets a window of 64 KiB while most of the budget is free, and its share counts it until it ends. Each 16 KiB of a response has the write timeout of its own, since the kernel no longer holds the rest. Why it works: the kernel holds at most twice the size of a buffer, the number of sockets is bounded, and what is raised beyond is counted.

--- a/Makefile
+++ b/Makefile
@@ -14,15 +14,23 @@
 	request/attempt:FuzzParseFrame version/instance:FuzzParse version/settings:FuzzParse wire/codec:FuzzCheckJSON wire/codec:FuzzDecodeFrame
 FUZZ_TIME := 75000x
 
-.PHONY: all build test race fuzz lint format tools
+# Tests that measure what a process uses while many callers misbehave run one at a time, apart from all others.
+CROWDS := ^Test(Crowd.*|Fleet.*NeverEnd|Fleet.*NobodyReads|FleetBodyAlone|FleetConnectionsThatSendNothing|Serve.*NeverEnd|Serve.*NobodyReads)$$
+# KNOWN matches the tests that are left out.
+KNOWN := ^$$
 
-all: build lint test
+.PHONY: all build test crowds race fuzz lint format tools
+
+all: build lint test crowds
 
 build:
 	go build -o bin/ ./cmd/...
 
 test:
-	go test -timeout 30m ./...
+	go test -timeout 30m -skip '$(CROWDS)|$(KNOWN)' ./...
+
+crowds:
+	go test -timeout 30m -count 1 -run '$(CROWDS)' -skip '$(KNOWN)' ./cmd/savorywing
 
 race:
 	go test -timeout 10m -race $(PURE)
--- a/cmd/savorywing/fleet_setup_test.go
+++ b/cmd/savorywing/fleet_setup_test.go
@@ -92,6 +92,8 @@
 	wrapDialer func(path savorywing.Dialer) savorywing.Dialer
 	// evacuationMs is the bound on evacuations; 0 for none.
 	evacuationMs int64
+	// memoryMB and maxDescriptors are what each daemon may use; 0 for the default.
+	memoryMB, maxDescriptors int
 	// hasMetrics makes all daemons serve metrics at metricsAddress.
 	hasMetrics bool
 	// dataCentre returns the data centre of an entry host; nil for "a".
@@ -180,6 +182,7 @@
 		// The bound of documents must not hide that of evacuations.
 		s.EvacuationMs, s.ConfigPropagationMs = f.evacuationMs, 3*f.evacuationMs
 	}
+	s.MemoryMB, s.MaxDescriptors = f.memoryMB, f.maxDescriptors
 	if f.hasMetrics {
 		s.MetricsPort = f.port + 4
 	}
--- a/cmd/savorywing/system_test.go
+++ b/cmd/savorywing/system_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +27,7 @@
 const (
 	envProgram       = "SAVORYWING_TEST_PROGRAM"
 	envStandin       = "SAVORYWING_TEST_STANDIN"
+	envDescriptors   = "SAVORYWING_TEST_DESCRIPTORS"
 	testToken        = "operators-token"
 	testKey          = "caller-key"
 	testTimeout      = 40 * time.Second
@@ -37,6 +39,7 @@
 func TestMain(m *testing.M) {
 	switch {
 	case os.Getenv(envProgram) != "":
+		limitDescriptors(os.Getenv(envDescriptors))
 		main()
 		os.Exit(0)
 	case os.Getenv(envStandin) != "":
@@ -45,6 +48,20 @@
 	os.Exit(m.Run())
 }
 
+// limitDescriptors bounds the file descriptors of this process by a number in decimal; nothing if it is empty.
+func limitDescriptors(text string) {
+	if text == "" {
+		return
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err == nil {
+		err = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n})
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
 // runStandin runs a stand-in with a standin.Config in JSON and does not return.
 func runStandin(text string) {
 	var cfg standin.Config
@@ -131,6 +148,7 @@
 	daemons   []*process
 	callers   []string
 	operators []string
+	peers     []string
 	standins  map[string]*process
 	// relays forward the connections between daemons; the key holds the index of the connecting daemon and of its peer.
 	relays map[[2]int]*relay
@@ -228,6 +246,7 @@
 		s.daemons = append(s.daemons, p)
 		s.callers = append(s.callers, ports[3*i+1])
 		s.operators = append(s.operators, ports[3*i+2])
+		s.peers = append(s.peers, ports[3*i])
 		p.start()
 	}
 	t.Cleanup(s.stop)
--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -15,6 +15,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/httpheader"
+	"savorywing.example/savorywing/connection/socket"
 )
 
 // Headers between the system and backend servers.
@@ -48,6 +49,8 @@
 // Client sends requests to backend servers. It never retries a request by itself.
 type Client struct {
 	pool *pool
+	// buffers is the size of the buffers of the sockets, in bytes; 0 for the system's.
+	buffers int
 	// sent and received count bytes since the client was created.
 	sent, received atomic.Uint64
 }
@@ -55,13 +58,25 @@
 // Traffic returns the bytes sent to and received from backend servers.
 func (c *Client) Traffic() (sent, received uint64) { return c.sent.Load(), c.received.Load() }
 
+// Option changes a client.
+type Option func(c *Client)
+
+// WithBuffers sets the sizes of the buffers of the client's sockets, in bytes; 0 for the system's.
+func WithBuffers(size int) Option { return func(c *Client) { c.buffers = size } }
+
 // New returns a client.
-func New(clock savorywing.Clock) *Client { return &Client{pool: newPool(clock)} }
+func New(clock savorywing.Clock, opts ...Option) *Client {
+	c := &Client{pool: newPool(clock)}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
 
 var _ savorywing.Backend = (*Client)(nil)
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, Control: socket.Buffers(c.buffers)}
 	return d.DialContext(ctx, "tcp", address)
 }
 
@@ -81,7 +96,7 @@
 		}
 		_ = l.Close()
 	}
-	conn, err := dialTCP(ctx, address)
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, false, err
 	}
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -67,11 +67,18 @@
 // WithDialer makes a client open its connections, which must be sockets, with d.
 func WithDialer(d savorywing.Dialer) Option { return func(c *Client) { c.dialer = d } }
 
+// WithBuffers sets the sizes of the buffers of the client's sockets, in bytes; 0 for the system's.
+func WithBuffers(size int) Option { return func(c *Client) { c.dialer = newDialer(size) } }
+
+func newDialer(buffers int) *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.Buffers(buffers))}
+}
+
 // New returns a client without connections.
 func New(clock savorywing.Clock, dialect savorywing.Dialect, opts ...Option) *Client {
 	c := &Client{
 		clock: clock, dialect: dialect, pool: newPool(clock),
-		dialer: &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: socket.UserTimeout(userTimeout)},
+		dialer: newDialer(0),
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/connection/ingress/body.go
+++ b/connection/ingress/body.go
@@ -32,7 +32,9 @@
 	grow     func(n int) error
 	growCalm func(n int) bool
 	shrink   func(n int)
-	b        []byte
+	// raise is called once it is known that n bytes more follow.
+	raise func(n int)
+	b     []byte
 }
 
 // read returns the body of a request whose header has been read. Trailers are added to the header.
@@ -86,6 +88,7 @@
 	whole := len(r.b) + n
 	if isLast && r.growCalm(whole) {
 		size = whole
+		r.raise(n)
 	} else {
 		if isLast {
 			size = min(size, whole)
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -27,6 +27,8 @@
 	firstRequestTime = 200 * time.Millisecond
 	// noTimeout stands for no timeout where a time is needed.
 	noTimeout = time.Hour
+	// writePieceBytes bounds a write, so that the buffer of a slow reader holds most of it.
+	writePieceBytes = 16 << 10
 	// headerCopies is how often a header that has a buffer of its own is held: there and by the parser.
 	headerCopies = 2
 )
@@ -45,6 +47,8 @@
 	// share is what the connection holds of the server's memory, and bodyBytes the part of it that ends with the request.
 	share     *budget.Share
 	bodyBytes atomic.Int64
+	// receiveRaised and sendRaised report whether the buffers are raised.
+	receiveRaised, sendRaised bool
 	// receiveBy is when the current request must have been received, by the system's clock.
 	receiveBy time.Time
 	// interrupted is closed when the connection must end, also if it waits for room.
@@ -165,13 +169,40 @@
 	c.setReadDeadline(deadline)
 }
 
-// write writes to the connection within writeTimeout.
+// write writes to the connection, each piece within writeTimeout.
 func (c *conn) write(b []byte) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	for {
+		if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		n, err := c.conn.Write(b[:min(len(b), writePieceBytes)])
+		if b = b[n:]; err != nil || len(b) == 0 {
+			return err
+		}
+	}
+}
+
+// raiseReceiveBuffer lets the caller send more of a body of n bytes at a time, if there is plenty of room. Without it the body only
+// takes longer.
+func (c *conn) raiseReceiveBuffer(n int) {
+	if c.receiveRaised {
+		return
+	}
+	if size, ok := c.server.memory.raise(c, n); ok {
+		c.receiveRaised = true
+		_ = socket.RaiseReceiveBuffer(c.conn, size)
+	}
+}
+
+// raiseSendBuffer is raiseReceiveBuffer for a response.
+func (c *conn) raiseSendBuffer(n int) {
+	if c.sendRaised {
+		return
+	}
+	if size, ok := c.server.memory.raise(c, n); ok {
+		c.sendRaised = true
+		_ = socket.RaiseSendBuffer(c.conn, size)
 	}
-	_, err := c.conn.Write(b)
-	return err
 }
 
 func (c *conn) serve() {
@@ -421,7 +452,7 @@
 		return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes, false)
 	}
 	// A body is read as it is, whatever its type: a form would be taken apart and written anew.
-	r := bodyReader{reader: c.reader, max: limits.MaxBodyBytes, grow: c.growBody, growCalm: c.growBodyCalm, shrink: c.shrinkBody}
+	r := bodyReader{reader: c.reader, max: limits.MaxBodyBytes, grow: c.growBody, growCalm: c.growBodyCalm, shrink: c.shrinkBody, raise: c.raiseReceiveBuffer}
 	body, err := r.read(&x.request.Header)
 	if err != nil {
 		return err
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -89,6 +89,7 @@
 		h.Del("Connection")
 	}
 	x.chunked, x.remaining = length < 0, length
+	x.conn.raiseSendBuffer(length)
 	if x.chunked {
 		h.SetContentLength(-1)
 	} else {
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -41,6 +41,12 @@
 	TurnedAway int
 }
 
+func (m *Memory) limits() budget.Limits {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Limits()
+}
+
 // Usage returns what is held.
 func (m *Memory) Usage() Usage {
 	m.mu.Lock()
@@ -169,6 +175,15 @@
 	m.signal()
 }
 
+// raise counts the buffer of a connection that is raised for n bytes, until the connection ends. It reports false if the usual one is
+// enough or must be.
+func (m *Memory) raise(c *conn, n int) (size int, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.budget.Limits().Raise(n)
+	return r.Size, ok && m.budget.GrowCalm(c.share, r.Bytes)
+}
+
 // turnAway ends the connection, which holds some bytes, from any goroutine. It reads until its own goroutine notices.
 func (c *conn) turnAway(held int) {
 	c.server.turnedAwayLog.Info().Str("event", "turnedAway").Stringer("address", c.conn.RemoteAddr()).Int("bytes", held).
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -115,7 +115,7 @@
 
 // StartHandler is Start with a handler of the address's own.
 func (s *Server) StartHandler(address string, h Handler) error {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: socket.UserTimeout(userTimeout)}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.Buffers(s.memory.limits().Buffer))}
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return fmt.Errorf("Server.Start: %w", err)
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -180,3 +180,33 @@
 		}
 	}
 }
+
+// TestBuffers checks that the sockets of as many connections as a host may have stay within their part of its memory, and that a
+// connection with a long body has the whole window.
+func TestBuffers(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		limits Limits
+		// memory is that of the host in bytes, and buffers how many each connection has.
+		memory, buffers int
+	}{
+		{"an entry host of the smallest deployments", EntryLimits(136*mega, 2870), 136 * mega, entryBuffers},
+		{"a control host", ControlLimits(280*mega, 2307), 280 * mega, controlBuffers},
+		{"a large host", EntryLimits(4096*mega, 0), 4096 * mega, entryBuffers},
+	} {
+		l := tt.limits
+		conns := int((1 + leavingFraction) * float64(l.MaxConns))
+		if held := conns * tt.buffers * bufferOverhead * l.Buffer; held > int(bufferFraction*float64(tt.memory)) || l.Buffer < minBuffer {
+			t.Errorf("%s: %d connections hold %d bytes, buffers of %d", tt.name, conns, held, l.Buffer)
+		}
+		if _, ok := l.Raise(1 << 10); ok {
+			t.Errorf("%s: the buffer is raised for 1 KiB", tt.name)
+		}
+		if r, ok := l.Raise(4 * mega); !ok || r.Size != raisedBuffer || r.Bytes != bufferOverhead*(raisedBuffer-l.Buffer) {
+			t.Errorf("%s: got %+v for 4 MiB", tt.name, r)
+		}
+	}
+	if _, ok := (Limits{}).Raise(4 * mega); ok {
+		t.Error("the system's buffer is raised")
+	}
+}
--- a/process/budget/doc.go
+++ b/process/budget/doc.go
@@ -31,6 +31,20 @@
 	entryConnBytes, controlConnBytes = 32 << 10, 16 << 10
 )
 
+const (
+	// bufferFraction is the fraction of the memory for what the sockets hold: bytes that have arrived and haven't been read, and
+	// bytes that were written and haven't been taken.
+	bufferFraction = 0.25
+	// entryBuffers are those of a caller's connection and of the one on which its request is sent on, two each. Control hosts send
+	// nothing on.
+	entryBuffers, controlBuffers = 4, 2
+	// bufferOverhead is the kernel's bound on what a buffer holds, relative to the size that is set.
+	bufferOverhead = 2
+	// minBuffer and maxBuffer bound the size of a buffer, and raisedBuffer is that of a connection whose body or response is long.
+	// It is the largest window of a connection whose buffer was smaller at first.
+	minBuffer, maxBuffer, raisedBuffer = 4 << 10, 32 << 10, 64 << 10
+)
+
 // serveCopies is how often a process of savorywing serve holds a body: as it was received and as it is sent on.
 const serveCopies = 2
 
@@ -38,29 +52,52 @@
 type Limits struct {
 	// Bytes bounds what is received and held, and MaxConns the connections; 0 for no bound.
 	Bytes, MaxConns int
+	// Buffer is the size of each socket's receive buffer and send buffer, in bytes; 0 for the system's.
+	Buffer int
+}
+
+// bufferSize returns the size of each of the buffers of a number of connections, 0 for any number.
+func bufferSize(memory, conns, buffersPerConn int) int {
+	if memory <= 0 || conns <= 0 {
+		return maxBuffer
+	}
+	each := bufferFraction * float64(memory) / (float64(bufferOverhead*buffersPerConn*conns) * (1 + leavingFraction))
+	return max(minBuffer, min(maxBuffer, int(each)))
+}
+
+// Raise is the buffer of a connection with a long body or response, in bytes, and what it counts as.
+type Raise struct{ Size, Bytes int }
+
+// Raise returns the buffer of a connection that sends or receives n bytes at once. It reports false if the usual one is enough.
+func (l Limits) Raise(n int) (Raise, bool) {
+	if l.Buffer <= 0 || n <= bufferOverhead*l.Buffer {
+		return Raise{}, false
+	}
+	return Raise{Size: raisedBuffer, Bytes: bufferOverhead * (raisedBuffer - l.Buffer)}, true
 }
 
 // EntryLimits returns the limits of a process that serves callers, with a memory in bytes and a number of descriptors; 0 for an
 // unknown one.
 func EntryLimits(memory, descriptors int) Limits {
-	return newLimits(memory, int(entryDescriptors*float64(descriptors)), entryMemory/entryConnBytes)
+	return newLimits(memory, int(entryDescriptors*float64(descriptors)), entryMemory/entryConnBytes, entryBuffers)
 }
 
 // ControlLimits returns the limits of a control host with a memory in bytes, whose many callers are idle most of the time, and may
 // have so many connections; 0 for no bound.
 func ControlLimits(memory, maxConns int) Limits {
-	return newLimits(memory, maxConns, controlMemory/controlConnBytes)
+	return newLimits(memory, maxConns, controlMemory/controlConnBytes, controlBuffers)
 }
 
 // ServeLimits returns the limits of a process of savorywing serve, whose requests are held in several forms.
 func ServeLimits(memory, maxConns int) Limits {
-	return Limits{Bytes: int(bodyFraction * float64(memory) / serveCopies), MaxConns: maxConns}
+	return Limits{Bytes: int(bodyFraction * float64(memory) / serveCopies), MaxConns: maxConns, Buffer: bufferSize(memory, maxConns, entryBuffers)}
 }
 
-func newLimits(memory, maxConns int, connsPerByte float64) Limits {
+func newLimits(memory, maxConns int, connsPerByte float64, buffersPerConn int) Limits {
 	l := Limits{Bytes: int(bodyFraction * float64(memory)), MaxConns: int(connsPerByte * float64(memory))}
 	if maxConns > 0 && (l.MaxConns == 0 || maxConns < l.MaxConns) {
 		l.MaxConns = maxConns
 	}
+	l.Buffer = bufferSize(memory, l.MaxConns, buffersPerConn)
 	return l
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -99,8 +99,9 @@
 	if d.registry, err = registry.New(d.clock, d.settings); err != nil {
 		return err
 	}
-	d.memory = ingress.NewMemory(d.clock, budget.ServeLimits(hostMemory(), maxConns))
-	d.backend = backend.New(d.clock)
+	limits := budget.ServeLimits(hostMemory(), maxConns)
+	d.memory = ingress.NewMemory(d.clock, limits)
+	d.backend = backend.New(d.clock, backend.WithBuffers(limits.Buffer))
 	d.pollClient = backend.New(d.clock)
 	d.control = backend.NewControlClient(d.pollClient, d.settings.Timing.PollInterval)
 	token, err := settings.LoadToken(d.settings.Daemon.OperatorsFile)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -131,12 +131,13 @@
 	g.telemetry.Handle(operator.PathWhere, g.handleWhere)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.expiring, g.expireForwarded = context.WithCancelCause(context.Background())
-	g.engines = engine.New(g.clock, dialect)
+	limits := budget.EntryLimits(s.MemoryMB<<20, s.MaxDescriptors)
+	g.engines = engine.New(g.clock, dialect, engine.WithBuffers(limits.Buffer))
 	for _, opt := range opts {
 		opt(g)
 	}
 	g.subscription = newFleetSubscription(g)
-	g.memory = ingress.NewMemory(g.clock, budget.EntryLimits(s.MemoryMB<<20, s.MaxDescriptors))
+	g.memory = ingress.NewMemory(g.clock, limits)
 	g.telemetry.WatchMemory(g.memory)
 	g.server = ingress.New(g.clock, g, g.limits, log, ingress.WithMemory(g.memory))
 	var err error
--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -33,6 +33,7 @@
 	significantFigures  = 2
 	// Scrapers are few and send short requests without a body.
 	maxConns       = 64
+	bufferBytes    = 16 << 10
 	maxHeaderBytes = 4 << 10
 	maxBodyBytes   = 4 << 10
 	headerTimeout  = 5 * time.Second
@@ -61,7 +62,7 @@
 	t := &Telemetry{set: metrics.NewSet(), histograms: map[key]*hdrhistogram.Histogram{}, pages: map[string]fasthttp.RequestHandler{}}
 	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	t.http = ingress.New(clock, ingress.NewRequestHandler(t.handle, t.handle), func() ingress.Limits { return limits }, log,
-		ingress.WithMemory(ingress.NewMemory(clock, budget.Limits{MaxConns: maxConns})))
+		ingress.WithMemory(ingress.NewMemory(clock, budget.Limits{MaxConns: maxConns, Buffer: bufferBytes})))
 	return t
 }
 
