descriptors: each kind of an entry host's connections has its share

What callers saw: with maxDescriptors 400 (200 of them for sockets, pipes and data files) 300 callers made an entry host open 198 to 397: 213 by idle callers, 313 by connections to its peer port that send nothing, 251 at the readiness address, 315 by callers who read nothing, 397 by requests sent many at once. A host out of descriptors can't reach its servers. Cause: only callers had a bound, 0.4 of all, beside which nothing was left for the connections to servers that their requests take. Connections without a token, idle ones to servers and readiness checks had none; checks shared that of the callers. Connections that are turned away for their bytes leave the number that is bounded, and linger for 0.3 s, so crowds of them were unlimited: /metrics showed 2 connections while 297 lingered. Change: process/descriptors divides those of an entry host (ForEntry). The peer port closes the oldest connection without a token when there are too many, and closes those it refuses. The pool of idle connections has a bound for all servers together. The readiness check has a budget of its own, which callers don't use up. budget.Open counts those that are turned away for whatever reason, and cuts the first of them for a newcomer. Long bodies are written in pieces: with the smaller send buffers a body of 4 MiB otherwise took over 2 s on loopback (504 in TestCrowdAlone, found by it). In the deployments the memory bounds callers as before (TestForEntry: 544 at 136 MB), but for one size of host: 807 instead of 824 at 206 MB. TestForControl has the new fields, and TestIntake's descriptors are now those for other hosts, a quarter of what they were.

--- a/connection/backend/pool.go
+++ b/connection/backend/pool.go
@@ -44,7 +44,7 @@
 func (l *link) Write(p []byte) (int, error) {
 	l.hasWritten = true
 	l.client.sent.Add(uint64(len(p)))
-	return l.Conn.Write(p)
+	return socket.WritePieces(l.Conn, p)
 }
 
 // isUsable reports whether the backend server has neither closed an idle connection nor sent anything on it.
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -86,6 +86,9 @@
 	return c
 }
 
+// WithMaxIdle bounds the idle connections that are kept for later requests, to all addresses together; 0 for no bound.
+func WithMaxIdle(n int) Option { return func(c *Client) { c.pool.maxIdle = n } }
+
 // ConnectionsOpened returns the number of connections opened so far.
 func (c *Client) ConnectionsOpened() uint64 { return c.opened.Load() }
 
--- a/connection/engine/link.go
+++ b/connection/engine/link.go
@@ -84,7 +84,7 @@
 	}
 	done := make(chan error, 1)
 	go func() {
-		_, err := l.conn.Write(call.Body)
+		_, err := socket.WritePieces(l.conn, call.Body)
 		done <- err
 	}()
 	return done, nil
@@ -135,9 +135,13 @@
 
 // pool holds idle connections by address, the most recently used last.
 type pool struct {
-	clock     savorywing.Clock
-	mu        sync.Mutex
-	idle      map[string][]*link
+	clock savorywing.Clock
+	// maxIdle bounds the connections in idle; 0 for no bound.
+	maxIdle int
+	mu      sync.Mutex
+	idle    map[string][]*link
+	// size is the number of connections in idle.
+	size      int
 	lastSweep time.Time
 }
 
@@ -168,6 +172,7 @@
 	for i, l := range slices.Backward(list) {
 		if l.mayCarry(attemptID) {
 			p.idle[address] = slices.Delete(list, i, i+1)
+			p.size--
 			return l
 		}
 	}
@@ -190,11 +195,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
-	if len(p.idle[l.address]) >= l.poolBound() {
+	if len(p.idle[l.address]) >= l.poolBound() || (p.maxIdle > 0 && p.size >= p.maxIdle) {
 		_ = l.conn.Close()
 		return
 	}
 	p.idle[l.address] = append(p.idle[l.address], l)
+	p.size++
 }
 
 // sweep closes the connections past idleUntil. It runs at most once a second.
@@ -211,6 +217,7 @@
 				continue
 			}
 			_ = l.conn.Close()
+			p.size--
 		}
 		p.idle[address] = kept
 		if len(kept) == 0 {
@@ -224,6 +231,7 @@
 	p.mu.Lock()
 	list := p.idle[address]
 	delete(p.idle, address)
+	p.size -= len(list)
 	p.mu.Unlock()
 	for _, l := range list {
 		_ = l.conn.Close()
@@ -234,7 +242,7 @@
 func (p *pool) closeAllIdle() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle = map[string][]*link{}
+	p.idle, p.size = map[string][]*link{}, 0
 	p.mu.Unlock()
 	for _, list := range idle {
 		for _, l := range list {
--- a/connection/engine/pool_test.go
+++ b/connection/engine/pool_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -33,3 +34,37 @@
 		})
 	}
 }
+
+// TestPooledConnectionsOfAll guards against a host whose idle connections to many servers take the descriptors of its callers.
+func TestPooledConnectionsOfAll(t *testing.T) {
+	const maxIdle = 5
+	p := newPool(clock.System{})
+	p.maxIdle = maxIdle
+	put := func(address string) {
+		conn, peer := net.Pipe()
+		t.Cleanup(func() { _, _ = conn.Close(), peer.Close() })
+		p.put(&link{conn: conn, address: address}, time.Minute)
+	}
+	count := func() int {
+		n := 0
+		for _, list := range p.idle {
+			n += len(list)
+		}
+		return n
+	}
+	for i := range 3 * maxIdle {
+		put(fmt.Sprint(i % 4))
+	}
+	if n := count(); n != maxIdle || p.size != n {
+		t.Errorf("%d idle connections, %d counted, want %d", n, p.size, maxIdle)
+	}
+	p.pop("0", "")
+	p.closeIdle("1")
+	if n := count(); p.size != n {
+		t.Errorf("%d idle connections, %d counted", n, p.size)
+	}
+	p.closeAllIdle()
+	if put("0"); p.size != 1 || count() != 1 {
+		t.Errorf("%d idle connections, %d counted, want 1", count(), p.size)
+	}
+}
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -39,8 +39,10 @@
 // conn is a caller's connection. It carries one request at a time. Only the goroutine that reads from it decides whether it is
 // idle, and ends it then: any other might close it while a request is received. Close is the exception.
 type conn struct {
-	server     *Server
-	handler    Handler
+	server  *Server
+	handler Handler
+	// memory is that of the connection's listener.
+	memory     *Memory
 	conn       net.Conn
 	reader     *bufio.Reader
 	acceptedAt time.Time
@@ -80,9 +82,9 @@
 	turnedAway bool
 }
 
-func newConn(s *Server, nc net.Conn, h Handler) *conn {
+func newConn(s *Server, nc net.Conn, h Handler, m *Memory) *conn {
 	return &conn{
-		server: s, handler: h, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true,
+		server: s, handler: h, memory: m, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true,
 		share: &budget.Share{}, interrupted: make(chan struct{}),
 	}
 }
@@ -188,7 +190,7 @@
 	if c.receiveRaised {
 		return
 	}
-	if size, ok := c.server.memory.raise(c, n); ok {
+	if size, ok := c.memory.raise(c, n); ok {
 		c.receiveRaised = true
 		_ = socket.RaiseReceiveBuffer(c.conn, size)
 	}
@@ -199,7 +201,7 @@
 	if c.sendRaised {
 		return
 	}
-	if size, ok := c.server.memory.raise(c, n); ok {
+	if size, ok := c.memory.raise(c, n); ok {
 		c.sendRaised = true
 		_ = socket.RaiseSendBuffer(c.conn, size)
 	}
@@ -252,7 +254,7 @@
 	if !c.used {
 		timeout = c.server.limits().HeaderTimeout
 	}
-	c.server.memory.wait(c, c.requestDeadline(timeout))
+	c.memory.wait(c, c.requestDeadline(timeout))
 	c.startWaiting(timeout)
 	err := c.awaitByte()
 	if isTimeout(err) && !c.isTurnedAway() {
@@ -366,10 +368,10 @@
 	}
 	defer c.releaseBody()
 	c.receiveBy = time.Now().Add(orNoTimeout(limits.HeaderTimeout))
-	c.server.memory.receive(c, c.requestDeadline(limits.HeaderTimeout))
+	c.memory.receive(c, c.requestDeadline(limits.HeaderTimeout))
 	c.setReadTimeout(limits.HeaderTimeout)
 	err := read(x, limits)
-	if err == nil && !c.server.memory.serve(c) {
+	if err == nil && !c.memory.serve(c) {
 		err = errTurnedAway
 	}
 	if err != nil {
@@ -405,7 +407,7 @@
 
 // growBody lets the request hold n bytes more until it ends, or until shrinkBody.
 func (c *conn) growBody(n int) error {
-	if err := c.server.memory.grow(c, n, c.receiveBy); err != nil {
+	if err := c.memory.grow(c, n, c.receiveBy); err != nil {
 		return err
 	}
 	c.bodyBytes.Add(int64(n))
@@ -414,7 +416,7 @@
 
 // growBodyCalm is growBody for bytes that haven't arrived yet, and reports whether there is plenty of room.
 func (c *conn) growBodyCalm(n int) bool {
-	if !c.server.memory.growCalm(c, n) {
+	if !c.memory.growCalm(c, n) {
 		return false
 	}
 	c.bodyBytes.Add(int64(n))
@@ -422,7 +424,7 @@
 }
 
 func (c *conn) shrinkBody(n int) {
-	c.server.memory.shrink(c, n)
+	c.memory.shrink(c, n)
 	c.bodyBytes.Add(-int64(n))
 }
 
@@ -513,7 +515,7 @@
 // growBuffer replaces the reader by one with a larger buffer. What the old one holds is read first. Most callers' headers
 // fit into the small buffer that a connection begins with.
 func (c *conn) growBuffer(size int) error {
-	if err := c.server.memory.grow(c, headerCopies*size, c.receiveBy); err != nil {
+	if err := c.memory.grow(c, headerCopies*size, c.receiveBy); err != nil {
 		return err
 	}
 	b, err := c.reader.Peek(c.reader.Buffered())
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -68,7 +68,7 @@
 		x.conn.shrinkBody(-n)
 		return true
 	}
-	if !x.server.memory.tryGrow(x.conn, n) {
+	if !x.conn.memory.tryGrow(x.conn, n) {
 		return false
 	}
 	x.conn.bodyBytes.Add(int64(n))
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -54,22 +54,25 @@
 	return Usage{Bytes: m.budget.Used(), Conns: m.budget.Conns(), Limits: m.budget.Limits(), TurnedAway: m.turnedAway}
 }
 
-// open admits a connection, and turns another one away for it if there are too many.
+// open admits a connection, and turns others away for it if there are too many.
 func (m *Memory) open(c *conn, endsAt time.Time) budget.Admission {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	share, away, admission := m.budget.Open(endsAt)
-	if away != nil {
-		m.turnAway(away)
+	o := m.budget.Open(endsAt)
+	if o.Away != nil {
+		m.turnAway(o.Away)
 	}
-	if admission != budget.Admitted {
+	if o.Cut != nil {
+		m.conns[o.Cut].cut()
+	}
+	if o.Admission != budget.Admitted {
 		m.turnedAway++
 	}
-	if share != nil {
-		c.share = share
-		m.conns[share] = c
+	if o.Share != nil {
+		c.share = o.Share
+		m.conns[o.Share] = c
 	}
-	return admission
+	return o.Admission
 }
 
 // turnAway ends the connection of a share.
@@ -195,6 +198,9 @@
 	c.setReadDeadline(time.Now())
 }
 
+// cut closes the connection, which is turned away, although its caller may not have its response.
+func (c *conn) cut() { _ = c.conn.Close() }
+
 // interrupt wakes up the connection if it waits for room; c.mu is held.
 func (c *conn) interrupt() { c.interruptOnce.Do(func() { close(c.interrupted) }) }
 
--- a/connection/ingress/server.go
+++ b/connection/ingress/server.go
@@ -111,29 +111,38 @@
 }
 
 // Start listens at an address and accepts connections in the background.
-func (s *Server) Start(address string) error { return s.StartHandler(address, s.handler) }
+func (s *Server) Start(address string) error { return s.start(address, s.handler, s.memory) }
 
-// StartHandler is Start with a handler of the address's own.
-func (s *Server) StartHandler(address string, h Handler) error {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.Buffers(s.memory.limits().Buffer))}
+// StartHandler is Start with a handler and a memory of the address's own.
+func (s *Server) StartHandler(address string, h Handler, m *Memory) error {
+	return s.start(address, h, m)
+}
+
+func (s *Server) start(address string, h Handler, m *Memory) error {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: socket.Controls(socket.UserTimeout(userTimeout), socket.Buffers(m.limits().Buffer))}
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return fmt.Errorf("Server.Start: %w", err)
 	}
+	if n := m.limits().Backlog; n > 0 {
+		if err := socket.SetBacklog(l, n); err != nil {
+			s.log.Debug().Err(err).Msg("the connections that wait to be accepted have the system's bound")
+		}
+	}
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
-	s.done.Go(func() { s.accept(l, h) })
+	s.done.Go(func() { s.accept(l, h, m) })
 	return nil
 }
 
 // accept accepts connections until the listener is closed, or, after BeginClose, until none is left in its queue.
-func (s *Server) accept(l net.Listener, h Handler) {
+func (s *Server) accept(l net.Listener, h Handler, m *Memory) {
 	for {
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
-			s.add(nc, h)
+			s.add(nc, h, m)
 		case errors.Is(err, net.ErrClosed):
 			return
 		case isTimeout(err) && s.closing.Load():
@@ -172,8 +181,8 @@
 }
 
 // add serves a connection, or ends it if there are too many.
-func (s *Server) add(nc net.Conn, h Handler) {
-	c := newConn(s, nc, h)
+func (s *Server) add(nc net.Conn, h Handler, m *Memory) {
+	c := newConn(s, nc, h, m)
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
@@ -181,7 +190,7 @@
 		return
 	}
 	c.expired = s.expired
-	admission := s.memory.open(c, c.requestDeadline(s.limits().HeaderTimeout))
+	admission := m.open(c, c.requestDeadline(s.limits().HeaderTimeout))
 	if admission == budget.Dropped {
 		s.mu.Unlock()
 		_ = nc.Close()
@@ -197,7 +206,7 @@
 }
 
 func (s *Server) removeConn(c *conn) {
-	s.memory.close(c)
+	c.memory.close(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -17,6 +17,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/forward"
+	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/queue"
@@ -43,6 +44,8 @@
 	stopTimeout = 1 * time.Second
 	// maxRequestBytes bounds the body of a request to open a connection, which has none.
 	maxRequestBytes = 1 << 10
+	// defaultMaxPending bounds the connections without an accepted token.
+	defaultMaxPending = 256
 )
 
 // Errors of calls to other daemons.
@@ -77,6 +80,8 @@
 	Tokens Tokens
 	// Dialer opens the connections to other daemons; nil for the system's.
 	Dialer savorywing.Dialer
+	// MaxPending bounds the connections that haven't shown an accepted token yet; 0 for the default.
+	MaxPending int
 	// Forward serves a connection on which another daemon hands over requests, until it ends; nil if this one takes none.
 	Forward func(ctx context.Context, c *forward.Conn)
 }
@@ -119,10 +124,18 @@
 func NewMesh(cfg Config, handler Handler, pool *ants.Pool, log zerolog.Logger) (*Mesh, error) {
 	var listener net.Listener
 	if cfg.Listen != "" {
-		var err error
-		if listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		config := net.ListenConfig{Control: socket.Buffers(pendingBuffer)}
+		l, err := config.Listen(context.Background(), "tcp", cfg.Listen)
+		if err != nil {
 			return nil, fmt.Errorf("peer.NewMesh: %w", err)
 		}
+		if cfg.MaxPending <= 0 {
+			cfg.MaxPending = defaultMaxPending
+		}
+		if err := socket.SetBacklog(l, cfg.MaxPending); err != nil {
+			log.Debug().Err(err).Msg("the connections that wait to be accepted have the system's bound")
+		}
+		listener = newPendingListener(l, cfg.MaxPending)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
@@ -277,6 +290,14 @@
 	return hosts
 }
 
+// PendingClosed returns the number of connections that were closed before they had shown their token, since there were too many.
+func (m *Mesh) PendingClosed() int {
+	if l, ok := m.listener.(*pendingListener); ok {
+		return l.Closed()
+	}
+	return 0
+}
+
 // Traffic returns the bytes and messages that the mesh has sent and received.
 func (m *Mesh) Traffic() TrafficSnapshot { return m.traffic.Count() }
 
@@ -317,8 +338,12 @@
 	if (!isForward && string(ctx.Path()) != peerPath) || !m.tokens.Load().accept(ctx.Request.Header.Peek("Authorization")) {
 		m.refusals.Warn().Str("event", "peerRefused").Stringer("address", ctx.RemoteAddr()).Msg("refused a connection without an accepted token")
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		ctx.SetConnectionClose()
 		return
 	}
+	if c, ok := ctx.Conn().(*pendingConn); ok {
+		c.admit()
+	}
 	u := websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }}
 	if err := u.Upgrade(ctx, serve); err != nil {
 		m.log.Warn().Err(err).Msg("upgrading a peer connection to WebSocket failed")
--- a/connection/socket/listener.go
+++ b/connection/socket/listener.go
@@ -24,6 +24,11 @@
 	})
 }
 
+// SetBacklog bounds the connections that wait to be accepted. What each of them has sent is held for this process.
+func SetBacklog(l net.Listener, n int) error {
+	return control(l, func(fd int) error { return unix.Listen(fd, n) })
+}
+
 // HasConnection reports whether a listener has a connection to accept.
 func HasConnection(l net.Listener) (bool, error) {
 	has := false
--- a/connection/socket/socket.go
+++ b/connection/socket/socket.go
@@ -2,6 +2,7 @@
 package socket
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -71,3 +72,19 @@
 	}
 	return optionErr
 }
+
+// pieceBytes is the size of the pieces of WritePieces.
+const pieceBytes = 16 << 10
+
+// WritePieces writes b in pieces and returns how much was written. The segments of a long write wait for delayed acknowledgements
+// where only few of them fit into the send buffer.
+func WritePieces(w io.Writer, b []byte) (int, error) {
+	written := 0
+	for {
+		n, err := w.Write(b[written:min(len(b), written+pieceBytes)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -8,8 +8,9 @@
 	shares map[*Share]struct{}
 	// used is the sum of what all shares hold, and large that of shares of over smallBytes.
 	used, large int
-	// leaving is the number of shares that are turned away, and bytesLeaving what they still hold.
+	// leaving is the number of shares that are turned away, and bytesLeaving what they still hold. left counts those that ever were.
 	leaving, bytesLeaving int
+	left                  uint64
 }
 
 // New returns a budget without shares.
@@ -24,6 +25,8 @@
 	serving
 	// turnedAway is the state of a share that may only shrink and be closed.
 	turnedAway
+	// cut is the state of a share that is turned away and has no time left.
+	cut
 	closed
 )
 
@@ -34,6 +37,8 @@
 	held int
 	// since is when the request began, and endsAt when the connection ends by itself if nothing more is received.
 	since, endsAt time.Time
+	// leftAs is the value of Budget.left when the share was turned away.
+	leftAs uint64
 }
 
 // Held returns the bytes of the share.
@@ -60,23 +65,59 @@
 	Dropped
 )
 
-// Open admits a connection that waits for a request until endsAt. Among too many, the one that would end first by itself is
-// turned away: it is returned, and must be closed. Every share that is returned must be closed by Close, also a refused one.
-func (b *Budget) Open(endsAt time.Time) (s, away *Share, a Admission) {
-	s = &Share{endsAt: endsAt}
-	if b.limits.MaxConns > 0 && b.Conns() >= b.limits.MaxConns {
-		if float64(b.leaving) >= max(minLeaving, leavingFraction*float64(b.limits.MaxConns)) {
-			return nil, nil, Dropped
+// Opening is the decision about a new connection, and what follows for others.
+type Opening struct {
+	Admission Admission
+	// Share is that of the new connection, which must be closed by Close; nil if it is dropped.
+	Share *Share
+	// Away is turned away for it, and Cut is one that was turned away before and has no time left; nil for none.
+	Away, Cut *Share
+}
+
+// Open decides about a connection that waits for a request until endsAt. Among too many, the one that would end first by itself is
+// turned away for it. Those that are turned away, for whatever reason, are too many as well from some number on: then the first of
+// them is cut.
+func (b *Budget) Open(endsAt time.Time) Opening {
+	o := Opening{Share: &Share{endsAt: endsAt}}
+	isFull := b.limits.MaxConns > 0 && b.Conns() >= b.limits.MaxConns
+	if isFull {
+		if o.Away = b.firstToEnd(); o.Away == nil {
+			o.Admission = Refused
 		}
-		if away = b.firstToEnd(); away == nil {
-			a = Refused
-			b.turnAway(s)
-		} else {
-			b.turnAway(away)
+	}
+	if b.limits.MaxConns > 0 && b.leaving+b.Conns() >= b.limits.MaxConns+b.maxLeaving() {
+		if o.Admission != Refused {
+			o.Cut = b.firstLeaving()
+		}
+		if o.Cut == nil {
+			return Opening{Admission: Dropped}
+		}
+		o.Cut.state = cut
+	}
+	switch {
+	case o.Admission == Refused:
+		b.turnAway(o.Share)
+	case o.Away != nil:
+		b.turnAway(o.Away)
+	}
+	b.shares[o.Share] = struct{}{}
+	return o
+}
+
+// maxLeaving returns how many connections may be turned away at a time.
+func (b *Budget) maxLeaving() int {
+	return int(max(minLeaving, leavingFraction*float64(b.limits.MaxConns)))
+}
+
+// firstLeaving returns the share that was turned away first and isn't cut; nil if there is none.
+func (b *Budget) firstLeaving() *Share {
+	var first *Share
+	for s := range b.shares {
+		if s.state == turnedAway && (first == nil || s.leftAs < first.leftAs) {
+			first = s
 		}
 	}
-	b.shares[s] = struct{}{}
-	return s, away, a
+	return first
 }
 
 // Wait marks a connection that waits for its next request until endsAt, and reports false if it is turned away.
@@ -201,7 +242,7 @@
 		b.large += s.held
 	}
 	b.used += n
-	if s.state == turnedAway {
+	if s.state >= turnedAway {
 		b.bytesLeaving += n
 	}
 }
@@ -209,7 +250,7 @@
 // Close ends a share.
 func (b *Budget) Close(s *Share) {
 	b.Shrink(s, s.held)
-	if s.state == turnedAway {
+	if s.state >= turnedAway {
 		b.leaving--
 	}
 	s.state = closed
@@ -217,7 +258,8 @@
 }
 
 func (b *Budget) turnAway(s *Share) {
-	s.state = turnedAway
+	s.state, s.leftAs = turnedAway, b.left
+	b.left++
 	b.leaving++
 	b.bytesLeaving += s.held
 }
--- a/process/budget/doc.go
+++ b/process/budget/doc.go
@@ -23,9 +23,8 @@
 	youngest = time.Millisecond
 )
 
-// Fractions of memory and descriptors for connections. process/descriptors divides the descriptors of a control host.
+// Fractions of memory for connections. process/descriptors divides the descriptors.
 const (
-	entryDescriptors           = 0.4
 	entryMemory, controlMemory = 0.125, 0.25
 	// entryConnBytes and controlConnBytes are what a connection takes that carries no request.
 	entryConnBytes, controlConnBytes = 32 << 10, 16 << 10
@@ -43,6 +42,8 @@
 	// minBuffer and maxBuffer bound the size of a buffer, and raisedBuffer is that of a connection whose body or response is long.
 	// It is the largest window of a connection whose buffer was smaller at first.
 	minBuffer, maxBuffer, raisedBuffer = 4 << 10, 32 << 10, 64 << 10
+	// minBacklog is the number of connections that may wait to be accepted however few may be open.
+	minBacklog = 64
 )
 
 // serveCopies is how often a process of savorywing serve holds a body: as it was received and as it is sent on.
@@ -54,14 +55,20 @@
 	Bytes, MaxConns int
 	// Buffer is the size of each socket's receive buffer and send buffer, in bytes; 0 for the system's.
 	Buffer int
+	// Backlog bounds the connections that wait to be accepted, each of which has a receive buffer; 0 for the system's bound.
+	Backlog int
 }
 
+// backlog returns the bound on connections that wait to be accepted beside a number of others.
+func backlog(conns int) int { return max(minBacklog, conns) }
+
 // bufferSize returns the size of each of the buffers of a number of connections, 0 for any number.
 func bufferSize(memory, conns, buffersPerConn int) int {
 	if memory <= 0 || conns <= 0 {
 		return maxBuffer
 	}
-	each := bufferFraction * float64(memory) / (float64(bufferOverhead*buffersPerConn*conns) * (1 + leavingFraction))
+	buffers := float64(buffersPerConn*conns)*(1+leavingFraction) + float64(backlog(conns))
+	each := bufferFraction * float64(memory) / (bufferOverhead * buffers)
 	return max(minBuffer, min(maxBuffer, int(each)))
 }
 
@@ -76,10 +83,13 @@
 	return Raise{Size: raisedBuffer, Bytes: bufferOverhead * (raisedBuffer - l.Buffer)}, true
 }
 
-// EntryLimits returns the limits of a process that serves callers, with a memory in bytes and a number of descriptors; 0 for an
-// unknown one.
-func EntryLimits(memory, descriptors int) Limits {
-	return newLimits(memory, int(entryDescriptors*float64(descriptors)), entryMemory/entryConnBytes, entryBuffers)
+// EntryConns returns the number of callers' connections for which an entry host has memory, in bytes; 0 for an unknown one.
+func EntryConns(memory int) int { return int(entryMemory / entryConnBytes * float64(memory)) }
+
+// EntryLimits returns the limits of an entry host with a memory in bytes, 0 for an unknown one, whose callers may have so many
+// connections; 0 for no bound.
+func EntryLimits(memory, maxConns int) Limits {
+	return newLimits(memory, maxConns, entryMemory/entryConnBytes, entryBuffers)
 }
 
 // ControlLimits returns the limits of a control host with a memory in bytes, whose many callers are idle most of the time, and may
@@ -90,7 +100,15 @@
 
 // ServeLimits returns the limits of a process of savorywing serve, whose requests are held in several forms.
 func ServeLimits(memory, maxConns int) Limits {
-	return Limits{Bytes: int(bodyFraction * float64(memory) / serveCopies), MaxConns: maxConns, Buffer: bufferSize(memory, maxConns, entryBuffers)}
+	return Limits{Bytes: int(bodyFraction * float64(memory) / serveCopies), MaxConns: maxConns, Buffer: bufferSize(memory, maxConns, entryBuffers), Backlog: backlog(maxConns)}
+}
+
+// Bounds of the readiness checks of an entry host, whose requests have no body.
+const checkBytes, checkBuffer = 64 << 10, 8 << 10
+
+// CheckLimits returns the limits of an entry host's readiness checks, on a number of connections.
+func CheckLimits(maxConns int) Limits {
+	return Limits{Bytes: checkBytes, MaxConns: maxConns, Buffer: checkBuffer, Backlog: backlog(maxConns)}
 }
 
 func newLimits(memory, maxConns int, connsPerByte float64, buffersPerConn int) Limits {
@@ -99,5 +117,8 @@
 		l.MaxConns = maxConns
 	}
 	l.Buffer = bufferSize(memory, l.MaxConns, buffersPerConn)
+	if l.MaxConns > 0 {
+		l.Backlog = backlog(l.MaxConns)
+	}
 	return l
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -239,7 +239,7 @@
 	}
 	self := c.settings.PeerAddress()
 	c.mesh, err = peer.NewMesh(peer.Config{
-		Host: self, BootID: uint64(time.Now().UnixNano()), DataCentre: c.settings.DataCentre, Listen: self, Tokens: peer.Tokens{Sent: c.settings.Token, AlsoAccepted: c.settings.AcceptedTokens},
+		Host: self, BootID: uint64(time.Now().UnixNano()), DataCentre: c.settings.DataCentre, Listen: self, MaxPending: c.budget.MaxPending, Tokens: peer.Tokens{Sent: c.settings.Token, AlsoAccepted: c.settings.AcceptedTokens},
 	}, &frameHandler{controller: c}, c.pool, c.log)
 	if err != nil {
 		return err
@@ -260,8 +260,9 @@
 	}
 	memory := ingress.NewMemory(c.clock, budget.ControlLimits(c.settings.MemoryMB<<20, c.budget.MaxCalls))
 	c.api = controlapi.New(c.clock, c.dialect, c, c.log, controlapi.WithMemory(memory))
-	c.telemetry = telemetry.New(c.clock, c.log)
+	c.telemetry = telemetry.New(c.clock, c.log, telemetry.WithMaxConns(c.budget.MaxScrapes))
 	c.telemetry.WatchMemory(memory)
+	c.telemetry.Gauge("pending_closed", func() float64 { return float64(c.mesh.PendingClosed()) })
 	c.telemetry.Gauge("leading", func() float64 {
 		if c.node.HasLease() {
 			return 1
--- a/process/forwarding/doc.go
+++ b/process/forwarding/doc.go
@@ -27,10 +27,8 @@
 	// memoryFraction is the fraction of a host's memory for other hosts' requests, and linkFraction that of its link.
 	memoryFraction = 0.25
 	linkFraction   = 0.5
-	// descriptorsPerRequest are the connections to the other host and to the server; descriptorFraction is the fraction of all
-	// descriptors for them.
+	// descriptorsPerRequest are the connections to the other host and to the server.
 	descriptorsPerRequest = 2
-	descriptorFraction    = 0.25
 	// requestsPerCore is the number of streams a second that one core relays, and cpuFraction the fraction of the processor
 	// for other hosts' requests.
 	requestsPerCore = 1000.0
--- a/process/forwarding/intake.go
+++ b/process/forwarding/intake.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Capacity is what a host may use in all. A field that is 0 or less sets no bound.
+// Capacity is what a host may use in all, but for Descriptors, which are those for the requests of other hosts. A field that is 0 or
+// less sets no bound.
 type Capacity struct {
 	MemoryBytes, Descriptors int
 	// CPUShare is the fraction of a core, and LinkMbps the bandwidth in Mbit/s.
@@ -20,7 +21,7 @@
 
 // NewIntake returns an intake for a host's capacity.
 func NewIntake(c Capacity) *Intake {
-	in := &Intake{maxBytes: int(memoryFraction * float64(c.MemoryBytes)), maxInFlight: int(descriptorFraction * float64(c.Descriptors) / descriptorsPerRequest)}
+	in := &Intake{maxBytes: int(memoryFraction * float64(c.MemoryBytes)), maxInFlight: c.Descriptors / descriptorsPerRequest}
 	in.requests.perSecond = cpuFraction * c.CPUShare * requestsPerCore
 	in.link.perSecond = linkFraction * c.LinkMbps * 1e6 / 8 / transfers
 	return in
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/budget"
 	"savorywing.example/savorywing/process/clock"
+	"savorywing.example/savorywing/process/descriptors"
 	"savorywing.example/savorywing/process/evacuation"
 	"savorywing.example/savorywing/process/forwarding"
 	"savorywing.example/savorywing/process/logging"
@@ -43,17 +44,18 @@
 // Gateway is one entry host.
 type Gateway struct {
 	// current is replaced on reload and never modified.
-	current      atomic.Pointer[instance.Settings]
-	clock        savorywing.Clock
-	log          zerolog.Logger
-	dialect      savorywing.Dialect
-	pool         *ants.Pool
-	mesh         *peer.Mesh
-	server       *ingress.Server
-	memory       *ingress.Memory
-	engines      *engine.Client
-	subscription *fleetSubscription
-	catalogue    atomic.Pointer[catalogue.Catalogue]
+	current atomic.Pointer[instance.Settings]
+	clock   savorywing.Clock
+	log     zerolog.Logger
+	dialect savorywing.Dialect
+	pool    *ants.Pool
+	mesh    *peer.Mesh
+	server  *ingress.Server
+	// memory is that of the callers' connections, and checks that of the readiness checks.
+	memory, checks *ingress.Memory
+	engines        *engine.Client
+	subscription   *fleetSubscription
+	catalogue      atomic.Pointer[catalogue.Catalogue]
 	// evacuated holds the evacuated data centres; nil before the first order.
 	evacuated atomic.Pointer[evacuation.Set]
 	stopping  atomic.Bool
@@ -115,29 +117,33 @@
 		balancer: placement.New(placement.Config{DataCentre: s.DataCentre, Seed: uint64(time.Now().UnixNano())}),
 	}
 	g.current.Store(s)
+	descriptorBudget := descriptors.ForEntry(s.MaxDescriptors, budget.EntryConns(s.MemoryMB<<20))
 	g.peers = forwarding.NewPeers(s.DataCentre, uint64(time.Now().UnixNano()))
 	g.intake = forwarding.NewIntake(forwarding.Capacity{
-		MemoryBytes: s.MemoryMB << 20, Descriptors: s.MaxDescriptors, CPUShare: s.CPUShare, LinkMbps: s.LinkMbps,
+		MemoryBytes: s.MemoryMB << 20, Descriptors: descriptorBudget.Forwards, CPUShare: s.CPUShare, LinkMbps: s.LinkMbps,
 	})
 	g.invalidValues = logging.NewRepeats(g.clock)
 	g.servedLines, g.problemLines = sampler{limit: maxServedLinesPerSecond}, sampler{limit: maxProblemLinesPerSecond}
-	g.telemetry = telemetry.New(g.clock, log)
+	g.telemetry = telemetry.New(g.clock, log, telemetry.WithMaxConns(descriptorBudget.MaxScrapes))
 	g.telemetry.Gauge("busy", func() float64 { return float64(g.server.InFlight()) })
 	g.telemetry.Gauge("engine_connections_opened", func() float64 { return float64(g.engines.ConnectionsOpened()) })
 	g.telemetry.Gauge("document_age_seconds", func() float64 { return g.subscription.confirmationAge().Seconds() })
 	g.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(g.evacuated.Load().Names())) })
 	g.telemetry.Gauge("path_state", func() float64 { return float64(g.pathState()) })
 	g.telemetry.Gauge("forwarded_in_flight", func() float64 { return float64(g.forwardedInFlight()) })
+	g.telemetry.Gauge("pending_closed", func() float64 { return float64(g.mesh.PendingClosed()) })
+	g.telemetry.Gauge("checks_turned_away", func() float64 { return float64(g.checks.Usage().TurnedAway) })
 	g.telemetry.Handle(operator.PathWhere, g.handleWhere)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.expiring, g.expireForwarded = context.WithCancelCause(context.Background())
-	limits := budget.EntryLimits(s.MemoryMB<<20, s.MaxDescriptors)
-	g.engines = engine.New(g.clock, dialect, engine.WithBuffers(limits.Buffer))
+	limits := budget.EntryLimits(s.MemoryMB<<20, descriptorBudget.MaxCalls)
+	g.engines = engine.New(g.clock, dialect, engine.WithBuffers(limits.Buffer), engine.WithMaxIdle(descriptorBudget.MaxIdle))
 	for _, opt := range opts {
 		opt(g)
 	}
 	g.subscription = newFleetSubscription(g)
 	g.memory = ingress.NewMemory(g.clock, limits)
+	g.checks = ingress.NewMemory(g.clock, budget.CheckLimits(descriptorBudget.MaxChecks))
 	g.telemetry.WatchMemory(g.memory)
 	g.server = ingress.New(g.clock, g, g.limits, log, ingress.WithMemory(g.memory))
 	var err error
@@ -145,7 +151,7 @@
 		return nil, fmt.Errorf("gateway.New: %w", err)
 	}
 	g.mesh, err = peer.NewMesh(peer.Config{
-		Host: s.PeerAddress(), Listen: s.PeerAddress(), Forward: g.serveForwarded, Dialer: g.peerDialer, BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Tokens: peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens},
+		Host: s.PeerAddress(), Listen: s.PeerAddress(), MaxPending: descriptorBudget.MaxPending, Forward: g.serveForwarded, Dialer: g.peerDialer, BootID: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Tokens: peer.Tokens{Sent: s.Token, AlsoAccepted: s.AcceptedTokens},
 	}, g.subscription, g.pool, log)
 	if err != nil {
 		return nil, fmt.Errorf("gateway.New: %w", err)
@@ -194,7 +200,7 @@
 	if err := g.server.Start(g.settings().CallerAddress); err != nil {
 		return fmt.Errorf("Gateway.Start: %w", err)
 	}
-	if err := g.server.StartHandler(g.settings().ReadyAddress, readiness{g}); err != nil {
+	if err := g.server.StartHandler(g.settings().ReadyAddress, readiness{g}, g.checks); err != nil {
 		return fmt.Errorf("Gateway.Start: %w", err)
 	}
 	g.log.Info().Str("event", "started").Str("callers", g.settings().CallerAddress).Msg("the entry host started")
--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -32,7 +32,7 @@
 	highestMicroseconds = int64(time.Minute / time.Microsecond)
 	significantFigures  = 2
 	// Scrapers are few and send short requests without a body.
-	maxConns       = 64
+	defaultConns   = 64
 	bufferBytes    = 16 << 10
 	maxHeaderBytes = 4 << 10
 	maxBodyBytes   = 4 << 10
@@ -47,6 +47,8 @@
 type Telemetry struct {
 	set  *metrics.Set
 	http *ingress.Server
+	// maxConns bounds the connections that read it.
+	maxConns int
 
 	// pages holds handlers of further paths.
 	pages map[string]fasthttp.RequestHandler
@@ -57,12 +59,21 @@
 
 type key struct{ name, label, value string }
 
+// Option changes a Telemetry.
+type Option func(t *Telemetry)
+
+// WithMaxConns bounds the connections that read it.
+func WithMaxConns(n int) Option { return func(t *Telemetry) { t.maxConns = n } }
+
 // New returns empty telemetry.
-func New(clock savorywing.Clock, log zerolog.Logger) *Telemetry {
-	t := &Telemetry{set: metrics.NewSet(), histograms: map[key]*hdrhistogram.Histogram{}, pages: map[string]fasthttp.RequestHandler{}}
+func New(clock savorywing.Clock, log zerolog.Logger, opts ...Option) *Telemetry {
+	t := &Telemetry{set: metrics.NewSet(), histograms: map[key]*hdrhistogram.Histogram{}, pages: map[string]fasthttp.RequestHandler{}, maxConns: defaultConns}
+	for _, opt := range opts {
+		opt(t)
+	}
 	limits := ingress.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	t.http = ingress.New(clock, ingress.NewRequestHandler(t.handle, t.handle), func() ingress.Limits { return limits }, log,
-		ingress.WithMemory(ingress.NewMemory(clock, budget.Limits{MaxConns: maxConns, Buffer: bufferBytes})))
+		ingress.WithMemory(ingress.NewMemory(clock, budget.Limits{MaxConns: t.maxConns, Buffer: bufferBytes, Backlog: t.maxConns})))
 	return t
 }
 
