controller: all who read the document share one copy of it

What operators saw: 300 of them who ask a control host of 72 MB for the document (8,000 routes, 2.6 MB) and don't read it made it use 347 MB as leader and 334 MB as follower: it would have been killed, and the leader with it. Cause: each call decompressed the document and copied it into its response, and nothing counted that. The calls that publish one copied and decoded as many as were received at once. Change: one text of the newest document, by its compressed form, serves all responses, which pass it on without a copy. Documents are checked one at a time, and a call's body isn't copied first, since no part of it is kept. Why it works: what a reader who doesn't read costs is its connection's buffers, which are bounded. One document is decoded at a time, of a body that is counted.

--- a/connection/controlapi/server.go
+++ b/connection/controlapi/server.go
@@ -46,10 +46,10 @@
 	HandleReport(ctx context.Context, r wire.Report) (string, error)
 	// HandleWithdrawal deregisters a backend server that stops.
 	HandleWithdrawal(ctx context.Context, id string) error
-	// PublishDocument stores a document as the newest one if its version is higher than that of all earlier ones. Any other
+	// PublishDocument stores a document, which it doesn't keep, as the newest one if its version is higher than that of all earlier ones. Any other
 	// version is acknowledged and changes nothing.
 	PublishDocument(ctx context.Context, document []byte) error
-	// ReadDocument returns the newest document, as confirmed by a majority after the call started.
+	// ReadDocument returns the newest document, which isn't modified, as confirmed by a majority after the call started.
 	ReadDocument(ctx context.Context) ([]byte, error)
 	// Evacuate begins the evacuation of a data centre, or finishes it. An order that changes nothing is acknowledged as well.
 	Evacuate(ctx context.Context, order wire.Evacuate) error
@@ -135,8 +135,7 @@
 			s.writeError(r, err)
 		}
 	case savorywing.ControlPublish:
-		// A handler may keep the document, so it must be a copy.
-		if err := s.handler.PublishDocument(s.ctx, append([]byte(nil), r.PostBody()...)); err != nil {
+		if err := s.handler.PublishDocument(s.ctx, r.PostBody()); err != nil {
 			s.writeError(r, err)
 		}
 	case savorywing.ControlRead:
@@ -146,7 +145,7 @@
 			return
 		}
 		r.SetContentType("application/json")
-		r.SetBody(b)
+		r.Response.SetBodyRaw(b)
 	case savorywing.ControlBeginEvacuation, savorywing.ControlFinishEvacuation:
 		order := wire.Evacuate{DataCentre: call.DataCentre, On: call.Operation == savorywing.ControlBeginEvacuation}
 		// An order whose operator has gone on must not take effect after a later one.
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -90,6 +90,9 @@
 	telemetry *telemetry.Telemetry
 	// document is the newest accepted document that this host has decoded.
 	document atomic.Pointer[decodedDocument]
+	// documentText is the text of the document for those that read it, and checking is held while one is checked.
+	documentText documentText
+	checking     sync.Mutex
 	// leaderControl is the address at which the leader receives reports; empty while it is not known.
 	leaderControl atomic.Pointer[string]
 	// directory tells where servers report to, and cutOff that this host doesn't reach the leader.
