budget: small requests have room, and who waits for room gets it

Cause, read in the decisions and shown by the new tests, which fail on them: up to 64 KiB, requests share the whole budget, so a crowd of such holds all of it and a request of some bytes has to wait until others are turned away; the room that they leave goes to whoever asks first, mostly the crowd. A new connection turned away the one whose own time ends first, whatever it holds, so many newcomers ended the ordinary request that waited. And a response that serve must hold whole found no room beside bodies that may never end: nobody was turned away for it (503 to all, code unknown). Change: the first 8 KiB of each request don't count, as they are part of what its connection takes (32 KiB). Who waits for room has it reserved, in the order in which they began to wait. A new connection turns away one that has been idle for a second, else the one with the most bytes times age, else as before. A response of serve turns away bodies that are still received. A caller who has taken nothing of its response for a second is cut when there is no room or no connection left otherwise. Newcomers are dropped again while too many are being turned away, so that those who are admitted have some time; only those turned away for their bytes are cut for a newcomer. The tests: TestSmallRequestsHaveRoom, TestResponsesBeforeBodies, TestDispensable.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -51,6 +51,8 @@
 	bodyBytes atomic.Int64
 	// receiveRaised and sendRaised report whether the buffers are raised.
 	receiveRaised, sendRaised bool
+	// writingSince is when the write that goes on began, in Unix microseconds; 0 without one.
+	writingSince atomic.Int64
 	// receiveBy is when the current request must have been received, by the system's clock.
 	receiveBy time.Time
 	// interrupted is closed when the connection must end, also if it waits for room.
@@ -173,10 +175,13 @@
 
 // write writes to the connection, each piece within writeTimeout.
 func (c *conn) write(b []byte) error {
+	defer c.writingSince.Store(0)
 	for {
-		if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		now := time.Now()
+		if err := c.conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 			return err
 		}
+		c.writingSince.Store(now.UnixMicro())
 		n, err := c.conn.Write(b[:min(len(b), writePieceBytes)])
 		if b = b[n:]; err != nil || len(b) == 0 {
 			return err
--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -75,6 +75,21 @@
 	return true
 }
 
+// roomTimeout bounds the wait until other connections that are turned away hold less.
+const roomTimeout = time.Second
+
+// Require is Hold, but if need be others are turned away whose requests are still received.
+func (x *Exchange) Require(n int) bool {
+	if n < 0 {
+		return x.Hold(n)
+	}
+	if x.conn.memory.grow(x.conn, n, time.Now().Add(roomTimeout)) != nil {
+		return false
+	}
+	x.conn.bodyBytes.Add(int64(n))
+	return true
+}
+
 // Start implements savorywing.Exchange. It makes one write unless the first bytes of a body are many. With a negative length the
 // body is sent with chunked transfer encoding.
 func (x *Exchange) Start(h *fasthttp.ResponseHeader, length int, first []byte) error {
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -58,7 +58,11 @@
 func (m *Memory) open(c *conn, endsAt time.Time) budget.Admission {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o := m.budget.Open(endsAt)
+	now := m.clock.Now()
+	if m.budget.IsFull() {
+		m.recordStalls(now)
+	}
+	o := m.budget.Open(now, endsAt)
 	if o.Away != nil {
 		m.turnAway(o.Away)
 	}
@@ -78,9 +82,24 @@
 // turnAway ends the connection of a share.
 func (m *Memory) turnAway(s *budget.Share) {
 	m.turnedAway++
+	if s.IsCut() {
+		m.conns[s].cut()
+		return
+	}
 	m.conns[s].turnAway(s.Held())
 }
 
+// recordStalls records whose callers don't read.
+func (m *Memory) recordStalls(now time.Time) {
+	for s, c := range m.conns {
+		if since := c.writingSince.Load(); since > 0 {
+			m.budget.Stall(s, now.Add(-time.Since(time.UnixMicro(since))))
+		} else {
+			m.budget.Stall(s, time.Time{})
+		}
+	}
+}
+
 // close ends the share of a connection.
 func (m *Memory) close(c *conn) {
 	m.mu.Lock()
@@ -102,7 +121,7 @@
 func (m *Memory) wait(c *conn, endsAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.budget.Wait(c.share, endsAt)
+	m.budget.Wait(c.share, m.clock.Now(), endsAt)
 }
 
 func (m *Memory) receive(c *conn, endsAt time.Time) {
@@ -124,7 +143,11 @@
 	var timer *time.Timer
 	for {
 		m.mu.Lock()
-		verdict, away := m.budget.Grow(m.clock.Now(), c.share, n)
+		now := m.clock.Now()
+		if !m.budget.Fits(c.share, n) {
+			m.recordStalls(now)
+		}
+		verdict, away := m.budget.Grow(now, c.share, n)
 		changed := m.changed
 		for _, s := range away {
 			m.turnAway(s)
@@ -145,14 +168,24 @@
 		case <-changed:
 		case <-c.interrupted:
 			if err := c.interruptCause(); err != nil {
+				m.forgo(c)
 				return err
 			}
 		case <-timer.C:
+			m.forgo(c)
 			return os.ErrDeadlineExceeded
 		}
 	}
 }
 
+// forgo ends the wait of a connection for room.
+func (m *Memory) forgo(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Forgo(c.share)
+	m.signal()
+}
+
 // growCalm lets a connection hold n bytes more that haven't arrived yet, and reports whether there is plenty of room.
 func (m *Memory) growCalm(c *conn, n int) bool {
 	m.mu.Lock()
--- a/connection/ingress/request_handler.go
+++ b/connection/ingress/request_handler.go
@@ -35,10 +35,10 @@
 // Reject implements Handler.
 func (h requestHandler) Reject(x savorywing.Exchange) { respond(context.Background(), x, h.reject) }
 
-// holdKey is the key of a request's Exchange.Hold among the values of its fasthttp.RequestCtx.
+// holdKey is the key of a request's Exchange.Require among the values of its fasthttp.RequestCtx.
 type holdKey struct{}
 
-// Hold returns the Exchange.Hold of a request that a RequestHandler serves; nil without a bound.
+// Hold returns the Exchange.Require of a request that a RequestHandler serves; nil without a bound.
 func Hold(r *fasthttp.RequestCtx) func(n int) bool {
 	hold, _ := r.UserValue(holdKey{}).(func(n int) bool)
 	return hold
@@ -49,7 +49,7 @@
 	r.Init2(nil, httplog.Discard{}, true)
 	if c, ok := x.(*Exchange); ok {
 		r.SetRemoteAddr(c.conn.conn.RemoteAddr())
-		r.SetUserValue(holdKey{}, c.Hold)
+		r.SetUserValue(holdKey{}, c.Require)
 	}
 	x.HTTPRequest().Header.CopyTo(&r.Request.Header)
 	r.Request.SetBodyRaw(x.HTTPRequest().Body())
--- a/connection/peer/pending.go
+++ b/connection/peer/pending.go
@@ -53,7 +53,11 @@
 func (l *pendingListener) add(c *pendingConn) *pendingConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := l.budget.Open(time.Now().Add(dialTimeout))
+	now := time.Now()
+	o := l.budget.Open(now, now.Add(dialTimeout))
+	if o.Share == nil {
+		return c
+	}
 	c.share, l.conns[o.Share] = o.Share, c
 	if o.Away == nil {
 		return nil
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -6,11 +6,14 @@
 type Budget struct {
 	limits Limits
 	shares map[*Share]struct{}
-	// used is the sum of what all shares hold, and large that of shares of over smallBytes.
-	used, large int
+	// used is the sum of what counts of all shares, large what shares of over smallBytes hold, and reserved the bytes for which shares
+	// wait.
+	used, large, reserved int
 	// leaving is the number of shares that are turned away, and bytesLeaving what they still hold. left counts those that ever were.
 	leaving, bytesLeaving int
 	left                  uint64
+	// waited counts the shares that ever waited for bytes.
+	waited uint64
 }
 
 // New returns a budget without shares.
@@ -33,21 +36,28 @@
 // Share is what one connection holds. Only its Budget changes it.
 type Share struct {
 	state state
-	// held is never negative.
-	held int
+	// held and reserved are never negative. reserved are the bytes for which the share waits: no other gets them.
+	held, reserved int
 	// since is when the request began, and endsAt when the connection ends by itself if nothing more is received.
 	since, endsAt time.Time
-	// leftAs is the value of Budget.left when the share was turned away.
-	leftAs uint64
+	// waitsSince is when the connection began to wait for a request.
+	waitsSince time.Time
+	// stalledSince is when its caller last took bytes of its response; zero if none are waiting for it.
+	stalledSince time.Time
+	// leftAs is the value of Budget.left when the share was turned away, and waitsAs that of Budget.waited when it began to wait.
+	leftAs, waitsAs uint64
 }
 
+// counted returns how many bytes of a share's count.
+func counted(held int) int { return max(0, held-includedBytes) }
+
 // Held returns the bytes of the share.
 func (s *Share) Held() int { return s.held }
 
 // Limits returns the limits.
 func (b *Budget) Limits() Limits { return b.limits }
 
-// Used returns the bytes that all shares hold.
+// Used returns the bytes that count of what all shares hold.
 func (b *Budget) Used() int { return b.used }
 
 // Conns returns the number of connections that are not being turned away.
@@ -70,23 +80,33 @@
 	Admission Admission
 	// Share is that of the new connection, which must be closed by Close; nil if it is dropped.
 	Share *Share
-	// Away is turned away for it, and Cut is one that was turned away before and has no time left; nil for none.
+	// Away is turned away for it, unless it is cut, and Cut is one that was turned away before and has no time left; nil for none.
 	Away, Cut *Share
 }
 
-// Open decides about a connection that waits for a request until endsAt. Among too many, the one that would end first by itself is
-// turned away for it. Those that are turned away, for whatever reason, are too many as well from some number on: then the first of
-// them is cut.
-func (b *Budget) Open(endsAt time.Time) Opening {
-	o := Opening{Share: &Share{endsAt: endsAt}}
-	isFull := b.limits.MaxConns > 0 && b.Conns() >= b.limits.MaxConns
-	if isFull {
-		if o.Away = b.firstToEnd(); o.Away == nil {
+// IsCut reports whether the share is turned away and has no time left, not even for a response.
+func (s *Share) IsCut() bool { return s.state == cut }
+
+// Stall records since when the caller of a share that is served has taken nothing of its response; zero if nothing waits for it.
+func (b *Budget) Stall(s *Share, since time.Time) { s.stalledSince = since }
+
+// isStalled reports whether a share is served to a caller who doesn't read.
+func isStalled(s *Share, now time.Time) bool {
+	return s.state == serving && !s.stalledSince.IsZero() && now.Sub(s.stalledSince) >= stalledAfter
+}
+
+// Open decides about a connection that waits for a request until endsAt. Among too many, one without a request that is served is
+// turned away for it, unless too many are being turned away: then it is dropped, so that those that are admitted have some time. Those
+// that are turned away for their bytes take room as well: the first of them is cut.
+func (b *Budget) Open(now, endsAt time.Time) Opening {
+	o := Opening{Share: &Share{endsAt: endsAt, waitsSince: now}}
+	if b.IsFull() {
+		if o.Away = b.dispensable(now); o.Away == nil {
 			o.Admission = Refused
 		}
 	}
 	if b.limits.MaxConns > 0 && b.leaving+b.Conns() >= b.limits.MaxConns+b.maxLeaving() {
-		if o.Admission != Refused {
+		if !b.IsFull() {
 			o.Cut = b.firstLeaving()
 		}
 		if o.Cut == nil {
@@ -121,7 +141,10 @@
 }
 
 // Wait marks a connection that waits for its next request until endsAt, and reports false if it is turned away.
-func (b *Budget) Wait(s *Share, endsAt time.Time) bool { return b.enter(s, waiting, s.since, endsAt) }
+func (b *Budget) Wait(s *Share, now, endsAt time.Time) bool {
+	s.waitsSince = now
+	return b.enter(s, waiting, s.since, endsAt)
+}
 
 // Receive marks a connection on which a request begins, that must have been received by endsAt, and reports false if it is
 // turned away.
@@ -152,38 +175,81 @@
 	TurnedAway
 )
 
-// Grow asks for n bytes more for a share. The shares that it returns are turned away by it, s itself among them
-// if it is, and must be closed.
+// Grow asks for n bytes more for a share, for which others are turned away whose requests are still received. The shares that it
+// returns are turned away by it, s itself among them if it is, and must be closed. One that waits has its bytes reserved until it
+// asks again. A share that is served is told that it is turned away if there is no room, and stays as it is.
 func (b *Budget) Grow(now time.Time, s *Share, n int) (Verdict, []*Share) {
 	if s.state >= turnedAway {
 		return TurnedAway, nil
 	}
 	if b.fits(s, n) {
+		b.reserve(s, 0)
 		b.hold(s, n)
 		return Granted, nil
 	}
-	bound := b.bound(s.held + n)
-	if s.held+n <= bound && b.used-b.bytesLeaving-b.receivedByOthers(s)+n > bound {
+	bound, more := b.bound(s.held+n), counted(s.held+n)-counted(s.held)
+	if (s.held+n <= bound || s.state == serving) && b.keptByOthers(now, s)+counted(s.held)+more > bound {
 		// What is served leaves no room, whoever else is turned away.
-		b.turnAway(s)
-		return TurnedAway, []*Share{s}
+		return TurnedAway, b.giveUp(s)
 	}
 	var away []*Share
-	for b.used-b.bytesLeaving+n > bound {
+	for b.used-b.bytesLeaving+b.reservedBefore(s)+more > bound {
 		heaviest := b.heaviest(now, s, n)
 		if heaviest == nil || heaviest == s {
-			b.turnAway(s)
-			return TurnedAway, append(away, s)
+			return TurnedAway, append(away, b.giveUp(s)...)
 		}
 		b.turnAway(heaviest)
 		away = append(away, heaviest)
 	}
+	if s.reserved == 0 {
+		s.waitsAs = b.waited
+		b.waited++
+	}
+	b.reserve(s, more)
 	return Awaiting, away
 }
 
+// Fits reports whether n bytes more for a share have room without anybody being turned away.
+func (b *Budget) Fits(s *Share, n int) bool { return s.state < turnedAway && b.fits(s, n) }
+
+// IsFull reports whether there are as many connections as there may be.
+func (b *Budget) IsFull() bool { return b.limits.MaxConns > 0 && b.Conns() >= b.limits.MaxConns }
+
+// giveUp turns a share away for which there is no room, unless its request is served, and returns it if it does.
+func (b *Budget) giveUp(s *Share) []*Share {
+	if s.state == serving {
+		return nil
+	}
+	b.turnAway(s)
+	return []*Share{s}
+}
+
+// reservedBefore returns the bytes for which other shares wait that began to wait before s.
+func (b *Budget) reservedBefore(s *Share) int {
+	if b.reserved == 0 || s.reserved == 0 {
+		return b.reserved
+	}
+	n := 0
+	for other := range b.shares {
+		if other.reserved > 0 && other.waitsAs < s.waitsAs {
+			n += other.reserved
+		}
+	}
+	return n
+}
+
+// reserve sets the bytes for which a share waits.
+func (b *Budget) reserve(s *Share, n int) {
+	b.reserved += n - s.reserved
+	s.reserved = n
+}
+
+// Forgo ends the wait of a share that doesn't ask again.
+func (b *Budget) Forgo(s *Share) { b.reserve(s, 0) }
+
 // GrowCalm is Grow for bytes that are announced and haven't arrived yet. It reports false unless most of the budget is free.
 func (b *Budget) GrowCalm(s *Share, n int) bool {
-	if s.state >= turnedAway || (b.limits.Bytes > 0 && float64(b.used+n) > calmFraction*float64(b.limits.Bytes)) {
+	if s.state >= turnedAway || (b.limits.Bytes > 0 && float64(b.used+b.reserved+n) > calmFraction*float64(b.limits.Bytes)) {
 		return false
 	}
 	b.hold(s, n)
@@ -206,7 +272,7 @@
 
 // TryGrow is Grow for a share that is served: nobody is turned away for it. It reports false for any other share.
 func (b *Budget) TryGrow(s *Share, n int) bool {
-	if s.state != serving || (b.limits.Bytes > 0 && b.used+n > b.bound(s.held+n)) {
+	if s.state != serving || (b.limits.Bytes > 0 && b.used+b.reserved+counted(s.held+n)-counted(s.held) > b.bound(s.held+n)) {
 		return false
 	}
 	b.hold(s, n)
@@ -219,7 +285,8 @@
 	if s.held > smallBytes {
 		othersLarge -= s.held
 	}
-	return b.limits.Bytes <= 0 || b.used+n <= b.bound(s.held+n) || (s.held+n > smallBytes && othersLarge == 0)
+	more := counted(s.held+n) - counted(s.held)
+	return b.limits.Bytes <= 0 || more == 0 || b.used+b.reservedBefore(s)+more <= b.bound(s.held+n) || (s.held+n > smallBytes && othersLarge == 0)
 }
 
 // bound returns what all shares may hold when one that grows to a size gets more.
@@ -237,19 +304,21 @@
 	if s.held > smallBytes {
 		b.large -= s.held
 	}
+	more := counted(s.held+n) - counted(s.held)
 	s.held += n
 	if s.held > smallBytes {
 		b.large += s.held
 	}
-	b.used += n
+	b.used += more
 	if s.state >= turnedAway {
-		b.bytesLeaving += n
+		b.bytesLeaving += more
 	}
 }
 
 // Close ends a share.
 func (b *Budget) Close(s *Share) {
 	b.Shrink(s, s.held)
+	b.reserve(s, 0)
 	if s.state >= turnedAway {
 		b.leaving--
 	}
@@ -258,29 +327,57 @@
 }
 
 func (b *Budget) turnAway(s *Share) {
-	s.state, s.leftAs = turnedAway, b.left
+	if s.state == serving {
+		s.state = cut // its response has begun, so that there can't be another one
+	} else {
+		s.state = turnedAway
+	}
+	s.leftAs = b.left
 	b.left++
 	b.leaving++
-	b.bytesLeaving += s.held
+	b.bytesLeaving += counted(s.held)
+	b.reserve(s, 0)
+}
+
+// dispensable returns the connection that is turned away for a new one: an idle one, or else the one whose request has cost the
+// others most, or else the one whose own time ends first, or else one whose
+// caller doesn't read. It is nil if all are served.
+func (b *Budget) dispensable(now time.Time) *Share {
+	idle := b.firstToEnd(func(s *Share) bool { return s.state == waiting && now.Sub(s.waitsSince) >= idleAfter })
+	if idle != nil {
+		return idle
+	}
+	if heaviest := b.heaviest(now, nil, 0); heaviest != nil && counted(heaviest.held) > 0 {
+		return heaviest
+	}
+	if first := b.firstToEnd(func(s *Share) bool { return s.state <= receiving }); first != nil {
+		return first
+	}
+	for s := range b.shares {
+		if isStalled(s, now) {
+			return s
+		}
+	}
+	return nil
 }
 
-// firstToEnd returns the connection without a request that is served whose own time ends first; nil if there is none.
-func (b *Budget) firstToEnd() *Share {
+// firstToEnd returns the connection of some whose own time ends first; nil if there is none.
+func (b *Budget) firstToEnd(of func(s *Share) bool) *Share {
 	var first *Share
 	for s := range b.shares {
-		if s.state <= receiving && (first == nil || s.endsAt.Before(first.endsAt)) {
+		if of(s) && (first == nil || s.endsAt.Before(first.endsAt)) {
 			first = s
 		}
 	}
 	return first
 }
 
-// receivedByOthers returns the bytes of the shares other than asker that can be turned away.
-func (b *Budget) receivedByOthers(asker *Share) int {
+// keptByOthers returns what counts of the shares other than asker that can't be turned away any more.
+func (b *Budget) keptByOthers(now time.Time, asker *Share) int {
 	n := 0
 	for s := range b.shares {
-		if s != asker && s.state <= receiving {
-			n += s.held
+		if s != asker && s.state == serving && !isStalled(s, now) {
+			n += counted(s.held) + s.reserved
 		}
 	}
 	return n
@@ -296,7 +393,7 @@
 		if s == asker {
 			size += n
 		}
-		if weight := float64(size) * float64(now.Sub(s.since)+youngest); s.state <= receiving && weight > most {
+		if weight := float64(size) * float64(now.Sub(s.since)+youngest); (s.state <= receiving || isStalled(s, now)) && weight > most {
 			heaviest, most = s, weight
 		}
 	}
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -12,7 +12,7 @@
 
 func open(t *testing.T, b *Budget, endsAt time.Time) *Share {
 	t.Helper()
-	o := b.Open(endsAt)
+	o := b.Open(start, endsAt)
 	if o.Share == nil || o.Away != nil || o.Cut != nil || o.Admission != Admitted {
 		t.Fatalf("got %+v, want an admitted connection", o)
 	}
@@ -94,7 +94,7 @@
 	b.Serve(served)
 	b.Receive(half, start, start.Add(3*time.Second))
 	for i, want := range []*Share{half, kept} {
-		o := b.Open(start.Add(time.Hour))
+		o := b.Open(start, start.Add(time.Hour))
 		if o.Away != want || o.Admission != Admitted {
 			t.Errorf("connection %d: got %+v, want %p", i, o, want)
 		}
@@ -102,13 +102,13 @@
 	}
 	admissions := map[Admission]int{}
 	for range 2 * minLeaving {
-		admissions[b.Open(start).Admission]++
+		admissions[b.Open(start, start).Admission]++
 	}
 	if admissions[Refused] != minLeaving-2 || admissions[Dropped] != minLeaving+2 || b.Conns() != 3 {
 		t.Errorf("got %v, %d connections", admissions, b.Conns())
 	}
 	b.Close(half)
-	if o := b.Open(start); o.Admission != Refused {
+	if o := b.Open(start, start); o.Admission != Refused {
 		t.Errorf("got %+v after one has ended, want a refusal", o)
 	}
 }
@@ -130,7 +130,7 @@
 }
 
 func (c *crowd) open(now time.Time) {
-	o := c.Open(now.Add(time.Second))
+	o := c.Open(now, now.Add(time.Second))
 	if o.Share == nil {
 		return
 	}
@@ -196,7 +196,7 @@
 		for s := range c.shares {
 			c.end(s)
 		}
-		if b := c.Budget; b.used != 0 || b.large != 0 || b.leaving != 0 || b.bytesLeaving != 0 || len(b.shares) != 0 {
+		if b := c.Budget; b.used != 0 || b.reserved != 0 || b.large != 0 || b.leaving != 0 || b.bytesLeaving != 0 || len(b.shares) != 0 {
 			t.Fatalf("seed %d: left %+v", seed, b)
 		}
 	}
@@ -239,7 +239,7 @@
 	b := New(Limits{Bytes: mega, MaxConns: conns})
 	var away []*Share
 	for range 3 * conns {
-		o := b.Open(start.Add(time.Minute))
+		o := b.Open(start, start.Add(time.Minute))
 		if o.Admission != Admitted {
 			t.Fatalf("got %+v, want an admitted connection", o)
 		}
@@ -261,3 +261,99 @@
 		}
 	}
 }
+
+// TestSmallRequestsHaveRoom guards against ordinary requests that are turned away since a crowd holds all bytes, and checks that the
+// bytes for which a request waits go to no other.
+func TestSmallRequestsHaveRoom(t *testing.T) {
+	b := New(Limits{Bytes: mega})
+	for range 16 {
+		receive(t, b, start, smallBytes)
+	}
+	receive(t, b, start, includedBytes)
+	small, large := open(t, b, start.Add(time.Minute)), open(t, b, start.Add(time.Minute))
+	for _, s := range []*Share{small, large} {
+		b.Receive(s, start, start.Add(time.Minute))
+	}
+	for range 16 { // the crowd fills what is included
+		s := open(t, b, start.Add(time.Minute))
+		b.Receive(s, start, start.Add(time.Minute))
+		_, away := b.Grow(start.Add(time.Hour), s, smallBytes)
+		for _, s := range away {
+			b.Close(s)
+		}
+	}
+	if v, away := b.Grow(start, small, includedBytes); v != Granted || len(away) > 0 {
+		t.Errorf("a small request: got %v, %d turned away", v, len(away))
+	}
+	now := start.Add(time.Second)
+	v, away := b.Grow(now, large, smallBytes/2)
+	if v != Awaiting || len(away) == 0 {
+		t.Fatalf("a larger one: got %v, %d turned away", v, len(away))
+	}
+	for _, s := range away {
+		b.Close(s)
+	}
+	rival := open(t, b, start.Add(time.Minute))
+	b.Receive(rival, now, start.Add(time.Minute))
+	if v, _ := b.Grow(now, rival, smallBytes); v == Granted {
+		t.Error("the bytes for which a request waits went to another one")
+	}
+	if v, _ := b.Grow(now, large, smallBytes/2); v != Granted {
+		t.Errorf("got %v for the request that waited", v)
+	}
+}
+
+// TestResponsesBeforeBodies checks that a response that must be held gets the room of requests that are still received, and of
+// responses whose callers don't read, but not of others.
+func TestResponsesBeforeBodies(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		state   state
+		stalled time.Duration
+		want    Verdict
+	}{
+		{"received", receiving, 0, Awaiting},
+		{"served", serving, 0, TurnedAway},
+		{"just sent", serving, stalledAfter / 2, TurnedAway},
+		{"sent to a caller who doesn't read", serving, stalledAfter, Awaiting},
+	} {
+		b := New(Limits{Bytes: mega})
+		other := receive(t, b, start, mega/2)
+		other.state = tt.state
+		if tt.stalled > 0 {
+			b.Stall(other, start.Add(-tt.stalled))
+		}
+		asker := receive(t, b, start, includedBytes)
+		b.Serve(asker)
+		v, away := b.Grow(start, asker, mega/2)
+		if v != tt.want || len(away) != int(tt.want)%2 || asker.state != serving {
+			t.Errorf("%s: got %v, %d turned away", tt.name, v, len(away))
+		}
+		if tt.want == Awaiting && other.IsCut() != (tt.state == serving) {
+			t.Errorf("%s: cut %t", tt.name, other.IsCut())
+		}
+	}
+}
+
+// TestDispensable checks which connection ends for a new one.
+func TestDispensable(t *testing.T) {
+	now := start.Add(time.Minute)
+	b := New(Limits{Bytes: 8 * mega, MaxConns: 5})
+	young := b.Open(now, now.Add(time.Second)).Share
+	half := receive(t, b, now.Add(-time.Second), 10)
+	body := receive(t, b, now.Add(-time.Millisecond), mega)
+	idle := open(t, b, now.Add(time.Hour))
+	stalled := receive(t, b, now, 10)
+	b.Serve(stalled)
+	b.Stall(stalled, now.Add(-stalledAfter))
+	for i, want := range []*Share{idle, body, young, half, stalled} {
+		o := b.Open(now, now.Add(2*time.Hour))
+		if o.Admission != Admitted || o.Away != want {
+			t.Errorf("connection %d: got %+v, want %p", i, o, want)
+		}
+		b.Serve(o.Share)
+	}
+	if o := b.Open(now, now); o.Admission != Refused {
+		t.Errorf("got %+v beside served ones only", o)
+	}
+}
--- a/process/budget/doc.go
+++ b/process/budget/doc.go
@@ -13,6 +13,8 @@
 	// smallBytes is the size, in bytes, up to which shares may use the whole budget; larger ones leave smallFraction of it.
 	smallBytes    = 64 << 10
 	smallFraction = 0.25
+	// includedBytes of each share don't count: they are part of what its connection takes. Small requests always have room.
+	includedBytes = 8 << 10
 	// calmFraction is the fraction of the budget that bytes may use that haven't arrived yet.
 	calmFraction = 0.5
 	// leavingFraction bounds the number of connections that are being turned away, relative to MaxConns, unless they are fewer than
@@ -21,6 +23,10 @@
 	minLeaving      = 8
 	// youngest is added to the age of a share, so that of those that have just begun the largest counts most.
 	youngest = time.Millisecond
+	// idleAfter is how long a connection must have waited for a request to be turned away before those that are received.
+	idleAfter = time.Second
+	// stalledAfter is how long a caller must have taken nothing of its response to be cut for others.
+	stalledAfter = time.Second
 )
 
 // Fractions of memory for connections. process/descriptors divides the descriptors.
@@ -98,9 +104,12 @@
 	return newLimits(memory, maxConns, controlMemory/controlConnBytes, controlBuffers)
 }
 
-// ServeLimits returns the limits of a process of savorywing serve, whose requests are held in several forms.
+// ServeLimits returns the limits of a process of savorywing serve, whose requests are held in several forms. They are otherwise those
+// of an entry host.
 func ServeLimits(memory, maxConns int) Limits {
-	return Limits{Bytes: int(bodyFraction * float64(memory) / serveCopies), MaxConns: maxConns, Buffer: bufferSize(memory, maxConns, entryBuffers), Backlog: backlog(maxConns)}
+	l := EntryLimits(memory, maxConns)
+	l.Bytes /= serveCopies
+	return l
 }
 
 // Bounds of the readiness checks of an entry host, whose requests have no body.
