daemon: connections of serve are bounded by the memory and the descriptors

What callers saw: with a memory of 72 MB (GOMEMLIMIT 43 MiB) and 400 descriptors, 300 callers made savorywing serve use 128 MB (responses that nobody reads) and 85 MB (bodies), and open 382 to 501 sockets, of 200 for them. Cause: it admitted 4,096 connections whatever the memory and descriptors, kept idle connections to all servers, and its peer port had no bound. Change: serve and dev have the limits of an entry host, from GOMEMLIMIT or the host's memory and from the process's limit on descriptors (RLIMIT_NOFILE).

--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -64,6 +64,9 @@
 // WithBuffers sets the sizes of the buffers of the client's sockets, in bytes; 0 for the system's.
 func WithBuffers(size int) Option { return func(c *Client) { c.buffers = size } }
 
+// WithMaxIdle bounds the idle connections that are kept for later requests, to all addresses together; 0 for no bound.
+func WithMaxIdle(n int) Option { return func(c *Client) { c.pool.maxIdle = n } }
+
 // New returns a client.
 func New(clock savorywing.Clock, opts ...Option) *Client {
 	c := &Client{pool: newPool(clock)}
--- a/connection/backend/pool.go
+++ b/connection/backend/pool.go
@@ -58,6 +58,8 @@
 	clock savorywing.Clock
 	mu    sync.Mutex
 	idle  map[string][]*link
+	// maxIdle bounds the connections in idle, of which there are size; 0 for no bound.
+	maxIdle, size int
 }
 
 func newPool(clock savorywing.Clock) *pool {
@@ -74,6 +76,7 @@
 		l := links[len(links)-1]
 		links = links[:len(links)-1]
 		p.idle[address] = links
+		p.size--
 		if p.clock.Now().Sub(l.idleSince) <= maxIdleTime {
 			return l
 		}
@@ -86,12 +89,13 @@
 func (p *pool) put(address string, l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdlePerAddress || l.reader.Buffered() > 0 {
+	if len(p.idle[address]) >= maxIdlePerAddress || (p.maxIdle > 0 && p.size >= p.maxIdle) || l.reader.Buffered() > 0 {
 		_ = l.Close()
 		return
 	}
 	l.idleSince = p.clock.Now()
 	p.idle[address] = append(p.idle[address], l)
+	p.size++
 }
 
 // closeIdle closes every idle connection to an address.
@@ -101,6 +105,7 @@
 	for _, l := range p.idle[address] {
 		_ = l.Close()
 	}
+	p.size -= len(p.idle[address])
 	delete(p.idle, address)
 }
 
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"savorywing.example/savorywing/connection/operator"
 	"savorywing.example/savorywing/connection/peer"
 	"savorywing.example/savorywing/process/budget"
+	"savorywing.example/savorywing/process/descriptors"
 	"savorywing.example/savorywing/process/disk"
 	"savorywing.example/savorywing/process/entry"
 	"savorywing.example/savorywing/process/logging"
@@ -57,6 +58,8 @@
 	entry      *entry.Server
 	callers    *caller.Server
 	operator   *operator.Server
+	// descriptors divides the process's descriptors among its kinds of connections.
+	descriptors descriptors.Budget
 	// memory bounds what the connections of callers and operators hold together.
 	memory *ingress.Memory
 
@@ -99,9 +102,11 @@
 	if d.registry, err = registry.New(d.clock, d.settings); err != nil {
 		return err
 	}
-	limits := budget.ServeLimits(hostMemory(), maxConns)
+	memory := hostMemory()
+	d.descriptors = descriptors.ForEntry(hostDescriptors(), budget.EntryConns(memory))
+	limits := budget.ServeLimits(memory, d.descriptors.MaxCalls)
 	d.memory = ingress.NewMemory(d.clock, limits)
-	d.backend = backend.New(d.clock, backend.WithBuffers(limits.Buffer))
+	d.backend = backend.New(d.clock, backend.WithBuffers(limits.Buffer), backend.WithMaxIdle(d.descriptors.MaxIdle))
 	d.pollClient = backend.New(d.clock)
 	d.control = backend.NewControlClient(d.pollClient, d.settings.Timing.PollInterval)
 	token, err := settings.LoadToken(d.settings.Daemon.OperatorsFile)
@@ -136,7 +141,7 @@
 	}
 	cfg := peer.Config{
 		Host: d.settings.Daemon.Host, BootID: d.bootID, DataCentre: d.self().DataCentre,
-		Listen: d.settings.Daemon.PeerAddress, Peers: peers, Tokens: peer.Tokens{Sent: token},
+		Listen: d.settings.Daemon.PeerAddress, Peers: peers, MaxPending: d.descriptors.MaxPending, Tokens: peer.Tokens{Sent: token},
 	}
 	mesh, err := peer.NewMesh(cfg, &frameHandler{daemon: d}, d.pool, d.log)
 	d.mesh = mesh
