--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -232,7 +232,11 @@
 }
 
 // cut closes the connection, which is turned away, although its caller may not have its response.
-func (c *conn) cut() { _ = c.conn.Close() }
+func (c *conn) cut() {
+	c.server.turnedAwayLog.Info().Str("event", "cut").Stringer("address", c.conn.RemoteAddr()).
+		Msg("a connection is closed since its caller doesn't read, or others need its place")
+	_ = c.conn.Close()
+}
 
 // interrupt wakes up the connection if it waits for room; c.mu is held.
 func (c *conn) interrupt() { c.interruptOnce.Do(func() { close(c.interrupted) }) }
--- a/connection/peer/mesh.go
+++ b/connection/peer/mesh.go
@@ -135,7 +135,7 @@
 		if err := socket.SetBacklog(l, cfg.MaxPending); err != nil {
 			log.Debug().Err(err).Msg("the connections that wait to be accepted have the system's bound")
 		}
-		listener = newPendingListener(l, cfg.MaxPending)
+		listener = newPendingListener(l, cfg.MaxPending, log)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
--- a/connection/peer/pending.go
+++ b/connection/peer/pending.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/budget"
 )
@@ -26,10 +28,14 @@
 	conns  map[*budget.Share]*pendingConn
 	// closed counts the connections that were closed since there were too many.
 	closed int
+	log    zerolog.Logger
 }
 
-func newPendingListener(l net.Listener, maxConns int) *pendingListener {
-	return &pendingListener{Listener: l, budget: budget.New(budget.Limits{MaxConns: maxConns}), conns: map[*budget.Share]*pendingConn{}}
+func newPendingListener(l net.Listener, maxConns int, log zerolog.Logger) *pendingListener {
+	return &pendingListener{
+		Listener: l, budget: budget.New(budget.Limits{MaxConns: maxConns}), conns: map[*budget.Share]*pendingConn{},
+		log: log.Sample(&zerolog.BurstSampler{Burst: refusalLines, Period: time.Minute}),
+	}
 }
 
 // Accept implements net.Listener.
@@ -44,6 +50,7 @@
 	}
 	c := &pendingConn{TCPConn: tcp, listener: l}
 	if away := l.add(c); away != nil {
+		l.log.Warn().Str("event", "pendingClosed").Stringer("address", away.RemoteAddr()).Msg("closed a connection without a token since there are too many")
 		_ = away.Close()
 	}
 	return c, nil
--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -97,6 +97,7 @@
 		"max_held_bytes":  func(u ingress.Usage) int { return u.Limits.Bytes },
 		"connections":     func(u ingress.Usage) int { return u.Conns },
 		"max_connections": func(u ingress.Usage) int { return u.Limits.MaxConns },
+		"socket_buffer":   func(u ingress.Usage) int { return u.Limits.Buffer },
 		"turned_away":     func(u ingress.Usage) int { return u.TurnedAway },
 	} {
 		t.Gauge(name, func() float64 { return float64(read(m.Usage())) })
