budget: raised buffers have a part of the memory of their own

What callers saw: nothing yet, found while reading: a connection with a long body got a window of 64 KiB that counted as a body until its end, and only a body of a stated length did. A caller whose response was being written while the time of day jumped would have counted as one who doesn't read. Cause: two uses of one budget; the raise stood in the branch for stated lengths; the beginning of a write was a time of day. Change: a twentieth of the memory is for raised buffers, out of the sockets' quarter, and bodies in chunks raise theirs as they grow. Writes are timed on the steady clock.

--- a/connection/ingress/body.go
+++ b/connection/ingress/body.go
@@ -32,7 +32,7 @@
 	grow     func(n int) error
 	growCalm func(n int) bool
 	shrink   func(n int)
-	// raise is called once it is known that n bytes more follow.
+	// raise is called before n bytes are received at once.
 	raise func(n int)
 	b     []byte
 }
@@ -88,7 +88,6 @@
 	whole := len(r.b) + n
 	if isLast && r.growCalm(whole) {
 		size = whole
-		r.raise(n)
 	} else {
 		if isLast {
 			size = min(size, whole)
@@ -97,6 +96,7 @@
 			return err
 		}
 	}
+	r.raise(size)
 	b := make([]byte, len(r.b), size)
 	copy(b, r.b)
 	r.shrink(cap(r.b))
--- a/connection/ingress/body_test.go
+++ b/connection/ingress/body_test.go
@@ -37,7 +37,7 @@
 		got.Header.SetContentLength(length)
 		got.Header.CopyTo(&want.Header)
 		held, peak := 0, 0
-		r := bodyReader{reader: bufio.NewReader(bytes.NewReader(b)), max: maxBody, growCalm: func(int) bool { return false }, shrink: func(n int) { held -= n }, grow: func(n int) error {
+		r := bodyReader{reader: bufio.NewReader(bytes.NewReader(b)), max: maxBody, growCalm: func(int) bool { return false }, raise: func(int) {}, shrink: func(n int) { held -= n }, grow: func(n int) error {
 			held += n
 			peak = max(peak, held)
 			return nil
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -36,6 +36,9 @@
 // errHeaderTooLarge replaces the parser's error, which quotes the header and so the caller's key.
 var errHeaderTooLarge = errors.New("the request header exceeds the limit")
 
+// epoch is before all writes, on the steady clock.
+var epoch = time.Now().Add(-time.Second)
+
 // conn is a caller's connection. It carries one request at a time. Only the goroutine that reads from it decides whether it is
 // idle, and ends it then: any other might close it while a request is received. Close is the exception.
 type conn struct {
@@ -51,7 +54,7 @@
 	bodyBytes atomic.Int64
 	// receiveRaised and sendRaised report whether the buffers are raised.
 	receiveRaised, sendRaised bool
-	// writingSince is when the write that goes on began, in Unix microseconds; 0 without one.
+	// writingSince is when the write that goes on began, as a time since epoch; 0 without one.
 	writingSince atomic.Int64
 	// receiveBy is when the current request must have been received, by the system's clock.
 	receiveBy time.Time
@@ -181,7 +184,7 @@
 		if err := c.conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 			return err
 		}
-		c.writingSince.Store(now.UnixMicro())
+		c.writingSince.Store(int64(now.Sub(epoch)))
 		n, err := c.conn.Write(b[:min(len(b), writePieceBytes)])
 		if b = b[n:]; err != nil || len(b) == 0 {
 			return err
@@ -189,8 +192,8 @@
 	}
 }
 
-// raiseReceiveBuffer lets the caller send more of a body of n bytes at a time, if there is plenty of room. Without it the body only
-// takes longer.
+// raiseReceiveBuffer lets the caller send more of n bytes at a time, if there is room for that. Without it the body only takes
+// longer.
 func (c *conn) raiseReceiveBuffer(n int) {
 	if c.receiveRaised {
 		return
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -91,9 +91,10 @@
 
 // recordStalls records whose callers don't read.
 func (m *Memory) recordStalls(now time.Time) {
+	sinceEpoch := time.Since(epoch)
 	for s, c := range m.conns {
-		if since := c.writingSince.Load(); since > 0 {
-			m.budget.Stall(s, now.Add(-time.Since(time.UnixMicro(since))))
+		if since := time.Duration(c.writingSince.Load()); since > 0 {
+			m.budget.Stall(s, now.Add(since-sinceEpoch))
 		} else {
 			m.budget.Stall(s, time.Time{})
 		}
@@ -216,8 +217,7 @@
 func (m *Memory) raise(c *conn, n int) (size int, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r, ok := m.budget.Limits().Raise(n)
-	return r.Size, ok && m.budget.GrowCalm(c.share, r.Bytes)
+	return m.budget.Raise(c.share, n)
 }
 
 // turnAway ends the connection, which holds some bytes, from any goroutine. It reads until its own goroutine notices.
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -9,6 +9,8 @@
 	// used is the sum of what counts of all shares, large what shares of over smallBytes hold, and reserved the bytes for which shares
 	// wait.
 	used, large, reserved int
+	// raised is what the raised buffers of all shares may hold.
+	raised int
 	// leaving is the number of shares that are turned away, and bytesLeaving what they still hold. left counts those that ever were.
 	leaving, bytesLeaving int
 	left                  uint64
@@ -38,6 +40,8 @@
 	state state
 	// held and reserved are never negative. reserved are the bytes for which the share waits: no other gets them.
 	held, reserved int
+	// raised is what its raised buffers may hold.
+	raised int
 	// since is when the request began, and endsAt when the connection ends by itself if nothing more is received.
 	since, endsAt time.Time
 	// waitsSince is when the connection began to wait for a request.
@@ -218,6 +222,7 @@
 // giveUp turns a share away for which there is no room, unless its request is served, and returns it if it does.
 func (b *Budget) giveUp(s *Share) []*Share {
 	if s.state == serving {
+		b.reserve(s, 0)
 		return nil
 	}
 	b.turnAway(s)
@@ -256,6 +261,18 @@
 	return true
 }
 
+// Raise returns the size of the buffer of a connection that sends or receives n bytes, which counts until the share is closed: a window
+// that has been offered can't be taken back. It reports false if the usual size is enough, or must be.
+func (b *Budget) Raise(s *Share, n int) (size int, ok bool) {
+	more := bufferOverhead * (raisedBuffer - b.limits.Buffer)
+	if b.limits.Buffer <= 0 || n <= bufferOverhead*b.limits.Buffer || s.state >= turnedAway || b.raised+more > b.limits.RaisedBytes {
+		return 0, false
+	}
+	s.raised += more
+	b.raised += more
+	return raisedBuffer, true
+}
+
 // Announce returns a share for a request of n bytes that another host announces on a connection that isn't counted here, or nil
 // if most of the budget isn't free and it wouldn't be the only large one. It counts as served, and must be closed by Close.
 func (b *Budget) Announce(n int) *Share {
@@ -319,6 +336,8 @@
 func (b *Budget) Close(s *Share) {
 	b.Shrink(s, s.held)
 	b.reserve(s, 0)
+	b.raised -= s.raised
+	s.raised = 0
 	if s.state >= turnedAway {
 		b.leaving--
 	}
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -220,14 +220,30 @@
 		if held := (conns*tt.buffers + l.Backlog) * bufferOverhead * l.Buffer; held > int(bufferFraction*float64(tt.memory)) || l.Buffer < minBuffer {
 			t.Errorf("%s: %d connections hold %d bytes, buffers of %d", tt.name, conns, held, l.Buffer)
 		}
-		if _, ok := l.Raise(1 << 10); ok {
+		b, raised := New(l), 0
+		if _, ok := b.Raise(open(t, b, start), 1<<10); ok {
 			t.Errorf("%s: the buffer is raised for 1 KiB", tt.name)
 		}
-		if r, ok := l.Raise(4 * mega); !ok || r.Size != raisedBuffer || r.Bytes != bufferOverhead*(raisedBuffer-l.Buffer) {
-			t.Errorf("%s: got %+v for 4 MiB", tt.name, r)
+		shares := map[*Share]bool{}
+		for range l.MaxConns - 1 {
+			s := open(t, b, start)
+			if size, ok := b.Raise(s, 4*mega); ok {
+				raised += bufferOverhead * (size - l.Buffer)
+				shares[s] = true
+			}
+		}
+		if len(shares) == 0 || raised > int(raisedFraction*float64(tt.memory)) {
+			t.Errorf("%s: %d raised buffers hold %d bytes", tt.name, len(shares), raised)
+		}
+		for s := range shares {
+			b.Close(s)
+		}
+		if b.raised != 0 {
+			t.Errorf("%s: %d bytes of raised buffers are left", tt.name, b.raised)
 		}
 	}
-	if _, ok := (Limits{}).Raise(4 * mega); ok {
+	b := New(Limits{})
+	if _, ok := b.Raise(open(t, b, start), 4*mega); ok {
 		t.Error("the system's buffer is raised")
 	}
 }
--- a/process/budget/doc.go
+++ b/process/budget/doc.go
@@ -38,8 +38,8 @@
 
 const (
 	// bufferFraction is the fraction of the memory for what the sockets hold: bytes that have arrived and haven't been read, and
-	// bytes that were written and haven't been taken.
-	bufferFraction = 0.25
+	// bytes that were written and haven't been taken. raisedFraction is that for buffers that are raised beyond their usual size.
+	bufferFraction, raisedFraction = 0.2, 0.05
 	// entryBuffers are those of a caller's connection and of the one on which its request is sent on, two each. Control hosts send
 	// nothing on.
 	entryBuffers, controlBuffers = 4, 2
@@ -47,7 +47,7 @@
 	bufferOverhead = 2
 	// minBuffer and maxBuffer bound the size of a buffer, and raisedBuffer is that of a connection whose body or response is long.
 	// It is the largest window of a connection whose buffer was smaller at first.
-	minBuffer, maxBuffer, raisedBuffer = 4 << 10, 32 << 10, 64 << 10
+	minBuffer, maxBuffer, raisedBuffer = 3 << 10, 32 << 10, 64 << 10
 	// minBacklog is the number of connections that may wait to be accepted however few may be open.
 	minBacklog = 64
 )
@@ -61,6 +61,8 @@
 	Bytes, MaxConns int
 	// Buffer is the size of each socket's receive buffer and send buffer, in bytes; 0 for the system's.
 	Buffer int
+	// RaisedBytes bounds what buffers hold beyond that size.
+	RaisedBytes int
 	// Backlog bounds the connections that wait to be accepted, each of which has a receive buffer; 0 for the system's bound.
 	Backlog int
 }
@@ -78,17 +80,6 @@
 	return max(minBuffer, min(maxBuffer, int(each)))
 }
 
-// Raise is the buffer of a connection with a long body or response, in bytes, and what it counts as.
-type Raise struct{ Size, Bytes int }
-
-// Raise returns the buffer of a connection that sends or receives n bytes at once. It reports false if the usual one is enough.
-func (l Limits) Raise(n int) (Raise, bool) {
-	if l.Buffer <= 0 || n <= bufferOverhead*l.Buffer {
-		return Raise{}, false
-	}
-	return Raise{Size: raisedBuffer, Bytes: bufferOverhead * (raisedBuffer - l.Buffer)}, true
-}
-
 // EntryConns returns the number of callers' connections for which an entry host has memory, in bytes; 0 for an unknown one.
 func EntryConns(memory int) int { return int(entryMemory / entryConnBytes * float64(memory)) }
 
@@ -125,7 +116,7 @@
 	if maxConns > 0 && (l.MaxConns == 0 || maxConns < l.MaxConns) {
 		l.MaxConns = maxConns
 	}
-	l.Buffer = bufferSize(memory, l.MaxConns, buffersPerConn)
+	l.Buffer, l.RaisedBytes = bufferSize(memory, l.MaxConns, buffersPerConn), int(raisedFraction*float64(memory))
 	if l.MaxConns > 0 {
 		l.Backlog = backlog(l.MaxConns)
 	}
