crowds: restart of an entry host and stop of serve amid a crowd

Cause: the users' list of what wasn't tried names stops and restarts with a crowd. Change: TestCrowdWhileStopping starts the host again while the crowd goes on, with the same bounds; TestCrowdAtServe ends with a planned stop amid a crowd.

--- a/cmd/savorywing/crowd_control_test.go
+++ b/cmd/savorywing/crowd_control_test.go
@@ -224,6 +224,14 @@
 	s.standin(standinserver.Config{Host: "booking-1", Kind: savorywing.KindService, Service: "booking", BodyBytes: 1 << 20})
 	s.waitReady()
 	crowdSystem{p: s.daemons[0], callers: s.callers[0], operators: s.operators[0], peers: s.peers[0], key: testKey, token: testToken, target: "/booking/x"}.withstandAll(t, true)
+	// A planned stop ends whatever the crowd does.
+	r := startReturning(t, s.callers[0], returningCallers, crowdSystem{}.crowdCallers("/booking/x", testKey)...)
+	time.Sleep(returningTime)
+	s.daemons[0].signal(syscall.SIGTERM)
+	if code := s.daemons[0].wait(); code != 0 {
+		t.Errorf("exit code %d after a planned stop", code)
+	}
+	r.end()
 }
 
 // TestCrowdAtDev is TestCrowdReturns for the listeners of savorywing dev.
--- a/cmd/savorywing/crowd_entry_test.go
+++ b/cmd/savorywing/crowd_entry_test.go
@@ -174,7 +174,8 @@
 	m.check(t, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
 }
 
-// TestCrowdWhileStopping checks that an entry host with a crowd ends after a signal, and takes new settings.
+// TestCrowdWhileStopping checks that an entry host with a crowd takes new settings, ends after a signal, and serves once it has
+// started again amid the crowd.
 func TestCrowdWhileStopping(t *testing.T) {
 	f := newCrowdedFleet(t)
 	all := f.endlessCallers("/book/x")
@@ -189,10 +190,15 @@
 	if code := p.wait(); code != 0 {
 		t.Errorf("exit code %d", code)
 	}
-	r.end()
 	u := m.end()
 	t.Logf("at the most %d MB, %d sockets, pipes and data files", u.total>>20, u.descriptors)
 	if u.total > returningMemoryMB<<20 || u.descriptors > crowdMaxDescriptors-reservedDescriptors {
 		t.Errorf("%d bytes, %d descriptors, %d MB and %d allowed", u.total, u.descriptors, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
 	}
+	p.start()
+	m = startMeter(p, "")
+	time.Sleep(returningTime)
+	r.end()
+	f.awaitAnswer()
+	m.check(t, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
 }
