ingress, budget, crowds: what the change wrote twice

Cause: how much of a share's growth counts was spelled out at four places; raising the receive and the send buffer were two copies; conn.write split writes into pieces beside socket.WritePieces; the tests of crowds had three copies of one check. Each response, and each larger buffer of a body, took the mutex of the budget to learn that it needs no larger window, and reading the limits took it although they never change. Change: Share.more, conn.raise with the buffer as its argument, a writer with a time limit for WritePieces, crowded.withstand. Limits.IsLong decides without the mutex. Raising moves to memory.go, where a connection's other dealings with the budget are. Comments: one stated that TestCrowdAtServers has servers that don't read bodies, which its stand-ins do; one had lost a constant, one described a parameter that isn't there. Behaviour and assertions are the same.

--- a/cmd/savorywing/crowd_control_test.go
+++ b/cmd/savorywing/crowd_control_test.go
@@ -72,7 +72,7 @@
 	return doc
 }
 
-// request returns the bytes of a call of the control interface, whose body is another one than its dialect writes if it isn't nil.
+// request returns the bytes of a call of the control interface.
 func request(write func(h *fasthttp.RequestHeader) []byte) []byte {
 	var h fasthttp.RequestHeader
 	body := write(&h)
@@ -109,16 +109,13 @@
 func (f crowdControls) withstand(t *testing.T, p *daemonProcess, address string, kinds ...caller) {
 	t.Helper()
 	p.process.t = t
-	m := startMeter(p.process, p.dataDir)
-	r := startReturning(t, address, returningCallers, kinds...)
-	var o ordinary
 	control := f.address(p).callers
-	o.run(returningTime, func() int { return f.read(control) })
-	r.end()
-	r.tell(t)
-	t.Logf("%d of %d ordinary calls were served", o.served, o.sent)
-	f.eventually("a call is served", func() bool { return f.read(control) == fasthttp.StatusOK })
-	m.check(t, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
+	crowded{
+		p: p.process, dataDir: p.dataDir, send: func() int { return f.read(control) },
+		await: func() {
+			f.eventually("a call is served", func() bool { return f.read(control) == fasthttp.StatusOK })
+		},
+	}.withstand(t, address, kinds...)
 }
 
 // TestCrowdAtControl is TestCrowdReturns for control hosts.
@@ -310,13 +307,5 @@
 
 func (s crowdSystem) withstand(t *testing.T, address string, kinds ...caller) {
 	t.Helper()
-	m := startMeter(s.p, "")
-	r := startReturning(t, address, returningCallers, kinds...)
-	var o ordinary
-	o.run(returningTime, s.send)
-	r.end()
-	r.tell(t)
-	t.Logf("%d of %d ordinary requests were served", o.served, o.sent)
-	s.awaitAnswer(t)
-	m.check(t, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
+	crowded{p: s.p, send: s.send, await: func() { s.awaitAnswer(t) }}.withstand(t, address, kinds...)
 }
--- a/cmd/savorywing/crowd_entry_test.go
+++ b/cmd/savorywing/crowd_entry_test.go
@@ -56,15 +56,8 @@
 // withstand checks an entry host during and after a crowd.
 func (f *crowdedFleet) withstand(t *testing.T, p *process, address string, kinds ...caller) {
 	t.Helper()
-	m := startMeter(p, "")
-	r := startReturning(t, address, returningCallers, kinds...)
-	var o ordinary
-	o.run(returningTime, func() int { return f.send(f.entry, "/crowd/x", "", fleetKey, nil).status })
-	r.end()
-	r.tell(t)
-	t.Logf("%d of %d ordinary requests were served", o.served, o.sent)
-	f.awaitAnswer()
-	m.check(t, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
+	c := crowded{p: p, send: func() int { return f.send(f.entry, "/crowd/x", "", fleetKey, nil).status }, await: f.awaitAnswer}
+	r := c.withstand(t, address, kinds...)
 	for _, id := range r.promised {
 		if n := f.fleet.RunCount(id); n > 0 {
 			t.Errorf("request %s ran %d times although its answer promised that it doesn't", id, n)
@@ -91,8 +84,7 @@
 	}
 }
 
-// TestCrowdAtServers is TestCrowdReturns for complete requests, whose servers don't read them or whose callers don't read
-// the responses.
+// TestCrowdAtServers is TestCrowdReturns for complete requests, some of whose callers don't read the responses.
 func TestCrowdAtServers(t *testing.T) {
 	f := newCrowdedFleet(t)
 	whole := [][]byte{nearlyAll, []byte("x")}
--- a/cmd/savorywing/crowd_test.go
+++ b/cmd/savorywing/crowd_test.go
@@ -39,8 +39,8 @@
 	descriptors int
 }
 
-func (u footprint) max(v footprint) footprint {
-	return footprint{max(u.resident, v.resident), max(u.unread, v.unread), max(u.untaken, v.untaken), max(u.total, v.total), max(u.descriptors, v.descriptors)}
+func (f footprint) max(g footprint) footprint {
+	return footprint{max(f.resident, g.resident), max(f.unread, g.unread), max(f.untaken, g.untaken), max(f.total, g.total), max(f.descriptors, g.descriptors)}
 }
 
 // meter records the most that a process uses.
@@ -202,11 +202,12 @@
 
 // returning is a crowd whose callers come back as soon as they are turned away.
 type returning struct {
-	address string
-	stop    chan struct{}
-	done    sync.WaitGroup
-	calls   atomic.Int64
-	mu      sync.Mutex
+	address  string
+	stop     chan struct{}
+	stopOnce sync.Once
+	done     sync.WaitGroup
+	calls    atomic.Int64
+	mu       sync.Mutex
 	// promised holds the IDs of the requests that were answered with a status that promises that they don't run.
 	promised []string
 }
@@ -232,19 +233,12 @@
 
 // end stops all callers and returns once they have.
 func (r *returning) end() {
-	r.mu.Lock()
-	select {
-	case <-r.stop:
-	default:
-		close(r.stop)
-	}
-	r.mu.Unlock()
+	r.stopOnce.Do(func() { close(r.stop) })
 	r.done.Wait()
 }
 
 func (r *returning) call(id string, kind caller) {
-	d := net.Dialer{Timeout: crowdTime}
-	c, err := d.Dial("tcp", r.address)
+	c, err := net.DialTimeout("tcp", r.address, crowdTime)
 	if err != nil {
 		time.Sleep(lookInterval)
 		return
@@ -309,15 +303,32 @@
 	t.Logf("%d calls, %d answered with a promise", r.calls.Load(), len(r.promised))
 }
 
-// ordinary counts the answers to ordinary requests, which are sent one after the other until the crowd has been there for a time.
-type ordinary struct{ sent, served int }
+// crowded is a process that is checked during and after crowds.
+type crowded struct {
+	p *process
+	// dataDir is its data folder; empty if it has none.
+	dataDir string
+	// send sends an ordinary request and returns the status of the response, and await waits until one is served.
+	send  func() int
+	await func()
+}
 
-func (o *ordinary) run(d time.Duration, send func() int) {
-	for end := time.Now().Add(d); time.Now().Before(end); {
-		o.sent++
-		if send() == fasthttp.StatusOK {
-			o.served++
+// withstand checks a process during and after a crowd at an address, which it returns.
+func (c crowded) withstand(t *testing.T, address string, kinds ...caller) *returning {
+	t.Helper()
+	m := startMeter(c.p, c.dataDir)
+	r := startReturning(t, address, returningCallers, kinds...)
+	sent, served := 0, 0
+	for end := time.Now().Add(returningTime); time.Now().Before(end); time.Sleep(crowdPollInterval) {
+		sent++
+		if c.send() == fasthttp.StatusOK {
+			served++
 		}
-		time.Sleep(crowdPollInterval)
 	}
+	r.end()
+	r.tell(t)
+	t.Logf("%d of %d ordinary requests were served", served, sent)
+	c.await()
+	m.check(t, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
+	return r
 }
--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -27,8 +27,6 @@
 	firstRequestTime = 200 * time.Millisecond
 	// noTimeout stands for no timeout where a time is needed.
 	noTimeout = time.Hour
-	// writePieceBytes bounds a write, so that the buffer of a slow reader holds most of it.
-	writePieceBytes = 16 << 10
 	// headerCopies is how often a header that has a buffer of its own is held: there and by the parser.
 	headerCopies = 2
 )
@@ -179,40 +177,21 @@
 // write writes to the connection, each piece within writeTimeout.
 func (c *conn) write(b []byte) error {
 	defer c.writingSince.Store(0)
-	for {
-		now := time.Now()
-		if err := c.conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
-			return err
-		}
-		c.writingSince.Store(int64(now.Sub(epoch)))
-		n, err := c.conn.Write(b[:min(len(b), writePieceBytes)])
-		if b = b[n:]; err != nil || len(b) == 0 {
-			return err
-		}
-	}
+	_, err := socket.WritePieces(pieceWriter{c}, b)
+	return err
 }
 
-// raiseReceiveBuffer lets the caller send more of n bytes at a time, if there is room for that. Without it the body only takes
-// longer.
-func (c *conn) raiseReceiveBuffer(n int) {
-	if c.receiveRaised {
-		return
-	}
-	if size, ok := c.memory.raise(c, n); ok {
-		c.receiveRaised = true
-		_ = socket.RaiseReceiveBuffer(c.conn, size)
-	}
-}
+// pieceWriter writes to a connection within writeTimeout.
+type pieceWriter struct{ *conn }
 
-// raiseSendBuffer is raiseReceiveBuffer for a response.
-func (c *conn) raiseSendBuffer(n int) {
-	if c.sendRaised {
-		return
-	}
-	if size, ok := c.memory.raise(c, n); ok {
-		c.sendRaised = true
-		_ = socket.RaiseSendBuffer(c.conn, size)
+// Write implements io.Writer.
+func (w pieceWriter) Write(p []byte) (int, error) {
+	now := time.Now()
+	if err := w.conn.conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+		return 0, err
 	}
+	w.writingSince.Store(int64(now.Sub(epoch)))
+	return w.conn.conn.Write(p)
 }
 
 func (c *conn) serve() {
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/budget"
 )
 
@@ -41,11 +42,8 @@
 	TurnedAway int
 }
 
-func (m *Memory) limits() budget.Limits {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.budget.Limits()
-}
+// limits returns the limits, which never change.
+func (m *Memory) limits() budget.Limits { return m.budget.Limits() }
 
 // Usage returns what is held.
 func (m *Memory) Usage() Usage {
@@ -215,11 +213,31 @@
 // raise counts the buffer of a connection that is raised for n bytes, until the connection ends. It reports false if the usual one is
 // enough or must be.
 func (m *Memory) raise(c *conn, n int) (size int, ok bool) {
+	if !m.limits().IsLong(n) {
+		return 0, false // most requests and responses, which needn't wait for the others
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.budget.Raise(c.share, n)
 }
 
+// raiseReceiveBuffer lets the caller send more of n bytes at a time, if there is room for that.
+func (c *conn) raiseReceiveBuffer(n int) { c.raise(&c.receiveRaised, n, socket.RaiseReceiveBuffer) }
+
+// raiseSendBuffer is raiseReceiveBuffer for a response.
+func (c *conn) raiseSendBuffer(n int) { c.raise(&c.sendRaised, n, socket.RaiseSendBuffer) }
+
+// raise raises a buffer for n bytes, once. Without it they only take longer.
+func (c *conn) raise(raised *bool, n int, set func(nc net.Conn, size int) error) {
+	if *raised {
+		return
+	}
+	if size, ok := c.memory.raise(c, n); ok {
+		*raised = true
+		_ = set(c.conn, size)
+	}
+}
+
 // turnAway ends the connection, which holds some bytes, from any goroutine. It reads until its own goroutine notices.
 func (c *conn) turnAway(held int) {
 	c.server.turnedAwayLog.Info().Str("event", "turnedAway").Stringer("address", c.conn.RemoteAddr()).Int("bytes", held).
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -55,6 +55,9 @@
 // counted returns how many bytes of a share's count.
 func counted(held int) int { return max(0, held-includedBytes) }
 
+// more returns how many bytes more count once the share holds n more.
+func (s *Share) more(n int) int { return counted(s.held+n) - counted(s.held) }
+
 // Held returns the bytes of the share.
 func (s *Share) Held() int { return s.held }
 
@@ -191,7 +194,7 @@
 		b.hold(s, n)
 		return Granted, nil
 	}
-	bound, more := b.bound(s.held+n), counted(s.held+n)-counted(s.held)
+	bound, more := b.bound(s.held+n), s.more(n)
 	if (s.held+n <= bound || s.state == serving) && b.keptByOthers(now, s)+counted(s.held)+more > bound {
 		// What is served leaves no room, whoever else is turned away.
 		return TurnedAway, b.giveUp(s)
@@ -265,7 +268,7 @@
 // that has been offered can't be taken back. It reports false if the usual size is enough, or must be.
 func (b *Budget) Raise(s *Share, n int) (size int, ok bool) {
 	more := bufferOverhead * (raisedBuffer - b.limits.Buffer)
-	if b.limits.Buffer <= 0 || n <= bufferOverhead*b.limits.Buffer || s.state >= turnedAway || b.raised+more > b.limits.RaisedBytes {
+	if !b.limits.IsLong(n) || s.state >= turnedAway || b.raised+more > b.limits.RaisedBytes {
 		return 0, false
 	}
 	s.raised += more
@@ -289,7 +292,7 @@
 
 // TryGrow is Grow for a share that is served: nobody is turned away for it. It reports false for any other share.
 func (b *Budget) TryGrow(s *Share, n int) bool {
-	if s.state != serving || (b.limits.Bytes > 0 && b.used+b.reserved+counted(s.held+n)-counted(s.held) > b.bound(s.held+n)) {
+	if s.state != serving || (b.limits.Bytes > 0 && b.used+b.reserved+s.more(n) > b.bound(s.held+n)) {
 		return false
 	}
 	b.hold(s, n)
@@ -302,7 +305,7 @@
 	if s.held > smallBytes {
 		othersLarge -= s.held
 	}
-	more := counted(s.held+n) - counted(s.held)
+	more := s.more(n)
 	return b.limits.Bytes <= 0 || more == 0 || b.used+b.reservedBefore(s)+more <= b.bound(s.held+n) || (s.held+n > smallBytes && othersLarge == 0)
 }
 
@@ -321,7 +324,7 @@
 	if s.held > smallBytes {
 		b.large -= s.held
 	}
-	more := counted(s.held+n) - counted(s.held)
+	more := s.more(n)
 	s.held += n
 	if s.held > smallBytes {
 		b.large += s.held
@@ -359,8 +362,7 @@
 }
 
 // dispensable returns the connection that is turned away for a new one: an idle one, or else the one whose request has cost the
-// others most, or else the one whose own time ends first, or else one whose
-// caller doesn't read. It is nil if all are served.
+// others most, or else the one whose own time ends first, or else one whose caller doesn't read. It is nil if all are served.
 func (b *Budget) dispensable(now time.Time) *Share {
 	idle := b.firstToEnd(func(s *Share) bool { return s.state == waiting && now.Sub(s.waitsSince) >= idleAfter })
 	if idle != nil {
--- a/process/budget/doc.go
+++ b/process/budget/doc.go
@@ -67,6 +67,9 @@
 	Backlog int
 }
 
+// IsLong reports whether n bytes are more than a buffer holds.
+func (l Limits) IsLong(n int) bool { return l.Buffer > 0 && n > bufferOverhead*l.Buffer }
+
 // backlog returns the bound on connections that wait to be accepted beside a number of others.
 func backlog(conns int) int { return max(minBacklog, conns) }
 
--- a/process/descriptors/budget.go
+++ b/process/descriptors/budget.go
@@ -27,7 +27,7 @@
 	maxForwardFraction = 0.25
 	// controlPendingFraction and controlScrapesFraction are those of a control host, to which each entry host connects.
 	controlPendingFraction, controlScrapesFraction = 0.1, 0.02
-	// minForwards, minPending, minIdle and minScrapes hold however few descriptors there are.
+	// minForwards, minPending, minIdle, minScrapes and minChecks hold however few descriptors there are.
 	minForwards, minPending, minIdle, minScrapes, minChecks = 4, 8, 8, 4, 4
 	// defaultPending, maxScrapes and maxChecks bound them where descriptors have no bound.
 	defaultPending, maxScrapes, maxChecks = 256, 64, 32
