TestFleetEndlessResponses waits as long as a server may be out of use

A server whose responses fail is left out for 1, 2, 4 and 8 s (process/placement, at most 16 s) until one succeeds; whether one does between two cases is a matter of chance. After four failures the server comes back 6.2 s after the case begins (8 s less the two cases on streams), and the test gave up after 200 requests, which take 6.2 s as well.

The test now waits for up to 20 s for a request to reach the server. What it checks is unchanged: each of the first requests and each while it waits is served in full, one endless response at least is read, and none for longer than 1.5 s.

--- a/cmd/savorywing/fleet_truncated_test.go
+++ b/cmd/savorywing/fleet_truncated_test.go
@@ -59,6 +59,8 @@
 // server.
 func TestFleetEndlessResponses(t *testing.T) {
 	const longest = 1500 * time.Millisecond
+	// A server whose responses fail gets no requests for twice as long each time, up to 16 s.
+	const rejoinTime = 20 * time.Second
 	// Each case sends several requests again; the retry budget is not what is tested here.
 	f := newFleetEnv(t, 3, 1, 20, func(f *fleetEnv) { f.retryBurst = 1000 })
 	f.waitServing()
@@ -86,8 +88,8 @@
 			}
 			server.SetFaults(standin.Faults{Endless: tt.endless})
 			defer server.SetFaults(standin.Faults{})
-			// A server whose responses fail gets no requests for a while.
-			for n := 0; n < 6 || (n < 200 && server.LongestEndless() == 0); n++ {
+			began := time.Now()
+			for n := 0; n < 6 || (time.Since(began) < rejoinTime && server.LongestEndless() == 0); n++ {
 				if n >= 6 {
 					time.Sleep(20 * time.Millisecond)
 				}
