budget, ingress: only those wake up for whom there is room

Amid callers who wait for room, others got slow answers on one core: each time that any connection gave bytes back, all who waited woke up, and each of them walked over all connections twice to learn that others come first.

The budget keeps those who wait in the order in which they began to, and Ready returns those for whom there is room behind the ones before them; small requests thus pass a large one that doesn't fit yet, as before. Once nobody is being turned away the first asks again in any case, so that no one waits in vain. What a share waits for is a sum over those who wait, not over all. TestReady checks who wakes up; it needs the new function, so it can't be run on the code before.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -63,6 +63,8 @@
 	// interrupted is closed when the connection must end, also if it waits for room.
 	interrupted   chan struct{}
 	interruptOnce sync.Once
+	// roomChanged receives a value when the connection may have the room that it waits for.
+	roomChanged chan struct{}
 	// used reports whether the connection has carried a request.
 	used bool
 	// tooLate reports whether the current request is rejected. It is late as of the beginning of the request.
@@ -92,7 +94,7 @@
 func newConn(s *Server, nc net.Conn, h Handler, m *Memory) *conn {
 	return &conn{
 		server: s, handler: h, memory: m, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true,
-		share: &budget.Share{}, interrupted: make(chan struct{}),
+		share: &budget.Share{}, interrupted: make(chan struct{}), roomChanged: make(chan struct{}, 1),
 	}
 }
 
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -22,15 +22,13 @@
 	mu     sync.Mutex
 	budget *budget.Budget
 	conns  map[*budget.Share]*conn
-	// changed is closed and replaced when a share has shrunk.
-	changed chan struct{}
 	// turnedAway counts the connections that were turned away, refused or dropped.
 	turnedAway int
 }
 
 // NewMemory returns a memory for connections within limits.
 func NewMemory(clock savorywing.Clock, l budget.Limits) *Memory {
-	return &Memory{clock: clock, budget: budget.New(l), conns: map[*budget.Share]*conn{}, changed: make(chan struct{})}
+	return &Memory{clock: clock, budget: budget.New(l), conns: map[*budget.Share]*conn{}}
 }
 
 // Usage is the state of a Memory.
@@ -67,6 +65,7 @@
 	if o.Cut != nil {
 		m.conns[o.Cut].cut()
 	}
+	m.signal()
 	if o.Admission != budget.Admitted {
 		m.turnedAway++
 	}
@@ -111,9 +110,14 @@
 	m.signal()
 }
 
+// signal wakes the connections up that wait for room and may have it.
 func (m *Memory) signal() {
-	close(m.changed)
-	m.changed = make(chan struct{})
+	for _, s := range m.budget.Ready() {
+		select {
+		case m.conns[s].roomChanged <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // wait, receive and serve record the state of a connection. Its reads fail once it is turned away.
@@ -147,10 +151,12 @@
 			m.recordStalls(now)
 		}
 		verdict, away := m.budget.Grow(now, c.share, n)
-		changed := m.changed
 		for _, s := range away {
 			m.turnAway(s)
 		}
+		if verdict != budget.Granted {
+			m.signal()
+		}
 		m.mu.Unlock()
 		switch verdict {
 		case budget.Granted:
@@ -164,7 +170,7 @@
 			defer timer.Stop()
 		}
 		select {
-		case <-changed:
+		case <-c.roomChanged:
 		case <-c.interrupted:
 			if err := c.interruptCause(); err != nil {
 				m.forgo(c)
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -1,6 +1,9 @@
 package budget
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Budget divides a process's limits among its connections.
 type Budget struct {
@@ -14,8 +17,8 @@
 	// leaving is the number of shares that are turned away, and bytesLeaving what they still hold. left counts those that ever were.
 	leaving, bytesLeaving int
 	left                  uint64
-	// waited counts the shares that ever waited for bytes.
-	waited uint64
+	// queue holds the shares that wait for bytes, in the order in which they began to.
+	queue []*Share
 }
 
 // New returns a budget without shares.
@@ -38,8 +41,9 @@
 // Share is what one connection holds. Only its Budget changes it.
 type Share struct {
 	state state
-	// held and reserved are never negative. reserved are the bytes for which the share waits: no other gets them.
-	held, reserved int
+	// held and reserved are never negative. reserved are the bytes that count of the asked ones for which the share waits: no other gets
+	// them.
+	held, reserved, asked int
 	// raised is what its raised buffers may hold.
 	raised int
 	// since is when the request began, and endsAt when the connection ends by itself if nothing more is received.
@@ -48,8 +52,8 @@
 	waitsSince time.Time
 	// stalledSince is when its caller last took bytes of its response; zero if none are waiting for it.
 	stalledSince time.Time
-	// leftAs is the value of Budget.left when the share was turned away, and waitsAs that of Budget.waited when it began to wait.
-	leftAs, waitsAs uint64
+	// leftAs is the value of Budget.left when the share was turned away.
+	leftAs uint64
 }
 
 // counted returns how many bytes of a share's count.
@@ -176,7 +180,7 @@
 // Decisions about a share that asks for more.
 const (
 	Granted Verdict = iota
-	// Awaiting means that others are turned away, and that the share may ask again once one has shrunk.
+	// Awaiting means that others are turned away, and that the share may ask again once Ready returns it.
 	Awaiting
 	// TurnedAway means that the share itself must end.
 	TurnedAway
@@ -208,14 +212,25 @@
 		b.turnAway(heaviest)
 		away = append(away, heaviest)
 	}
-	if s.reserved == 0 {
-		s.waitsAs = b.waited
-		b.waited++
-	}
 	b.reserve(s, more)
+	s.asked = n
 	return Awaiting, away
 }
 
+// Ready returns the shares that wait and for which there is room now. Once nobody is being turned away, the first of those that wait is
+// ready in any case, so that it learns whether there will be.
+func (b *Budget) Ready() []*Share {
+	var ready []*Share
+	before := 0
+	for i, s := range b.queue {
+		if b.fitsBehind(s, s.asked, before) || (i == 0 && b.bytesLeaving == 0) {
+			ready = append(ready, s)
+		}
+		before += s.reserved
+	}
+	return ready
+}
+
 // Fits reports whether n bytes more for a share have room without anybody being turned away.
 func (b *Budget) Fits(s *Share, n int) bool { return s.state < turnedAway && b.fits(s, n) }
 
@@ -238,16 +253,21 @@
 		return b.reserved
 	}
 	n := 0
-	for other := range b.shares {
-		if other.reserved > 0 && other.waitsAs < s.waitsAs {
-			n += other.reserved
-		}
+	for _, other := range b.queue[:slices.Index(b.queue, s)] {
+		n += other.reserved
 	}
 	return n
 }
 
 // reserve sets the bytes for which a share waits.
 func (b *Budget) reserve(s *Share, n int) {
+	switch {
+	case s.reserved == 0 && n > 0:
+		b.queue = append(b.queue, s)
+	case s.reserved > 0 && n == 0:
+		i := slices.Index(b.queue, s)
+		b.queue = slices.Delete(b.queue, i, i+1)
+	}
 	b.reserved += n - s.reserved
 	s.reserved = n
 }
@@ -300,13 +320,16 @@
 }
 
 // fits reports whether n bytes more for a share are within the limits, or it would be the only large one.
-func (b *Budget) fits(s *Share, n int) bool {
+func (b *Budget) fits(s *Share, n int) bool { return b.fitsBehind(s, n, b.reservedBefore(s)) }
+
+// fitsBehind is fits for a share that gets its bytes after others for which so many are reserved.
+func (b *Budget) fitsBehind(s *Share, n, reserved int) bool {
 	othersLarge := b.large
 	if s.held > smallBytes {
 		othersLarge -= s.held
 	}
 	more := s.more(n)
-	return b.limits.Bytes <= 0 || more == 0 || b.used+b.reservedBefore(s)+more <= b.bound(s.held+n) || (s.held+n > smallBytes && othersLarge == 0)
+	return b.limits.Bytes <= 0 || more == 0 || b.used+reserved+more <= b.bound(s.held+n) || (s.held+n > smallBytes && othersLarge == 0)
 }
 
 // bound returns what all shares may hold when one that grows to a size gets more.
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -373,3 +374,43 @@
 		t.Errorf("got %+v beside served ones only", o)
 	}
 }
+
+// TestReady checks who asks again when bytes are given back: those for whom there is room behind those who have waited for longer, and
+// no others.
+func TestReady(t *testing.T) {
+	b := New(Limits{Bytes: 8 * mega})
+	served := []*Share{receive(t, b, start, 3*mega), receive(t, b, start, 2*mega)}
+	old := receive(t, b, start.Add(-time.Minute), mega)
+	for _, s := range served {
+		b.Serve(s)
+	}
+	var waiting []*Share
+	for i := range 3 {
+		s := open(t, b, start.Add(time.Hour))
+		b.Receive(s, start, start.Add(time.Hour))
+		if v, _ := b.Grow(start, s, mega/2>>i); v != Awaiting {
+			t.Fatalf("got %v for request %d, want it to wait", v, i)
+		}
+		waiting = append(waiting, s)
+	}
+	check := func(when string, want ...*Share) {
+		t.Helper()
+		if got := b.Ready(); !slices.Equal(got, want) {
+			t.Errorf("%s: %d are ready, want %d", when, len(got), len(want))
+		}
+	}
+	check("nothing given back")
+	b.Shrink(old, mega/4)
+	check("too little for the first")
+	b.Shrink(old, mega/4)
+	check("enough for the first", waiting[0])
+	b.Forgo(waiting[0])
+	check("the first gave up", waiting[1:]...)
+	b.Close(old)
+	for i, s := range waiting[1:] {
+		if v, _ := b.Grow(start, s, mega/4>>i); v != Granted {
+			t.Errorf("got %v for a request that is ready, want it granted", v)
+		}
+	}
+	check("nobody waits")
+}
