ingress: a body that arrives as fast as it is read leaves others their turn

Callers of an entry host with one core waited a second for each small request, or got 503 or 408, while 600 callers sent bodies in chunks of 64 KiB. Cause: a read of a body whose bytes have arrived doesn't wait, so its goroutine keeps the core until it is preempted after 10 ms, and a small request passes through several goroutines that each wait behind all of those.

A connection lets others run after every 16 KiB. Small requests never do. TestReadsYield failed before (no other goroutine ran while 32 KiB were read, one core).

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,8 @@
 	// sends without being read.
 	lingerBytes = 256 << 10
 	lingerPause = 20 * time.Millisecond
+	// yieldBytes is how much is read of one connection before others may run.
+	yieldBytes = 16 << 10
 	// firstRequestTime is how long a new connection may wait for its first request while the server stops.
 	firstRequestTime = 200 * time.Millisecond
 	// noTimeout stands for no timeout where a time is needed.
@@ -91,9 +94,26 @@
 	turnedAway bool
 }
 
+// yieldingReader lets other goroutines run each time that it has read yieldBytes. The reads of a body that arrives as fast as it is read
+// never wait, and so would keep small requests waiting, above all on one core.
+type yieldingReader struct {
+	net.Conn
+	read int
+}
+
+// Read implements io.Reader.
+func (r *yieldingReader) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	if r.read += n; r.read >= yieldBytes {
+		r.read = 0
+		runtime.Gosched()
+	}
+	return n, err
+}
+
 func newConn(s *Server, nc net.Conn, h Handler, m *Memory) *conn {
 	return &conn{
-		server: s, handler: h, memory: m, conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), acceptedAt: time.Now(), waiting: true,
+		server: s, handler: h, memory: m, conn: nc, reader: bufio.NewReaderSize(&yieldingReader{Conn: nc}, readBufferBytes), acceptedAt: time.Now(), waiting: true,
 		share: &budget.Share{}, interrupted: make(chan struct{}), roomChanged: make(chan struct{}, 1),
 	}
 }
--- a/connection/ingress/reading_test.go
+++ b/connection/ingress/reading_test.go
@@ -1,8 +1,11 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"net"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +15,28 @@
 	"savorywing.example/savorywing/process/clock"
 )
 
+// arrived is a connection whose bytes have all arrived, so that no read waits.
+type arrived struct {
+	net.Conn
+	io.Reader
+}
+
+func (c arrived) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+
+// TestReadsYield guards against a body that keeps a core from all other connections as long as its bytes arrive in time.
+func TestReadsYield(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	c := newConn(newServer(t, echo, Limits{}), arrived{Reader: bytes.NewReader(make([]byte, 4*yieldBytes))}, nil, nil)
+	var ran atomic.Bool
+	go ran.Store(true)
+	if _, err := io.CopyN(io.Discard, c.reader, 2*yieldBytes); err != nil {
+		t.Fatal(err)
+	}
+	if !ran.Load() {
+		t.Errorf("no other goroutine ran while %d bytes were read", 2*yieldBytes)
+	}
+}
+
 // TestLittleReadAfterLastResponse guards against a crowd that is turned away and costs as much time as it can send bytes afterwards.
 func TestLittleReadAfterLastResponse(t *testing.T) {
 	const buffer, allowed = 4 << 10, lingerBytes + 256<<10
