budget: connections make way for addresses that hold fewer

Cause: the crowd holds all connections, each for a second until it may be cut, and the thousands of newcomers that take the places are all but a few the crowd's; those beyond a quarter more are dropped unread, and the bytes of unread responses are kept for the same second.

A connection makes way only for addresses that hold no more than its own. For those that hold fewer, an address with a quarter of all connections has 250 ms instead of a second in which nothing is read, for its places and its bytes, and one of its connections that are being turned away is cut instead of dropping the newcomer. Nothing changes while there is room, where all come from one address, or each from its own, so no caller within the limits meets it. It holds for callers, operators, reports, readiness and metrics, and connections without a token.

TestSource* (6): five fail if no address is a crowd and all make way, as before (TestSourceIdle checks what stays).

The ordinary requests of TestCrowdAtServe and AtDev each left an idle connection open, up to 20 at a time, so that they were part of the crowd; they close it now. What is checked is unchanged. Metric savorywing_source_connections.

--- a/cmd/savorywing/crowd_control_test.go
+++ b/cmd/savorywing/crowd_control_test.go
@@ -148,6 +148,21 @@
 	}
 }
 
+// TestCrowdAtControlElsewhere is TestCrowdAtControl for a crowd that isn't where the ordinary callers are. It sends nothing, or reads
+// nothing, so that it holds all connections.
+func TestCrowdAtControlElsewhere(t *testing.T) {
+	f := newCrowdControls(t)
+	if status := f.publish(largeDocument(3)); status != fasthttp.StatusOK {
+		t.Fatalf("status %d for the document", status)
+	}
+	callers := f.controlCallers()
+	for _, kind := range fromElsewhere(callers[len(callers)-1], caller{name: "nothing sent", parts: func(string) [][]byte { return nil }, reads: true}) {
+		for name, p := range map[string]*daemonProcess{"leader": f.leadingProcess(), "follower": f.follower()} {
+			t.Run(kind.name+", "+name, func(t *testing.T) { f.withstand(t, p, f.address(p).callers, kind) })
+		}
+	}
+}
+
 // TestCrowdThroughElection checks that a leader with a crowd ends after a signal, that the others elect another one, who has a crowd
 // as well, and that the fleet serves and takes documents.
 func TestCrowdThroughElection(t *testing.T) {
@@ -231,6 +246,22 @@
 	r.end()
 }
 
+// TestCrowdAtServeElsewhere is TestCrowdAtServe for a crowd that isn't where the ordinary callers are.
+func TestCrowdAtServeElsewhere(t *testing.T) {
+	unset := setCrowdLimits(t)
+	s := newSystem(t, 1)
+	unset()
+	s.standin(standinserver.Config{Host: "booking-1", Kind: savorywing.KindService, Service: "booking", BodyBytes: 1 << 20})
+	s.waitReady()
+	c := crowdSystem{p: s.daemons[0], callers: s.callers[0], key: testKey, target: "/booking/x"}
+	c.awaitAnswer(t)
+	kinds := fromElsewhere(c.crowdCallers(c.target, c.key)...)
+	t.Run("mixed", func(t *testing.T) { c.withstand(t, c.callers, kinds...) })
+	for _, kind := range kinds {
+		t.Run(kind.name, func(t *testing.T) { c.withstand(t, c.callers, kind) })
+	}
+}
+
 // TestCrowdAtDev is TestCrowdReturns for the listeners of savorywing dev.
 func TestCrowdAtDev(t *testing.T) {
 	if testing.Short() {
@@ -252,6 +283,7 @@
 	req.SetRequestURI("http://" + s.callers + s.target)
 	req.Header.Set("Authorization", "Bearer "+s.key)
 	c := fasthttp.Client{ReadTimeout: answerTime, RetryIf: func(*fasthttp.Request) bool { return false }}
+	defer c.CloseIdleConnections()
 	if c.Do(req, resp) != nil {
 		return 0
 	}
--- a/cmd/savorywing/crowd_entry_test.go
+++ b/cmd/savorywing/crowd_entry_test.go
@@ -116,6 +116,18 @@
 	}
 }
 
+// TestCrowdElsewhere is TestCrowdReturns for a crowd that isn't where the ordinary callers are.
+func TestCrowdElsewhere(t *testing.T) {
+	f := newCrowdedFleet(t)
+	kinds := fromElsewhere(append(f.endlessCallers("/book/x"), caller{name: "nothing sent", parts: func(string) [][]byte { return nil }, reads: true})...)
+	for _, cores := range []int{8, 1} {
+		t.Run(fmt.Sprintf("mixed, %d cores", cores), func(t *testing.T) {
+			p, target := f.startSmall(t, cores)
+			f.withstand(t, p, target.callers, kinds...)
+		})
+	}
+}
+
 // TestCrowdAtListeners is TestCrowdReturns for the listeners of an entry host that aren't for callers.
 func TestCrowdAtListeners(t *testing.T) {
 	f := newCrowdedFleet(t)
--- a/cmd/savorywing/crowd_test.go
+++ b/cmd/savorywing/crowd_test.go
@@ -198,6 +198,21 @@
 	receiveBuffer int
 	// closesWrite reports whether it closes its side after it has sent all.
 	closesWrite bool
+	// from is the address from which it calls; empty for the system's choice, from which ordinary requests come.
+	from string
+}
+
+// crowdSource is the address of a crowd that has one of its own.
+const crowdSource = "127.0.0.2"
+
+// fromElsewhere returns the same callers at crowdSource.
+func fromElsewhere(kinds ...caller) []caller {
+	var elsewhere []caller
+	for _, kind := range kinds {
+		kind.from = crowdSource
+		elsewhere = append(elsewhere, kind)
+	}
+	return elsewhere
 }
 
 // returning is a crowd whose callers come back as soon as they are turned away.
@@ -238,7 +253,11 @@
 }
 
 func (r *returning) call(id string, kind caller) {
-	c, err := net.DialTimeout("tcp", r.address, crowdTime)
+	d := net.Dialer{Timeout: crowdTime}
+	if kind.from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(kind.from)}
+	}
+	c, err := d.Dial("tcp", r.address)
 	if err != nil {
 		time.Sleep(lookInterval)
 		return
@@ -318,16 +337,14 @@
 	t.Helper()
 	m := startMeter(c.p, c.dataDir)
 	r := startReturning(t, address, returningCallers, kinds...)
-	sent, served := 0, 0
+	sent, statuses := 0, map[int]int{}
 	for end := time.Now().Add(returningTime); time.Now().Before(end); time.Sleep(crowdPollInterval) {
 		sent++
-		if c.send() == fasthttp.StatusOK {
-			served++
-		}
+		statuses[c.send()]++
 	}
 	r.end()
 	r.tell(t)
-	t.Logf("%d of %d ordinary requests were served", served, sent)
+	t.Logf("%d of %d ordinary requests were served; by status %v", statuses[fasthttp.StatusOK], sent, statuses)
 	c.await()
 	m.check(t, returningMemoryMB, crowdMaxDescriptors-reservedDescriptors)
 	return r
--- a/connection/ingress/memory.go
+++ b/connection/ingress/memory.go
@@ -35,6 +35,8 @@
 type Usage struct {
 	// Bytes of Limits.Bytes are held, by Conns of Limits.MaxConns connections.
 	Bytes, Conns int
+	// MostOfSource is the number of connections of the address that has most, those that are being turned away included.
+	MostOfSource int
 	Limits       budget.Limits
 	// TurnedAway is the number of connections that were turned away since the start.
 	TurnedAway int
@@ -47,7 +49,9 @@
 func (m *Memory) Usage() Usage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Usage{Bytes: m.budget.Used(), Conns: m.budget.Conns(), Limits: m.budget.Limits(), TurnedAway: m.turnedAway}
+	return Usage{
+		Bytes: m.budget.Used(), Conns: m.budget.Conns(), MostOfSource: m.budget.MostOfSource(), Limits: m.budget.Limits(), TurnedAway: m.turnedAway,
+	}
 }
 
 // open admits a connection, and turns others away for it if there are too many.
@@ -58,7 +62,7 @@
 	if m.budget.IsFull() {
 		m.recordStalls(now)
 	}
-	o := m.budget.Open(now, endsAt)
+	o := m.budget.Open(now, endsAt, socket.Source(c.conn))
 	if o.Away != nil {
 		m.turnAway(o.Away)
 	}
--- a/connection/peer/pending.go
+++ b/connection/peer/pending.go
@@ -61,7 +61,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	o := l.budget.Open(now, now.Add(dialTimeout))
+	o := l.budget.Open(now, now.Add(dialTimeout), socket.Source(c.TCPConn))
 	if o.Share == nil {
 		return c
 	}
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -9,6 +10,8 @@
 type Budget struct {
 	limits Limits
 	shares map[*Share]struct{}
+	// conns is the number of shares of each source.
+	conns map[netip.Addr]int
 	// used is the sum of what counts of all shares, large what shares of over smallBytes hold, and reserved the bytes for which shares
 	// wait.
 	used, large, reserved int
@@ -22,7 +25,9 @@
 }
 
 // New returns a budget without shares.
-func New(l Limits) *Budget { return &Budget{limits: l, shares: map[*Share]struct{}{}} }
+func New(l Limits) *Budget {
+	return &Budget{limits: l, shares: map[*Share]struct{}{}, conns: map[netip.Addr]int{}}
+}
 
 type state int
 
@@ -41,6 +46,8 @@
 // Share is what one connection holds. Only its Budget changes it.
 type Share struct {
 	state state
+	// source is the address from which the connection came.
+	source netip.Addr
 	// held and reserved are never negative. reserved are the bytes that count of the asked ones for which the share waits: no other gets
 	// them.
 	held, reserved, asked int
@@ -101,24 +108,37 @@
 // Stall records since when the caller of a share that is served has taken nothing of its response; zero if nothing waits for it.
 func (b *Budget) Stall(s *Share, since time.Time) { s.stalledSince = since }
 
-// isStalled reports whether a share is served to a caller who doesn't read.
-func isStalled(s *Share, now time.Time) bool {
-	return s.state == serving && !s.stalledSince.IsZero() && now.Sub(s.stalledSince) >= stalledAfter
+// isStalled reports whether a share is served to a caller who has taken nothing for so long that it may be cut for a source.
+func (b *Budget) isStalled(s *Share, now time.Time, source netip.Addr) bool {
+	if s.state != serving || s.stalledSince.IsZero() {
+		return false
+	}
+	after := stalledAfter
+	if b.isCrowd(s.source, source) {
+		after = crowdStalledAfter
+	}
+	return now.Sub(s.stalledSince) >= after
+}
+
+// canEnd reports whether a share can be turned away for a source.
+func (b *Budget) canEnd(s *Share, now time.Time, source netip.Addr) bool {
+	return s.state <= receiving || b.isStalled(s, now, source)
 }
 
-// Open decides about a connection that waits for a request until endsAt. Among too many, one without a request that is served is
-// turned away for it, unless too many are being turned away: then it is dropped, so that those that are admitted have some time. Those
-// that are turned away for their bytes take room as well: the first of them is cut.
-func (b *Budget) Open(now, endsAt time.Time) Opening {
-	o := Opening{Share: &Share{endsAt: endsAt, waitsSince: now}}
+// Open decides about a connection from a source that waits for a request until endsAt. Among too many, one without a request that is
+// served is turned away for it, unless too many are being turned away: then it is dropped, so that those that are admitted have some
+// time. Those that are turned away for their bytes take room as well: the first of them is cut. A connection makes way only for sources
+// that hold no more connections than its own, and sooner if its own is a crowd for them.
+func (b *Budget) Open(now, endsAt time.Time, source netip.Addr) Opening {
+	o := Opening{Share: &Share{endsAt: endsAt, waitsSince: now, source: source}}
 	if b.IsFull() {
-		if o.Away = b.dispensable(now); o.Away == nil {
+		if o.Away = b.dispensable(now, source); o.Away == nil {
 			o.Admission = Refused
 		}
 	}
 	if b.limits.MaxConns > 0 && b.leaving+b.Conns() >= b.limits.MaxConns+b.maxLeaving() {
-		if !b.IsFull() {
-			o.Cut = b.firstLeaving()
+		if !b.IsFull() || b.isBesideCrowd(source) {
+			o.Cut = b.firstLeaving(source)
 		}
 		if o.Cut == nil {
 			return Opening{Admission: Dropped}
@@ -132,19 +152,50 @@
 		b.turnAway(o.Away)
 	}
 	b.shares[o.Share] = struct{}{}
+	b.conns[source]++
 	return o
 }
 
+// MostOfSource returns the number of connections of the source that has most.
+func (b *Budget) MostOfSource() int {
+	most := 0
+	for _, n := range b.conns {
+		most = max(most, n)
+	}
+	return most
+}
+
+// yields reports whether a share may make way for a source.
+func (b *Budget) yields(s *Share, source netip.Addr) bool {
+	return b.conns[s.source] >= b.conns[source]
+}
+
+// isCrowd reports whether a source holds a large part of the connections, and more than another would with one more.
+func (b *Budget) isCrowd(source, other netip.Addr) bool {
+	n := b.conns[source]
+	return b.limits.MaxConns > 0 && float64(n) >= crowdFraction*float64(b.limits.MaxConns) && n > b.conns[other]+1
+}
+
+// isBesideCrowd reports whether some other source is a crowd for a source.
+func (b *Budget) isBesideCrowd(source netip.Addr) bool {
+	for other := range b.conns {
+		if b.isCrowd(other, source) {
+			return true
+		}
+	}
+	return false
+}
+
 // maxLeaving returns how many connections may be turned away at a time.
 func (b *Budget) maxLeaving() int {
 	return int(max(minLeaving, leavingFraction*float64(b.limits.MaxConns)))
 }
 
-// firstLeaving returns the share that was turned away first and isn't cut; nil if there is none.
-func (b *Budget) firstLeaving() *Share {
+// firstLeaving returns the share that was turned away first, isn't cut and yields to a source; nil if there is none.
+func (b *Budget) firstLeaving(source netip.Addr) *Share {
 	var first *Share
 	for s := range b.shares {
-		if s.state == turnedAway && (first == nil || s.leftAs < first.leftAs) {
+		if s.state == turnedAway && b.yields(s, source) && (first == nil || s.leftAs < first.leftAs) {
 			first = s
 		}
 	}
@@ -205,7 +256,7 @@
 	}
 	var away []*Share
 	for b.used-b.bytesLeaving+b.reservedBefore(s)+more > bound {
-		heaviest := b.heaviest(now, s, n)
+		heaviest := b.heaviest(now, s, n, func(other *Share) bool { return b.canEnd(other, now, s.source) })
 		if heaviest == nil || heaviest == s {
 			return TurnedAway, append(away, b.giveUp(s)...)
 		}
@@ -368,7 +419,13 @@
 		b.leaving--
 	}
 	s.state = closed
+	if _, ok := b.shares[s]; !ok {
+		return
+	}
 	delete(b.shares, s)
+	if b.conns[s.source]--; b.conns[s.source] == 0 {
+		delete(b.conns, s.source)
+	}
 }
 
 func (b *Budget) turnAway(s *Share) {
@@ -384,25 +441,37 @@
 	b.reserve(s, 0)
 }
 
-// dispensable returns the connection that is turned away for a new one: an idle one, or else the one whose request has cost the
-// others most, or else the one whose own time ends first, or else one whose caller doesn't read. It is nil if all are served.
-func (b *Budget) dispensable(now time.Time) *Share {
-	idle := b.firstToEnd(func(s *Share) bool { return s.state == waiting && now.Sub(s.waitsSince) >= idleAfter })
+// dispensable returns the connection that is turned away for a new one of a source: an idle one, or else the one whose request has cost
+// the others most, or else the one whose own time ends first, or else the one whose caller has read nothing for longest, all of those
+// that yield to the source, or else any idle one. It is nil if all are served.
+func (b *Budget) dispensable(now time.Time, source netip.Addr) *Share {
+	isIdle := func(s *Share) bool { return s.state == waiting && now.Sub(s.waitsSince) >= idleAfter }
+	idle := b.firstToEnd(func(s *Share) bool { return isIdle(s) && b.yields(s, source) })
 	if idle != nil {
 		return idle
 	}
-	if heaviest := b.heaviest(now, nil, 0); heaviest != nil && counted(heaviest.held) > 0 {
+	heaviest := b.heaviest(now, nil, 0, func(s *Share) bool { return b.canEnd(s, now, source) && b.yields(s, source) })
+	if heaviest != nil && counted(heaviest.held) > 0 {
 		return heaviest
 	}
-	if first := b.firstToEnd(func(s *Share) bool { return s.state <= receiving }); first != nil {
+	if first := b.firstToEnd(func(s *Share) bool { return s.state <= receiving && b.yields(s, source) }); first != nil {
 		return first
 	}
+	if stalled := b.longestStalled(now, source); stalled != nil {
+		return stalled
+	}
+	return b.firstToEnd(isIdle)
+}
+
+// longestStalled returns the connection of those that yield to a source whose caller has read nothing for longest; nil if all read.
+func (b *Budget) longestStalled(now time.Time, source netip.Addr) *Share {
+	var longest *Share
 	for s := range b.shares {
-		if isStalled(s, now) {
-			return s
+		if b.isStalled(s, now, source) && b.yields(s, source) && (longest == nil || s.stalledSince.Before(longest.stalledSince)) {
+			longest = s
 		}
 	}
-	return nil
+	return longest
 }
 
 // firstToEnd returns the connection of some whose own time ends first; nil if there is none.
@@ -420,16 +489,16 @@
 func (b *Budget) keptByOthers(now time.Time, asker *Share) int {
 	n := 0
 	for s := range b.shares {
-		if s != asker && s.state == serving && !isStalled(s, now) {
+		if s != asker && s.state == serving && !b.isStalled(s, now, asker.source) {
 			n += counted(s.held) + s.reserved
 		}
 	}
 	return n
 }
 
-// heaviest returns the share whose bytes times age are most, of those that can be turned away; nil if there is none. asker
-// counts with the n bytes that it asks for.
-func (b *Budget) heaviest(now time.Time, asker *Share, n int) *Share {
+// heaviest returns the share whose bytes times age are most, of some; nil if there is none. asker counts with the n bytes that it asks
+// for.
+func (b *Budget) heaviest(now time.Time, asker *Share, n int, of func(s *Share) bool) *Share {
 	var heaviest *Share
 	most := 0.0
 	for s := range b.shares {
@@ -437,7 +506,7 @@
 		if s == asker {
 			size += n
 		}
-		if weight := float64(size) * float64(now.Sub(s.since)+youngest); (s.state <= receiving || isStalled(s, now)) && weight > most {
+		if weight := float64(size) * float64(now.Sub(s.since)+youngest); weight > most && of(s) {
 			heaviest, most = s, weight
 		}
 	}
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -13,7 +14,7 @@
 
 func open(t *testing.T, b *Budget, endsAt time.Time) *Share {
 	t.Helper()
-	o := b.Open(start, endsAt)
+	o := b.Open(start, endsAt, netip.Addr{})
 	if o.Share == nil || o.Away != nil || o.Cut != nil || o.Admission != Admitted {
 		t.Fatalf("got %+v, want an admitted connection", o)
 	}
@@ -95,7 +96,7 @@
 	b.Serve(served)
 	b.Receive(half, start, start.Add(3*time.Second))
 	for i, want := range []*Share{half, kept} {
-		o := b.Open(start, start.Add(time.Hour))
+		o := b.Open(start, start.Add(time.Hour), netip.Addr{})
 		if o.Away != want || o.Admission != Admitted {
 			t.Errorf("connection %d: got %+v, want %p", i, o, want)
 		}
@@ -103,13 +104,13 @@
 	}
 	admissions := map[Admission]int{}
 	for range 2 * minLeaving {
-		admissions[b.Open(start, start).Admission]++
+		admissions[b.Open(start, start, netip.Addr{}).Admission]++
 	}
 	if admissions[Refused] != minLeaving-2 || admissions[Dropped] != minLeaving+2 || b.Conns() != 3 {
 		t.Errorf("got %v, %d connections", admissions, b.Conns())
 	}
 	b.Close(half)
-	if o := b.Open(start, start); o.Admission != Refused {
+	if o := b.Open(start, start, netip.Addr{}); o.Admission != Refused {
 		t.Errorf("got %+v after one has ended, want a refusal", o)
 	}
 }
@@ -131,7 +132,7 @@
 }
 
 func (c *crowd) open(now time.Time) {
-	o := c.Open(now, now.Add(time.Second))
+	o := c.Open(now, now.Add(time.Second), netip.Addr{})
 	if o.Share == nil {
 		return
 	}
@@ -256,7 +257,7 @@
 	b := New(Limits{Bytes: mega, MaxConns: conns})
 	var away []*Share
 	for range 3 * conns {
-		o := b.Open(start, start.Add(time.Minute))
+		o := b.Open(start, start.Add(time.Minute), netip.Addr{})
 		if o.Admission != Admitted {
 			t.Fatalf("got %+v, want an admitted connection", o)
 		}
@@ -356,7 +357,7 @@
 func TestDispensable(t *testing.T) {
 	now := start.Add(time.Minute)
 	b := New(Limits{Bytes: 8 * mega, MaxConns: 5})
-	young := b.Open(now, now.Add(time.Second)).Share
+	young := b.Open(now, now.Add(time.Second), netip.Addr{}).Share
 	half := receive(t, b, now.Add(-time.Second), 10)
 	body := receive(t, b, now.Add(-time.Millisecond), mega)
 	idle := open(t, b, now.Add(time.Hour))
@@ -364,13 +365,13 @@
 	b.Serve(stalled)
 	b.Stall(stalled, now.Add(-stalledAfter))
 	for i, want := range []*Share{idle, body, young, half, stalled} {
-		o := b.Open(now, now.Add(2*time.Hour))
+		o := b.Open(now, now.Add(2*time.Hour), netip.Addr{})
 		if o.Admission != Admitted || o.Away != want {
 			t.Errorf("connection %d: got %+v, want %p", i, o, want)
 		}
 		b.Serve(o.Share)
 	}
-	if o := b.Open(now, now); o.Admission != Refused {
+	if o := b.Open(now, now, netip.Addr{}); o.Admission != Refused {
 		t.Errorf("got %+v beside served ones only", o)
 	}
 }
@@ -414,3 +415,120 @@
 	}
 	check("nobody waits")
 }
+
+// crowdAt is a budget all of whose connections a crowd holds.
+type crowdAt struct {
+	*Budget
+	now                 time.Time
+	crowd, other, third netip.Addr
+	held                []*Share
+}
+
+func newCrowdAt(state state, stalledFor time.Duration) *crowdAt {
+	b := &crowdAt{
+		Budget: New(Limits{Bytes: 8 * mega, MaxConns: 20}), now: start.Add(time.Minute),
+		crowd: netip.MustParseAddr("192.0.2.1"), other: netip.MustParseAddr("192.0.2.2"), third: netip.MustParseAddr("192.0.2.3"),
+	}
+	for i := range 20 {
+		s := b.Open(b.now, b.now.Add(time.Duration(i+1)*time.Second), b.crowd).Share
+		s.state, s.since = state, b.now
+		if stalledFor > 0 {
+			b.Stall(s, b.now.Add(-stalledFor))
+		}
+		b.held = append(b.held, s)
+	}
+	return b
+}
+
+func (b *crowdAt) open(source netip.Addr) Opening {
+	return b.Open(b.now, b.now.Add(time.Second), source)
+}
+
+// TestSourceOfNothingSent guards against a crowd that comes back at once, sends nothing and keeps other sources from being served.
+func TestSourceOfNothingSent(t *testing.T) {
+	b := newCrowdAt(waiting, 0)
+	mine := b.open(b.other)
+	if mine.Admission != Admitted || mine.Away != b.held[0] {
+		t.Fatalf("got %+v, want the crowd's first to make way", mine)
+	}
+	b.now = b.now.Add(2 * idleAfter)
+	for range 3 {
+		if o := b.open(b.crowd); o.Away == nil || o.Away.source != b.crowd {
+			t.Errorf("got %+v for one more of the crowd, want one of its own to make way", o)
+		}
+	}
+	if mine.Share.state != waiting {
+		t.Error("the other source's connection was turned away")
+	}
+}
+
+// TestSourceBesideThoseTurnedAway guards against a newcomer that is dropped since a crowd's connections are being turned away.
+func TestSourceBesideThoseTurnedAway(t *testing.T) {
+	b := newCrowdAt(waiting, 0)
+	var first *Share
+	for o := b.open(b.crowd); o.Admission != Dropped; o = b.open(b.crowd) {
+		if first == nil {
+			first = o.Away
+		}
+	}
+	if o := b.open(b.other); o.Admission != Admitted || o.Cut != first || !first.IsCut() {
+		t.Errorf("got %+v, want the crowd's first that is turned away to be cut", o)
+	}
+}
+
+// TestSourceOfNothingRead guards against a crowd that reads nothing and so holds all connections.
+func TestSourceOfNothingRead(t *testing.T) {
+	b := newCrowdAt(serving, crowdStalledAfter)
+	if o := b.open(b.crowd); o.Admission != Refused {
+		t.Errorf("got %+v for one more of the crowd, want it refused", o)
+	}
+	if o := b.open(b.other); o.Admission != Admitted || o.Away == nil || !o.Away.IsCut() {
+		t.Errorf("got %+v, want one of the crowd cut", o)
+	}
+}
+
+// TestSourceOfUnreadBytes is TestSourceOfNothingRead for a crowd whose responses hold all bytes.
+func TestSourceOfUnreadBytes(t *testing.T) {
+	b := newCrowdAt(receiving, 0)
+	for _, s := range b.held[:12] {
+		b.Grow(b.now, s, mega/2)
+		b.Serve(s)
+		b.Stall(s, b.now.Add(-crowdStalledAfter))
+	}
+	b.Serve(b.held[19])
+	if v, _ := b.Grow(b.now, b.held[19], mega/2); v != TurnedAway {
+		t.Errorf("got %v for one more of the crowd, want it turned away", v)
+	}
+	mine := b.open(b.other).Share
+	b.Serve(mine)
+	if v, away := b.Grow(b.now, mine, mega); v != Awaiting || len(away) != 1 || !away[0].IsCut() {
+		t.Errorf("got %v with %d turned away, want one of the crowd cut", v, len(away))
+	}
+}
+
+// TestSourceIdle checks that an idle connection makes way for a larger source only where all others are served.
+func TestSourceIdle(t *testing.T) {
+	b := newCrowdAt(serving, 0)
+	b.Close(b.held[0])
+	idle := b.open(b.other).Share
+	b.now = b.now.Add(idleAfter)
+	if o := b.open(b.crowd); o.Away != idle {
+		t.Errorf("got %+v, want the idle connection to make way where all others are served", o)
+	}
+}
+
+// TestSourcesOfLikeSize checks that neither of two sources of the same size is a crowd for the other.
+func TestSourcesOfLikeSize(t *testing.T) {
+	b := newCrowdAt(serving, crowdStalledAfter)
+	for i, s := range b.held {
+		b.conns[s.source]--
+		s.source = []netip.Addr{b.crowd, b.other}[i%2]
+		b.conns[s.source]++
+	}
+	if o := b.open(b.other); o.Admission != Refused {
+		t.Errorf("got %+v, want it refused: no source is a crowd for the other", o)
+	}
+	if o := b.open(b.third); o.Admission != Admitted {
+		t.Errorf("got %+v for a third source, want it admitted", o)
+	}
+}
--- a/process/budget/doc.go
+++ b/process/budget/doc.go
@@ -27,6 +27,10 @@
 	idleAfter = time.Second
 	// stalledAfter is how long a caller must have taken nothing of its response to be cut for others.
 	stalledAfter = time.Second
+	// A source is a crowd for others with fewer connections if it holds crowdFraction of MaxConns. Its callers are cut for those once
+	// they have taken nothing for crowdStalledAfter.
+	crowdFraction     = 0.25
+	crowdStalledAfter = 250 * time.Millisecond
 )
 
 // Fractions of memory for connections. process/descriptors divides the descriptors.
--- a/process/budget/fuzz_test.go
+++ b/process/budget/fuzz_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -34,8 +35,11 @@
 	}
 }
 
-func (e *events) open() {
-	o := e.Open(e.now, e.now.Add(time.Second))
+// fuzzSources is the number of addresses from which connections come.
+const fuzzSources = 3
+
+func (e *events) open(n int) {
+	o := e.Open(e.now, e.now.Add(time.Second), netip.AddrFrom4([4]byte{192, 0, 2, byte(n % fuzzSources)}))
 	e.leave(o.Away, o.Cut)
 	if o.Share != nil {
 		e.shares = append(e.shares, o.Share)
@@ -82,6 +86,13 @@
 	if e.used > fuzzBytes+fuzzLargest || e.used < 0 || e.reserved < 0 || e.bytesLeaving < 0 {
 		e.t.Fatalf("used %d, reserved %d, leaving %d", e.used, e.reserved, e.bytesLeaving)
 	}
+	conns := 0
+	for _, n := range e.conns {
+		conns += n
+	}
+	if conns != len(e.Budget.shares) {
+		e.t.Fatalf("%d connections of all sources, want %d", conns, len(e.Budget.shares))
+	}
 	if e.Conns() > fuzzConns {
 		e.t.Fatalf("%d connections", e.Conns())
 	}
@@ -97,7 +108,7 @@
 			kind, n := b[0]%8, int(b[1])
 			e.now = e.now.Add(time.Duration(n) * 10 * time.Millisecond)
 			if kind == 0 {
-				e.open()
+				e.open(n)
 			} else if len(e.shares) > 0 {
 				if s := e.shares[n%len(e.shares)]; s.state != closed {
 					e.act(kind, s, n)
@@ -106,7 +117,7 @@
 			e.check()
 		}
 		e.end(e.shares)
-		if e.used != 0 || e.reserved != 0 || e.large != 0 || e.leaving != 0 || e.bytesLeaving != 0 {
+		if e.used != 0 || e.reserved != 0 || e.large != 0 || e.leaving != 0 || e.bytesLeaving != 0 || len(e.conns) > 0 || len(e.queue) > 0 {
 			t.Fatalf("left %+v", e.Budget)
 		}
 	})
--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -93,12 +93,13 @@
 // WatchMemory registers the metrics of what the daemon's connections hold.
 func (t *Telemetry) WatchMemory(m *ingress.Memory) {
 	for name, read := range map[string]func(u ingress.Usage) int{
-		"held_bytes":      func(u ingress.Usage) int { return u.Bytes },
-		"max_held_bytes":  func(u ingress.Usage) int { return u.Limits.Bytes },
-		"connections":     func(u ingress.Usage) int { return u.Conns },
-		"max_connections": func(u ingress.Usage) int { return u.Limits.MaxConns },
-		"socket_buffer":   func(u ingress.Usage) int { return u.Limits.Buffer },
-		"turned_away":     func(u ingress.Usage) int { return u.TurnedAway },
+		"held_bytes":         func(u ingress.Usage) int { return u.Bytes },
+		"max_held_bytes":     func(u ingress.Usage) int { return u.Limits.Bytes },
+		"connections":        func(u ingress.Usage) int { return u.Conns },
+		"max_connections":    func(u ingress.Usage) int { return u.Limits.MaxConns },
+		"source_connections": func(u ingress.Usage) int { return u.MostOfSource },
+		"socket_buffer":      func(u ingress.Usage) int { return u.Limits.Buffer },
+		"turned_away":        func(u ingress.Usage) int { return u.TurnedAway },
 	} {
 		t.Gauge(name, func() float64 { return float64(read(m.Usage())) })
 	}
