crowds: complete bodies towards servers that stop reading

What was not tried: callers who send complete bodies of 4 MiB and come back at once while no server reads more than 64 KiB of a connection.

--- a/cmd/savorywing/crowd_entry_test.go
+++ b/cmd/savorywing/crowd_entry_test.go
@@ -94,6 +94,7 @@
 		kind   caller
 	}{
 		{"complete bodies", standin.Faults{}, caller{parts: f.bodyParts("/book/x", lengthFraming, whole), reads: true}},
+		{"bodies that servers don't read", standin.Faults{ReadAtMost: 64 << 10}, caller{parts: f.bodyParts("/book/x", lengthFraming, whole), reads: true}},
 		{"large responses", standin.Faults{BodyBytes: 2 * crowdBodyBytes},
 			caller{parts: f.bodyParts("/book/look/x", "Content-Length: 0", nil), receiveBuffer: slowReaderBuffer}},
 		{"many requests at once", standin.Faults{}, caller{parts: func(id string) [][]byte {
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -79,6 +79,8 @@
 	ResumeStatus int
 	// CloseAfter closes a connection, without notice, this long after a response; 0 means never.
 	CloseAfter time.Duration
+	// ReadAtMost is how many bytes the server reads of each connection before it stops reading, and keeps it open; 0 for all.
+	ReadAtMost int
 }
 
 // Framing is how a stream states its end.
@@ -224,7 +226,7 @@
 	s.done.Add(2)
 	go func() {
 		defer s.done.Done()
-		if err := s.http.Serve(listener); err != nil && s.ctx.Err() == nil {
+		if err := s.http.Serve(faultyListener{listener, s}); err != nil && s.ctx.Err() == nil {
 			f.mu.Lock()
 			f.recordViolation("the emulated server %s stopped serving: %v", s.id, err)
 			f.mu.Unlock()
