crowds: requests that a cut-off host hands over; IDs of their own

What was not tried: the crowd of one entry host felt at the host to which it hands its requests. TestCrowdHandedOver (complete bodies of 4 MiB, small requests) measures that other host while the first one is cut off from all servers.

The requests of a crowd were numbered from one again when the same address had a second crowd, so that a refusal in the second could be compared with a run in the first ("ran 1 times although its answer promised that it doesn't", in the first trial of this test). Each crowd has a number now; no other test had two crowds at one address and servers that count.

--- a/cmd/savorywing/crowd_entry_test.go
+++ b/cmd/savorywing/crowd_entry_test.go
@@ -117,6 +117,31 @@
 	}
 }
 
+// TestCrowdHandedOver checks an entry host to which another one, which is cut off from the servers, hands the requests of its crowd.
+func TestCrowdHandedOver(t *testing.T) {
+	f := newCrowdedFleet(t, withPaths)
+	crowdAt := fmt.Sprintf("%s:%d", f.entryIP(0), f.port+2)
+	for _, tt := range []struct {
+		name  string
+		parts [][]byte
+	}{
+		{"complete bodies", [][]byte{nearlyAll, []byte("x")}},
+		{"small requests", [][]byte{nearlyAll[:1<<10], nearlyAll[:1<<10]}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, _ := f.startSmall(t, 8)
+			f.cutOff(1, standin.CutReset)
+			defer f.cutOff(1, standin.NoCut)
+			f.eventually("a request that is handed over", func() bool { return f.send(0, "/crowd/x", "", fleetKey, nil).status == fasthttp.StatusOK })
+			length := 0
+			for _, part := range tt.parts {
+				length += len(part)
+			}
+			f.withstand(t, p, crowdAt, caller{parts: f.bodyParts("/book/x", fmt.Sprintf("Content-Length: %d", length), tt.parts), reads: true})
+		})
+	}
+}
+
 // TestCrowdElsewhere is TestCrowdReturns for a crowd that isn't where the ordinary callers are.
 func TestCrowdElsewhere(t *testing.T) {
 	f := newCrowdedFleet(t)
--- a/cmd/savorywing/crowd_test.go
+++ b/cmd/savorywing/crowd_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -227,9 +226,13 @@
 	promised []string
 }
 
+// lastCrowd is the number of the last crowd, by which the IDs of its requests are its own.
+var lastCrowd atomic.Int64
+
 // startReturning starts n callers that take the kinds in turn.
 func startReturning(t *testing.T, address string, n int, kinds ...caller) *returning {
 	r := &returning{address: address, stop: make(chan struct{})}
+	crowd := lastCrowd.Add(1)
 	for i := range n {
 		r.done.Go(func() {
 			for k := 0; ; k++ {
@@ -238,7 +241,7 @@
 					return
 				default:
 				}
-				r.call(fmt.Sprintf("crowd-%s-%d-%d", hex.EncodeToString([]byte(address)), i, k), kinds[(i+k)%len(kinds)])
+				r.call(fmt.Sprintf("crowd-%d-%d-%d", crowd, i, k), kinds[(i+k)%len(kinds)])
 			}
 		})
 	}
--- a/cmd/savorywing/fleet_bodies_test.go
+++ b/cmd/savorywing/fleet_bodies_test.go
@@ -197,12 +197,12 @@
 	entry int
 }
 
-func newCrowdedFleet(t *testing.T) *crowdedFleet {
+func newCrowdedFleet(t *testing.T, opts ...func(f *fleetEnv)) *crowdedFleet {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("real processes")
 	}
-	f := &crowdedFleet{fleetEnv: newFleetEnv(t, 3, 1, 0)}
+	f := &crowdedFleet{fleetEnv: newFleetEnv(t, 3, 1, 0, opts...)}
 	doc := fleetDocument(2)
 	doc.Limits.HeaderTimeout = time.Minute
 	crowded := doc.Routes[2]
