--- a/cmd/savorywing/crowd_control_test.go
+++ b/cmd/savorywing/crowd_control_test.go
@@ -228,19 +228,26 @@
 	key, token, target        string
 }
 
-// TestCrowdAtServe is TestCrowdReturns for the listeners of savorywing serve.
-func TestCrowdAtServe(t *testing.T) {
+// newCrowdedServe starts savorywing serve with the limits of crowds, and one service with responses of 1 MiB.
+func newCrowdedServe(t *testing.T) crowdSystem {
+	t.Helper()
 	unset := setCrowdLimits(t)
 	s := newSystem(t, 1)
 	unset()
 	s.standin(standinserver.Config{Host: "booking-1", Kind: savorywing.KindService, Service: "booking", BodyBytes: 1 << 20})
 	s.waitReady()
-	crowdSystem{p: s.daemons[0], callers: s.callers[0], operators: s.operators[0], peers: s.peers[0], key: testKey, token: testToken, target: "/booking/x"}.withstandAll(t, true)
+	return crowdSystem{p: s.daemons[0], callers: s.callers[0], operators: s.operators[0], peers: s.peers[0], key: testKey, token: testToken, target: "/booking/x"}
+}
+
+// TestCrowdAtServe is TestCrowdReturns for the listeners of savorywing serve.
+func TestCrowdAtServe(t *testing.T) {
+	s := newCrowdedServe(t)
+	s.withstandAll(t, true)
 	// A planned stop ends whatever the crowd does.
-	r := startReturning(t, s.callers[0], returningCallers, crowdSystem{}.crowdCallers("/booking/x", testKey)...)
+	r := startReturning(t, s.callers, returningCallers, s.crowdCallers(s.target, s.key)...)
 	time.Sleep(returningTime)
-	s.daemons[0].signal(syscall.SIGTERM)
-	if code := s.daemons[0].wait(); code != 0 {
+	s.p.signal(syscall.SIGTERM)
+	if code := s.p.wait(); code != 0 {
 		t.Errorf("exit code %d after a planned stop", code)
 	}
 	r.end()
@@ -248,17 +255,12 @@
 
 // TestCrowdAtServeElsewhere is TestCrowdAtServe for a crowd that isn't where the ordinary callers are.
 func TestCrowdAtServeElsewhere(t *testing.T) {
-	unset := setCrowdLimits(t)
-	s := newSystem(t, 1)
-	unset()
-	s.standin(standinserver.Config{Host: "booking-1", Kind: savorywing.KindService, Service: "booking", BodyBytes: 1 << 20})
-	s.waitReady()
-	c := crowdSystem{p: s.daemons[0], callers: s.callers[0], key: testKey, target: "/booking/x"}
-	c.awaitAnswer(t)
-	kinds := fromElsewhere(c.crowdCallers(c.target, c.key)...)
-	t.Run("mixed", func(t *testing.T) { c.withstand(t, c.callers, kinds...) })
+	s := newCrowdedServe(t)
+	s.awaitAnswer(t)
+	kinds := fromElsewhere(s.crowdCallers(s.target, s.key)...)
+	t.Run("mixed", func(t *testing.T) { s.withstand(t, s.callers, kinds...) })
 	for _, kind := range kinds {
-		t.Run(kind.name, func(t *testing.T) { c.withstand(t, c.callers, kind) })
+		t.Run(kind.name, func(t *testing.T) { s.withstand(t, s.callers, kind) })
 	}
 }
 
