ingress: reading and ending a connection in files of their own

conn.go had 600 lines for three jobs. Moved without a change: reading.go reads a request, ending.go sends the last response and closes. The budget's count by address is named sources, beside Conns(), which leaves out those that are being turned away. Tests of ingress, budget, peer and socket pass, lint too.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -2,45 +2,25 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
-	"runtime"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/socket"
 	"savorywing.example/savorywing/process/budget"
 )
 
 const (
-	// lingerTimeout is how long a connection is still read after its last response, so that a reset doesn't destroy it.
-	lingerTimeout = 300 * time.Millisecond
-	// lingerBytes is how much is discarded then before a pause between reads, which costs the other callers less time than what a crowd
-	// sends without being read.
-	lingerBytes = 256 << 10
-	lingerPause = 20 * time.Millisecond
-	// yieldBytes is how much is read of one connection before others may run.
-	yieldBytes = 16 << 10
 	// firstRequestTime is how long a new connection may wait for its first request while the server stops.
 	firstRequestTime = 200 * time.Millisecond
 	// noTimeout stands for no timeout where a time is needed.
 	noTimeout = time.Hour
-	// headerCopies is how often a header that has a buffer of its own is held: there and by the parser.
-	headerCopies = 2
 )
 
-// errHeaderTooLarge replaces the parser's error, which quotes the header and so the caller's key.
-var errHeaderTooLarge = errors.New("the request header exceeds the limit")
-
 // epoch is before all writes, on the steady clock.
 var epoch = time.Now().Add(-time.Second)
 
@@ -94,23 +74,6 @@
 	turnedAway bool
 }
 
-// yieldingReader lets other goroutines run each time that it has read yieldBytes. The reads of a body that arrives as fast as it is read
-// never wait, and so would keep small requests waiting, above all on one core.
-type yieldingReader struct {
-	net.Conn
-	read int
-}
-
-// Read implements io.Reader.
-func (r *yieldingReader) Read(p []byte) (int, error) {
-	n, err := r.Conn.Read(p)
-	if r.read += n; r.read >= yieldBytes {
-		r.read = 0
-		runtime.Gosched()
-	}
-	return n, err
-}
-
 func newConn(s *Server, nc net.Conn, h Handler, m *Memory) *conn {
 	return &conn{
 		server: s, handler: h, memory: m, conn: nc, reader: bufio.NewReaderSize(&yieldingReader{Conn: nc}, readBufferBytes), acceptedAt: time.Now(), waiting: true,
@@ -237,29 +200,10 @@
 	}
 }
 
-// fullRetryAfter is the Retry-After of connections for which there is no room.
-const fullRetryAfter = time.Second
-
-// refuse ends a connection without reading from it.
-func (c *conn) refuse() {
-	defer c.server.removeConn(c)
-	defer func() { _ = c.conn.Close() }()
-	c.endWith(c.newExchange(), savorywing.ErrorResponse{
-		Status: fasthttp.StatusServiceUnavailable, Reason: "too many connections: notRun", RetryAfter: fullRetryAfter,
-	})
-}
-
 func (c *conn) newExchange() *Exchange {
 	return &Exchange{conn: c, server: c.server, arrival: c.server.clock.Now()}
 }
 
-// endWith sends the last response on the connection and returns the number of bytes that are received after it.
-func (c *conn) endWith(x *Exchange, r savorywing.ErrorResponse) int64 {
-	c.closeAfter = true
-	x.WriteError(r)
-	return c.linger()
-}
-
 // awaitRequest waits for the first byte of the next request and reports whether there is one. Otherwise the connection has
 // ended.
 func (c *conn) awaitRequest() bool {
@@ -361,15 +305,6 @@
 	return err
 }
 
-// endIdle ends a connection without a request. Its caller may have sent one that hasn't arrived yet: status 408 then tells that
-// it won't run. Callers without one take it for the end of an idle connection (RFC 9110, section 15.5.9).
-func (c *conn) endIdle() {
-	r := savorywing.ErrorResponse{Status: fasthttp.StatusRequestTimeout, Reason: "the connection is closed: notRun"}
-	if n := c.endWith(c.newExchange(), r); n > 0 {
-		c.server.afterClose.Add(1)
-	}
-}
-
 // serveOne reads and serves one request and reports whether the response is complete, so that the connection can be used
 // further. When it returns true, a peek for the next byte is running.
 func (c *conn) serveOne() bool {
@@ -453,143 +388,3 @@
 		cancel(ErrStopping)
 	}
 }
-
-func (c *conn) readRequest(x *Exchange, limits Limits) error {
-	if err := c.readHeader(x, limits); err != nil {
-		return err
-	}
-	if x.request.MayContinue() {
-		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return err
-		}
-	}
-	if n := x.request.Header.ContentLength(); n == 0 || n < contentLengthChunked {
-		return x.request.ContinueReadBody(c.reader, limits.MaxBodyBytes, false)
-	}
-	// A body is read as it is, whatever its type: a form would be taken apart and written anew.
-	r := bodyReader{reader: c.reader, max: limits.MaxBodyBytes, grow: c.growBody, growCalm: c.growBodyCalm, shrink: c.shrinkBody, raise: c.raiseReceiveBuffer}
-	body, err := r.read(&x.request.Header)
-	if err != nil {
-		return err
-	}
-	x.request.SetBodyRaw(body)
-	return nil
-}
-
-// contentLengthChunked is what fasthttp returns as the content length of chunked bodies.
-const contentLengthChunked = -1
-
-// readHeader reads a header of at most MaxHeaderBytes, or readBufferBytes if there is no limit. The parser leaves one that
-// doesn't fit into the buffer unread.
-func (c *conn) readHeader(x *Exchange, limits Limits) error {
-	limit := min(limits.MaxHeaderBytes, maxHeaderBytes)
-	if limit <= 0 {
-		limit = readBufferBytes
-	}
-	err := x.request.Header.Read(c.reader)
-	var smallBuffer *fasthttp.ErrSmallBuffer
-	if errors.As(err, &smallBuffer) && limit > c.reader.Size() {
-		if err := c.growBuffer(limit); err != nil {
-			return err
-		}
-		err = x.request.Header.Read(c.reader)
-	}
-	if errors.As(err, &smallBuffer) || len(x.request.Header.RawHeaders()) > limit {
-		return errHeaderTooLarge
-	}
-	if err != nil {
-		return err
-	}
-	return c.checkFields(&x.request.Header)
-}
-
-var (
-	// errFieldName is the error of a field's name with a space, by which servers may know another field.
-	errFieldName  = errors.New("a header field has a space in its name")
-	contentLength = []byte(fasthttp.HeaderContentLength)
-)
-
-// checkFields checks what the parser doesn't. A request with both a length and chunks, which others may read by its
-// length, is the last one on its connection (RFC 9112, section 6.1).
-func (c *conn) checkFields(h *fasthttp.RequestHeader) error {
-	isChunked := h.ContentLength() < 0
-	for line := range bytes.SplitSeq(h.RawHeaders(), []byte("\n")) {
-		name, _, isField := bytes.Cut(line, []byte(":"))
-		if isField && bytes.ContainsAny(name, " \t") {
-			return errFieldName
-		}
-		if isChunked && bytes.EqualFold(name, contentLength) {
-			c.closeAfter = true
-		}
-	}
-	return nil
-}
-
-// growBuffer replaces the reader by one with a larger buffer. What the old one holds is read first. Most callers' headers
-// fit into the small buffer that a connection begins with.
-func (c *conn) growBuffer(size int) error {
-	if err := c.memory.grow(c, headerCopies*size, c.receiveBy); err != nil {
-		return err
-	}
-	b, err := c.reader.Peek(c.reader.Buffered())
-	if err != nil {
-		return err
-	}
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(b), c.conn), size)
-	return nil
-}
-
-// rejectUnreadable sends an error response for a request that could not be read. It sends nothing if the caller
-// disconnected. Errors of the parser quote the request, and with it the caller's key, so they are not logged.
-func (c *conn) rejectUnreadable(x *Exchange, err error) {
-	c.closeAfter = true
-	status, reason := fasthttp.StatusBadRequest, "the request is malformed"
-	switch {
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET):
-		return
-	case errors.Is(err, errTurnedAway) || (isTimeout(err) && c.isTurnedAway()):
-		c.endWith(x, savorywing.ErrorResponse{Status: fasthttp.StatusServiceUnavailable, Reason: errTurnedAway.Error() + ": notRun", RetryAfter: fullRetryAfter})
-		return
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status, reason = fasthttp.StatusRequestEntityTooLarge, "the request body exceeds the limit"
-	case errors.Is(err, errHeaderTooLarge):
-		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, errHeaderTooLarge.Error()
-	case isTimeout(err):
-		status, reason = fasthttp.StatusRequestTimeout, "the request was not received in time: notRun"
-	}
-	c.server.log.Info().Str("event", "requestUnreadable").Int("status", status).Str("reason", reason).Msg("a caller's request could not be read")
-	c.endWith(x, savorywing.ErrorResponse{Status: status, Reason: reason})
-}
-
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
-}
-
-// linger closes the sending side, keeps reading for up to lingerTimeout, and returns the number of bytes read. Closing a
-// connection with unread bytes would reset it and could destroy the response in transit.
-func (c *conn) linger() int64 {
-	c.mu.Lock()
-	c.lingering = true
-	c.mu.Unlock()
-	if t, ok := c.conn.(*net.TCPConn); ok {
-		if err := t.CloseWrite(); err != nil {
-			return 0
-		}
-	}
-	c.setReadDeadline(time.Now().Add(lingerTimeout))
-	if err := c.awaitByte(); err != nil {
-		return 0
-	}
-	n := 0 // nothing received from now on is served
-	for {
-		discarded, _ := c.reader.Discard(c.reader.Buffered())
-		n += discarded
-		if n >= lingerBytes {
-			time.Sleep(lingerPause)
-		}
-		if _, err := c.reader.Peek(1); err != nil {
-			return int64(n)
-		}
-	}
-}
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -10,8 +10,8 @@
 type Budget struct {
 	limits Limits
 	shares map[*Share]struct{}
-	// conns is the number of shares of each source.
-	conns map[netip.Addr]int
+	// sources holds the number of shares of each source.
+	sources map[netip.Addr]int
 	// used is the sum of what counts of all shares, large what shares of over smallBytes hold, and reserved the bytes for which shares
 	// wait.
 	used, large, reserved int
@@ -26,7 +26,7 @@
 
 // New returns a budget without shares.
 func New(l Limits) *Budget {
-	return &Budget{limits: l, shares: map[*Share]struct{}{}, conns: map[netip.Addr]int{}}
+	return &Budget{limits: l, shares: map[*Share]struct{}{}, sources: map[netip.Addr]int{}}
 }
 
 type state int
@@ -152,14 +152,14 @@
 		b.turnAway(o.Away)
 	}
 	b.shares[o.Share] = struct{}{}
-	b.conns[source]++
+	b.sources[source]++
 	return o
 }
 
 // MostOfSource returns the number of connections of the source that has most.
 func (b *Budget) MostOfSource() int {
 	most := 0
-	for _, n := range b.conns {
+	for _, n := range b.sources {
 		most = max(most, n)
 	}
 	return most
@@ -167,18 +167,18 @@
 
 // yields reports whether a share may make way for a source.
 func (b *Budget) yields(s *Share, source netip.Addr) bool {
-	return b.conns[s.source] >= b.conns[source]
+	return b.sources[s.source] >= b.sources[source]
 }
 
 // isCrowd reports whether a source holds a large part of the connections, and more than another would with one more.
 func (b *Budget) isCrowd(source, other netip.Addr) bool {
-	n := b.conns[source]
-	return b.limits.MaxConns > 0 && float64(n) >= crowdFraction*float64(b.limits.MaxConns) && n > b.conns[other]+1
+	n := b.sources[source]
+	return b.limits.MaxConns > 0 && float64(n) >= crowdFraction*float64(b.limits.MaxConns) && n > b.sources[other]+1
 }
 
 // isBesideCrowd reports whether some other source is a crowd for a source.
 func (b *Budget) isBesideCrowd(source netip.Addr) bool {
-	for other := range b.conns {
+	for other := range b.sources {
 		if b.isCrowd(other, source) {
 			return true
 		}
@@ -423,8 +423,8 @@
 		return
 	}
 	delete(b.shares, s)
-	if b.conns[s.source]--; b.conns[s.source] == 0 {
-		delete(b.conns, s.source)
+	if b.sources[s.source]--; b.sources[s.source] == 0 {
+		delete(b.sources, s.source)
 	}
 }
 
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -521,9 +521,9 @@
 func TestSourcesOfLikeSize(t *testing.T) {
 	b := newCrowdAt(serving, crowdStalledAfter)
 	for i, s := range b.held {
-		b.conns[s.source]--
+		b.sources[s.source]--
 		s.source = []netip.Addr{b.crowd, b.other}[i%2]
-		b.conns[s.source]++
+		b.sources[s.source]++
 	}
 	if o := b.open(b.other); o.Admission != Refused {
 		t.Errorf("got %+v, want it refused: no source is a crowd for the other", o)
--- a/process/budget/fuzz_test.go
+++ b/process/budget/fuzz_test.go
@@ -87,7 +87,7 @@
 		e.t.Fatalf("used %d, reserved %d, leaving %d", e.used, e.reserved, e.bytesLeaving)
 	}
 	conns := 0
-	for _, n := range e.conns {
+	for _, n := range e.sources {
 		conns += n
 	}
 	if conns != len(e.Budget.shares) {
@@ -117,7 +117,7 @@
 			e.check()
 		}
 		e.end(e.shares)
-		if e.used != 0 || e.reserved != 0 || e.large != 0 || e.leaving != 0 || e.bytesLeaving != 0 || len(e.conns) > 0 || len(e.queue) > 0 {
+		if e.used != 0 || e.reserved != 0 || e.large != 0 || e.leaving != 0 || e.bytesLeaving != 0 || len(e.sources) > 0 || len(e.queue) > 0 {
 			t.Fatalf("left %+v", e.Budget)
 		}
 	})
