soak: a request sent while its host is being killed has that fault

Cause: a kill counts as a disruption when it begins and once the process has ended. A request that begins in between has the first count already, and a caller who sees the reset before the second one finds no fault.

A kill that goes on now counts as well, and is looked at before the disruptions, so one that ends in between has counted. Nothing else is allowed: outside of a kill the check is as before.

--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -23,6 +23,8 @@
 	faulty bool
 	// disruptions counts the beginnings and ends of faults that may leave requests without an answer.
 	disruptions atomic.Int64
+	// kills counts the kills that have begun and not ended: a request that is sent meanwhile may find the process alive and get no answer.
+	kills atomic.Int64
 	// reached reports whether the process has accepted a connection of a caller since its last start. Before that, a signal may
 	// end it before it handles signals.
 	reached atomic.Bool
@@ -111,6 +113,8 @@
 
 // kill kills the process. Requests that are sent meanwhile may stay without an answer.
 func (p *process) kill() {
+	p.kills.Add(1)
+	defer p.kills.Add(-1)
 	p.disruptions.Add(1)
 	p.end(syscall.SIGKILL, time.Second)
 	p.disruptions.Add(1)
--- a/bench/soak/workload.go
+++ b/bench/soak/workload.go
@@ -113,7 +113,9 @@
 		return outcome{err: err}
 	}
 	if _, err := k.in.Peek(1); err != nil {
-		if host.disruptions.Load() == disruptions && !host.isFrozen() {
+		// The order matters: a kill that ends in between has counted as a disruption.
+		isKilled := host.kills.Load() > 0
+		if !isKilled && host.disruptions.Load() == disruptions && !host.isFrozen() {
 			r.recordViolation("%s to %s, sent at %.3f s, got no answer, without a fault of the host: %v", id, host.name, sentAt.Sub(r.start).Seconds(), err)
 		}
 		r.checkRunCount(id, call, false)
