ingress: a caller with a long header leaves others their turn too

A header of more than 4 KiB replaces the reader by a larger one, which read from the socket itself, so the body behind such a header kept its core as before. The larger reader now reads what the first one did.

TestReadsYield has both cases; that with a long header failed before, three times of three.

--- a/connection/ingress/conn.go
+++ b/connection/ingress/conn.go
@@ -30,9 +30,11 @@
 	server  *Server
 	handler Handler
 	// memory is that of the connection's listener.
-	memory     *Memory
-	conn       net.Conn
+	memory *Memory
+	conn   net.Conn
+	// reader buffers what input reads from conn.
 	reader     *bufio.Reader
+	input      *yieldingReader
 	acceptedAt time.Time
 	// share is what the connection holds of the server's memory, and bodyBytes the part of it that ends with the request.
 	share     *budget.Share
@@ -75,8 +77,9 @@
 }
 
 func newConn(s *Server, nc net.Conn, h Handler, m *Memory) *conn {
+	input := &yieldingReader{Conn: nc}
 	return &conn{
-		server: s, handler: h, memory: m, conn: nc, reader: bufio.NewReaderSize(&yieldingReader{Conn: nc}, readBufferBytes), acceptedAt: time.Now(), waiting: true,
+		server: s, handler: h, memory: m, conn: nc, reader: bufio.NewReaderSize(input, readBufferBytes), input: input, acceptedAt: time.Now(), waiting: true,
 		share: &budget.Share{}, interrupted: make(chan struct{}), roomChanged: make(chan struct{}, 1),
 	}
 }
--- a/connection/ingress/ending.go
+++ b/connection/ingress/ending.go
@@ -75,8 +75,8 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// linger closes the sending side, keeps reading for up to lingerTimeout, ever more slowly for one that sends much, and returns the number of bytes read. Closing a
-// connection with unread bytes would reset it and could destroy the response in transit.
+// linger closes the sending side, keeps reading for up to lingerTimeout, slowly once it has read lingerBytes, and returns the number of
+// bytes read. Closing a connection with unread bytes would reset it and could destroy the response in transit.
 func (c *conn) linger() int64 {
 	c.mu.Lock()
 	c.lingering = true
--- a/connection/ingress/reading.go
+++ b/connection/ingress/reading.go
@@ -118,6 +118,6 @@
 	if err != nil {
 		return err
 	}
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(b), c.conn), size)
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(b), c.input), size)
 	return nil
 }
--- a/connection/ingress/reading_test.go
+++ b/connection/ingress/reading_test.go
@@ -26,14 +26,22 @@
 // TestReadsYield guards against a body that keeps a core from all other connections as long as its bytes arrive in time.
 func TestReadsYield(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	c := newConn(newServer(t, echo, Limits{}), arrived{Reader: bytes.NewReader(make([]byte, 4*yieldBytes))}, nil, nil)
-	var ran atomic.Bool
-	go ran.Store(true)
-	if _, err := io.CopyN(io.Discard, c.reader, 2*yieldBytes); err != nil {
-		t.Fatal(err)
-	}
-	if !ran.Load() {
-		t.Errorf("no other goroutine ran while %d bytes were read", 2*yieldBytes)
+	s := newServer(t, echo, Limits{})
+	for _, hasLongHeader := range []bool{false, true} {
+		c := newConn(s, arrived{Reader: bytes.NewReader(make([]byte, 4*yieldBytes))}, nil, s.memory)
+		if hasLongHeader {
+			if err := c.growBuffer(2 * readBufferBytes); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var ran atomic.Bool
+		go ran.Store(true)
+		if _, err := io.CopyN(io.Discard, c.reader, 2*yieldBytes); err != nil {
+			t.Fatal(err)
+		}
+		if !ran.Load() {
+			t.Errorf("no other goroutine ran while %d bytes were read; long header %t", 2*yieldBytes, hasLongHeader)
+		}
 	}
 }
 
