--- a/cmd/savorywing/crowd_control_test.go
+++ b/cmd/savorywing/crowd_control_test.go
@@ -135,7 +135,7 @@
 		})
 	}
 	for _, kind := range []caller{
-		{name: "nothing sent", parts: func(string) [][]byte { return nil }, reads: true},
+		nothingSent,
 		{name: "half a head", parts: func(string) [][]byte { return [][]byte{longHead} }, reads: true},
 	} {
 		for _, listener := range []string{"callers", "peers", "metrics"} {
@@ -156,7 +156,7 @@
 		t.Fatalf("status %d for the document", status)
 	}
 	callers := f.controlCallers()
-	for _, kind := range fromElsewhere(callers[len(callers)-1], caller{name: "nothing sent", parts: func(string) [][]byte { return nil }, reads: true}) {
+	for _, kind := range fromElsewhere(callers[len(callers)-1], nothingSent) {
 		for name, p := range map[string]*daemonProcess{"leader": f.leadingProcess(), "follower": f.follower()} {
 			t.Run(kind.name+", "+name, func(t *testing.T) { f.withstand(t, p, f.address(p).callers, kind) })
 		}
@@ -315,7 +315,7 @@
 		{name: "chunks of two bytes", parts: parts(chunkedFraming, repeated(8, bytes.Repeat(chunk(2, ""), 32<<10))), reads: true},
 		{name: "whole", parts: parts(lengthFraming, [][]byte{nearlyAll, []byte("x")}), reads: true},
 		{name: "responses that nobody reads", parts: func(string) [][]byte { return [][]byte{get} }, receiveBuffer: slowReaderBuffer},
-		{name: "nothing sent", parts: func(string) [][]byte { return nil }, reads: true},
+		nothingSent,
 	}
 }
 
--- a/cmd/savorywing/crowd_entry_test.go
+++ b/cmd/savorywing/crowd_entry_test.go
@@ -133,11 +133,8 @@
 			f.cutOff(1, standin.CutReset)
 			defer f.cutOff(1, standin.NoCut)
 			f.eventually("a request that is handed over", func() bool { return f.send(0, "/crowd/x", "", fleetKey, nil).status == fasthttp.StatusOK })
-			length := 0
-			for _, part := range tt.parts {
-				length += len(part)
-			}
-			f.withstand(t, p, crowdAt, caller{parts: f.bodyParts("/book/x", fmt.Sprintf("Content-Length: %d", length), tt.parts), reads: true})
+			framing := fmt.Sprintf("Content-Length: %d", len(bytes.Join(tt.parts, nil)))
+			f.withstand(t, p, crowdAt, caller{parts: f.bodyParts("/book/x", framing, tt.parts), reads: true})
 		})
 	}
 }
@@ -145,7 +142,7 @@
 // TestCrowdElsewhere is TestCrowdReturns for a crowd that isn't where the ordinary callers are.
 func TestCrowdElsewhere(t *testing.T) {
 	f := newCrowdedFleet(t)
-	kinds := fromElsewhere(append(f.endlessCallers("/book/x"), caller{name: "nothing sent", parts: func(string) [][]byte { return nil }, reads: true})...)
+	kinds := fromElsewhere(append(f.endlessCallers("/book/x"), nothingSent)...)
 	for _, cores := range []int{8, 1} {
 		t.Run(fmt.Sprintf("mixed, %d cores", cores), func(t *testing.T) {
 			p, target := f.startSmall(t, cores)
@@ -172,7 +169,7 @@
 			name  string
 			kinds []caller
 		}{
-			{"nothing sent", []caller{{parts: func(string) [][]byte { return nil }, reads: true}}},
+			{nothingSent.name, []caller{nothingSent}},
 			{"half a head", []caller{{parts: func(string) [][]byte { return [][]byte{[]byte(peerHead)} }, reads: true}}},
 			{"bodies", f.endlessCallers(tt.target)},
 		} {
--- a/cmd/savorywing/crowd_test.go
+++ b/cmd/savorywing/crowd_test.go
@@ -201,6 +201,9 @@
 	from string
 }
 
+// nothingSent is a caller who sends nothing.
+var nothingSent = caller{name: "nothing sent", parts: func(string) [][]byte { return nil }, reads: true}
+
 // crowdSource is the address of a crowd that has one of its own.
 const crowdSource = "127.0.0.2"
 
