engine: a reset during an upload isn't the end of a response without a length

Callers got a part of a response as a complete 200 when a server answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. The goroutine that writes the body of the request gets it, and the read after it returns a plain end, which is how a body without a length ends. The outcome of the upload was asked in Close only.

Evidence: TestFleetEarlyAnswerReset (entry host as a process, directly and through another entry host; three framings; plain and streamed).

Change: where the end of the connection is that of the body, Response.Read stops the upload after 100 ms at most and asks the socket whether the peer has closed it in order (TCP_CLOSE_WAIT). That state doesn't depend on who got the error. The upload is waited for since a server that has closed its side answers what is left of it with a reset.

A server that has closed only its side in order has ended its response, whether it reads the rest or not: PROTOCOL.md lets a response end with its channel. TestFleetEarlyAnswerWhole keeps that (reads on, reads slowly, reads nothing).

--- /dev/null
+++ b/cmd/savorywing/fleet_broken_answer_test.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	standin "savorywing.example/savorywing/standin/fleet"
+)
+
+// brokenFleet is a fleet with an entry host that is a process, and another one that hands its requests to it once it is cut off.
+type brokenFleet struct {
+	*fleetEnv
+	process *process
+}
+
+func newBrokenFleet(t *testing.T) *brokenFleet {
+	t.Helper()
+	f := newFleetEnv(t, 3, 1, 10, withPaths, func(f *fleetEnv) { f.retryBurst = 1000 })
+	p, _ := f.startEntryProcess(1)
+	f.waitServing()
+	b := &brokenFleet{fleetEnv: f, process: p}
+	b.awaitServing(1)
+	return b
+}
+
+func (f *brokenFleet) awaitServing(entry int) {
+	f.t.Helper()
+	f.setAllFaults(standin.Faults{})
+	for _, path := range []string{"/book/look/x", "/talk/x"} {
+		f.eventually(path, func() bool {
+			r := f.request(entry, path, 0)
+			return r.err == nil && r.status == fasthttp.StatusOK
+		})
+	}
+}
+
+// inBothWays runs a test at the entry host that is a process, and at one that hands over its requests.
+func (f *brokenFleet) inBothWays(run func(way string, entry int)) {
+	f.t.Helper()
+	f.awaitServing(1)
+	run("directly", 1)
+	f.setAllFaults(standin.Faults{})
+	f.cutOffUntilForwarded(1, standin.CutReset)
+	f.awaitServing(0)
+	run("handed over", 0)
+}
+
+// request sends a request with a body of some bytes.
+func (f *brokenFleet) request(entry int, path string, bodyBytes int) fleetResponse {
+	m := savorywing.CallerMetadata{APIKey: fleetKey, Timeout: 8 * time.Second, LastEventID: -1}
+	if path == "/talk/x" {
+		m.Model, m.PromptTokens, m.MaxOutputTokens = smallModel, 500, 60
+	}
+	return f.sendBody(entry, path, nil, m, func(req *fasthttp.Request) { req.SetBodyString(strings.Repeat("u", bodyBytes)) })
+}
+
+// requestUntilAnswered sends requests until a server has answered one with an answer, and returns the last response.
+func (f *brokenFleet) requestUntilAnswered(entry int, path string, bodyBytes int, answer standin.Answer) fleetResponse {
+	f.t.Helper()
+	var answered atomic.Int64
+	f.setAllFaults(standin.Faults{Answer: func(c *net.TCPConn, r standin.RequestStart) {
+		answered.Add(1)
+		answer(c, r)
+	}})
+	defer f.setAllFaults(standin.Faults{})
+	var r fleetResponse
+	f.eventually("a request that a server has answered", func() bool {
+		r = f.request(entry, path, bodyBytes)
+		return answered.Load() > 0
+	})
+	if path == "/book/x" && f.fleet.RunCount(r.requestID) > 1 {
+		f.t.Errorf("%s ran %d times", r.requestID, f.fleet.RunCount(r.requestID))
+	}
+	return r
+}
+
+// eventText returns the first events of a stream.
+func eventText(n int) string {
+	var b strings.Builder
+	for id := range n {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+// earlyAnswer is an answer that begins before the body of its request has been read.
+type earlyAnswer struct {
+	name string
+	// framing are the fields that state the end of the body, and encode the body on the wire.
+	framing string
+	encode  func(body string, whole bool) string
+}
+
+var earlyAnswers = []earlyAnswer{
+	{"no length", "", func(body string, _ bool) string { return body }},
+	{"length", fmt.Sprintf("Content-Length: %d\r\n", len(wholeEvents)), func(body string, _ bool) string { return body }},
+	{"chunks", "Transfer-Encoding: chunked\r\n", func(body string, whole bool) string {
+		last := ""
+		if whole {
+			last = "0\r\n\r\n"
+		}
+		return fmt.Sprintf("%x\r\n%s\r\n%s", len(body), body, last)
+	}},
+}
+
+// write writes the answer with the first events of its body, or with all of them.
+func (a earlyAnswer) write(c net.Conn, fields []byte, whole bool) {
+	body := eventText(2)
+	if whole {
+		body = wholeEvents
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s\r\n%s", fields, a.framing, a.encode(body, whole))
+}
+
+// wholeEvents is a whole body.
+var wholeEvents = eventText(2) + "id: 2\ndata: \n\n"
+
+// readBody reads n bytes of a request's body, or all of it.
+func readBody(c *net.TCPConn, n int) { _, _ = io.CopyN(io.Discard, c, int64(n)) }
+
+// firstReadBytes is at least what a server reads of a request with its header.
+const firstReadBytes = 4 << 10
+
+// checkReset sends requests of which a server reads a part before it sends a part of an answer and resets the connection.
+func (f *brokenFleet) checkReset(way string, entry int, a earlyAnswer, path string, bodyBytes int) {
+	f.t.Helper()
+	complete, sent := 0, 0
+	for _, read := range []int{0, 100 << 10} {
+		for _, pause := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond} {
+			for _, linger := range []bool{false, true} {
+				// The kernel resets a connection that is closed before all of the request was read.
+				if read >= bodyBytes || (linger && bodyBytes <= firstReadBytes) {
+					continue
+				}
+				r := f.requestUntilAnswered(entry, path, bodyBytes, func(c *net.TCPConn, request standin.RequestStart) {
+					_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+					readBody(c, read)
+					a.write(c, request.Fields, false)
+					time.Sleep(pause)
+					if !linger {
+						_ = c.SetLinger(0)
+					}
+					_ = c.Close()
+				})
+				sent++
+				if r.err == nil && r.status < fasthttp.StatusBadRequest {
+					complete++
+				}
+			}
+		}
+	}
+	if complete > 0 {
+		f.t.Errorf("%s, %s, %s, %d bytes sent: %d of %d answers that were reset reached callers as complete", way, a.name, path, bodyBytes, complete, sent)
+	}
+}
+
+// TestFleetEarlyAnswerReset guards against callers who get as complete what a server has sent of an answer before it reset the
+// connection, while their request was being sent to it or after that.
+func TestFleetEarlyAnswerReset(t *testing.T) {
+	t.Parallel()
+	f := newBrokenFleet(t)
+	f.inBothWays(func(way string, entry int) {
+		for _, a := range earlyAnswers {
+			for _, path := range []string{"/book/x", "/book/look/x", "/talk/x"} {
+				for _, bodyBytes := range []int{1 << 10, 20 << 10, 200 << 10, 3 << 20} {
+					f.checkReset(way, entry, a, path, bodyBytes)
+				}
+			}
+		}
+	})
+}
+
+// TestFleetEarlyAnswerWhole guards against sound answers that are turned away since they begin before their request was read:
+// a server may read on, close the connection once it has read all, or close only its own side.
+func TestFleetEarlyAnswerWhole(t *testing.T) {
+	t.Parallel()
+	f := newBrokenFleet(t)
+	f.inBothWays(func(way string, entry int) {
+		for _, a := range earlyAnswers {
+			for _, tt := range []struct {
+				name string
+				// after follows the answer, of a request of which some bytes are left.
+				after func(c *net.TCPConn, left int)
+			}{
+				{"reads the rest", readBody},
+				{"closes its side and reads the rest", func(c *net.TCPConn, left int) {
+					_ = c.CloseWrite()
+					readBody(c, left)
+				}},
+				{"closes its side and reads slowly", func(c *net.TCPConn, left int) {
+					_ = c.CloseWrite()
+					for range 50 {
+						time.Sleep(10 * time.Millisecond)
+						readBody(c, left/50)
+					}
+					readBody(c, left%50)
+				}},
+				{"closes its side and reads nothing for a time", func(c *net.TCPConn, _ int) {
+					_ = c.CloseWrite()
+					time.Sleep(time.Second)
+				}},
+			} {
+				for _, path := range []string{"/book/x", "/book/look/x", "/talk/x"} {
+					for _, bodyBytes := range []int{1 << 10, 200 << 10, 3 << 20} {
+						r := f.requestUntilAnswered(entry, path, bodyBytes, func(c *net.TCPConn, request standin.RequestStart) {
+							_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+							a.write(c, request.Fields, true)
+							tt.after(c, request.Unread)
+						})
+						if r.err != nil || r.status != fasthttp.StatusOK || r.body != wholeEvents {
+							t.Errorf("%s, %s, %s, %s, %d bytes sent: status %d, error %v, %q", way, a.name, tt.name, path, bodyBytes, r.status, r.err, r.body)
+						}
+					}
+				}
+			}
+		}
+	})
+}
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -49,6 +49,8 @@
 	errUnexpectedSwitch = errors.New("the server switches to another protocol")
 	// ErrTruncated means that the response ended before its body was complete, as Response.Read defines it.
 	ErrTruncated = errors.New("the response was truncated")
+	// errReset means that the connection was reset, and not closed, at the end of a body that has no other end.
+	errReset = errors.New("the connection was reset")
 )
 
 // Client sends requests to backend servers and pools its connections. It is safe for concurrent use.
@@ -182,12 +184,12 @@
 		}
 	}
 	l.begin(call.AttemptID)
-	bodyWritten, err := l.write(call)
+	upload, err := l.write(call)
 	if err != nil {
 		return nil, err
 	}
 	for range maxStaleResponses {
-		r := &Response{client: c, link: l, bodyWritten: bodyWritten}
+		r := &Response{client: c, link: l, upload: upload}
 		if err := httpheader.ReadResponse(&r.Header, l.reader); err != nil {
 			return nil, fmt.Errorf("reading the response header: %w", err)
 		}
--- a/connection/engine/link.go
+++ b/connection/engine/link.go
@@ -68,9 +68,15 @@
 	return maxIdlePerAddress
 }
 
-// write sends the request. A body longer than maxInlineBody is still being written when it returns. The channel,
-// which is nil for a shorter body, then receives the outcome.
-func (l *link) write(call Call) (<-chan error, error) {
+// upload is the writing of a body that goes on while the response is read. err is its outcome once done is closed.
+type upload struct {
+	done chan struct{}
+	err  error
+}
+
+// write sends the request. A body longer than maxInlineBody is still being written when it returns; the upload is nil for a
+// shorter one.
+func (l *link) write(call Call) (*upload, error) {
 	b := call.Header.AppendBytes(nil)
 	if len(call.Body) <= maxInlineBody {
 		b = append(b, call.Body...)
@@ -82,12 +88,12 @@
 	if n, err := l.conn.Write(b); err != nil {
 		return nil, sendError(n, err)
 	}
-	done := make(chan error, 1)
+	u := &upload{done: make(chan struct{})}
 	go func() {
-		_, err := socket.WritePieces(l.conn, call.Body)
-		done <- err
+		defer close(u.done)
+		_, u.err = socket.WritePieces(l.conn, call.Body)
 	}()
-	return done, nil
+	return u, nil
 }
 
 // sendError marks the error of a write as not sent if the connection accepted no byte.
--- a/connection/engine/response.go
+++ b/connection/engine/response.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/socket"
 )
 
 // maxDiscardBytes is the largest body of another request's response that is read to keep the connection.
@@ -25,10 +26,10 @@
 	// stop detaches the connection from the context of the request, and reports whether the context had not
 	// been cancelled yet.
 	stop func() bool
-	// bodyWritten receives the outcome of writing a long body; nil if the body was written before the header was read.
-	bodyWritten <-chan error
-	body        io.Reader
-	framing     Framing
+	// upload is the writing of a long body; nil if the body was written before the header was read.
+	upload  *upload
+	body    io.Reader
+	framing Framing
 	// length is the stated length of the body; negative if none is stated.
 	length    int
 	bytesRead int
@@ -102,6 +103,9 @@
 		if r.length > 0 && r.bytesRead < r.length {
 			return n, fmt.Errorf("Response.Read: %w", ErrTruncated)
 		}
+		if err := r.checkClose(); err != nil {
+			return n, fmt.Errorf("Response.Read: %w: %w", ErrTruncated, err)
+		}
 		r.endChunks()
 		r.complete = true
 		if n > 0 {
@@ -113,6 +117,28 @@
 	return n, err
 }
 
+// resetTimeout is how long the rest of the request's body may take to meet a reset after the peer has closed its side.
+const resetTimeout = 100 * time.Millisecond
+
+// checkClose returns an error unless the peer has closed the connection in order, where its end is that of the body. A reset is
+// reported only once: if the goroutine that writes the body of the request gets it, the next read returns io.EOF.
+func (r *Response) checkClose() error {
+	if r.framing != FramingUntilClose {
+		return nil
+	}
+	if r.upload != nil {
+		if err := r.link.conn.SetWriteDeadline(time.Now().Add(resetTimeout)); err != nil {
+			return err
+		}
+		<-r.upload.done
+	}
+	closed, err := socket.IsClosedByPeer(r.link.conn)
+	if err == nil && !closed {
+		err = errReset
+	}
+	return err
+}
+
 // endChunks reads the empty line after the last chunk, so that the connection can be reused. It isn't reused after
 // trailers or an error.
 func (r *Response) endChunks() {
@@ -169,12 +195,12 @@
 
 // isWritten reports whether the body of the request was written without an error.
 func (r *Response) isWritten() bool {
-	if r.bodyWritten == nil {
+	if r.upload == nil {
 		return true
 	}
 	select {
-	case err := <-r.bodyWritten:
-		return err == nil
+	case <-r.upload.done:
+		return r.upload.err == nil
 	default:
 		return false
 	}
--- a/connection/socket/input.go
+++ b/connection/socket/input.go
@@ -43,6 +43,22 @@
 	return input, err
 }
 
+// stateCloseWait is the state of a connection that the peer has closed, and this side hasn't (TCP_CLOSE_WAIT).
+const stateCloseWait = 8
+
+// IsClosedByPeer reports whether the peer has closed its side of an open connection in order, and nothing has reset it since.
+func IsClosedByPeer(c net.Conn) (bool, error) {
+	closed := false
+	err := control(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.SOL_TCP, unix.TCP_INFO)
+		if err == nil {
+			closed = info.State == stateCloseWait
+		}
+		return err
+	})
+	return closed, err
+}
+
 // control calls f with the file descriptor of a socket, whatever its deadlines.
 func control(socket any, f func(fd int) error) error {
 	s, ok := socket.(syscall.Conn)
--- a/standin/fleet/listener.go
+++ b/standin/fleet/listener.go
@@ -1,11 +1,12 @@
 package fleet
 
 import (
+	"io"
 	"net"
 	"time"
 )
 
-// faultyListener accepts connections of which a server may stop reading.
+// faultyListener accepts connections of which a server may stop reading, or on which it answers at once.
 type faultyListener struct {
 	net.Listener
 	server *Server
@@ -37,6 +38,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.read += n
+	if c.answer(p[:n]) {
+		return 0, io.EOF
+	}
 	return n, err
 }
 
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -81,6 +81,8 @@
 	CloseAfter time.Duration
 	// ReadAtMost is how many bytes the server reads of each connection before it stops reading, and keeps it open; 0 for all.
 	ReadAtMost int
+	// Answer answers requests once their header has been read; nil to handle them.
+	Answer Answer
 }
 
 // Framing is how a stream states its end.
