httpheader: a name with a blank, or a folded line, is no field of a response

Callers got answers of servers in trouble whose header has names with blanks: "X Pad: 1" was passed on, the body of an answer with "Content-Length : 3" was its first three bytes, and a line that begins with a blank became a part of the field before it.

Cause: fasthttp takes blanks in names and removes those before the colon; it joins folded lines. Every other byte that no name may hold is refused by it.

Change: ReadResponse, by which all readers of responses go, checks each line before fasthttp gets the header: a name consists of the bytes of a token and the colon follows it. A folded line isn't a field either: no sender may make one (RFC 9112, 5.2), and it changed the value before it. The lines end where fasthttp ends them. A header is refused at its first broken line, without waiting for the rest of it.

Both tests pass now.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	./process/state/... ./process/straggler/... ./version/...
 
 # Fuzz targets as package:name. go test runs one at a time.
-FUZZ := connection/ingress:FuzzReadRequest connection/ingress:FuzzReadBody process/budget:FuzzEvents platform:FuzzReadCallerMetadata platform:FuzzReadResponseMetadata platform:FuzzReadReport \
+FUZZ := connection/httpheader:FuzzReadResponse connection/ingress:FuzzReadRequest connection/ingress:FuzzReadBody process/budget:FuzzEvents platform:FuzzReadCallerMetadata platform:FuzzReadResponseMetadata platform:FuzzReadReport \
 	platform:FuzzReadDocument process/disk:FuzzDecodeFrames process/fleet:FuzzUnpackLoads process/gateway:FuzzScanEvents \
 	process/quorum:FuzzStep process/state:FuzzRestore \
 	request/attempt:FuzzParseFrame version/instance:FuzzParse version/settings:FuzzParse wire/codec:FuzzCheckJSON wire/codec:FuzzDecodeFrame
--- a/cmd/savorywing/fleet_broken_answer_test.go
+++ b/cmd/savorywing/fleet_broken_answer_test.go
@@ -224,3 +224,53 @@
 		}
 	})
 }
+
+// tokenBytes are the bytes that the name of a field may hold.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// brokenNames are answers in whose header the name of a field holds what no name may hold. SIGNED stands for the fields that sign them.
+func brokenNames() []string {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(wholeEvents))
+	var answers []string
+	for _, line := range []string{"X Pad: 1", "X-Pad : 1", "X-Pad\t: 1", " X-Pad: 1", "X-Pad: 1\r\n\tX-Own: 1", "Con tent-Length: 3", ": 1", " : 1", "X-Pad"} {
+		for _, head := range []string{"SIGNED" + length + line + "\r\n", line + "\r\nSIGNED" + length, "SIGNED" + line + "\r\n"} {
+			answers = append(answers, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+wholeEvents)
+		}
+	}
+	for _, line := range []string{"Content-Length : 3", "Content-Length\t: 3", "Transfer-Encoding : chunked", "Content -Length: 3"} {
+		answers = append(answers, "HTTP/1.1 200 OK\r\nSIGNED"+line+"\r\n\r\n"+wholeEvents)
+	}
+	for c := range 256 {
+		if strings.IndexByte(tokenBytes+":\n", byte(c)) >= 0 {
+			continue
+		}
+		b := string([]byte{byte(c)})
+		for _, name := range []string{b + "XPad", "X" + b + "Pad", "XPad" + b} {
+			answers = append(answers, "HTTP/1.1 200 OK\r\nSIGNED"+length+name+": 1\r\n\r\n"+wholeEvents)
+		}
+	}
+	return answers
+}
+
+// checkBroken sends requests to servers that send these answers, and checks that none reaches a caller as a success.
+func (f *brokenFleet) checkBroken(way string, entry int, answers []string) {
+	f.t.Helper()
+	paths := []string{"/book/x", "/book/look/x", "/talk/x"}
+	for i, text := range answers {
+		path, bodyBytes := paths[i%len(paths)], []int{16, 20 << 10}[i%2]
+		r := f.requestUntilAnswered(entry, path, bodyBytes, func(c *net.TCPConn, request standin.RequestStart) {
+			readBody(c, request.Unread)
+			_, _ = io.WriteString(c, strings.Replace(text, "SIGNED", string(request.Fields), 1))
+		})
+		if r.err == nil && r.status < fasthttp.StatusBadRequest {
+			f.t.Errorf("%s, %s: the answer %.120q reached the caller with status %d, %q", way, path, text, r.status, r.body)
+		}
+	}
+}
+
+// TestFleetBrokenNames guards against callers who get an answer in whose header the name of a field holds what no name may hold.
+func TestFleetBrokenNames(t *testing.T) {
+	t.Parallel()
+	f := newBrokenFleet(t)
+	f.inBothWays(func(way string, entry int) { f.checkBroken(way, entry, brokenNames()) })
+}
--- /dev/null
+++ b/cmd/savorywing/serve_broken_answer_test.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/backend"
+	standin "savorywing.example/savorywing/standin/fleet"
+	"savorywing.example/savorywing/wire"
+)
+
+// rawService is a service for savorywing serve that answers as a test wants.
+type rawService struct {
+	listener net.Listener
+	host     string
+	sequence atomic.Uint64
+	answered atomic.Int64
+	mu       sync.Mutex
+	// answer answers requests, and poll the polls; nil for a sound answer.
+	answer, poll standin.Answer
+}
+
+// startRawService starts a service and announces it until the test ends.
+func (s *system) startRawService(host string) *rawService {
+	s.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	w := &rawService{listener: listener, host: host}
+	stop := make(chan struct{})
+	s.t.Cleanup(func() {
+		close(stop)
+		_ = listener.Close()
+	})
+	go w.serve()
+	go func() {
+		for {
+			_ = s.send(0, "POST", backend.PathAnnounce, "", string(w.announcement()))
+			select {
+			case <-stop:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+	return w
+}
+
+func (w *rawService) announcement() []byte {
+	// A struct of numbers and strings can be encoded.
+	b, _ := json.Marshal(wire.Announcement{
+		Host: w.host, Boot: 1, Sequence: w.sequence.Add(1), Address: w.listener.Addr().String(), DataCentre: "centre", Kind: savorywing.KindService, Service: "booking",
+		Load: &wire.Load{Slots: 16, ReadAt: time.Now().UnixMilli()},
+	})
+	return b
+}
+
+func (w *rawService) set(answer, poll standin.Answer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answer, w.poll = answer, poll
+}
+
+func (w *rawService) serve() {
+	for {
+		c, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			go w.serveConn(tcp)
+		}
+	}
+}
+
+// serveConn answers one request.
+func (w *rawService) serveConn(c *net.TCPConn) {
+	defer func() { _ = c.Close() }()
+	var h fasthttp.RequestHeader
+	in := bufio.NewReader(c)
+	if h.Read(in) != nil {
+		return
+	}
+	w.mu.Lock()
+	answer, text := w.answer, []byte("sound")
+	if string(h.RequestURI()) == backend.PathAnnouncement {
+		answer, text = w.poll, w.announcement()
+	}
+	w.mu.Unlock()
+	r := standin.RequestStart{Fields: fmt.Appendf(nil, "%s: %s\r\n", backend.HeaderAttemptID, h.Peek(backend.HeaderAttemptID)), Unread: max(0, h.ContentLength()-in.Buffered())}
+	if answer == nil {
+		readBody(c, r.Unread)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s", r.Fields, len(text), text)
+		return
+	}
+	w.answered.Add(1)
+	answer(c, r)
+}
+
+// newRawSystem starts a daemon with one service.
+func newRawSystem(t *testing.T) (*system, *rawService) {
+	t.Helper()
+	s := newSystem(t, 1)
+	w := s.startRawService("raw")
+	s.waitReady()
+	s.eventually("a sound answer", func() bool { return s.send(0, "GET", "/booking/x", "", "").body == "sound" })
+	return s, w
+}
+
+// sendUntilAnswered sends requests until the service has answered one with an answer, and returns the last response.
+func (s *system) sendUntilAnswered(w *rawService, method, body string, answer standin.Answer) response {
+	s.t.Helper()
+	w.set(answer, nil)
+	defer w.set(nil, nil)
+	before := w.answered.Load()
+	var r response
+	s.eventually("a request that the service has answered", func() bool {
+		r = s.send(0, method, "/booking/x", "", body)
+		return w.answered.Load() > before
+	})
+	return r
+}
+
+// TestServeBrokenNames is TestFleetBrokenNames for savorywing serve.
+func TestServeBrokenNames(t *testing.T) {
+	s, w := newRawSystem(t)
+	s.checkBroken(w, brokenNames())
+}
+
+// checkBroken sends requests to a service that sends these answers, and checks that none reaches a caller as a success.
+func (s *system) checkBroken(w *rawService, answers []string) {
+	s.t.Helper()
+	for i, text := range answers {
+		method := []string{"GET", "POST"}[i%2]
+		r := s.sendUntilAnswered(w, method, "", func(c *net.TCPConn, request standin.RequestStart) {
+			_, _ = io.WriteString(c, strings.Replace(text, "SIGNED", string(request.Fields), 1))
+		})
+		if r.err == nil && r.status < fasthttp.StatusBadRequest {
+			s.t.Errorf("%s: the answer %.120q reached the caller with status %d, %q", method, text, r.status, r.body)
+		}
+	}
+}
--- a/connection/httpheader/status.go
+++ b/connection/httpheader/status.go
@@ -16,7 +16,8 @@
 var statusLine = []string{"H", "T", "T", "P", "/", "1", ".", "01", " ", "12345", "0123456789", "0123456789", " \r\n"}
 
 // ReadResponse reads the header of a response, or of an informational one. fasthttp returns status 200 where a header states 000,
-// and accepts any status of three digits and any version: everything that reads a response reads its header here.
+// accepts any status of three digits and any version, and names of fields with blanks: everything that reads a response reads its
+// header here. Of the errors, ErrStatusLine and ErrField mean that the bytes are no response.
 func ReadResponse(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
 	if err := skipEmptyLines(r); err != nil {
 		return h.Read(r) // which returns the same error
@@ -30,10 +31,13 @@
 			return fmt.Errorf("%w: %.*q", ErrStatusLine, maxQuoted, b)
 		}
 	}
-	return h.Read(r)
+	if err := awaitHeader(r); errors.Is(err, ErrField) {
+		return err
+	}
+	return h.Read(r) // which returns an error of r again
 }
 
-// maxQuoted is the largest part of an invalid status line that its error quotes, in bytes.
+// maxQuoted is the largest part of an invalid line that its error quotes, in bytes.
 const maxQuoted = 32
 
 // skipEmptyLines discards empty lines before a response. Some servers send one after a body.
--- a/connection/httpheader/status_test.go
+++ b/connection/httpheader/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"strings"
 	"testing"
@@ -51,9 +52,11 @@
 
 // TestReadResponseAtOnce checks that bytes that are no response are refused before more of them arrive.
 func TestReadResponseAtOnce(t *testing.T) {
-	r := bufio.NewReader(&unfinished{t: t, text: "HTTP/1.1 0"})
-	if err := ReadResponse(&fasthttp.ResponseHeader{}, r); !errors.Is(err, ErrStatusLine) {
-		t.Errorf("got error %v, want %v", err, ErrStatusLine)
+	for text, want := range map[string]error{"HTTP/1.1 0": ErrStatusLine, "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length : 3\r\n": ErrField} {
+		r := bufio.NewReader(&unfinished{t: t, text: text})
+		if err := ReadResponse(&fasthttp.ResponseHeader{}, r); !errors.Is(err, want) {
+			t.Errorf("got error %v, want %v", err, want)
+		}
 	}
 }
 
@@ -71,3 +74,31 @@
 	u.text = u.text[n:]
 	return n, nil
 }
+
+// FuzzReadResponse checks that any bytes are refused, or read as a response with a valid status and with the fields that they state.
+func FuzzReadResponse(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.0 200\r\n\r\n", "\r\nHTTP/1.1 503 \r\nRetry-After: 1\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Pad: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabcd", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\tc: d\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\nA: b\n\n\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h fasthttp.ResponseHeader
+		if err := ReadResponse(&h, bufio.NewReader(bytes.NewReader(b))); err != nil {
+			return
+		}
+		if h.StatusCode() < 100 || h.StatusCode() > 599 {
+			t.Errorf("accepted status %d", h.StatusCode())
+		}
+		for name := range h.All() {
+			if !isToken(name) {
+				t.Errorf("accepted the name %q", name)
+			}
+			if !bytes.Contains(bytes.ToLower(b), append(bytes.ToLower(name), ':')) && string(name) != fasthttp.HeaderConnection && string(name) != fasthttp.HeaderContentType {
+				t.Errorf("made up the field %q", name)
+			}
+		}
+	})
+}
