httpheader: a transfer coding of HTTP/1.0 is broken framing

Callers got the sizes of chunks as a part of the body, or a body that was cut at a stated length, when a server answered with "HTTP/1.0 200" and "Transfer-Encoding: chunked".

Cause: fasthttp ignores the field in responses of HTTP/1.0, and reads to the end of the connection, or to the stated length.

Change: where ReadResponse checks the fields, this one is refused in HTTP/1.0, as RFC 9112, 6.1 has it: where such a body ends isn't known. Responses of HTTP/1.0 without it are read as before.

--- a/cmd/savorywing/fleet_broken_answer_test.go
+++ b/cmd/savorywing/fleet_broken_answer_test.go
@@ -252,6 +252,35 @@
 	return answers
 }
 
+// brokenFramings are answers whose end isn't stated as HTTP allows.
+func brokenFramings() []string {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(wholeEvents))
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(wholeEvents), wholeEvents)
+	var answers []string
+	for _, fields := range []string{
+		"Content-Length: 3\r\n" + length, "Content-Length: 3, 4\r\n", "Content-Length: +3\r\n", "Content-Length: -3\r\n", "Content-Length: 0x3\r\n",
+		"Content-Length:\r\n", "Content-Length: 99999999999999999999\r\n", "Content-Length: 3 3\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: xchunked\r\n",
+	} {
+		answers = append(answers, "HTTP/1.1 200 OK\r\nSIGNED"+fields+"\r\n"+wholeEvents)
+	}
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nSIGNEDTransfer-Encoding: gzip, chunked\r\n", "HTTP/1.1 200 OK\r\nSIGNEDTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"HTTP/1.0 200 OK\r\nSIGNEDTransfer-Encoding: chunked\r\n", "HTTP/1.0 200 OK\r\nSIGNEDTransfer-Encoding: chunked\r\n" + length,
+	} {
+		answers = append(answers, head+"\r\n"+chunk+"0\r\n\r\n")
+	}
+	for _, body := range []string{
+		"", chunk, chunk[:len(chunk)-5], chunk + "0", strings.TrimSuffix(chunk, "\r\n") + "0\r\n\r\n", "+" + chunk + "0\r\n\r\n", "0x" + chunk + "0\r\n\r\n", "-1\r\n\r\n",
+		chunk + "\r\n0\r\n\r\n", chunk + "zz\r\n", "fffffffffffffffff\r\n" + wholeEvents,
+	} {
+		answers = append(answers, "HTTP/1.1 200 OK\r\nSIGNEDTransfer-Encoding: chunked\r\n\r\n"+body)
+	}
+	for _, line := range []string{"X-Pad: a\x00b", "X-Pad: a\rb", "X-Pad: a\x7fb", "\rX-Pad: a"} {
+		answers = append(answers, "HTTP/1.1 200 OK\r\nSIGNED"+length+line+"\r\n\r\n"+wholeEvents)
+	}
+	return append(answers, "HTTP/1.1 000 OK\r\nSIGNED"+length+"\r\n"+wholeEvents, "HTTP/1.1 000\r\nSIGNED\r\n"+wholeEvents)
+}
+
 // checkBroken sends requests to servers that send these answers, and checks that none reaches a caller as a success.
 func (f *brokenFleet) checkBroken(way string, entry int, answers []string) {
 	f.t.Helper()
@@ -274,3 +303,10 @@
 	f := newBrokenFleet(t)
 	f.inBothWays(func(way string, entry int) { f.checkBroken(way, entry, brokenNames()) })
 }
+
+// TestFleetBrokenFramings guards against callers who get an answer that doesn't state its end as HTTP allows.
+func TestFleetBrokenFramings(t *testing.T) {
+	t.Parallel()
+	f := newBrokenFleet(t)
+	f.inBothWays(func(way string, entry int) { f.checkBroken(way, entry, brokenFramings()) })
+}
--- a/cmd/savorywing/serve_broken_answer_test.go
+++ b/cmd/savorywing/serve_broken_answer_test.go
@@ -139,6 +139,12 @@
 	s.checkBroken(w, brokenNames())
 }
 
+// TestServeBrokenFramings is TestFleetBrokenFramings for savorywing serve.
+func TestServeBrokenFramings(t *testing.T) {
+	s, w := newRawSystem(t)
+	s.checkBroken(w, brokenFramings())
+}
+
 // checkBroken sends requests to a service that sends these answers, and checks that none reaches a caller as a success.
 func (s *system) checkBroken(w *rawService, answers []string) {
 	s.t.Helper()
--- a/connection/httpheader/fields.go
+++ b/connection/httpheader/fields.go
@@ -5,14 +5,20 @@
 	"bytes"
 	"errors"
 	"fmt"
+
+	"github.com/valyala/fasthttp"
 )
 
 // ErrField means that a line of a header is no field: its name holds a byte that no name may hold, such as a blank before the colon, or
 // it continues the line before it, which HTTP no longer allows. fasthttp takes a name with blanks, and removes those at its end.
 var ErrField = errors.New("the response has an invalid field")
 
+// ErrFraming means that a response of HTTP/1.0, which has no transfer codings, states one: where its body ends isn't known. fasthttp
+// ignores the field.
+var ErrFraming = errors.New("the response has a transfer coding that its version doesn't have")
+
 // awaitHeader reads until r holds the whole header of a response, and checks the lines of it that follow the status line. An error that
-// doesn't wrap ErrField is that of r.
+// wraps neither ErrField nor ErrFraming is that of r.
 func awaitHeader(r *bufio.Reader) error {
 	for n := 1; ; n = r.Buffered() + 1 {
 		_, readErr := r.Peek(n)
@@ -32,6 +38,7 @@
 
 // checkFields checks the complete lines of a header, of which b is the beginning, and reports whether the header is complete.
 func checkFields(b []byte) (isWhole bool, err error) {
+	isOld := bytes.HasPrefix(b, []byte("HTTP/1.0"))
 	_, rest, _ := bytes.Cut(b, []byte("\n"))
 	for {
 		line, next, found := bytes.Cut(rest, []byte("\n"))
@@ -46,6 +53,9 @@
 		if !hasColon || !isToken(name) {
 			return false, fmt.Errorf("%w: %.*q", ErrField, maxQuoted, line)
 		}
+		if isOld && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+			return false, fmt.Errorf("%w: %.*q", ErrFraming, maxQuoted, line)
+		}
 	}
 }
 
--- a/connection/httpheader/status.go
+++ b/connection/httpheader/status.go
@@ -16,8 +16,8 @@
 var statusLine = []string{"H", "T", "T", "P", "/", "1", ".", "01", " ", "12345", "0123456789", "0123456789", " \r\n"}
 
 // ReadResponse reads the header of a response, or of an informational one. fasthttp returns status 200 where a header states 000,
-// accepts any status of three digits and any version, and names of fields with blanks: everything that reads a response reads its
-// header here. Of the errors, ErrStatusLine and ErrField mean that the bytes are no response.
+// accepts any status of three digits and any version, names of fields with blanks, and chunks in HTTP/1.0: everything that reads a
+// response reads its header here.
 func ReadResponse(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
 	if err := skipEmptyLines(r); err != nil {
 		return h.Read(r) // which returns the same error
@@ -31,7 +31,7 @@
 			return fmt.Errorf("%w: %.*q", ErrStatusLine, maxQuoted, b)
 		}
 	}
-	if err := awaitHeader(r); errors.Is(err, ErrField) {
+	if err := awaitHeader(r); errors.Is(err, ErrField) || errors.Is(err, ErrFraming) {
 		return err
 	}
 	return h.Read(r) // which returns an error of r again
--- a/connection/httpheader/status_test.go
+++ b/connection/httpheader/status_test.go
@@ -81,6 +81,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.0 200\r\n\r\n", "\r\nHTTP/1.1 503 \r\nRetry-After: 1\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX Pad: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabcd", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\tc: d\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\nA: b\n\n\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
 	} {
 		f.Add([]byte(text))
 	}
@@ -92,6 +93,9 @@
 		if h.StatusCode() < 100 || h.StatusCode() > 599 {
 			t.Errorf("accepted status %d", h.StatusCode())
 		}
+		if bytes.Contains(h.Protocol(), []byte("1.0")) && h.ContentLength() == -1 {
+			t.Error("accepted chunks of HTTP/1.0")
+		}
 		for name := range h.All() {
 			if !isToken(name) {
 				t.Errorf("accepted the name %q", name)
