engine: the version of a response isn't passed on

Callers got a stream of a server that answers with HTTP/1.0 as "HTTP/1.0 200" with the sizes of chunks in its body, and no end: the response is passed on in chunks, which that version doesn't have. Answers that HTTP allows were broken on their way.

Cause: the version was kept with the header. It is that of the server's connection.

Change: engine.Client sets the version to HTTP/1.1 once it has read the header and whether the connection closes.

--- a/cmd/savorywing/fleet_broken_answer_test.go
+++ b/cmd/savorywing/fleet_broken_answer_test.go
@@ -310,3 +310,43 @@
 	f := newBrokenFleet(t)
 	f.inBothWays(func(way string, entry int) { f.checkBroken(way, entry, brokenFramings()) })
 }
+
+// TestFleetOddAnswers guards against answers that are turned away although HTTP allows them.
+func TestFleetOddAnswers(t *testing.T) {
+	t.Parallel()
+	f := newBrokenFleet(t)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(wholeEvents))
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(wholeEvents), wholeEvents)
+	const chunked = "HTTP/1.1 200 OK\r\nSIGNEDTransfer-Encoding: chunked\r\n"
+	var answers []string
+	for _, text := range []string{
+		"HTTP/1.1 200\r\nSIGNED" + length, "HTTP/1.1 200 \r\nSIGNED" + length, "HTTP/1.0 200 OK\r\nSIGNED", "HTTP/1.0 200 OK\r\nSIGNED" + length, "HTTP/1.1 200 OK\r\nSIGNED",
+		"\r\nHTTP/1.1 200 OK\r\nSIGNED" + length, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED" + length,
+		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED" + length,
+	} {
+		answers = append(answers, text+"\r\n"+wholeEvents)
+	}
+	for _, line := range []string{
+		tokenBytes + ": 1", "X-Pad:", "X-Pad: ", "X-Pad:1", "X-Pad: \t 1 \t", "X-Pad: \xc3\xa4\xff", "X-Pad: a:b", "X-Pad: a\tb", "x-pad: 1\r\nX-PAD: 2", "1: 2", "-: 3",
+		"X-Pad: " + strings.Repeat("v", 3<<10),
+	} {
+		answers = append(answers, "HTTP/1.1 200 OK\r\nSIGNED"+length+line+"\r\n\r\n"+wholeEvents, "HTTP/1.1 200 OK\r\n"+line+"\r\nSIGNED"+length+"\r\n"+wholeEvents)
+	}
+	answers = append(answers,
+		chunked+"\r\n"+chunk+"0\r\n\r\n", chunked+"\r\n"+strings.Replace(chunk, "\r\n", ";a=\"b c\";d\r\n", 1)+"0;e\r\n\r\n", chunked+"Trailer: X-Sum\r\n\r\n"+chunk+"0\r\nX-Sum: 1\r\n\r\n",
+		chunked+"\r\n000"+strings.ToUpper(chunk[:2])+chunk[2:]+"00\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nSIGNEDTransfer-Encoding: Chunked\r\n\r\n"+chunk+"0\r\n\r\n", chunked+length+"\r\n"+chunk+"0\r\n\r\n",
+	)
+	f.inBothWays(func(way string, entry int) {
+		for _, path := range []string{"/book/x", "/book/look/x", "/talk/x"} {
+			for _, text := range answers {
+				r := f.requestUntilAnswered(entry, path, 16, func(c *net.TCPConn, request standin.RequestStart) {
+					_, _ = io.WriteString(c, strings.Replace(text, "SIGNED", string(request.Fields), 1))
+				})
+				if r.err != nil || r.status != fasthttp.StatusOK || r.body != wholeEvents {
+					t.Errorf("%s, %s: the caller of a server with the answer %.120q got status %d, error %v, %q", way, path, text, r.status, r.err, r.body)
+				}
+			}
+		}
+	})
+}
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -203,6 +203,8 @@
 			continue
 		}
 		r.closes = r.Header.ConnectionClose()
+		// The version holds for this connection only, and not for one on which the response is passed on.
+		r.Header.SetProtocol([]byte("HTTP/1.1"))
 		r.Metadata = c.dialect.ReadResponseMetadata(&r.Header)
 		r.initBody(string(call.Header.Method()) == fasthttp.MethodHead)
 		if call.AttemptID == "" || r.Metadata.AttemptID == call.AttemptID {
