ingress: callers of HTTP/1.0 get no chunks

Callers of HTTP/1.0 got the sizes of chunks as a part of the body of streams, and of other responses without a length.

Cause: the framing was chosen by the response alone, and not by the version of the request.

Change: to such a caller a body without a length ends with the connection. While it is under way the connection lingers for no time, so that any end but Finish is a reset, also that of the process: a part of it isn't taken for the whole.

--- a/connection/ingress/exchange.go
+++ b/connection/ingress/exchange.go
@@ -33,10 +33,10 @@
 	server  *Server
 	arrival time.Time
 	started bool
-	// chunked reports whether the body uses chunked transfer encoding; otherwise remaining is the number of
-	// body bytes of the stated length that are not written yet.
-	chunked   bool
-	remaining int
+	// chunked reports whether the body uses chunked transfer encoding, and untilClose whether it ends with the connection; otherwise
+	// remaining is the number of body bytes of the stated length that are not written yet.
+	chunked, untilClose bool
+	remaining           int
 	// bodyDone reports whether the whole body was written.
 	bodyDone bool
 	// failed reports whether a write failed or the response was aborted.
@@ -91,23 +91,31 @@
 }
 
 // Start implements savorywing.Exchange. It makes one write unless the first bytes of a body are many. With a negative length the
-// body is sent with chunked transfer encoding.
+// body is sent with chunked transfer encoding, or, to a caller of HTTP/1.0, until the connection closes.
 func (x *Exchange) Start(h *fasthttp.ResponseHeader, length int, first []byte) error {
 	if x.started {
 		return errors.New("Exchange.Start: a response was already started")
 	}
 	x.started = true
+	x.untilClose = length < 0 && !x.request.Header.IsHTTP11()
+	x.conn.closeAfter = x.conn.closeAfter || x.untilClose
 	if x.conn.closeAfter || x.server.draining.Load() {
 		x.conn.closeAfter = true
 		h.SetConnectionClose()
 	} else {
 		h.Del("Connection")
 	}
-	x.chunked, x.remaining = length < 0, length
+	x.chunked, x.remaining = length < 0 && !x.untilClose, length
 	x.conn.raiseSendBuffer(length)
-	if x.chunked {
+	switch {
+	case x.untilClose:
+		// However the connection ends before Finish, the caller must not take it for the end of the body.
+		x.setLinger(0)
+		h.Del(fasthttp.HeaderContentLength)
+		h.Del(fasthttp.HeaderTransferEncoding)
+	case x.chunked:
 		h.SetContentLength(-1)
-	} else {
+	default:
 		h.SetContentLength(length)
 	}
 	rest := []byte(nil)
@@ -134,8 +142,7 @@
 // appendBody appends body bytes in their encoding on the connection.
 func (x *Exchange) appendBody(b, p []byte) []byte {
 	if !x.chunked {
-		x.remaining -= len(p)
-		x.bodyDone = x.remaining == 0
+		x.count(p)
 		return append(b, p...)
 	}
 	if len(p) == 0 {
@@ -147,13 +154,21 @@
 	return append(b, "\r\n"...)
 }
 
+// count counts body bytes that aren't sent in chunks.
+func (x *Exchange) count(p []byte) {
+	if x.untilClose {
+		return
+	}
+	x.remaining -= len(p)
+	x.bodyDone = x.remaining == 0
+}
+
 // Write implements savorywing.Exchange.
 func (x *Exchange) Write(p []byte) error {
 	if x.chunked {
 		return x.write(x.appendBody(make([]byte, 0, len(p)+maxChunkOverhead), p))
 	}
-	x.remaining -= len(p)
-	x.bodyDone = x.remaining == 0
+	x.count(p)
 	return x.write(p)
 }
 
@@ -164,7 +179,13 @@
 func (x *Exchange) Finish(last []byte) error {
 	if !x.chunked {
 		if len(last) > 0 {
-			return x.Write(last)
+			if err := x.Write(last); err != nil {
+				return err
+			}
+		}
+		if x.untilClose {
+			x.bodyDone = true
+			x.setLinger(-1)
 		}
 		return nil
 	}
@@ -176,11 +197,16 @@
 // Abort implements savorywing.Exchange. It closes the connection.
 func (x *Exchange) Abort() {
 	x.failed = true
+	x.setLinger(0)
+	_ = x.conn.conn.Close()
+}
+
+// setLinger sets how long unsent bytes are kept when the connection is closed, in seconds. 0 sends a reset, so that a body without a
+// length can't be taken for complete; a negative value is the default.
+func (x *Exchange) setLinger(seconds int) {
 	if t, ok := x.conn.conn.(*net.TCPConn); ok {
-		// Zero linger sends a reset, so that a body without a length can't be taken for complete.
-		_ = t.SetLinger(0)
+		_ = t.SetLinger(seconds)
 	}
-	_ = x.conn.conn.Close()
 }
 
 func (x *Exchange) write(b []byte) error {
