engine, backend: refused responses are reported by reason

An operator saw that an attempt failed, and nothing of a response that was cut while it was passed on; answers to status queries, orders and polls that were refused showed nowhere.

Cause: each caller of the two clients logged its errors by itself, or not at all.

Change: the errors of bytes that are no response, or not a whole one, are Refusals with a reason. engine.Client and backend.Client report each such response once, wherever it was read. Connections that this side closes, and time-outs, aren't refusals. A failed body returns its error again.

--- a/cmd/savorywing/fleet_broken_answer_test.go
+++ b/cmd/savorywing/fleet_broken_answer_test.go
@@ -23,7 +23,7 @@
 
 func newBrokenFleet(t *testing.T) *brokenFleet {
 	t.Helper()
-	f := newFleetEnv(t, 3, 1, 10, withPaths, func(f *fleetEnv) { f.retryBurst = 1000 })
+	f := newFleetEnv(t, 3, 1, 10, withPaths, func(f *fleetEnv) { f.retryBurst, f.hasMetrics = 1000, true })
 	p, _ := f.startEntryProcess(1)
 	f.waitServing()
 	b := &brokenFleet{fleetEnv: f, process: p}
@@ -42,6 +42,20 @@
 	}
 }
 
+// checkRecorded checks that the entry host that is a process has logged and counted responses that it refused for these reasons.
+func (f *brokenFleet) checkRecorded(reasons ...string) {
+	f.t.Helper()
+	metrics := f.requestMetrics(1)
+	for _, reason := range reasons {
+		if !strings.Contains(metrics, fmt.Sprintf("savorywing_refused_responses{reason=%q}", reason)) {
+			f.t.Errorf("no metric for the reason %s:\n%s", reason, metrics)
+		}
+		if !strings.Contains(f.process.logText(), fmt.Sprintf(`"reason":%q`, reason)) {
+			f.t.Errorf("no log line for the reason %s", reason)
+		}
+	}
+}
+
 // inBothWays runs a test at the entry host that is a process, and at one that hands over its requests.
 func (f *brokenFleet) inBothWays(run func(way string, entry int)) {
 	f.t.Helper()
@@ -176,6 +190,7 @@
 			}
 		}
 	})
+	f.checkRecorded("reset")
 }
 
 // TestFleetEarlyAnswerWhole guards against sound answers that are turned away since they begin before their request was read:
@@ -302,6 +317,7 @@
 	t.Parallel()
 	f := newBrokenFleet(t)
 	f.inBothWays(func(way string, entry int) { f.checkBroken(way, entry, brokenNames()) })
+	f.checkRecorded("field")
 }
 
 // TestFleetBrokenFramings guards against callers who get an answer that doesn't state its end as HTTP allows.
@@ -309,6 +325,7 @@
 	t.Parallel()
 	f := newBrokenFleet(t)
 	f.inBothWays(func(way string, entry int) { f.checkBroken(way, entry, brokenFramings()) })
+	f.checkRecorded("framing", "header", "statusLine", "truncated")
 }
 
 // TestFleetOddAnswers guards against answers that are turned away although HTTP allows them.
--- a/cmd/savorywing/serve_broken_answer_test.go
+++ b/cmd/savorywing/serve_broken_answer_test.go
@@ -137,12 +137,25 @@
 func TestServeBrokenNames(t *testing.T) {
 	s, w := newRawSystem(t)
 	s.checkBroken(w, brokenNames())
+	s.checkRecorded("field")
 }
 
 // TestServeBrokenFramings is TestFleetBrokenFramings for savorywing serve.
 func TestServeBrokenFramings(t *testing.T) {
 	s, w := newRawSystem(t)
 	s.checkBroken(w, brokenFramings())
+	s.checkRecorded("framing", "header", "statusLine", "truncated")
+}
+
+// checkRecorded checks that the daemon has logged and counted responses that it refused for these reasons.
+func (s *system) checkRecorded(reasons ...string) {
+	s.t.Helper()
+	refused := s.status(0).RefusedResponses
+	for _, reason := range reasons {
+		if refused[reason] == 0 || !strings.Contains(s.daemons[0].logText(), fmt.Sprintf(`"reason":%q`, reason)) {
+			s.t.Errorf("no count or no log line for the reason %s: %v", reason, refused)
+		}
+	}
 }
 
 // checkBroken sends requests to a service that sends these answers, and checks that none reaches a caller as a success.
--- a/cmd/savorywing/status.go
+++ b/cmd/savorywing/status.go
@@ -4,6 +4,8 @@
 	_ "embed"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -74,6 +76,9 @@
 	if v := s.Voter; v != nil {
 		fmt.Fprintf(w, "voter %s: %s of term %d, commit %d, log %d, claims %d\n", v.ID, v.Role, v.Term, v.Commit, v.LogLength, v.Claims)
 	}
+	for _, reason := range slices.Sorted(maps.Keys(s.RefusedResponses)) {
+		fmt.Fprintf(w, "refused responses of backend servers: %s %d\n", reason, s.RefusedResponses[reason])
+	}
 	for _, a := range s.Alarms {
 		fmt.Fprintln(w, "ALARM", a)
 	}
--- a/connection/backend/client.go
+++ b/connection/backend/client.go
@@ -37,13 +37,15 @@
 )
 
 var (
-	errWrongAttempt = errors.New("the response carries another attempt ID")
-	errTooLong      = errors.New("the response is too long")
-	errNoResponse   = errors.New("got informational responses only")
+	errWrongAttempt = httpheader.NewRefusal("wrongAttempt", "the response carries another attempt ID")
+	errTooLong      = httpheader.NewRefusal("tooLong", "the response is too long")
+	errNoResponse   = httpheader.NewRefusal("informational", "got informational responses only")
+	errNoEnd        = httpheader.NewRefusal("noEnd", "the response has neither a content length nor chunked encoding")
+	errTruncated    = httpheader.NewRefusal("truncated", "the response was truncated")
 	// errUnexpectedSwitch means that the server switches to another protocol, which no request asks for.
-	errUnexpectedSwitch = errors.New("the server switches to another protocol")
+	errUnexpectedSwitch = httpheader.NewRefusal("switch", "the server switches to another protocol")
 	// errContradiction means that a response reports success and that the request has not run.
-	errContradiction = errors.New("the response contradicts itself")
+	errContradiction = httpheader.NewRefusal("contradiction", "the response contradicts itself")
 )
 
 // Client sends requests to backend servers. It never retries a request by itself.
@@ -51,6 +53,8 @@
 	pool *pool
 	// buffers is the size of the buffers of the sockets, in bytes; 0 for the system's.
 	buffers int
+	// refused is called for each response that is refused.
+	refused func(r httpheader.Refused)
 	// sent and received count bytes since the client was created.
 	sent, received atomic.Uint64
 }
@@ -67,9 +71,12 @@
 // WithMaxIdle bounds the idle connections that are kept for later requests, to all addresses together; 0 for no bound.
 func WithMaxIdle(n int) Option { return func(c *Client) { c.pool.maxIdle = n } }
 
+// WithRefused makes a client call f for each response that it refuses, also for one of which a part has been returned.
+func WithRefused(f func(r httpheader.Refused)) Option { return func(c *Client) { c.refused = f } }
+
 // New returns a client.
 func New(clock savorywing.Clock, opts ...Option) *Client {
-	c := &Client{pool: newPool(clock)}
+	c := &Client{pool: newPool(clock), refused: func(httpheader.Refused) {}}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -122,6 +129,7 @@
 		return response, nil
 	}
 	_ = l.Close()
+	c.report(t.Address, call.AttemptID, err)
 	if pooled {
 		c.pool.closeIdle(t.Address)
 	}
@@ -133,6 +141,13 @@
 		"the backend server's answer was lost", savorywing.WithCause(err))
 }
 
+// report reports a response if its error means that it was refused.
+func (c *Client) report(address string, id savorywing.ID, err error) {
+	if r, ok := httpheader.AsRefused(address, string(id), err); ok {
+		c.refused(r)
+	}
+}
+
 func (c *Client) exchange(ctx context.Context, l *link, t savorywing.Target, call savorywing.Call) (savorywing.BackendResponse, error) {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	response, err := c.roundTrip(l, t, call)
@@ -169,7 +184,7 @@
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 		NotRun:      notRun,
-		Stream:      &stream{pool: c.pool, link: l, address: t.Address, resp: resp},
+		Stream:      &stream{client: c, link: l, address: t.Address, attemptID: call.AttemptID, resp: resp},
 	}, nil
 }
 
@@ -233,32 +248,50 @@
 
 // stream is the body of one response.
 type stream struct {
-	pool    *pool
-	link    *link
-	address string
-	resp    *fasthttp.Response
-	stop    func() bool
-	ended   bool
+	client    *Client
+	link      *link
+	address   string
+	attemptID savorywing.ID
+	resp      *fasthttp.Response
+	stop      func() bool
+	ended     bool
 	// bytesRead is the size of the body so far.
 	bytesRead int
+	// failed is the error of the body, which is returned again.
+	failed error
 }
 
 // Read returns io.EOF only at the end of the body as stated by its length or by the final chunk. A body of more than
 // maxResponseBytes is an error.
 func (s *stream) Read(p []byte) (int, error) {
-	if hasNoBody(s.resp.StatusCode()) {
+	if s.failed != nil {
+		return 0, s.failed
+	}
+	n, err := s.read(p)
+	if errors.Is(err, io.EOF) {
 		s.ended = true
+		return n, io.EOF
+	}
+	if err != nil {
+		s.failed = fmt.Errorf("stream.Read: %w", err)
+		s.client.report(s.address, s.attemptID, err)
+	}
+	return n, s.failed
+}
+
+func (s *stream) read(p []byte) (int, error) {
+	if hasNoBody(s.resp.StatusCode()) {
 		return 0, io.EOF
 	}
 	if s.resp.Header.ContentLength() < -1 {
-		return 0, errors.New("the response has neither a content length nor chunked encoding")
+		return 0, errNoEnd
 	}
 	n, err := s.resp.BodyStream().Read(p)
 	if s.bytesRead += n; s.bytesRead > maxResponseBytes {
 		return 0, errTooLong
 	}
-	if errors.Is(err, io.EOF) {
-		s.ended = true
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = fmt.Errorf("%w: %w", errTruncated, err)
 	}
 	return n, err
 }
@@ -270,7 +303,7 @@
 func (s *stream) Close() error {
 	stopped := s.stop()
 	if s.ended && stopped && !s.resp.ConnectionClose() {
-		s.pool.put(s.address, s.link)
+		s.client.pool.put(s.address, s.link)
 		return nil
 	}
 	return s.link.Close()
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -40,17 +40,17 @@
 	// ErrWithheld means that Call.Confirm held the request back. The error also wraps ErrNotSent.
 	ErrWithheld = errors.New("the request was held back")
 	// ErrWrongAttempt means that the response carries another attempt ID, or none.
-	ErrWrongAttempt = errors.New("the response carries the wrong attempt ID")
+	ErrWrongAttempt = httpheader.NewRefusal("wrongAttempt", "the response carries the wrong attempt ID")
 	// ErrClosedAtOnce means that a connection was closed by the peer before anything was sent on it.
 	ErrClosedAtOnce = errors.New("the connection was closed at once")
 	// errUnusable means that the peer has closed the connection, or has sent something, before the request.
 	errUnusable = errors.New("the connection was closed, or bytes came before the request")
 	// errUnexpectedSwitch means that the server switches to another protocol, which no request asks for.
-	errUnexpectedSwitch = errors.New("the server switches to another protocol")
+	errUnexpectedSwitch = httpheader.NewRefusal("switch", "the server switches to another protocol")
 	// ErrTruncated means that the response ended before its body was complete, as Response.Read defines it.
-	ErrTruncated = errors.New("the response was truncated")
+	ErrTruncated = httpheader.NewRefusal("truncated", "the response was truncated")
 	// errReset means that the connection was reset, and not closed, at the end of a body that has no other end.
-	errReset = errors.New("the connection was reset")
+	errReset = httpheader.NewRefusal("reset", "the connection was reset")
 )
 
 // Client sends requests to backend servers and pools its connections. It is safe for concurrent use.
@@ -59,6 +59,8 @@
 	dialect savorywing.Dialect
 	dialer  savorywing.Dialer
 	pool    *pool
+	// refused is called for each response that is refused.
+	refused func(r httpheader.Refused)
 	// opened counts the connections opened since the client was created.
 	opened atomic.Uint64
 }
@@ -80,7 +82,7 @@
 func New(clock savorywing.Clock, dialect savorywing.Dialect, opts ...Option) *Client {
 	c := &Client{
 		clock: clock, dialect: dialect, pool: newPool(clock),
-		dialer: newDialer(0),
+		dialer: newDialer(0), refused: func(httpheader.Refused) {},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -88,6 +90,9 @@
 	return c
 }
 
+// WithRefused makes a client call f for each response that it refuses, also for one of which a part has been returned.
+func WithRefused(f func(r httpheader.Refused)) Option { return func(c *Client) { c.refused = f } }
+
 // WithMaxIdle bounds the idle connections that are kept for later requests, to all addresses together; 0 for no bound.
 func WithMaxIdle(n int) Option { return func(c *Client) { c.pool.maxIdle = n } }
 
@@ -133,12 +138,20 @@
 	if err != nil {
 		stop()
 		_ = l.conn.Close()
+		c.report(call.Address, call.AttemptID, err)
 		return nil, fmt.Errorf("Client.Do: %w", err)
 	}
 	r.stop = stop
 	return r, nil
 }
 
+// report reports a response if its error means that it was refused.
+func (c *Client) report(address, attemptID string, err error) {
+	if r, ok := httpheader.AsRefused(address, attemptID, err); ok {
+		c.refused(r)
+	}
+}
+
 func (c *Client) connect(ctx context.Context, call Call) (*link, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
@@ -189,7 +202,7 @@
 		return nil, err
 	}
 	for range maxStaleResponses {
-		r := &Response{client: c, link: l, upload: upload}
+		r := &Response{client: c, link: l, attemptID: call.AttemptID, upload: upload}
 		if err := httpheader.ReadResponse(&r.Header, l.reader); err != nil {
 			return nil, fmt.Errorf("reading the response header: %w", err)
 		}
--- a/connection/engine/response.go
+++ b/connection/engine/response.go
@@ -21,8 +21,9 @@
 	Header   fasthttp.ResponseHeader
 	Metadata savorywing.ResponseMetadata
 
-	client *Client
-	link   *link
+	client    *Client
+	link      *link
+	attemptID string
 	// stop detaches the connection from the context of the request, and reports whether the context had not
 	// been cancelled yet.
 	stop func() bool
@@ -35,6 +36,8 @@
 	bytesRead int
 	// complete reports whether the body was read to its end, as Read defines it.
 	complete bool
+	// failed is the error of the body, which is returned again.
+	failed error
 	// hasRemainder reports whether bytes of the response may follow its last chunk.
 	hasRemainder bool
 	// closes reports whether the server closes the connection after the response.
@@ -94,27 +97,35 @@
 	if r.complete {
 		return 0, io.EOF
 	}
+	if r.failed != nil {
+		return 0, r.failed
+	}
 	n, err := r.body.Read(p)
 	r.bytesRead += n
+	isEnd := errors.Is(err, io.EOF)
 	switch {
 	case err == nil && r.length > 0 && r.bytesRead == r.length:
 		r.complete = true
-	case errors.Is(err, io.EOF):
-		if r.length > 0 && r.bytesRead < r.length {
-			return n, fmt.Errorf("Response.Read: %w", ErrTruncated)
-		}
-		if err := r.checkClose(); err != nil {
-			return n, fmt.Errorf("Response.Read: %w: %w", ErrTruncated, err)
-		}
-		r.endChunks()
-		r.complete = true
-		if n > 0 {
-			return n, nil
+		return n, nil
+	case isEnd && r.length > 0 && r.bytesRead < r.length:
+		err = ErrTruncated
+	case isEnd:
+		if err = r.checkClose(); err == nil {
+			r.endChunks()
+			r.complete = true
+			if n > 0 {
+				return n, nil
+			}
+			return 0, io.EOF
 		}
 	case err != nil:
-		return n, fmt.Errorf("Response.Read: %w: %w", ErrTruncated, err)
+		err = fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	return n, err
+	if err != nil {
+		r.failed = fmt.Errorf("Response.Read: %w", err)
+		r.client.report(r.link.address, r.attemptID, err)
+	}
+	return n, r.failed
 }
 
 // resetTimeout is how long the rest of the request's body may take to meet a reset after the peer has closed its side.
@@ -128,7 +139,7 @@
 	}
 	if r.upload != nil {
 		if err := r.link.conn.SetWriteDeadline(time.Now().Add(resetTimeout)); err != nil {
-			return err
+			return fmt.Errorf("%w: %w", ErrTruncated, err)
 		}
 		<-r.upload.done
 	}
@@ -136,7 +147,10 @@
 	if err == nil && !closed {
 		err = errReset
 	}
-	return err
+	if err != nil {
+		return fmt.Errorf("%w: %w", err, ErrTruncated)
+	}
+	return nil
 }
 
 // endChunks reads the empty line after the last chunk, so that the connection can be reused. It isn't reused after
--- a/connection/httpheader/fields.go
+++ b/connection/httpheader/fields.go
@@ -11,14 +11,17 @@
 
 // ErrField means that a line of a header is no field: its name holds a byte that no name may hold, such as a blank before the colon, or
 // it continues the line before it, which HTTP no longer allows. fasthttp takes a name with blanks, and removes those at its end.
-var ErrField = errors.New("the response has an invalid field")
+var ErrField = NewRefusal("field", "the response has an invalid field")
 
 // ErrFraming means that a response of HTTP/1.0, which has no transfer codings, states one: where its body ends isn't known. fasthttp
 // ignores the field.
-var ErrFraming = errors.New("the response has a transfer coding that its version doesn't have")
+var ErrFraming = NewRefusal("framing", "the response has a transfer coding that its version doesn't have")
+
+// ErrHeader means that fasthttp can't read the header of a response, or that it is larger than the buffer.
+var ErrHeader = NewRefusal("header", "the response has an invalid header")
 
 // awaitHeader reads until r holds the whole header of a response, and checks the lines of it that follow the status line. An error that
-// wraps neither ErrField nor ErrFraming is that of r.
+// wraps no Refusal is that of r.
 func awaitHeader(r *bufio.Reader) error {
 	for n := 1; ; n = r.Buffered() + 1 {
 		_, readErr := r.Peek(n)
@@ -30,6 +33,9 @@
 		if isWhole || err != nil {
 			return err
 		}
+		if errors.Is(readErr, bufio.ErrBufferFull) {
+			return fmt.Errorf("%w: %w", ErrHeader, readErr)
+		}
 		if readErr != nil {
 			return readErr
 		}
--- a/connection/httpheader/status.go
+++ b/connection/httpheader/status.go
@@ -10,7 +10,7 @@
 )
 
 // ErrStatusLine means that bytes that should be a response don't begin like one. Whether the request has run isn't known.
-var ErrStatusLine = errors.New("the response has no valid status line")
+var ErrStatusLine = NewRefusal("statusLine", "the response has no valid status line")
 
 // statusLine is how a response begins: the version, the status and what follows it. Each byte has those that may be in its place.
 var statusLine = []string{"H", "T", "T", "P", "/", "1", ".", "01", " ", "12345", "0123456789", "0123456789", " \r\n"}
@@ -31,10 +31,16 @@
 			return fmt.Errorf("%w: %.*q", ErrStatusLine, maxQuoted, b)
 		}
 	}
-	if err := awaitHeader(r); errors.Is(err, ErrField) || errors.Is(err, ErrFraming) {
-		return err
+	if err := awaitHeader(r); err != nil {
+		if errors.As(err, new(*Refusal)) {
+			return err
+		}
+		return h.Read(r) // which returns the same error
+	}
+	if err := h.Read(r); err != nil {
+		return fmt.Errorf("%w: %w", ErrHeader, err)
 	}
-	return h.Read(r) // which returns an error of r again
+	return nil
 }
 
 // maxQuoted is the largest part of an invalid line that its error quotes, in bytes.
--- a/connection/operator/types.go
+++ b/connection/operator/types.go
@@ -10,19 +10,21 @@
 
 // Status is the state of one daemon, and of the system as far as the daemon knows it.
 type Status struct {
-	Host          string         `json:"host"`
-	Roles         []string       `json:"roles"`
-	UptimeSeconds float64        `json:"uptimeSeconds"`
-	Configuration uint64         `json:"configuration"`
-	IsFresh       bool           `json:"fresh"`
-	InFlight      int            `json:"inFlight"`
-	Leader        string         `json:"leader"`
-	Voter         *VoterStatus   `json:"voter,omitempty"`
-	Peers         []PeerStatus   `json:"peers"`
-	Histograms    []metrics.Row  `json:"histograms"`
-	Alarms        []string       `json:"alarms"`
-	Control       ControlTraffic `json:"control"`
-	Held          HeldStatus     `json:"held"`
+	Host          string        `json:"host"`
+	Roles         []string      `json:"roles"`
+	UptimeSeconds float64       `json:"uptimeSeconds"`
+	Configuration uint64        `json:"configuration"`
+	IsFresh       bool          `json:"fresh"`
+	InFlight      int           `json:"inFlight"`
+	Leader        string        `json:"leader"`
+	Voter         *VoterStatus  `json:"voter,omitempty"`
+	Peers         []PeerStatus  `json:"peers"`
+	Histograms    []metrics.Row `json:"histograms"`
+	// RefusedResponses counts the responses of backend servers that were refused, by reason.
+	RefusedResponses map[string]uint64 `json:"refusedResponses"`
+	Alarms           []string          `json:"alarms"`
+	Control          ControlTraffic    `json:"control"`
+	Held             HeldStatus        `json:"held"`
 }
 
 // HeldStatus is what callers and operators make this daemon hold, and its bounds.
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -190,7 +190,7 @@
 	}
 	c.startedAt = c.clock.Now()
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.engines = engine.New(c.clock, dialect)
+	c.engines = engine.New(c.clock, dialect, engine.WithRefused(c.recordRefused))
 	c.mayOrder = c.leadsTerm
 	if err := c.assemble(); err != nil {
 		c.cancel()
--- a/process/controller/orders.go
+++ b/process/controller/orders.go
@@ -11,6 +11,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/httpheader"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -115,5 +116,12 @@
 	return outcome, response.Metadata.Leaving && outcome != savorywing.OutcomeWrongServer
 }
 
+// recordRefused counts and logs a response of a backend server to an order that was refused.
+func (c *Controller) recordRefused(r httpheader.Refused) {
+	c.telemetry.Count("refused_responses", "reason", r.Reason)
+	c.log.Warn().Str("event", "responseRefused").Str("address", r.Address).Str("reason", r.Reason).Err(r.Err).
+		Msg("a backend server sent bytes that are no response, or not a whole one")
+}
+
 // maxReplyBytes bounds how much of the response to an order is read.
 const maxReplyBytes = 4 << 10
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -67,6 +67,8 @@
 	announcements *queue.Queue[wire.Announcement]
 	// invalidPolls limits the log lines about each backend server that answers polls with invalid announcements.
 	invalidPolls *logging.Repeats
+	// refusedPolls limits the log lines about each backend server whose answers to polls and orders are refused.
+	refusedPolls *logging.Repeats
 	// leader is the name of the last known leader's host.
 	leader atomic.Pointer[string]
 	// introductions holds the newest Introduction of each control host.
@@ -82,7 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s, clock: clock, log: log, bootID: uint64(clock.Now().UnixNano()), metrics: metrics.New(),
-		announcements: queue.New[wire.Announcement](announcementQueueSize), invalidPolls: logging.NewRepeats(clock), ctx: ctx, cancel: cancel,
+		announcements: queue.New[wire.Announcement](announcementQueueSize), invalidPolls: logging.NewRepeats(clock), refusedPolls: logging.NewRepeats(clock), ctx: ctx, cancel: cancel,
 	}
 	if err := d.assemble(); err != nil {
 		cancel()
@@ -106,8 +108,8 @@
 	d.descriptors = descriptors.ForEntry(hostDescriptors(), budget.EntryConns(memory))
 	limits := budget.ServeLimits(memory, d.descriptors.MaxCalls)
 	d.memory = ingress.NewMemory(d.clock, limits)
-	d.backend = backend.New(d.clock, backend.WithBuffers(limits.Buffer), backend.WithMaxIdle(d.descriptors.MaxIdle))
-	d.pollClient = backend.New(d.clock)
+	d.backend = backend.New(d.clock, backend.WithBuffers(limits.Buffer), backend.WithMaxIdle(d.descriptors.MaxIdle), backend.WithRefused(d.recordRefused))
+	d.pollClient = backend.New(d.clock, backend.WithRefused(d.recordRefusedPoll))
 	d.control = backend.NewControlClient(d.pollClient, d.settings.Timing.PollInterval)
 	token, err := settings.LoadToken(d.settings.Daemon.OperatorsFile)
 	if err != nil {
--- a/process/daemon/operations.go
+++ b/process/daemon/operations.go
@@ -29,7 +29,7 @@
 	d := o.daemon
 	s := operator.Status{
 		Host: d.settings.Daemon.Host, Roles: d.self().Roles, UptimeSeconds: d.sinceStart().Seconds(),
-		Configuration: d.registry.VersionNumbers().Configuration, IsFresh: d.registry.IsFresh(), Histograms: d.metrics.Rows(),
+		Configuration: d.registry.VersionNumbers().Configuration, IsFresh: d.registry.IsFresh(), Histograms: d.metrics.Rows(), RefusedResponses: d.metrics.Refused(),
 	}
 	s.Control.Peers = d.mesh.Traffic()
 	u := d.memory.Usage()
--- a/process/daemon/poll.go
+++ b/process/daemon/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/connection/httpheader"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -78,6 +79,22 @@
 	}
 }
 
+// recordRefused counts and logs a response of a backend server that was refused.
+func (d *Daemon) recordRefused(r httpheader.Refused) {
+	d.metrics.RecordRefused(r.Reason)
+	d.log.Warn().Str("event", "responseRefused").Str("request", r.AttemptID).Str("address", r.Address).Str("reason", r.Reason).Err(r.Err).
+		Msg("a backend server sent bytes that are no response, or not a whole one")
+}
+
+// recordRefusedPoll is recordRefused for polls and orders, which are sent again and again: the first of each server and reason is logged.
+func (d *Daemon) recordRefusedPoll(r httpheader.Refused) {
+	d.metrics.RecordRefused(r.Reason)
+	if allowed, omitted := d.refusedPolls.Allow(r.Reason + " " + r.Address); allowed {
+		d.log.Warn().Str("event", "pollRefused").Str("address", r.Address).Str("reason", r.Reason).Uint64("omitted", omitted).Err(r.Err).
+			Msg("a backend server answered a poll or an order with bytes that are no response, or not a whole one")
+	}
+}
+
 // isConnectionRefused reports whether a poll failed because no server listens at the address any more.
 func isConnectionRefused(err error) bool {
 	var requestErr *savorywing.RequestError
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -103,7 +103,9 @@
 
 // WithDialer makes an entry host open its connections to backend servers with d.
 func WithDialer(d savorywing.Dialer) Option {
-	return func(g *Gateway) { g.engines = engine.New(g.clock, g.dialect, engine.WithDialer(d)) }
+	return func(g *Gateway) {
+		g.engines = engine.New(g.clock, g.dialect, engine.WithDialer(d), engine.WithRefused(g.recordRefused))
+	}
 }
 
 // WithPeerDialer makes an entry host open its connections to other daemons with d.
@@ -137,7 +139,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.expiring, g.expireForwarded = context.WithCancelCause(context.Background())
 	limits := budget.EntryLimits(s.MemoryMB<<20, descriptorBudget.MaxCalls)
-	g.engines = engine.New(g.clock, dialect, engine.WithBuffers(limits.Buffer), engine.WithMaxIdle(descriptorBudget.MaxIdle))
+	g.engines = engine.New(g.clock, dialect, engine.WithBuffers(limits.Buffer), engine.WithMaxIdle(descriptorBudget.MaxIdle), engine.WithRefused(g.recordRefused))
 	for _, opt := range opts {
 		opt(g)
 	}
--- a/process/gateway/loss.go
+++ b/process/gateway/loss.go
@@ -11,6 +11,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/connection/engine"
+	"savorywing.example/savorywing/connection/httpheader"
 	"savorywing.example/savorywing/process/placement"
 	"savorywing.example/savorywing/process/quarantine"
 	"savorywing.example/savorywing/wire"
@@ -81,6 +82,13 @@
 	return false
 }
 
+// recordRefused counts and logs a response of a backend server that was refused.
+func (g *Gateway) recordRefused(r httpheader.Refused) {
+	g.telemetry.Count("refused_responses", "reason", r.Reason)
+	g.logProblem("responseRefused").Str("request", r.AttemptID).Str("address", r.Address).Str("reason", r.Reason).Err(r.Err).
+		Msg("a backend server sent bytes that are no response, or not a whole one")
+}
+
 // referenceServers is the number of other servers by which another host shows that its own paths are sound.
 const referenceServers = 4
 
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -4,6 +4,7 @@
 import (
 	"expvar"
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -56,11 +57,13 @@
 type Metrics struct {
 	mu   sync.Mutex
 	rows map[Key]*histograms
+	// refused counts the responses of backend servers that were refused, by reason.
+	refused map[string]uint64
 }
 
 // New returns empty metrics.
 func New() *Metrics {
-	return &Metrics{rows: map[Key]*histograms{}}
+	return &Metrics{rows: map[Key]*histograms{}, refused: map[string]uint64{}}
 }
 
 // Publish publishes the metrics in expvar under a name, unless that name is in use.
@@ -70,6 +73,20 @@
 	}
 }
 
+// RecordRefused counts a response of a backend server that was refused.
+func (m *Metrics) RecordRefused(reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused[reason]++
+}
+
+// Refused returns the responses of backend servers that were refused, by reason.
+func (m *Metrics) Refused() map[string]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.refused)
+}
+
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(lowestMicroseconds, highestMicroseconds, significantFigures)
 }
