Show that a shrunk core doesn't survive the loss of two disks

Cause: a silent voter is removed before the host that replaces it can vote. If that one fails to catch up, four voters are left, which don't bear the loss of two disks.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -22,14 +22,16 @@
 	key    string
 	client *http.Client
 
+	// prefix begins the ids of these clients' requests.
+	prefix  string
 	next    atomic.Int64
 	mu      sync.Mutex
 	answers map[int]int
 }
 
-func newClients(d *deployment, host, key string) *clients {
+func newClients(d *deployment, prefix, host, key string) *clients {
 	return &clients{
-		d: d, host: host, key: key, answers: map[int]int{},
+		d: d, prefix: prefix, host: host, key: key, answers: map[int]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}},
 	}
 }
@@ -52,7 +54,7 @@
 
 // send sends one request and returns the status; 0 without an answer.
 func (c *clients) send(method, path string, limit time.Duration) int {
-	id := fmt.Sprintf("r%06d", c.next.Add(1))
+	id := fmt.Sprintf("%s%06d", c.prefix, c.next.Add(1))
 	entry := c.d.entries[rand.IntN(len(c.d.entries))]
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -87,3 +89,16 @@
 	c.mu.Unlock()
 	return status
 }
+
+// counts returns how many requests were served with success, and how many were sent.
+func (c *clients) counts() (served, sent int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for status, n := range c.answers {
+		sent += n
+		if status == http.StatusOK {
+			served += n
+		}
+	}
+	return served, sent
+}
--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	c := newClients(d, "push.example", "key-merchant")
+	c := newClients(d, "r", "push.example", "key-merchant")
 	traffic, end := context.WithTimeout(ctx, 16*time.Second)
 	defer end()
 	ended := make(chan struct{})
@@ -141,7 +141,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	c := newClients(d, "push.example", "key-merchant")
+	c := newClients(d, "r", "push.example", "key-merchant")
 	traffic, end := context.WithTimeout(ctx, 24*time.Second)
 	defer end()
 	ended := make(chan struct{})
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,8 +29,10 @@
 }
 
 var cases = map[string]func(ctx context.Context, rec *record, trouble bool) (verdict, error){
-	"reborn":   reborn,
-	"takeback": takeback,
+	"reborn":    reborn,
+	"takeback":  takeback,
+	"withdrawn": withdrawn,
+	"shrunk":    shrunk,
 }
 
 func main() {
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -70,7 +71,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
-	s.born, s.seq, s.places, s.leaving, s.crashed, s.reportTo = time.Now().UnixMilli(), 0, make(chan struct{}, s.slots), false, false, ""
+	s.born, s.seq, s.places, s.leaving, s.gone, s.crashed, s.reportTo = time.Now().UnixMilli(), 0, make(chan struct{}, s.slots), false, false, false, ""
 	s.coldUntil = time.Time{}
 	if cold {
 		s.coldUntil = time.Now().Add(s.coldFor)
@@ -239,6 +240,7 @@
 			Address string `json:"heartbeat_addr"`
 		}
 		_ = json.Unmarshal(b, &reply)
+		s.d.record.add("report", "%s is acknowledged by %s", s.id, address)
 		s.mu.Lock()
 		s.lastReportAt = time.Now()
 		if reply.Address != "" {
@@ -269,14 +271,20 @@
 func (s *server) deregister() (time.Time, error) {
 	s.mu.Lock()
 	s.gone, s.leaving = true, true
+	addresses := []string{s.reportTo}
 	s.mu.Unlock()
-	for range 3 {
-		for _, c := range s.d.controls {
-			status, _, err := s.post(fmt.Sprintf("%s:%d", c.ip, s.d.controlPort), "deregister", nil)
-			if err == nil && status/100 == 2 {
-				s.d.record.add("ack", "%s deregisters, by %s", s.id, c.name)
-				return time.Now(), nil
-			}
+	for _, c := range s.d.controls {
+		addresses = append(addresses, fmt.Sprintf("%s:%d", c.ip, s.d.controlPort))
+	}
+	for i, address := range addresses {
+		if address == "" || slices.Contains(addresses[:i], address) {
+			continue
+		}
+		s.d.record.add("call", "%s deregisters at %s", s.id, address)
+		status, _, err := s.post(address, "deregister", nil)
+		if err == nil && status/100 == 2 {
+			s.d.record.add("ack", "%s has deregistered, by %s", s.id, address)
+			return time.Now(), nil
 		}
 	}
 	return time.Time{}, fmt.Errorf("the withdrawal of %s was not acknowledged", s.id)
