Show that a leader who leads again removes the newest machine

Cause: the members that a leader aims at outlive its lead. One that leads again moves the membership towards those of its earlier lead, up to 500 ms before it is told the present ones, and so removes a machine that was added meanwhile. With two disks lost no majority of either membership is left.

Change: review/6.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,4 +2,4 @@
 # Plays the case. Exit code 1: the rule was broken, 0: it held, 2: the case couldn't run. TROUBLE=0 leaves the disruption out.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-exec target/review-rig shrunk review/6
+exec target/review-rig former review/6
