backend, httpheader: answers that never end are bounded

Cause: an answer to a poll or an order was read whole, however long, from all servers at once, and empty lines before a response were skipped without an end. Change: answers to polls and orders have at most 256 KiB, and 64 bytes of empty lines precede a response.

--- a/cmd/savorywing/serve_broken_answer_test.go
+++ b/cmd/savorywing/serve_broken_answer_test.go
@@ -171,3 +171,54 @@
 		}
 	}
 }
+
+// endlessServices is how many services answer without an end at the same time.
+const endlessServices = 16
+
+// TestServeAnswersNeverEnd is TestFleetAnswersNeverEnd for savorywing serve, with many servers at once, and for answers to its polls.
+func TestServeAnswersNeverEnd(t *testing.T) {
+	t.Setenv("GOMEMLIMIT", "82MiB")
+	s := newSystem(t, 1)
+	t.Setenv("GOMEMLIMIT", "")
+	var services []*rawService
+	for n := range endlessServices {
+		services = append(services, s.startRawService(fmt.Sprint("raw-", n)))
+	}
+	s.waitReady()
+	isServing := func() bool { return s.send(0, "GET", "/booking/x", "", "").body == "sound" }
+	s.eventually("a sound answer", isServing)
+	for round := 0; round*endlessServices < len(endlessAnswers); round++ {
+		for n, w := range services {
+			a := endlessAnswers[(round*endlessServices+n)%len(endlessAnswers)]
+			w.set(func(c *net.TCPConn, r standin.RequestStart) { a.write(c, r.Fields) }, nil)
+		}
+		s.callEndless()
+		for _, w := range services {
+			w.set(nil, nil)
+		}
+		s.eventually("a sound answer", isServing)
+	}
+	s.daemons[0].checkSize(crowdMemoryMB)
+	for _, a := range endlessAnswers {
+		for _, w := range services {
+			w.set(nil, func(c *net.TCPConn, r standin.RequestStart) { a.write(c, r.Fields) })
+		}
+		time.Sleep(time.Second)
+	}
+	for _, w := range services {
+		w.set(nil, nil)
+	}
+	s.daemons[0].checkSize(crowdMemoryMB)
+	s.eventually("a sound answer", isServing)
+}
+
+// callEndless sends requests at once, with short and long bodies.
+func (s *system) callEndless() {
+	var callers sync.WaitGroup
+	for n := range endlessCallersAtOnce / 2 {
+		callers.Go(func() {
+			s.send(0, []string{"GET", "POST"}[n%2], "/booking/x", "", strings.Repeat("u", n%2<<20))
+		})
+	}
+	callers.Wait()
+}
--- a/connection/backend/control.go
+++ b/connection/backend/control.go
@@ -21,6 +21,9 @@
 	PathAnnounce     = "/savorywing/v1/announce"
 )
 
+// maxReplyBytes is the largest body of an answer to a poll or an order. All backend servers are polled at the same time.
+const maxReplyBytes = 256 << 10
+
 // ControlClient polls backend servers and sends them orders.
 type ControlClient struct {
 	client  *Client
@@ -72,7 +75,11 @@
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(response.Stream)
+	body, err := io.ReadAll(io.LimitReader(response.Stream, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = errTooLong
+		c.client.report(address, call.AttemptID, err)
+	}
 	if closeErr := response.Stream.Close(); err == nil {
 		err = closeErr
 	}
--- a/connection/httpheader/status.go
+++ b/connection/httpheader/status.go
@@ -19,7 +19,9 @@
 // accepts any status of three digits and any version, names of fields with blanks, and chunks in HTTP/1.0: everything that reads a
 // response reads its header here.
 func ReadResponse(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
-	if err := skipEmptyLines(r); err != nil {
+	if err := skipEmptyLines(r); errors.Is(err, ErrStatusLine) {
+		return err
+	} else if err != nil {
 		return h.Read(r) // which returns the same error
 	}
 	for i, allowed := range statusLine {
@@ -46,9 +48,12 @@
 // maxQuoted is the largest part of an invalid line that its error quotes, in bytes.
 const maxQuoted = 32
 
+// maxEmptyBytes bounds the empty lines before a response, in bytes.
+const maxEmptyBytes = 64
+
 // skipEmptyLines discards empty lines before a response. Some servers send one after a body.
 func skipEmptyLines(r *bufio.Reader) error {
-	for {
+	for range maxEmptyBytes {
 		b, err := r.Peek(1)
 		if err != nil {
 			return err
@@ -60,4 +65,5 @@
 			return err
 		}
 	}
+	return fmt.Errorf("%w: only empty lines", ErrStatusLine)
 }
--- a/connection/httpheader/status_test.go
+++ b/connection/httpheader/status_test.go
@@ -52,7 +52,7 @@
 
 // TestReadResponseAtOnce checks that bytes that are no response are refused before more of them arrive.
 func TestReadResponseAtOnce(t *testing.T) {
-	for text, want := range map[string]error{"HTTP/1.1 0": ErrStatusLine, "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length : 3\r\n": ErrField} {
+	for text, want := range map[string]error{"HTTP/1.1 0": ErrStatusLine, "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length : 3\r\n": ErrField, strings.Repeat("\r\n", 1<<10): ErrStatusLine} {
 		r := bufio.NewReader(&unfinished{t: t, text: text})
 		if err := ReadResponse(&fasthttp.ResponseHeader{}, r); !errors.Is(err, want) {
 			t.Errorf("got error %v, want %v", err, want)
