quorum: a leader that leads again doesn't take the membership back

Cause: a node kept the members that it had aimed at in its earlier lead, and changed the membership towards them with the first tick of the next one, up to 500 ms before its controller stated the present ones. Change: what a leader aims at has a term and an age, and holds in that term for 1.5 s (process/membership). On the related path, a voter that a leader has not heard yet, since it has just started, was suspended or out of reach, doesn't count as silent (process/listening); TestVoterNotHeardYet fails before. Why it works: a membership can change in another lead only, which is another term; in its own term the aim is as new as the announcements.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOPLS := $(BIN)/gopls
 GOPLS_VERSION := v0.21.0
 PURE := ./connection/announcement/... ./request/attempt/... ./process/admission/... ./process/budget/... ./process/demand/... ./process/disk/... ./process/group/... \
-	./process/evacuation/... ./process/fleet/... ./process/forwarding/... ./process/lease/... ./process/descriptors/... ./process/overload/... ./process/pace/... ./process/placement/... ./process/planner/... ./process/quarantine/... ./process/quorum/... ./process/reach/... ./process/reporting/... ./process/retry/... ./process/router/... \
+	./process/evacuation/... ./process/fleet/... ./process/forwarding/... ./process/lease/... ./process/listening/... ./process/membership/... ./process/descriptors/... ./process/overload/... ./process/pace/... ./process/placement/... ./process/planner/... ./process/quarantine/... ./process/quorum/... ./process/reach/... ./process/reporting/... ./process/retry/... ./process/router/... \
 	./process/state/... ./process/straggler/... ./version/...
 
 # Fuzz targets as package:name. go test runs one at a time.
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -24,6 +24,7 @@
 	"savorywing.example/savorywing/process/fleet"
 	"savorywing.example/savorywing/process/formation"
 	"savorywing.example/savorywing/process/forwarding"
+	"savorywing.example/savorywing/process/listening"
 	"savorywing.example/savorywing/process/logging"
 	"savorywing.example/savorywing/process/pace"
 	"savorywing.example/savorywing/process/quarantine"
@@ -106,6 +107,8 @@
 	reconciler *formation.Reconciler
 	entryHosts map[string]*entryHostState
 	presence   map[string]peerPresence
+	// listening records since when this host has heard the others without a gap.
+	listening listening.Tracker
 	// daemons holds when each address of a daemon of the system was last stated.
 	daemons map[string]time.Time
 	// outbox holds the reports for the other control hosts, of which those in lacking need more than the new ones.
@@ -283,6 +286,8 @@
 		return 0
 	})
 	c.telemetry.Gauge("log_outages", func() float64 { return float64(c.node.Status().Outages) })
+	c.telemetry.Gauge("log_member_changes", func() float64 { return float64(c.node.Status().MemberChanges) })
+	c.telemetry.Gauge("log_aims_skipped", func() float64 { return float64(c.node.Status().SkippedAims) })
 	c.telemetry.Gauge("evacuated_data_centres", func() float64 { return float64(len(c.node.Status().Evacuated.Names())) })
 	c.telemetry.Gauge("evacuated_requests", func() float64 {
 		if c.node.HasLease() {
--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorywing.example/savorywing/process/evacuation"
+	"savorywing.example/savorywing/process/membership"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
 )
@@ -24,7 +25,7 @@
 	maps.DeleteFunc(c.daemons, func(address string, _ time.Time) bool { return !c.isDaemon(address) })
 	c.table.Expire(now, serverRetention)
 	if c.leading {
-		c.node.SetIncarnations(c.desiredVoters(now))
+		c.node.SetAim(membership.NewAim(c.term, now, c.desiredVoters(now)))
 	}
 }
 
@@ -74,6 +75,8 @@
 		p, known := c.presence[host]
 		return host == self || (known && now.Sub(p.soundAt) < replaceVoterAfter)
 	}
+	// Before this host has listened for long enough, it can't tell who is silent.
+	isSilent := func(host string) bool { return !isReachable(host) && now.Sub(c.listening.Since()) >= replaceVoterAfter }
 	out := map[string]string{}
 	for _, m := range c.node.Status().Members.Members {
 		out[quorum.HostOf(m.ID)] = m.ID
@@ -91,7 +94,7 @@
 	}
 	sort.Strings(waiting)
 	for _, host := range waiting {
-		if len(out) >= c.settings.VoterCount() && !c.removeSilentHost(out, isReachable) {
+		if len(out) >= c.settings.VoterCount() && !c.removeSilentHost(out, isSilent) {
 			break
 		}
 		out[host] = c.presence[host].presence.ID
@@ -100,10 +103,10 @@
 }
 
 // removeSilentHost removes the host that has been silent for longest and reports whether there was a silent one.
-func (c *Controller) removeSilentHost(hosts map[string]string, isReachable func(string) bool) bool {
+func (c *Controller) removeSilentHost(hosts map[string]string, isSilent func(string) bool) bool {
 	var silent []string
 	for host := range hosts {
-		if !isReachable(host) {
+		if isSilent(host) {
 			silent = append(silent, host)
 		}
 	}
--- a/process/controller/members_test.go
+++ b/process/controller/members_test.go
@@ -48,6 +48,45 @@
 	}
 }
 
+// TestVoterNotHeardYet guards against a leader that takes the vote from a sound host, which it hasn't heard since it started, was
+// suspended or was out of reach, for another one that it has heard first.
+func TestVoterNotHeardYet(t *testing.T) {
+	const self, quiet, waiting = "127.0.0.1:1", "127.0.0.2:1", "127.0.0.4:1"
+	start := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name string
+		// heardAt is when the voter was last heard; zero for never.
+		heardAt time.Time
+		// gapAt is when a gap ended; zero for none.
+		gapAt time.Time
+		now   time.Time
+		want  bool
+	}{
+		{"just after a start", time.Time{}, time.Time{}, start.Add(time.Second), true},
+		{"long after a start", time.Time{}, time.Time{}, start.Add(replaceVoterAfter), false},
+		{"just after a suspension", start, start.Add(4 * time.Second), start.Add(5 * time.Second), true},
+		{"long after a suspension", start, start.Add(4 * time.Second), start.Add(4*time.Second + replaceVoterAfter), false},
+		{"silent while this host listened", start, time.Time{}, start.Add(replaceVoterAfter), false},
+	} {
+		c := newTestController(t, self, quiet, "127.0.0.3:1")
+		c.listening.Observe(start, true)
+		announce := func(host string, at time.Time) {
+			c.presence[host] = c.presence[host].updated(at, wire.Presence{ID: host + "/1"})
+		}
+		if !tt.heardAt.IsZero() {
+			announce(quiet, tt.heardAt)
+		}
+		if !tt.gapAt.IsZero() {
+			c.listening.Observe(tt.gapAt, true)
+		}
+		announce("127.0.0.3:1", tt.now)
+		announce(waiting, tt.now)
+		if _, got := c.desiredVoters(tt.now)[quiet]; got != tt.want {
+			t.Errorf("%s: the host that hasn't been heard is wanted as a voter: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // newTestController returns a controller, of which nothing is started but its node, on the first of the hosts that are voters.
 func newTestController(t *testing.T, hosts ...string) *Controller {
 	t.Helper()
--- a/process/controller/reports.go
+++ b/process/controller/reports.go
@@ -170,6 +170,17 @@
 	c.log.Warn().Str("event", "controlHostsOutOfReach").Bool("isolated", isolated).Int("members", len(members)).Msg("whether this host reaches a majority of the control hosts")
 }
 
+// observeListening records whether this host hears the others. What it holds of them from before a gap tells nothing of them since.
+func (c *Controller) observeListening(now time.Time) {
+	gap, ended := c.listening.Observe(now, !c.isolated.Load())
+	if !ended {
+		return
+	}
+	c.telemetry.Count("listening_gaps", "cause", gap.Cause())
+	c.log.Warn().Str("event", "listeningResumed").Str("cause", gap.Cause()).Dur("suspended", gap.Suspended).Dur("listenedBefore", gap.Listened).
+		Uint64("gaps", c.listening.Gaps()).Msg("this host was suspended or out of reach, and hears the other control hosts again")
+}
+
 // reportAddress returns where a server is to send its later reports; empty for any control host. A host that doesn't reach the
 // leader names it.
 func (c *Controller) reportAddress(r wire.Report) string {
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -31,16 +31,21 @@
 	defer timer.Stop()
 	nextPresence := c.clock.Now()
 	for {
+		var first event
 		select {
 		case <-c.ctx.Done():
 			return
-		case first := <-c.urgent.Out():
-			c.handleUrgent(first)
+		case first = <-c.urgent.Out():
 		case <-c.reports.Ready():
 		case <-c.repeats.Ready():
 		case <-c.usage.Ready():
 		case <-timer.C:
 		}
+		// What has waited since before a gap is handled after it is known.
+		c.observeListening(c.clock.Now())
+		if first != nil {
+			c.handleUrgent(first)
+		}
 		select {
 		case first := <-c.urgent.Out():
 			c.handleUrgent(first)
--- a/process/daemon/bootstrap.go
+++ b/process/daemon/bootstrap.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"savorywing.example/savorywing/process/membership"
 	"savorywing.example/savorywing/process/quorum"
 	"savorywing.example/savorywing/wire"
 )
@@ -12,39 +13,50 @@
 const (
 	introductionInterval = 500 * time.Millisecond
 	bootstrapTimeout     = 2 * time.Second
+	// maxIntroductionAge is how old the newest introduction of a control host may be: three intervals.
+	maxIntroductionAge = 3 * introductionInterval
 )
 
 // introductions holds the newest introduction of each control host: its incarnation, whether its disk is empty, and the
 // leader that it knows.
 type introductions struct {
 	mu     sync.Mutex
-	byHost map[string]wire.Introduction
+	byHost map[string]introduced
 }
 
-func (i *introductions) set(in wire.Introduction) {
+// introduced is an introduction and when it arrived.
+type introduced struct {
+	introduction wire.Introduction
+	at           time.Time
+}
+
+func (i *introductions) set(now time.Time, in wire.Introduction) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.byHost == nil {
-		i.byHost = map[string]wire.Introduction{}
+		i.byHost = map[string]introduced{}
 	}
-	i.byHost[quorum.HostOf(in.ID)] = in
+	i.byHost[quorum.HostOf(in.ID)] = introduced{introduction: in, at: now}
 }
 
-func (i *introductions) get(host string) (wire.Introduction, bool) {
+// get returns the newest introduction of a host, unless it is too old: the host may have lost its disk since.
+func (i *introductions) get(now time.Time, host string) (wire.Introduction, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	in, known := i.byHost[host]
-	return in, known
+	if !known || now.Sub(in.at) > maxIntroductionAge {
+		return wire.Introduction{}, false
+	}
+	return in.introduction, true
 }
 
 // sendIntroductions periodically sends the state of this host's disk to the other control hosts. While all disks are
-// empty, the first control host by name bootstraps the cluster. It also passes the known incarnations to the local
-// voter, which uses them as leader.
+// empty, the first control host by name bootstraps the cluster. As leader it also decides the members of the log anew.
 func (d *Daemon) sendIntroductions() {
 	for {
 		status := d.node.Status()
 		self := wire.Introduction{ID: status.ID, Empty: len(status.Members.Members) == 0, Leader: status.Leader}
-		d.introductions.set(self)
+		d.introductions.set(d.clock.Now(), self)
 		hosts := d.controlHosts()
 		for _, host := range hosts {
 			if host != d.settings.Daemon.Host {
@@ -54,27 +66,31 @@
 		if self.Empty && hosts[0] == d.settings.Daemon.Host {
 			d.bootstrap(hosts)
 		}
-		d.setIncarnations(hosts)
+		if status.Role == quorum.Leader {
+			d.setAim(status.Term, hosts)
+		}
 		if !d.wait(introductionInterval) {
 			return
 		}
 	}
 }
 
-func (d *Daemon) setIncarnations(hosts []string) {
-	incarnations := map[string]string{}
+// setAim makes all control hosts members of the log, with the disks that they have introduced.
+func (d *Daemon) setAim(term uint64, hosts []string) {
+	now := d.clock.Now()
+	ids := map[string]string{}
 	for _, host := range hosts {
-		in, _ := d.introductions.get(host)
-		incarnations[host] = in.ID
+		in, _ := d.introductions.get(now, host)
+		ids[host] = in.ID
 	}
-	d.node.SetIncarnations(incarnations)
+	d.node.SetAim(membership.NewAim(term, now, ids))
 }
 
 // bootstrap sets the first membership once every control host has reported an empty disk.
 func (d *Daemon) bootstrap(hosts []string) {
 	var m wire.Membership
 	for _, host := range hosts {
-		in, known := d.introductions.get(host)
+		in, known := d.introductions.get(d.clock.Now(), host)
 		if !known || !in.Empty {
 			return
 		}
--- a/process/daemon/frames.go
+++ b/process/daemon/frames.go
@@ -33,7 +33,7 @@
 	}
 	// A host introduces only itself. What another one says of it could form a cluster without it.
 	if in := frame.Introduction; in != nil && quorum.HostOf(in.ID) == from {
-		d.introductions.set(*in)
+		d.introductions.set(d.clock.Now(), *in)
 	}
 }
 
--- /dev/null
+++ b/process/listening/listening.go
@@ -0,0 +1,73 @@
+// Package listening decides since when a host has heard the other control hosts without a gap. What it holds of them from before a gap, in
+// which it was suspended or out of reach, is no evidence that they are silent, and what it reads right after one may be old.
+package listening
+
+import "time"
+
+// MaxGap is the longest time between two observations that isn't a gap. It is longer than a step of a busy leader, and so short that
+// nobody's announcements are missed for as long as a silent host is waited for.
+const MaxGap = time.Second
+
+// Tracker records gaps. The zero value has observed nothing.
+type Tracker struct {
+	// observedAt is the time of the newest observation. It never decreases.
+	observedAt time.Time
+	// since is when the host began to listen, or when the newest gap ended.
+	since time.Time
+	// resumed reports whether since is the end of a gap.
+	resumed bool
+	// inReach reports whether the host had a majority of the control hosts in reach at the newest observation, and wasInReach whether it
+	// ever had.
+	inReach, wasInReach bool
+	gaps                uint64
+}
+
+// Gap is a time in which a host didn't listen.
+type Gap struct {
+	// Suspended is how long the host observed nothing; 0 if it was out of reach.
+	Suspended time.Duration
+	// Listened is how long the host had listened before.
+	Listened time.Duration
+}
+
+// Cause returns the gap's cause in lower camel case.
+func (g Gap) Cause() string {
+	if g.Suspended > 0 {
+		return "suspended"
+	}
+	return "outOfReach"
+}
+
+// Observe records that the host runs, and whether a majority of the control hosts is in reach. It is called more often than once
+// in MaxGap, and returns the gap that has just ended, if one has.
+func (t *Tracker) Observe(now time.Time, inReach bool) (Gap, bool) {
+	isFirst, returned, last := t.observedAt.IsZero(), inReach && !t.inReach, t.observedAt
+	t.observedAt, t.inReach = now, inReach
+	suspended := now.Sub(last)
+	switch {
+	case isFirst || (returned && !t.wasInReach):
+		// The start of the process is no gap: nothing waits for it from before.
+		t.since, t.wasInReach = now, inReach
+		return Gap{}, false
+	case suspended > MaxGap:
+	case returned:
+		suspended = 0
+	default:
+		return Gap{}, false
+	}
+	g := Gap{Suspended: suspended, Listened: last.Sub(t.since)}
+	t.since, t.resumed = now, true
+	t.gaps++
+	return g, true
+}
+
+// Since returns since when the host has listened without a gap.
+func (t *Tracker) Since() time.Time { return t.since }
+
+// HasJustResumed reports whether a gap ended less than d ago.
+func (t *Tracker) HasJustResumed(now time.Time, d time.Duration) bool {
+	return t.resumed && now.Sub(t.since) < d
+}
+
+// Gaps returns the number of gaps so far.
+func (t *Tracker) Gaps() uint64 { return t.gaps }
--- a/process/quorum/core_test.go
+++ b/process/quorum/core_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/membership"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -253,13 +254,13 @@
 			}
 			for range 2000 {
 				l := c.voters[c.waitForLeader()].core
-				switch change, id := nextMembershipChange(l.Members(), incarnations, l.CaughtUp); change {
-				case changeAddLearner:
-					_ = l.AddLearner(id)
-				case changePromote:
-					_ = l.Promote(id)
-				case changeRemove:
-					_ = l.RemoveMember(id)
+				switch change := membership.NewAim(l.Term(), c.now, incarnations).Next(l.Members(), l.CaughtUp); change.Kind() {
+				case membership.AddLearner:
+					_ = l.AddLearner(change.ID())
+				case membership.Promote:
+					_ = l.Promote(change.ID())
+				case membership.Remove:
+					_ = l.RemoveMember(change.ID())
 				}
 				c.run(2 * time.Millisecond)
 			}
--- a/process/quorum/event.go
+++ b/process/quorum/event.go
@@ -1,6 +1,9 @@
 package quorum
 
-import "savorywing.example/savorywing/wire"
+import (
+	"savorywing.example/savorywing/process/membership"
+	"savorywing.example/savorywing/wire"
+)
 
 // event is an item of the node's event queue.
 type event interface{ isEvent() }
@@ -23,18 +26,18 @@
 		membership wire.Membership
 		done       chan<- error
 	}
-	// incarnationsEvent carries the current member id of each control host, empty while unknown.
-	incarnationsEvent struct{ incarnations map[string]string }
+	// aimEvent carries the membership that a leader aims at.
+	aimEvent struct{ aim membership.Aim }
 	// transferEvent asks a leader to transfer its leadership.
 	transferEvent struct{ done chan<- bool }
 )
 
-func (stepEvent) isEvent()         {}
-func (proposeEvent) isEvent()      {}
-func (confirmEvent) isEvent()      {}
-func (bootstrapEvent) isEvent()    {}
-func (incarnationsEvent) isEvent() {}
-func (transferEvent) isEvent()     {}
+func (stepEvent) isEvent()      {}
+func (proposeEvent) isEvent()   {}
+func (confirmEvent) isEvent()   {}
+func (bootstrapEvent) isEvent() {}
+func (aimEvent) isEvent()       {}
+func (transferEvent) isEvent()  {}
 
 type proposeResult struct {
 	result wire.Result
--- a/process/quorum/member.go
+++ b/process/quorum/member.go
@@ -1,67 +1,56 @@
 package quorum
 
 import (
-	"sort"
-	"strings"
-
-	"savorywing.example/savorywing/wire"
+	"savorywing.example/savorywing/process/membership"
 )
 
 // HostOf returns the host part of a member's id.
-func HostOf(id string) string {
-	host, _, _ := strings.Cut(id, "/")
-	return host
-}
+func HostOf(id string) string { return membership.HostOf(id) }
 
-// membershipChange is the kind of a single change of the membership.
-type membershipChange int
-
-const (
-	changeNone membershipChange = iota
-	changeAddLearner
-	changePromote
-	changeRemove
-)
+// aimState is what the leader aims at.
+type aimState struct {
+	aim membership.Aim
+	// skipped is set once it has been logged that the aim doesn't hold.
+	skipped bool
+}
 
-// nextMembershipChange returns the next single change towards a membership of the control hosts' current
-// incarnations, and the id of the member that it concerns. incarnations maps a control host to its member id,
-// which is empty while unknown. A host that is not in the map is removed.
-func nextMembershipChange(m wire.Membership, incarnations map[string]string, caughtUp func(id string) bool) (membershipChange, string) {
-	for _, member := range m.Members {
-		if _, wanted := incarnations[HostOf(member.ID)]; !wanted {
-			return changeRemove, member.ID
-		}
+// reconcileMembers proposes the next single change of the membership towards the aim. What was aimed at in an earlier lead, or before
+// this process was suspended, is skipped: a newer aim follows the next announcements.
+func (n *Node) reconcileMembers() {
+	now := n.clock.Now()
+	if !n.core.HasLease(now) || n.aim.aim.Hosts() == nil {
+		return
+	}
+	if !n.aim.aim.HoldsIn(n.core.Term(), now) {
+		n.skipAim()
+		return
 	}
-	hosts := make([]string, 0, len(incarnations))
-	for host := range incarnations {
-		hosts = append(hosts, host)
+	change := n.aim.aim.Next(n.core.Members(), n.core.CaughtUp)
+	var err error
+	switch change.Kind() {
+	case membership.AddLearner:
+		err = n.core.AddLearner(change.ID())
+	case membership.Promote:
+		err = n.core.Promote(change.ID())
+	case membership.Remove:
+		err = n.core.RemoveMember(change.ID())
+	case membership.None:
+		return
 	}
-	sort.Strings(hosts)
-	for _, host := range hosts {
-		if change, id := hostMembershipChange(m, incarnations[host], caughtUp); change != changeNone {
-			return change, id
-		}
+	if err == nil {
+		n.memberChanges++
+		n.log.Info().Str("event", "membershipChange").Str("change", change.Kind().String()).Str("member", change.ID()).Uint64("term", n.core.Term()).
+			Dur("aimAge", n.aim.aim.Age(now)).Int("voters", len(voters(n.core.Members()))).Uint64("commit", n.core.CommitIndex()).
+			Msg("a change of the replicated log's membership is proposed")
 	}
-	return changeNone, ""
 }
 
-// hostMembershipChange returns the next change for one control host. A replaced incarnation is removed before the
-// new one is promoted.
-func hostMembershipChange(m wire.Membership, id string, caughtUp func(id string) bool) (membershipChange, string) {
-	if id == "" {
-		return changeNone, ""
-	}
-	member, known := findMember(m, id)
-	switch {
-	case !known:
-		return changeAddLearner, id
-	case member.Voter || !caughtUp(id):
-		return changeNone, ""
-	}
-	for _, other := range m.Members {
-		if other.ID != id && HostOf(other.ID) == HostOf(id) {
-			return changeRemove, other.ID
-		}
+func (n *Node) skipAim() {
+	if n.aim.skipped {
+		return
 	}
-	return changePromote, id
+	n.aim.skipped = true
+	n.skippedAims++
+	n.log.Info().Str("event", "aimSkipped").Uint64("term", n.core.Term()).Uint64("aimTerm", n.aim.aim.Term()).Dur("aimAge", n.aim.aim.Age(n.clock.Now())).
+		Msg("the membership that was aimed at before this lead, or long ago, isn't aimed at any more")
 }
--- a/process/quorum/node.go
+++ b/process/quorum/node.go
@@ -12,6 +12,7 @@
 
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/logging"
+	"savorywing.example/savorywing/process/membership"
 	"savorywing.example/savorywing/process/queue"
 	"savorywing.example/savorywing/process/state"
 	"savorywing.example/savorywing/wire"
@@ -70,9 +71,11 @@
 	machine         *state.Machine
 	events          *queue.Queue[event]
 	// pending maps the index of each entry proposed here to its term and the channels of its proposers.
-	pending      map[uint64]pendingProposal
-	incarnations map[string]string
-	status       atomic.Pointer[Status]
+	pending map[uint64]pendingProposal
+	aim     aimState
+	// memberChanges and skippedAims count the changes of the membership that were proposed here, and the aims that didn't hold.
+	memberChanges, skippedAims uint64
+	status                     atomic.Pointer[Status]
 	// publishedTable is the table of the newest Status. It is copied only when it has changed.
 	publishedTable wire.Table
 	leadingSince   time.Time
@@ -196,11 +199,8 @@
 	n.events.Push(stepEvent{messages: messages})
 }
 
-// SetIncarnations sets the current member id of each control host, empty while unknown. The leader changes the
-// membership towards them.
-func (n *Node) SetIncarnations(incarnations map[string]string) {
-	n.events.Push(incarnationsEvent{incarnations: incarnations})
-}
+// SetAim sets the membership towards which this node changes it while it leads in the aim's term.
+func (n *Node) SetAim(a membership.Aim) { n.events.Push(aimEvent{aim: a}) }
 
 // Propose commits a command and returns its result. The error has CodeNotRun if nothing was proposed; after any
 // other error the command may still be committed.
@@ -312,8 +312,8 @@
 			e.done <- n.confirm(e.request)
 		case bootstrapEvent:
 			e.done <- n.bootstrap(e.membership)
-		case incarnationsEvent:
-			n.incarnations = e.incarnations
+		case aimEvent:
+			n.aim = aimState{aim: e.aim}
 		case transferEvent:
 			e.done <- n.core.TransferLeadership(n.clock.Now())
 		}
@@ -404,28 +404,6 @@
 	return nil
 }
 
-// reconcileMembers proposes the next single membership change towards the control hosts' current incarnations.
-func (n *Node) reconcileMembers() {
-	if n.incarnations == nil || !n.core.HasLease(n.clock.Now()) {
-		return
-	}
-	change, id := nextMembershipChange(n.core.Members(), n.incarnations, n.core.CaughtUp)
-	var err error
-	switch change {
-	case changeAddLearner:
-		err = n.core.AddLearner(id)
-	case changePromote:
-		err = n.core.Promote(id)
-	case changeRemove:
-		err = n.core.RemoveMember(id)
-	case changeNone:
-		return
-	}
-	if err == nil {
-		n.log.Info().Str("member", id).Int("step", int(change)).Msg("membership change of the replicated log proposed")
-	}
-}
-
 // flush executes the core's effects in order: sync, send, apply.
 func (n *Node) flush() {
 	if n.outage == nil {
--- a/process/quorum/outage.go
+++ b/process/quorum/outage.go
@@ -114,8 +114,8 @@
 		e.done <- confirmResult{err: ErrNotLeader}
 	case bootstrapEvent:
 		e.done <- fmt.Errorf("%w: %w", ErrOutage, n.outage.cause)
-	case incarnationsEvent:
-		n.incarnations = e.incarnations
+	case aimEvent:
+		n.aim = aimState{aim: e.aim}
 	case transferEvent:
 		e.done <- false
 	}
--- a/process/quorum/outage_test.go
+++ b/process/quorum/outage_test.go
@@ -13,6 +13,7 @@
 	"savorywing.example/savorywing"
 	"savorywing.example/savorywing/process/clock"
 	"savorywing.example/savorywing/process/disk"
+	"savorywing.example/savorywing/process/membership"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -349,7 +350,7 @@
 	}
 	c.await("the learner's disk has failed", func() bool {
 		for _, n := range c.nodes[:3] {
-			n.SetIncarnations(incarnations)
+			n.SetAim(membership.NewAim(n.Status().Term, time.Now(), incarnations))
 		}
 		return c.nodes[3].Status().FailureReason != ""
 	})
--- a/process/quorum/status.go
+++ b/process/quorum/status.go
@@ -32,8 +32,11 @@
 	// FailureReason is why this member takes no part in the log; empty while it does. Outages counts how often that began.
 	FailureReason string
 	Outages       uint64
-	Syncs         uint64
-	SyncTime      time.Duration
+	// MemberChanges counts the changes of the membership that this member has proposed, and SkippedAims the aims of earlier leads that it
+	// didn't follow, since its start.
+	MemberChanges, SkippedAims uint64
+	Syncs                      uint64
+	SyncTime                   time.Duration
 }
 
 // publish stores a new Status. Unchanged tables, documents and histories are shared with the previous one.
@@ -62,7 +65,7 @@
 		ID: n.core.ID(), Role: n.core.Role(), Term: n.core.Term(), Leader: n.core.LeaderID(), CommitIndex: n.core.CommitIndex(),
 		LogLength: n.core.LogLength(), Members: n.core.Members(), Table: n.publishedTable,
 		ConfigurationNumber: n.machine.Configuration().Number, ClaimCount: n.machine.ClaimCount(),
-		LeaseUntil: n.core.LeaseUntil(now), LeadingSince: n.leadingSince, Outages: n.outages, Syncs: n.syncs, SyncTime: n.syncTime,
+		LeaseUntil: n.core.LeaseUntil(now), LeadingSince: n.leadingSince, Outages: n.outages, MemberChanges: n.memberChanges, SkippedAims: n.skippedAims, Syncs: n.syncs, SyncTime: n.syncTime,
 	}
 	if n.outage != nil {
 		status.FailureReason, status.Leader = n.outage.cause.Error(), n.outage.leader
