membership: a voter keeps its vote until its replacement votes

Callers: a host was added to five, one of the five and then the added one stood still, and two others lost their disks. Cause: a voter that is silent for 2 s was removed before its replacement was a learner. That one stood still, so four voters were left, of which three are a majority; two disks later there were two. Change: learner, vote, then removal, for a voter whose disk may come back. A learner must have answered within an election timeout to get a vote. All hosts that wait are candidates, since any may fail to catch up. An earlier incarnation of a host, whose disk is lost, is still removed first. One voter too many makes way, the silent one first. Why it works: six voters bear the loss of any two disks, as five do, and the state lasts for two commits, as it begins only once the learner answers.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -109,6 +109,8 @@
 	presence   map[string]peerPresence
 	// listening records since when this host has heard the others without a gap.
 	listening listening.Tracker
+	// outgoingVoters lists the voters that this leader has last decided to be replaced.
+	outgoingVoters []string
 	// daemons holds when each address of a daemon of the system was last stated.
 	daemons map[string]time.Time
 	// outbox holds the reports for the other control hosts, of which those in lacking need more than the new ones.
--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -2,7 +2,7 @@
 
 import (
 	"maps"
-	"sort"
+	"slices"
 	"time"
 
 	"savorywing.example/savorywing/process/evacuation"
@@ -25,7 +25,7 @@
 	maps.DeleteFunc(c.daemons, func(address string, _ time.Time) bool { return !c.isDaemon(address) })
 	c.table.Expire(now, serverRetention)
 	if c.leading {
-		c.node.SetAim(membership.NewAim(c.term, now, c.desiredVoters(now)))
+		c.aimMembers(now)
 	}
 }
 
@@ -66,60 +66,40 @@
 	return peerPresence{presence: p, soundAt: soundAt, seenAt: now}
 }
 
-// desiredVoters returns the control hosts that should be members of the log, each with the ID of its disk. Hosts are added
-// up to the number that the tolerated number of disk losses requires. A silent member stays, unless another host waits to
-// become one.
-func (c *Controller) desiredVoters(now time.Time) map[string]string {
-	self := c.settings.PeerAddress()
-	isReachable := func(host string) bool {
-		p, known := c.presence[host]
-		return host == self || (known && now.Sub(p.soundAt) < replaceVoterAfter)
+// decideMembers decides which control hosts are to vote in the log.
+func (c *Controller) decideMembers(now time.Time) membership.Decision {
+	hosts := map[string]membership.Host{}
+	for host, p := range c.presence {
+		hosts[host] = membership.Host{ID: p.presence.ID, SoundAt: p.soundAt}
 	}
-	// Before this host has listened for long enough, it can't tell who is silent.
-	isSilent := func(host string) bool { return !isReachable(host) && now.Sub(c.listening.Since()) >= replaceVoterAfter }
-	out := map[string]string{}
-	for _, m := range c.node.Status().Members.Members {
-		out[quorum.HostOf(m.ID)] = m.ID
-	}
-	for host := range out {
-		if p, known := c.presence[host]; known && isReachable(host) && host != self {
-			out[host] = p.presence.ID
-		}
-	}
-	var waiting []string
-	for host := range c.presence {
-		if _, member := out[host]; !member && isReachable(host) {
-			waiting = append(waiting, host)
-		}
+	return membership.Decide(membership.View{
+		Term: c.term, Now: now, Self: c.settings.PeerAddress(), Members: c.node.Status().Members, Voters: c.settings.VoterCount(), Hosts: hosts,
+		ListeningSince: c.listening.Since(), SilentAfter: replaceVoterAfter,
+	})
+}
+
+// aimMembers states which control hosts are to vote, and logs when others are to make way than before.
+func (c *Controller) aimMembers(now time.Time) {
+	d := c.decideMembers(now)
+	c.node.SetAim(d.Aim())
+	if slices.Equal(d.Outgoing(), c.outgoingVoters) {
+		return
 	}
-	sort.Strings(waiting)
-	for _, host := range waiting {
-		if len(out) >= c.settings.VoterCount() && !c.removeSilentHost(out, isSilent) {
-			break
-		}
-		out[host] = c.presence[host].presence.ID
+	c.outgoingVoters = d.Outgoing()
+	for _, host := range d.Outgoing() {
+		c.log.Info().Str("event", "voterMakesWay").Str("peer", host).Dur("silentFor", now.Sub(c.presence[host].soundAt)).Bool("everHeard", !c.presence[host].soundAt.IsZero()).
+			Dur("listeningFor", now.Sub(c.listening.Since())).Strs("candidates", d.Candidates()).Int("voters", d.Aim().Voters()).Uint64("term", c.term).
+			Msg("a voter of the replicated log is to make way once another host can vote")
+		c.telemetry.Count("outgoing_voters", "reason", c.outgoingReason(host, now))
 	}
-	return out
 }
 
-// removeSilentHost removes the host that has been silent for longest and reports whether there was a silent one.
-func (c *Controller) removeSilentHost(hosts map[string]string, isSilent func(string) bool) bool {
-	var silent []string
-	for host := range hosts {
-		if isSilent(host) {
-			silent = append(silent, host)
-		}
+// outgoingReason returns why a voter makes way.
+func (c *Controller) outgoingReason(host string, now time.Time) string {
+	if now.Sub(c.presence[host].soundAt) < replaceVoterAfter {
+		return "surplus"
 	}
-	if len(silent) == 0 {
-		return false
-	}
-	sort.Slice(silent, func(i, j int) bool {
-		return c.presence[silent[i]].soundAt.Before(c.presence[silent[j]].soundAt)
-	})
-	c.log.Info().Str("event", "voterReplaced").Str("peer", silent[0]).
-		Dur("silentFor", c.clock.Now().Sub(c.presence[silent[0]].soundAt)).Msg("replaced a silent voter")
-	delete(hosts, silent[0])
-	return true
+	return "silent"
 }
 
 // entryTimeout is how long an entry host may send no usage report before its load is no longer counted.
--- a/process/controller/members_test.go
+++ b/process/controller/members_test.go
@@ -42,7 +42,7 @@
 		if tt.waits {
 			announce(waiting, now, false)
 		}
-		if _, got := c.desiredVoters(now)[failing]; got != tt.want {
+		if _, got := c.decideMembers(now).Aim().Hosts()[failing]; got != tt.want {
 			t.Errorf("%s: the host whose disk has failed is wanted as a voter: %v, want %v", tt.name, got, tt.want)
 		}
 	}
@@ -81,7 +81,7 @@
 		}
 		announce("127.0.0.3:1", tt.now)
 		announce(waiting, tt.now)
-		if _, got := c.desiredVoters(tt.now)[quiet]; got != tt.want {
+		if _, got := c.decideMembers(tt.now).Aim().Hosts()[quiet]; got != tt.want {
 			t.Errorf("%s: the host that hasn't been heard is wanted as a voter: %v, want %v", tt.name, got, tt.want)
 		}
 	}
--- a/process/daemon/bootstrap.go
+++ b/process/daemon/bootstrap.go
@@ -83,7 +83,7 @@
 		in, _ := d.introductions.get(now, host)
 		ids[host] = in.ID
 	}
-	d.node.SetAim(membership.NewAim(term, now, ids))
+	d.node.SetAim(membership.NewAim(term, now, len(hosts), ids))
 }
 
 // bootstrap sets the first membership once every control host has reported an empty disk.
--- a/process/membership/aim.go
+++ b/process/membership/aim.go
@@ -1,11 +1,8 @@
 package membership
 
 import (
-	"sort"
 	"strings"
 	"time"
-
-	"savorywing.example/savorywing/wire"
 )
 
 // MaxAge is how long an aim holds: as long as three announcements of the control hosts take. A leader renews it with each one.
@@ -17,19 +14,25 @@
 	// term is the term of the leader that decided, at decidedAt by the clock of its node.
 	term      uint64
 	decidedAt time.Time
-	// hosts maps each host that is to be a member to the id of its disk, empty while unknown. Hosts that are not in it are removed.
+	// voters is the number of voters. Between two changes there may be one more, and one fewer for each voter whose disk is lost.
+	voters int
+	// hosts maps each host that may vote to the id of its disk, empty while unknown. There may be more of them than voters. All others
+	// lose their votes to them, and are removed.
 	hosts map[string]string
 }
 
-// NewAim returns an aim, which owns hosts from then on.
-func NewAim(term uint64, decidedAt time.Time, hosts map[string]string) Aim {
-	return Aim{term: term, decidedAt: decidedAt, hosts: hosts}
+// NewAim returns an aim with a number of voters out of hosts, which it owns from then on.
+func NewAim(term uint64, decidedAt time.Time, voters int, hosts map[string]string) Aim {
+	return Aim{term: term, decidedAt: decidedAt, voters: voters, hosts: hosts}
 }
 
 // Term returns the term for which the aim was decided; 0 for the zero Aim.
 func (a Aim) Term() uint64 { return a.term }
 
-// Hosts returns the id of each host that is to be a member. It must not be modified.
+// Voters returns the number of voters.
+func (a Aim) Voters() int { return a.voters }
+
+// Hosts returns the id of each host that may vote. It must not be modified.
 func (a Aim) Hosts() map[string]string { return a.hosts }
 
 // Age returns how long ago the aim was decided.
@@ -45,81 +48,3 @@
 	host, _, _ := strings.Cut(id, "/")
 	return host
 }
-
-// ChangeKind is the kind of a single change of the membership.
-type ChangeKind int
-
-// Kinds of changes.
-const (
-	None ChangeKind = iota
-	AddLearner
-	Promote
-	Remove
-)
-
-// String returns the kind's name in lower camel case.
-func (k ChangeKind) String() string {
-	return [...]string{"none", "addLearner", "promote", "remove"}[k]
-}
-
-// Change is a single change of the membership.
-type Change struct {
-	kind ChangeKind
-	id   string
-}
-
-// Kind returns the kind of the change.
-func (c Change) Kind() ChangeKind { return c.kind }
-
-// ID returns the id of the member that the change concerns; empty without a change.
-func (c Change) ID() string { return c.id }
-
-// Next returns the next single change from a membership towards the aim. hasCaughtUp reports whether a learner could vote now.
-func (a Aim) Next(m wire.Membership, hasCaughtUp func(id string) bool) Change {
-	for _, member := range m.Members {
-		if _, wanted := a.hosts[HostOf(member.ID)]; !wanted {
-			return Change{Remove, member.ID}
-		}
-	}
-	hosts := make([]string, 0, len(a.hosts))
-	for host := range a.hosts {
-		hosts = append(hosts, host)
-	}
-	sort.Strings(hosts)
-	for _, host := range hosts {
-		if c := nextOfHost(m, a.hosts[host], hasCaughtUp); c.kind != None {
-			return c
-		}
-	}
-	return Change{}
-}
-
-// nextOfHost returns the next change for one host. An earlier incarnation, whose disk is lost, is removed before the new one is promoted.
-func nextOfHost(m wire.Membership, id string, hasCaughtUp func(id string) bool) Change {
-	if id == "" {
-		return Change{}
-	}
-	member, known := find(m, id)
-	switch {
-	case !known:
-		return Change{AddLearner, id}
-	case member.Voter || !hasCaughtUp(id):
-		return Change{}
-	}
-	for _, other := range m.Members {
-		if other.ID != id && HostOf(other.ID) == HostOf(id) {
-			return Change{Remove, other.ID}
-		}
-	}
-	return Change{Promote, id}
-}
-
-// find returns the member with an id, and whether there is one.
-func find(m wire.Membership, id string) (wire.Member, bool) {
-	for _, member := range m.Members {
-		if member.ID == id {
-			return member, true
-		}
-	}
-	return wire.Member{}, false
-}
--- a/process/quorum/aim_test.go
+++ b/process/quorum/aim_test.go
@@ -38,7 +38,7 @@
 		id := c.nodes[i].Status().ID
 		incarnations[HostOf(id)] = id
 	}
-	c.nodes[at].SetAim(membership.NewAim(c.nodes[at].Status().Term, time.Now(), incarnations))
+	c.nodes[at].SetAim(membership.NewAim(c.nodes[at].Status().Term, time.Now(), len(incarnations), incarnations))
 }
 
 // TestFormerLeaderKeepsMembers guards against a leader that leads again and takes the membership back to that of its earlier
--- a/process/quorum/core_test.go
+++ b/process/quorum/core_test.go
@@ -254,7 +254,7 @@
 			}
 			for range 2000 {
 				l := c.voters[c.waitForLeader()].core
-				switch change := membership.NewAim(l.Term(), c.now, incarnations).Next(l.Members(), l.CaughtUp); change.Kind() {
+				switch change := membership.NewAim(l.Term(), c.now, len(incarnations), incarnations).Next(l.Members(), l.ID(), func(id string) bool { return l.CaughtUp(c.now, id) }); change.Kind() {
 				case membership.AddLearner:
 					_ = l.AddLearner(change.ID())
 				case membership.Promote:
--- a/process/quorum/member.go
+++ b/process/quorum/member.go
@@ -25,7 +25,7 @@
 		n.skipAim()
 		return
 	}
-	change := n.aim.aim.Next(n.core.Members(), n.core.CaughtUp)
+	change := n.aim.aim.Next(n.core.Members(), n.core.ID(), func(id string) bool { return n.core.CaughtUp(now, id) })
 	var err error
 	switch change.Kind() {
 	case membership.AddLearner:
--- a/process/quorum/outage_test.go
+++ b/process/quorum/outage_test.go
@@ -350,7 +350,7 @@
 	}
 	c.await("the learner's disk has failed", func() bool {
 		for _, n := range c.nodes[:3] {
-			n.SetAim(membership.NewAim(n.Status().Term, time.Now(), incarnations))
+			n.SetAim(membership.NewAim(n.Status().Term, time.Now(), len(incarnations), incarnations))
 		}
 		return c.nodes[3].Status().FailureReason != ""
 	})
--- a/process/quorum/replication.go
+++ b/process/quorum/replication.go
@@ -66,10 +66,11 @@
 	return nil
 }
 
-// CaughtUp reports whether a member's log is at most one append message behind the leader's.
-func (c *Core) CaughtUp(id string) bool {
+// CaughtUp reports whether a member's log is at most one append message behind the leader's, and the member has acknowledged a heartbeat
+// that was sent within an election timeout: one that is suspended now is no voter to count on.
+func (c *Core) CaughtUp(now time.Time, id string) bool {
 	p := c.progress[id]
-	return c.role == Leader && p != nil && p.match > 0 && p.match+entriesPerMessage >= c.log.lastIndex()
+	return c.role == Leader && p != nil && p.match > 0 && p.match+entriesPerMessage >= c.log.lastIndex() && now.Sub(p.acked) < c.electionTimeout
 }
 
 func (c *Core) broadcastAppend() {
