controller, fleet: a withdrawal applies to the incarnation that sent it

Callers: the only server of a service restarted in place while the control host that it had called first stood still. Cause: a withdrawal names no incarnation. Each host took it for the one known when it was handled, however late, and told the others; nothing took it back. Change: the host that gets the call identifies the incarnation, and states it to the others, who refuse it if they know a later one. If the server restarted within the time for which the call may have been under way, or waited here, the call gets 503, so that a server that still waits calls another host. A withdrawal of an incarnation whose reports come later still holds. Why it works: an earlier incarnation ends before the next one starts, so a call that is older than the restart is told apart by the time of the restart; where a link holds it up for longer, the server's own reports decide.

--- a/process/controller/api.go
+++ b/process/controller/api.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savorywing.example/savorywing/connection/controlapi"
@@ -46,17 +47,6 @@
 	return c.reportAddress(r), nil
 }
 
-// HandleWithdrawal deregisters a backend server that ends.
-func (c *Controller) HandleWithdrawal(ctx context.Context, id string) error {
-	r := wire.Report{ID: id, Gone: true}
-	if err := r.Validate(); err != nil {
-		return fmt.Errorf("Controller.HandleWithdrawal: %w: %w", controlapi.ErrInvalidReport, err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	return c.submitUrgentReport(ctx, r)
-}
-
 // spreadTimeout bounds the time in which the other control hosts are told of a server that stops. One that is frozen must not
 // keep the server from its acknowledgement.
 const spreadTimeout = 300 * time.Millisecond
@@ -68,57 +58,83 @@
 	if !c.push(reportsEvent{reports: []wire.Report{r}, done: done}) {
 		return fmt.Errorf("Controller.takeReport: %w", controlapi.ErrNoQuorum)
 	}
+	return c.shareUrgentReport(ctx, r, done)
+}
+
+// shareUrgentReport is submitUrgentReport for a report whose effect here shows when done is closed.
+func (c *Controller) shareUrgentReport(ctx context.Context, r wire.Report, done <-chan struct{}) error {
 	select {
 	case <-done:
 	case <-ctx.Done():
 		return fmt.Errorf("Controller.takeReport: %w", ctx.Err())
 	}
-	c.spread(ctx, r)
+	if err := c.spread(ctx, r); err != nil {
+		return fmt.Errorf("Controller.takeReport: %w: %w", controlapi.ErrNoQuorum, err)
+	}
 	return c.forwardToLeader(ctx, r)
 }
 
-// spread returns once the control hosts that can be reached have applied a report, or after spreadTimeout.
-func (c *Controller) spread(ctx context.Context, r wire.Report) {
+// spread returns once the control hosts that can be reached have applied a report, or after spreadTimeout. It returns errOtherIncarnation if
+// one of them refuses it.
+func (c *Controller) spread(ctx context.Context, r wire.Report) error {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
 	defer cancel()
 	var calls sync.WaitGroup
+	var refused atomic.Bool
 	for _, host := range c.mesh.Hosts() {
 		if !c.mesh.IsConnected(host) {
 			continue
 		}
 		calls.Go(func() {
-			if err := c.tell(ctx, host, r); err != nil {
+			err := c.tell(ctx, host, r)
+			if err != nil {
 				c.log.Info().Str("event", "reportNotSpread").Str("peer", host).Str("server", r.ID).Err(err).Msg("a control host doesn't know yet that a backend server stops")
 			}
+			if errors.Is(err, errOtherIncarnation) {
+				refused.Store(true)
+			}
 		})
 	}
 	calls.Wait()
+	if refused.Load() {
+		return errOtherIncarnation
+	}
+	return nil
 }
 
-// tell returns once another control host has applied a report.
+// tell returns once another control host has applied a report. It returns errOtherIncarnation if the host refuses it.
 func (c *Controller) tell(ctx context.Context, host string, r wire.Report) error {
 	reply, err := c.mesh.Call(ctx, host, wire.Frame{Reports: []wire.Report{r}})
-	if err == nil && reply.Error != nil {
-		err = errors.New(reply.Error.Reason)
+	switch {
+	case err != nil:
+		return err
+	case reply.Error == nil:
+		return nil
+	case reply.Error.Code == codeRefused:
+		return fmt.Errorf("%w: %s", errOtherIncarnation, reply.Error.Reason)
 	}
-	return err
+	return errors.New(reply.Error.Reason)
 }
 
-// forwardToLeader returns once the leader has applied a report, or with ErrNoQuorum when ctx ends.
+// forwardToLeader returns once the leader has applied a report, or with ErrNoQuorum when ctx ends or the leader refuses the report.
 func (c *Controller) forwardToLeader(ctx context.Context, r wire.Report) error {
 	for {
 		status := c.node.Status()
 		host := quorum.HostOf(status.Leader)
+		var err error
 		switch {
 		case status.Role == quorum.Leader:
 			if c.node.HasLease() {
 				return nil
 			}
 		case host != "":
-			if c.tell(ctx, host, r) == nil {
+			if err = c.tell(ctx, host, r); err == nil {
 				return nil
 			}
 		}
+		if errors.Is(err, errOtherIncarnation) {
+			return fmt.Errorf("Controller.tellLeader: %w: %w", controlapi.ErrNoQuorum, err)
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("Controller.tellLeader: %w: %w", controlapi.ErrNoQuorum, ctx.Err())
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -189,7 +189,7 @@
 		reports: queue.NewMailbox[string, reportEvent](maxWaitingReports), usage: queue.NewMailbox[string, wire.Usage](maxWaitingUsage),
 		repeats: queue.NewMailbox[string, wire.RepeatedReport](maxWaitingReports), outbox: reporting.NewOutbox(instance.Milliseconds(s.ReportIntervalMs)), lacking: map[string]bool{},
 		orders: queue.NewMailbox[string, queuedOrder](maxWaitingOrders), budget: descriptors.ForControl(s.MaxDescriptors),
-		table: fleet.NewTable(), totals: fleet.NewTotals(), endpoints: newEndpointLog(), entryHosts: map[string]*entryHostState{}, presence: map[string]peerPresence{},
+		table: fleet.NewTable(fleet.WithReportInterval(instance.Milliseconds(s.ReportIntervalMs))), totals: fleet.NewTotals(), endpoints: newEndpointLog(), entryHosts: map[string]*entryHostState{}, presence: map[string]peerPresence{},
 		daemons: map[string]time.Time{}, invalidReports: logging.NewRepeats(clock.Boottime{}),
 		reconciler: formation.New(reconcilerConfig(s)),
 	}
--- a/process/controller/frames.go
+++ b/process/controller/frames.go
@@ -12,10 +12,18 @@
 
 type (
 	// reportsEvent carries reports; done, if not nil, is closed once they have been applied, and, on the leader, the entry
-	// hosts have been notified.
+	// hosts have been notified. Instead, refused, which has room for it, receives the reason why a withdrawal among them doesn't hold.
 	reportsEvent struct {
 		reports []wire.Report
 		done    chan<- struct{}
+		refused chan<- error
+	}
+	// withdrawalEvent carries the call of a server that deregisters. identified, which has room for it, receives whose withdrawal it is, and
+	// then done is closed as that of a reportsEvent, unless there is an error.
+	withdrawalEvent struct {
+		server     string
+		identified chan<- identifiedWithdrawal
+		done       chan<- struct{}
 	}
 	presenceEvent struct {
 		from     string
@@ -36,6 +44,12 @@
 	}
 )
 
+// identifiedWithdrawal is the withdrawal of one incarnation of a server, or why that can't be told.
+type identifiedWithdrawal struct {
+	report wire.Report
+	err    error
+}
+
 // reportEvent is one report that nobody waits for.
 type reportEvent struct {
 	report wire.Report
@@ -62,11 +76,15 @@
 }
 
 func (reportsEvent) isEvent()    {}
+func (withdrawalEvent) isEvent() {}
 func (presenceEvent) isEvent()   {}
 func (connectionEvent) isEvent() {}
 func (outcomeEvent) isEvent()    {}
 func (evacuationEvent) isEvent() {}
 
+// codeRefused is the code of the reply to a withdrawal that doesn't hold.
+const codeRefused = "refused"
+
 // frameHandler handles the frames that other daemons send.
 type frameHandler struct {
 	controller *Controller
@@ -122,13 +140,15 @@
 		}
 		return wire.Frame{Result: &r}
 	case len(frame.Reports) > 0:
-		done := make(chan struct{})
-		if !c.push(reportsEvent{reports: frame.Reports, done: done}) {
+		done, refused := make(chan struct{}), make(chan error, 1)
+		if !c.push(reportsEvent{reports: frame.Reports, done: done, refused: refused}) {
 			return wire.Frame{Error: &wire.FrameError{Code: "busy", Reason: "the queue of reports is full"}}
 		}
 		select {
 		case <-done:
 			return wire.Frame{}
+		case err := <-refused:
+			return wire.Frame{Error: &wire.FrameError{Code: codeRefused, Reason: err.Error()}}
 		case <-ctx.Done():
 			return wire.Frame{Error: &wire.FrameError{Code: "stopped", Reason: ctx.Err().Error()}}
 		}
--- a/process/controller/reports.go
+++ b/process/controller/reports.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"time"
 
 	"savorywing.example/savorywing/connection/peer"
@@ -24,17 +25,28 @@
 	}
 }
 
+// applyReports applies reports for whose effect somebody may wait.
+func (c *Controller) applyReports(e reportsEvent) {
+	var refused error
+	for _, r := range e.reports {
+		if isWithdrawal(r) {
+			refused = cmp.Or(c.applyWithdrawal(r), refused)
+			continue
+		}
+		c.applyReport(r, false)
+	}
+	switch {
+	case e.done == nil:
+	case refused != nil && e.refused != nil:
+		e.refused <- refused
+	default:
+		c.waiting = append(c.waiting, e.done)
+	}
+}
+
 // applyReport applies one report and forwards it if it came directly from the backend server.
 func (c *Controller) applyReport(r wire.Report, direct bool) {
 	now := c.clock.Now()
-	if r.Gone && r.Service == "" {
-		if c.table.Withdraw(now, r.ID) {
-			c.log.Info().Str("event", "serverWithdrawn").Str("server", r.ID).Msg("a backend server deregistered")
-			c.changed = true
-			c.outbox.AddWithdrawal(now, r)
-		}
-		return
-	}
 	if c.isDaemon(r.Address) {
 		if allowed, omitted := c.invalidReports.Allow(r.ID); allowed {
 			c.log.Warn().Str("event", "reportIgnored").Str("server", r.ID).Str("address", r.Address).Uint64("omitted", omitted).Msg("ignored a report with the address of a daemon")
@@ -44,12 +56,16 @@
 	if direct && c.applyRepeat(now, r) {
 		return
 	}
+	before := c.reinstatedAt(r)
 	changed, err := c.table.Apply(now, r)
 	if err != nil {
 		c.telemetry.Count("reports_ignored", "reason", err.Error())
 		c.log.Debug().Str("event", "reportIgnored").Str("server", r.ID).Int64("born", r.Born).Uint64("sequence", r.Sequence).Err(err).Msg("ignored a report")
 		return
 	}
+	if r.Reinstated = c.reinstatedAt(r); r.Reinstated != before {
+		c.logReinstated(r, direct)
+	}
 	if r.Leaving {
 		c.outbox.Forget(r.ID)
 	}
--- a/process/controller/run.go
+++ b/process/controller/run.go
@@ -119,12 +119,9 @@
 func (c *Controller) handle(e event) {
 	switch e := e.(type) {
 	case reportsEvent:
-		for _, r := range e.reports {
-			c.applyReport(r, false)
-		}
-		if e.done != nil {
-			c.waiting = append(c.waiting, e.done)
-		}
+		c.applyReports(e)
+	case withdrawalEvent:
+		c.handleWithdrawal(e)
 	case presenceEvent:
 		c.handlePresence(e.from, e.presence)
 	case connectionEvent:
--- a/process/fleet/repeat.go
+++ b/process/fleet/repeat.go
@@ -18,7 +18,7 @@
 		return wire.RepeatedReport{}, false
 	}
 	repeat := wire.RepeatedReport{ID: r.ID, Born: r.Born, Sequence: r.Sequence, Of: s.wholeSequence}
-	r.Sequence = s.report.Sequence
+	r.Sequence, r.Reinstated = s.report.Sequence, s.report.Reinstated
 	return repeat, reflect.DeepEqual(r, s.report)
 }
 
--- a/process/fleet/repeat_test.go
+++ b/process/fleet/repeat_test.go
@@ -63,7 +63,9 @@
 			t.Errorf("%s: %v, want %v", tt.name, err, tt.want)
 		}
 	}
-	far.Withdraw(at(9), "i")
+	if _, err := far.Withdraw(at(9), wire.Report{ID: "i", Gone: true}); err != nil {
+		t.Fatal(err)
+	}
 	if err := far.Repeat(at(9), wire.RepeatedReport{ID: "i", Born: 1, Sequence: 10, Of: 4}); !errors.Is(err, ErrWithdrawn) {
 		t.Errorf("after the withdrawal: %v", err)
 	}
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -72,11 +72,25 @@
 	generation uint64
 	// sorted lists the servers by id; nil if one was added or removed since it was built.
 	sorted []*Server
+	// withdrawn holds the newest withdrawal of each server.
+	withdrawn map[string]*withdrawal
+	// reportInterval is how often servers report.
+	reportInterval time.Duration
 }
 
+// Option sets an optional part of a Table.
+type Option func(*Table)
+
+// WithReportInterval sets how often servers report.
+func WithReportInterval(d time.Duration) Option { return func(t *Table) { t.reportInterval = d } }
+
 // NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{servers: map[string]*Server{}, byAddress: map[string]string{}}
+func NewTable(opts ...Option) *Table {
+	t := &Table{servers: map[string]*Server{}, byAddress: map[string]string{}, withdrawn: map[string]*withdrawal{}, reportInterval: defaultReportInterval}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // Revision returns a counter that increases with each change that matters to routing or groups.
@@ -106,12 +120,34 @@
 	if err := t.check(r); err != nil {
 		return false, err
 	}
-	t.markReplacedDead(r)
 	old := t.servers[r.ID]
-	if old != nil && old.report.Born == r.Born {
-		r.Leaving = r.Leaving || old.report.Leaving
+	isSame := old != nil && old.report.Born == r.Born
+	if isSame {
+		r.Leaving = r.Leaving || t.wasLeaving(old)
+	}
+	isWithdrawn := !t.settleWithdrawal(now, &r)
+	if isWithdrawn && isSame {
+		return false, ErrWithdrawn
+	}
+	t.markReplacedDead(r)
+	if isSame {
+		r.Reinstated = max(r.Reinstated, old.report.Reinstated)
 	}
 	changed := old == nil || !isSameState(old.report, r)
+	s := t.serverFor(now, old, r)
+	s.report, s.wholeSequence, s.lastReportAt, s.coldUntil = r, r.Sequence, now, now.Add(time.Duration(r.ColdMs)*time.Millisecond)
+	t.byAddress[r.Address] = r.ID
+	if changed {
+		t.markChanged(s)
+	}
+	if isWithdrawn {
+		return changed, ErrWithdrawn
+	}
+	return changed, nil
+}
+
+// serverFor returns the server for a report whose predecessor is that of old, which is nil for a new server.
+func (t *Table) serverFor(now time.Time, old *Server, r wire.Report) *Server {
 	s := old
 	if s == nil {
 		s = &Server{}
@@ -122,17 +158,11 @@
 	if old == nil || old.report.Born != r.Born || old.report.Domain != r.Domain || old.report.Engine != r.Engine {
 		t.generation++
 	}
-	s.report, s.wholeSequence, s.lastReportAt, s.coldUntil = r, r.Sequence, now, now.Add(time.Duration(r.ColdMs)*time.Millisecond)
-	t.byAddress[r.Address] = r.ID
-	if changed {
-		t.revision++
-		s.changedAt = t.revision
-	}
-	return changed, nil
+	return s
 }
 
-// check rejects reports of earlier incarnations, duplicate or reordered ones, those that arrive after a withdrawal, and
-// those of a server that a later one has replaced at its address.
+// check rejects reports of earlier incarnations, duplicate or reordered ones, and those of a server that a later one has replaced at its
+// address.
 func (t *Table) check(r wire.Report) error {
 	if old := t.servers[r.ID]; old != nil {
 		switch {
@@ -140,12 +170,13 @@
 			return ErrStale
 		case r.Born == old.report.Born && old.dead:
 			return ErrStale
-		case r.Born == old.report.Born && old.report.Gone:
-			return ErrWithdrawn
 		case r.Born == old.report.Born && r.Sequence <= old.report.Sequence:
 			return ErrStale
 		}
 	}
+	if w := t.withdrawn[r.ID]; w != nil && r.Born < w.born {
+		return ErrStale
+	}
 	if other := t.servers[t.byAddress[r.Address]]; other != nil && other.report.ID != r.ID && r.Born < other.report.Born {
 		return ErrStale
 	}
@@ -159,34 +190,24 @@
 		return
 	}
 	other.dead = true
-	t.revision++
-	other.changedAt = t.revision
-}
-
-// Withdraw records that a server deregisters, and reports whether it was registered until then. The server goes on
-// serving for a short while.
-func (t *Table) Withdraw(now time.Time, id string) bool {
-	s := t.servers[id]
-	if s == nil || s.report.Gone {
-		return false
-	}
-	s.report.Gone, s.report.Leaving = true, true
-	s.lastReportAt = now
-	t.revision++
-	s.changedAt = t.revision
-	return true
+	t.markChanged(other)
 }
 
 // MarkLeaving records that one incarnation of a server is leaving, as it has stated in a response, and reports whether
 // that was unknown.
 func (t *Table) MarkLeaving(id string, born int64) bool {
 	s := t.servers[id]
-	if s == nil || s.dead || s.report.Born != born || s.report.Leaving {
+	if s == nil || s.dead || s.report.Born != born {
+		return false
+	}
+	if w := t.withdrawn[id]; w != nil && w.born == born {
+		w.wasLeaving = true
+	}
+	if s.report.Leaving {
 		return false
 	}
 	s.report.Leaving = true
-	t.revision++
-	s.changedAt = t.revision
+	t.markChanged(s)
 	return true
 }
 
@@ -211,6 +232,7 @@
 
 // Expire removes servers that have sent no report for longer than keep.
 func (t *Table) Expire(now time.Time, keep time.Duration) {
+	t.expireWithdrawals(now, keep)
 	for id, s := range t.servers {
 		if now.Sub(s.lastReportAt) <= keep {
 			continue
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -47,8 +47,10 @@
 	if got := table.Server("a").RestartedAt(); got != time.Unix(8, 0) {
 		t.Errorf("restarted at %v", got)
 	}
-	if !table.Withdraw(time.Unix(20, 0), "b") || table.Withdraw(time.Unix(21, 0), "b") {
-		t.Error("Withdraw does not report true exactly once")
+	for i, want := range []bool{true, false} {
+		if isNew, err := table.Withdraw(time.Unix(20+int64(i), 0), wire.Report{ID: "b", Gone: true}); isNew != want || err != nil {
+			t.Errorf("withdrawal %d: new %v, %v", i, isNew, err)
+		}
 	}
 	if _, err := table.Apply(time.Unix(22, 0), report("b", 9, 9, "x:1")); !errors.Is(err, ErrWithdrawn) {
 		t.Errorf("report after the withdrawal: %v", err)
--- a/process/listening/listening.go
+++ b/process/listening/listening.go
@@ -20,6 +20,8 @@
 	// ever had.
 	inReach, wasInReach bool
 	gaps                uint64
+	// lostAt is when the host last had no majority in reach any more, and gapBegan when the newest gap began.
+	lostAt, gapBegan time.Time
 }
 
 // Gap is a time in which a host didn't listen.
@@ -42,8 +44,11 @@
 // in MaxGap, and returns the gap that has just ended, if one has.
 func (t *Tracker) Observe(now time.Time, inReach bool) (Gap, bool) {
 	isFirst, returned, last := t.observedAt.IsZero(), inReach && !t.inReach, t.observedAt
+	if t.inReach && !inReach {
+		t.lostAt = now
+	}
 	t.observedAt, t.inReach = now, inReach
-	suspended := now.Sub(last)
+	suspended, began := now.Sub(last), last
 	switch {
 	case isFirst || (returned && !t.wasInReach):
 		// The start of the process is no gap: nothing waits for it from before.
@@ -51,12 +56,16 @@
 		return Gap{}, false
 	case suspended > MaxGap:
 	case returned:
-		suspended = 0
+		suspended, began = 0, t.lostAt
 	default:
 		return Gap{}, false
 	}
-	g := Gap{Suspended: suspended, Listened: last.Sub(t.since)}
-	t.since, t.resumed = now, true
+	g := Gap{Suspended: suspended, Listened: began.Sub(t.since)}
+	if t.resumed && t.since.Equal(last) {
+		// Out of reach until now, or suspended again at once: both are one gap.
+		began = t.gapBegan
+	}
+	t.since, t.gapBegan, t.resumed = now, began, true
 	t.gaps++
 	return g, true
 }
@@ -64,9 +73,13 @@
 // Since returns since when the host has listened without a gap.
 func (t *Tracker) Since() time.Time { return t.since }
 
-// HasJustResumed reports whether a gap ended less than d ago.
-func (t *Tracker) HasJustResumed(now time.Time, d time.Duration) bool {
-	return t.resumed && now.Sub(t.since) < d
+// EarliestSent returns when a call that is handled now may have been sent at the earliest, if calls are under way for at most delay: one that
+// is handled less than settle after a gap may have waited for its end.
+func (t *Tracker) EarliestSent(now time.Time, delay, settle time.Duration) time.Time {
+	if t.resumed && now.Sub(t.since) < settle {
+		return t.gapBegan.Add(-delay)
+	}
+	return now.Add(-delay)
 }
 
 // Gaps returns the number of gaps so far.
--- a/process/listening/listening_test.go
+++ b/process/listening/listening_test.go
@@ -18,14 +18,16 @@
 		// want are the causes of the gaps that ended, and since is how long before the last observation the host began to listen.
 		want  []string
 		since time.Duration
+		// waited is for how long a call that is handled at the last observation may have waited here.
+		waited time.Duration
 	}{
-		{"always in reach", []observation{{step, true}, {step, true}, {step, true}}, nil, 2 * step},
-		{"a start out of reach", []observation{{step, false}, {step, false}, {step, true}, {step, true}}, nil, step},
-		{"a long step", []observation{{step, true}, {MaxGap, true}}, nil, MaxGap},
-		{"a suspension", []observation{{step, true}, {step, true}, {4 * time.Second, true}, {step, true}}, []string{"suspended"}, step},
-		{"a suspension out of reach", []observation{{step, true}, {step, false}, {4 * time.Second, false}, {step, true}}, []string{"suspended", "outOfReach"}, 0},
-		{"a cut", []observation{{step, true}, {step, false}, {step, false}, {step, true}, {step, true}}, []string{"outOfReach"}, step},
-		{"a cut goes on", []observation{{step, true}, {step, false}, {step, false}}, nil, 2 * step},
+		{"always in reach", []observation{{step, true}, {step, true}, {step, true}}, nil, 2 * step, 0},
+		{"a start out of reach", []observation{{step, false}, {step, false}, {step, true}, {step, true}}, nil, step, 0},
+		{"a long step", []observation{{step, true}, {MaxGap, true}}, nil, MaxGap, 0},
+		{"a suspension", []observation{{step, true}, {step, true}, {4 * time.Second, true}, {step, true}}, []string{"suspended"}, step, 4*time.Second + step},
+		{"a suspension out of reach", []observation{{step, true}, {step, false}, {4 * time.Second, false}, {step, true}}, []string{"suspended", "outOfReach"}, 0, 4*time.Second + step},
+		{"a cut", []observation{{step, true}, {step, false}, {step, false}, {step, true}, {step, true}}, []string{"outOfReach"}, step, 3 * step},
+		{"a cut goes on", []observation{{step, true}, {step, false}, {step, false}}, nil, 2 * step, 0},
 	} {
 		var tracker Tracker
 		now := time.Unix(1_000_000, 0)
@@ -48,11 +50,12 @@
 		if got := now.Sub(tracker.Since()); got != tt.since {
 			t.Errorf("%s: the host has listened for %s, want %s", tt.name, got, tt.since)
 		}
-		if got := tracker.HasJustResumed(now, time.Second); got != (len(tt.want) > 0) {
-			t.Errorf("%s: it has just resumed: %v", tt.name, got)
+		const settle, delay = time.Second, 10 * time.Second
+		if got := now.Sub(tracker.EarliestSent(now, delay, settle)) - delay; got != tt.waited {
+			t.Errorf("%s: a call may have waited for %s, want %s", tt.name, got, tt.waited)
 		}
-		if tracker.HasJustResumed(now.Add(time.Second), time.Second) {
-			t.Errorf("%s: it has just resumed a second later", tt.name)
+		if later := now.Add(settle); later.Sub(tracker.EarliestSent(later, delay, settle)) != delay {
+			t.Errorf("%s: a call may have waited for longer, long after the gap", tt.name)
 		}
 	}
 }
--- a/wire/types.go
+++ b/wire/types.go
@@ -1068,6 +1068,10 @@
 	// The server accepts no new work and will terminate.
 	Leaving bool `json:"leaving"`
 
+	// Number of the report since which an earlier withdrawal of this boot doesn't
+	// hold; 0 if none was taken back.
+	Reinstated uint64 `json:"reinstated"`
+
 	// Version of the backend server's software.
 	Release string `json:"release"`
 
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -96,7 +96,7 @@
 // Validate checks a report, of which a withdrawal needs only the ID. The error wraps ErrInvalid.
 func (r *Report) Validate() error {
 	if r.Gone && r.Service == "" {
-		return firstError("Report.Validate", checkID(r.ID))
+		return firstError("Report.Validate", checkID(r.ID), checkRange("sequence", r.Sequence, 0, maxSequence), checkRange("start time", r.Born, 0, maxUnixMs))
 	}
 	var group error
 	if r.Group != nil {
@@ -104,7 +104,7 @@
 	}
 	return firstError("Report.Validate", checkID(r.ID), checkName("service", r.Service), CheckAddress(r.Address),
 		checkText("data centre", r.DataCentre), checkText("release", r.Release), r.checkDomain(),
-		checkRange("sequence", r.Sequence, 0, maxSequence), checkRange("start time", r.Born, 0, maxUnixMs),
+		checkRange("sequence", r.Sequence, 0, maxSequence), checkRange("reinstated", r.Reinstated, 0, maxSequence), checkRange("start time", r.Born, 0, maxUnixMs),
 		checkRange("slots", r.Slots, 0, maxSlots), checkRange("cold time", r.ColdMs, 0, maxColdMs), r.checkStaged(), group)
 }
 
