soak: voters that are replaced while disks are lost, servers that restart in place

Change: once a run a control host is added, and as many disks are lost as the system bears: after leaders have changed and the new host has replaced another for good, or while a voter and the new host stand still. The only server of a service restarts in place again and again, at times with the control host frozen that it calls first. After the last fault everything must be served.

--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// adopt makes a process that has exited stand for another one, under its own name.
+func (p *process) adopt(other *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	p.dir, p.settings, p.cmd, p.exited, p.frozen = other.dir, other.settings, other.cmd, other.exited, other.frozen
+}
+
 // deleteData deletes the data folder of a process that has exited.
 func (p *process) deleteData() error {
 	if err := os.RemoveAll(filepath.Join(p.dir, "data")); err != nil {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -77,7 +77,9 @@
 	fleet     *fleet.Fleet
 	// services are the emulated services behind daemons of savorywing serve.
 	services []*standin.Server
-	start    time.Time
+	// shared are the settings that all daemons have.
+	shared string
+	start  time.Time
 	// faultsUntil is until when faults and planned stops begin.
 	faultsUntil time.Time
 	repairs     sync.WaitGroup
@@ -92,6 +94,12 @@
 	coldRelays  []*relay
 	// cold counts the requests that cold servers received.
 	cold int
+	// returning is the only server of its service, which restarts in place again and again.
+	returning *fleet.Server
+	// moved holds the second byte group of control hosts' addresses that differ from the usual one, by their number, and spares the processes of
+	// hosts that were added and have replaced none.
+	moved  map[int]int
+	spares []*process
 	// disturbed holds when links to servers were faulty, by the server's address.
 	disturbed map[string][]span
 	// controlsDown counts the control processes with a fault that is not repaired yet.
@@ -105,7 +113,7 @@
 
 // Run runs the soak with one seed. It returns an error if the daemons or the fleet can't be started.
 func Run(cfg Config) (Result, error) {
-	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now(), disturbed: map[string][]span{}}
+	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now(), disturbed: map[string][]span{}, moved: map[int]int{}}
 	defer r.close()
 	assemble := r.assemble
 	r.protocol = fleetProtocol{r}
@@ -138,6 +146,8 @@
 	stops.Go(r.runPlannedStops)
 	if !cfg.Serve {
 		stops.Go(r.startCold)
+		stops.Go(r.runReturns)
+		stops.Go(r.disturbMembers)
 	}
 	r.injectFaults()
 	stops.Wait()
@@ -182,8 +192,18 @@
 
 func (r *run) ip(block, i int) string { return fmt.Sprintf("127.%d.%d.%d", r.cfg.Subnet, block, 10+i) }
 
+// controlIP returns the address of a control host, which may have replaced the one that was started first.
+func (r *run) controlIP(i int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n, moved := r.moved[i]; moved {
+		return r.ip(0, n)
+	}
+	return r.ip(0, i)
+}
+
 func (r *run) controlAddress(i int) string {
-	return net.JoinHostPort(r.ip(0, i), fmt.Sprint(controlPort))
+	return net.JoinHostPort(r.controlIP(i), fmt.Sprint(controlPort))
 }
 
 func (r *run) entryAddress(i int) string { return net.JoinHostPort(r.ip(1, i), fmt.Sprint(callerPort)) }
@@ -197,11 +217,9 @@
 		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, evacuateMs: %d, graceSeconds: %g, coldOverage: %g, coldSlack: %g}\n",
 		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, evacuationBound.Milliseconds(), gracePeriod.Seconds(),
 		coldOverage, coldSlack)
+	r.shared = shared
 	for i := range r.cfg.Control {
-		dir := filepath.Join(r.cfg.Dir, fmt.Sprintf("control-%d", i))
-		r.processes = append(r.processes, &process{name: fmt.Sprintf("control-%d", i), binary: r.cfg.Binary, dir: dir, control: true,
-			settings: fmt.Sprintf("role: control\nname: control-%d\nip: %s\ncontrolAddress: %s\ndataDir: %s\n%s",
-				i, r.ip(0, i), r.controlAddress(i), filepath.Join(dir, "data"), shared)})
+		r.processes = append(r.processes, r.controlProcess(i))
 	}
 	for i := range r.cfg.Entry {
 		r.processes = append(r.processes, &process{name: fmt.Sprintf("entry-%d", i), binary: r.cfg.Binary, dir: filepath.Join(r.cfg.Dir, fmt.Sprintf("entry-%d", i)),
@@ -216,6 +234,15 @@
 	return r.assembleFleet()
 }
 
+// controlProcess returns the process of a control host, which isn't started.
+func (r *run) controlProcess(n int) *process {
+	name := fmt.Sprintf("control-%d", n)
+	dir := filepath.Join(r.cfg.Dir, name)
+	return &process{name: name, binary: r.cfg.Binary, dir: dir, control: true,
+		settings: fmt.Sprintf("role: control\nname: %s\nip: %s\ncontrolAddress: %s\ndataDir: %s\n%s",
+			name, r.ip(0, n), net.JoinHostPort(r.ip(0, n), fmt.Sprint(controlPort)), filepath.Join(dir, "data"), r.shared)}
+}
+
 func (r *run) assembleFleet() error {
 	doc := document(1)
 	var control []string
@@ -236,6 +263,9 @@
 			return err
 		}
 	}
+	if err := r.startReturning(); err != nil {
+		return err
+	}
 	if !r.publish(doc, recoveryTimeout) {
 		return fmt.Errorf("no control host accepted the first document within %v", recoveryTimeout)
 	}
@@ -272,7 +302,7 @@
 }
 
 func (r *run) close() {
-	for _, p := range r.processes {
+	for _, p := range append(r.processes, r.spares...) {
 		if p.cmd != nil && p.running() {
 			p.end(syscall.SIGKILL, time.Second)
 		}
@@ -308,10 +338,12 @@
 const (
 	engineService = "engines"
 	plainService  = "bookings"
-	largeModel    = "large"
-	smallModel    = "small"
-	callerHost    = "soak.example"
-	apiKey        = "soak-key"
+	// returningService has one server.
+	returningService = "returns"
+	largeModel       = "large"
+	smallModel       = "small"
+	callerHost       = "soak.example"
+	apiKey           = "soak-key"
 )
 
 func document(version uint64) catalogue.Document {
@@ -333,8 +365,10 @@
 				Objective: 500 * time.Millisecond, GapObjective: 300 * time.Millisecond, Services: weighted(engineService), MaxAttempts: 2},
 			{Name: "book", Host: callerHost, Prefix: "/book/", Kind: catalogue.NonIdempotent, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond,
 				Services: weighted(plainService), MaxAttempts: 2},
+			{Name: "return", Host: callerHost, Prefix: "/return/", Kind: catalogue.NonIdempotent, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond,
+				Services: weighted(returningService), MaxAttempts: 2},
 		},
-		Services:      []catalogue.Service{{Name: engineService, HealthPath: "/h", ColdTime: coldTime, ColdPerSecond: coldPerSecond, Engine: &engine}, {Name: plainService, HealthPath: "/h", ColdTime: coldTime, ColdPerSecond: coldPerSecond}},
+		Services:      []catalogue.Service{{Name: engineService, HealthPath: "/h", ColdTime: coldTime, ColdPerSecond: coldPerSecond, Engine: &engine}, {Name: plainService, HealthPath: "/h", ColdTime: coldTime, ColdPerSecond: coldPerSecond}, {Name: returningService, HealthPath: "/h"}},
 		Organisations: []catalogue.Organisation{{Name: "one", Keys: []string{apiKey}}},
 		Limits:        catalogue.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second},
 	}
--- a/bench/soak/workload.go
+++ b/bench/soak/workload.go
@@ -41,7 +41,7 @@
 type fleetProtocol struct{ run *run }
 
 func (fleetProtocol) calls() []request {
-	return []request{{path: "/talk/x", model: largeModel}, {path: "/talk/x", model: smallModel}, {path: "/book/x"}}
+	return []request{{path: "/talk/x", model: largeModel}, {path: "/talk/x", model: smallModel}, {path: "/book/x"}, {path: "/return/x"}}
 }
 
 func (p fleetProtocol) writeRequest(req *fasthttp.Request, id string, call request) {
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -27,7 +27,9 @@
 	// rejoinTime is the time to join a group of the same model as the last one.
 	rejoinTime    = 20 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
-	pollInterval  = 10 * time.Millisecond
+	// withdrawTimeout is how long a server waits for the acknowledgement of its withdrawal.
+	withdrawTimeout = time.Second
+	pollInterval    = 10 * time.Millisecond
 )
 
 // ServerConfig describes one emulated server.
@@ -136,11 +138,13 @@
 	wake     chan struct{}
 	inFlight atomic.Int64
 
-	startTime    int64
-	sequence     uint64
-	faults       Faults
-	dead         bool
-	leaving      bool
+	startTime int64
+	sequence  uint64
+	faults    Faults
+	dead      bool
+	leaving   bool
+	// withdrawn reports whether the server has deregistered, after which it reports nothing.
+	withdrawn    bool
 	staged       string
 	lastModel    string
 	fencingToken uint64
@@ -370,7 +374,7 @@
 	if s.group != "" {
 		r.Group = &wire.GroupPlace{Name: s.group, Epoch: s.epoch, Rank: s.rank, State: s.state}
 	}
-	suppressed := s.faults.DropReports || s.faults.Unresponsive || s.dead
+	suppressed := s.faults.DropReports || s.faults.Unresponsive || s.dead || s.withdrawn
 	f.mu.Unlock()
 	if suppressed {
 		return
