--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -107,8 +107,9 @@
 	reconciler *formation.Reconciler
 	entryHosts map[string]*entryHostState
 	presence   map[string]peerPresence
-	// listening records since when this host has heard the others without a gap.
-	listening listening.Tracker
+	// listening records since when this host has heard the others without a gap. Before reachKnown is set, it isn't known whether it is isolated.
+	listening  listening.Tracker
+	reachKnown bool
 	// outgoingVoters lists the voters that this leader has last decided to be replaced.
 	outgoingVoters []string
 	// daemons holds when each address of a daemon of the system was last stated.
--- a/process/controller/reports.go
+++ b/process/controller/reports.go
@@ -179,6 +179,7 @@
 	isolated := !reporting.HasMajority(members, func(host string) bool {
 		return host == self || (c.mesh.IsConnected(host) && now.Sub(c.presence[host].seenAt) <= maxSilence)
 	})
+	c.reachKnown = true
 	if isolated == c.isolated.Load() {
 		return
 	}
@@ -188,7 +189,7 @@
 
 // observeListening records whether this host hears the others. What it holds of them from before a gap tells nothing of them since.
 func (c *Controller) observeListening(now time.Time) {
-	gap, ended := c.listening.Observe(now, !c.isolated.Load())
+	gap, ended := c.listening.Observe(now, c.reachKnown && !c.isolated.Load())
 	if !ended {
 		return
 	}
