quorum, controller: one lookup of members, one step for a change, one identification

Cause: a read of the whole change found pieces written twice. The lookup of a member stood in membership and in quorum; the switch over kinds of changes in the node and in two tests; what a withdrawal is in wire and in the controller; and a call of an unknown server was identified, and perhaps logged, twice. Change: membership.Find, Core.Change and Report.IsWithdrawal serve all, and applyWithdrawal identifies what states no incarnation. No behaviour changes, and no check or bound of a test.

--- a/process/controller/reports.go
+++ b/process/controller/reports.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"cmp"
 	"time"
 
 	"savorywing.example/savorywing/connection/peer"
@@ -29,8 +28,10 @@
 func (c *Controller) applyReports(e reportsEvent) {
 	var refused error
 	for _, r := range e.reports {
-		if isWithdrawal(r) {
-			refused = cmp.Or(c.applyWithdrawal(r), refused)
+		if r.IsWithdrawal() {
+			if _, err := c.applyWithdrawal(r); err != nil {
+				refused = err
+			}
 			continue
 		}
 		c.applyReport(r, false)
--- a/process/controller/withdrawals.go
+++ b/process/controller/withdrawals.go
@@ -20,9 +20,6 @@
 // errOtherIncarnation means that another control host knows a later incarnation of a server than the one that was withdrawn.
 var errOtherIncarnation = errors.New("another control host refuses the withdrawal")
 
-// isWithdrawal reports whether a report says nothing but that its server has deregistered.
-func isWithdrawal(r wire.Report) bool { return r.Gone && r.Service == "" }
-
 // HandleWithdrawal deregisters a backend server that ends. It returns ErrNoQuorum, so that the server calls another control host, if the call
 // may be one of an earlier incarnation, which was handled late.
 func (c *Controller) HandleWithdrawal(ctx context.Context, id string) error {
@@ -50,10 +47,7 @@
 
 // handleWithdrawal finds out which incarnation of a server a call is from, and applies it.
 func (c *Controller) handleWithdrawal(e withdrawalEvent) {
-	w, err := c.identifyWithdrawal(e.server)
-	if err == nil {
-		err = c.applyWithdrawal(w)
-	}
+	w, err := c.applyWithdrawal(wire.Report{ID: e.server, Gone: true})
 	e.identified <- identifiedWithdrawal{report: w, err: err}
 	if err == nil {
 		c.waiting = append(c.waiting, e.done)
@@ -75,13 +69,13 @@
 	return w, err
 }
 
-// applyWithdrawal applies a withdrawal, which states its incarnation unless a host of an earlier version has sent it on, and sends a new one on. It
-// returns an error if the withdrawal doesn't hold.
-func (c *Controller) applyWithdrawal(w wire.Report) error {
+// applyWithdrawal identifies a withdrawal that states no incarnation, from a server or a host of an earlier version, applies it, and sends a new one
+// on. It returns the withdrawal with its incarnation, or an error if it doesn't hold.
+func (c *Controller) applyWithdrawal(w wire.Report) (wire.Report, error) {
 	if w.Born == 0 {
 		var err error
 		if w, err = c.identifyWithdrawal(w.ID); err != nil {
-			return err
+			return w, err
 		}
 	}
 	now := c.clock.Now()
@@ -90,7 +84,7 @@
 		c.telemetry.Count("withdrawals", "result", "stale")
 		c.log.Info().Str("event", "withdrawalIgnored").Str("server", w.ID).Int64("born", w.Born).Uint64("sequence", w.Sequence).
 			Int64("knownBorn", c.table.Server(w.ID).Report().Born).Uint64("reinstated", c.reinstatedAt(w)).Err(err).Msg("ignored a withdrawal that was late")
-		return err
+		return w, err
 	}
 	if isNew {
 		c.telemetry.Count("withdrawals", "result", "applied")
@@ -98,7 +92,7 @@
 		c.changed = true
 		c.outbox.AddWithdrawal(now, w)
 	}
-	return nil
+	return w, nil
 }
 
 // reinstatedAt returns the number of the report since which the withdrawal of a report's incarnation doesn't hold; 0 if none was taken back.
--- a/process/membership/change.go
+++ b/process/membership/change.go
@@ -71,7 +71,7 @@
 func (a Aim) nextVoter(m wire.Membership, self string, n int, makesWay bool, hasCaughtUp func(id string) bool) Change {
 	for _, host := range a.names() {
 		id := a.hosts[host]
-		if learner, known := find(m, id); !known || learner.Voter || !hasCaughtUp(id) {
+		if learner, known := Find(m, id); !known || learner.Voter || !hasCaughtUp(id) {
 			continue
 		}
 		if lost := earlierVoter(m, id); lost != "" && lost != self {
@@ -93,7 +93,7 @@
 	}
 	for _, host := range a.names() {
 		id := a.hosts[host]
-		if _, known := find(m, id); id != "" && !known {
+		if _, known := Find(m, id); id != "" && !known {
 			return Change{AddLearner, id}
 		}
 	}
@@ -113,8 +113,8 @@
 	return ""
 }
 
-// find returns the member with an id, and whether there is one.
-func find(m wire.Membership, id string) (wire.Member, bool) {
+// Find returns the member with an id, and whether there is one.
+func Find(m wire.Membership, id string) (wire.Member, bool) {
 	for _, member := range m.Members {
 		if member.ID == id {
 			return member, true
--- a/process/quorum/aim_test.go
+++ b/process/quorum/aim_test.go
@@ -10,7 +10,7 @@
 
 // isVoterAt reports whether a node's newest membership has another node as a voter.
 func (c *outageCluster) isVoterAt(at, i int) bool {
-	m, ok := findMember(c.nodes[at].Status().Members, c.nodes[i].Status().ID)
+	m, ok := membership.Find(c.nodes[at].Status().Members, c.nodes[i].Status().ID)
 	return ok && m.Voter
 }
 
--- a/process/quorum/core.go
+++ b/process/quorum/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorywing.example/savorywing"
+	"savorywing.example/savorywing/process/membership"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -208,7 +209,7 @@
 }
 
 func (c *Core) isVoter(id string) bool {
-	m, ok := findMember(c.members, id)
+	m, ok := membership.Find(c.members, id)
 	return ok && m.Voter
 }
 
--- a/process/quorum/core_test.go
+++ b/process/quorum/core_test.go
@@ -254,14 +254,8 @@
 			}
 			for range 2000 {
 				l := c.voters[c.waitForLeader()].core
-				switch change := membership.NewAim(l.Term(), c.now, len(incarnations), incarnations).Next(l.Members(), l.ID(), func(id string) bool { return l.CaughtUp(c.now, id) }); change.Kind() {
-				case membership.AddLearner:
-					_ = l.AddLearner(change.ID())
-				case membership.Promote:
-					_ = l.Promote(change.ID())
-				case membership.Remove:
-					_ = l.RemoveMember(change.ID())
-				}
+				aim := membership.NewAim(l.Term(), c.now, len(incarnations), incarnations)
+				_ = l.Change(aim.Next(l.Members(), l.ID(), func(id string) bool { return l.CaughtUp(c.now, id) }))
 				c.run(2 * time.Millisecond)
 			}
 			members := c.voters[c.waitForLeader()].core.Members()
--- a/process/quorum/member.go
+++ b/process/quorum/member.go
@@ -26,18 +26,10 @@
 		return
 	}
 	change := n.aim.aim.Next(n.core.Members(), n.core.ID(), func(id string) bool { return n.core.CaughtUp(now, id) })
-	var err error
-	switch change.Kind() {
-	case membership.AddLearner:
-		err = n.core.AddLearner(change.ID())
-	case membership.Promote:
-		err = n.core.Promote(change.ID())
-	case membership.Remove:
-		err = n.core.RemoveMember(change.ID())
-	case membership.None:
+	if change.Kind() == membership.None {
 		return
 	}
-	if err == nil {
+	if err := n.core.Change(change); err == nil {
 		n.memberChanges++
 		n.log.Info().Str("event", "membershipChange").Str("change", change.Kind().String()).Str("member", change.ID()).Uint64("term", n.core.Term()).
 			Dur("aimAge", n.aim.aim.Age(now)).Int("voters", len(voters(n.core.Members()))).Uint64("commit", n.core.CommitIndex()).
--- a/process/quorum/message.go
+++ b/process/quorum/message.go
@@ -43,16 +43,6 @@
 	return m, nil
 }
 
-// findMember returns the member with an id, and whether there is one.
-func findMember(m wire.Membership, id string) (wire.Member, bool) {
-	for _, member := range m.Members {
-		if member.ID == id {
-			return member, true
-		}
-	}
-	return wire.Member{}, false
-}
-
 // voters returns the ids of all voters in ascending order.
 func voters(m wire.Membership) []string {
 	var ids []string
--- a/process/quorum/outage_test.go
+++ b/process/quorum/outage_test.go
@@ -356,7 +356,7 @@
 	})
 	c.disks[3].makeRoom()
 	c.await("the learner becomes a voter", func() bool {
-		m, ok := findMember(c.nodes[3].Status().Members, c.nodes[3].Status().ID)
+		m, ok := membership.Find(c.nodes[3].Status().Members, c.nodes[3].Status().ID)
 		return ok && m.Voter
 	})
 	c.awaitApplied(3, 1)
--- a/process/quorum/replace_test.go
+++ b/process/quorum/replace_test.go
@@ -147,14 +147,7 @@
 	if !core.HasLease(s.now) || !h.aim.HoldsIn(core.Term(), s.now) {
 		return
 	}
-	switch change := h.aim.Next(core.Members(), core.ID(), func(id string) bool { return core.CaughtUp(s.now, id) }); change.Kind() {
-	case membership.AddLearner:
-		_ = core.AddLearner(change.ID())
-	case membership.Promote:
-		_ = core.Promote(change.ID())
-	case membership.Remove:
-		_ = core.RemoveMember(change.ID())
-	}
+	_ = core.Change(h.aim.Next(core.Members(), core.ID(), func(id string) bool { return core.CaughtUp(s.now, id) }))
 	s.flush(h.id)
 }
 
--- a/process/quorum/replication.go
+++ b/process/quorum/replication.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"savorywing.example/savorywing/process/membership"
 	"savorywing.example/savorywing/wire"
 )
 
@@ -33,7 +34,7 @@
 
 // Promote makes a learner a voter. The caller checks CaughtUp first.
 func (c *Core) Promote(id string) error {
-	if _, ok := findMember(c.members, id); !ok {
+	if _, ok := membership.Find(c.members, id); !ok {
 		return fmt.Errorf("Core.Promote: %w: %s", ErrUnknownMember, id)
 	}
 	return c.changeMembership(withMember(c.members, wire.Member{ID: id, Voter: true}))
@@ -41,12 +42,26 @@
 
 // RemoveMember removes a member. A leader can't remove itself.
 func (c *Core) RemoveMember(id string) error {
-	if _, ok := findMember(c.members, id); !ok || id == c.id {
+	if _, ok := membership.Find(c.members, id); !ok || id == c.id {
 		return fmt.Errorf("Core.RemoveMember: %w: %s", ErrUnknownMember, id)
 	}
 	return c.changeMembership(withoutMember(c.members, id))
 }
 
+// Change proposes a change of the membership.
+func (c *Core) Change(change membership.Change) error {
+	switch change.Kind() {
+	case membership.AddLearner:
+		return c.AddLearner(change.ID())
+	case membership.Promote:
+		return c.Promote(change.ID())
+	case membership.Remove:
+		return c.RemoveMember(change.ID())
+	case membership.None:
+	}
+	return nil
+}
+
 func (c *Core) changeMembership(m wire.Membership) error {
 	if c.role != Leader || c.transferring {
 		return ErrNotLeader
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -93,9 +93,12 @@
 	return nil
 }
 
+// IsWithdrawal reports whether a report says nothing but that its server has deregistered.
+func (r *Report) IsWithdrawal() bool { return r.Gone && r.Service == "" }
+
 // Validate checks a report, of which a withdrawal needs only the ID. The error wraps ErrInvalid.
 func (r *Report) Validate() error {
-	if r.Gone && r.Service == "" {
+	if r.IsWithdrawal() {
 		return firstError("Report.Validate", checkID(r.ID), checkRange("sequence", r.Sequence, 0, maxSequence), checkRange("start time", r.Born, 0, maxUnixMs))
 	}
 	var group error
