soak: one way to freeze a process and one to lose a disk

Cause: the disruption of members wrote both again beside those of the other faults, and held a map and a list for one host that is added and one that it replaces; the map's comment named the wrong part of the address. Change: standStill and loseDisk serve both, and two fields hold the number of the host that was replaced and the process of the added one.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -98,11 +98,7 @@
 		p.kill()
 		r.scheduleRepair(0, func() { r.restart(p, d) })
 	default:
-		r.recordFault("%s is killed and loses its data", p.name)
-		p.kill()
-		if err := p.deleteData(); err != nil {
-			r.recordViolation("%v", err)
-		}
+		r.loseDisk(p)
 		r.scheduleRepair(0, func() { r.restart(p, d) })
 	}
 }
@@ -115,16 +111,30 @@
 }
 
 func (r *run) freezeAcquired(p *process, d time.Duration) {
+	r.standStill(p, d, func() { r.release(p) })
+}
+
+// standStill freezes a process for d, calls then, and returns at once.
+func (r *run) standStill(p *process, d time.Duration, then func()) {
 	r.recordFault("%s is frozen for %v", p.name, d)
 	p.disruptions.Add(1)
 	p.signal(syscall.SIGSTOP)
 	r.scheduleRepair(d, func() {
 		p.signal(syscall.SIGCONT)
 		p.disruptions.Add(1)
-		r.release(p)
+		then()
 	})
 }
 
+// loseDisk kills a process and deletes its data.
+func (r *run) loseDisk(p *process) {
+	r.recordFault("%s is killed and loses its data", p.name)
+	p.kill()
+	if err := p.deleteData(); err != nil {
+		r.recordViolation("%v", err)
+	}
+}
+
 // catchUpTime is how long a control host still counts as faulty after its restart.
 const catchUpTime = 3 * time.Second
 
--- a/bench/soak/members.go
+++ b/bench/soak/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -72,7 +73,7 @@
 		r.recordViolation("%v", err)
 		return false
 	}
-	r.spares = append(r.spares, added)
+	r.spare = added
 	time.Sleep(catchUpTime)
 	return true
 }
@@ -83,9 +84,9 @@
 		return
 	}
 	frozen, lost := controls[0], controls[1:1+r.maxLost()]
-	r.standStill(frozen, voterFreeze)
+	r.standStill(frozen, voterFreeze, func() {})
 	time.Sleep(addedAfter)
-	r.standStill(added, addedFreeze)
+	r.standStill(added, addedFreeze, func() {})
 	time.Sleep(lossAfter - addedAfter)
 	r.loseDisks(lost)
 	time.Sleep(max(voterFreeze, addedAfter+addedFreeze) - lossAfter)
@@ -95,7 +96,7 @@
 func (r *run) loseAfterReplacement(controls []*process, added *process, changes int) {
 	for range changes {
 		if l := r.leadingProcess(); l != nil {
-			r.standStill(l, leaderFreeze)
+			r.standStill(l, leaderFreeze, func() {})
 		}
 		time.Sleep(leaderFreeze + catchUpTime)
 	}
@@ -125,21 +126,10 @@
 // maxLost returns how many disks the control hosts may lose at once.
 func (r *run) maxLost() int { return (r.cfg.Control - 1) / 2 }
 
-// standStill freezes a process for a time and returns at once.
-func (r *run) standStill(p *process, d time.Duration) {
-	r.recordFault("%s is frozen for %v", p.name, d)
-	p.signal(syscall.SIGSTOP)
-	r.scheduleRepair(d, func() { p.signal(syscall.SIGCONT) })
-}
-
 // loseDisks kills control hosts, deletes their data and starts them again.
 func (r *run) loseDisks(list []*process) {
 	for _, p := range list {
-		r.recordFault("%s is killed and loses its data", p.name)
-		p.kill()
-		if err := p.deleteData(); err != nil {
-			r.recordViolation("%v", err)
-		}
+		r.loseDisk(p)
 	}
 	time.Sleep(maxRestartDelay / 2)
 	for _, p := range list {
@@ -154,12 +144,7 @@
 	removed.adopt(added)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, p := range r.processes[:r.cfg.Control] {
-		if p == removed {
-			r.moved[i] = r.cfg.Control
-		}
-	}
-	r.spares = nil
+	r.replaced, r.spare = slices.Index(r.processes, removed), nil
 }
 
 // leadingProcess returns the control host that leads, or nil.
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -96,10 +96,10 @@
 	cold int
 	// returning is the only server of its service, which restarts in place again and again.
 	returning *fleet.Server
-	// moved holds the second byte group of control hosts' addresses that differ from the usual one, by their number, and spares the processes of
-	// hosts that were added and have replaced none.
-	moved  map[int]int
-	spares []*process
+	// replaced is the number of the control host that the added one, with the next number, has replaced; -1 for none. spare is the process of the
+	// added one while it has replaced none.
+	replaced int
+	spare    *process
 	// disturbed holds when links to servers were faulty, by the server's address.
 	disturbed map[string][]span
 	// controlsDown counts the control processes with a fault that is not repaired yet.
@@ -113,7 +113,7 @@
 
 // Run runs the soak with one seed. It returns an error if the daemons or the fleet can't be started.
 func Run(cfg Config) (Result, error) {
-	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now(), disturbed: map[string][]span{}, moved: map[int]int{}}
+	r := &run{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), stop: make(chan struct{}), start: time.Now(), disturbed: map[string][]span{}, replaced: -1}
 	defer r.close()
 	assemble := r.assemble
 	r.protocol = fleetProtocol{r}
@@ -192,18 +192,14 @@
 
 func (r *run) ip(block, i int) string { return fmt.Sprintf("127.%d.%d.%d", r.cfg.Subnet, block, 10+i) }
 
-// controlIP returns the address of a control host, which may have replaced the one that was started first.
-func (r *run) controlIP(i int) string {
+// controlAddress returns the control address of the host that was started as number i, or of the one that has replaced it.
+func (r *run) controlAddress(i int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n, moved := r.moved[i]; moved {
-		return r.ip(0, n)
+	if i == r.replaced {
+		i = r.cfg.Control
 	}
-	return r.ip(0, i)
-}
-
-func (r *run) controlAddress(i int) string {
-	return net.JoinHostPort(r.controlIP(i), fmt.Sprint(controlPort))
+	return net.JoinHostPort(r.ip(0, i), fmt.Sprint(controlPort))
 }
 
 func (r *run) entryAddress(i int) string { return net.JoinHostPort(r.ip(1, i), fmt.Sprint(callerPort)) }
@@ -302,7 +298,11 @@
 }
 
 func (r *run) close() {
-	for _, p := range append(r.processes, r.spares...) {
+	processes := r.processes
+	if r.spare != nil {
+		processes = append(processes, r.spare)
+	}
+	for _, p := range processes {
 		if p.cmd != nil && p.running() {
 			p.end(syscall.SIGKILL, time.Second)
 		}
