gateway: a miss counts against a server only if the others still answer after it

Callers: after a cut of all paths of several entry hosts one server of 20 could count as ended, though it had only become unreachable; its group then left service for no reason (TestFleetCutNotTakenForCrashes, once).

Cause: a host that is asked whether a server has ended asks this server and reference servers at the same time. If its paths are lost between their answers and the miss, it reports that it reached the references and not the server, which is the proof of an end.

Change: before such a report the references that answered are asked again, and count only if they still answer. Queries within a window, which prove no end, are answered as before.

Before the change, TestPathsLostWhileAsked: paths lost meanwhile: Reached [i-0 i-1], want []; 1 queries, want 2 After it the package passes, and TestFleetCutNotTakenForCrashes 3 of 3.

--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -235,15 +235,30 @@
 		return &wire.ForwardReply{Reason: refusedCutOff}
 	}
 	reached, open := g.evidence(q)
-	missed := g.askServers(open, func() {})
-	for _, t := range open {
-		if !slices.ContainsFunc(missed, func(s wire.ServerAddress) bool { return s.ID == t.ID }) {
-			reached = append(reached, t.ID)
-		}
+	answered, missed := g.splitReached(open)
+	if q.WithinMs == 0 && len(missed) > 0 {
+		// Paths may have been lost between an answer and a miss; the servers that were missed haven't ended then.
+		answered, _ = g.splitReached(answered)
+	}
+	for _, t := range answered {
+		reached = append(reached, t.ID)
 	}
 	return &wire.ForwardReply{Reached: reached}
 }
 
+// splitReached asks servers for their status and splits them by whether they have answered.
+func (g *Gateway) splitReached(targets []placement.Target) (answered, missed []placement.Target) {
+	unanswered := g.askServers(targets, func() {})
+	for _, t := range targets {
+		if slices.ContainsFunc(unanswered, func(s wire.ServerAddress) bool { return s.ID == t.ID }) {
+			missed = append(missed, t)
+		} else {
+			answered = append(answered, t)
+		}
+	}
+	return answered, missed
+}
+
 // evidence returns which servers of a query are known to have answered this host, and which must be asked. Those that are no
 // endpoints here are neither; no other address is dialled.
 func (g *Gateway) evidence(q wire.ReachQuery) (reached []string, open []placement.Target) {
--- a/process/gateway/reach_test.go
+++ b/process/gateway/reach_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"fmt"
 	"math"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +55,66 @@
 	}
 }
 
+// serveAnswers answers the first n status queries and closes the connections of all later ones.
+func serveAnswers(t *testing.T, n int64, queries *atomic.Int64) string {
+	t.Helper()
+	return startServer(t, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		b := make([]byte, 1024)
+		if _, err := c.Read(b); err != nil || queries.Add(1) > n {
+			return
+		}
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+		_, _ = c.Read(b)
+	})
+}
+
+// TestPathsLostWhileAsked guards against a server that counts as ended because a host that lost all its paths while it asked
+// had reached the other servers before.
+func TestPathsLostWhileAsked(t *testing.T) {
+	tests := []struct {
+		name string
+		// answers is the number of status queries that each reference server answers, ended whether the server asked for has.
+		answers int64
+		ended   bool
+		want    []string
+		queries int64
+	}{
+		{"paths lost meanwhile", 1, true, []string{}, 2},
+		{"server ended", 10, true, []string{"i-0", "i-1"}, 2},
+		{"all reached", 10, false, []string{"ended", "i-0", "i-1"}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newTestGateway(t)
+			text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+			if tt.ended {
+				text = "CLOSE"
+			}
+			q := wire.ReachQuery{Servers: []wire.ServerAddress{{ID: "ended", Address: serveAnswer(t, text)}}}
+			queries := make([]atomic.Int64, 2)
+			for i := range queries {
+				q.Servers = append(q.Servers, wire.ServerAddress{ID: fmt.Sprint("i-", i), Address: serveAnswers(t, tt.answers, &queries[i])})
+			}
+			var list []wire.Endpoint
+			for i, s := range q.Servers {
+				list = append(list, wire.Endpoint{ID: s.ID, Address: s.Address, Handle: uint64(1 + i)})
+			}
+			g.balancer.UpdateEndpoints(true, list, nil)
+			got := g.answerReach(q)
+			slices.Sort(got.Reached)
+			if got.Reason != "" || !slices.Equal(got.Reached, tt.want) {
+				t.Errorf("%+v, want %v", got, tt.want)
+			}
+			for i := range queries {
+				if n := queries[i].Load(); n != tt.queries {
+					t.Errorf("%d queries to i-%d, want %d", n, i, tt.queries)
+				}
+			}
+		})
+	}
+}
+
 // TestReachFromAnswers checks that servers that have just answered aren't asked, and what bounds that.
 func TestReachFromAnswers(t *testing.T) {
 	const address = "127.0.0.1:1"
