gateway: one way to find out which servers answer, and one test server

Cause: answerReach split servers into those that answer and those that don't, and used only the number of the latter; the test had a second copy of the server that answers. Change: answering returns the servers that answer. serveAnswer is a case of serveAnswers. Behaviour and assertions are the same.

--- a/process/gateway/intake.go
+++ b/process/gateway/intake.go
@@ -235,28 +235,23 @@
 		return &wire.ForwardReply{Reason: refusedCutOff}
 	}
 	reached, open := g.evidence(q)
-	answered, missed := g.splitReached(open)
-	if q.WithinMs == 0 && len(missed) > 0 {
+	answering := g.answering(open)
+	if q.WithinMs == 0 && len(answering) < len(open) {
 		// Paths may have been lost between an answer and a miss; the servers that were missed haven't ended then.
-		answered, _ = g.splitReached(answered)
+		answering = g.answering(answering)
 	}
-	for _, t := range answered {
+	for _, t := range answering {
 		reached = append(reached, t.ID)
 	}
 	return &wire.ForwardReply{Reached: reached}
 }
 
-// splitReached asks servers for their status and splits them by whether they have answered.
-func (g *Gateway) splitReached(targets []placement.Target) (answered, missed []placement.Target) {
-	unanswered := g.askServers(targets, func() {})
-	for _, t := range targets {
-		if slices.ContainsFunc(unanswered, func(s wire.ServerAddress) bool { return s.ID == t.ID }) {
-			missed = append(missed, t)
-		} else {
-			answered = append(answered, t)
-		}
-	}
-	return answered, missed
+// answering asks servers for their status and returns those that answer.
+func (g *Gateway) answering(targets []placement.Target) []placement.Target {
+	missed := g.askServers(targets, func() {})
+	return slices.DeleteFunc(slices.Clone(targets), func(t placement.Target) bool {
+		return slices.ContainsFunc(missed, func(s wire.ServerAddress) bool { return s.ID == t.ID })
+	})
 }
 
 // evidence returns which servers of a query are known to have answered this host, and which must be asked. Those that are no
--- a/process/gateway/reach_test.go
+++ b/process/gateway/reach_test.go
@@ -15,11 +15,17 @@
 
 // serveAnswer accepts connections and sends a text on each, after its first bytes have been read.
 func serveAnswer(t *testing.T, text string) string {
+	t.Helper()
+	return serveAnswers(t, text, math.MaxInt64, new(atomic.Int64))
+}
+
+// serveAnswers is serveAnswer for the first n connections. It closes all later ones, and counts the queries.
+func serveAnswers(t *testing.T, text string, n int64, queries *atomic.Int64) string {
 	t.Helper()
 	return startServer(t, func(c net.Conn) {
 		defer func() { _ = c.Close() }()
 		b := make([]byte, 1024)
-		if _, err := c.Read(b); err != nil || text == "CLOSE" {
+		if _, err := c.Read(b); err != nil || queries.Add(1) > n || text == "CLOSE" {
 			return
 		}
 		_, _ = c.Write([]byte(text))
@@ -55,20 +61,6 @@
 	}
 }
 
-// serveAnswers answers the first n status queries and closes the connections of all later ones.
-func serveAnswers(t *testing.T, n int64, queries *atomic.Int64) string {
-	t.Helper()
-	return startServer(t, func(c net.Conn) {
-		defer func() { _ = c.Close() }()
-		b := make([]byte, 1024)
-		if _, err := c.Read(b); err != nil || queries.Add(1) > n {
-			return
-		}
-		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
-		_, _ = c.Read(b)
-	})
-}
-
 // TestPathsLostWhileAsked guards against a server that counts as ended because a host that lost all its paths while it asked
 // had reached the other servers before.
 func TestPathsLostWhileAsked(t *testing.T) {
@@ -87,14 +79,15 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := newTestGateway(t)
-			text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+			const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+			text := answer
 			if tt.ended {
 				text = "CLOSE"
 			}
 			q := wire.ReachQuery{Servers: []wire.ServerAddress{{ID: "ended", Address: serveAnswer(t, text)}}}
 			queries := make([]atomic.Int64, 2)
 			for i := range queries {
-				q.Servers = append(q.Servers, wire.ServerAddress{ID: fmt.Sprint("i-", i), Address: serveAnswers(t, tt.answers, &queries[i])})
+				q.Servers = append(q.Servers, wire.ServerAddress{ID: fmt.Sprint("i-", i), Address: serveAnswers(t, answer, tt.answers, &queries[i])})
 			}
 			var list []wire.Endpoint
 			for i, s := range q.Servers {
