--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -155,7 +155,7 @@
 func (r *run) acquire(p *process) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.faulty || (p.control && r.controlsDown >= (r.cfg.Control-1)/2) {
+	if p.faulty || (p.control && r.controlsDown >= r.maxLost()) {
 		return false
 	}
 	p.faulty = true
--- a/bench/soak/members.go
+++ b/bench/soak/members.go
@@ -32,7 +32,7 @@
 		return
 	}
 	defer r.releaseControls()
-	controls := append([]*process(nil), r.processes[:r.cfg.Control]...)
+	controls := slices.Clone(r.processes[:r.cfg.Control])
 	random.Shuffle(len(controls), func(i, j int) { controls[i], controls[j] = controls[j], controls[i] })
 	added := r.controlProcess(r.cfg.Control)
 	if random.IntN(2) == 0 {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -211,7 +211,7 @@
 	}
 	shared := fmt.Sprintf("dataCentre: a\nregions: {a: here, b: here}\npeerPorts: [%d]\nseeds: [%s]\ntoken: soak\nlostDisks: %d\nmemoryMB: 256\n"+
 		"limits: {reportEveryMs: %d, stallMs: %d, revokeMs: %d, evacuateMs: %d, graceSeconds: %g, coldOverage: %g, coldSlack: %g}\n",
-		peerPort, strings.Join(seeds, ", "), (r.cfg.Control-1)/2, reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, evacuationBound.Milliseconds(), gracePeriod.Seconds(),
+		peerPort, strings.Join(seeds, ", "), r.maxLost(), reportInterval.Milliseconds(), memberLossTimeout.Milliseconds(), revokeMs, evacuationBound.Milliseconds(), gracePeriod.Seconds(),
 		coldOverage, coldSlack)
 	r.shared = shared
 	for i := range r.cfg.Control {
--- a/process/fleet/withdrawal.go
+++ b/process/fleet/withdrawal.go
@@ -21,7 +21,7 @@
 	reinstateIntervals = 6
 	// maxReportGapIntervals is the longest time between two such reports, in intervals.
 	maxReportGapIntervals = 2.5
-	// defaultReportInterval is that of the usual deployment.
+	// defaultReportInterval is used without WithReportInterval.
 	defaultReportInterval = 1200 * time.Millisecond
 )
 
--- a/process/listening/listening.go
+++ b/process/listening/listening.go
@@ -4,8 +4,7 @@
 
 import "time"
 
-// MaxGap is the longest time between two observations that isn't a gap. It is longer than a step of a busy leader, and so short that
-// nobody's announcements are missed for as long as a silent host is waited for.
+// MaxGap is the longest time between two observations that isn't a gap. It is less than the silence after which a host may be replaced.
 const MaxGap = time.Second
 
 // Tracker records gaps. The zero value has observed nothing.
@@ -61,7 +60,7 @@
 		return Gap{}, false
 	}
 	g := Gap{Suspended: suspended, Listened: began.Sub(t.since)}
-	if t.resumed && began.Sub(t.since) < MaxGap {
+	if t.resumed && g.Listened < MaxGap {
 		// A host that goes on after a suspension is out of reach until it has heard the others: both are one gap.
 		began = t.gapBegan
 	}
--- a/process/membership/aim.go
+++ b/process/membership/aim.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// MaxAge is how long an aim holds: as long as three announcements of the control hosts take. A leader renews it with each one.
+// MaxAge is how long an aim holds. A leader renews it with each announcement of the control hosts.
 const MaxAge = 1500 * time.Millisecond
 
 // Aim is the membership that the leader of one term works towards. A host that leads again, or has been suspended, knows nothing of what
--- a/standin/fleet/restart.go
+++ b/standin/fleet/restart.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"savorywing.example/savorywing/wire"
 )
 
@@ -15,8 +13,9 @@
 	f.mu.Lock()
 	s.withdrawn = true
 	f.mu.Unlock()
-	for i := range f.cfg.ControlAddresses {
-		if s.withdraw(f.cfg.ControlAddresses[(first+i)%len(f.cfg.ControlAddresses)]) {
+	addresses, withdrawal := f.cfg.ControlAddresses, wire.Report{ID: s.id, Gone: true}
+	for i := range addresses {
+		if s.callControl(addresses[(first+i)%len(addresses)], withdrawal, withdrawTimeout) {
 			break
 		}
 	}
@@ -35,14 +34,3 @@
 	}
 	return next, nil
 }
-
-// withdraw deregisters the server and reports whether that was acknowledged.
-func (s *Server) withdraw(address string) bool {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetBody(s.dialect().WriteReport(&req.Header, wire.Report{ID: s.id, Gone: true}))
-	req.URI().SetScheme("http")
-	req.URI().SetHost(address)
-	return s.client.DoTimeout(req, resp, withdrawTimeout) == nil && resp.StatusCode() == fasthttp.StatusOK
-}
--- a/standin/fleet/server.go
+++ b/standin/fleet/server.go
@@ -379,15 +379,19 @@
 	if suppressed {
 		return
 	}
+	// A lost report is not sent again, since the next one follows.
+	_ = s.callControl(address, r, reportTimeout)
+}
+
+// callControl sends a report to a control address and reports whether it was acknowledged in time.
+func (s *Server) callControl(address string, r wire.Report, timeout time.Duration) bool {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	body := f.cfg.Dialect.WriteReport(&req.Header, r)
-	req.SetBody(body)
+	req.SetBody(s.dialect().WriteReport(&req.Header, r))
 	req.URI().SetScheme("http")
 	req.URI().SetHost(address)
-	// A lost report is not sent again, since the next one follows.
-	_ = s.client.DoTimeout(req, resp, reportTimeout)
+	return s.client.DoTimeout(req, resp, timeout) == nil && resp.StatusCode() == fasthttp.StatusOK
 }
 
 // dialect returns the fleet's dialect.
